--- /dev/null
+++ b/Makefile
@@ -0,0 +1,42 @@
+# Every target sets up what it needs, so `make demo` and `make test` work on
+# a fresh machine with Python 3.11 or newer.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: setup demo test lint generate fuzz bench slopes format
+
+$(VENV)/.installed: pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q -e '.[dev]'
+	touch $@
+
+setup: $(VENV)/.installed
+
+demo: setup
+	$(BIN)/python bench/demo.py
+
+test: setup lint
+	$(BIN)/python -m pytest
+
+lint: setup
+	$(BIN)/python tools/generate.py --check
+	$(BIN)/isort -q --check-only rowanport bench tools test examples
+	$(BIN)/black -q --check rowanport bench tools test examples
+	$(BIN)/flake8 rowanport bench tools test examples
+
+format: setup
+	$(BIN)/isort -q rowanport bench tools test examples
+	$(BIN)/black -q rowanport bench tools test examples
+
+generate: setup
+	$(BIN)/python tools/generate.py
+
+fuzz: setup
+	$(BIN)/python tools/fuzz.py
+
+bench: setup
+	$(BIN)/python bench/bench.py $(BENCH_FLAGS)
+
+slopes: setup
+	$(BIN)/python bench/slopes.py
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Loads, experiments and measurements; these scripts start processes."""
--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,315 @@
+"""Start a fleet on loopback: platform, engines, services and routers.
+
+rowanport's own processes start no other; this script does it for them.
+"""
+
+import asyncio
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+
+from rowanport.errors import UpstreamError
+from rowanport.web import HttpClient
+
+HALLS = ("north", "south", "east")
+SECRET = "only-for-the-stand-in-fleet"
+ADDRESS = "127.0.0.1"
+START_TIMEOUT = 20.0
+STOP_TIMEOUT = 20.0
+
+
+def free_ports(count):
+    """Return ports that were free just now."""
+    sockets = []
+    for _number in range(count):
+        probe = socket.socket()
+        probe.bind((ADDRESS, 0))
+        sockets.append(probe)
+    ports = [probe.getsockname()[1] for probe in sockets]
+    for probe in sockets:
+        probe.close()
+    return ports
+
+
+class Process:
+    """One process of the fleet.
+
+    :ivar port: its main port
+    """
+
+    def __init__(self, name, arguments, port, log):
+        self.name = name
+        self.port = port
+        self._log = open(log, "ab")
+        self._process = subprocess.Popen(
+            [sys.executable, "-m", "rowanport", *map(str, arguments)],
+            stdout=self._log,
+            stderr=self._log,
+            start_new_session=True,
+        )
+
+    @property
+    def address(self):
+        return f"{ADDRESS}:{self.port}"
+
+    @property
+    def pid(self):
+        return self._process.pid
+
+    @property
+    def alive(self):
+        return self._process.poll() is None
+
+    def signal(self, number):
+        """Send a signal if the process still runs."""
+        if self.alive:
+            self._process.send_signal(number)
+
+    def wait(self, timeout=STOP_TIMEOUT):
+        """Return the exit code once the process has ended."""
+        code = self._process.wait(timeout)
+        self._log.close()
+        return code
+
+    def usage(self):
+        """Return CPU seconds and resident megabytes so far."""
+        with open(f"/proc/{self.pid}/stat") as source:
+            fields = source.read().rpartition(")")[2].split()
+        ticks = os.sysconf("SC_CLK_TCK")
+        cpu = (int(fields[11]) + int(fields[12])) / ticks
+        resident = int(fields[21]) * os.sysconf("SC_PAGE_SIZE")
+        return cpu, resident / 1e6
+
+
+class Router(Process):
+    """A router process and its settings file."""
+
+    def __init__(self, name, hall, ports, path, log):
+        self.hall = hall
+        self.settings = path
+        self.caller_port, self.peer_port, self.operator_port = ports
+        arguments = ("router", "--settings", path)
+        super().__init__(name, arguments, self.caller_port, log)
+
+    @property
+    def operator_address(self):
+        return f"{ADDRESS}:{self.operator_port}"
+
+    @property
+    def peer_address(self):
+        return f"{ADDRESS}:{self.peer_port}"
+
+
+class Fleet:
+    """A whole fleet; use as a context manager so that nothing is left.
+
+    :param overrides: settings of all routers, ``{section: {key: value}}``
+    :param engine_options: options of each engine stand-in
+    """
+
+    def __init__(
+        self,
+        routers=8,
+        engines=6,
+        services=3,
+        halls=HALLS,
+        overrides=None,
+        engine_options=(),
+        writes=100,
+    ):
+        self._counts = (routers, engines, services)
+        self._halls = halls
+        self._overrides = overrides or {}
+        self._engine_options = engine_options
+        self._writes = writes
+        self._directory = tempfile.TemporaryDirectory(prefix="rowanport-")
+        self.path = pathlib.Path(self._directory.name)
+        self.platform = None
+        self.engines = []
+        self.services = []
+        self.routers = []
+        self.http = HttpClient()
+
+    def __enter__(self):
+        try:
+            self._start()
+        except BaseException:
+            self.close()
+            raise
+        return self
+
+    def __exit__(self, *_exception):
+        self.close()
+
+    # Starting
+
+    def _start(self):
+        routers, engines, services = self._counts
+        ports = iter(free_ports(1 + engines + services + 3 * routers))
+        port = next(ports)
+        self.platform = self._spawn(
+            "platform",
+            ("standin", "platform", port, "--writes", self._writes),
+            port,
+        )
+        for number in range(engines):
+            port = next(ports)
+            arguments = ("standin", "engine", port, *self._engine_options)
+            self.engines.append(
+                self._spawn(f"engine{number}", arguments, port)
+            )
+        for number in range(services):
+            port = next(ports)
+            self.services.append(
+                self._spawn(
+                    f"service{number}", ("standin", "service", port), port
+                )
+            )
+        for number in range(routers):
+            hall = self._halls[number % len(self._halls)]
+            three = [next(ports) for _port in range(3)]
+            self.start_router(f"r{number}", hall, three)
+
+    def _spawn(self, name, arguments, port):
+        return Process(name, arguments, port, self.path / f"{name}.log")
+
+    def start_router(self, name, hall, ports=None, store=None):
+        """Start one more router and return it.
+
+        :param store: address of the store, if not the platform's own
+        """
+        ports = ports or free_ports(3)
+        path = self.path / f"{name}.ini"
+        path.write_text(self._settings(name, hall, ports, store))
+        log = self.path / f"{name}.log"
+        router = Router(name, hall, ports, path, log)
+        self.routers.append(router)
+        return router
+
+    def _settings(self, name, hall, ports, store):
+        sections = {
+            "router": {
+                "name": name,
+                "address": ADDRESS,
+                "hall": hall,
+                "caller_port": ports[0],
+                "peer_port": ports[1],
+                "operator_port": ports[2],
+                "secret": SECRET,
+            },
+            "platform": {
+                "store": store or self.platform.address,
+                "halls": ", ".join(self._halls),
+            },
+        }
+        for section, values in self._overrides.items():
+            sections.setdefault(section, {}).update(values)
+        lines = []
+        for section, values in sections.items():
+            lines.append(f"[{section}]")
+            lines += [f"{key} = {value}" for key, value in values.items()]
+        return "\n".join(lines) + "\n"
+
+    # Waiting
+
+    async def wait_standins(self):
+        """Wait for the stand-ins and list the instances."""
+        for process in (self.platform, *self.engines, *self.services):
+            await self._wait_answer(process.address, "/counts")
+        for router in self.routers:
+            await self.list_instance(router, "router", router.peer_address)
+        for number, engine in enumerate(self.engines):
+            await self.list_instance(engine, "engine", engine.address)
+
+    async def list_instance(self, process, role, address, state="live"):
+        """Put an instance on the platform's list."""
+        value = {
+            "address": address,
+            "role": role,
+            "hall": getattr(process, "hall", self._halls[0]),
+            "state": state,
+        }
+        await self.http.request_json(
+            self.platform.address, "PUT", f"/instances/{process.name}", value
+        )
+
+    async def wait_routers(self, routers=None, version=1):
+        """Wait until routers are ready with a configuration version."""
+        for router in routers or self.routers:
+            until = time.monotonic() + START_TIMEOUT
+            while True:
+                status = await self.status(router)
+                ready = status.get("state") == "ready"
+                if ready and status["config_version"] >= version:
+                    break
+                if time.monotonic() > until:
+                    raise TimeoutError(f"{router.name} is not ready: {status}")
+                await asyncio.sleep(0.05)
+
+    async def _wait_answer(self, address, path):
+        until = time.monotonic() + START_TIMEOUT
+        while True:
+            try:
+                return await self.http.request_json(address, "GET", path)
+            except UpstreamError:
+                if time.monotonic() > until:
+                    raise
+                await asyncio.sleep(0.05)
+
+    # Using
+
+    async def status(self, router):
+        """Return a router's status, or an empty map."""
+        try:
+            _status, value = await self.http.request_json(
+                router.operator_address, "GET", "/status", timeout=5.0
+            )
+            return value
+        except UpstreamError:
+            return {}
+
+    async def faults(self, process, **faults):
+        """Switch faults of a stand-in."""
+        await self.http.request_json(
+            process.address, "POST", "/faults", faults
+        )
+
+    async def counts(self, process):
+        """Return the counts of a stand-in."""
+        _status, value = await self.http.request_json(
+            process.address, "GET", "/counts"
+        )
+        return value
+
+    def command(self, *arguments, settings=True, check=True):
+        """Run an operator's command and return its JSON answer."""
+        command = [sys.executable, "-m", "rowanport", *map(str, arguments)]
+        if settings:
+            command += ["--settings", str(self.routers[0].settings)]
+        result = subprocess.run(
+            command + ["--json"], capture_output=True, text=True, timeout=60
+        )
+        if check and result.returncode:
+            raise RuntimeError(f"{arguments}: {result.stderr}")
+        return json.loads(result.stdout) if result.stdout else result
+
+    # Ending
+
+    def close(self):
+        """End all processes, by their ids, and leave no file."""
+        processes = [*self.routers, *self.engines, *self.services]
+        if self.platform is not None:
+            processes.append(self.platform)
+        for process in processes:
+            process.signal(signal.SIGKILL)
+        for process in processes:
+            with contextlib.suppress(subprocess.TimeoutExpired):
+                process.wait()
+        self._directory.cleanup()
--- /dev/null
+++ b/rowanport/__init__.py
@@ -0,0 +1,3 @@
+"""A router fleet for prepaid token budgets."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/rowanport/__main__.py
@@ -0,0 +1,5 @@
+"""Run the command line with ``python -m rowanport``."""
+
+from .ui import main
+
+main()
--- /dev/null
+++ b/rowanport/errors.py
@@ -0,0 +1,161 @@
+"""The closed list of error kinds, their answers, and the exceptions."""
+
+import enum
+
+# Outcomes and kinds
+
+
+class Outcome(enum.Enum):
+    """What a caller may conclude about the run of its request."""
+
+    DONE = "done"
+    NOT_RUN = "not-run"
+    MAY_HAVE_RUN = "may-have-run"
+
+
+class ErrorKind(enum.Enum):
+    """Every way in which a request can fail."""
+
+    MALFORMED = "malformed"
+    TOO_LARGE = "too_large"
+    TOO_SLOW = "too_slow"
+    UNAUTHENTICATED = "unauthenticated"
+    UNKNOWN_PATH = "unknown_path"
+    UNKNOWN_BUDGET = "unknown_budget"
+    UNKNOWN_GROUP = "unknown_group"
+    KEY_REUSED = "key_reused"
+    POLICY_REFUSED = "policy_refused"
+    POLICY_FAILED = "policy_failed"
+    BUDGET_EXHAUSTED = "budget_exhausted"
+    BUDGET_UNAVAILABLE = "budget_unavailable"
+    CLAIM_UNAVAILABLE = "claim_unavailable"
+    ALREADY_CLAIMED = "already_claimed"
+    RATE_LIMITED = "rate_limited"
+    OVERLOADED = "overloaded"
+    DEADLINE_PASSED = "deadline_passed"
+    NO_UPSTREAM = "no_upstream"
+    UPSTREAM_REFUSED = "upstream_refused"
+    UPSTREAM_FAILED = "upstream_failed"
+    STOPPING = "stopping"
+    NOT_READY = "not_ready"
+    INTERNAL = "internal"
+
+
+class Answer:
+    """How one error kind is answered."""
+
+    __slots__ = ("status", "outcome", "retry", "type")
+
+    def __init__(self, status, outcome, retry, type_):
+        self.status = status
+        self.outcome = outcome
+        self.retry = retry
+        self.type = type_
+
+
+_NOT_RUN = Outcome.NOT_RUN
+_MAYBE = Outcome.MAY_HAVE_RUN
+_BAD = "invalid_request_error"
+_BUSY = "server_error"
+_LIMIT = "rate_limit_error"
+_QUOTA = "insufficient_quota"
+
+# The one table from kind to answer.  ``retry`` says whether coming back
+# later makes sense; the time itself is spread by the caller side.
+ANSWERS = {
+    ErrorKind.MALFORMED: Answer(400, _NOT_RUN, False, _BAD),
+    ErrorKind.TOO_LARGE: Answer(413, _NOT_RUN, False, _BAD),
+    ErrorKind.TOO_SLOW: Answer(408, _NOT_RUN, True, _BAD),
+    ErrorKind.UNAUTHENTICATED: Answer(
+        401, _NOT_RUN, False, "authentication_error"
+    ),
+    ErrorKind.UNKNOWN_PATH: Answer(404, _NOT_RUN, False, _BAD),
+    ErrorKind.UNKNOWN_BUDGET: Answer(404, _NOT_RUN, False, _BAD),
+    ErrorKind.UNKNOWN_GROUP: Answer(404, _NOT_RUN, False, _BAD),
+    ErrorKind.KEY_REUSED: Answer(422, _NOT_RUN, False, _BAD),
+    ErrorKind.POLICY_REFUSED: Answer(403, _NOT_RUN, False, "policy_error"),
+    ErrorKind.POLICY_FAILED: Answer(500, _NOT_RUN, True, "policy_error"),
+    ErrorKind.BUDGET_EXHAUSTED: Answer(429, _NOT_RUN, True, _QUOTA),
+    ErrorKind.BUDGET_UNAVAILABLE: Answer(503, _NOT_RUN, True, _BUSY),
+    ErrorKind.CLAIM_UNAVAILABLE: Answer(503, _NOT_RUN, True, _BUSY),
+    ErrorKind.ALREADY_CLAIMED: Answer(409, _MAYBE, False, _BAD),
+    ErrorKind.RATE_LIMITED: Answer(429, _NOT_RUN, True, _LIMIT),
+    ErrorKind.OVERLOADED: Answer(503, _NOT_RUN, True, _BUSY),
+    ErrorKind.DEADLINE_PASSED: Answer(504, _NOT_RUN, False, _BUSY),
+    ErrorKind.NO_UPSTREAM: Answer(503, _NOT_RUN, True, _BUSY),
+    ErrorKind.UPSTREAM_REFUSED: Answer(503, _NOT_RUN, True, _BUSY),
+    ErrorKind.UPSTREAM_FAILED: Answer(502, _MAYBE, True, _BUSY),
+    ErrorKind.STOPPING: Answer(503, _NOT_RUN, True, _BUSY),
+    ErrorKind.NOT_READY: Answer(503, _NOT_RUN, True, _BUSY),
+    ErrorKind.INTERNAL: Answer(500, _MAYBE, False, _BUSY),
+}
+
+
+# Exceptions
+
+
+class RowanportError(Exception):
+    """Base of all errors of this package."""
+
+
+class RequestError(RowanportError):
+    """A caller's request cannot be served.
+
+    :param kind: the error kind, which decides the answer
+    :param detail: what was wrong, for the caller
+    :param outcome: overrides the outcome of the table, for a fault whose
+        effect is known better than its kind says
+    """
+
+    def __init__(self, kind, detail="", outcome=None):
+        super().__init__(detail or kind.value)
+        self.kind = kind
+        self.detail = detail or kind.value.replace("_", " ")
+        self.outcome = outcome or ANSWERS[kind].outcome
+
+
+class UserError(RowanportError):
+    """An operator's command cannot be carried out; printed once."""
+
+
+class SettingsError(UserError):
+    """A settings file has mistakes."""
+
+
+class ConflictError(UserError):
+    """Another operator's change came first."""
+
+
+class MessageError(RowanportError):
+    """Bytes from a peer or the store are not what they should be."""
+
+
+class StoreError(RowanportError):
+    """A store call did not succeed."""
+
+
+class StoreUnavailable(StoreError):
+    """The store did not answer: a write may have taken effect."""
+
+
+class StoreConflict(StoreError):
+    """The value has another version: the write took no effect."""
+
+
+class StoreBusy(StoreError):
+    """The store refused the call for its rate: it took no effect."""
+
+
+class PeerError(RowanportError):
+    """A peer did not answer: it may have acted on the message."""
+
+
+class UpstreamError(RowanportError):
+    """A call of an upstream failed.
+
+    :param started: whether the upstream may have started the work
+    """
+
+    def __init__(self, detail, started=True):
+        super().__init__(detail)
+        self.started = started
--- /dev/null
+++ b/rowanport/hashing.py
@@ -0,0 +1,41 @@
+"""Identifiers and hashes: rendezvous order, shards, request ids."""
+
+import hashlib
+import secrets
+
+import xxhash
+
+ID_BYTES = 16
+
+
+def rendezvous(key, names):
+    """Return the names ordered by highest random weight for the key.
+
+    Source: Thaler and Ravishankar, 1996.
+    """
+
+    def weight(name):
+        return xxhash.xxh3_64_intdigest(f"{key}\0{name}".encode())
+
+    return sorted(names, key=weight, reverse=True)
+
+
+def shard_of(key, shards):
+    """Return the shard number of a key, of ``shards`` in all."""
+    return xxhash.xxh3_64_intdigest(key.encode()) % shards
+
+
+def request_id(organisation, key):
+    """Return the id of a request: 32 hex digits, apart by organisation."""
+    text = f"{organisation}\0{key}".encode()
+    return hashlib.blake2b(text, digest_size=ID_BYTES).hexdigest()
+
+
+def content_hash(data):
+    """Return the hash that names stored bytes."""
+    return hashlib.blake2b(data, digest_size=ID_BYTES).hexdigest()
+
+
+def new_id():
+    """Return a fresh random id of 16 hex digits."""
+    return secrets.token_hex(8)
--- /dev/null
+++ b/rowanport/ledger/book.py
@@ -0,0 +1,172 @@
+"""The entry's side of reservations: what it asked for and still owes.
+
+An entry keeps each reservation until its bill is known to stand in the
+shard.  So a home that dies takes nothing with it that an entry cannot bring
+to the next home, or attest when the dead home's grants are recovered.
+"""
+
+import collections
+
+from ..schema.messages import Reserve
+from ..schema.messages import Settle
+from ..schema.messages import Started
+
+
+class OpenReservation:
+    """One reservation as its entry sees it.
+
+    :ivar home: incarnation that was asked
+    :ivar holder: holder that granted it; empty while unanswered
+    :ivar settlement: the Settle message, once the run has ended
+    :ivar witnessed: whether it is kept for the home's own entry
+    """
+
+    __slots__ = (
+        "request",
+        "reservation",
+        "budget",
+        "tokens",
+        "deadline",
+        "home",
+        "holder",
+        "settlement",
+        "witnessed",
+    )
+
+    def __init__(self, request, reservation, budget, tokens, deadline, home):
+        self.request = request
+        self.reservation = reservation
+        self.budget = budget
+        self.tokens = tokens
+        self.deadline = deadline
+        self.home = home
+        self.holder = ""
+        self.settlement = None
+        self.witnessed = False
+
+    @property
+    def owed(self):
+        """Return the tokens that may be taken from the holder's grant."""
+        if self.settlement is not None:
+            return self.settlement.tokens
+        return self.tokens
+
+
+class ReservationBook:
+    """All open reservations of one entry.
+
+    :param incarnation: incarnation of this router
+    :param new_id: function that returns fresh ids
+    """
+
+    def __init__(self, incarnation, new_id):
+        self._incarnation = incarnation
+        self._new_id = new_id
+        self._open = {}
+        self._shunned = set()
+
+    def __len__(self):
+        return len(self._open)
+
+    def get(self, reservation):
+        """Return the OpenReservation of an id."""
+        return self._open[reservation]
+
+    def ask(self, request, budget, tokens, deadline, home, waits_until):
+        """Open a reservation and return the Reserve message to send."""
+        reservation = self._new_id()
+        self._open[reservation] = OpenReservation(
+            request, reservation, budget, tokens, deadline, home
+        )
+        return Reserve(
+            request,
+            reservation,
+            budget,
+            tokens,
+            deadline,
+            self._incarnation,
+            waits_until,
+        )
+
+    def reserved(self, answer):
+        """Take in a Reserved answer; return the reservation to use.
+
+        :returns: None if it must not be used, because its holder was
+            attested as dead or the reservation is closed already
+        """
+        entry = self._open.get(answer.reservation)
+        if entry is None or entry.settlement is not None:
+            return None
+        if answer.holder in self._shunned:
+            return None
+        entry.holder = answer.holder
+        return entry
+
+    def refused(self, reservation):
+        """Forget a reservation that its home refused."""
+        self._open.pop(reservation, None)
+
+    def start(self, reservation, upstream):
+        """Return the message that tells the home where a run goes."""
+        entry = self._open[reservation]
+        return Started(reservation, entry.budget, upstream)
+
+    def settle(self, reservation, run, tokens, expiry):
+        """Close a reservation and return the Settle message to send.
+
+        It stays in the book until :meth:`written` says that it is safe.
+        """
+        entry = self._open[reservation]
+        entry.settlement = Settle(
+            entry.request,
+            reservation,
+            run,
+            entry.budget,
+            entry.holder,
+            tokens,
+            expiry,
+        )
+        return entry.settlement
+
+    def written(self, reservation):
+        """Forget a reservation whose bill stands in the shard."""
+        self._open.pop(reservation, None)
+
+    def witness(self, message):
+        """Remember a reservation that a home made for its own entry."""
+        entry = OpenReservation(
+            message.request,
+            message.reservation,
+            message.budget,
+            message.tokens,
+            message.deadline,
+            message.holder,
+        )
+        entry.holder = message.holder
+        entry.witnessed = True
+        self._open[message.reservation] = entry
+
+    def orphans(self, is_alive):
+        """Return witnessed reservations whose home died.
+
+        :param is_alive: function of a holder
+        """
+        return [
+            entry
+            for entry in self._open.values()
+            if entry.witnessed
+            and entry.settlement is None
+            and not is_alive(entry.holder)
+        ]
+
+    def attest(self, holder):
+        """Return what a dead holder's grants still owe for this entry.
+
+        From now on no reservation by that holder is used.
+        """
+        self._shunned.add(holder)
+        outstanding = collections.Counter()
+        for entry in self._open.values():
+            if entry.holder == holder:
+                outstanding[entry.budget] += entry.owed
+        return outstanding
--- /dev/null
+++ b/rowanport/ledger/client.py
@@ -0,0 +1,222 @@
+"""The entry's shell: reserves at homes and settles until it is safe."""
+
+import asyncio
+
+from ..errors import ErrorKind
+from ..errors import PeerError
+from ..errors import RequestError
+from ..incarnation import address_of
+from ..incarnation import incarnation_of
+from ..schema.messages import Ack
+from ..schema.messages import Refused
+from ..schema.messages import Reserved
+from ..schema.messages import Witness
+from ..schema.messages import WitnessEnd
+from .record import NO_BILL
+
+HOME_TRIES = 3
+ANSWER_MARGIN = 0.5
+WITNESS_TIMEOUT = 0.3
+SETTLE_TIMEOUT = 30.0
+SETTLE_PAUSE = 0.2
+SHORT_TIMEOUT = 1.0
+
+
+class LedgerClient:
+    """Reserves and settles for one router's callers.
+
+    :param keeper: this router's LedgerKeeper, for shards homed here
+    :param book: the ReservationBook
+    :param peers: a PeerClient
+    :param members: the Membership
+    :param settings: LedgerSettings
+    :param clock: a Clock
+    """
+
+    def __init__(
+        self, incarnation, keeper, book, peers, members, settings, clock
+    ):
+        self._incarnation = incarnation
+        self._keeper = keeper
+        self._book = book
+        self._peers = peers
+        self._members = members
+        self._settings = settings
+        self._clock = clock
+        self._tasks = set()
+
+    # Reserving
+
+    async def reserve(self, request, budget, tokens, deadline):
+        """Set tokens aside and return the OpenReservation.
+
+        :raises RequestError: the budget is unknown, exhausted or cannot be
+            reached; nothing was set aside then
+        """
+        now = self._clock.wall()
+        until = min(deadline, now + self._settings.reserve_wait)
+        shard = self._keeper.shard(budget)
+        failure = None
+        for home in self._members.homes(shard)[:HOME_TRIES]:
+            message = self._book.ask(
+                request, budget, tokens, deadline, home, until
+            )
+            witness = self._witness_for(home)
+            message.entry = witness or self._incarnation
+            try:
+                answer = await self._send(home, message, until)
+            except PeerError as error:
+                failure = error
+                self.release(message.reservation)
+                continue
+            if isinstance(answer, Refused):
+                self._book.refused(message.reservation)
+                if answer.kind == ErrorKind.STOPPING.value:
+                    failure = answer
+                    continue
+                raise RequestError(ErrorKind(answer.kind), answer.detail)
+            entry = await self._accept(answer, witness)
+            if entry is not None:
+                return entry
+            self.release(message.reservation)
+        raise RequestError(
+            ErrorKind.BUDGET_UNAVAILABLE, f"no home answers: {failure}"
+        )
+
+    async def _accept(self, answer, witness):
+        if not isinstance(answer, Reserved):
+            return None
+        entry = self._book.reserved(answer)
+        if entry is None or witness is None:
+            return entry
+        message = Witness(
+            entry.request,
+            entry.reservation,
+            entry.budget,
+            entry.tokens,
+            entry.deadline,
+            entry.holder,
+        )
+        try:
+            await self._peers.call(
+                address_of(witness), message, WITNESS_TIMEOUT
+            )
+        except PeerError:
+            return None
+        return entry
+
+    def _witness_for(self, home):
+        """Return who remembers a reservation made at this very router."""
+        if home != self._incarnation:
+            return None
+        return self._members.witness()
+
+    async def _send(self, home, message, until):
+        if home == self._incarnation:
+            return await self._keeper.handle(message)
+        wait = until - self._clock.wall() + ANSWER_MARGIN
+        return await self._peers.call(address_of(home), message, wait)
+
+    # Running and settling
+
+    def start(self, entry, upstream):
+        """Tell the home where a run goes, without waiting."""
+        message = self._book.start(entry.reservation, upstream)
+        self._spawn(self._tell(entry.home, message))
+
+    async def _tell(self, home, message):
+        try:
+            if home == self._incarnation:
+                await self._keeper.handle(message)
+            else:
+                await self._peers.call(
+                    address_of(home), message, SHORT_TIMEOUT
+                )
+        except PeerError:
+            pass
+
+    def release(self, reservation):
+        """Give back a reservation whose run surely did not start."""
+        self.settle(reservation, "", 0)
+
+    def settle(self, reservation, run, tokens):
+        """Bill a reservation; goes on in the background until written."""
+        expiry = self._clock.wall() + self._settings.bill_memory
+        message = self._book.settle(reservation, run, tokens, expiry)
+        entry = self._book.get(reservation)
+        expiry = entry.deadline + self._settings.bill_memory
+        message.expiry = max(message.expiry, expiry)
+        self._spawn(self._settle(entry, message))
+
+    async def _settle(self, entry, message):
+        home = entry.home
+        while True:
+            try:
+                answer = await self._settle_at(home, message)
+                if isinstance(answer, Ack):
+                    break
+            except PeerError:
+                await asyncio.sleep(SETTLE_PAUSE)
+            if not self._members.is_alive(incarnation_of(home)):
+                if message.tokens == 0:
+                    break
+                home = self._next_home(entry)
+        self._book.written(entry.reservation)
+        witness = self._witness_for(entry.home)
+        if witness is not None:
+            end = WitnessEnd(entry.reservation)
+            for peer in self._members.others():
+                self._spawn(self._tell(peer, end))
+
+    def _next_home(self, entry):
+        shard = self._keeper.shard(entry.budget)
+        return self._members.homes(shard)[0]
+
+    async def _settle_at(self, home, message):
+        if home == self._incarnation:
+            return await self._keeper.handle(message)
+        return await self._peers.call(
+            address_of(home), message, SETTLE_TIMEOUT
+        )
+
+    # Witnessed reservations
+
+    def handle(self, message):
+        """Take in a Witness or WitnessEnd message."""
+        if isinstance(message, Witness):
+            self._book.witness(message)
+        else:
+            self._book.written(message.reservation)
+        return Ack()
+
+    async def run(self):
+        """Presume witnessed runs of dead homes spent at their deadline."""
+        while True:
+            await asyncio.sleep(SHORT_TIMEOUT)
+            now = self._clock.wall()
+            for entry in self._book.orphans(self._is_holder_alive):
+                if now > entry.deadline:
+                    self._presume_spent(entry)
+
+    def _is_holder_alive(self, holder):
+        return self._members.is_alive(incarnation_of(holder))
+
+    def _presume_spent(self, entry):
+        message = self._book.settle(
+            entry.reservation, entry.reservation, entry.tokens, NO_BILL
+        )
+        entry.home = self._next_home(entry)
+        self._spawn(self._settle(entry, message))
+
+    # Stop
+
+    @property
+    def unsettled(self):
+        """Return how many reservations are not yet safe."""
+        return len(self._book)
+
+    def _spawn(self, coroutine):
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
--- /dev/null
+++ b/rowanport/ledger/holder.py
@@ -0,0 +1,694 @@
+"""One router's side of one ledger shard: grants, reservations, loans.
+
+A holder hands out only tokens of grants that it knows to stand in the
+shard under its own id.  Neither membership nor clocks nor leases are needed
+for that to be safe: a holder that froze, was cut off or believes in an old
+view still spends nothing but its own.
+"""
+
+import collections
+
+from ..errors import ErrorKind
+from ..schema.messages import Ack
+from ..schema.messages import BillEntry
+from ..schema.messages import LendAsk
+from ..schema.messages import Lent
+from ..schema.messages import Refused
+from ..schema.messages import Reserved
+from ..schema.messages import TransferRecord
+from .record import Batch
+from .record import Draw
+from .record import find_bill
+from .record import free_tokens
+from .sizing import Demand
+
+DRY_SECONDS = 0.5
+WANT_SECONDS = 10.0
+VOID_MEMORY = 3600.0
+
+
+class Reservation:
+    """Tokens set aside for one run.
+
+    :ivar upstream: where it runs, empty until that is known
+    """
+
+    __slots__ = (
+        "request",
+        "reservation",
+        "budget",
+        "tokens",
+        "entry",
+        "deadline",
+        "upstream",
+    )
+
+    def __init__(self, message):
+        self.request = message.request
+        self.reservation = message.reservation
+        self.budget = message.budget
+        self.tokens = message.tokens
+        self.entry = message.entry
+        self.deadline = message.deadline
+        self.upstream = ""
+
+
+class Account:
+    """One budget at one holder; all figures in tokens.
+
+    :ivar granted: as it stands in the shard after the last known batch
+    :ivar borrowed: Lent by transfer id, not yet in the shard
+    :ivar lent: transfers given away, not yet seen in the shard
+    :ivar reserved: Reservation by id
+    :ivar unwritten: settled, not yet in the shard
+    :ivar returning: on the way back to the shard
+    :ivar waiting: Reserve messages that lack tokens
+    """
+
+    __slots__ = (
+        "name",
+        "granted",
+        "borrowed",
+        "lent",
+        "reserved",
+        "unwritten",
+        "returning",
+        "waiting",
+        "demand",
+        "dry_until",
+        "ask",
+        "asked",
+    )
+
+    def __init__(self, name):
+        self.name = name
+        self.granted = 0
+        self.borrowed = {}
+        self.lent = {}
+        self.reserved = {}
+        self.unwritten = 0
+        self.returning = 0
+        self.waiting = collections.OrderedDict()
+        self.demand = Demand()
+        self.dry_until = 0.0
+        self.ask = None
+        self.asked = set()
+
+    @property
+    def available(self):
+        """Return the tokens that can be reserved now."""
+        have = self.granted + sum(m.tokens for m in self.borrowed.values())
+        reserved = sum(r.tokens for r in self.reserved.values())
+        lent = sum(m.tokens for m in self.lent.values())
+        return have - lent - reserved - self.unwritten - self.returning
+
+    @property
+    def lacking(self):
+        """Return the tokens that waiting reservations lack."""
+        wanted = sum(message.tokens for message in self.waiting.values())
+        return max(0, wanted - max(0, self.available)) if wanted else 0
+
+
+class Loan:
+    """Tokens given to a borrower.
+
+    :ivar until: until when a repeated ask gets the same answer
+    """
+
+    __slots__ = ("tokens", "borrower", "answer", "until")
+
+    def __init__(self, tokens, borrower, answer, until):
+        self.tokens = tokens
+        self.borrower = borrower
+        self.answer = answer
+        self.until = until
+
+
+class Holder:
+    """Decides for one shard at one router.
+
+    :param holder: holder id, an incarnation made at start
+    :param shard: shard number
+    :param sizing: a Sizing
+    :param new_id: function that returns fresh ids
+    """
+
+    def __init__(self, holder, shard, sizing, new_id):
+        self.holder = holder
+        self.shard = shard
+        self._sizing = sizing
+        self._new_id = new_id
+        self._accounts = {}
+        self._number = 0
+        self._batch = None
+        self._bills = {}
+        self._loans = {}
+        self._asks = set()
+        self._closed = set()
+        self._voids = {}
+        self._recoveries = []
+        self._shunned = set()
+        self._entries = set()
+        self._answers = []
+        self._written = []
+        self._leaving = False
+        self._left = False
+        self._touched = False
+        self.record = None
+        self.listed = frozenset()
+
+    # Views
+
+    @property
+    def waiting(self):
+        """Return whether a reservation waits for tokens."""
+        return any(account.waiting for account in self._accounts.values())
+
+    @property
+    def idle(self):
+        """Return whether nothing is open here."""
+        return not self._bills and not any(
+            account.reserved or account.waiting or account.borrowed
+            for account in self._accounts.values()
+        )
+
+    @property
+    def left(self):
+        """Return whether all was given back at a planned stop."""
+        if self._leaving and self.record is None:
+            return not self._bills and not self.waiting
+        return self._left
+
+    @property
+    def in_flight(self):
+        """Return the batch whose fate is not known, if any."""
+        return self._batch
+
+    def account(self, name):
+        """Return the account of a budget, made if need be."""
+        account = self._accounts.get(name)
+        if account is None:
+            account = self._accounts[name] = Account(name)
+        return account
+
+    def accounts(self):
+        """Return all accounts."""
+        return self._accounts.values()
+
+    def reservations(self):
+        """Return all open reservations."""
+        return [
+            reservation
+            for account in self._accounts.values()
+            for reservation in account.reserved.values()
+        ]
+
+    # Entries
+
+    def set_entries(self, entries):
+        """Say which entries may reserve here, by incarnation.
+
+        One with open reservations stays listed, so that a recovery after
+        this holder's death asks it.
+        """
+        kept = {reservation.entry for reservation in self.reservations()}
+        kept.update(self._entry_of_bills())
+        wanted = set(entries) | kept
+        if wanted != self._entries:
+            self._entries = wanted
+            self._touched = True
+
+    def _entry_of_bills(self):
+        return {entry for _bill, entry in self._bills.values()}
+
+    # Reservations
+
+    def reserve(self, message, now):
+        """Set tokens aside.
+
+        :returns: Reserved, Refused, or None if it waits for tokens; the
+            answer then comes from :meth:`take_answers`
+        """
+        account = self.account(message.budget)
+        known = account.reserved.get(message.reservation)
+        if known is not None:
+            return Reserved(known.reservation, self.holder, known.tokens)
+        if message.reservation in self._voids:
+            return _refused(ErrorKind.BUDGET_UNAVAILABLE, "voided")
+        if self._leaving:
+            return _refused(ErrorKind.STOPPING, "the home is stopping")
+        if message.reservation not in account.waiting:
+            account.demand.add(message.tokens, now)
+        if self.record is not None and message.budget not in (
+            self.record.budgets
+        ):
+            return _refused(ErrorKind.UNKNOWN_BUDGET, "no such budget")
+        if message.entry not in self.listed:
+            self._touched = True
+            self._entries.add(message.entry)
+            account.waiting[message.reservation] = message
+            return None
+        if account.available >= message.tokens and not account.waiting:
+            return self._set_aside(account, message)
+        if now < account.dry_until:
+            return self._refuse_dry(account, message)
+        account.waiting[message.reservation] = message
+        return None
+
+    def _set_aside(self, account, message):
+        reservation = Reservation(message)
+        account.reserved[message.reservation] = reservation
+        return Reserved(message.reservation, self.holder, message.tokens)
+
+    def _refuse_dry(self, account, message):
+        budget = self.record and self.record.budgets.get(account.name)
+        if budget is None:
+            return _refused(ErrorKind.BUDGET_UNAVAILABLE, "ledger not read")
+        left = budget.total - budget.settled - budget.absorbed
+        if left < message.tokens:
+            text = f"{message.tokens} tokens needed, {left} left"
+            return _refused(ErrorKind.BUDGET_EXHAUSTED, text)
+        text = f"{message.tokens} tokens needed, none to be had now"
+        return _refused(ErrorKind.BUDGET_EXHAUSTED, text)
+
+    def started(self, message):
+        """Note where a reserved run went."""
+        account = self.account(message.budget)
+        reservation = account.reserved.get(message.reservation)
+        if reservation is not None:
+            reservation.upstream = message.upstream
+        return Ack()
+
+    def settle(self, message, now):
+        """Close a reservation, of this holder or of a dead one.
+
+        :returns: Ack if nothing needs to be written, else None: the caller
+            may forget it once :meth:`take_written` names the reservation
+        """
+        account = self.account(message.budget)
+        own = message.holder == self.holder
+        reservation = account.reserved.pop(message.reservation, None)
+        account.waiting.pop(message.reservation, None)
+        if message.tokens == 0:
+            self._voids[message.reservation] = now + VOID_MEMORY
+            return Ack()
+        if message.reservation in self._bills:
+            return None
+        bill = BillEntry(
+            message.request,
+            message.reservation,
+            message.run,
+            message.budget,
+            message.holder,
+            message.tokens,
+            message.expiry,
+        )
+        if own and reservation is None:
+            if self._is_written(bill):
+                return Ack()
+        if own:
+            account.unwritten += message.tokens
+        entry = reservation.entry if reservation else ""
+        self._bills[message.reservation] = (bill, entry)
+        return None
+
+    def _is_written(self, bill):
+        if self.record is None:
+            return False
+        return find_bill(self.record, bill.request, bill.run) is not None
+
+    def pump(self, now):
+        """Answer waiting reservations that can be answered now."""
+        for account in self._accounts.values():
+            for key, message in list(account.waiting.items()):
+                answer = self._answer_waiting(account, message, now)
+                if answer is None:
+                    break
+                account.waiting.pop(key)
+                self._answers.append((message, answer))
+
+    def forget(self, now):
+        """Drop what is remembered only against late repeats."""
+        for key, until in list(self._voids.items()):
+            if until < now:
+                del self._voids[key]
+        for key, loan in list(self._loans.items()):
+            if loan.until < now and key not in (
+                self.account(loan.answer.budget).lent
+            ):
+                del self._loans[key]
+
+    def _answer_waiting(self, account, message, now):
+        if self._leaving:
+            return _refused(ErrorKind.STOPPING, "the home is stopping")
+        if self.record is not None:
+            if message.budget not in self.record.budgets:
+                return _refused(ErrorKind.UNKNOWN_BUDGET, "no such budget")
+        listed = message.entry in self.listed
+        if listed and account.available >= message.tokens:
+            return self._set_aside(account, message)
+        if now >= message.waits_until:
+            return _refused(ErrorKind.BUDGET_UNAVAILABLE, "no tokens in time")
+        if listed and now < account.dry_until:
+            return self._refuse_dry(account, message)
+        return None
+
+    def take_answers(self):
+        """Return (Reserve, answer) pairs of reservations that waited."""
+        answers = self._answers
+        self._answers = []
+        return answers
+
+    def take_written(self):
+        """Return ids of reservations whose bills stand in the shard."""
+        written = self._written
+        self._written = []
+        return written
+
+    # Loans
+
+    def asks(self, now):
+        """Return (holder, LendAsk) pairs to send to other holders now.
+
+        They go out when reservations wait and the shard has nothing free.
+        """
+        result = []
+        if self.record is None or self._leaving:
+            return result
+        for account in self._accounts.values():
+            lender = self._next_lender(account, now)
+            if lender is None:
+                continue
+            message = LendAsk(
+                account.ask, account.name, account.lacking, self.holder
+            )
+            result.append((lender, message))
+        return result
+
+    def _next_lender(self, account, now):
+        if not account.lacking or now < account.dry_until:
+            return None
+        if account.ask is not None:
+            return None
+        budget = self.record.budgets.get(account.name)
+        if budget is None or self.holder not in self.record.holders:
+            return None
+        lenders = sorted(
+            (name for name in budget.grants if name != self.holder),
+            key=lambda name: -budget.grants[name],
+        )
+        for lender in lenders:
+            live = lender in self.record.holders
+            if live and lender not in account.asked | self._shunned:
+                account.asked.add(lender)
+                account.ask = self._new_id()
+                self._asks.add(account.ask)
+                return lender
+        self._touched = True
+        return None
+
+    def ask_refused(self, message):
+        """Note that a lender gave nothing, or cannot be reached.
+
+        Tokens that it lent all the same are still taken in when its answer
+        comes late.
+        """
+        account = self.account(message.budget)
+        if account.ask == message.ask:
+            account.ask = None
+
+    def lend(self, message, now):
+        """Lend tokens to another holder, once for each ask."""
+        loan = self._loans.get(message.ask)
+        if loan is not None:
+            return loan.answer
+        account = self.account(message.budget)
+        record = self.record
+        if record is None or message.borrower not in record.holders:
+            return _refused(ErrorKind.BUDGET_UNAVAILABLE, "not a holder")
+        spare = account.available
+        if account.waiting or self._leaving or spare <= 0:
+            return _refused(ErrorKind.BUDGET_EXHAUSTED, "nothing to lend")
+        # Half of what is left, or all that was asked if that is less.
+        tokens = min(spare, max(message.tokens, spare // 2))
+        answer = Lent(message.ask, message.budget, tokens, self.holder)
+        loan = Loan(tokens, message.borrower, answer, now + VOID_MEMORY)
+        self._loans[message.ask] = loan
+        account.lent[message.ask] = loan
+        return answer
+
+    def borrow(self, message, now):
+        """Take in lent tokens, once for each transfer."""
+        account = self.account(message.budget)
+        if message.lender in self._shunned:
+            return
+        if message.ask not in self._asks:
+            return
+        self._asks.discard(message.ask)
+        self.ask_refused(message)
+        account.asked.discard(message.lender)
+        account.borrowed[message.ask] = message
+        self.pump(now)
+
+    # Dead holders
+
+    def attest(self, holder):
+        """Return what is borrowed from a holder; shun it from now on."""
+        self._shunned.add(holder)
+        outstanding = collections.Counter()
+        for account in self._accounts.values():
+            for message in account.borrowed.values():
+                if message.lender == holder:
+                    outstanding[account.name] += message.tokens
+        for bill, _entry in self._bills.values():
+            if bill.holder == holder:
+                outstanding[bill.budget] += bill.tokens
+        return outstanding
+
+    def recover(self, recovery):
+        """Take back a dead holder's grants with the next batch."""
+        self._recoveries.append(recovery)
+
+    # Batches
+
+    def make_batch(self, now):
+        """Return the batch to write next, or None if nothing is due.
+
+        A batch whose fate is unknown is returned again, unchanged.
+        """
+        if self._batch is not None:
+            return self._batch
+        if self.record is None or self._left:
+            return None
+        batch = Batch(self.holder, self._number + 1, now, self._listing())
+        self._fill_draws(batch, now)
+        self._fill_returns(batch, now)
+        batch.bills = [bill for bill, _entry in self._bills.values()]
+        batch.transfers = self._borrowed_transfers()
+        batch.closed = sorted(self._closed)
+        batch.recoveries = list(self._recoveries)
+        batch.leaving = self._may_leave()
+        if not self._is_due(batch, now):
+            return None
+        self._touched = False
+        self._number += 1
+        self._batch = batch
+        for name, tokens in batch.returns.items():
+            self.account(name).returning += tokens
+        return batch
+
+    def _listing(self):
+        return sorted(self._entries)
+
+    def _is_due(self, batch, now):
+        if batch.bills or batch.transfers or batch.closed or batch.returns:
+            return True
+        if batch.draws or batch.wants or batch.recoveries or batch.leaving:
+            return True
+        return self._touched and not self._leaving
+
+    def _may_leave(self):
+        return (
+            self._leaving
+            and not any(a.reserved for a in self._accounts.values())
+            and not any(a.lent for a in self._accounts.values())
+        )
+
+    def _fill_draws(self, batch, now):
+        if self._leaving:
+            return
+        for name, budget in self.record.budgets.items():
+            account = self.account(name)
+            free = free_tokens(budget)
+            need = account.lacking
+            rate = account.demand.rate(now)
+            available = account.available
+            if self._sizing.draw(free, need, available, rate) > 0 or need:
+                batch.draws[name] = Draw(need, available, rate)
+            marked = budget.wanted.get(self.holder, 0.0)
+            if need and need > free:
+                if marked < now + WANT_SECONDS / 2:
+                    batch.wants[name] = now + WANT_SECONDS
+            elif marked:
+                batch.wants[name] = 0.0
+
+    def _fill_returns(self, batch, now):
+        for name, account in self._accounts.items():
+            budget = self.record.budgets.get(name)
+            if budget is None or account.waiting:
+                continue
+            tokens = self._surplus(account, budget, now)
+            # Only what stands in the shard can be returned; borrowed
+            # tokens reach it with this very batch.
+            if tokens > 0:
+                batch.returns[name] = tokens
+                batch.draws.pop(name, None)
+
+    def _surplus(self, account, budget, now):
+        available = account.available
+        if self._leaving:
+            return max(0, available)
+        wanted = any(
+            until > now and holder != self.holder
+            for holder, until in budget.wanted.items()
+        )
+        return self._sizing.surplus(
+            free_tokens(budget), available, account.demand.rate(now), wanted
+        )
+
+    def _borrowed_transfers(self):
+        return [
+            TransferRecord(lent.ask, name, lent.tokens, lent.lender)
+            for name, account in self._accounts.items()
+            for lent in account.borrowed.values()
+        ]
+
+    def batch_applied(self, record, now):
+        """Take in the shard as it stands with the batch in flight."""
+        batch = self._batch
+        self._batch = None
+        for name, tokens in batch.returns.items():
+            self.account(name).returning -= tokens
+        for transfer in batch.transfers:
+            account = self.account(transfer.budget)
+            account.borrowed.pop(transfer.transfer, None)
+        for bill in batch.bills:
+            self._forget_bill(bill)
+        self._closed.difference_update(batch.closed)
+        for recovery in batch.recoveries:
+            self._recoveries.remove(recovery)
+        self._left = batch.leaving
+        self._finish_round(batch, record, now)
+        self.observe(record, now)
+
+    def _forget_bill(self, bill):
+        self._bills.pop(bill.reservation, None)
+        if bill.holder == self.holder:
+            self.account(bill.budget).unwritten -= bill.tokens
+        self._written.append(bill.reservation)
+
+    def _finish_round(self, batch, record, now):
+        """Call a budget dry when neither shard nor lenders had enough."""
+        for name, draw in batch.draws.items():
+            account = self.account(name)
+            if not draw.need:
+                account.asked.clear()
+                continue
+            budget = record.budgets[name]
+            if self._all_asked(account, budget, record):
+                account.dry_until = now + DRY_SECONDS
+                account.asked.clear()
+
+    def _all_asked(self, account, budget, record):
+        others = {
+            holder
+            for holder in budget.grants
+            if holder != self.holder and holder in record.holders
+        }
+        return account.ask is None and (
+            others <= account.asked | self._shunned
+        )
+
+    def store_failed(self, now):
+        """Note that the shard cannot be written at present."""
+        if self.record is None:
+            return
+        for account in self._accounts.values():
+            budget = self.record.budgets.get(account.name)
+            if budget is None or not account.lacking:
+                continue
+            if self._all_asked(account, budget, self.record):
+                account.dry_until = now + DRY_SECONDS
+                account.asked.clear()
+        self.pump(now)
+
+    def observe(self, record, now):
+        """Take in a newer reading of the shard.
+
+        :param record: the ShardRecord; never one read before the last
+            batch of this holder was known to be applied
+        """
+        self.record = record
+        own = record.holders.get(self.holder)
+        self.listed = frozenset(own.entries) if own else frozenset()
+        for name, budget in record.budgets.items():
+            if self.holder in budget.grants or name in self._accounts:
+                account = self.account(name)
+                account.granted = budget.grants.get(self.holder, 0)
+                self._see_transfers(account, record)
+                self._see_bills(account, record)
+        self.pump(now)
+
+    def _see_transfers(self, account, record):
+        for transfer, loan in list(account.lent.items()):
+            if transfer in record.transfers:
+                self._closed.add(transfer)
+            elif loan.borrower not in record.expelled:
+                continue
+            del account.lent[transfer]
+
+    def _see_bills(self, account, record):
+        """Drop reservations that were billed through another home."""
+        for key, reservation in list(account.reserved.items()):
+            bill = record.bills.get(reservation.request)
+            if bill is not None and bill.reservation == key:
+                del account.reserved[key]
+
+    # Ends
+
+    def leave(self):
+        """Begin a planned stop: reserve nothing new, give all back."""
+        self._leaving = True
+        self._touched = True
+
+    def expel(self, holder):
+        """Start anew under another id after a recovery by others.
+
+        Reservations of the old id were kept aside in the shard; their
+        settlements go there as those of a dead holder.
+        """
+        old = self.__dict__.copy()
+        waiting = [
+            message
+            for account in self._accounts.values()
+            for message in account.waiting.values()
+        ]
+        self.__init__(holder, self.shard, self._sizing, self._new_id)
+        self._shunned = old["_shunned"] | {old["holder"]}
+        self._bills = {
+            key: pair
+            for key, pair in old["_bills"].items()
+            if pair[0].holder != holder
+        }
+        self._entries = old["_entries"]
+        self._answers = old["_answers"]
+        self._written = old["_written"]
+        self._leaving = old["_leaving"]
+        self._touched = True
+        for message in waiting:
+            answer = _refused(ErrorKind.BUDGET_UNAVAILABLE, "recovered")
+            self._answers.append((message, answer))
+
+
+def _refused(kind, detail):
+    return Refused(kind.value, detail)
--- /dev/null
+++ b/rowanport/ledger/keeper.py
@@ -0,0 +1,510 @@
+"""The home's shell: connects holders to the store and to peers."""
+
+import asyncio
+
+import structlog
+
+from ..errors import ErrorKind
+from ..errors import PeerError
+from ..errors import StoreBusy
+from ..errors import StoreConflict
+from ..errors import StoreError
+from ..hashing import new_id
+from ..hashing import shard_of
+from ..incarnation import address_of
+from ..incarnation import cell_of
+from ..incarnation import incarnation_of
+from ..schema.messages import Ack
+from ..schema.messages import Attest
+from ..schema.messages import Attested
+from ..schema.messages import LendAsk
+from ..schema.messages import Lent
+from ..schema.messages import Recovery
+from ..schema.messages import Refused
+from ..schema.messages import Reserve
+from ..schema.messages import Settle
+from ..schema.messages import ShardRecord
+from ..schema.messages import Started
+from .holder import Holder
+from .record import apply_batch
+from .record import Expelled
+from .record import is_applied
+from .record import MemoryLimits
+from .record import new_shard
+from .record import NO_BILL
+from .sizing import Sizing
+
+LOG = structlog.get_logger(__name__)
+TICK = 0.01
+ASK_TIMEOUT = 0.5
+ATTEST_TIMEOUT = 1.0
+RECOVER_AFTER = 5.0
+RETIRE_AFTER = 10.0
+PRESUME_AFTER = 5.0
+FAILED_PAUSE = 0.5
+WRITTEN_WAIT = 25.0
+
+
+def shard_key(shard):
+    """Return the store key of a ledger shard."""
+    return f"ledger/{shard}"
+
+
+def read_shard(value):
+    """Return the ShardRecord in a store value."""
+    return ShardRecord.unpack(value.data) if value.version else new_shard()
+
+
+class _Place:
+    """One shard at this router: its holder and when to write next."""
+
+    __slots__ = (
+        "shard",
+        "holder",
+        "version",
+        "next_sync",
+        "next_read",
+        "task",
+        "home_until",
+        "dead_since",
+        "count",
+    )
+
+    def __init__(self, shard, holder):
+        self.shard = shard
+        self.holder = holder
+        self.version = 0
+        self.next_sync = 0.0
+        self.next_read = 0.0
+        self.task = None
+        self.home_until = 0.0
+        self.dead_since = {}
+        self.count = 0
+
+
+class LedgerKeeper:
+    """Runs the holders of one router.
+
+    :param incarnation: incarnation of this router
+    :param store: the Store
+    :param peers: a PeerClient
+    :param members: the Membership, for homes and live routers
+    :param book: this router's ReservationBook, to attest with
+    :param settings: LedgerSettings
+    :param allowance: an Allowance of store writes
+    :param clock: a Clock
+    :param metrics: the Metrics
+    :param resolve: coroutine function of a Reservation whose entry died,
+        to ``(run, tokens)`` or None while that is not known
+    """
+
+    def __init__(
+        self,
+        incarnation,
+        store,
+        peers,
+        members,
+        book,
+        settings,
+        allowance,
+        clock,
+        metrics,
+        resolve,
+    ):
+        self._incarnation = incarnation
+        self._store = store
+        self._peers = peers
+        self._members = members
+        self._book = book
+        self._settings = settings
+        self._allowance = allowance
+        self._clock = clock
+        self._metrics = metrics
+        self._resolve = resolve
+        self._sizing = Sizing(
+            settings.horizon, settings.least_grant, settings.share
+        )
+        self._limits = MemoryLimits(settings.memory_limit)
+        self._places = {}
+        self._retired = {}
+        self._answers = {}
+        self._written = {}
+        self._shunned = set()
+        self._resolving = set()
+        self._tasks = set()
+        self._stopping = False
+
+    # Places
+
+    def shard(self, budget):
+        """Return the shard of a budget."""
+        return shard_of(budget, self._settings.shards)
+
+    def places(self):
+        """Return the holders of this router by shard."""
+        return {place.shard: place.holder for place in self._places.values()}
+
+    def _place(self, shard):
+        place = self._places.get(shard)
+        if place is None:
+            count = self._retired.get(shard, 0) + 1
+            self._retired[shard] = count
+            holder = Holder(self._name(count), shard, self._sizing, new_id)
+            for name in self._shunned:
+                holder.attest(name)
+            if self._stopping:
+                holder.leave()
+            place = self._places[shard] = _Place(shard, holder)
+            place.count = count
+        return place
+
+    def _name(self, count):
+        return f"{self._incarnation}~{count}"
+
+    # Messages
+
+    async def handle(self, message):
+        """Answer a message of a peer or of this router's own entry."""
+        now = self._clock.wall()
+        if isinstance(message, Attest):
+            return self._attest(message)
+        holder = self._place(self.shard(message.budget)).holder
+        if isinstance(message, Reserve):
+            return await self._reserve(holder, message, now)
+        if isinstance(message, Settle):
+            return await self._settle(holder, message, now)
+        if isinstance(message, Started):
+            return holder.started(message)
+        if isinstance(message, LendAsk):
+            return holder.lend(message, now)
+        return Refused(ErrorKind.INTERNAL.value, "unexpected message")
+
+    async def _reserve(self, holder, message, now):
+        answer = holder.reserve(message, now)
+        if answer is not None:
+            return answer
+        place = self._place(holder.shard)
+        place.next_sync = min(
+            place.next_sync, now + self._settings.urgent_interval
+        )
+        return await self._wait(self._answers, message.reservation)
+
+    async def _settle(self, holder, message, now):
+        answer = holder.settle(message, now)
+        self._flush(holder)
+        if answer is not None:
+            return answer
+        waiter = self._wait(self._written, message.reservation)
+        try:
+            return await asyncio.wait_for(waiter, WRITTEN_WAIT)
+        except asyncio.TimeoutError:
+            return Refused(ErrorKind.NOT_READY.value, "not written yet")
+
+    async def _wait(self, table, key):
+        future = asyncio.get_running_loop().create_future()
+        table.setdefault(key, []).append(future)
+        try:
+            return await future
+        finally:
+            waiting = table.get(key, [])
+            if future in waiting:
+                waiting.remove(future)
+            if not waiting:
+                table.pop(key, None)
+
+    def _flush(self, holder):
+        """Hand out answers and confirmations that a holder has ready."""
+        holder.pump(self._clock.wall())
+        for message, answer in holder.take_answers():
+            self._finish(self._answers, message.reservation, answer)
+        for reservation in holder.take_written():
+            self._finish(self._written, reservation, Ack())
+
+    def _finish(self, table, key, answer):
+        for future in table.pop(key, []):
+            if not future.done():
+                future.set_result(answer)
+
+    def _attest(self, message):
+        self._shunned.add(message.holder)
+        outstanding = self._book.attest(message.holder)
+        for place in self._places.values():
+            outstanding.update(place.holder.attest(message.holder))
+        return Attested(self._incarnation, dict(outstanding))
+
+    # Loop
+
+    async def run(self):
+        """Write due shards until cancelled."""
+        slow = 0.0
+        while True:
+            now = self._clock.wall()
+            for place in list(self._places.values()):
+                self._step(place, now)
+            if now >= slow:
+                slow = now + 1.0
+                self._review(now)
+            await asyncio.sleep(TICK)
+
+    def _step(self, place, now):
+        holder = place.holder
+        if holder.waiting:
+            self._flush(holder)
+            self._send_asks(holder, now)
+        if place.task is not None and not place.task.done():
+            return
+        if now < place.next_sync:
+            return
+        place.next_sync = now + self._settings.interval
+        place.task = self._spawn(self._sync(place))
+
+    def _spawn(self, coroutine):
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    # Store
+
+    async def _sync(self, place):
+        holder = place.holder
+        now = self._clock.wall()
+        try:
+            if holder.record is None or now >= place.next_read:
+                await self._read(place)
+            batch = holder.make_batch(self._clock.wall())
+            if batch is not None:
+                await self._write(place, batch)
+        except Expelled:
+            self._expelled(place)
+        except StoreBusy:
+            self._metrics.store_failures.inc({"kind": "busy"})
+        except StoreError:
+            self._metrics.store_failures.inc({"kind": "unavailable"})
+            now = self._clock.wall()
+            place.next_sync = max(place.next_sync, now + FAILED_PAUSE)
+            holder.store_failed(now)
+        self._flush(holder)
+        if holder.waiting:
+            now = self._clock.wall()
+            place.next_sync = min(
+                place.next_sync, now + self._settings.urgent_interval
+            )
+
+    async def _read(self, place):
+        """Read the shard, and learn from it how a batch in flight fared."""
+        holder = place.holder
+        value = await self._store.get(shard_key(place.shard))
+        now = self._clock.wall()
+        place.next_read = now + 2 * self._settings.interval
+        place.version = value.version
+        record = read_shard(value)
+        batch = holder.in_flight
+        if batch is None:
+            self._check_expelled(place, record)
+            holder.observe(record, now)
+        elif is_applied(record, batch):
+            holder.batch_applied(record, now)
+        return record
+
+    def _check_expelled(self, place, record):
+        if place.holder.holder in record.expelled:
+            raise Expelled(place.holder.holder)
+
+    async def _write(self, place, batch):
+        """Write a batch, however often others write in between."""
+        holder = place.holder
+        record = holder.record
+        urgent = holder.waiting or batch.draws or batch.leaving
+        while not self._allowance.take(urgent, self._clock.steady()):
+            await asyncio.sleep(self._settings.urgent_interval)
+        record = record.copy()
+        while holder.in_flight is batch:
+            apply_batch(record, batch, self._sizing, self._limits)
+            try:
+                place.version = await self._store.put(
+                    shard_key(place.shard), record.pack(), place.version
+                )
+            except StoreConflict:
+                self._metrics.store_failures.inc({"kind": "conflict"})
+                record = await self._read(place)
+                continue
+            except StoreError:
+                # Whether it took effect is learned by the next read.
+                place.next_read = 0.0
+                raise
+            self._metrics.batches.inc({})
+            holder.batch_applied(record, self._clock.wall())
+
+    def _expelled(self, place):
+        LOG.warning("holder_recovered_by_others", shard=place.shard)
+        self._shunned.add(place.holder.holder)
+        place.count += 1
+        self._retired[place.shard] = place.count
+        place.holder.expel(self._name(place.count))
+        place.next_sync = 0.0
+
+    # Loans
+
+    def _send_asks(self, holder, now):
+        for lender, message in holder.asks(now):
+            self._spawn(self._ask(holder, lender, message))
+
+    async def _ask(self, holder, lender, message):
+        name = holder.holder
+        for _attempt in range(3):
+            try:
+                answer = await self._peers.call(
+                    address_of(lender), message, ASK_TIMEOUT
+                )
+            except PeerError:
+                holder.ask_refused(message)
+                continue
+            break
+        else:
+            return
+        if holder.holder != name:
+            return
+        if isinstance(answer, Lent):
+            self._metrics.lent_tokens.add({}, answer.tokens)
+            holder.borrow(answer, self._clock.wall())
+        else:
+            holder.ask_refused(message)
+        self._flush(holder)
+
+    # Review: homes, dead entries, dead holders
+
+    def _review(self, now):
+        shards = range(self._settings.shards)
+        entries = self._members.entries()
+        mine = {
+            shard
+            for shard in shards
+            if self._members.home(shard) == self._incarnation
+        }
+        for shard in mine:
+            place = self._place(shard)
+            place.home_until = now + RETIRE_AFTER
+            if not self._stopping:
+                place.holder.set_entries(entries)
+                self._recover_dead(place, now)
+        for place in list(self._places.values()):
+            place.holder.forget(now)
+            self._resolve_dead(place.holder, now)
+            self._retire(place, now)
+
+    def _retire(self, place, now):
+        """Give up a shard whose home is another router for good."""
+        if place.holder.left:
+            del self._places[place.shard]
+        elif now > place.home_until and place.holder.idle:
+            place.home_until = now + RETIRE_AFTER
+            place.holder.leave()
+
+    def _resolve_dead(self, holder, now):
+        for reservation in holder.reservations():
+            if self._members.is_alive(reservation.entry):
+                continue
+            if reservation.reservation in self._resolving:
+                continue
+            self._resolving.add(reservation.reservation)
+            self._spawn(self._resolve_one(holder, reservation))
+
+    async def _resolve_one(self, holder, reservation):
+        """Bill a run whose entry died by what its upstream says."""
+        try:
+            result = await self._resolve(reservation)
+            now = self._clock.wall()
+            expiry = reservation.deadline + self._settings.bill_memory
+            if result is None:
+                if now < reservation.deadline + PRESUME_AFTER:
+                    return
+                # Nobody can tell: presume all spent, on no bill.
+                result = (reservation.reservation, reservation.tokens)
+                expiry = NO_BILL
+            run, tokens = result
+            message = Settle(
+                reservation.request,
+                reservation.reservation,
+                run,
+                reservation.budget,
+                holder.holder,
+                tokens,
+                expiry,
+            )
+            if holder.settle(message, now) is None:
+                self._metrics.resolved_runs.inc({})
+        finally:
+            self._resolving.discard(reservation.reservation)
+
+    def _recover_dead(self, place, now):
+        record = place.holder.record
+        if record is None:
+            return
+        cell = cell_of(self._incarnation)
+        for holder in record.holders:
+            gone = cell_of(holder) == cell and not self._members.is_alive(
+                incarnation_of(holder)
+            )
+            if not gone:
+                place.dead_since.pop(holder, None)
+                continue
+            since = place.dead_since.setdefault(holder, now)
+            if now >= since + RECOVER_AFTER:
+                place.dead_since[holder] = now
+                self._spawn(self._recover(place, holder, record))
+
+    async def _recover(self, place, dead, record):
+        """Take back a dead holder's grants if all who may owe attest."""
+        asked = set(record.holders[dead].entries)
+        asked.update(map(incarnation_of, record.holders))
+        asked.discard(incarnation_of(dead))
+        if incarnation_of(dead) in record.holders[dead].entries:
+            return
+        message = Attest(dead, place.shard)
+        kept = self._attest(message).outstanding
+        asked.discard(self._incarnation)
+        try:
+            answers = await asyncio.gather(
+                *(self._ask_attest(peer, message) for peer in asked)
+            )
+        except PeerError:
+            return
+        for answer in answers:
+            for name, tokens in answer.outstanding.items():
+                kept[name] = kept.get(name, 0) + tokens
+        self._metrics.recoveries.inc({})
+        LOG.info("holder_recovered", shard=place.shard, holder=dead)
+        batch = record.holders[dead].batch
+        attested = [name for name in record.holders if name != dead]
+        place.holder.recover(Recovery(dead, batch, attested, kept))
+
+    async def _ask_attest(self, peer, message):
+        answer = await self._peers.call(
+            address_of(peer), message, ATTEST_TIMEOUT
+        )
+        if not isinstance(answer, Attested) or answer.incarnation != peer:
+            raise PeerError(f"{peer} is gone")
+        return answer
+
+    # Stop
+
+    async def stop(self, deadline):
+        """Give back all grants; return whether that was written in time.
+
+        :param deadline: wall time until which to try
+        """
+        self._stopping = True
+        for place in self._places.values():
+            place.holder.leave()
+            place.next_sync = 0.0
+        while self._clock.wall() < deadline:
+            if all(p.holder.left for p in self._places.values()):
+                return True
+            for place in self._places.values():
+                place.next_sync = min(
+                    place.next_sync,
+                    self._clock.wall() + self._settings.urgent_interval,
+                )
+            await asyncio.sleep(TICK * 5)
+        return False
--- /dev/null
+++ b/rowanport/ledger/sizing.py
@@ -0,0 +1,78 @@
+"""How large a grant a holder should have."""
+
+
+class Sizing:
+    """The rules of grant sizes.
+
+    :ivar horizon: seconds of demand that a grant should cover
+    :ivar least: smallest draw in tokens while enough is free
+    :ivar share: share of the free tokens to hold while plenty is left
+    """
+
+    __slots__ = ("horizon", "least", "share")
+
+    def __init__(self, horizon=30.0, least=2000, share=0.125):
+        self.horizon = horizon
+        self.least = least
+        self.share = share
+
+    def target(self, free, demand):
+        """Return the grant to aim for, in tokens.
+
+        Wide while plenty is free, so that a long cut refuses nobody; never
+        more than half of what is free, so that others find some too.
+
+        :param free: tokens of the budget in no grant
+        :param demand: tokens a second asked of this holder
+        """
+        wanted = max(free * self.share, demand * self.horizon, self.least)
+        return min(int(wanted), free // 2)
+
+    def draw(self, free, need, available, demand):
+        """Return how many tokens to draw.
+
+        :param need: tokens that waiting reservations lack
+        :param available: tokens that the holder could reserve now
+        """
+        target = self.target(free, demand)
+        if need <= 0 and available * 2 >= target:
+            return 0
+        return min(free, max(need, target - max(available, 0)))
+
+    def surplus(self, free, available, demand, wanted):
+        """Return how many tokens to give back to the shard.
+
+        :param wanted: whether another holder marked the budget as wanted
+        """
+        if available <= 0:
+            return 0
+        if wanted:
+            # Half at most while there is demand here too, so that two
+            # holders in need do not empty each other in turn.
+            return available // 2 if demand > 0 else available
+        keep = 4 * max(self.target(free, demand), self.least)
+        return max(0, available - keep)
+
+
+class Demand:
+    """A decaying average of tokens asked for, in tokens a second."""
+
+    __slots__ = ("_window", "_rate", "_at")
+
+    def __init__(self, window=10.0):
+        self._window = window
+        self._rate = 0.0
+        self._at = None
+
+    def add(self, tokens, now):
+        """Count tokens asked for at a time."""
+        self._rate = self.rate(now) + tokens / self._window
+        self._at = now
+
+    def rate(self, now):
+        """Return the average at a time."""
+        if self._at is None:
+            return 0.0
+        age = max(0.0, now - self._at) / self._window
+        rate = self._rate * 0.5**age
+        return rate if rate > 0.01 else 0.0
--- /dev/null
+++ b/rowanport/membership/gossip.py
@@ -0,0 +1,59 @@
+"""Sends heartbeats, reads the instance list."""
+
+import asyncio
+
+from ..errors import PeerError
+from ..errors import StoreError
+from ..platform.directory import ROUTER_ROLE
+from ..schema.messages import Gossip
+
+GOSSIP_TIMEOUT = 0.5
+
+
+class MembershipLoop:
+    """The asyncio shell of a Membership.
+
+    :param on_list: function that is given each reading of the list
+    """
+
+    def __init__(self, members, peers, directory, settings, on_list):
+        self._members = members
+        self._peers = peers
+        self._directory = directory
+        self._settings = settings
+        self._on_list = on_list
+
+    async def run(self):
+        """Gossip and read the list until cancelled."""
+        await asyncio.gather(self._run_gossip(), self._run_list())
+
+    async def _run_gossip(self):
+        while True:
+            calls = [self._tell(*pair) for pair in self._members.tick()]
+            sending = asyncio.gather(*calls)
+            await asyncio.sleep(self._settings.interval)
+            await sending
+
+    async def _tell(self, address, message):
+        try:
+            answer = await self._peers.call(address, message, GOSSIP_TIMEOUT)
+        except PeerError:
+            return
+        if isinstance(answer, Gossip):
+            self._members.receive(answer)
+
+    async def _run_list(self):
+        while True:
+            try:
+                instances = await self._directory.instances()
+            except StoreError:
+                instances = None
+            if instances is not None:
+                routers = [
+                    instance.address
+                    for instance in instances
+                    if instance.role == ROUTER_ROLE
+                ]
+                self._members.set_seeds(routers)
+                self._on_list(instances)
+            await asyncio.sleep(self._settings.list_interval)
--- /dev/null
+++ b/rowanport/membership/members.py
@@ -0,0 +1,219 @@
+"""The view one router has of the fleet, from heartbeats that spread.
+
+Each router raises its own counter; counters travel by gossip, a bounded
+number of entries a message, so that the bytes a router spends do not grow
+with the fleet.  A router is alive while its counter still rises.  Nothing
+that must be safe depends on this view.
+"""
+
+import random
+
+from ..hashing import rendezvous
+from ..incarnation import address_of
+from ..incarnation import cell_of
+from ..schema.messages import Gossip
+from ..schema.messages import MemberEntry
+
+STARTING = "starting"
+READY = "ready"
+LEAVING = "leaving"
+_RANK = {STARTING: 0, READY: 1, LEAVING: 2}
+
+
+class _Member:
+    """One known router and when its counter last rose."""
+
+    __slots__ = ("entry", "seen")
+
+    def __init__(self, entry, seen):
+        self.entry = entry
+        self.seen = seen
+
+
+class Membership:
+    """All routers that one router knows.
+
+    :param incarnation: this router's incarnation
+    :param hall: this router's hall
+    :param settings: MembershipSettings
+    :param clock: a Clock
+    :param seed: seed of the random choices
+    """
+
+    def __init__(self, incarnation, hall, settings, clock, seed=None):
+        self._incarnation = incarnation
+        self._settings = settings
+        self._clock = clock
+        self._random = random.Random(seed)
+        self._cell = cell_of(incarnation)
+        self._own = MemberEntry(
+            incarnation,
+            address_of(incarnation),
+            hall,
+            self._cell,
+            1,
+            STARTING,
+            0,
+        )
+        self._members = {}
+        self._seeds = []
+        self._homes = {}
+
+    # Own entry
+
+    @property
+    def own(self):
+        """Return this router's own entry."""
+        return self._own
+
+    def set_state(self, state):
+        """Say whether this router is starting, ready or leaving."""
+        self._own.state = state
+        self._homes.clear()
+
+    def set_config(self, version):
+        """Say which configuration is in force here."""
+        self._own.config = version
+
+    def set_seeds(self, addresses):
+        """Give the peer addresses that the platform lists."""
+        own = self._own.address
+        self._seeds = [address for address in addresses if address != own]
+
+    # Gossip
+
+    def tick(self):
+        """Raise the own counter; return (address, Gossip) pairs to send."""
+        self._own.beat += 1
+        self._forget()
+        message = self._message()
+        return [(address, message) for address in self._targets()]
+
+    def _targets(self):
+        known = [member.entry for member in self._members.values()]
+        near = [e.address for e in known if e.cell == self._cell]
+        far = [e.address for e in known if e.cell != self._cell]
+        unknown = set(self._seeds) - {e.address for e in known}
+        count = min(self._settings.fanout, len(near))
+        targets = self._random.sample(near, count)
+        if unknown:
+            targets.append(self._random.choice(sorted(unknown)))
+        # Two routers of a cell, on average, call another cell each round.
+        if far and self._random.random() * (len(near) + 1) < 2:
+            targets.append(self._random.choice(far))
+        return targets
+
+    def _message(self):
+        """Return a Gossip of the own entry and some fresh ones."""
+        near = [
+            member.entry
+            for member in self._members.values()
+            if member.entry.cell == self._cell and self._is_fresh(member)
+        ]
+        count = min(self._settings.entries - 1, len(near))
+        return Gossip([self._own, *self._random.sample(near, count)])
+
+    def receive(self, message):
+        """Take in a Gossip; return the one to answer with."""
+        now = self._clock.steady()
+        for entry in message.members:
+            self._take(entry, now)
+        return self._message()
+
+    def _take(self, entry, now):
+        if entry.incarnation == self._incarnation:
+            return
+        known = self._members.get(entry.incarnation)
+        if known is None:
+            self._members[entry.incarnation] = _Member(entry, now)
+            self._drop_older(entry)
+            self._homes.clear()
+        elif entry.beat > known.entry.beat:
+            if entry.state != known.entry.state:
+                self._homes.clear()
+            if _RANK[entry.state] < _RANK[known.entry.state]:
+                entry.state = known.entry.state
+            known.entry = entry
+            known.seen = now
+
+    def _drop_older(self, entry):
+        """Forget earlier incarnations at the same address."""
+        for name, member in list(self._members.items()):
+            same = member.entry.address == entry.address
+            if same and name != entry.incarnation:
+                if not self._is_fresh(member):
+                    del self._members[name]
+
+    def _forget(self):
+        limit = self._clock.steady() - self._settings.forget_after
+        for name, member in list(self._members.items()):
+            if member.seen < limit:
+                del self._members[name]
+        self._homes.clear()
+
+    def _is_fresh(self, member):
+        age = self._clock.steady() - member.seen
+        return age < self._settings.suspect_after
+
+    # Views
+
+    def live(self):
+        """Return the entries of all routers that seem alive, own first."""
+        others = [m.entry for m in self._members.values() if self._is_fresh(m)]
+        return [self._own, *others]
+
+    def is_alive(self, incarnation):
+        """Return whether a router seems alive."""
+        if incarnation == self._incarnation:
+            return True
+        member = self._members.get(incarnation)
+        return member is not None and self._is_fresh(member)
+
+    def entries(self):
+        """Return the incarnations of the cell that may ask for tokens."""
+        others = self.others()
+        if others:
+            return others
+        # Alone in the cell, a home serves its own entry unwitnessed.
+        return [self._incarnation]
+
+    def others(self):
+        """Return the other live incarnations of the cell."""
+        return [
+            entry.incarnation
+            for entry in self.live()[1:]
+            if entry.cell == self._cell
+        ]
+
+    def witness(self):
+        """Return the router that witnesses this one's own reservations."""
+        ready = [
+            entry.incarnation
+            for entry in self.live()[1:]
+            if entry.cell == self._cell and entry.state == READY
+        ]
+        if not ready:
+            return None
+        return rendezvous(self._incarnation, ready)[0]
+
+    def homes(self, shard, kind="ledger"):
+        """Return the cell's ready routers, the home of a shard first."""
+        key = f"{kind}/{shard}"
+        order = self._homes.get(key)
+        if order is None:
+            ready = [
+                entry.incarnation
+                for entry in self.live()
+                if entry.cell == self._cell and entry.state == READY
+            ]
+            order = rendezvous(key, ready) or [self._incarnation]
+            self._homes[key] = order
+        return order
+
+    def home(self, shard, kind="ledger"):
+        """Return the home of a shard in this cell."""
+        return self.homes(shard, kind)[0]
+
+    def newest_config(self):
+        """Return the entry with the newest configuration version."""
+        return max(self.live(), key=lambda entry: entry.config)
--- /dev/null
+++ b/rowanport/router/service.py
@@ -0,0 +1,74 @@
+"""Plain services: ``/services/GROUP/PATH`` goes to ``/PATH`` there."""
+
+from ..errors import ErrorKind
+from ..errors import Outcome
+from ..errors import RequestError
+from .answers import answer_headers
+from .runner import Job
+from .runner import refuse_second_try
+from .runner import Runner
+
+PREFIX = "/services/"
+METHODS = ("GET", "POST", "PUT", "DELETE", "PATCH")
+
+
+class _Target:
+    """What is asked of a plain service."""
+
+    __slots__ = ("method", "path", "body", "kind")
+
+    def __init__(self, method, path, body, kind):
+        self.method = method
+        self.path = path
+        self.body = body
+        self.kind = kind
+
+
+class ServiceRunner(Runner):
+    """Runs calls of plain services."""
+
+    def __init__(self, router, services):
+        super().__init__(router)
+        self._services = services
+
+    def make_job(self, call, request, arrived):
+        """Return the Job of a call.
+
+        :raises RequestError: it is malformed or refused by policy
+        """
+        name, _, path = request.path[len(PREFIX) :].partition("/")
+        if request.method not in METHODS:
+            raise RequestError(ErrorKind.MALFORMED, "method not passed on")
+        group = self._router.service_group(name)
+        cost = group.call_cost
+        facts = self._router.facts(call, group.name, cost, len(request.body))
+        decision = self.decide(call, facts)
+        if decision.group != group.name:
+            self._router.service_group(decision.group)
+        kind = request.header("content-type", "application/octet-stream")
+        target = _Target(request.method, "/" + path, request.body, kind)
+        key = f"{call.organisation.name}\0{call.request}"
+        pauses = self._router.pauses.count()
+        return Job(call, target, decision, cost, key, arrived, pauses)
+
+    async def attempt(self, job, upstream, responder):
+        target = job.body
+        reply = await self._services.call(
+            upstream.address,
+            job.call.request,
+            target.method,
+            target.path,
+            target.body,
+            target.kind,
+        )
+        headers = answer_headers(job.call, Outcome.DONE)
+        job.sent = True
+        await responder.reply(reply.status, reply.body, headers, reply.kind)
+        return job.cost
+
+    async def attach(self, job, claimed, responder):
+        refuse_second_try(claimed)
+
+    async def consumed(self, job, address):
+        # A call that may have run is billed its fixed cost.
+        return "", job.cost
--- /dev/null
+++ b/rowanport/schema/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages, stored records and settings, generated from a schema."""
--- /dev/null
+++ b/rowanport/standins/faults.py
@@ -0,0 +1,43 @@
+"""Faults that can be switched while a stand-in runs."""
+
+import asyncio
+import random
+
+
+class Faults:
+    """The faults in force, read before and after each call.
+
+    :ivar down: answer nothing
+    :ivar slow: seconds added to each call
+    :ivar lose: share of answers that are lost after the call took effect
+    :ivar cut: names of instances whose calls get no answer
+    """
+
+    __slots__ = ("down", "slow", "lose", "cut", "_random")
+
+    def __init__(self, seed=1):
+        self.down = False
+        self.slow = 0.0
+        self.lose = 0.0
+        self.cut = ()
+        self._random = random.Random(seed)
+
+    def set(self, values):
+        """Take over the named faults from parsed JSON."""
+        for name in ("down", "slow", "lose", "cut"):
+            if name in values:
+                setattr(self, name, values[name])
+
+    async def before(self, instance=""):
+        """Wait as told; raise ConnectionAbortedError to drop the call."""
+        if self.slow:
+            await asyncio.sleep(self.slow)
+        if self.down or instance in self.cut:
+            raise ConnectionAbortedError
+
+    async def after(self, instance=""):
+        """Raise ConnectionAbortedError to lose the answer."""
+        if self.down or instance in self.cut:
+            raise ConnectionAbortedError
+        if self.lose and self._random.random() < self.lose:
+            raise ConnectionAbortedError
--- /dev/null
+++ b/rowanport/web/server.py
@@ -0,0 +1,290 @@
+"""An HTTP server: bounded heads and bodies, one request at a time."""
+
+import asyncio
+import json
+
+import h11
+
+from ..errors import ErrorKind
+from ..errors import RequestError
+
+READ_SIZE = 65536
+GONE_INTERVAL = 0.2
+
+
+class HttpRequest:
+    """A request that has wholly arrived."""
+
+    __slots__ = ("method", "path", "headers", "body")
+
+    def __init__(self, method, path, headers, body):
+        self.method = method
+        self.path = path
+        self.headers = headers
+        self.body = body
+
+    def header(self, name, default=""):
+        """Return a header by its lower-case name."""
+        return self.headers.get(name, default)
+
+    def json(self):
+        """Return the body as JSON; raise RequestError if it is not."""
+        try:
+            return json.loads(self.body or b"{}")
+        except ValueError:
+            raise RequestError(
+                ErrorKind.MALFORMED, "the body is not JSON"
+            ) from None
+
+
+class HttpLimits:
+    """What a server accepts.
+
+    :ivar head: largest head in bytes
+    :ivar body: largest body in bytes
+    :ivar head_timeout: longest wait for a head in seconds
+    :ivar body_timeout: longest wait for a body in seconds
+    :ivar connections: most open connections
+    """
+
+    __slots__ = ("head", "body", "head_timeout", "body_timeout", "connections")
+
+    def __init__(
+        self,
+        head=16384,
+        body=1048576,
+        head_timeout=30.0,
+        body_timeout=30.0,
+        connections=4096,
+    ):
+        self.head = head
+        self.body = body
+        self.head_timeout = head_timeout
+        self.body_timeout = body_timeout
+        self.connections = connections
+
+
+class Responder:
+    """Sends the answer to one request, whole or piece by piece."""
+
+    def __init__(self, connection, writer):
+        self._connection = connection
+        self._writer = writer
+        self.started = False
+        self.finished = False
+
+    async def start(self, status, headers):
+        """Send the head; without content-length the body is chunked."""
+        self.started = True
+        event = h11.Response(status_code=status, headers=list(headers))
+        await self._send(event)
+
+    async def write(self, data):
+        """Send a piece of the body."""
+        await self._send(h11.Data(data=data))
+
+    async def finish(self):
+        """End the body."""
+        self.finished = True
+        await self._send(h11.EndOfMessage())
+
+    async def reply(self, status, body=b"", headers=(), kind="text/plain"):
+        """Send a whole answer."""
+        head = [
+            ("content-type", kind),
+            ("content-length", str(len(body))),
+            *headers,
+        ]
+        await self.start(status, head)
+        if body:
+            await self.write(body)
+        await self.finish()
+
+    async def reply_json(self, status, value, headers=()):
+        """Send a whole answer as JSON."""
+        body = json.dumps(value).encode()
+        await self.reply(status, body, headers, "application/json")
+
+    async def _send(self, event):
+        data = self._connection.send(event)
+        if data:
+            self._writer.write(data)
+            await self._writer.drain()
+
+
+class HttpServer:
+    """Serves requests with a handler.
+
+    :param handler: coroutine function of HttpRequest and Responder
+    :param refuse: coroutine function of Responder and RequestError, for
+        requests that never reach the handler
+    :param limits: an HttpLimits
+    """
+
+    def __init__(self, handler, refuse=None, limits=None):
+        self._handler = handler
+        self._refuse = refuse or refuse_plainly
+        self._limits = limits or HttpLimits()
+        self._server = None
+        self._idle = {}
+        self._tasks = set()
+        self._stopping = False
+
+    @property
+    def busy(self):
+        """Number of connections with a request in hand."""
+        return len(self._tasks) - len(self._idle)
+
+    async def start(self, address, port):
+        """Listen on an address."""
+        self._server = await asyncio.start_server(
+            self._accept, address, port, limit=READ_SIZE, backlog=1024
+        )
+
+    async def stop_accepting(self):
+        """Close the listening socket and all idle connections."""
+        self._stopping = True
+        self._server.close()
+        for writer in list(self._idle.values()):
+            writer.close()
+
+    async def close(self):
+        """Drop everything at once."""
+        await self.stop_accepting()
+        for task in list(self._tasks):
+            task.cancel()
+
+    async def _accept(self, reader, writer):
+        if len(self._tasks) >= self._limits.connections:
+            writer.close()
+            return
+        task = asyncio.current_task()
+        self._tasks.add(task)
+        try:
+            await self._serve(reader, writer, task)
+        except (OSError, h11.ProtocolError, asyncio.CancelledError):
+            pass
+        finally:
+            self._tasks.discard(task)
+            self._idle.pop(task, None)
+            writer.close()
+
+    async def _serve(self, reader, writer, task):
+        connection = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self._limits.head
+        )
+        while not self._stopping:
+            self._idle[task] = writer
+            responder = Responder(connection, writer)
+            try:
+                request = await self._read_request(connection, reader, task)
+                if request is None:
+                    return
+                await self._run_handler(request, responder, reader)
+            except RequestError as error:
+                if connection.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+                    await self._refuse(responder, error)
+            except h11.RemoteProtocolError as error:
+                if connection.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+                    await self._refuse(responder, _protocol_error(error))
+            if connection.our_state is not h11.DONE:
+                return
+            if connection.their_state is not h11.DONE:
+                return
+            connection.start_next_cycle()
+
+    async def _run_handler(self, request, responder, reader):
+        """Run the handler, and cancel it when the caller goes away."""
+        handler = asyncio.ensure_future(self._handler(request, responder))
+        gone = asyncio.ensure_future(_wait_gone(reader))
+        try:
+            await asyncio.wait(
+                {handler, gone}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if not handler.done():
+                handler.cancel()
+            await handler
+        finally:
+            handler.cancel()
+            gone.cancel()
+
+    async def _read_request(self, connection, reader, task):
+        """Return the next request, or None at the end of the stream."""
+        try:
+            head = await asyncio.wait_for(
+                self._next_event(connection, reader), self._limits.head_timeout
+            )
+        except asyncio.TimeoutError:
+            if not connection.trailing_data[0]:
+                return None
+            raise RequestError(
+                ErrorKind.TOO_SLOW, "the request head took too long"
+            ) from None
+        if not isinstance(head, h11.Request):
+            return None
+        self._idle.pop(task, None)
+        headers = {
+            name.decode("latin-1"): value.decode("latin-1")
+            for name, value in head.headers
+        }
+        try:
+            body = await asyncio.wait_for(
+                self._read_body(connection, reader, headers),
+                self._limits.body_timeout,
+            )
+        except asyncio.TimeoutError:
+            raise RequestError(
+                ErrorKind.TOO_SLOW, "the request body took too long"
+            ) from None
+        return HttpRequest(
+            head.method.decode(), head.target.decode(), headers, body
+        )
+
+    async def _read_body(self, connection, reader, headers):
+        limit = self._limits.body
+        if int(headers.get("content-length", 0)) > limit:
+            raise RequestError(
+                ErrorKind.TOO_LARGE, f"the body is over {limit} bytes"
+            )
+        pieces = []
+        size = 0
+        while True:
+            event = await self._next_event(connection, reader)
+            if isinstance(event, h11.EndOfMessage):
+                return b"".join(pieces)
+            if not isinstance(event, h11.Data):
+                raise RequestError(ErrorKind.MALFORMED, "truncated body")
+            size += len(event.data)
+            if size > limit:
+                raise RequestError(
+                    ErrorKind.TOO_LARGE, f"the body is over {limit} bytes"
+                )
+            pieces.append(bytes(event.data))
+
+    async def _next_event(self, connection, reader):
+        while True:
+            event = connection.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            connection.receive_data(await reader.read(READ_SIZE))
+
+
+async def _wait_gone(reader):
+    """Return once the caller has closed its side."""
+    # Pipelined bytes stay in the stream's buffer: a caller that sends more
+    # has not gone away.
+    while not reader.at_eof():
+        await asyncio.sleep(GONE_INTERVAL)
+
+
+async def refuse_plainly(responder, error):
+    """Answer a bad request on ports that are not for callers."""
+    status = 413 if error.kind is ErrorKind.TOO_LARGE else 400
+    body = {"error": error.detail}
+    await responder.reply_json(status, body, [("connection", "close")])
+
+
+def _protocol_error(error):
+    if error.error_status_hint == 431:
+        return RequestError(ErrorKind.TOO_LARGE, "the head is too large")
+    return RequestError(ErrorKind.MALFORMED, "not an HTTP/1.1 request")
--- /dev/null
+++ b/rowanport/wire.py
@@ -0,0 +1,253 @@
+"""Streams of messages between routers: msgpack frames over TCP.
+
+A frame is a 4-byte length and ``[call, kind, fields]``.  Answers carry the
+number of their call, so many calls share one connection and may be answered
+in any order.  Before the first call the connecting side signs a nonce with
+the secret that all routers share.
+"""
+
+import asyncio
+import hashlib
+import hmac
+import os
+import struct
+
+import msgpack
+
+from .errors import MessageError
+from .errors import PeerError
+from .schema import messages
+
+FRAME_LIMIT = 16 * 1024 * 1024
+NONCE_BYTES = 16
+HANDSHAKE_TIMEOUT = 2.0
+_LENGTH = struct.Struct(">I")
+
+
+# Frames
+
+
+def pack_frame(call, message):
+    """Return the bytes of one frame."""
+    body = msgpack.packb([call, message.KIND, message.to_wire()])
+    return _LENGTH.pack(len(body)) + body
+
+
+def unpack_frame(body):
+    """Return call number and message; raise MessageError if unfit."""
+    try:
+        call, kind, fields = msgpack.unpackb(body, strict_map_key=False)
+        cls = messages.BY_KIND[kind]
+    except (ValueError, TypeError, KeyError, msgpack.UnpackException):
+        raise MessageError("malformed frame") from None
+    return call, cls.from_wire(fields)
+
+
+async def read_frame(reader):
+    """Return the next call number and message of a stream."""
+    head = await reader.readexactly(_LENGTH.size)
+    (length,) = _LENGTH.unpack(head)
+    if length > FRAME_LIMIT:
+        raise MessageError("frame too long")
+    return unpack_frame(await reader.readexactly(length))
+
+
+def sign(secret, nonce, incarnation):
+    """Return the proof that the sender knows the secret."""
+    text = nonce + incarnation.encode()
+    return hmac.new(secret.encode(), text, hashlib.sha256).digest()
+
+
+# Traffic counts
+
+
+class Traffic:
+    """Counts the bytes and messages that a router exchanges."""
+
+    __slots__ = ("sent", "received", "calls")
+
+    def __init__(self):
+        self.sent = 0
+        self.received = 0
+        self.calls = 0
+
+
+# Accepting side
+
+
+class PeerServer:
+    """Accepts peers and hands their messages to a handler.
+
+    :param handler: coroutine function from message to answer
+    :param secret: what all routers share
+    """
+
+    def __init__(self, handler, secret, traffic=None):
+        self._handler = handler
+        self._secret = secret
+        self._traffic = traffic or Traffic()
+        self._server = None
+        self._writers = set()
+        self._tasks = set()
+
+    async def start(self, address, port):
+        """Listen on an address."""
+        self._server = await asyncio.start_server(self._serve, address, port)
+
+    async def close(self):
+        """Stop listening and drop all connections."""
+        self._server.close()
+        for writer in list(self._writers):
+            writer.close()
+        for task in list(self._tasks):
+            task.cancel()
+
+    async def _serve(self, reader, writer):
+        self._writers.add(writer)
+        try:
+            await asyncio.wait_for(
+                self._authenticate(reader, writer), HANDSHAKE_TIMEOUT
+            )
+            while True:
+                call, message = await read_frame(reader)
+                task = asyncio.ensure_future(
+                    self._answer(writer, call, message)
+                )
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+        except (
+            OSError,
+            EOFError,
+            MessageError,
+            asyncio.TimeoutError,
+            asyncio.CancelledError,
+        ):
+            pass
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _authenticate(self, reader, writer):
+        nonce = os.urandom(NONCE_BYTES)
+        writer.write(pack_frame(0, messages.Challenge(nonce)))
+        _call, proof = await read_frame(reader)
+        if not isinstance(proof, messages.Proof):
+            raise MessageError("expected a proof")
+        expected = sign(self._secret, nonce, proof.incarnation)
+        if not hmac.compare_digest(expected, proof.signature):
+            raise MessageError("wrong proof")
+
+    async def _answer(self, writer, call, message):
+        answer = await self._handler(message)
+        if writer.is_closing():
+            return
+        frame = pack_frame(call, answer)
+        self._traffic.sent += len(frame)
+        writer.write(frame)
+
+
+# Connecting side
+
+
+class _Connection:
+    """One open connection to a peer."""
+
+    def __init__(self, reader, writer, traffic):
+        self._reader = reader
+        self._writer = writer
+        self._traffic = traffic
+        self._waiting = {}
+        self._last_call = 0
+        self._task = asyncio.ensure_future(self._read())
+
+    @property
+    def open(self):
+        return not self._task.done()
+
+    def send(self, message):
+        """Send a message; return the future of its answer."""
+        self._last_call += 1
+        future = asyncio.get_running_loop().create_future()
+        self._waiting[self._last_call] = future
+        frame = pack_frame(self._last_call, message)
+        self._traffic.sent += len(frame)
+        self._traffic.calls += 1
+        self._writer.write(frame)
+        return future
+
+    async def _read(self):
+        try:
+            while True:
+                call, message = await read_frame(self._reader)
+                future = self._waiting.pop(call, None)
+                if future is not None and not future.done():
+                    future.set_result(message)
+        except (OSError, EOFError, MessageError, asyncio.CancelledError):
+            pass
+        finally:
+            self._writer.close()
+            for future in self._waiting.values():
+                if not future.done():
+                    future.set_exception(PeerError("connection lost"))
+            self._waiting.clear()
+
+    def close(self):
+        """Drop the connection; waiting calls fail."""
+        self._task.cancel()
+
+
+class PeerClient:
+    """Calls peers by address over one kept connection each."""
+
+    def __init__(self, incarnation, secret, traffic=None):
+        self._incarnation = incarnation
+        self._secret = secret
+        self._traffic = traffic or Traffic()
+        self._connections = {}
+        self._connecting = {}
+
+    async def call(self, address, message, timeout):
+        """Send a message and return the answer.
+
+        :param address: IP and port of the peer
+        :param timeout: longest wait in seconds
+        :raises PeerError: no answer; the peer may have acted on it
+        """
+        try:
+            return await asyncio.wait_for(
+                self._call(address, message), timeout
+            )
+        except asyncio.TimeoutError:
+            raise PeerError(f"{address} did not answer") from None
+        except (OSError, EOFError, MessageError) as error:
+            raise PeerError(f"{address}: {error}") from None
+
+    async def _call(self, address, message):
+        connection = self._connections.get(address)
+        if connection is None or not connection.open:
+            connection = await self._connect(address)
+        return await connection.send(message)
+
+    async def _connect(self, address):
+        lock = self._connecting.setdefault(address, asyncio.Lock())
+        async with lock:
+            connection = self._connections.get(address)
+            if connection is not None and connection.open:
+                return connection
+            host, _, port = address.rpartition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            _call, challenge = await read_frame(reader)
+            if not isinstance(challenge, messages.Challenge):
+                raise MessageError("expected a challenge")
+            signature = sign(self._secret, challenge.nonce, self._incarnation)
+            proof = messages.Proof(self._incarnation, signature)
+            writer.write(pack_frame(0, proof))
+            connection = _Connection(reader, writer, self._traffic)
+            self._connections[address] = connection
+            return connection
+
+    def close(self):
+        """Drop all connections."""
+        for connection in self._connections.values():
+            connection.close()
+        self._connections.clear()
