--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 setup: $(VENV)/.installed
 
 demo: setup
-	$(BIN)/python bench/demo.py
+	$(BIN)/python -m bench.demo
 
 test: setup lint
 	$(BIN)/python -m pytest
@@ -33,10 +33,10 @@
 	$(BIN)/python tools/generate.py
 
 fuzz: setup
-	$(BIN)/python tools/fuzz.py
+	$(BIN)/python -m tools.fuzz
 
 bench: setup
-	$(BIN)/python bench/bench.py $(BENCH_FLAGS)
+	$(BIN)/python -m bench.bench $(BENCH_FLAGS)
 
 slopes: setup
-	$(BIN)/python bench/slopes.py
+	$(BIN)/python -m bench.slopes
--- a/rowanport/ledger/keeper.py
+++ b/rowanport/ledger/keeper.py
@@ -61,6 +61,7 @@
     __slots__ = (
         "shard",
         "holder",
+        "record",
         "version",
         "next_sync",
         "next_read",
@@ -73,6 +74,7 @@
     def __init__(self, shard, holder):
         self.shard = shard
         self.holder = holder
+        self.record = None
         self.version = 0
         self.next_sync = 0.0
         self.next_read = 0.0
@@ -297,15 +299,16 @@
         value = await self._store.get(shard_key(place.shard))
         now = self._clock.wall()
         place.next_read = now + 2 * self._settings.interval
+        # Record and version belong together: a batch is only ever applied
+        # to the very value that its compare-and-swap expects.
         place.version = value.version
-        record = read_shard(value)
+        place.record = record = read_shard(value)
         batch = holder.in_flight
         if batch is None:
             self._check_expelled(place, record)
             holder.observe(record, now)
         elif is_applied(record, batch):
             holder.batch_applied(record, now)
-        return record
 
     def _check_expelled(self, place, record):
         if place.holder.holder in record.expelled:
@@ -314,12 +317,11 @@
     async def _write(self, place, batch):
         """Write a batch, however often others write in between."""
         holder = place.holder
-        record = holder.record
         urgent = holder.waiting or batch.draws or batch.leaving
         while not self._allowance.take(urgent, self._clock.steady()):
             await asyncio.sleep(self._settings.urgent_interval)
-        record = record.copy()
         while holder.in_flight is batch:
+            record = place.record.copy()
             apply_batch(record, batch, self._sizing, self._limits)
             try:
                 place.version = await self._store.put(
@@ -327,13 +329,14 @@
                 )
             except StoreConflict:
                 self._metrics.store_failures.inc({"kind": "conflict"})
-                record = await self._read(place)
+                await self._read(place)
                 continue
             except StoreError:
                 # Whether it took effect is learned by the next read.
                 place.next_read = 0.0
                 raise
             self._metrics.batches.inc({})
+            place.record = record
             holder.batch_applied(record, self._clock.wall())
 
     def _expelled(self, place):
