Add the ledger's state machine and the experiments on spend

Cause: the ledger had no proof and no figure. The machine drives the routers' own shells on given time over a fake store, network and engine; an oracle counts. bench runs real processes behind relays.

Ruled out: testing the sans-I/O classes alone.

Before: no proof. After: 9 broken variants found; the machine itself, 40 derandomised examples, passes.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -9,47 +9,34 @@
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
 import time
 
+from bench.ports import ADDRESS
+from bench.ports import free_ports
 from rowanport.errors import UpstreamError
 from rowanport.web import HttpClient
 
 HALLS = ("north", "south", "east")
 SECRET = "only-for-the-stand-in-fleet"
-ADDRESS = "127.0.0.1"
 START_TIMEOUT = 20.0
 STOP_TIMEOUT = 20.0
 
 
-def free_ports(count):
-    """Return ports that were free just now."""
-    sockets = []
-    for _number in range(count):
-        probe = socket.socket()
-        probe.bind((ADDRESS, 0))
-        sockets.append(probe)
-    ports = [probe.getsockname()[1] for probe in sockets]
-    for probe in sockets:
-        probe.close()
-    return ports
-
-
 class Process:
     """One process of the fleet.
 
     :ivar port: its main port
     """
 
-    def __init__(self, name, arguments, port, log):
+    def __init__(self, name, arguments, port, log, module="rowanport"):
         self.name = name
         self.port = port
         self._log = open(log, "ab")
         self._process = subprocess.Popen(
-            [sys.executable, "-m", "rowanport", *map(str, arguments)],
+            [sys.executable, "-m", module, *map(str, arguments)],
             stdout=self._log,
             stderr=self._log,
             start_new_session=True,
@@ -91,20 +78,27 @@
 class Router(Process):
     """A router process and its settings file."""
 
-    def __init__(self, name, hall, ports, path, log):
+    def __init__(self, name, hall, ip, ports, path, log, module):
         self.hall = hall
+        self.ip = ip
         self.settings = path
         self.caller_port, self.peer_port, self.operator_port = ports
         arguments = ("router", "--settings", path)
-        super().__init__(name, arguments, self.caller_port, log)
+        self.advertised = f"{ip}:{self.peer_port}"
+        super().__init__(name, arguments, self.caller_port, log, module)
+
+    @property
+    def address(self):
+        return f"{self.ip}:{self.caller_port}"
 
     @property
     def operator_address(self):
-        return f"{ADDRESS}:{self.operator_port}"
+        return f"{self.ip}:{self.operator_port}"
 
     @property
     def peer_address(self):
-        return f"{ADDRESS}:{self.peer_port}"
+        """Return where the router itself listens for peers."""
+        return f"{self.ip}:{self.peer_port}"
 
 
 class Fleet:
@@ -112,6 +106,8 @@
 
     :param overrides: settings of all routers, ``{section: {key: value}}``
     :param engine_options: options of each engine stand-in
+    :param module: module that the routers run
+    :param relays: Relays between the routers, if halls are to be cut
     """
 
     def __init__(
@@ -123,12 +119,16 @@
         overrides=None,
         engine_options=(),
         writes=100,
+        module="rowanport",
+        relays=None,
     ):
         self._counts = (routers, engines, services)
         self._halls = halls
         self._overrides = overrides or {}
         self._engine_options = engine_options
         self._writes = writes
+        self._module = module
+        self._relays = relays
         self._directory = tempfile.TemporaryDirectory(prefix="rowanport-")
         self.path = pathlib.Path(self._directory.name)
         self.platform = None
@@ -180,24 +180,27 @@
     def _spawn(self, name, arguments, port):
         return Process(name, arguments, port, self.path / f"{name}.log")
 
-    def start_router(self, name, hall, ports=None, store=None):
-        """Start one more router and return it.
-
-        :param store: address of the store, if not the platform's own
-        """
+    def start_router(self, name, hall, ports=None):
+        """Start one more router and return it."""
         ports = ports or free_ports(3)
         path = self.path / f"{name}.ini"
-        path.write_text(self._settings(name, hall, ports, store))
+        ip = f"127.0.0.{1 + self._halls.index(hall)}"
+        advertised = f"{ip}:{ports[1]}"
+        if self._relays is not None:
+            advertised = self._relays.add(hall, advertised)
+        path.write_text(self._settings(name, hall, ip, ports, advertised))
         log = self.path / f"{name}.log"
-        router = Router(name, hall, ports, path, log)
+        router = Router(name, hall, ip, ports, path, log, self._module)
+        router.advertised = advertised
         self.routers.append(router)
         return router
 
-    def _settings(self, name, hall, ports, store):
+    def _settings(self, name, hall, ip, ports, advertised):
         sections = {
             "router": {
                 "name": name,
-                "address": ADDRESS,
+                "address": ip,
+                "advertised": advertised,
                 "hall": hall,
                 "caller_port": ports[0],
                 "peer_port": ports[1],
@@ -205,7 +208,7 @@
                 "secret": SECRET,
             },
             "platform": {
-                "store": store or self.platform.address,
+                "store": self.platform.address,
                 "halls": ", ".join(self._halls),
             },
         }
@@ -224,7 +227,7 @@
         for process in (self.platform, *self.engines, *self.services):
             await self._wait_answer(process.address, "/counts")
         for router in self.routers:
-            await self.list_instance(router, "router", router.peer_address)
+            await self.list_instance(router, "router", router.advertised)
         for number, engine in enumerate(self.engines):
             await self.list_instance(engine, "engine", engine.address)
 
--- a/rowanport/ledger/book.py
+++ b/rowanport/ledger/book.py
@@ -68,6 +68,9 @@
     def __len__(self):
         return len(self._open)
 
+    def __iter__(self):
+        return iter(list(self._open.values()))
+
     def get(self, reservation):
         """Return the OpenReservation of an id."""
         return self._open[reservation]
--- a/rowanport/router/daemon.py
+++ b/rowanport/router/daemon.py
@@ -62,7 +62,7 @@
         self.settings = settings
         self.clock = clock or SystemClock()
         own = settings.router
-        address = f"{own.address}:{own.peer_port}"
+        address = own.advertised or f"{own.address}:{own.peer_port}"
         self.incarnation = new_incarnation(own.cell, address)
         self.metrics = metrics.Metrics()
         self.pauses = PauseDetector(self.clock)
@@ -93,7 +93,8 @@
 
     def _build_peers(self, settings):
         secret = settings.router.secret
-        self.peers = PeerClient(self.incarnation, secret, self.traffic)
+        own = settings.router.address
+        self.peers = PeerClient(self.incarnation, secret, self.traffic, own)
         self._peer_server = PeerServer(self._answer, secret, self.traffic)
         self.members = Membership(
             self.incarnation,
--- a/rowanport/schema/settings.py
+++ b/rowanport/schema/settings.py
@@ -61,6 +61,15 @@
             "",
             "Port for other routers.",
         ),
+        Option(
+            "advertised",
+            "str",
+            "",
+            None,
+            None,
+            "",
+            "IP and port by which other routers reach peer_port; empty if it is address and peer_port.",
+        ),
         Option(
             "operator_port",
             "int",
@@ -457,6 +466,7 @@
     :ivar cell: Cell that shares homes; empty for the hall.
     :ivar caller_port: Port for callers.
     :ivar peer_port: Port for other routers.
+    :ivar advertised: IP and port by which other routers reach peer_port; empty if it is address and peer_port.
     :ivar operator_port: Port for health, metrics and status.
     :ivar secret: Secret that routers share; 16 characters or more.
     :ivar stop_grace: Longest wait for open streams at a planned stop.
@@ -469,6 +479,7 @@
         "cell",
         "caller_port",
         "peer_port",
+        "advertised",
         "operator_port",
         "secret",
         "stop_grace",
@@ -481,6 +492,7 @@
         self.cell = values["cell"]
         self.caller_port = values["caller_port"]
         self.peer_port = values["peer_port"]
+        self.advertised = values["advertised"]
         self.operator_port = values["operator_port"]
         self.secret = values["secret"]
         self.stop_grace = values["stop_grace"]
--- a/rowanport/settings.py
+++ b/rowanport/settings.py
@@ -112,6 +112,11 @@
             seen[port] = key
         if len(router["secret"] or "") < SHORTEST_SECRET:
             self.blame("router", "secret", "shorter than 16 characters")
+        try:
+            if router["advertised"]:
+                _read_address(router["advertised"])
+        except ValueError:
+            self.blame("router", "advertised", "not an IP and a port")
         if sections["logs"]["level"] not in LOG_LEVELS:
             self.blame("logs", "level", f"not one of {', '.join(LOG_LEVELS)}")
 
--- a/rowanport/wire.py
+++ b/rowanport/wire.py
@@ -197,9 +197,16 @@
 
 
 class PeerClient:
-    """Calls peers by address over one kept connection each."""
+    """Calls peers by address over one kept connection each.
 
-    def __init__(self, incarnation, secret, traffic=None):
+    :param incarnation: incarnation of this router
+    :param secret: what all routers share
+    :param traffic: a Traffic to count in
+    :param source: own IP number to connect from, if it matters
+    """
+
+    def __init__(self, incarnation, secret, traffic=None, source=None):
+        self._source = (source, 0) if source else None
         self._incarnation = incarnation
         self._secret = secret
         self._traffic = traffic or Traffic()
@@ -235,7 +242,9 @@
             if connection is not None and connection.open:
                 return connection
             host, _, port = address.rpartition(":")
-            reader, writer = await asyncio.open_connection(host, int(port))
+            reader, writer = await asyncio.open_connection(
+                host, int(port), local_addr=self._source
+            )
             _call, challenge = await read_frame(reader)
             if not isinstance(challenge, messages.Challenge):
                 raise MessageError("expected a challenge")
--- /dev/null
+++ b/test/test_ledger.py
@@ -0,0 +1,318 @@
+"""The ledger under cuts, kills, freezes, outages and lost answers.
+
+A state machine drives the routers' own code on given time; the oracle in
+test.world counts.  Each mechanism has a deliberately broken variant that
+the machine must find, so that the proof is seen to fail.
+"""
+
+import contextlib
+import os
+from test.world import ledger_settings
+from test.world import World
+from unittest import mock
+
+from hypothesis import HealthCheck
+from hypothesis import Phase
+from hypothesis import settings
+from hypothesis import strategies
+from hypothesis.stateful import initialize
+from hypothesis.stateful import rule
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import run_state_machine_as_test
+import pytest
+
+from rowanport.ledger import holder
+from rowanport.ledger import keeper
+from rowanport.ledger import record
+from rowanport.ledger.holder import Holder
+from rowanport.ledger.keeper import LedgerKeeper
+from rowanport.schema.messages import Attested
+
+CELLS = ("north", "south", "east")
+BUDGET = "org/main"
+TOTAL = 1000
+STEPS = 30
+EXAMPLES = int(os.environ.get("ROWANPORT_EXAMPLES", "40"))
+indexes = strategies.integers(0, 11)
+
+
+class LedgerMachine(RuleBasedStateMachine):
+    """Routers in three cells share one budget while everything fails."""
+
+    world_settings = ledger_settings()
+
+    @initialize(seed=strategies.integers(0, 10**6))
+    def start(self, seed):
+        self.world = World(seed, self.world_settings)
+        self.requests = []
+        for cell in CELLS + CELLS[:2]:
+            self.world.add_router(cell)
+        self.world.add_budget(BUDGET, TOTAL)
+        self.world.advance(3.0)
+
+    def router(self, index):
+        routers = list(self.world.routers.values())
+        return routers[index % len(routers)]
+
+    @rule(index=indexes, cost=strategies.integers(5, 200))
+    def request(self, index, cost):
+        name = f"request{len(self.requests)}"
+        self.requests.append((name, cost))
+        seconds = self.world.random.uniform(0.05, 4.0)
+        self.world.request(self.router(index), name, BUDGET, cost, seconds)
+
+    @rule(index=indexes, count=strategies.integers(2, 8))
+    def burst(self, index, count):
+        for number in range(count):
+            self.request(index + number, 60)
+
+    @rule(index=indexes, which=indexes, attach=strategies.booleans())
+    def retry(self, index, which, attach):
+        if self.requests:
+            name, cost = self.requests[which % len(self.requests)]
+            run = "same" if attach else None
+            self.world.request(
+                self.router(index), name, BUDGET, cost, 0.5, run
+            )
+
+    @rule(seconds=strategies.sampled_from((0.05, 0.5, 2.0, 8.0)))
+    def wait(self, seconds):
+        self.world.advance(seconds)
+        self.world.check()
+
+    @rule(down=strategies.booleans())
+    def store(self, down):
+        self.world.store_down = down
+
+    @rule(count=strategies.integers(1, 4))
+    def lose_answers(self, count):
+        self.world.lose_answers += count
+
+    @rule(index=indexes)
+    def cut_store(self, index):
+        self.world.store_cut.add(self.router(index).address)
+
+    @rule(one=indexes, other=indexes)
+    def cut(self, one, other):
+        pair = {self.router(one).address, self.router(other).address}
+        self.world.cuts.add(frozenset(pair))
+
+    @rule(index=indexes)
+    def freeze(self, index):
+        self.world.frozen.add(self.router(index).address)
+
+    @rule(index=indexes)
+    def suspect(self, index):
+        self.world.suspected.add(self.router(index).incarnation)
+
+    @rule()
+    def heal(self):
+        self.world.heal()
+
+    @rule(
+        fates=strategies.lists(
+            strategies.sampled_from(("lost", "answer lost", "repeated", "")),
+            max_size=6,
+        )
+    )
+    def network(self, fates):
+        self.world.fates.extend(fates)
+
+    @rule(index=indexes, replace=strategies.booleans())
+    def kill(self, index, replace):
+        if len(self.world.routers) > 2:
+            router = self.router(index)
+            self.world.kill(router)
+            if replace:
+                self.world.add_router(router.incarnation.split("/")[0])
+
+    @rule(index=indexes)
+    def stop(self, index):
+        if len(self.world.routers) > 2:
+            self.world.stop(self.router(index))
+
+    @rule(tokens=strategies.integers(1, 300))
+    def top_up(self, tokens):
+        self.world.top_up(BUDGET, tokens)
+
+    def teardown(self):
+        if not hasattr(self, "world"):
+            return
+        try:
+            self.world.heal()
+            self.world.advance(60.0)
+            self.world.check_end()
+        finally:
+            self.world.close()
+
+
+def run_machine(machine, examples, randomise=False):
+    """Run a machine; raise what it finds."""
+    run_state_machine_as_test(
+        machine,
+        settings=settings(
+            max_examples=examples,
+            stateful_step_count=STEPS,
+            derandomize=not randomise,
+            database=None,
+            deadline=None,
+            phases=(Phase.generate,),
+            suppress_health_check=list(HealthCheck),
+        ),
+    )
+
+
+@pytest.fixture(autouse=True)
+def slow_ticks():
+    """Let loops tick less often, which saves time and changes no order."""
+    with mock.patch.object(keeper, "TICK", 0.05):
+        yield
+
+
+def test_no_overspend_and_one_bill_whatever_fails():
+    run_machine(LedgerMachine, EXAMPLES)
+
+
+# Broken variants: each must be found
+
+
+@contextlib.contextmanager
+def grant_used_before_the_write_is_known():
+    make = Holder.make_batch
+
+    def make_batch(self, now):
+        fresh = self._batch is None
+        batch = make(self, now)
+        if batch is not None and fresh:
+            for name in batch.draws:
+                self.account(name).granted += 100
+        return batch
+
+    with mock.patch.object(Holder, "make_batch", make_batch):
+        yield
+
+
+@contextlib.contextmanager
+def batch_number_ignored():
+    def is_applied(shard, batch):
+        return False
+
+    with (
+        mock.patch.object(record, "is_applied", is_applied),
+        mock.patch.object(keeper, "is_applied", is_applied),
+    ):
+        yield
+
+
+@contextlib.contextmanager
+def transfer_credited_twice():
+    def borrow(self, message, now):
+        account = self.account(message.budget)
+        self.ask_refused(message)
+        account.granted += message.tokens
+        account.borrowed[message.ask] = message
+
+    with mock.patch.object(Holder, "borrow", borrow):
+        yield
+
+
+@contextlib.contextmanager
+def lent_without_debit():
+    lend = Holder.lend
+
+    def forgetful(self, message, now):
+        answer = lend(self, message, now)
+        self.account(message.budget).lent.clear()
+        return answer
+
+    with mock.patch.object(Holder, "lend", forgetful):
+        yield
+
+
+@contextlib.contextmanager
+def bills_forgotten_at_once():
+    def prune(shard, at, limits):
+        shard.bills.clear()
+
+    with mock.patch.object(record, "_prune", prune):
+        yield
+
+
+@contextlib.contextmanager
+def recovered_without_attestation():
+    async def ask(self, peer, message):
+        return Attested(peer, {})
+
+    with mock.patch.object(LedgerKeeper, "_ask_attest", ask):
+        yield
+
+
+@contextlib.contextmanager
+def reservation_released_by_a_timeout():
+    forget = Holder.forget
+
+    def impatient(self, now):
+        forget(self, now)
+        for reservation in self.reservations():
+            if now > reservation.deadline - 28.0:
+                account = self.account(reservation.budget)
+                del account.reserved[reservation.reservation]
+
+    with mock.patch.object(Holder, "forget", impatient):
+        yield
+
+
+@contextlib.contextmanager
+def stale_record_under_a_new_version():
+    read = LedgerKeeper._read
+
+    async def careless(self, place):
+        before = place.record
+        await read(self, place)
+        if place.holder.in_flight is not None and before is not None:
+            place.record = before
+
+    with mock.patch.object(LedgerKeeper, "_read", careless):
+        yield
+
+
+@contextlib.contextmanager
+def dead_holder_not_shunned():
+    attest = Holder.attest
+
+    def trusting(self, name):
+        outstanding = attest(self, name)
+        self._shunned.discard(name)
+        return outstanding
+
+    def book_attest(self, name):
+        return holder.collections.Counter()
+
+    with (
+        mock.patch.object(Holder, "attest", trusting),
+        mock.patch.object(
+            keeper.LedgerKeeper,
+            "_attest",
+            lambda self, message: Attested(self._incarnation, {}),
+        ),
+    ):
+        yield
+
+
+BROKEN = (
+    grant_used_before_the_write_is_known,
+    batch_number_ignored,
+    transfer_credited_twice,
+    lent_without_debit,
+    bills_forgotten_at_once,
+    recovered_without_attestation,
+    reservation_released_by_a_timeout,
+    stale_record_under_a_new_version,
+    dead_holder_not_shunned,
+)
+
+
+@pytest.mark.parametrize("broken", BROKEN, ids=lambda b: b.__name__)
+def test_the_machine_finds(broken):
+    with broken(), pytest.raises(AssertionError):
+        run_machine(LedgerMachine, 400)
--- /dev/null
+++ b/test/world.py
@@ -0,0 +1,464 @@
+"""A small world for ledger tests: fake store, network, engines, routers.
+
+The routers' own shells run in it, on given time; an oracle counts.
+"""
+
+import asyncio
+import collections
+import random
+from test.virtual import LoopClock
+from test.virtual import VirtualLoop
+
+from rowanport.errors import ErrorKind
+from rowanport.errors import PeerError
+from rowanport.errors import RequestError
+from rowanport.errors import StoreConflict
+from rowanport.errors import StoreUnavailable
+from rowanport.errors import UserError
+from rowanport.hashing import rendezvous
+from rowanport.incarnation import cell_of
+from rowanport.incarnation import incarnation_of
+from rowanport.ledger import LedgerKeeper
+from rowanport.ledger import ReservationBook
+from rowanport.ledger.allowance import Allowance
+from rowanport.ledger.client import LedgerClient
+from rowanport.ledger.editor import BudgetEditor
+from rowanport.ledger.keeper import read_shard
+from rowanport.ledger.keeper import shard_key
+from rowanport.metrics import Metrics
+from rowanport.platform import Store
+from rowanport.platform import Value
+from rowanport.schema.messages import Witness
+from rowanport.schema.messages import WitnessEnd
+from rowanport.schema.settings import LedgerSettings
+from rowanport.schema.settings import SECTIONS
+
+METRICS = Metrics()
+FAR = 100000.0
+# A peer that is gone, or a change refused because the store was out.
+EXPECTED = (PeerError, UserError)
+
+
+def ledger_settings(**changes):
+    """Return LedgerSettings with one shard and the given changes."""
+    values = {option.name: option.default for option in SECTIONS["ledger"]}
+    values.update(shards=1, least_grant=50, horizon=5.0)
+    values.update(changes)
+    return LedgerSettings(values)
+
+
+class FakeStore(Store):
+    """One store; each router has its own view that can be cut."""
+
+    def __init__(self, world, name):
+        self._world = world
+        self._name = name
+        self.reads = 0
+        self.writes = 0
+
+    async def _travel(self):
+        world = self._world
+        await asyncio.sleep(world.random.uniform(0.001, 0.02))
+        await world.wait_thawed(self._name)
+        if world.store_down or self._name in world.store_cut:
+            await asyncio.sleep(0.3)
+            raise StoreUnavailable("down")
+
+    async def get(self, key):
+        await self._travel()
+        version, data = self._world.values.get(key, (0, b""))
+        await self._travel()
+        return Value(data, version)
+
+    async def put(self, key, data, version):
+        await self._travel()
+        world = self._world
+        current, _data = world.values.get(key, (0, b""))
+        if current != version:
+            raise StoreConflict(key)
+        world.values[key] = (version + 1, data)
+        world.check_record()
+        if world.lose_answers > 0:
+            world.lose_answers -= 1
+            raise StoreUnavailable("the answer was lost")
+        await self._travel()
+        return version + 1
+
+    async def watch(self, key, version, wait):
+        return await self.get(key)
+
+
+class FakePeers:
+    """Calls between routers, with losses, repeats and cuts."""
+
+    def __init__(self, world, name):
+        self._world = world
+        self._name = name
+
+    async def call(self, address, message, timeout):
+        try:
+            return await asyncio.wait_for(
+                self._call(address, message), timeout
+            )
+        except asyncio.TimeoutError:
+            raise PeerError("no answer") from None
+
+    async def _call(self, address, message):
+        world = self._world
+        await world.travel(self._name, address)
+        target = world.routers.get(address)
+        if target is None:
+            raise PeerError("gone")
+        fate = world.next_fate()
+        if fate == "lost":
+            await asyncio.sleep(FAR)
+        message = type(message).from_wire(message.to_wire())
+        if fate == "repeated":
+            world.spawn(address, target.answer(message))
+        answer = await world.run_at(address, target.answer(message))
+        if fate == "answer lost":
+            await asyncio.sleep(FAR)
+        await world.travel(address, self._name)
+        return answer
+
+
+class FakeMembers:
+    """Who lives, as one router believes."""
+
+    def __init__(self, world, incarnation):
+        self._world = world
+        self._incarnation = incarnation
+
+    def _live(self):
+        return [
+            router.incarnation
+            for router in self._world.routers.values()
+            if not router.leaving
+            and router.incarnation not in self._world.suspected
+            or router.incarnation == self._incarnation
+        ]
+
+    def is_alive(self, incarnation):
+        name = incarnation_of(incarnation)
+        known = {r.incarnation for r in self._world.routers.values()}
+        return name == self._incarnation or (
+            name in known and name not in self._world.suspected
+        )
+
+    def others(self):
+        cell = cell_of(self._incarnation)
+        return [
+            name
+            for name in self._live()
+            if cell_of(name) == cell and name != self._incarnation
+        ]
+
+    def entries(self):
+        return self.others() or [self._incarnation]
+
+    def witness(self):
+        order = rendezvous(self._incarnation, self.others())
+        return order[0] if order else None
+
+    def homes(self, shard, kind="ledger"):
+        cell = cell_of(self._incarnation)
+        names = [name for name in self._live() if cell_of(name) == cell]
+        return rendezvous(f"{kind}/{shard}", names) or [self._incarnation]
+
+    def home(self, shard, kind="ledger"):
+        return self.homes(shard, kind)[0]
+
+
+class FakeRouter:
+    """The ledger parts of one router."""
+
+    def __init__(self, world, cell, number, settings):
+        address = f"10.0.0.{number}:1"
+        self.incarnation = f"{cell}/{address}/{number}"
+        self.address = address
+        self.leaving = False
+        self.world = world
+        clock = LoopClock(world.loop)
+        self.store = FakeStore(world, address)
+        peers = FakePeers(world, address)
+        members = FakeMembers(world, self.incarnation)
+        self.book = ReservationBook(self.incarnation, world.new_id)
+        self.keeper = LedgerKeeper(
+            self.incarnation,
+            self.store,
+            peers,
+            members,
+            self.book,
+            settings,
+            Allowance(1000.0),
+            clock,
+            METRICS,
+            world.resolve,
+        )
+        self.client = LedgerClient(
+            self.incarnation,
+            self.keeper,
+            self.book,
+            peers,
+            members,
+            settings,
+            clock,
+        )
+        world.routers[address] = self
+        world.spawn(address, self.keeper.run())
+        world.spawn(address, self.client.run())
+
+    async def answer(self, message):
+        if isinstance(message, (Witness, WitnessEnd)):
+            return self.client.handle(message)
+        return await self.keeper.handle(message)
+
+
+class Run:
+    """One run at a fake engine."""
+
+    def __init__(self, request, run, budget, tokens):
+        self.request = request
+        self.run = run
+        self.budget = budget
+        self.tokens = tokens
+        self.finished = False
+
+
+class World:
+    """Everything, with an oracle that merely counts."""
+
+    def __init__(self, seed=0, settings=None):
+        self.loop = VirtualLoop()
+        self.failures = []
+        self.loop.set_exception_handler(self._note_failure)
+        self.random = random.Random(seed)
+        self.settings = settings or ledger_settings()
+        self.values = {}
+        self.routers = {}
+        self.tasks = collections.defaultdict(set)
+        self.store_down = False
+        self.store_cut = set()
+        self.lose_answers = 0
+        self.cuts = set()
+        self.frozen = set()
+        self.fates = collections.deque()
+        self.suspected = set()
+        self.ids = 0
+        self.number = 0
+        self.totals = collections.Counter()
+        self.runs = {}
+        self.served = collections.Counter()
+        self.refused = collections.Counter()
+        self.survivors = set()
+        self.killed = False
+        self.editor = BudgetEditor(
+            FakeStore(self, "operator"), 1, "tester", LoopClock(self.loop)
+        )
+
+    # Plumbing
+
+    def _note_failure(self, _loop, context):
+        error = context.get("exception")
+        if error is not None and not isinstance(error, EXPECTED):
+            self.failures.append(error)
+
+    def _note_task(self, task):
+        if not task.cancelled() and task.exception() is not None:
+            context = {"exception": task.exception()}
+            self._note_failure(self.loop, context)
+
+    def new_id(self):
+        self.ids += 1
+        return f"id{self.ids}"
+
+    def next_fate(self):
+        return self.fates.popleft() if self.fates else ""
+
+    def spawn(self, owner, coroutine):
+        task = self.loop.create_task(coroutine)
+        self.tasks[owner].add(task)
+        task.add_done_callback(self.tasks[owner].discard)
+        task.add_done_callback(self._note_task)
+        return task
+
+    async def run_at(self, owner, coroutine):
+        """Run a coroutine so that it ends with its router."""
+        task = self.spawn(owner, coroutine)
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            if task.cancelled():
+                raise PeerError("gone") from None
+            raise
+
+    async def travel(self, source, target):
+        await asyncio.sleep(self.random.uniform(0.0005, 0.01))
+        await self.wait_thawed(source)
+        await self.wait_thawed(target)
+        if frozenset((source, target)) in self.cuts:
+            await asyncio.sleep(FAR)
+
+    async def wait_thawed(self, name):
+        while name in self.frozen:
+            await asyncio.sleep(0.05)
+
+    def advance(self, seconds):
+        self.loop.run_until_complete(asyncio.sleep(seconds))
+
+    def close(self):
+        for task in asyncio.all_tasks(self.loop):
+            task.cancel()
+        self.advance(0.01)
+        self.loop.close()
+
+    # Actions
+
+    def add_router(self, cell):
+        self.number += 1
+        return FakeRouter(self, cell, self.number, self.settings)
+
+    def add_budget(self, name, total):
+        self.totals[name] += total
+        coroutine = self.editor.create(self.new_id(), name, total)
+        self.loop.run_until_complete(coroutine)
+
+    def top_up(self, name, tokens):
+        self.totals[name] += tokens
+        coroutine = self.editor.top_up(self.new_id(), name, tokens)
+        self.spawn("operator", coroutine)
+
+    def kill(self, router):
+        self.killed = True
+        del self.routers[router.address]
+        # What it had not brought into the shard may stay off any bill.
+        self.survivors -= {entry.request for entry in router.book}
+        own = self.tasks[router.address]
+        for task in [*own, *router.keeper._tasks, *router.client._tasks]:
+            task.cancel()
+
+    def stop(self, router):
+        staying = [r for r in self.routers.values() if not r.leaving]
+        if router.leaving or len(staying) <= 2:
+            return
+        router.leaving = True
+
+        async def leave():
+            while router.client.unsettled:
+                await asyncio.sleep(0.05)
+            killed = self.killed
+            await router.keeper.stop(self.loop.now + FAR)
+            # What was given back in full strands nothing.
+            self.kill(router)
+            self.killed = killed
+
+        self.spawn(router.address, leave())
+
+    def request(self, router, request, budget, cost, seconds, run=None):
+        """Start a request at a router; the run outlives the router."""
+        task = self._request(router, request, budget, cost, seconds, run)
+        return self.spawn(router.address, task)
+
+    async def _request(self, router, request, budget, cost, seconds, name):
+        if router.leaving:
+            # A stopping router refuses at its callers' side.
+            self.refused[ErrorKind.STOPPING] += 1
+            return
+        deadline = self.loop.now + 30.0
+        try:
+            entry = await router.client.reserve(
+                request, budget, cost, deadline
+            )
+        except RequestError as error:
+            self.refused[error.kind] += 1
+            return
+        await self.wait_thawed(router.address)
+        router.client.start(entry, "engine")
+        run = self._start_run(request, name, budget, cost, seconds)
+        while not run.finished:
+            await asyncio.sleep(0.05)
+        await self.wait_thawed(router.address)
+        router.client.settle(entry.reservation, run.run, run.tokens)
+        self.survivors.add(request)
+
+    def _start_run(self, request, name, budget, cost, seconds):
+        key = (request, name or self.new_id())
+        run = self.runs.get(key)
+        if run is None:
+            tokens = self.random.randint(1, cost)
+            run = Run(request, f"{request}.{key[1]}", budget, tokens)
+            self.runs[key] = run
+            self.spawn("engine", self._finish_run(run, seconds))
+        return run
+
+    async def _finish_run(self, run, seconds):
+        await asyncio.sleep(seconds)
+        run.finished = True
+        self.served[run.budget] += run.tokens
+        self.check_served()
+
+    async def resolve(self, reservation):
+        """Say what the engine knows of a dead entry's run."""
+        for run in self.runs.values():
+            if run.request == reservation.request and run.finished:
+                return run.run, run.tokens
+        return None
+
+    def heal(self):
+        self.store_down = False
+        self.store_cut.clear()
+        self.lose_answers = 0
+        self.cuts.clear()
+        self.frozen.clear()
+        self.fates.clear()
+        self.suspected.clear()
+
+    # Oracle
+
+    @property
+    def record(self):
+        version, data = self.values.get(shard_key(0), (0, b""))
+        return read_shard(Value(data, version))
+
+    def check_record(self):
+        """Whatever is written: spent and granted never exceed the total."""
+        for name, budget in self.record.budgets.items():
+            used = budget.settled + budget.absorbed
+            used += sum(budget.grants.values())
+            if used > budget.total or budget.total > self.totals[name]:
+                self.fail(f"{name}: {used} used of {budget.total}")
+
+    def check_served(self):
+        for name, tokens in self.served.items():
+            if tokens > self.totals[name]:
+                self.fail(f"{name} is overspent")
+
+    def fail(self, text):
+        """Note a failure even where a task would swallow it."""
+        self.failures.append(AssertionError(text))
+
+    def check(self):
+        """Raise the first failure that was noted."""
+        if self.failures:
+            raise self.failures[0]
+
+    def check_end(self):
+        """Everything healed: each request is billed once, and truly."""
+        record = self.record
+        tokens = {run.run: run.tokens for run in self.runs.values()}
+        billed = collections.Counter()
+        for key, bill in record.bills.items():
+            if "/" in key:
+                continue
+            assert bill.tokens == tokens[bill.run], f"{key} billed wrongly"
+            billed[bill.budget] += bill.tokens
+        for name, budget in record.budgets.items():
+            assert budget.settled == billed[name], f"{name}: bills differ"
+            if not self.killed:
+                spent = budget.settled + budget.absorbed
+                assert spent == self.served[name], f"{name}: served differs"
+        missing = self.survivors - set(record.bills)
+        assert not missing, f"not billed: {missing}"
+        self.check_record()
+        self.check_served()
+        self.check()
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools for the repository itself."""
--- /dev/null
+++ b/tools/fuzz.py
@@ -0,0 +1,49 @@
+"""Run the state machines longer, with fresh randomness each time.
+
+Prints how many steps ran; exits non-zero at the first failure found.
+"""
+
+import argparse
+import sys
+from test import test_ledger
+from unittest import mock
+
+from rowanport.ledger import keeper
+
+
+def count_steps(machine, counts):
+    """Return the machine, counting steps, requests and refusals."""
+
+    class Counting(machine):
+        def check_invariants(self, *arguments, **options):
+            counts["steps"] += 1
+            return super().check_invariants(*arguments, **options)
+
+        def teardown(self):
+            world = getattr(self, "world", None)
+            super().teardown()
+            if world is not None:
+                counts["examples"] += 1
+                counts["served"] += len(world.runs)
+                counts["refused"] += sum(world.refused.values())
+
+    return Counting
+
+
+def main():
+    """Fuzz and report."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--examples", type=int, default=1000)
+    options = parser.parse_args()
+    counts = {"steps": 0, "examples": 0, "served": 0, "refused": 0}
+    machine = count_steps(test_ledger.LedgerMachine, counts)
+    try:
+        with mock.patch.object(keeper, "TICK", 0.05):
+            test_ledger.run_machine(machine, options.examples, True)
+    finally:
+        print("ledger:", counts)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
