--- a/bench/bench.py
+++ b/bench/bench.py
@@ -8,6 +8,7 @@
 import time
 
 from bench import load
+from bench import overload
 from bench import spend
 
 OUT = pathlib.Path("bench/out")
@@ -46,18 +47,39 @@
     ]
 
 
+async def run_overload(quick):
+    """Run the experiments on order and choice."""
+    rows, overheads = [], []
+    for mode in overload.MODES:
+        scales = overload.SCALES[-1:] if quick else overload.SCALES
+        seconds = 8.0 if quick else 15.0
+        found, overhead = await overload.run_mode(mode, scales, seconds)
+        rows += found
+        overheads.append(overhead)
+    print_rows(rows)
+    print_rows(overheads)
+    write_rows("overload", rows + overheads)
+
+
 def main():
     """Read the options and run."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--quick", action="store_true")
     parser.add_argument("--mode", action="append", choices=spend.MODES)
     parser.add_argument("--scenario", action="append")
+    parser.add_argument(
+        "--part", choices=("all", "spend", "overload"), default="all"
+    )
     options = parser.parse_args()
     modes = options.mode or list(spend.MODES)
     if options.quick and not options.mode:
         modes = ["grants"]
     begun = time.monotonic()
-    wrong = asyncio.run(run_spend(options.quick, modes, options.scenario))
+    wrong = []
+    if options.part != "overload":
+        wrong = asyncio.run(run_spend(options.quick, modes, options.scenario))
+    if options.part in ("all", "overload"):
+        asyncio.run(run_overload(options.quick))
     print(f"{time.monotonic() - begun:.0f} s in all")
     for line in wrong:
         print("WRONG", line)
--- a/rowanport/config/follower.py
+++ b/rowanport/config/follower.py
@@ -14,6 +14,7 @@
 from ..errors import PeerError
 from ..errors import StoreError
 from ..errors import UserError
+from ..incarnation import address_of
 from ..schema.messages import ConfigAsk
 from ..schema.messages import ConfigGive
 from ..schema.messages import RootRecord
@@ -92,7 +93,7 @@
             if newest.config <= self.snapshot.version:
                 continue
             try:
-                await self._fetch(newest.address)
+                await self._fetch(address_of(newest.incarnation))
             except (PeerError, MessageError):
                 pass
 
--- a/rowanport/membership/members.py
+++ b/rowanport/membership/members.py
@@ -50,15 +50,8 @@
         self._clock = clock
         self._random = random.Random(seed)
         self._cell = cell_of(incarnation)
-        self._own = MemberEntry(
-            incarnation,
-            address_of(incarnation),
-            hall,
-            self._cell,
-            1,
-            STARTING,
-            0,
-        )
+        self._address = address_of(incarnation)
+        self._own = MemberEntry(incarnation, hall, 1, STARTING, 0)
         self._members = {}
         self._seeds = []
         self._homes = {}
@@ -81,7 +74,7 @@
 
     def set_seeds(self, addresses):
         """Give the peer addresses that the platform lists."""
-        own = self._own.address
+        own = self._address
         self._seeds = [address for address in addresses if address != own]
 
     # Gossip
@@ -94,28 +87,52 @@
         return [(address, message) for address in self._targets()]
 
     def _targets(self):
-        known = [member.entry for member in self._members.values()]
-        near = [e.address for e in known if e.cell == self._cell]
-        far = [e.address for e in known if e.cell != self._cell]
-        unknown = set(self._seeds) - {e.address for e in known}
+        near = [name for name in self._members if self._near(name)]
+        far = [name for name in self._members if not self._near(name)]
+        unknown = set(self._seeds) - set(map(address_of, self._members))
         count = min(self._settings.fanout, len(near))
         targets = self._random.sample(near, count)
+        if targets:
+            targets[0] = self._stalest(near)
+        targets = [address_of(name) for name in targets]
         if unknown:
             targets.append(self._random.choice(sorted(unknown)))
         # Two routers of a cell, on average, call another cell each round.
         if far and self._random.random() * (len(near) + 1) < 2:
-            targets.append(self._random.choice(far))
+            targets.append(address_of(self._random.choice(far)))
         return targets
 
+    def _stalest(self, near):
+        """Return whose heartbeat is the oldest, before it is suspected.
+
+        Asking it directly keeps a large cell from suspecting a router whose
+        heartbeats merely were not passed on.
+        """
+        fresh = [name for name in near if self._is_fresh(self._members[name])]
+        return min(fresh or near, key=lambda name: self._members[name].seen)
+
+    def _near(self, incarnation):
+        """Return whether a router is of this cell."""
+        return cell_of(incarnation) == self._cell
+
     def _message(self):
-        """Return a Gossip of the own entry and some fresh ones."""
+        """Return a Gossip of the own entry and some fresh ones.
+
+        Half of them are the newest, so that a heartbeat spreads while it is
+        news; the rest is random, so that none is left out for long.
+        """
         near = [
-            member.entry
-            for member in self._members.values()
-            if member.entry.cell == self._cell and self._is_fresh(member)
+            member
+            for name, member in self._members.items()
+            if self._near(name) and self._is_fresh(member)
         ]
-        count = min(self._settings.entries - 1, len(near))
-        return Gossip([self._own, *self._random.sample(near, count)])
+        near.sort(key=lambda member: -member.seen)
+        count = self._settings.entries - 1
+        newest = near[: count // 2]
+        rest = near[count // 2 :]
+        count = min(count - len(newest), len(rest))
+        chosen = [*newest, *self._random.sample(rest, count)]
+        return Gossip([self._own, *(member.entry for member in chosen)])
 
     def receive(self, message):
         """Take in a Gossip; return the one to answer with."""
@@ -146,7 +163,7 @@
     def _drop_older(self, entry):
         """Forget earlier incarnations at the same address."""
         for name, member in list(self._members.items()):
-            same = member.entry.address == entry.address
+            same = address_of(name) == address_of(entry.incarnation)
             if same and name != entry.incarnation:
                 if not self._is_fresh(member):
                     del self._members[name]
@@ -198,7 +215,7 @@
         return [
             entry.incarnation
             for entry in self.live()[1:]
-            if entry.cell == self._cell
+            if self._near(entry.incarnation)
         ]
 
     def witness(self):
@@ -206,7 +223,7 @@
         ready = [
             entry.incarnation
             for entry in self.live()[1:]
-            if entry.cell == self._cell and entry.state == READY
+            if self._near(entry.incarnation) and entry.state == READY
         ]
         if not ready:
             return None
@@ -220,7 +237,7 @@
             ready = [
                 entry.incarnation
                 for entry in self.live()
-                if entry.cell == self._cell and entry.state == READY
+                if self._near(entry.incarnation) and entry.state == READY
             ]
             order = rendezvous(key, ready) or [self._incarnation]
             self._homes[key] = order
--- a/rowanport/router/daemon.py
+++ b/rowanport/router/daemon.py
@@ -14,6 +14,7 @@
 from ..errors import RequestError
 from ..errors import UpstreamError
 from ..hashing import new_id
+from ..incarnation import address_of
 from ..incarnation import new_incarnation
 from ..ledger import LedgerKeeper
 from ..ledger import ReservationBook
@@ -241,7 +242,7 @@
         until = self.clock.wall() + LEAVING_NOTE_SECONDS
         note = messages.LeavingNote(address, until)
         for entry in self.members.live()[1:]:
-            self._spawn(self._tell(entry.address, note))
+            self._spawn(self._tell(address_of(entry.incarnation), note))
 
     async def _tell(self, address, message):
         try:
--- a/rowanport/schema/messages.py
+++ b/rowanport/schema/messages.py
@@ -715,10 +715,8 @@
 class MemberEntry(Message):
     """What is known of one router.
 
-    :ivar incarnation: incarnation, new at each start
-    :ivar address: peer address
+    :ivar incarnation: incarnation, which names cell and peer address
     :ivar hall: hall
-    :ivar cell: cell
     :ivar beat: heartbeat counter, raised by the router itself
     :ivar state: starting, ready or leaving
     :ivar config: configuration version in force there
@@ -726,20 +724,16 @@
 
     __slots__ = (
         "incarnation",
-        "address",
         "hall",
-        "cell",
         "beat",
         "state",
         "config",
     )
     KIND = 0
 
-    def __init__(self, incarnation, address, hall, cell, beat, state, config):
+    def __init__(self, incarnation, hall, beat, state, config):
         self.incarnation = incarnation
-        self.address = address
         self.hall = hall
-        self.cell = cell
         self.beat = beat
         self.state = state
         self.config = config
@@ -748,9 +742,7 @@
         """Return the fields as plain values, in the schema's order."""
         return [
             self.incarnation,
-            self.address,
             self.hall,
-            self.cell,
             self.beat,
             self.state,
             self.config,
@@ -759,15 +751,13 @@
     @classmethod
     def from_wire(cls, values):
         """Build one from plain values; raise MessageError if unfit."""
-        check_length(cls, values, 7)
+        check_length(cls, values, 5)
         return cls(
             as_str(values[0]),
             as_str(values[1]),
-            as_str(values[2]),
+            as_int(values[2]),
             as_str(values[3]),
             as_int(values[4]),
-            as_str(values[5]),
-            as_int(values[6]),
         )
 
 
--- a/rowanport/schema/settings.py
+++ b/rowanport/schema/settings.py
@@ -326,7 +326,7 @@
         Option(
             "interval",
             "float",
-            0.5,
+            1.0,
             0.05,
             60,
             "s",
@@ -344,7 +344,7 @@
         Option(
             "entries",
             "int",
-            8,
+            12,
             1,
             128,
             "",
@@ -353,7 +353,7 @@
         Option(
             "suspect_after",
             "float",
-            3.0,
+            8.0,
             0.2,
             600,
             "s",
--- /dev/null
+++ b/test/test_membership.py
@@ -0,0 +1,132 @@
+"""Membership: who is alive, who is home, and what it costs."""
+
+import pytest
+
+from rowanport.clock import ManualClock
+from rowanport.membership import Membership
+from rowanport.membership.members import LEAVING
+from rowanport.membership.members import READY
+from rowanport.schema.settings import MembershipSettings
+from rowanport.schema.settings import SECTIONS
+from rowanport.wire import pack_frame
+
+ROUNDS = 40
+
+
+def membership_settings():
+    values = {option.name: option.default for option in SECTIONS["membership"]}
+    return MembershipSettings(values)
+
+
+class Cell:
+    """Routers that gossip over a perfect network, by given time."""
+
+    def __init__(self, count):
+        self.clock = ManualClock(0.0)
+        self.settings = membership_settings()
+        self.members = {}
+        self.bytes = 0
+        for number in range(count):
+            self.add(number)
+
+    def add(self, number, nonce=""):
+        address = f"10.0.0.{number}:1"
+        name = f"north/{address}/{number}{nonce}"
+        one = Membership(name, "north", self.settings, self.clock, number)
+        one.set_state(READY)
+        one.set_seeds(["10.0.0.0:1", address])
+        self.members[address] = one
+        return one
+
+    def round(self, frozen=()):
+        self.clock.advance(self.settings.interval)
+        for address, one in list(self.members.items()):
+            if address in frozen:
+                continue
+            for target, message in one.tick():
+                if target not in self.members or target in frozen:
+                    continue
+                self.bytes += len(pack_frame(1, message))
+                copy = type(message).unpack(message.pack())
+                answer = self.members[target].receive(copy)
+                self.bytes += len(pack_frame(1, answer))
+                one.receive(type(answer).unpack(answer.pack()))
+
+    def run(self, rounds=ROUNDS, frozen=()):
+        for _number in range(rounds):
+            self.round(frozen)
+
+
+@pytest.mark.parametrize("count", (2, 4, 8, 16, 35))
+def test_all_see_all_and_agree_on_homes(count):
+    cell = Cell(count)
+    cell.run()
+    for _number in range(100):
+        cell.round()
+        seen = {len(one.live()) for one in cell.members.values()}
+        assert seen == {count}
+    assert {len(one.live()) for one in cell.members.values()} == {count}
+    for shard in range(16):
+        homes = {one.home(shard) for one in cell.members.values()}
+        assert len(homes) == 1
+
+
+def test_bytes_a_router_do_not_grow_with_the_cell():
+    rates = {}
+    for count in (16, 35, 70):
+        cell = Cell(count)
+        cell.run()
+        cell.bytes = 0
+        cell.run()
+        seconds = ROUNDS * cell.settings.interval
+        rates[count] = cell.bytes / seconds / count
+    assert rates[70] < 1.1 * rates[35] < 1.2 * rates[16]
+    assert rates[35] < 5000
+
+
+def test_a_silent_router_loses_its_shards_and_gets_them_back():
+    cell = Cell(4)
+    cell.run()
+    silent = "10.0.0.2:1"
+    name = cell.members[silent].own.incarnation
+    observer = cell.members["10.0.0.0:1"]
+    assert observer.is_alive(name)
+    cell.run(10, frozen=(silent,))
+    assert not observer.is_alive(name)
+    assert name not in {observer.home(shard) for shard in range(16)}
+    cell.run(10)
+    assert observer.is_alive(name)
+
+
+def test_a_suspected_router_counts_again_at_its_next_heartbeat():
+    cell = Cell(3)
+    cell.run()
+    observer = cell.members["10.0.0.0:1"]
+    name = cell.members["10.0.0.1:1"].own.incarnation
+    observer.suspect(name)
+    assert not observer.is_alive(name)
+    cell.run(5)
+    assert observer.is_alive(name)
+
+
+def test_a_leaving_router_is_home_to_nothing_but_may_still_settle():
+    cell = Cell(3)
+    cell.run()
+    leaving = cell.members["10.0.0.1:1"]
+    leaving.set_state(LEAVING)
+    cell.run(6)
+    observer = cell.members["10.0.0.0:1"]
+    name = leaving.own.incarnation
+    assert name not in {observer.home(shard) for shard in range(16)}
+    assert name in observer.entries()
+
+
+def test_a_restart_at_the_same_address_is_another_router():
+    cell = Cell(3)
+    cell.run()
+    old = cell.members["10.0.0.2:1"].own.incarnation
+    cell.add(2, nonce="b")
+    cell.run(20)
+    observer = cell.members["10.0.0.0:1"]
+    assert not observer.is_alive(old)
+    assert len(observer.live()) == 3
