Refuse no request right after a draw that was enough; recover only what is covered

Cause: (1) a round that ended with enough tokens still marked the budget dry for half a second, so that the next reservations were refused falsely; found by the embedding example, which served 1 of 4 paid requests. (2) A recovery kept the lesser of what was granted and owed: a holder that had spent borrowed tokens would have left a bill without cover once its lender saw it recovered. Found by reading; the machine's cover check is now by holder.

Ruled out for (1): grant sizes (the draw was for the full need).

Before: embedding example served 1 of 4. After: 4 of 4.

Conclusion: dry means that shard and lenders were asked and were not enough, judged after the answers went out.

--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Examples, run by the tests."""
--- a/rowanport/ledger/holder.py
+++ b/rowanport/ledger/holder.py
@@ -598,8 +598,8 @@
         for recovery in batch.recoveries:
             self._recoveries.remove(recovery)
         self._left = batch.leaving
-        self._finish_round(batch, record, now)
         self.observe(record, now)
+        self._finish_round(batch, record, now)
 
     def _forget_bill(self, bill):
         self._bills.pop(bill.reservation, None)
@@ -609,15 +609,17 @@
 
     def _finish_round(self, batch, record, now):
         """Call a budget dry when neither shard nor lenders had enough."""
-        for name, draw in batch.draws.items():
+        for name in batch.draws:
             account = self.account(name)
-            if not draw.need:
+            if not account.lacking:
+                # The draw was enough, or nobody waits any more.
                 account.asked.clear()
                 continue
             budget = record.budgets[name]
             if self._all_asked(account, budget, record):
                 account.dry_until = now + DRY_SECONDS
                 account.asked.clear()
+        self.pump(now)
 
     def _all_asked(self, account, budget, record):
         others = {
--- a/rowanport/ledger/record.py
+++ b/rowanport/ledger/record.py
@@ -233,9 +233,13 @@
     # A holder that joined since has attested nothing: it may have borrowed.
     if not set(record.holders) <= {*recovery.attested, recovery.holder}:
         return
+    # More owed than granted means that it spent borrowed tokens which are
+    # still in the lender's grant: nothing can be told apart until then.
+    if not _covers(record, recovery):
+        return
     for name, budget in record.budgets.items():
-        granted = budget.grants.pop(recovery.holder, 0)
-        kept = min(granted, recovery.kept.get(name, 0))
+        kept = recovery.kept.get(name, 0)
+        budget.grants.pop(recovery.holder, None)
         if kept:
             budget.grants[recovery.holder] = kept
         budget.wanted.pop(recovery.holder, None)
@@ -243,6 +247,15 @@
     record.expelled[recovery.holder] = at + EXPELLED_MEMORY
 
 
+def _covers(record, recovery):
+    """Return whether a dead holder's grants cover all it still owes."""
+    return all(
+        kept <= record.budgets[name].grants.get(recovery.holder, 0)
+        for name, kept in recovery.kept.items()
+        if name in record.budgets
+    )
+
+
 def _apply_draw(record, holder, name, draw, sizing):
     budget = record.budgets.get(name)
     if budget is None:
