Refuse at once what cannot be done in time; move on from a frozen home's witness

Cause: (1) at 5 times capacity refusals took 13.7 s at p50: a lane compared a newcomer with the queue before it, but not with the more urgent work that keeps coming, so summaries waited until their deadline. (2) With a router frozen, its cell-mate refused budget_unavailable: the frozen one was its witness, and the list of homes was made once, so after the witness failed only the frozen router was left to ask.

Ruled out for (1): the queue limit (it was not reached), the engines.

Change: arriving work is counted by class; what is left of the slots decides the wait, on arrival and twice a second for what waits. Homes are asked for anew at each try. Process tests for freeze, leaving engine and a router cut off from the store are new.

Conclusion: a queue's length says little where classes are strict.

--- a/bench/baseline_fifo.py
+++ b/bench/baseline_fifo.py
@@ -39,6 +39,9 @@
     def finished(self, cost, seconds):
         pass
 
+    def shed(self, slots):
+        pass
+
 
 class RandomPool(group.Pool):
     """Any upstream that has room."""
--- a/bench/deploy.py
+++ b/bench/deploy.py
@@ -76,14 +76,14 @@
         return version
 
     async def add_organisation(self, name):
-        """Create an organisation and keep its key."""
+        """Create an organisation, keep its key, return the version."""
         key = keys.new_key(name)
         salt = keys.new_salt()
         record = OrganisationRecord(
             name, salt, keys.hash_key(salt, key), 1, 0, 0.0
         )
         self.keys[name] = key
-        await self.apply(put_organisation(record))
+        return await self.apply(put_organisation(record))
 
     async def settled(self, seconds=10.0):
         """Wait until all routers have settled; return whether they have."""
--- a/rowanport/ledger/client.py
+++ b/rowanport/ledger/client.py
@@ -16,7 +16,7 @@
 from .keeper import PRESUME_AFTER
 from .record import NO_BILL
 
-HOME_TRIES = 3
+HOME_TRIES = 4
 ANSWER_MARGIN = 0.5
 WITNESS_TIMEOUT = 0.3
 SETTLE_TIMEOUT = 30.0
@@ -68,11 +68,16 @@
         :raises RequestError: the budget is unknown, exhausted or cannot be
             reached; nothing was set aside then
         """
-        now = self._clock.wall()
-        until = min(deadline, now + self._settings.reserve_wait)
         shard = self._keeper.shard(budget)
         failure = None
-        for home in self._members.homes(shard)[:HOME_TRIES]:
+        tried = set()
+        for _try in range(HOME_TRIES):
+            # Asked anew each time: a home or witness that failed is suspect.
+            home = self._next_untried(shard, tried)
+            if home is None:
+                break
+            now = self._clock.wall()
+            until = min(deadline, now + self._settings.reserve_wait)
             message = self._book.ask(
                 request, budget, tokens, deadline, home, until
             )
@@ -82,23 +87,32 @@
                 answer = await self._send(home, message, until)
             except PeerError as error:
                 failure = error
+                tried.add(home)
                 self._members.suspect(home)
                 self.release(message.reservation)
                 continue
             if isinstance(answer, Refused):
                 self._book.refused(message.reservation)
                 if answer.kind == ErrorKind.STOPPING.value:
-                    failure = answer
+                    failure = answer.detail
+                    tried.add(home)
                     continue
                 raise RequestError(ErrorKind(answer.kind), answer.detail)
             entry = await self._accept(answer, witness)
             if entry is not None:
                 return entry
+            failure = "its witness does not answer"
             self.release(message.reservation)
         raise RequestError(
             ErrorKind.BUDGET_UNAVAILABLE, f"no home answers: {failure}"
         )
 
+    def _next_untried(self, shard, tried):
+        for home in self._members.homes(shard):
+            if home not in tried:
+                return home
+        return None
+
     async def _accept(self, answer, witness):
         if not isinstance(answer, Reserved):
             return None
--- a/rowanport/ledger/holder.py
+++ b/rowanport/ledger/holder.py
@@ -9,6 +9,7 @@
 import collections
 
 from ..errors import ErrorKind
+from ..rates import DecayingRate
 from ..schema.messages import Ack
 from ..schema.messages import BillEntry
 from ..schema.messages import LendAsk
@@ -21,9 +22,9 @@
 from .record import find_bill
 from .record import free_tokens
 from .record import unspent_tokens
-from .sizing import Demand
 
 DRY_SECONDS = 0.5
+DEMAND_HALF_LIFE = 10.0
 WANT_SECONDS = 10.0
 VOID_MEMORY = 3600.0
 
@@ -90,7 +91,7 @@
         self.unwritten = 0
         self.returning = 0
         self.waiting = collections.OrderedDict()
-        self.demand = Demand()
+        self.demand = DecayingRate(DEMAND_HALF_LIFE)
         self.dry_until = 0.0
         self.ask = None
         self.asked = set()
--- a/rowanport/ledger/sizing.py
+++ b/rowanport/ledger/sizing.py
@@ -54,27 +54,3 @@
         wide = max(unspent * self.share, demand * self.horizon)
         keep = 4 * int(max(wide, self.least))
         return max(0, available - keep)
-
-
-class Demand:
-    """A decaying average of tokens asked for, in tokens a second."""
-
-    __slots__ = ("_window", "_rate", "_at")
-
-    def __init__(self, window=10.0):
-        self._window = window
-        self._rate = 0.0
-        self._at = None
-
-    def add(self, tokens, now):
-        """Count tokens asked for at a time."""
-        self._rate = self.rate(now) + tokens / self._window
-        self._at = now
-
-    def rate(self, now):
-        """Return the average at a time."""
-        if self._at is None:
-            return 0.0
-        age = max(0.0, now - self._at) / self._window
-        rate = self._rate * 0.5**age
-        return rate if rate > 0.01 else 0.0
--- a/rowanport/router/daemon.py
+++ b/rowanport/router/daemon.py
@@ -336,6 +336,7 @@
             self.metrics.live_routers.set({}, count)
             for group in self._groups.values():
                 group.pool.set_routers(count)
+                group.lane.shed(group.pool.slots())
                 group.pump()
             await asyncio.sleep(0.5)
 
--- a/rowanport/router/runner.py
+++ b/rowanport/router/runner.py
@@ -152,7 +152,7 @@
         upstream = None
         try:
             upstream = await group.acquire(
-                job.call, job.decision, job.key, job.cost, tried
+                job.call, job.decision, job.key, max(1, job.cost), tried
             )
             claimed = await self._claim(job, upstream)
         except BaseException:
@@ -196,7 +196,7 @@
             raise
         finally:
             seconds = self._router.clock.steady() - begun
-            group.release(upstream, job.cost, seconds, failed)
+            group.release(upstream, max(1, job.cost), seconds, failed)
 
     def _count_failure(self, job, _error):
         self._router.metrics.upstream_failures.inc(
--- a/rowanport/scheduling/lane.py
+++ b/rowanport/scheduling/lane.py
@@ -10,8 +10,12 @@
 
 from ..errors import ErrorKind
 from ..errors import RequestError
+from ..rates import DecayingRate
 
 SMOOTHING = 0.1
+ARRIVAL_HALF_LIFE = 3.0
+# However much urgent work comes, less urgent work is thought to get this.
+LEAST_SHARE = 0.02
 
 
 class Ticket:
@@ -24,6 +28,7 @@
     :ivar cost: worst case in tokens
     :ivar grant: function called with an upstream when it is its turn
     :ivar refuse: function called with a RequestError otherwise
+    :ivar work: seconds that it should need in a slot
     """
 
     __slots__ = (
@@ -34,6 +39,7 @@
         "cost",
         "grant",
         "refuse",
+        "work",
         "left",
     )
 
@@ -47,20 +53,32 @@
         self.cost = cost
         self.grant = grant
         self.refuse = refuse
+        self.work = 0.0
         self.left = False
 
 
 class _Class:
-    """All waiting tickets of one priority, by organisation."""
+    """All waiting tickets of one priority, by organisation.
+
+    :ivar work: seconds in a slot that they need together
+    :ivar arrivals: the same of new tickets, a second
+    """
 
     def __init__(self):
         self.queues = {}
-        self.size = 0
+        self.work = 0.0
+        self.arrivals = DecayingRate(ARRIVAL_HALF_LIFE)
 
     def push(self, ticket, order):
         queue = self.queues.setdefault(ticket.organisation, [])
         heapq.heappush(queue, (ticket.deadline, order, ticket))
-        self.size += 1
+        self.work += ticket.work
+
+    def tickets(self):
+        """Return all that wait, the earliest deadline first."""
+        entries = [entry for queue in self.queues.values() for entry in queue]
+        entries.sort(key=lambda entry: entry[:2])
+        return [entry[2] for entry in entries if not entry[2].left]
 
     def first(self, organisation):
         """Return the first ticket of an organisation, or None."""
@@ -92,7 +110,6 @@
         self._floor = 0.0
         self._order = itertools.count()
         self._seconds_per_token = None
-        self._service = None
         self.size = 0
 
     # Arrivals
@@ -117,24 +134,57 @@
             # An organisation that was away starts level with the others.
             served = self._served.get(ticket.organisation, 0.0)
             self._served[ticket.organisation] = max(served, self._floor)
+        ticket.work = self.expected_service(ticket.cost)
         waiting.push(ticket, next(self._order))
+        waiting.arrivals.add(ticket.work, now)
         self.size += 1
 
     def expected_wait(self, priority, slots):
-        """Return how long a new request of a priority would wait."""
-        if not self._service:
+        """Return how long a new request of a priority would wait.
+
+        What waits at its priority or before it is worked off by what is
+        left of the slots once the more urgent work that keeps coming has
+        had its share.
+        """
+        ahead = more_urgent = 0.0
+        now = self._clock.wall()
+        for level, waiting in self._classes.items():
+            if level <= priority:
+                ahead += waiting.work
+            if level < priority:
+                more_urgent += waiting.arrivals.rate(now)
+        if not ahead:
             return 0.0
-        ahead = sum(
-            waiting.size
-            for level, waiting in self._classes.items()
-            if level <= priority
-        )
-        return ahead * self._service / max(1, slots)
+        left = max(slots - more_urgent, LEAST_SHARE * slots)
+        return ahead / max(left, LEAST_SHARE)
 
     def expected_service(self, cost):
         """Return how long a request of a cost would run."""
         return cost * (self._seconds_per_token or 0.0)
 
+    def shed(self, slots):
+        """Refuse what cannot make its deadline any more, at once.
+
+        More urgent work that came since may have taken its turn away.
+        """
+        now = self._clock.wall()
+        ahead = more_urgent = 0.0
+        for level in sorted(self._classes):
+            waiting = self._classes[level]
+            left = max(slots - more_urgent, LEAST_SHARE * slots, LEAST_SHARE)
+            for ticket in waiting.tickets():
+                if now + ahead / left + ticket.work <= ticket.deadline:
+                    ahead += ticket.work
+                    continue
+                self.leave(ticket)
+                ticket.refuse(
+                    RequestError(
+                        ErrorKind.OVERLOADED,
+                        "it would not be done by its deadline",
+                    )
+                )
+            more_urgent += waiting.arrivals.rate(now)
+
     def _evict(self, newcomer):
         """Refuse a waiting ticket of a lower class than the newcomer's."""
         for priority in sorted(self._classes, reverse=True):
@@ -162,7 +212,7 @@
         if not ticket.left:
             ticket.left = True
             self.size -= 1
-            self._classes[ticket.priority].size -= 1
+            self._classes[ticket.priority].work -= ticket.work
 
     def next(self):
         """Take out and return the ticket whose turn it is, or None.
@@ -203,7 +253,6 @@
 
     def finished(self, cost, seconds):
         """Learn from a request that ran: its cost in tokens and time."""
-        self._service = _smooth(self._service, seconds)
         if cost:
             per_token = seconds / cost
             self._seconds_per_token = _smooth(
--- a/test/test_router.py
+++ b/test/test_router.py
@@ -17,6 +17,8 @@
 ORGANISATION = "house"
 BUDGET = f"{ORGANISATION}/main"
 TOKENS = 1_000_000
+# Prompt and answer of the longest request of the load, in tokens.
+WORST_CASE = 250
 
 
 class Site:
@@ -232,6 +234,84 @@
         site.run(site.fleet.faults(platform, down=False))
 
 
+def test_a_cut_off_router_follows_the_configuration(site):
+    fleet = site.fleet
+    versions = []
+
+    async def publish():
+        await fleet.faults(fleet.platform, cut=["r1"])
+        version = await site.deployment.add_organisation("newcomer")
+        # Waits for each router, r1 among them, and fails after 20 s.
+        await fleet.wait_routers(version=version)
+        for router in fleet.routers:
+            status = await fleet.status(router)
+            versions.append(status["config_version"])
+        await fleet.faults(fleet.platform, cut=[])
+        return version
+
+    version = site.run(publish())
+    assert versions == [version] * len(fleet.routers)
+
+
+def test_a_leaving_engine_gets_nothing_new(site):
+    engine, other = site.fleet.engines
+    site.run(site.fleet.faults(engine, leaving=True))
+    try:
+        # The bound of the brief: "after a few seconds".
+        site.run(asyncio.sleep(3.0))
+        before = site.counts([engine, other])
+        for number in range(12):
+            assert site.chat(router=number % 6)[0] == 200
+        after = site.counts([engine, other])
+        assert after[0]["starts"] == before[0]["starts"]
+        assert len(after[1]["starts"]) == len(before[1]["starts"]) + 12
+    finally:
+        site.run(site.fleet.faults(engine, leaving=False))
+
+
+def check_books(site, cut=0):
+    """Every token that the engines generated is in the ledger, once.
+
+    A reservation of a killed router that never named an upstream may have
+    run, for all that anyone knows: it is presumed spent, on no bill.
+
+    :param cut: requests that a killed router had in hand
+    """
+    assert site.run(site.deployment.settled(30.0))
+    record, budget = site.run(site.deployment.budgets.read(BUDGET))
+    served = site.run(site.deployment.served())[BUDGET]
+    presumed = budget.settled + budget.absorbed - served
+    assert 0 <= presumed <= cut * WORST_CASE
+    assert served <= TOKENS
+    bills = [
+        bill.tokens
+        for key, bill in record.bills.items()
+        if bill.budget == BUDGET and "/" not in key
+    ]
+    assert sum(bills) == budget.settled
+    return record
+
+
+def test_a_router_that_froze_and_woke_bills_once(site):
+    kind = load.Kind("stream", 1.0, 60, 20, 30, True, True)
+    plans = load.make_plans(3, 60, 3.0, [ORGANISATION], 6, [kind])
+    router = site.fleet.routers[4]
+
+    async def freeze():
+        await asyncio.sleep(1.0)
+        router.signal(signal.SIGSTOP)
+        await asyncio.sleep(5.0)
+        router.signal(signal.SIGCONT)
+
+    samples = site.samples(plans, freeze)
+    for sample in samples:
+        assert sample.own
+        if sample.plan.router != 4:
+            assert sample.done, sample.error
+        assert sample.status != 200 or sample.done
+    check_books(site)
+
+
 def test_a_stopped_router_cuts_no_stream(site):
     kind = load.Kind("stream", 1.0, 80, 20, 30, True, True)
     plans = load.make_plans(1, 60, 3.0, [ORGANISATION], 6, [kind])
@@ -268,12 +348,9 @@
         assert plan.router == 2
         plan.router = plan.at = 0
     assert all(sample.done for sample in site.samples(cut))
-    assert site.run(site.deployment.settled(30.0))
-    record, budget = site.run(site.deployment.budgets.read(BUDGET))
-    served = site.run(site.deployment.served())[BUDGET]
     # The dead router's cell-mate witnessed its reservations and asked the
     # engines, so not one token is missing from the ledger.
-    assert budget.settled + budget.absorbed == served <= TOKENS
+    record = check_books(site, len(cut))
     assert set(record.bills) >= {s.request for s in samples if s.done}
 
 
--- a/test/test_scheduling.py
+++ b/test/test_scheduling.py
@@ -99,6 +99,23 @@
     assert [error.kind for error in old.grant] == [ErrorKind.DEADLINE_PASSED]
 
 
+def test_less_urgent_work_is_refused_once_urgent_work_takes_its_turn(clock):
+    lane = Lane(1000, clock)
+    lane.finished(cost=10, seconds=1.0)
+    summary = ticket(5, deadline=20.0)
+    lane.enter(summary, 1)
+    for _number in range(30):
+        clock.advance(0.1)
+        lane.enter(ticket(0, deadline=90.0), 1)
+    lane.shed(1)
+    assert [error.kind for error in summary.grant] == [ErrorKind.OVERLOADED]
+    # A new one is refused on arrival, however short the queue before it.
+    drain(lane)
+    lane.enter(ticket(5, deadline=60.0), 1)
+    with pytest.raises(RequestError):
+        lane.enter(ticket(5, deadline=20.0), 1)
+
+
 @settings(derandomize=True, max_examples=100, database=None)
 @given(
     strategies.lists(
