Split the holder's accounts and the recoverer from large files

Change: Account, Reservation and Loan stand in account.py, what is done for dead entries and holders in recoverer.py; _begin sets what belongs to one holder id.

Ruled out: nothing, it is a clean-up.

--- a/bench/relay.py
+++ b/bench/relay.py
@@ -83,7 +83,7 @@
             await asyncio.gather(
                 _copy(reader, target), _copy(target_reader, writer)
             )
-        except OSError:
+        except (OSError, asyncio.CancelledError):
             pass
         finally:
             relay.open.pop(writer, None)
--- /dev/null
+++ b/rowanport/ledger/account.py
@@ -0,0 +1,104 @@
+"""One budget at one holder: what it was granted, reserved and lent."""
+
+import collections
+
+from ..rates import DecayingRate
+
+DEMAND_HALF_LIFE = 10.0
+
+
+class Reservation:
+    """Tokens set aside for one run.
+
+    :ivar upstream: where it runs, empty until that is known
+    """
+
+    __slots__ = (
+        "request",
+        "reservation",
+        "budget",
+        "tokens",
+        "entry",
+        "deadline",
+        "upstream",
+    )
+
+    def __init__(self, message):
+        self.request = message.request
+        self.reservation = message.reservation
+        self.budget = message.budget
+        self.tokens = message.tokens
+        self.entry = message.entry
+        self.deadline = message.deadline
+        self.upstream = ""
+
+
+class Account:
+    """One budget at one holder; all figures in tokens.
+
+    :ivar granted: as it stands in the shard after the last known batch
+    :ivar borrowed: Lent by transfer id, not yet in the shard
+    :ivar lent: transfers given away, not yet seen in the shard
+    :ivar reserved: Reservation by id
+    :ivar unwritten: settled, not yet in the shard
+    :ivar returning: on the way back to the shard
+    :ivar waiting: Reserve messages that lack tokens
+    """
+
+    __slots__ = (
+        "name",
+        "granted",
+        "borrowed",
+        "lent",
+        "reserved",
+        "unwritten",
+        "returning",
+        "waiting",
+        "demand",
+        "dry_until",
+        "ask",
+        "asked",
+    )
+
+    def __init__(self, name):
+        self.name = name
+        self.granted = 0
+        self.borrowed = {}
+        self.lent = {}
+        self.reserved = {}
+        self.unwritten = 0
+        self.returning = 0
+        self.waiting = collections.OrderedDict()
+        self.demand = DecayingRate(DEMAND_HALF_LIFE)
+        self.dry_until = 0.0
+        self.ask = None
+        self.asked = set()
+
+    @property
+    def available(self):
+        """Return the tokens that can be reserved now."""
+        have = self.granted + sum(m.tokens for m in self.borrowed.values())
+        reserved = sum(r.tokens for r in self.reserved.values())
+        lent = sum(m.tokens for m in self.lent.values())
+        return have - lent - reserved - self.unwritten - self.returning
+
+    @property
+    def lacking(self):
+        """Return the tokens that waiting reservations lack."""
+        wanted = sum(message.tokens for message in self.waiting.values())
+        return max(0, wanted - max(0, self.available)) if wanted else 0
+
+
+class Loan:
+    """Tokens given to a borrower.
+
+    :ivar until: until when a repeated ask gets the same answer
+    """
+
+    __slots__ = ("tokens", "borrower", "answer", "until")
+
+    def __init__(self, tokens, borrower, answer, until):
+        self.tokens = tokens
+        self.borrower = borrower
+        self.answer = answer
+        self.until = until
--- a/rowanport/ledger/client.py
+++ b/rowanport/ledger/client.py
@@ -13,8 +13,8 @@
 from ..schema.messages import Started
 from ..schema.messages import Witness
 from ..schema.messages import WitnessEnd
-from .keeper import PRESUME_AFTER
 from .record import NO_BILL
+from .recoverer import PRESUME_AFTER
 
 HOME_TRIES = 4
 ANSWER_MARGIN = 0.5
--- a/rowanport/ledger/holder.py
+++ b/rowanport/ledger/holder.py
@@ -9,7 +9,6 @@
 import collections
 
 from ..errors import ErrorKind
-from ..rates import DecayingRate
 from ..schema.messages import Ack
 from ..schema.messages import BillEntry
 from ..schema.messages import LendAsk
@@ -17,6 +16,9 @@
 from ..schema.messages import Refused
 from ..schema.messages import Reserved
 from ..schema.messages import TransferRecord
+from .account import Account
+from .account import Loan
+from .account import Reservation
 from .record import Batch
 from .record import Draw
 from .record import find_bill
@@ -24,108 +26,10 @@
 from .record import unspent_tokens
 
 DRY_SECONDS = 0.5
-DEMAND_HALF_LIFE = 10.0
 WANT_SECONDS = 10.0
 VOID_MEMORY = 3600.0
 
 
-class Reservation:
-    """Tokens set aside for one run.
-
-    :ivar upstream: where it runs, empty until that is known
-    """
-
-    __slots__ = (
-        "request",
-        "reservation",
-        "budget",
-        "tokens",
-        "entry",
-        "deadline",
-        "upstream",
-    )
-
-    def __init__(self, message):
-        self.request = message.request
-        self.reservation = message.reservation
-        self.budget = message.budget
-        self.tokens = message.tokens
-        self.entry = message.entry
-        self.deadline = message.deadline
-        self.upstream = ""
-
-
-class Account:
-    """One budget at one holder; all figures in tokens.
-
-    :ivar granted: as it stands in the shard after the last known batch
-    :ivar borrowed: Lent by transfer id, not yet in the shard
-    :ivar lent: transfers given away, not yet seen in the shard
-    :ivar reserved: Reservation by id
-    :ivar unwritten: settled, not yet in the shard
-    :ivar returning: on the way back to the shard
-    :ivar waiting: Reserve messages that lack tokens
-    """
-
-    __slots__ = (
-        "name",
-        "granted",
-        "borrowed",
-        "lent",
-        "reserved",
-        "unwritten",
-        "returning",
-        "waiting",
-        "demand",
-        "dry_until",
-        "ask",
-        "asked",
-    )
-
-    def __init__(self, name):
-        self.name = name
-        self.granted = 0
-        self.borrowed = {}
-        self.lent = {}
-        self.reserved = {}
-        self.unwritten = 0
-        self.returning = 0
-        self.waiting = collections.OrderedDict()
-        self.demand = DecayingRate(DEMAND_HALF_LIFE)
-        self.dry_until = 0.0
-        self.ask = None
-        self.asked = set()
-
-    @property
-    def available(self):
-        """Return the tokens that can be reserved now."""
-        have = self.granted + sum(m.tokens for m in self.borrowed.values())
-        reserved = sum(r.tokens for r in self.reserved.values())
-        lent = sum(m.tokens for m in self.lent.values())
-        return have - lent - reserved - self.unwritten - self.returning
-
-    @property
-    def lacking(self):
-        """Return the tokens that waiting reservations lack."""
-        wanted = sum(message.tokens for message in self.waiting.values())
-        return max(0, wanted - max(0, self.available)) if wanted else 0
-
-
-class Loan:
-    """Tokens given to a borrower.
-
-    :ivar until: until when a repeated ask gets the same answer
-    """
-
-    __slots__ = ("tokens", "borrower", "answer", "until")
-
-    def __init__(self, tokens, borrower, answer, until):
-        self.tokens = tokens
-        self.borrower = borrower
-        self.answer = answer
-        self.until = until
-
-
 class Holder:
     """Decides for one shard at one router.
 
@@ -136,28 +40,32 @@
     """
 
     def __init__(self, holder, shard, sizing, new_id):
-        self.holder = holder
         self.shard = shard
         self._sizing = sizing
         self._new_id = new_id
+        self._bills = {}
+        self._shunned = set()
+        self._entries = set()
+        self._answers = []
+        self._written = []
+        self._leaving = False
+        self._begin(holder)
+
+    def _begin(self, holder):
+        """Start under a holder id that the shard does not know yet."""
+        self.holder = holder
+        self.record = None
+        self.listed = frozenset()
         self._accounts = {}
         self._number = 0
         self._batch = None
-        self._bills = {}
         self._loans = {}
         self._asks = set()
         self._closed = set()
         self._voids = {}
         self._recoveries = []
-        self._shunned = set()
-        self._entries = set()
-        self._answers = []
-        self._written = []
-        self._leaving = False
         self._left = False
         self._touched = False
-        self.record = None
-        self.listed = frozenset()
 
     # Views
 
@@ -700,23 +608,13 @@
         Reservations of the old id were kept aside in the shard; their
         settlements go there as those of a dead holder.
         """
-        old = self.__dict__.copy()
         waiting = [
             message
             for account in self._accounts.values()
             for message in account.waiting.values()
         ]
-        self.__init__(holder, self.shard, self._sizing, self._new_id)
-        self._shunned = old["_shunned"] | {old["holder"]}
-        self._bills = {
-            key: pair
-            for key, pair in old["_bills"].items()
-            if pair[0].holder != holder
-        }
-        self._entries = old["_entries"]
-        self._answers = old["_answers"]
-        self._written = old["_written"]
-        self._leaving = old["_leaving"]
+        self._shunned.add(self.holder)
+        self._begin(holder)
         self._touched = True
         for message in waiting:
             answer = _refused(ErrorKind.BUDGET_UNAVAILABLE, "recovered")
--- a/rowanport/ledger/keeper.py
+++ b/rowanport/ledger/keeper.py
@@ -12,15 +12,12 @@
 from ..hashing import new_id
 from ..hashing import shard_of
 from ..incarnation import address_of
-from ..incarnation import cell_of
-from ..incarnation import incarnation_of
 from ..platform import Value
 from ..schema.messages import Ack
 from ..schema.messages import Attest
 from ..schema.messages import Attested
 from ..schema.messages import LendAsk
 from ..schema.messages import Lent
-from ..schema.messages import Recovery
 from ..schema.messages import Refused
 from ..schema.messages import Reserve
 from ..schema.messages import Settle
@@ -32,7 +29,7 @@
 from .record import is_applied
 from .record import MemoryLimits
 from .record import new_shard
-from .record import NO_BILL
+from .recoverer import Recoverer
 from .sizing import Sizing
 
 LOG = structlog.get_logger(__name__)
@@ -40,10 +37,7 @@
 IDLE_TICK = 0.25
 REVIEW_INTERVAL = 1.0
 ASK_TIMEOUT = 0.5
-ATTEST_TIMEOUT = 1.0
-RECOVER_AFTER = 5.0
 RETIRE_AFTER = 10.0
-PRESUME_AFTER = 5.0
 FAILED_PAUSE = 0.5
 WRITTEN_WAIT = 25.0
 
@@ -127,7 +121,6 @@
         self._allowance = allowance
         self._clock = clock
         self._metrics = metrics
-        self._resolve = resolve
         self._sizing = Sizing(
             settings.horizon, settings.least_grant, settings.share
         )
@@ -137,7 +130,16 @@
         self._answers = {}
         self._written = {}
         self._shunned = set()
-        self._resolving = set()
+        self._recoverer = Recoverer(
+            incarnation,
+            peers,
+            members,
+            settings,
+            clock,
+            metrics,
+            resolve,
+            self._attest,
+        )
         self._tasks = set()
         self._wake = asyncio.Event()
         self._stopping = False
@@ -429,10 +431,10 @@
             place.home_until = now + RETIRE_AFTER
             if not self._stopping:
                 place.holder.set_entries(entries)
-                self._recover_dead(place, now)
+                self._recoverer.recover_dead(place, now)
         for place in list(self._places.values()):
             place.holder.forget(now)
-            self._resolve_dead(place.holder, now)
+            self._recoverer.resolve_dead(place.holder)
             self._retire(place, now)
 
     def _retire(self, place, now):
@@ -441,92 +443,6 @@
             place.home_until = now + RETIRE_AFTER
             place.holder.leave()
 
-    def _resolve_dead(self, holder, now):
-        for reservation in holder.reservations():
-            if self._members.is_alive(reservation.entry):
-                continue
-            if reservation.reservation in self._resolving:
-                continue
-            self._resolving.add(reservation.reservation)
-            self._spawn(self._resolve_one(holder, reservation))
-
-    async def _resolve_one(self, holder, reservation):
-        """Bill a run whose entry died by what its upstream says."""
-        try:
-            result = await self._resolve(reservation)
-            now = self._clock.wall()
-            expiry = reservation.deadline + self._settings.bill_memory
-            if result is None:
-                if now < reservation.deadline + PRESUME_AFTER:
-                    return
-                # Nobody can tell: presume all spent, on no bill.
-                result = (reservation.reservation, reservation.tokens)
-                expiry = NO_BILL
-            run, tokens = result
-            message = Settle(
-                reservation.request,
-                reservation.reservation,
-                run,
-                reservation.budget,
-                holder.holder,
-                tokens,
-                expiry,
-            )
-            if holder.settle(message, now) is None:
-                self._metrics.resolved_runs.inc({})
-        finally:
-            self._resolving.discard(reservation.reservation)
-
-    def _recover_dead(self, place, now):
-        record = place.holder.record
-        if record is None:
-            return
-        cell = cell_of(self._incarnation)
-        for holder in record.holders:
-            gone = cell_of(holder) == cell and not self._members.is_alive(
-                incarnation_of(holder)
-            )
-            if not gone:
-                place.dead_since.pop(holder, None)
-                continue
-            since = place.dead_since.setdefault(holder, now)
-            if now >= since + RECOVER_AFTER:
-                place.dead_since[holder] = now
-                self._spawn(self._recover(place, holder, record))
-
-    async def _recover(self, place, dead, record):
-        """Take back a dead holder's grants if all who may owe attest."""
-        asked = set(record.holders[dead].entries)
-        asked.update(map(incarnation_of, record.holders))
-        asked.discard(incarnation_of(dead))
-        if incarnation_of(dead) in record.holders[dead].entries:
-            return
-        message = Attest(dead, place.shard)
-        kept = self._attest(message).outstanding
-        asked.discard(self._incarnation)
-        try:
-            answers = await asyncio.gather(
-                *(self._ask_attest(peer, message) for peer in asked)
-            )
-        except PeerError:
-            return
-        for answer in answers:
-            for name, tokens in answer.outstanding.items():
-                kept[name] = kept.get(name, 0) + tokens
-        self._metrics.recoveries.inc({})
-        LOG.info("holder_recovered", shard=place.shard, holder=dead)
-        batch = record.holders[dead].batch
-        attested = [name for name in record.holders if name != dead]
-        place.holder.recover(Recovery(dead, batch, attested, kept))
-
-    async def _ask_attest(self, peer, message):
-        answer = await self._peers.call(
-            address_of(peer), message, ATTEST_TIMEOUT
-        )
-        if not isinstance(answer, Attested) or answer.incarnation != peer:
-            raise PeerError(f"{peer} is gone")
-        return answer
-
     # Stop
 
     async def stop(self, deadline):
--- /dev/null
+++ b/rowanport/ledger/recoverer.py
@@ -0,0 +1,148 @@
+"""What a home does for the dead: bills their runs, recovers their grants."""
+
+import asyncio
+
+import structlog
+
+from ..errors import PeerError
+from ..incarnation import address_of
+from ..incarnation import cell_of
+from ..incarnation import incarnation_of
+from ..schema.messages import Attest
+from ..schema.messages import Attested
+from ..schema.messages import Recovery
+from ..schema.messages import Settle
+from .record import NO_BILL
+
+LOG = structlog.get_logger(__name__)
+ATTEST_TIMEOUT = 1.0
+RECOVER_AFTER = 5.0
+PRESUME_AFTER = 5.0
+
+
+class Recoverer:
+    """Acts for dead entries and dead holders, on behalf of one keeper.
+
+    :param resolve: coroutine function of a Reservation whose entry died,
+        to ``(run, tokens)`` or None while that is not known
+    :param attest: function of an Attest message, this router's own answer
+    """
+
+    def __init__(
+        self,
+        incarnation,
+        peers,
+        members,
+        settings,
+        clock,
+        metrics,
+        resolve,
+        attest,
+    ):
+        self._incarnation = incarnation
+        self._peers = peers
+        self._members = members
+        self._settings = settings
+        self._clock = clock
+        self._metrics = metrics
+        self._resolve = resolve
+        self._attest = attest
+        self._resolving = set()
+        self._tasks = set()
+
+    def _spawn(self, coroutine):
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    # Dead entries
+
+    def resolve_dead(self, holder):
+        """Bill the runs of a holder's dead entries by what upstreams say."""
+        for reservation in holder.reservations():
+            if self._members.is_alive(reservation.entry):
+                continue
+            if reservation.reservation in self._resolving:
+                continue
+            self._resolving.add(reservation.reservation)
+            self._spawn(self._resolve_one(holder, reservation))
+
+    async def _resolve_one(self, holder, reservation):
+        """Bill a run whose entry died by what its upstream says."""
+        try:
+            result = await self._resolve(reservation)
+            now = self._clock.wall()
+            expiry = reservation.deadline + self._settings.bill_memory
+            if result is None:
+                if now < reservation.deadline + PRESUME_AFTER:
+                    return
+                # Nobody can tell: presume all spent, on no bill.
+                result = (reservation.reservation, reservation.tokens)
+                expiry = NO_BILL
+            run, tokens = result
+            message = Settle(
+                reservation.request,
+                reservation.reservation,
+                run,
+                reservation.budget,
+                holder.holder,
+                tokens,
+                expiry,
+            )
+            if holder.settle(message, now) is None:
+                self._metrics.resolved_runs.inc({})
+        finally:
+            self._resolving.discard(reservation.reservation)
+
+    # Dead holders
+
+    def recover_dead(self, place, now):
+        """Recover the grants of this cell's dead holders of a shard."""
+        record = place.holder.record
+        if record is None:
+            return
+        cell = cell_of(self._incarnation)
+        for holder in record.holders:
+            gone = cell_of(holder) == cell and not self._members.is_alive(
+                incarnation_of(holder)
+            )
+            if not gone:
+                place.dead_since.pop(holder, None)
+                continue
+            since = place.dead_since.setdefault(holder, now)
+            if now >= since + RECOVER_AFTER:
+                place.dead_since[holder] = now
+                self._spawn(self._recover(place, holder, record))
+
+    async def _recover(self, place, dead, record):
+        """Take back a dead holder's grants if all who may owe attest."""
+        asked = set(record.holders[dead].entries)
+        asked.update(map(incarnation_of, record.holders))
+        asked.discard(incarnation_of(dead))
+        if incarnation_of(dead) in record.holders[dead].entries:
+            return
+        message = Attest(dead, place.shard)
+        kept = self._attest(message).outstanding
+        asked.discard(self._incarnation)
+        try:
+            answers = await asyncio.gather(
+                *(self._ask_attest(peer, message) for peer in asked)
+            )
+        except PeerError:
+            return
+        for answer in answers:
+            for name, tokens in answer.outstanding.items():
+                kept[name] = kept.get(name, 0) + tokens
+        self._metrics.recoveries.inc({})
+        LOG.info("holder_recovered", shard=place.shard, holder=dead)
+        batch = record.holders[dead].batch
+        attested = [name for name in record.holders if name != dead]
+        place.holder.recover(Recovery(dead, batch, attested, kept))
+
+    async def _ask_attest(self, peer, message):
+        answer = await self._peers.call(
+            address_of(peer), message, ATTEST_TIMEOUT
+        )
+        if not isinstance(answer, Attested) or answer.incarnation != peer:
+            raise PeerError(f"{peer} is gone")
+        return answer
--- a/rowanport/router/runner.py
+++ b/rowanport/router/runner.py
@@ -182,7 +182,9 @@
             self._settle(job, job.run, tokens)
             self._end_claim(job)
         except UpstreamError as error:
-            self._count_failure(job, error)
+            self._router.metrics.upstream_failures.inc(
+                {"group": job.decision.group}
+            )
             # A run that surely did not start leaves reservation and claim
             # to the next try.
             if error.started:
@@ -201,11 +203,6 @@
             seconds = self._router.clock.steady() - begun
             group.release(upstream, job.size, seconds, failed)
 
-    def _count_failure(self, job, _error):
-        self._router.metrics.upstream_failures.inc(
-            {"group": job.decision.group}
-        )
-
     def _check_not_frozen(self, job):
         """Refuse a job whose process slept since it arrived.
 
--- a/test/test_ledger.py
+++ b/test/test_ledger.py
@@ -26,6 +26,7 @@
 from rowanport.ledger import record
 from rowanport.ledger.holder import Holder
 from rowanport.ledger.keeper import LedgerKeeper
+from rowanport.ledger.recoverer import Recoverer
 from rowanport.ledger.sizing import Sizing
 from rowanport.schema.messages import Attested
 from rowanport.schema.messages import HolderRecord
@@ -252,7 +253,7 @@
     async def ask(self, peer, message):
         return Attested(peer, {})
 
-    with mock.patch.object(LedgerKeeper, "_ask_attest", ask):
+    with mock.patch.object(Recoverer, "_ask_attest", ask):
         yield
 
 
--- a/test/world.py
+++ b/test/world.py
@@ -357,7 +357,8 @@
                 tokens = sum(m.tokens for m in account.borrowed.values())
                 self.lost_loans[holder.holder, account.name] += tokens
         own = self.tasks[router.address]
-        for task in [*own, *router.keeper._tasks, *router.client._tasks]:
+        shells = (router.keeper, router.keeper._recoverer, router.client)
+        for task in [*own, *(task for one in shells for task in one._tasks)]:
             task.cancel()
 
     def stop(self, router):
