Keep background tasks in one class

Cause: six classes kept their tasks by the same five lines, and only the router logged a task that failed; a failing settlement would have been lost without a word.

Change: TaskSet starts, keeps, cancels and logs.

Ruled out: asyncio.TaskGroup, which cancels the others when one fails.

--- a/rowanport/claims/keeper.py
+++ b/rowanport/claims/keeper.py
@@ -14,6 +14,7 @@
 from ..schema.messages import Claimed
 from ..schema.messages import ClaimEnd
 from ..schema.messages import ClaimShardRecord
+from ..tasks import TaskSet
 from .shard import ClaimShard
 from .shard import DONE
 from .shard import new_claim_shard
@@ -64,7 +65,7 @@
         self._clock = clock
         self._places = {}
         self._answers = {}
-        self._tasks = set()
+        self._tasks = TaskSet()
         self._wake = asyncio.Event()
 
     # Entry
@@ -106,7 +107,7 @@
     def end(self, request, run, state=DONE):
         """Say how a claimed run ended, in the background."""
         message = ClaimEnd(request, run, state)
-        self._spawn(self._end(message))
+        self._tasks.spawn(self._end(message))
 
     async def _end(self, message):
         for _try in range(END_TRIES):
@@ -171,7 +172,7 @@
             return
         if self._allowance.take(place.queue.waiting, self._clock.steady()):
             place.next_write = now + self._settings.interval
-            place.task = self._spawn(self._write(place))
+            place.task = self._tasks.spawn(self._write(place))
 
     async def _write(self, place):
         try:
@@ -211,12 +212,6 @@
             if not future.done():
                 future.set_result(answer)
 
-    def _spawn(self, coroutine):
-        task = asyncio.ensure_future(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return task
-
     async def stop(self, deadline):
         """Write what is queued; return whether all was in time."""
         while self._clock.wall() < deadline:
--- a/rowanport/ledger/client.py
+++ b/rowanport/ledger/client.py
@@ -13,6 +13,7 @@
 from ..schema.messages import Started
 from ..schema.messages import Witness
 from ..schema.messages import WitnessEnd
+from ..tasks import TaskSet
 from .record import NO_BILL
 from .recoverer import PRESUME_AFTER
 
@@ -58,7 +59,7 @@
         self._clock = clock
         self._resolve = resolve
         self._resolving = set()
-        self._tasks = set()
+        self._tasks = TaskSet()
 
     # Reserving
 
@@ -168,9 +169,9 @@
     def start(self, entry, upstream):
         """Tell the home where a run goes, without waiting."""
         message = self._book.start(entry.reservation, upstream)
-        self._spawn(self._tell(entry.home, message))
+        self._tasks.spawn(self._tell(entry.home, message))
         if entry.witness is not None:
-            self._spawn(self._tell(entry.witness, message))
+            self._tasks.spawn(self._tell(entry.witness, message))
 
     async def _tell(self, home, message):
         try:
@@ -194,7 +195,7 @@
         entry = self._book.get(reservation)
         expiry = entry.deadline + self._settings.bill_memory
         message.expiry = max(message.expiry, expiry)
-        self._spawn(self._settle(entry, message))
+        self._tasks.spawn(self._settle(entry, message))
 
     async def _settle(self, entry, message):
         home = entry.home
@@ -256,7 +257,7 @@
             for entry in self._book.orphans(self._is_holder_alive):
                 if entry.reservation not in self._resolving:
                     self._resolving.add(entry.reservation)
-                    self._spawn(self._resolve_orphan(entry))
+                    self._tasks.spawn(self._resolve_orphan(entry))
 
     async def _resolve_orphan(self, entry):
         try:
@@ -274,7 +275,7 @@
             expiry = NO_BILL
         message = self._book.settle(entry.reservation, *result, expiry)
         entry.home = self._next_home(entry)
-        self._spawn(self._settle(entry, message))
+        self._tasks.spawn(self._settle(entry, message))
 
     def _is_holder_alive(self, holder):
         return self._members.is_alive(incarnation_of(holder))
@@ -285,9 +286,3 @@
     def unsettled(self):
         """Return how many reservations are not yet safe."""
         return len(self._book)
-
-    def _spawn(self, coroutine):
-        task = asyncio.ensure_future(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return task
--- a/rowanport/ledger/keeper.py
+++ b/rowanport/ledger/keeper.py
@@ -23,6 +23,7 @@
 from ..schema.messages import Settle
 from ..schema.messages import ShardRecord
 from ..schema.messages import Started
+from ..tasks import TaskSet
 from .holder import Holder
 from .record import apply_batch
 from .record import Expelled
@@ -140,7 +141,7 @@
             resolve,
             self._attest,
         )
-        self._tasks = set()
+        self._tasks = TaskSet()
         self._wake = asyncio.Event()
         self._stopping = False
 
@@ -295,13 +296,7 @@
             return
         place.last_sync = now
         place.next_sync = now + self._settings.interval
-        place.task = self._spawn(self._sync(place))
-
-    def _spawn(self, coroutine):
-        task = asyncio.ensure_future(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return task
+        place.task = self._tasks.spawn(self._sync(place))
 
     # Store
 
@@ -392,7 +387,7 @@
 
     def _send_asks(self, holder, now):
         for lender, message in holder.asks(now):
-            self._spawn(self._ask(holder, lender, message))
+            self._tasks.spawn(self._ask(holder, lender, message))
 
     async def _ask(self, holder, lender, message):
         name = holder.holder
--- a/rowanport/ledger/recoverer.py
+++ b/rowanport/ledger/recoverer.py
@@ -12,6 +12,7 @@
 from ..schema.messages import Attested
 from ..schema.messages import Recovery
 from ..schema.messages import Settle
+from ..tasks import TaskSet
 from .record import NO_BILL
 
 LOG = structlog.get_logger(__name__)
@@ -48,12 +49,7 @@
         self._resolve = resolve
         self._attest = attest
         self._resolving = set()
-        self._tasks = set()
-
-    def _spawn(self, coroutine):
-        task = asyncio.ensure_future(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks = TaskSet()
 
     # Dead entries
 
@@ -65,7 +61,7 @@
             if reservation.reservation in self._resolving:
                 continue
             self._resolving.add(reservation.reservation)
-            self._spawn(self._resolve_one(holder, reservation))
+            self._tasks.spawn(self._resolve_one(holder, reservation))
 
     async def _resolve_one(self, holder, reservation):
         """Bill a run whose entry died by what its upstream says."""
@@ -112,7 +108,7 @@
             since = place.dead_since.setdefault(holder, now)
             if now >= since + RECOVER_AFTER:
                 place.dead_since[holder] = now
-                self._spawn(self._recover(place, holder, record))
+                self._tasks.spawn(self._recover(place, holder, record))
 
     async def _recover(self, place, dead, record):
         """Take back a dead holder's grants if all who may owe attest."""
--- a/rowanport/router/daemon.py
+++ b/rowanport/router/daemon.py
@@ -32,6 +32,7 @@
 from ..scheduling import OrganisationLimits
 from ..scheduling.group import GroupScheduler
 from ..schema import messages
+from ..tasks import TaskSet
 from ..upstreams import EngineClient
 from ..upstreams import ServiceClient
 from ..web import HttpClient
@@ -72,7 +73,7 @@
         self.limits = OrganisationLimits()
         self.traffic = Traffic()
         self._groups = {}
-        self._tasks = set()
+        self._tasks = TaskSet()
         self._listed_leaving = frozenset()
         self.stopping = False
         self._build_platform(settings)
@@ -247,7 +248,7 @@
         until = self.clock.wall() + LEAVING_NOTE_SECONDS
         note = messages.LeavingNote(address, until)
         for peer in self.members.some(LEAVING_FANOUT):
-            self._spawn(self._tell(address_of(peer), note))
+            self._tasks.spawn(self._tell(address_of(peer), note))
 
     async def _tell(self, address, message):
         try:
@@ -307,7 +308,7 @@
                 waiting = self._engine_addresses()
                 random.shuffle(waiting)
             if waiting:
-                self._spawn(self._read_load(*waiting.pop()))
+                self._tasks.spawn(self._read_load(*waiting.pop()))
             await asyncio.sleep(pause)
 
     def _engine_addresses(self):
@@ -340,17 +341,6 @@
                 group.pump()
             await asyncio.sleep(0.5)
 
-    def _spawn(self, coroutine):
-        task = asyncio.ensure_future(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._finish_task)
-        return task
-
-    def _finish_task(self, task):
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            LOG.error("task_failed", exc_info=task.exception())
-
     # Start and stop
 
     @property
@@ -376,7 +366,7 @@
             self._become_ready(),
         )
         for loop in loops:
-            self._spawn(loop)
+            self._tasks.spawn(loop)
         LOG.info("router_started", incarnation=self.incarnation)
 
     async def _become_ready(self):
@@ -422,8 +412,7 @@
 
     async def close(self):
         """Drop everything at once."""
-        for task in list(self._tasks):
-            task.cancel()
+        self._tasks.cancel()
         await self.callers.close()
         await self._operators.close()
         await self._peer_server.close()
--- a/rowanport/router/runner.py
+++ b/rowanport/router/runner.py
@@ -15,6 +15,7 @@
 from ..errors import RequestError
 from ..errors import UpstreamError
 from ..hashing import new_id
+from ..tasks import TaskSet
 
 CLOSE_TRIES = 20
 CLOSE_PAUSE = 0.5
@@ -74,7 +75,7 @@
 
     def __init__(self, router):
         self._router = router
-        self._tasks = set()
+        self._tasks = TaskSet()
 
     # Hooks
 
@@ -250,9 +251,7 @@
         """End a run that broke off, and bill it, in the background."""
         closing = copy.copy(job)
         job.entry = None
-        task = asyncio.ensure_future(self._close_run(closing, address))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks.spawn(self._close_run(closing, address))
 
     async def _close_run(self, job, address):
         for _try in range(CLOSE_TRIES):
