Estimate times by a line through size, not by one rate

Cause: at 5 times capacity 46% of labels were refused although bulletins and labels together ask for 68% of the engines: the seconds a token, averaged over 4-token labels with their fixed costs, made bulletins look longer than they are and left no slots for labels.

--- a/rowanport/rates.py
+++ b/rowanport/rates.py
@@ -1,4 +1,4 @@
-"""Rates that decay, for demand and arrivals."""
+"""Averages that decay: rates of demand, and times by size."""
 
 import math
 
@@ -31,3 +31,36 @@
         age = max(0.0, now - self._at) / self._half_life
         rate = self._rate * 0.5**age
         return rate if rate > NEGLIGIBLE else 0.0
+
+
+class LinearEstimate:
+    """A straight line through points that count less as they age.
+
+    :param smoothing: weight of a new point, from 0 to 1
+    """
+
+    __slots__ = ("_smoothing", "_x", "_y", "_xx", "_xy", "_points")
+
+    def __init__(self, smoothing):
+        self._smoothing = smoothing
+        self._x = self._y = self._xx = self._xy = 0.0
+        self._points = 0
+
+    def add(self, x, y):
+        """Take in a point; the first ones count alike."""
+        self._points += 1
+        weight = max(self._smoothing, 1 / self._points)
+        self._x += weight * (x - self._x)
+        self._y += weight * (y - self._y)
+        self._xx += weight * (x * x - self._xx)
+        self._xy += weight * (x * y - self._xy)
+
+    def at(self, x):
+        """Return the line's value, 0 before the first point."""
+        variance = self._xx - self._x**2
+        slope = 0.0
+        if variance > 1e-9:
+            slope = max(0.0, (self._xy - self._x * self._y) / variance)
+        # Neither part of a time can be less than nothing.
+        slope = min(slope, self._y / self._x) if self._x else 0.0
+        return self._y + slope * (x - self._x)
--- a/rowanport/scheduling/lane.py
+++ b/rowanport/scheduling/lane.py
@@ -11,8 +11,9 @@
 from ..errors import ErrorKind
 from ..errors import RequestError
 from ..rates import DecayingRate
+from ..rates import LinearEstimate
 
-SMOOTHING = 0.1
+SMOOTHING = 0.02
 ARRIVAL_HALF_LIFE = 1.0
 # However much urgent work comes, less urgent work is thought to get this.
 LEAST_SHARE = 0.02
@@ -120,7 +121,7 @@
         self._served = {}
         self._floor = 0.0
         self._order = itertools.count()
-        self._seconds_per_token = None
+        self._seconds = LinearEstimate(SMOOTHING)
         self.size = 0
 
     # Arrivals
@@ -171,7 +172,7 @@
 
     def expected_service(self, size):
         """Return how long a request of a size would run."""
-        return size * (self._seconds_per_token or 0.0)
+        return self._seconds.at(size)
 
     def shed(self, slots):
         """Refuse what cannot make its deadline any more, at once.
@@ -265,13 +266,4 @@
     def finished(self, size, seconds):
         """Learn from a request that ran: its size in tokens and time."""
         if size:
-            per_token = seconds / size
-            self._seconds_per_token = _smooth(
-                self._seconds_per_token, per_token
-            )
-
-
-def _smooth(average, value):
-    if average is None:
-        return value
-    return average + SMOOTHING * (value - average)
+            self._seconds.add(size, seconds)
--- a/test/test_scheduling.py
+++ b/test/test_scheduling.py
@@ -10,6 +10,7 @@
 from rowanport.clock import ManualClock
 from rowanport.errors import ErrorKind
 from rowanport.errors import RequestError
+from rowanport.rates import LinearEstimate
 from rowanport.scheduling import Lane
 from rowanport.scheduling import OrganisationLimits
 from rowanport.scheduling import RetryBudget
@@ -161,6 +162,15 @@
     assert len(tickets) + turned_away == len(arrivals)
 
 
+def test_times_by_size_have_a_fixed_and_a_growing_part():
+    estimate = LinearEstimate(0.02)
+    assert estimate.at(10) == 0.0
+    for size in (4, 40, 160, 4, 40, 160):
+        estimate.add(size, 0.5 + 0.025 * size)
+    assert estimate.at(4) == pytest.approx(0.6)
+    assert estimate.at(100) == pytest.approx(3.0)
+
+
 def test_rate_and_concurrency_of_an_organisation_are_bounded():
     limits = OrganisationLimits()
     record = OrganisationRecord("a", b"", b"", 1, 2, 1.0)
