Fuzz engines' answers: whole only if whole, passed on only if one's own

Change: answers are cut at any byte, arrive in any pieces or carry another request's event; two broken readers are found.

Ruled out: driving HttpClient over sockets, which cannot be derandomised. Not covered: plain services, which have one whole body by content-length.

--- /dev/null
+++ b/test/test_upstreams.py
@@ -0,0 +1,154 @@
+"""An engine's answer is taken for whole only if it is, and only if its own.
+
+Any answer is cut at any byte, arrives in any pieces, or carries another
+request's event; the oracle is the list of words that were sent.
+"""
+
+import asyncio
+import contextlib
+import json
+from unittest import mock
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+import pytest
+
+from rowanport.errors import UpstreamError
+from rowanport.upstreams import engine
+from rowanport.upstreams.engine import EngineStream
+
+REQUEST = "a" * 32
+words_of_answers = strategies.lists(
+    strategies.text(max_size=6), min_size=1, max_size=6
+)
+
+
+class FakeAnswer:
+    """The body of an answer, in pieces."""
+
+    def __init__(self, pieces):
+        self._pieces = pieces
+        self.headers = {}
+
+    async def pieces(self):
+        for piece in self._pieces:
+            yield piece
+
+    def close(self):
+        pass
+
+
+def event(word, run=f"{REQUEST}.boot.0", usage=None):
+    value = {"id": run, "choices": [{"delta": {"content": word}}]}
+    if usage:
+        value["usage"] = usage
+    return b"data: " + json.dumps(value).encode() + b"\n\n"
+
+
+def whole_answer(words):
+    usage = {"prompt_tokens": 3, "completion_tokens": len(words)}
+    events = [event(word) for word in words]
+    return [*events, event("", usage=usage), b"data: [DONE]\n\n"]
+
+
+def read(pieces):
+    """Return the words of an answer, and whether it was taken for whole."""
+
+    async def run():
+        words = []
+        stream = EngineStream(FakeAnswer(pieces), REQUEST, "engine")
+        try:
+            async for chunk in stream.chunks():
+                words.append(chunk.text)
+        except UpstreamError:
+            return words, False
+        return words, True
+
+    return asyncio.run(run())
+
+
+def cut_up(data, sizes):
+    pieces = []
+    for size in sizes:
+        pieces.append(data[:size])
+        data = data[size:]
+    return [*pieces, data]
+
+
+fuzz = settings(
+    derandomize=True, max_examples=200, database=None, deadline=None
+)
+
+
+@fuzz
+@given(words_of_answers, strategies.lists(strategies.integers(0, 90)))
+def test_any_pieces_make_the_same_answer(words, sizes):
+    data = b"".join(whole_answer(words))
+    assert read(cut_up(data, sizes)) == ([*words, ""], True)
+
+
+def check_cut(words, share):
+    data = b"".join(whole_answer(words))
+    got, whole = read([data[: int(share * (len(data) - 1))]])
+    assert not whole
+    assert got == [*words, ""][: len(got)]
+
+
+@fuzz
+@given(words_of_answers, strategies.floats(0, 1))
+def test_an_answer_cut_at_any_byte_is_never_whole(words, share):
+    check_cut(words, share)
+
+
+def check_stranger(words, place, run):
+    events = whole_answer(words)
+    events[min(place, len(words))] = event("theirs", run)
+    _got, whole = read(events)
+    assert not whole
+
+
+@fuzz
+@given(
+    words_of_answers,
+    strategies.integers(0, 6),
+    strategies.sampled_from(("b" * 32 + ".boot.0", REQUEST + ".later.1", "")),
+)
+def test_another_requests_or_runs_event_is_never_passed_on(words, place, run):
+    check_stranger([*words, "last"], place + 1, run)
+
+
+# Broken variants: each must be found
+
+
+@contextlib.contextmanager
+def end_not_awaited():
+    async def chunks(self):
+        async for data in engine._events(self._answer.pieces()):
+            if data != engine.DONE:
+                yield self._read(data)
+
+    with mock.patch.object(EngineStream, "chunks", chunks):
+        yield
+
+
+@contextlib.contextmanager
+def run_not_compared():
+    def careless(self, data):
+        chunk = engine.Chunk(json.loads(data))
+        if chunk.usage:
+            self.usage = chunk.usage
+        return chunk
+
+    with mock.patch.object(EngineStream, "_read", careless):
+        yield
+
+
+def test_the_cuts_find_an_end_that_is_not_awaited():
+    with end_not_awaited(), pytest.raises(AssertionError):
+        fuzz(given(words_of_answers, strategies.floats(0, 1))(check_cut))()
+
+
+def test_the_strangers_find_a_run_that_is_not_compared():
+    with run_not_compared(), pytest.raises(AssertionError):
+        check_stranger(["one", "two"], 1, "b" * 32 + ".boot.0")
