Have a witness refuse what its attestation did not count

Cause: a home set tokens aside for its own entry; before the witness heard of it, the witness took part in recovering that home, believed dead. It then took the note in as usual, and the run could start without cover: 120 tokens owed, 60 granted.

Ruled out: the holder itself (its grant was gone by then and it had not read the shard), the other attestations (each was complete when given).

Change: a witness that attested a holder as dead refuses its reservations; an OpenReservation is usable only once its witness has taken it in, and the oracle counts usable ones.

Before: the machine's case fails, 120 owed and 60 granted. After: it passes; with the refusal taken out again it fails as before.

Conclusion: a recovery must bind whoever may learn of a debt, not only who knows of one.

--- a/rowanport/ledger/book.py
+++ b/rowanport/ledger/book.py
@@ -21,6 +21,7 @@
     :ivar witness: incarnation that remembers it too, if any
     :ivar witnessed: whether it is kept for the home's own entry
     :ivar upstream: where it runs, empty until that is known
+    :ivar usable: whether a run may start on it, its witness told
     """
 
     __slots__ = (
@@ -35,6 +36,7 @@
         "witness",
         "witnessed",
         "upstream",
+        "usable",
     )
 
     def __init__(self, request, reservation, budget, tokens, deadline, home):
@@ -49,6 +51,7 @@
         self.witness = None
         self.witnessed = False
         self.upstream = ""
+        self.usable = False
 
     @property
     def owed(self):
@@ -149,7 +152,13 @@
         self._open.pop(reservation, None)
 
     def witness(self, message):
-        """Remember a reservation that a home made for its own entry."""
+        """Remember a reservation that a home made for its own entry.
+
+        :returns: False if its holder was attested as dead: it must not be
+            used, as the attestation did not count it
+        """
+        if message.holder in self._shunned:
+            return False
         entry = OpenReservation(
             message.request,
             message.reservation,
@@ -161,6 +170,7 @@
         entry.holder = message.holder
         entry.witnessed = True
         self._open[message.reservation] = entry
+        return True
 
     def orphans(self, is_alive):
         """Return witnessed reservations whose home died.
--- a/rowanport/ledger/client.py
+++ b/rowanport/ledger/client.py
@@ -118,7 +118,10 @@
         if not isinstance(answer, Reserved):
             return None
         entry = self._book.reserved(answer)
-        if entry is None or witness is None:
+        if entry is None:
+            return None
+        if witness is None:
+            entry.usable = True
             return entry
         entry.witness = witness
         message = Witness(
@@ -130,13 +133,15 @@
             entry.holder,
         )
         try:
-            await self._peers.call(
+            answer = await self._peers.call(
                 address_of(witness), message, WITNESS_TIMEOUT
             )
         except PeerError:
             self._members.suspect(witness)
             return None
-        return entry
+        # A witness that took part in recovering this home refuses.
+        entry.usable = isinstance(answer, Ack)
+        return entry if entry.usable else None
 
     def _witness_for(self, home):
         """Return who remembers a reservation made at this very router."""
@@ -243,7 +248,8 @@
     def handle(self, message):
         """Take in a Witness or WitnessEnd message."""
         if isinstance(message, Witness):
-            self._book.witness(message)
+            if not self._book.witness(message):
+                return Refused(ErrorKind.BUDGET_UNAVAILABLE.value, "shunned")
         elif isinstance(message, Started):
             self._book.started(message)
         else:
--- a/test/test_ledger.py
+++ b/test/test_ledger.py
@@ -24,6 +24,7 @@
 from rowanport.ledger import holder
 from rowanport.ledger import keeper
 from rowanport.ledger import record
+from rowanport.ledger.book import ReservationBook
 from rowanport.ledger.holder import Holder
 from rowanport.ledger.keeper import LedgerKeeper
 from rowanport.ledger.recoverer import Recoverer
@@ -31,6 +32,7 @@
 from rowanport.schema.messages import Attested
 from rowanport.schema.messages import HolderRecord
 from rowanport.schema.messages import Recovery
+from rowanport.schema.messages import Witness
 
 CELLS = ("north", "south", "east")
 BUDGET = "org/main"
@@ -363,6 +365,18 @@
     assert "dead" in shard.expelled
 
 
+def test_a_witness_refuses_what_its_attestation_did_not_count():
+    # Found by the machine: a reservation was set aside before its home was
+    # recovered, and reached its witness only after that had attested.
+    book = ReservationBook("cell/10.0.0.1:1/a", str)
+    late = Witness("request", "late", BUDGET, 60, 9.0, "dead~1")
+    early = Witness("request", "early", BUDGET, 40, 9.0, "dead~1")
+    assert book.witness(early)
+    assert book.attest("dead~1") == {BUDGET: 40}
+    assert not book.witness(late)
+    assert book.attest("dead~1") == {BUDGET: 40}
+
+
 def test_a_recovery_is_refused_after_a_later_batch_or_a_new_holder():
     for batch_number, newcomer in ((5, None), (4, "newcomer")):
         shard = record.new_shard()
--- a/test/world.py
+++ b/test/world.py
@@ -463,8 +463,7 @@
         borrowed = collections.Counter()
         for router in self.routers.values():
             for entry in router.book:
-                used = entry.holder and not entry.witnessed
-                if used and entry.reservation not in billed:
+                if entry.usable and entry.reservation not in billed:
                     owed[entry.holder, entry.budget] += entry.owed
             for holder in router.keeper.places().values():
                 for account in holder.accounts():
