--- a/rowanport/ledger/keeper.py
+++ b/rowanport/ledger/keeper.py
@@ -37,9 +37,6 @@
 TICK = 0.02
 IDLE_TICK = 0.25
 REVIEW_INTERVAL = 1.0
-# A fresh router that has not heard of its cell yet would take all shards for
-# its own, and register in each of them for nothing.
-LISTEN_FIRST = 2.5
 ASK_TIMEOUT = 0.5
 RETIRE_AFTER = 10.0
 FAILED_PAUSE = 0.5
@@ -270,7 +267,7 @@
         Ticks are short only while a reservation waits: at rest this loop is
         most of what a router costs.
         """
-        review = self._clock.wall() + LISTEN_FIRST
+        review = 0.0
         while True:
             now = self._clock.wall()
             places = list(self._places.values())
