Move store and directory out of the platform folder

Cause: rowanport/platform/ becomes the adapter to the users' platform and nothing else. Store, Directory and the client of our own stand-in are the product's, so they live in rowanport/store/ from now on. Ruled out: leaving them beside the adapter; two meanings of one folder. Conclusion: a move only.

--- a/bench/deploy.py
+++ b/bench/deploy.py
@@ -10,11 +10,11 @@
 from rowanport.config.editor import put_policy
 from rowanport.config.editor import put_upstream
 from rowanport.ledger.editor import BudgetEditor
-from rowanport.platform import PlatformStore
 from rowanport.schema.messages import GroupRecord
 from rowanport.schema.messages import OrganisationRecord
 from rowanport.schema.messages import PolicyRecord
 from rowanport.schema.messages import UpstreamRecord
+from rowanport.store import PlatformStore
 
 MODEL = "forecast"
 SERVICE = "portal"
--- a/examples/embedding.py
+++ b/examples/embedding.py
@@ -16,14 +16,14 @@
 from rowanport.ledger.record import MemoryLimits
 from rowanport.ledger.record import new_shard
 from rowanport.ledger.sizing import Sizing
-from rowanport.platform import Store
-from rowanport.platform import Value
 from rowanport.scheduling import Lane
 from rowanport.scheduling import Ticket
 from rowanport.schema.messages import Reserve
 from rowanport.schema.messages import Reserved
 from rowanport.schema.messages import Settle
 from rowanport.schema.messages import ShardRecord
+from rowanport.store import Store
+from rowanport.store import Value
 
 BUDGET = "house/main"
 KEY = "ledger/0"
--- a/rowanport/ledger/keeper.py
+++ b/rowanport/ledger/keeper.py
@@ -12,7 +12,6 @@
 from ..hashing import new_id
 from ..hashing import shard_of
 from ..incarnation import address_of
-from ..platform import Value
 from ..schema.messages import Ack
 from ..schema.messages import Attest
 from ..schema.messages import Attested
@@ -23,6 +22,7 @@
 from ..schema.messages import Settle
 from ..schema.messages import ShardRecord
 from ..schema.messages import Started
+from ..store import Value
 from ..tasks import TaskSet
 from .holder import Holder
 from .record import apply_batch
--- a/rowanport/membership/gossip.py
+++ b/rowanport/membership/gossip.py
@@ -4,8 +4,8 @@
 
 from ..errors import PeerError
 from ..errors import StoreError
-from ..platform.directory import ROUTER_ROLE
 from ..schema.messages import Gossip
+from ..store.directory import ROUTER_ROLE
 
 GOSSIP_TIMEOUT = 0.5
 
--- a/rowanport/router/daemon.py
+++ b/rowanport/router/daemon.py
@@ -26,12 +26,12 @@
 from ..membership.members import LEAVING
 from ..membership.members import READY
 from ..pauses import PauseDetector
-from ..platform import PlatformDirectory
-from ..platform import PlatformStore
-from ..platform.directory import LEAVING as LISTED_LEAVING
 from ..scheduling import OrganisationLimits
 from ..scheduling.group import GroupScheduler
 from ..schema import messages
+from ..store import PlatformDirectory
+from ..store import PlatformStore
+from ..store.directory import LEAVING as LISTED_LEAVING
 from ..tasks import TaskSet
 from ..upstreams import EngineClient
 from ..upstreams import ServiceClient
--- a/rowanport/standins/platform.py
+++ b/rowanport/standins/platform.py
@@ -4,9 +4,9 @@
 import time
 import urllib.parse
 
-from ..platform.store import INSTANCE_HEADER
-from ..platform.store import VALUE_LIMIT
-from ..platform.store import VERSION_HEADER
+from ..store.store import INSTANCE_HEADER
+from ..store.store import VALUE_LIMIT
+from ..store.store import VERSION_HEADER
 from ..web import HttpServer
 from ..web.server import HttpLimits
 from .faults import Faults
--- a/rowanport/ui/common.py
+++ b/rowanport/ui/common.py
@@ -15,9 +15,9 @@
 from ..errors import UserError
 from ..hashing import new_id
 from ..ledger.editor import BudgetEditor
-from ..platform import PlatformDirectory
-from ..platform import PlatformStore
 from ..settings import read_settings
+from ..store import PlatformDirectory
+from ..store import PlatformStore
 from ..web import HttpClient
 
 REFUSED = 1
--- a/rowanport/ui/fleet.py
+++ b/rowanport/ui/fleet.py
@@ -9,8 +9,8 @@
 
 from . import common
 from ..errors import PeerError
-from ..platform.directory import ROUTER_ROLE
 from ..schema.messages import StatusAsk
+from ..store.directory import ROUTER_ROLE
 from ..wire import PeerClient
 
 STATUS_TIMEOUT = 2.0
--- a/test/test_config.py
+++ b/test/test_config.py
@@ -29,9 +29,9 @@
 from rowanport.errors import StoreError
 from rowanport.errors import StoreUnavailable
 from rowanport.errors import UserError
-from rowanport.platform import Store
-from rowanport.platform import Value
 from rowanport.schema.messages import OrganisationRecord
+from rowanport.store import Store
+from rowanport.store import Value
 
 FOLLOWERS = 3
 places = strategies.integers(0, FOLLOWERS - 1)
--- a/test/world.py
+++ b/test/world.py
@@ -27,13 +27,13 @@
 from rowanport.ledger.keeper import read_shard
 from rowanport.ledger.keeper import shard_key
 from rowanport.metrics import Metrics
-from rowanport.platform import Store
-from rowanport.platform import Value
 from rowanport.schema.messages import Started
 from rowanport.schema.messages import Witness
 from rowanport.schema.messages import WitnessEnd
 from rowanport.schema.settings import LedgerSettings
 from rowanport.schema.settings import SECTIONS
+from rowanport.store import Store
+from rowanport.store import Value
 
 METRICS = Metrics()
 FAR = 100000.0
