Write limits ahead, so that a router's next run recovers its tokens

Cause: after the closing fault (all routers end at once) three quarters of the owed requests were refused: each router's unspent tokens were stranded, up to 10 s of demand, where a prepaid budget has 10 s of slack in all. Change: with each batch a router writes how much it will let go at most and keeps to it for 2.8 s; its next run, which reads the same steady clock, gives the rest back if it started within that time. Borrowed tokens count beyond the limit, else loans help nobody at the begin of a cut. Ruled out: leases (one that waits while the store is down is no clock); holding less (a cut from the store lasts 9 s); records by peers (all end).

--- a/rowanport/gateway/daemon.py
+++ b/rowanport/gateway/daemon.py
@@ -50,8 +50,9 @@
 READY_POLL = 0.02
 STOP_POLL = 0.05
 # Seconds after the signal to stop during which callers may still open
-# connections: the balancer needs two missed checks, one a second.
-STOP_LINGER = 2.6
+# connections: the balancer needs two missed checks, one a second; also
+# until written limits on tokens bind no more, so that all are handed over.
+STOP_LINGER = 2.9
 # Seconds before the end of the grace period at which open requests are
 # given up, so that tokens can still be handed over.
 STOP_RESERVE = 0.8
--- a/rowanport/platform/store.py
+++ b/rowanport/platform/store.py
@@ -78,6 +78,12 @@
             return Listing([], answer.get("at", 0))
         return Listing([Item(answer)], answer["at"])
 
+    async def get_value(self, key):
+        listing = await self.get(key)
+        if not listing.items:
+            return Value(b"", 0)
+        return Value(listing.items[0].data, listing.items[0].revision)
+
     async def list(self, prefix, stale=False):
         """Return the Listing of all keys that begin with a prefix.
 
--- a/rowanport/prepaid/__init__.py
+++ b/rowanport/prepaid/__init__.py
@@ -8,5 +8,6 @@
 from .account import Account
 from .keeper import BudgetKeeper
 from .record import BudgetRecord
+from .record import HolderRecord
 
-__all__ = ["Account", "BudgetKeeper", "BudgetRecord"]
+__all__ = ["Account", "BudgetKeeper", "BudgetRecord", "HolderRecord"]
--- a/rowanport/prepaid/account.py
+++ b/rowanport/prepaid/account.py
@@ -1,7 +1,7 @@
 """One budget at one router: what it holds, owes and should hold.
 
-Nothing here waits or sends.  Tokens enter by a draw or a loan and leave by
-being spent, lent or given back; at each moment a token is in one place.
+Nothing here waits or sends.  Tokens come in by a draw or a loan and go out
+by being spent, lent or given back; at each moment a token is in one place.
 """
 
 from ..rates import DecayingRate
@@ -21,23 +21,32 @@
 LEAST_DRAW = 0.002
 # Give back what is above this multiple of the target.
 HIGH_WATER = 2.5
+# Seconds of demand that may go out before a new limit is written: what a
+# cut from the store must bear until written limits bind no more.
+ALLOWANCE_SECONDS = 4.0
+# The same as a part of the whole budget, for budgets that are asked rarely
+# and then for much at once.
+ALLOWANCE_SHARE = 0.04
+# Part of an allowance that is used up when a new one is written.
+ALLOWANCE_USED = 0.4
 
 
 class Account:
     """A budget's tokens at this router.
 
-    :ivar available: tokens that may be reserved
-    :ivar reserved: tokens set aside for requests under way
+    :ivar inflow: tokens that came in since the start
+    :ivar outflow: tokens that went out or are set aside
     :ivar total: tokens paid for, as the configuration says
     :ivar left: tokens left in the store when it was last seen, or None
     :ivar recalled: whether all is to be given back first, as the total fell
     :ivar dry_until: steady time until which asking others is in vain
+    :ivar waiting: waiters for tokens, the first one first
     """
 
     __slots__ = (
         "name",
-        "available",
-        "reserved",
+        "inflow",
+        "outflow",
         "total",
         "left",
         "recalled",
@@ -48,8 +57,8 @@
 
     def __init__(self, name):
         self.name = name
-        self.available = 0
-        self.reserved = 0
+        self.inflow = 0
+        self.outflow = 0
         self.total = 0
         self.left = None
         self.recalled = False
@@ -57,11 +66,20 @@
         self.waiting = []
         self._demand = DecayingRate(DEMAND_HALF_LIFE)
 
+    @property
+    def available(self):
+        """Return the tokens that are nobody's yet."""
+        return self.inflow - self.outflow
+
+    @property
+    def wanted(self):
+        """Return the tokens that waiting requests need."""
+        return sum(waiter.tokens for waiter in self.waiting)
+
     @property
     def lacking(self):
         """Return the tokens that waiting requests need beyond these."""
-        wanted = sum(waiter.tokens for waiter in self.waiting)
-        return max(0, wanted - self.available)
+        return max(0, self.wanted - self.available)
 
     # Requests
 
@@ -69,18 +87,20 @@
         """Count what a request asks for."""
         self._demand.add(tokens, now)
 
-    def reserve(self, tokens):
-        """Set tokens aside if there are enough; return whether."""
-        if self.recalled or self.available < tokens:
+    def reserve(self, tokens, room):
+        """Set tokens aside if there are enough; return whether.
+
+        :param room: tokens that may go out now, None for any number
+        """
+        free = self.available if room is None else min(self.available, room)
+        if self.recalled or free < tokens:
             return False
-        self.available -= tokens
-        self.reserved += tokens
+        self.outflow += tokens
         return True
 
     def settle(self, tokens, used):
         """End a reservation of which some tokens were used."""
-        self.reserved -= tokens
-        self.available += max(0, tokens - used)
+        self.outflow -= max(0, tokens - used)
 
     # Tokens that come and go
 
@@ -96,29 +116,43 @@
 
     def credit(self, tokens):
         """Take in tokens."""
-        self.available += tokens
+        self.inflow += tokens
 
-    def lend(self, tokens):
+    def lend(self, tokens, room):
         """Return the tokens lent to another router that lacks some.
 
         :param tokens: what it needs; half of what is here is lent if that
             is more, so that it need not ask again soon
+        :param room: tokens that may go out now, None for any number
         """
-        if self.waiting or self.recalled or self.available <= 0:
+        if self.waiting or self.recalled:
+            return 0
+        free = self.available if room is None else min(self.available, room)
+        if free <= 0:
             return 0
-        lent = min(self.available, max(tokens, self.available // 2))
-        self.available -= lent
+        lent = min(free, max(tokens, free // 2))
+        self.outflow += lent
         return lent
 
-    def take_all(self):
-        """Return all available tokens, which leave this account."""
-        tokens = self.available
-        self.available = 0
-        return tokens
+    def take_out(self, tokens):
+        """Take free tokens out, to be given back or handed over."""
+        self.outflow += tokens
+
+    def put_back(self, tokens):
+        """Undo a :meth:`take_out`."""
+        self.outflow -= tokens
 
     # Sizes
 
-    def _wanted(self, holders, now):
+    def allowance(self, holders, now):
+        """Return the tokens that may go out before the next record."""
+        wanted = max(
+            ALLOWANCE_SECONDS * self._demand.rate(now),
+            ALLOWANCE_SHARE * self.total / holders,
+        )
+        return int(wanted) + self.wanted
+
+    def _wanted_tokens(self, holders, now):
         return max(
             HORIZON * self._demand.rate(now),
             FIRST_SHARE * self.total / holders,
@@ -129,7 +163,7 @@
 
         :param holders: routers that hold tokens of this budget
         """
-        wanted = self._wanted(holders, now)
+        wanted = self._wanted_tokens(holders, now)
         if self.left is not None:
             # What a sudden end of all routers strands stays under half of
             # what is unspent.
@@ -146,7 +180,7 @@
         if self.available < LOW_WATER * target:
             draw = target - self.available
             return draw if draw >= LEAST_DRAW * self.total else 0
-        wanted = int(self._wanted(holders, now))
+        wanted = int(self._wanted_tokens(holders, now))
         if self.available > HIGH_WATER * wanted:
             return wanted - self.available
         return 0
--- /dev/null
+++ b/rowanport/prepaid/drawer.py
@@ -0,0 +1,275 @@
+"""Moves tokens between the store and this router, in numbered batches.
+
+Each batch writes the budgets that it draws on and this router's own record,
+all or nothing.  One whose fate is unknown is sent again, unchanged, until
+the store tells whether its number stands in the own record.
+"""
+
+import structlog
+
+from .allowance import Allowance
+from .allowance import ended_in_time
+from .record import BudgetRecord
+from .record import HolderRecord
+from ..errors import MessageError
+from ..errors import StoreBusy
+from ..errors import StoreConflict
+from ..errors import StoreError
+from ..store import Value
+from ..store import Write
+
+LOG = structlog.get_logger(__name__)
+
+# Budgets in one batch: the store takes 32 entries, a condition and a write
+# for each budget and for the own record.
+BATCH_LIMIT = 15
+# Writes of one batch in a row that others' writes may overtake.
+CONFLICT_TRIES = 8
+BUDGET_PREFIX = "rowanport/budget/"
+HOLDER_PREFIX = "rowanport/holder/"
+
+
+class Batch:
+    """Moves between the store and this router, written together.
+
+    :ivar wishes: tokens wished by budget; negative to give back
+    :ivar moves: tokens moved by budget by the writes last made
+    :ivar writes: the writes last made, or None if they are to be made anew
+    :ivar allowance: the limits in these writes
+    :ivar unsure: whether they may have taken effect unheard
+    """
+
+    __slots__ = (
+        "number",
+        "wishes",
+        "moves",
+        "writes",
+        "allowance",
+        "record",
+        "unsure",
+    )
+
+    def __init__(self, number, wishes):
+        self.number = number
+        self.wishes = wishes
+        self.moves = {}
+        self.writes = None
+        self.allowance = None
+        self.record = None
+        self.unsure = False
+
+
+class Drawer:
+    """The store's side of one router's budgets.
+
+    :param incarnation: this router's incarnation
+    :param address: this router's peer address, the same in its next run
+    :param store: a TransactionStore
+    :param allowances: the Allowances that bind this router
+    :param clock: a Clock
+    """
+
+    def __init__(self, incarnation, address, store, allowances, clock):
+        self._incarnation = incarnation
+        self._key = HOLDER_PREFIX + address
+        self._store = store
+        self._allowances = allowances
+        self._clock = clock
+        self._started = clock.steady()
+        self._started_wall = clock.wall()
+        self._values = {}
+        self._number = 0
+        self._recovered = False
+        self.batch = None
+
+    @property
+    def unsure(self):
+        """Return whether a batch's fate is unknown."""
+        return self.batch is not None and self.batch.unsure
+
+    def begin(self, wishes):
+        """Start a batch of wishes; it is made by :meth:`write`."""
+        self._number += 1
+        self.batch = Batch(self._number, wishes)
+
+    def drop(self):
+        """Forget a batch that the store surely did not take; return it."""
+        batch = self.batch
+        self.batch = None
+        if batch.allowance is not None:
+            self._allowances.drop(batch.allowance)
+        return batch
+
+    # Batches
+
+    async def write(self, make_limits, inflows, totals):
+        """Write the batch at hand; return it once it stands in the store.
+
+        :param make_limits: function from moves by budget to the limits of
+            tokens out by budget
+        :param inflows: function that returns tokens in by budget so far
+        :param totals: (total by budget, version of the configuration)
+        :returns: the Batch, or None if others' writes kept overtaking it
+        :raises StoreBusy: the store refused it
+        :raises StoreError: its fate is unknown
+        """
+        batch = self.batch
+        for _try in range(CONFLICT_TRIES):
+            if batch.writes is None:
+                self._make_writes(batch, make_limits, inflows(), totals)
+            try:
+                version = await self._store.commit(batch.writes)
+            except StoreConflict as conflict:
+                self._take_values(batch, conflict.values)
+                if self._stands(batch):
+                    return self._finish(batch)
+                # Writes with older versions can no longer take effect.
+                self._forget_writes(batch)
+                continue
+            except StoreBusy:
+                # An earlier send of the same writes may still take effect.
+                if not batch.unsure:
+                    self._forget_writes(batch)
+                raise
+            except StoreError:
+                batch.unsure = True
+                raise
+            for write in batch.writes:
+                self._values[write.key] = Value(write.data, version)
+            return self._finish(batch)
+        return None
+
+    def _forget_writes(self, batch):
+        self._allowances.drop(batch.allowance)
+        batch.writes = None
+        batch.unsure = False
+
+    def _make_writes(self, batch, make_limits, inflows, totals):
+        writes = []
+        for name, wish in batch.wishes.items():
+            record = self.record(name).copy()
+            record.set_total(totals[0].get(name, 0), totals[1])
+            batch.moves[name] = record.move(wish)
+            writes.append(self._write(BUDGET_PREFIX + name, record))
+        limits = make_limits(batch.moves)
+        batch.record = HolderRecord(
+            self._incarnation,
+            batch.number,
+            self._clock.steady(),
+            self._clock.wall(),
+            {
+                name: (inflows[name] + max(0, batch.moves.get(name, 0)), limit)
+                for name, limit in limits.items()
+            },
+        )
+        writes.append(self._write(self._key, batch.record))
+        batch.allowance = Allowance(batch.record.made_at, limits, inflows)
+        self._allowances.add(batch.allowance)
+        batch.writes = writes
+
+    def _write(self, key, record):
+        value = self._values.get(key)
+        return Write(key, record.pack(), value.version if value else 0)
+
+    def _take_values(self, batch, values):
+        for write in batch.writes:
+            value = values.get(write.key)
+            if value is None:
+                self._values.pop(write.key, None)
+            else:
+                self._values[write.key] = value
+
+    def _stands(self, batch):
+        own = self._own_record()
+        return (
+            own.incarnation == self._incarnation
+            and own.number == batch.number
+        )
+
+    def _finish(self, batch):
+        self._allowances.settle_on(batch.allowance)
+        self.batch = None
+        return batch
+
+    # Records
+
+    def record(self, name):
+        """Return the BudgetRecord of a budget as it was last seen."""
+        value = self._values.get(BUDGET_PREFIX + name)
+        try:
+            return BudgetRecord.unpack(value.data if value else b"")
+        except MessageError as error:
+            LOG.error("budget_unreadable", budget=name, error=str(error))
+            raise StoreBusy(f"budget {name} is unreadable") from None
+
+    def _own_record(self):
+        value = self._values.get(self._key)
+        return HolderRecord.unpack(value.data if value else b"")
+
+    # Recovery of what an earlier run of this router held
+
+    @property
+    def recovered(self):
+        """Return whether the earlier run's tokens are dealt with."""
+        return self._recovered
+
+    async def recover(self):
+        """Give back to the store what an earlier run surely left unspent.
+
+        :raises StoreError: to be called again; nothing is given back twice
+        """
+        value = await self._store.get_value(self._key)
+        if value.version:
+            self._values[self._key] = value
+        old = self._own_record()
+        unspent = {}
+        if old.incarnation and old.incarnation != self._incarnation:
+            unspent = self._provably_unspent(old)
+        while unspent:
+            names = list(unspent)[:BATCH_LIMIT]
+            await self._return_unspent(old, names, unspent)
+            for name in names:
+                del unspent[name]
+        self._recovered = True
+
+    def _provably_unspent(self, old):
+        unspent = old.unspent()
+        if ended_in_time(old, self._started, self._started_wall):
+            LOG.info(
+                "tokens_recovered",
+                tokens=unspent,
+                age=round(self._started - old.made_at, 3),
+            )
+            return unspent
+        LOG.warning(
+            "tokens_stranded",
+            tokens=unspent,
+            age=round(self._started - old.made_at, 3),
+        )
+        return {}
+
+    async def _return_unspent(self, old, names, unspent):
+        for name in names:
+            del old.holdings[name]
+        for _try in range(CONFLICT_TRIES):
+            writes = [self._write(self._key, old)]
+            for name in names:
+                record = self.record(name).copy()
+                record.move(-unspent[name])
+                writes.append(self._write(BUDGET_PREFIX + name, record))
+            batch = Batch(0, {})
+            batch.writes = writes
+            try:
+                version = await self._store.commit(writes)
+            except StoreConflict as conflict:
+                own = self._values.get(self._key)
+                self._take_values(batch, conflict.values)
+                now = self._values.get(self._key)
+                if now is None or now.version != own.version:
+                    # An earlier send of this very write took effect.
+                    raise StoreBusy("recovered meanwhile") from None
+                continue
+            for write in writes:
+                self._values[write.key] = Value(write.data, version)
+            return
+        raise StoreBusy("others write the same budgets")
--- a/rowanport/prepaid/keeper.py
+++ b/rowanport/prepaid/keeper.py
@@ -1,4 +1,4 @@
-"""Draws tokens from the store, borrows and lends among routers."""
+"""All budgets of one router: reserve, settle, and keep enough tokens."""
 
 import asyncio
 import random
@@ -6,53 +6,37 @@
 import structlog
 
 from .account import Account
-from .record import BudgetRecord
+from .account import ALLOWANCE_USED
+from .allowance import Allowances
+from .allowance import RENEW_SECONDS
+from .drawer import BATCH_LIMIT
+from .drawer import Drawer
+from .lender import Lender
 from ..errors import ErrorKind
-from ..errors import MessageError
-from ..errors import PeerError
 from ..errors import RequestError
 from ..errors import StoreBusy
-from ..errors import StoreConflict
 from ..errors import StoreError
-from ..hashing import new_id
 from ..incarnation import address_of
-from ..schema.messages import Ack
-from ..schema.messages import HandOver
-from ..schema.messages import LendAsk
-from ..schema.messages import Lent
-from ..schema.messages import Refused
-from ..store import Write
 from ..tasks import TaskSet
 
 LOG = structlog.get_logger(__name__)
 
 # Seconds between two looks at all accounts while nobody waits: a draw covers
 # seconds of demand, so this delays nothing.
-TICK = 0.5
-# Shortest time in seconds between two draws while requests wait, and after
+TICK = 0.35
+# Shortest time in seconds between two batches while requests wait, and after
 # the store failed.
 URGENT_PAUSE = 0.02
 FAILED_PAUSE = 0.3
-# Budgets in one batch; the store takes 32 entries, a condition and a write
-# for each budget.
-BATCH_LIMIT = 15
-# Writes of one batch in a row that others' writes may overtake.
-CONFLICT_TRIES = 6
 # Longest wait of a request for tokens in seconds: a refusal within a quarter
 # of the shortest objective of a stream (600 ms) still helps its caller.
 RESERVE_WAIT = 0.14
-# Longest wait for a peer's loan: a few round trips between data centres.
-ASK_TIMEOUT = 0.1
-# Peers asked at once; each lends half of what it has.
-ASK_FANOUT = 3
-# Seconds for which a budget is called dry after nobody had tokens.
+# Seconds for which a budget is called dry after nobody had tokens, and for
+# which the store is not asked again.
 DRY_SECONDS = 0.25
 STORE_DRY_SECONDS = 0.7
-# Seconds for which answers to loans and transfers are remembered.
-ANSWER_MEMORY = 30.0
-# A hand-over at a planned stop: tries, and seconds for each.
-HAND_OVER_TRIES = 4
-HAND_OVER_TIMEOUT = 0.4
+# Longest wait in seconds for the last record at a planned stop.
+RELEASE_WAIT = 0.3
 # Peers that share what a stopping router held.
 HEIRS = 3
 # Routers that hold tokens of one budget drawn from the store; in a larger
@@ -70,38 +54,6 @@
         self.future = future
 
 
-class _Seen:
-    """A budget's record as this router last saw it."""
-
-    __slots__ = ("record", "version")
-
-    def __init__(self, record, version):
-        self.record = record
-        self.version = version
-
-
-class _Batch:
-    """Moves between the store and this router, written together.
-
-    :ivar wishes: tokens wished by budget; negative to give back
-    :ivar moves: tokens moved by budget by the write last sent
-    :ivar unsure: whether that write may have taken effect unheard
-    """
-
-    __slots__ = ("number", "wishes", "moves", "unsure")
-
-    def __init__(self, number, wishes):
-        self.number = number
-        self.wishes = wishes
-        self.moves = {}
-        self.unsure = False
-
-
-def budget_key(name):
-    """Return the store key of a budget."""
-    return f"rowanport/budget/{name}"
-
-
 class BudgetKeeper:
     """All budgets of one router.
 
@@ -114,29 +66,33 @@
 
     def __init__(self, incarnation, store, peers, members, clock):
         self._incarnation = incarnation
-        self._store = store
-        self._peers = peers
         self._members = members
         self._clock = clock
         self._accounts = {}
-        self._seen = {}
-        self._version = 0
-        self._number = 0
-        self._batch = None
+        self._totals = ({}, 0)
         self._store_dry = {}
-        self._answers = {}
+        self._allowances = Allowances()
+        self._drawer = Drawer(
+            incarnation,
+            address_of(incarnation),
+            store,
+            self._allowances,
+            clock,
+        )
+        self._lender = Lender(self, incarnation, peers, members, clock)
         self._tasks = TaskSet()
         self._askers = {}
         self._wake = asyncio.Event()
         self._failing = False
         self._stopping = False
+        self._released = asyncio.Event()
 
     @property
     def accounts(self):
         """Return the accounts by budget."""
         return self._accounts
 
-    def _holders(self, name):
+    def holders(self, name):
         """Return the routers that draw on a budget; others borrow."""
         return self._members.homes(name, "budget")[:HOLDERS]
 
@@ -147,7 +103,7 @@
 
         :param totals: tokens paid for by budget
         """
-        self._version = version
+        self._totals = (totals, version)
         for name, total in totals.items():
             account = self._account(name)
             if total != account.total:
@@ -164,6 +120,9 @@
             account = self._accounts[name] = Account(name)
         return account
 
+    def _room(self, account):
+        return self._allowances.room(account, self._clock.steady())
+
     # Requests
 
     async def reserve(self, name, tokens):
@@ -174,7 +133,7 @@
         now = self._clock.steady()
         account = self._account(name)
         account.note_demand(tokens, now)
-        if account.reserve(tokens):
+        if account.reserve(tokens, self._room(account)):
             return
         if now < account.dry_until:
             raise _exhausted(account, tokens)
@@ -208,7 +167,7 @@
             # One that gave up stays listed until its task runs again.
             if waiter.future.done():
                 continue
-            if account.reserve(waiter.tokens):
+            if account.reserve(waiter.tokens, self._room(account)):
                 account.waiting.remove(waiter)
                 waiter.future.set_result(None)
 
@@ -221,122 +180,44 @@
                 waiter.future.set_exception(error)
         account.waiting.clear()
 
-    # Loans
+    # Peers
+
+    def handle(self, message):
+        """Answer a LendAsk or a HandOver of a peer."""
+        return self._lender.handle(message)
+
+    def credit(self, name, tokens):
+        """Take in tokens from a peer."""
+        account = self._account(name)
+        account.credit(tokens)
+        account.dry_until = 0.0
+        self._pump(account)
+
+    def lend(self, name, tokens):
+        """Return how many tokens are lent to a peer that needs some."""
+        account = self._account(name)
+        return account.lend(tokens, self._room(account))
 
     def _start_asking(self, account):
         task = self._askers.get(account.name)
         if task is None or task.done():
-            task = self._tasks.spawn(self._ask_peers(account))
+            task = self._tasks.spawn(self._ask(account))
             self._askers[account.name] = task
 
-    async def _ask_peers(self, account):
-        others = self._lenders(account.name)
-        while others and account.lacking:
-            wave, others = others[:ASK_FANOUT], others[ASK_FANOUT:]
-            await asyncio.gather(*(self._ask(account, p) for p in wave))
+    async def _ask(self, account):
+        await self._lender.ask_all(account)
         if account.waiting and self._is_store_dry(account):
             self._fail(account)
 
-    def _lenders(self, name):
-        """Return the other live routers, those that draw first."""
-        others = self._members.others()
-        random.shuffle(others)
-        holders = self._holders(name)
-        others.sort(key=lambda other: other not in holders)
-        return others[: 2 * HOLDERS]
-
     def _is_store_dry(self, account):
         if self._failing:
             return True
         return self._clock.steady() < self._store_dry.get(account.name, 0.0)
 
-    async def _ask(self, account, peer):
-        message = LendAsk(
-            new_id(), account.name, account.lacking, self._incarnation
-        )
-        try:
-            answer = await self._peers.call(
-                address_of(peer), message, ASK_TIMEOUT
-            )
-        except PeerError:
-            self._members.suspect(peer)
-            # Its answer may have been lost: ask once more for the same loan.
-            self._tasks.spawn(self._collect(account, peer, message))
-            return
-        self._take_loan(account, answer, peer)
-
-    async def _collect(self, account, peer, message):
-        try:
-            answer = await self._peers.call(
-                address_of(peer), message, HAND_OVER_TIMEOUT
-            )
-        except PeerError:
-            LOG.warning("loan_unanswered", budget=account.name, peer=peer)
-            return
-        self._take_loan(account, answer, peer)
-
-    def _take_loan(self, account, answer, peer):
-        if isinstance(answer, Lent):
-            LOG.info(
-                "tokens_borrowed",
-                budget=account.name,
-                tokens=answer.tokens,
-                lender=peer,
-            )
-            account.credit(answer.tokens)
-            self._pump(account)
-
-    # Peers
-
-    def handle(self, message):
-        """Answer a LendAsk or a HandOver of a peer."""
-        if isinstance(message, LendAsk):
-            return self._once(message.ask, self._lend, message)
-        return self._once(message.id, self._inherit, message)
-
-    def _once(self, key, act, message):
-        """Act on a message once, and give the same answer to repeats."""
-        now = self._clock.steady()
-        while self._answers:
-            first = next(iter(self._answers))
-            if self._answers[first][1] > now:
-                break
-            del self._answers[first]
-        known = self._answers.get(key)
-        if known is not None:
-            return known[0]
-        answer = act(message)
-        self._answers[key] = (answer, now + ANSWER_MEMORY)
-        return answer
-
-    def _lend(self, message):
-        account = self._account(message.budget)
-        tokens = account.lend(message.tokens)
-        if not tokens:
-            return Refused(
-                ErrorKind.BUDGET_EXHAUSTED.value, "nothing to lend"
-            )
-        LOG.info(
-            "tokens_lent",
-            budget=message.budget,
-            tokens=tokens,
-            borrower=message.borrower,
-        )
-        return Lent(message.ask, message.budget, tokens, self._incarnation)
-
-    def _inherit(self, message):
-        LOG.info("tokens_inherited", sender=message.sender)
-        for name, tokens in message.tokens.items():
-            account = self._account(name)
-            account.credit(tokens)
-            account.dry_until = 0.0
-            self._pump(account)
-        return Ack()
-
     # Store
 
     async def run(self):
-        """Draw and give back until cancelled."""
+        """Draw, give back and renew limits until cancelled."""
         while True:
             self._wake.clear()
             pause = URGENT_PAUSE
@@ -345,17 +226,16 @@
                 self._note_store(failing=False)
             except StoreBusy as error:
                 pause = FAILED_PAUSE
-                self._drop_batch(error)
+                self._note_store(failing=True, error=error)
+                if self._drawer.batch and not self._drawer.unsure:
+                    self._put_back(self._drawer.drop())
             except StoreError as error:
                 pause = FAILED_PAUSE
                 self._note_store(failing=True, error=error)
             await asyncio.sleep(pause)
-            if not self._waiting():
+            if not any(a.waiting for a in self._accounts.values()):
                 await self._sleep()
 
-    def _waiting(self):
-        return any(account.waiting for account in self._accounts.values())
-
     async def _sleep(self):
         try:
             async with asyncio.timeout(TICK * (0.75 + random.random() / 2)):
@@ -369,18 +249,20 @@
         self._failing = failing
 
     async def _sync(self):
-        if self._batch is None:
-            self._batch = self._make_batch()
-        if self._batch is not None:
-            await self._write(self._batch)
-
-    def _make_batch(self):
+        if not self._drawer.recovered:
+            await self._drawer.recover()
+        if self._drawer.batch is None:
+            wishes = self._last_wishes() if self._stopping else self._wishes()
+            if not wishes and not self._renewal_due():
+                return
+            self._begin(wishes)
+        await self._write()
+
+    def _wishes(self):
         now = self._clock.steady()
         wishes = {}
         for name, account in self._accounts.items():
-            if self._stopping or len(wishes) >= BATCH_LIMIT:
-                break
-            holders = self._holders(name)
+            holders = self.holders(name)
             if self._incarnation not in holders:
                 continue
             wish = account.wish(len(holders), now)
@@ -388,145 +270,134 @@
                 continue
             if wish or account.recalled:
                 wishes[name] = wish
-        return self._start_batch(wishes)
-
-    def _start_batch(self, wishes):
-        if not wishes:
-            return None
+        return dict(list(wishes.items())[:BATCH_LIMIT])
+
+    def _last_wishes(self):
+        """Return what to give back at a planned stop if no peer is there."""
+        if self._members.ready_others():
+            return {}
+        held = [a for a in self._held() if a.available > 0]
+        return {a.name: -a.available for a in held[:BATCH_LIMIT]}
+
+    def _renewal_due(self):
+        """Return whether the written limits are old or nearly used up."""
+        newest = self._allowances.newest()
+        if newest is None:
+            return False
+        if self._stopping and not self._released.is_set():
+            return True
+        now = self._clock.steady()
+        if now > newest.made_at + RENEW_SECONDS:
+            return True
+        return any(self._is_narrow(account) for account in self._held())
+
+    def _is_narrow(self, account):
+        room = self._room(account)
+        if room is None or room >= account.available:
+            return False
+        allowance = self._allowance(account)
+        return room < (1 - ALLOWANCE_USED) * allowance
+
+    def _held(self):
+        return [a for a in self._accounts.values() if a.inflow]
+
+    def _allowance(self, account):
+        """Return the tokens that may go out before the next record."""
+        if self._stopping:
+            return account.available
+        holders = len(self.holders(account.name))
+        return account.allowance(holders, self._clock.steady())
+
+    def _begin(self, wishes):
         for name, wish in wishes.items():
             if wish < 0:
                 # Tokens on their way back are nobody's to spend.
-                self._accounts[name].available += wish
-        self._number += 1
-        return _Batch(self._number, wishes)
-
-    def _drop_batch(self, error):
-        """Take back a batch that the store refused, unless it is unsure."""
-        batch = self._batch
-        LOG.info("budget_store_busy", error=str(error))
-        if batch is None or batch.unsure:
-            return
-        self._batch = None
+                self._accounts[name].take_out(-wish)
+        self._drawer.begin(wishes)
+
+    def _put_back(self, batch):
         for name, wish in batch.wishes.items():
             if wish < 0:
-                self._accounts[name].credit(-wish)
+                self._accounts[name].put_back(-wish)
 
-    async def _write(self, batch):
-        for _try in range(CONFLICT_TRIES):
-            writes = self._writes(batch)
-            try:
-                version = await self._store.commit(writes)
-            except StoreConflict as conflict:
-                self._note_values(batch, conflict.values)
-                if self._is_applied(batch):
-                    return self._finish(batch)
-                # A write with older versions can no longer take effect.
-                batch.unsure = False
-                batch.moves = {}
-                continue
-            except StoreBusy:
-                raise
-            except StoreError:
-                batch.unsure = True
-                raise
-            for write in writes:
-                record = BudgetRecord.unpack(write.data)
-                name = write.key.removeprefix(budget_key(""))
-                self._seen[name] = _Seen(record, version)
-            return self._finish(batch)
-
-    def _writes(self, batch):
-        """Return the writes of a batch; the same again while it is unsure."""
-        writes = []
-        for name, wish in batch.wishes.items():
-            seen = self._seen.get(name) or _Seen(BudgetRecord(), 0)
-            record = BudgetRecord.unpack(seen.record.pack())
-            record.set_total(self._accounts[name].total, self._version)
-            move = batch.moves.get(name, wish)
-            batch.moves[name] = record.apply(
-                self._incarnation, batch.number, move
-            )
-            writes.append(Write(budget_key(name), record.pack(), seen.version))
-        return writes
-
-    def _note_values(self, batch, values):
-        for name in batch.wishes:
-            value = values.get(budget_key(name))
-            if value is None or not value.version:
-                self._seen.pop(name, None)
-                continue
-            try:
-                record = BudgetRecord.unpack(value.data)
-            except MessageError as error:
-                LOG.error("budget_unreadable", budget=name, error=str(error))
-                continue
-            self._seen[name] = _Seen(record, value.version)
-
-    def _is_applied(self, batch):
-        return any(
-            name in self._seen
-            and self._seen[name].record.is_applied(
-                self._incarnation, batch.number
-            )
-            for name in batch.wishes
-        )
+    def _limits(self, moves):
+        """Return the limit of tokens out by budget.
 
-    def _finish(self, batch):
-        """Take in what a batch that stands in the store moved."""
-        self._batch = None
+        :param moves: tokens by budget that a batch moves in or out
+        """
+        limits = {}
+        for name, account in self._accounts.items():
+            inflow = account.inflow + max(0, moves.get(name, 0))
+            if inflow:
+                limit = account.outflow + self._allowance(account)
+                limits[name] = min(inflow, limit)
+        return limits
+
+    def _inflows(self):
+        return {name: a.inflow for name, a in self._accounts.items()}
+
+    async def _write(self):
+        batch = await self._drawer.write(
+            self._limits, self._inflows, self._totals
+        )
+        if batch is None:
+            return
+        if self._stopping and self._is_released(batch):
+            self._released.set()
         now = self._clock.steady()
         for name, wish in batch.wishes.items():
             account = self._accounts[name]
             moved = batch.moves[name]
             account.credit(max(0, moved))
-            account.left = self._seen[name].record.left
+            account.left = self._drawer.record(name).left
             if wish <= 0:
                 account.recalled = False
             if moved < wish:
                 self._store_dry[name] = now + STORE_DRY_SECONDS
+        for account in self._accounts.values():
             self._pump(account)
             if account.waiting:
                 self._start_asking(account)
-        LOG.info("budget_batch", number=batch.number, moves=batch.moves)
+        if batch.wishes:
+            LOG.info("budget_batch", number=batch.number, moves=batch.moves)
+
+    def _is_released(self, batch):
+        """Return whether a batch lets all go out that is held."""
+        return not batch.record.unspent()
 
     # Planned stop
 
     async def hand_over(self):
-        """Pass all free tokens on to live routers, or back to the store."""
-        self._stopping = True
-        heirs = self._members.ready_others()[:HEIRS]
-        if not heirs:
-            return await self._give_back()
-        shares = _split(
-            {n: a.take_all() for n, a in self._accounts.items()}, len(heirs)
-        )
-        calls = [self._pass_on(h, s) for h, s in zip(heirs, shares) if s]
-        await asyncio.gather(*calls)
+        """Pass all free tokens on to live routers.
 
-    async def _give_back(self):
-        wishes = {n: -a.available for n, a in self._accounts.items()}
-        self._batch = self._batch or self._start_batch(
-            {n: w for n, w in list(wishes.items())[:BATCH_LIMIT] if w}
-        )
-        if self._batch is None:
-            return
+        Where the store can be reached, a last record first lets all of them
+        go; where it cannot, those beyond the written limits follow at the
+        next call, once the limits bind no more.
+        """
+        self._stopping = True
+        self._wake.set()
         try:
-            await self._write(self._batch)
-        except StoreError as error:
-            LOG.warning("tokens_stranded", error=str(error))
-
-    async def _pass_on(self, heir, tokens):
-        message = HandOver(new_id(), self._incarnation, tokens)
-        for _try in range(HAND_OVER_TRIES):
-            try:
-                await self._peers.call(
-                    address_of(heir), message, HAND_OVER_TIMEOUT
-                )
-            except PeerError:
-                continue
-            LOG.info("tokens_handed_over", heir=heir, tokens=tokens)
-            return
-        LOG.warning("tokens_stranded", heir=heir, tokens=tokens)
+            async with asyncio.timeout(RELEASE_WAIT):
+                await self._released.wait()
+        except asyncio.TimeoutError:
+            LOG.info("limits_not_released", failing=self._failing)
+        heirs = self._members.ready_others()[:HEIRS]
+        if heirs:
+            await self._lender.hand_over(heirs, self._take_free())
+        elif any(a.available > 0 for a in self._held()):
+            LOG.warning("no_heir", failing=self._failing)
+
+    def _take_free(self):
+        """Take out all tokens that may go out now, by budget."""
+        tokens = {}
+        for name, account in self._accounts.items():
+            room = self._room(account)
+            free = account.available
+            free = free if room is None else min(free, room)
+            if free > 0:
+                account.take_out(free)
+                tokens[name] = free
+        return tokens
 
 
 def _granted(future):
@@ -541,14 +412,3 @@
 def _exhausted(account, tokens):
     text = f"{tokens} tokens needed, {account.available} to be had"
     return RequestError(ErrorKind.BUDGET_EXHAUSTED, text)
-
-
-def _split(tokens, count):
-    """Return tokens by budget in a number of even shares."""
-    shares = [{} for _ in range(count)]
-    for name, amount in tokens.items():
-        for index, share in enumerate(shares):
-            part = amount // count + (index < amount % count)
-            if part:
-                share[name] = part
-    return shares
--- a/rowanport/prepaid/record.py
+++ b/rowanport/prepaid/record.py
@@ -1,14 +1,9 @@
-"""What the store keeps of one budget, and how a batch changes it."""
+"""What the store keeps of budgets, and of what each router holds."""
 
 import msgpack
 
 from ..errors import MessageError
 
-# Holders whose last batch number is remembered.  A batch of unknown fate is
-# sent again by its holder within seconds; between two tries of one holder
-# far fewer than this write to the same budget.
-HOLDERS_REMEMBERED = 64
-
 
 class BudgetRecord:
     """The store's side of one budget.
@@ -17,16 +12,14 @@
     :ivar total: tokens paid for, by the newest configuration that a writer
         knew
     :ivar version: that configuration's version
-    :ivar batches: number of the last batch by holder, oldest writer first
     """
 
-    __slots__ = ("taken", "total", "version", "batches")
+    __slots__ = ("taken", "total", "version")
 
-    def __init__(self, taken=0, total=0, version=0, batches=None):
+    def __init__(self, taken=0, total=0, version=0):
         self.taken = taken
         self.total = total
         self.version = version
-        self.batches = batches or {}
 
     @property
     def left(self):
@@ -39,19 +32,15 @@
 
         :param data: the bytes; empty for a budget nobody has drawn on
         """
-        if not data:
-            return cls()
-        try:
-            taken, total, version, batches = msgpack.unpackb(data)
-        except (ValueError, TypeError, msgpack.UnpackException):
-            raise MessageError("malformed budget record") from None
-        return cls(taken, total, version, batches)
+        return cls(*_unpack(data, 3)) if data else cls()
 
     def pack(self):
         """Return the bytes for the store."""
-        return msgpack.packb(
-            [self.taken, self.total, self.version, self.batches]
-        )
+        return msgpack.packb([self.taken, self.total, self.version])
+
+    def copy(self):
+        """Return a record of its own with the same values."""
+        return BudgetRecord(self.taken, self.total, self.version)
 
     def set_total(self, total, version):
         """Take over a total unless a newer one is known."""
@@ -59,19 +48,73 @@
             self.total = total
             self.version = version
 
-    def is_applied(self, holder, number):
-        """Return whether a holder's batch already changed this record."""
-        return self.batches.get(holder, 0) >= number
-
-    def apply(self, holder, number, tokens):
+    def move(self, tokens):
         """Move tokens out to a holder, or back from it if negative.
 
         :returns: tokens moved; never more than are left
         """
         moved = min(tokens, self.left)
         self.taken += moved
-        self.batches.pop(holder, None)
-        self.batches[holder] = number
-        while len(self.batches) > HOLDERS_REMEMBERED:
-            del self.batches[next(iter(self.batches))]
         return moved
+
+
+class HolderRecord:
+    """What a router last said about the tokens that it holds.
+
+    :ivar incarnation: the run of the router that wrote it
+    :ivar number: number of its last batch
+    :ivar made_at: its steady time just before it wrote
+    :ivar wall: its wall time then
+    :ivar holdings: by budget, (tokens in, limit of tokens out), both
+        counted from the start of that run
+    """
+
+    __slots__ = ("incarnation", "number", "made_at", "wall", "holdings")
+
+    def __init__(
+        self, incarnation="", number=0, made_at=0.0, wall=0.0, holdings=None
+    ):
+        self.incarnation = incarnation
+        self.number = number
+        self.made_at = made_at
+        self.wall = wall
+        self.holdings = holdings or {}
+
+    @classmethod
+    def unpack(cls, data):
+        """Return the record in a store value; raise MessageError if unfit."""
+        return cls(*_unpack(data, 5)) if data else cls()
+
+    def pack(self):
+        """Return the bytes for the store."""
+        return msgpack.packb(
+            [
+                self.incarnation,
+                self.number,
+                self.made_at,
+                self.wall,
+                self.holdings,
+            ]
+        )
+
+    def unspent(self):
+        """Return by budget the tokens that surely were never spent.
+
+        That holds only if the writer ended before it was free to go beyond
+        its limits; see :mod:`rowanport.prepaid.allowance`.
+        """
+        return {
+            name: tokens_in - limit
+            for name, (tokens_in, limit) in self.holdings.items()
+            if tokens_in > limit
+        }
+
+
+def _unpack(data, count):
+    try:
+        values = msgpack.unpackb(data)
+    except (ValueError, msgpack.UnpackException):
+        values = None
+    if not isinstance(values, list) or len(values) != count:
+        raise MessageError("malformed record")
+    return values
--- a/rowanport/store/store.py
+++ b/rowanport/store/store.py
@@ -72,6 +72,13 @@
 class TransactionStore(abc.ABC):
     """Writes several keys together, or none of them."""
 
+    @abc.abstractmethod
+    async def get_value(self, key):
+        """Return the Value of a key.
+
+        :raises StoreError: no answer
+        """
+
     @abc.abstractmethod
     async def commit(self, writes):
         """Write all keys if each has the version that its Write names.
