Recover tokens of restarted machines by lease and fleet clocks

Change: each record is written with a lease granted just before it; while the lease's key is there and the latest wall clock of the fleet agrees with the earliest one of the record, the machine ended within its limits. Requests refused for a limit or a dry budget are told when to come back. Ruled out: wall clocks alone (they jump); leases alone (they wait while the store is down).

--- a/rowanport/errors.py
+++ b/rowanport/errors.py
@@ -105,11 +105,14 @@
     :param detail: what was wrong, for the caller
     :param outcome: overrides the outcome of the table, for a fault whose
         effect is known better than its kind says
+    :param come_back_at: steady time from which on it may be served, if that
+        is known
     """
 
-    def __init__(self, kind, detail="", outcome=None):
+    def __init__(self, kind, detail="", outcome=None, come_back_at=None):
         super().__init__(detail or kind.value)
         self.kind = kind
+        self.come_back_at = come_back_at
         self.detail = detail or kind.value.replace("_", " ")
         self.outcome = outcome or ANSWERS[kind].outcome
 
@@ -165,6 +168,10 @@
     """The store refused the call for its rate: it took no effect."""
 
 
+class LeaseOver(StoreError):
+    """A lease has ended or never was: the call took no effect."""
+
+
 class PeerError(RowanportError):
     """A peer did not answer: it may have acted on the message."""
 
--- a/rowanport/gateway/daemon.py
+++ b/rowanport/gateway/daemon.py
@@ -23,6 +23,7 @@
 from ..membership.members import LEAVING
 from ..membership.members import READY
 from ..prepaid import BudgetKeeper
+from ..prepaid import FleetClocks
 from ..schema import messages
 from ..schema.settings import MembershipSettings
 from ..tasks import TaskSet
@@ -101,11 +102,24 @@
             membership,
             lambda instances: None,
         )
-        self._views = Views(decode, self.members, self._peers)
+        clocks = FleetClocks(self.clock)
+        self._views = Views(
+            decode,
+            self.members,
+            self._peers,
+            settings.peers,
+            self.clock,
+            clocks,
+        )
         self._views.on_table = self._take_table
         self._views.on_upstreams = self._take_upstreams
         self.budgets = BudgetKeeper(
-            incarnation, store, self._peers, self.members, self.clock
+            incarnation,
+            store,
+            self._peers,
+            self.members,
+            self.clock,
+            clocks,
         )
 
     def _build_forwarding(self, settings):
--- a/rowanport/gateway/forwarder.py
+++ b/rowanport/gateway/forwarder.py
@@ -27,9 +27,11 @@
 # after 2 s or more.
 FIRST_EVENT_OBJECTIVES = 3.0
 EVENT_SILENCE = 1.5
-# Times to come back, in seconds: spread, and short against the seconds that
-# a caller has left.
-RETRY_AFTER = (0.1, 0.4)
+# Times to come back in seconds where none is known better, and the spread
+# that keeps callers from coming back together: short against the seconds
+# that a caller has left.
+RETRY_AFTER = 0.1
+RETRY_SPREAD = 0.3
 # Larger answers are passed on as they come, not held until they are whole.
 BUFFER_LIMIT = 1024 * 1024
 SERVER_ERROR = 500
@@ -279,10 +281,17 @@
         answer = ANSWERS[error.kind]
         headers = list(headers)
         if answer.retry and error.outcome is Outcome.NOT_RUN:
-            seconds = random.uniform(*RETRY_AFTER)
+            seconds = self._retry_seconds(error)
             headers.append(("Retry-After", f"{seconds:.3f}"))
         await responder.reply_json(answer.status, error_body(error), headers)
 
+    def _retry_seconds(self, error):
+        seconds = RETRY_AFTER
+        if error.come_back_at is not None:
+            left = error.come_back_at - self._clock.steady()
+            seconds = max(seconds, left)
+        return seconds + random.uniform(0, RETRY_SPREAD)
+
     # Log lines
 
     def _log_send(self, job, state, outcome, error):
@@ -312,6 +321,7 @@
             config=job.config,
             upstreams=self._gateway.upstreams.revision,
             tokens=job.tokens and job.tokens.worst,
+            used=self._used(job) if job.budget else None,
             sends=job.sends,
             runs=job.runs,
             events=job.events,
--- a/rowanport/gateway/views.py
+++ b/rowanport/gateway/views.py
@@ -28,12 +28,18 @@
 
     :param decode: function from the bytes of a configuration to a
         RoutingTable; raises MessageError
+    :param address: this router's peer address
+    :param clock: a Clock
+    :param clocks: the FleetClocks, which learn from each exchange
     """
 
-    def __init__(self, decode, members, peers):
+    def __init__(self, decode, members, peers, address, clock, clocks):
         self._decode = decode
         self._members = members
         self._peers = peers
+        self._address = address
+        self._clock = clock
+        self._clocks = clocks
         self._config_data = b""
         self.table = None
         self.upstreams = UpstreamList()
@@ -81,7 +87,8 @@
 
     def handle(self, message):
         """Answer a ViewAsk."""
-        give = ViewGive(0, b"", 0, b"")
+        self._clocks.hear(message.asker, message.wall)
+        give = ViewGive(0, b"", 0, b"", self._clock.wall())
         if message.config < self._version:
             give.config = self._version
             give.config_data = self._config_data
@@ -99,13 +106,19 @@
 
     async def ask(self, address):
         """Ask the peer at an address for what it has newer."""
-        ask = ViewAsk(self._version, self.upstreams.revision)
+        ask = ViewAsk(
+            self._version,
+            self.upstreams.revision,
+            self._address,
+            self._clock.wall(),
+        )
         try:
             give = await self._peers.call(address, ask, ASK_TIMEOUT)
         except PeerError:
             return
         if not isinstance(give, ViewGive):
             return
+        self._clocks.hear(address, give.wall)
         if give.config_data:
             self.take_config(give.config_data, address)
         if give.upstream_data:
--- a/rowanport/platform/directory.py
+++ b/rowanport/platform/directory.py
@@ -4,7 +4,7 @@
 
 import structlog
 
-from .store import LeaseOver
+from ..errors import LeaseOver
 from ..errors import StoreError
 from ..store import Directory
 from ..store import Instance
--- a/rowanport/platform/store.py
+++ b/rowanport/platform/store.py
@@ -4,6 +4,7 @@
 import json
 import urllib.parse
 
+from ..errors import LeaseOver
 from ..errors import StoreBusy
 from ..errors import StoreConflict
 from ..errors import StoreError
@@ -11,6 +12,7 @@
 from ..errors import UpstreamError
 from ..store import TransactionStore
 from ..store import Value
+from ..store import Write
 
 # Longest wait for one call in seconds: the store answers in 4 ms, and in
 # some hundred when it is slow.
@@ -24,10 +26,6 @@
     """The store no longer knows what happened since a revision."""
 
 
-class LeaseOver(StoreError):
-    """A lease has run out or never was."""
-
-
 class Item:
     """One key as a read or a watch gives it.
 
@@ -127,13 +125,16 @@
         expected = [
             {"private_key": write.key, "revision": write.version}
             for write in writes
+            if write.version is not None
         ]
-        puts = [_put(write.key, write.data, 0) for write in writes]
+        puts = [_put(w.key, w.data, w.lease or 0) for w in writes]
         status, answer = await self._transact(expected, puts)
         if status == 412:
             items = map(Item, answer.get("items", ()))
             values = {i.key: Value(i.data, i.revision) for i in items}
             raise StoreConflict("a key has changed", values)
+        if status == 404:
+            raise LeaseOver("the lease of a key")
         return answer["revision"]
 
     async def put_leased(self, key, data, lease):
@@ -141,9 +142,7 @@
 
         :raises LeaseOver: there is no such lease
         """
-        status, _answer = await self._transact([], [_put(key, data, lease)])
-        if status == 404:
-            raise LeaseOver(str(lease))
+        await self.commit([Write(key, data, None, lease)])
 
     async def grant_lease(self, seconds):
         """Return the id of a new lease."""
--- a/rowanport/prepaid/__init__.py
+++ b/rowanport/prepaid/__init__.py
@@ -6,8 +6,9 @@
 """
 
 from .account import Account
+from .clocks import FleetClocks
 from .keeper import BudgetKeeper
 from .record import BudgetRecord
 from .record import HolderRecord
 
-__all__ = ["Account", "BudgetKeeper", "BudgetRecord", "HolderRecord"]
+__all__ = ["Account", "BudgetKeeper", "BudgetRecord", "FleetClocks", "HolderRecord"]
--- a/rowanport/prepaid/account.py
+++ b/rowanport/prepaid/account.py
@@ -14,9 +14,12 @@
 # Seconds over which the first requests are spread, so that a single one is
 # not taken for a rate.
 DEMAND_LEAST_AGE = 2.0
-# Part of the whole budget that the fleet holds before demand is known; it
-# lasts 10 s at the demand for which a budget is usually bought.
-FIRST_SHARE = 0.16
+# Part of the whole budget that the fleet holds at least: demand is lumpy, a
+# single large request may need a tenth of a small budget.
+FIRST_SHARE = 0.25
+# Part of what is unspent that the fleet holds at most, so that routers which
+# start or run dry find something in the store.
+UNSPENT_SHARE = 0.6
 # Draw when less than this part of the target is left.
 LOW_WATER = 0.6
 # Smallest draw, as a part of the budget: near exhaustion the target falls
@@ -29,7 +32,7 @@
 ALLOWANCE_SECONDS = 4.0
 # The same as a part of the whole budget, for budgets that are asked rarely
 # and then for much at once.
-ALLOWANCE_SHARE = 0.04
+ALLOWANCE_SHARE = 0.06
 # Part of an allowance that is used up when a new one is written.
 ALLOWANCE_USED = 0.4
 
@@ -168,9 +171,9 @@
         """
         wanted = self._wanted_tokens(holders, now)
         if self.left is not None:
-            # What a sudden end of all routers strands stays under half of
-            # what is unspent.
-            wanted = min(wanted, (self.left + self.available) / holders)
+            # The share of what all hold that this router sees is its own.
+            unspent = self.left / holders + self.available
+            wanted = min(wanted, UNSPENT_SHARE * unspent)
         return int(wanted)
 
     def wish(self, holders, now):
--- /dev/null
+++ b/rowanport/prepaid/clocks.py
@@ -0,0 +1,42 @@
+"""The wall clocks of the fleet: the earliest and the latest of them.
+
+One machine's time of day may jump.  Whoever needs an upper bound of a time
+that passed compares the earliest clock then with the latest clock now: it is
+too short only if all clocks that were heard jumped alike.
+"""
+
+# Seconds for which a peer's clock is taken as heard.
+HEARD_SECONDS = 5.0
+
+
+class FleetClocks:
+    """What peers' wall clocks said, relative to the own one.
+
+    :param clock: a Clock
+    """
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._offsets = {}
+
+    def hear(self, peer, wall):
+        """Note a peer's wall time, just received."""
+        now = self._clock.steady()
+        self._offsets[peer] = (wall - self._clock.wall(), now)
+
+    def _fresh(self):
+        limit = self._clock.steady() - HEARD_SECONDS
+        return [off for off, heard in self._offsets.values() if heard > limit]
+
+    @property
+    def heard(self):
+        """Return whether any peer's clock was heard lately."""
+        return bool(self._fresh())
+
+    def earliest(self):
+        """Return the earliest wall time that any clock shows now."""
+        return self._clock.wall() + min([0.0, *self._fresh()])
+
+    def latest(self):
+        """Return the latest wall time that any clock shows now."""
+        return self._clock.wall() + max([0.0, *self._fresh()])
--- a/rowanport/prepaid/drawer.py
+++ b/rowanport/prepaid/drawer.py
@@ -5,12 +5,17 @@
 the store tells whether its number stands in the own record.
 """
 
+import asyncio
+
 import structlog
 
 from .allowance import Allowance
-from .allowance import ended_in_time
+from .allowance import HOLD_SECONDS
+from .allowance import machine_ended_in_time
+from .allowance import process_ended_in_time
 from .record import BudgetRecord
 from .record import HolderRecord
+from ..errors import LeaseOver
 from ..errors import MessageError
 from ..errors import StoreBusy
 from ..errors import StoreConflict
@@ -21,12 +26,16 @@
 LOG = structlog.get_logger(__name__)
 
 # Budgets in one batch: the store takes 32 entries, a condition and a write
-# for each budget and for the own record.
-BATCH_LIMIT = 15
+# for each budget and for the own record, and a write for its lease.
+BATCH_LIMIT = 14
 # Writes of one batch in a row that others' writes may overtake.
 CONFLICT_TRIES = 8
 BUDGET_PREFIX = "rowanport/budget/"
 HOLDER_PREFIX = "rowanport/holder/"
+LEASE_PREFIX = "rowanport/lease/"
+# Longest wait in seconds for peers' clocks at the start.
+CLOCKS_WAIT = 1.0
+CLOCKS_POLL = 0.02
 
 
 class Batch:
@@ -67,11 +76,16 @@
     :param store: a TransactionStore
     :param allowances: the Allowances that bind this router
     :param clock: a Clock
+    :param clocks: the FleetClocks
     """
 
-    def __init__(self, incarnation, address, store, allowances, clock):
+    def __init__(
+        self, incarnation, address, store, allowances, clock, clocks
+    ):
         self._incarnation = incarnation
         self._key = HOLDER_PREFIX + address
+        self._lease_key = LEASE_PREFIX + address
+        self._clocks = clocks
         self._store = store
         self._allowances = allowances
         self._clock = clock
@@ -116,7 +130,10 @@
         batch = self.batch
         for _try in range(CONFLICT_TRIES):
             if batch.writes is None:
-                self._make_writes(batch, make_limits, inflows(), totals)
+                lease = await self._grant_lease()
+                self._make_writes(
+                    batch, make_limits, inflows(), totals, lease
+                )
             try:
                 version = await self._store.commit(batch.writes)
             except StoreConflict as conflict:
@@ -126,6 +143,11 @@
                 # Writes with older versions can no longer take effect.
                 self._forget_writes(batch)
                 continue
+            except LeaseOver:
+                # Neither this send nor an earlier one can take effect now,
+                # unless an earlier one has: the condition tells.
+                self._forget_lease(batch)
+                continue
             except StoreBusy:
                 # An earlier send of the same writes may still take effect.
                 if not batch.unsure:
@@ -134,17 +156,28 @@
             except StoreError:
                 batch.unsure = True
                 raise
-            for write in batch.writes:
-                self._values[write.key] = Value(write.data, version)
+            self._note_written(batch.writes, version)
             return self._finish(batch)
         return None
 
+    async def _grant_lease(self):
+        """Return a new lease; raise StoreBusy if there is none to be had."""
+        try:
+            return await self._store.grant_lease(HOLD_SECONDS)
+        except StoreError as error:
+            # A lease that nobody knows of changes nothing.
+            raise StoreBusy(f"no lease: {error}") from None
+
+    def _forget_lease(self, batch):
+        """Send the same writes again without the lease that has ended."""
+        batch.writes = [w for w in batch.writes if w.lease is None]
+
     def _forget_writes(self, batch):
         self._allowances.drop(batch.allowance)
         batch.writes = None
         batch.unsure = False
 
-    def _make_writes(self, batch, make_limits, inflows, totals):
+    def _make_writes(self, batch, make_limits, inflows, totals, lease):
         writes = []
         for name, wish in batch.wishes.items():
             record = self.record(name).copy()
@@ -157,12 +190,14 @@
             batch.number,
             self._clock.steady(),
             self._clock.wall(),
+            self._clocks.earliest(),
             {
                 name: (inflows[name] + max(0, batch.moves.get(name, 0)), limit)
                 for name, limit in limits.items()
             },
         )
         writes.append(self._write(self._key, batch.record))
+        writes.append(Write(self._lease_key, _mark(batch.record), None, lease))
         batch.allowance = Allowance(batch.record.made_at, limits, inflows)
         self._allowances.add(batch.allowance)
         batch.writes = writes
@@ -171,6 +206,10 @@
         value = self._values.get(key)
         return Write(key, record.pack(), value.version if value else 0)
 
+    def _note_written(self, writes, version):
+        for write in writes:
+            self._values[write.key] = Value(write.data, version)
+
     def _take_values(self, batch, values):
         for write in batch.writes:
             value = values.get(write.key)
@@ -224,7 +263,7 @@
         old = self._own_record()
         unspent = {}
         if old.incarnation and old.incarnation != self._incarnation:
-            unspent = self._provably_unspent(old)
+            unspent = await self._provably_unspent(old)
         while unspent:
             names = list(unspent)[:BATCH_LIMIT]
             await self._return_unspent(old, names, unspent)
@@ -232,21 +271,40 @@
                 del unspent[name]
         self._recovered = True
 
-    def _provably_unspent(self, old):
+    async def _provably_unspent(self, old):
         unspent = old.unspent()
-        if ended_in_time(old, self._started, self._started_wall):
-            LOG.info(
-                "tokens_recovered",
-                tokens=unspent,
-                age=round(self._started - old.made_at, 3),
-            )
-            return unspent
-        LOG.warning(
-            "tokens_stranded",
+        if not unspent:
+            return {}
+        proved = process_ended_in_time(
+            old, self._started, self._started_wall
+        )
+        if not proved:
+            proved = await self._machine_ended_in_time(old)
+        LOG.info(
+            "tokens_recovered" if proved else "tokens_stranded",
             tokens=unspent,
-            age=round(self._started - old.made_at, 3),
+            steady_age=round(self._started - old.made_at, 3),
+            wall_age=round(self._latest_start() - old.earliest, 3),
+            clocks=self._clocks.heard,
+        )
+        return unspent if proved else {}
+
+    async def _machine_ended_in_time(self, old):
+        value = await self._store.get_value(self._lease_key)
+        lives = value.version > 0 and value.data == _mark(old)
+        deadline = self._clock.steady() + CLOCKS_WAIT
+        while lives and not self._clocks.heard:
+            if self._clock.steady() > deadline:
+                break
+            await asyncio.sleep(CLOCKS_POLL)
+        return machine_ended_in_time(
+            old, lives, self._clocks.heard, self._latest_start()
         )
-        return {}
+
+    def _latest_start(self):
+        """Return the latest wall time of any clock when this run began."""
+        since = self._clock.steady() - self._started
+        return self._clocks.latest() - since
 
     async def _return_unspent(self, old, names, unspent):
         for name in names:
@@ -269,7 +327,11 @@
                     # An earlier send of this very write took effect.
                     raise StoreBusy("recovered meanwhile") from None
                 continue
-            for write in writes:
-                self._values[write.key] = Value(write.data, version)
+            self._note_written(writes, version)
             return
         raise StoreBusy("others write the same budgets")
+
+
+def _mark(record):
+    """Return what the lease's key holds: which record it was granted for."""
+    return f"{record.incarnation} {record.number}".encode()
--- a/rowanport/prepaid/keeper.py
+++ b/rowanport/prepaid/keeper.py
@@ -35,6 +35,11 @@
 # which the store is not asked again.
 DRY_SECONDS = 0.25
 STORE_DRY_SECONDS = 0.7
+# Seconds between two log lines about what is held, and budgets in one.
+REPORT_SECONDS = 5.0
+REPORT_BUDGETS = 20
+# Least time in seconds after which a caller of a dry budget should return.
+DRY_RETURN = 1.0
 # Longest wait in seconds for the last record at a planned stop.
 RELEASE_WAIT = 0.3
 # Peers that share what a stopping router held.
@@ -62,9 +67,10 @@
     :param peers: a PeerClient
     :param members: the Membership
     :param clock: a Clock
+    :param clocks: the FleetClocks
     """
 
-    def __init__(self, incarnation, store, peers, members, clock):
+    def __init__(self, incarnation, store, peers, members, clock, clocks):
         self._incarnation = incarnation
         self._members = members
         self._clock = clock
@@ -78,12 +84,14 @@
             store,
             self._allowances,
             clock,
+            clocks,
         )
         self._lender = Lender(self, incarnation, peers, members, clock)
         self._tasks = TaskSet()
         self._askers = {}
         self._wake = asyncio.Event()
         self._failing = False
+        self._next_report = 0.0
         self._stopping = False
         self._released = asyncio.Event()
 
@@ -136,7 +144,7 @@
         if account.reserve(tokens, self._room(account)):
             return
         if now < account.dry_until:
-            raise _exhausted(account, tokens)
+            raise self._exhausted(account, tokens)
         future = asyncio.get_running_loop().create_future()
         waiter = _Waiter(tokens, future)
         account.waiting.append(waiter)
@@ -147,7 +155,7 @@
                 await future
         except asyncio.TimeoutError:
             if not _granted(future):
-                raise _exhausted(account, tokens) from None
+                raise self._exhausted(account, tokens) from None
         except asyncio.CancelledError:
             if _granted(future):
                 account.settle(tokens, 0)
@@ -176,10 +184,27 @@
         account.dry_until = self._clock.steady() + DRY_SECONDS
         for waiter in account.waiting:
             if not waiter.future.done():
-                error = _exhausted(account, waiter.tokens)
+                error = self._exhausted(account, waiter.tokens)
                 waiter.future.set_exception(error)
         account.waiting.clear()
 
+    def _exhausted(self, account, tokens):
+        """Return the refusal of a request, and when it may come back.
+
+        Where a limit holds tokens back, they are free once it has lapsed;
+        by then a dry budget may have been topped up, or given tokens back.
+        """
+        now = self._clock.steady()
+        come_back_at = max(
+            now + DRY_RETURN, self._allowances.lapse_at(account.name, now)
+        )
+        room = self._room(account)
+        return RequestError(
+            ErrorKind.BUDGET_EXHAUSTED,
+            f"{tokens} tokens needed, {account.available} held, room {room}",
+            come_back_at=come_back_at,
+        )
+
     # Peers
 
     def handle(self, message):
@@ -220,6 +245,7 @@
         """Draw, give back and renew limits until cancelled."""
         while True:
             self._wake.clear()
+            self._report()
             pause = URGENT_PAUSE
             try:
                 await self._sync()
@@ -243,6 +269,21 @@
         except asyncio.TimeoutError:
             pass
 
+    def _report(self):
+        """Log now and then what is held of the largest budgets."""
+        now = self._clock.steady()
+        if now < self._next_report:
+            return
+        self._next_report = now + REPORT_SECONDS
+        held = sorted(self._held(), key=lambda account: -account.total)
+        LOG.info(
+            "budgets_held",
+            held={
+                account.name: (account.available, account.left)
+                for account in held[:REPORT_BUDGETS]
+            },
+        )
+
     def _note_store(self, failing, error=None):
         if failing != self._failing:
             LOG.info("budget_store", failing=failing, error=str(error or ""))
@@ -407,8 +448,3 @@
         and not future.cancelled()
         and future.exception() is None
     )
-
-
-def _exhausted(account, tokens):
-    text = f"{tokens} tokens needed, {account.available} to be had"
-    return RequestError(ErrorKind.BUDGET_EXHAUSTED, text)
--- a/rowanport/prepaid/record.py
+++ b/rowanport/prepaid/record.py
@@ -65,25 +65,41 @@
     :ivar number: number of its last batch
     :ivar made_at: its steady time just before it wrote
     :ivar wall: its wall time then
+    :ivar earliest: the earliest wall time that any clock of the fleet
+        showed then
     :ivar holdings: by budget, (tokens in, limit of tokens out), both
         counted from the start of that run
     """
 
-    __slots__ = ("incarnation", "number", "made_at", "wall", "holdings")
+    __slots__ = (
+        "incarnation",
+        "number",
+        "made_at",
+        "wall",
+        "earliest",
+        "holdings",
+    )
 
     def __init__(
-        self, incarnation="", number=0, made_at=0.0, wall=0.0, holdings=None
+        self,
+        incarnation="",
+        number=0,
+        made_at=0.0,
+        wall=0.0,
+        earliest=0.0,
+        holdings=None,
     ):
         self.incarnation = incarnation
         self.number = number
         self.made_at = made_at
         self.wall = wall
+        self.earliest = earliest
         self.holdings = holdings or {}
 
     @classmethod
     def unpack(cls, data):
         """Return the record in a store value; raise MessageError if unfit."""
-        return cls(*_unpack(data, 5)) if data else cls()
+        return cls(*_unpack(data, 6)) if data else cls()
 
     def pack(self):
         """Return the bytes for the store."""
@@ -93,6 +109,7 @@
                 self.number,
                 self.made_at,
                 self.wall,
+                self.earliest,
                 self.holdings,
             ]
         )
--- a/rowanport/schema/messages.py
+++ b/rowanport/schema/messages.py
@@ -1842,32 +1842,42 @@
 
     :ivar config: version of the asker's configuration
     :ivar upstreams: revision of the asker's list of upstreams
+    :ivar asker: peer address of the asker
+    :ivar wall: wall time of the asker
     """
 
     __slots__ = (
         "config",
         "upstreams",
+        "asker",
+        "wall",
     )
     KIND = 61
 
-    def __init__(self, config, upstreams):
+    def __init__(self, config, upstreams, asker, wall):
         self.config = config
         self.upstreams = upstreams
+        self.asker = asker
+        self.wall = wall
 
     def to_wire(self):
         """Return the fields as plain values, in the schema's order."""
         return [
             self.config,
             self.upstreams,
+            self.asker,
+            self.wall,
         ]
 
     @classmethod
     def from_wire(cls, values):
         """Build one from plain values; raise MessageError if unfit."""
-        check_length(cls, values, 2)
+        check_length(cls, values, 4)
         return cls(
             as_int(values[0]),
             as_int(values[1]),
+            as_str(values[2]),
+            as_float(values[3]),
         )
 
 
@@ -1878,6 +1888,7 @@
     :ivar config_data: the configuration as the store holds it
     :ivar upstreams: revision of the list of upstreams
     :ivar upstream_data: the packed list of upstreams
+    :ivar wall: wall time of the peer
     """
 
     __slots__ = (
@@ -1885,14 +1896,16 @@
         "config_data",
         "upstreams",
         "upstream_data",
+        "wall",
     )
     KIND = 62
 
-    def __init__(self, config, config_data, upstreams, upstream_data):
+    def __init__(self, config, config_data, upstreams, upstream_data, wall):
         self.config = config
         self.config_data = config_data
         self.upstreams = upstreams
         self.upstream_data = upstream_data
+        self.wall = wall
 
     def to_wire(self):
         """Return the fields as plain values, in the schema's order."""
@@ -1901,17 +1914,19 @@
             self.config_data,
             self.upstreams,
             self.upstream_data,
+            self.wall,
         ]
 
     @classmethod
     def from_wire(cls, values):
         """Build one from plain values; raise MessageError if unfit."""
-        check_length(cls, values, 4)
+        check_length(cls, values, 5)
         return cls(
             as_int(values[0]),
             as_bytes(values[1]),
             as_int(values[2]),
             as_bytes(values[3]),
+            as_float(values[4]),
         )
 
 
--- a/rowanport/store/store.py
+++ b/rowanport/store/store.py
@@ -58,15 +58,18 @@
 class Write:
     """One key of a write of several.
 
-    :ivar version: version that the key must have; 0 if it must not exist
+    :ivar version: version that the key must have, 0 if it must not exist,
+        None for any
+    :ivar lease: lease with which the key goes, or None
     """
 
-    __slots__ = ("key", "data", "version")
+    __slots__ = ("key", "data", "version", "lease")
 
-    def __init__(self, key, data, version):
+    def __init__(self, key, data, version, lease=None):
         self.key = key
         self.data = data
         self.version = version
+        self.lease = lease
 
 
 class TransactionStore(abc.ABC):
@@ -79,12 +82,20 @@
         :raises StoreError: no answer
         """
 
+    @abc.abstractmethod
+    async def grant_lease(self, seconds):
+        """Return the id of a new lease that ends after some seconds.
+
+        :raises StoreError: no answer
+        """
+
     @abc.abstractmethod
     async def commit(self, writes):
         """Write all keys if each has the version that its Write names.
 
         :returns: the new version of all of them
         :raises StoreConflict: with the Values that the store has
+        :raises LeaseOver: a lease has ended; nothing was done
         :raises StoreBusy: the store refused the call; nothing was done
         :raises StoreUnavailable: no answer; it may still take effect
         """
--- a/test/prepaid_world.py
+++ b/test/prepaid_world.py
@@ -9,6 +9,7 @@
 from test.virtual import LoopClock
 from test.virtual import VirtualLoop
 
+from rowanport.errors import LeaseOver
 from rowanport.errors import PeerError
 from rowanport.errors import RequestError
 from rowanport.errors import StoreBusy
@@ -17,6 +18,7 @@
 from rowanport.hashing import rendezvous
 from rowanport.prepaid import BudgetKeeper
 from rowanport.prepaid import BudgetRecord
+from rowanport.prepaid import FleetClocks
 from rowanport.prepaid.drawer import BUDGET_PREFIX
 from rowanport.store import TransactionStore
 from rowanport.store import Value
@@ -44,7 +46,11 @@
 
     async def get_value(self, key):
         await self._reach()
-        return self._world.values.get(key, Value(b"", 0))
+        return self._world.read(key)
+
+    async def grant_lease(self, seconds):
+        await self._reach()
+        return self._world.grant(seconds)
 
     async def commit(self, writes):
         await self._reach()
@@ -65,6 +71,21 @@
         return version
 
 
+class MachineClock(LoopClock):
+    """The clocks of a machine; the steady one begins anew at a restart."""
+
+    def __init__(self, world, address):
+        super().__init__(world.loop)
+        self._world = world
+        self._address = address
+
+    def wall(self):
+        return self._loop.now + self._world.jumps.get(self._address, 0.0)
+
+    def steady(self):
+        return self._loop.now + self._world.boots.get(self._address, 0.0)
+
+
 class FakePeers:
     """Calls between routers, with losses and repeats."""
 
@@ -139,15 +160,28 @@
         self.leaving = False
         self.tasks = []
         self.open = []
+        clock = MachineClock(world, address)
+        self.clocks = FleetClocks(clock)
+        self.clock = clock
         self.keeper = BudgetKeeper(
             self.incarnation,
             FakeStore(world, address),
             FakePeers(world, address),
             FakeMembers(world, self.incarnation),
-            LoopClock(world.loop),
+            clock,
+            self.clocks,
         )
         self.keeper.set_totals({BUDGET: world.total}, world.version)
         self.spawn(world, self.keeper.run())
+        self.spawn(world, self._hear(world))
+
+    async def _hear(self, world):
+        """Learn the others' clocks, as views are exchanged."""
+        while True:
+            for other in world.routers.values():
+                if other is not self:
+                    self.clocks.hear(other.address, other.clock.wall())
+            await asyncio.sleep(0.25)
 
     def spawn(self, world, coroutine):
         task = world.loop.create_task(coroutine)
@@ -170,7 +204,11 @@
         self.total = total
         self.version = 1
         self.routers = {}
-        self.store_down = False
+        self.leases = {}
+        self.jumps = {}
+        self.boots = {}
+        self._down_since = None
+        self._down_total = 0.0
         self.store_cut = set()
         self.refused = set()
         self.cuts = set()
@@ -182,27 +220,59 @@
 
     # The store
 
+    @property
+    def store_down(self):
+        return self._down_since is not None
+
+    @store_down.setter
+    def store_down(self, down):
+        if down and self._down_since is None:
+            self._down_since = self.loop.now
+        elif not down and self._down_since is not None:
+            self._down_total += self.loop.now - self._down_since
+            self._down_since = None
+
+    @property
+    def _store_time(self):
+        """Time as leases count it: they wait while the store is down."""
+        now = self.loop.now if self._down_since is None else self._down_since
+        return now - self._down_total
+
+    def grant(self, seconds):
+        """Return a new lease."""
+        self.leases[len(self.leases) + 1] = self._store_time + seconds
+        return len(self.leases)
+
+    def read(self, key):
+        """Return the Value of a key, unless its lease has ended."""
+        value, lease = self.values.get(key, (Value(b"", 0), None))
+        if lease is not None and self.leases[lease] < self._store_time:
+            return Value(b"", 0)
+        return value
+
     def apply(self, writes):
         """Do a write if its condition holds; raise StoreConflict if not."""
         for write in writes:
-            current = self.values.get(write.key)
-            if (current.version if current else 0) != write.version:
-                values = {
-                    w.key: self.values[w.key]
-                    for w in writes
-                    if w.key in self.values
-                }
-                raise StoreConflict("changed", values)
+            lease = write.lease
+            if lease is not None and self.leases[lease] < self._store_time:
+                raise LeaseOver("it has ended")
+        expected = [write for write in writes if write.version is not None]
+        if any(self.read(w.key).version != w.version for w in expected):
+            values = {w.key: self.read(w.key) for w in expected}
+            raise StoreConflict(
+                "changed", {k: v for k, v in values.items() if v.version}
+            )
         self.revision += 1
         for write in writes:
-            self.values[write.key] = Value(write.data, self.revision)
+            value = Value(write.data, self.revision)
+            self.values[write.key] = (value, write.lease)
         return self.revision
 
     def try_apply(self, writes):
         """Do a late write, or not."""
         try:
             self.apply(writes)
-        except StoreConflict:
+        except (StoreConflict, LeaseOver):
             pass
 
     def next_fate(self):
@@ -218,8 +288,11 @@
         if address not in self.routers:
             self.routers[address] = FakeRouter(self, address)
 
-    def kill(self, address, down):
-        """End a router at once; start its next run after some seconds."""
+    def kill(self, address, down, power=False):
+        """End a router at once; start its next run after some seconds.
+
+        :param power: whether the machine restarts, with a new steady clock
+        """
         router = self.routers.pop(address, None)
         if router is None:
             return
@@ -230,6 +303,8 @@
         # What was under way may have used all that was set aside for it.
         self.spent += sum(router.open)
         router.open.clear()
+        if power:
+            self.boots[address] = self.random.uniform(-1000.0, 1000.0)
         self.loop.call_later(down, self.start, address)
 
     def stop(self, address):
@@ -238,7 +313,7 @@
         if router is None or router.leaving:
             return
         router.leaving = True
-        self.loop.create_task(self._stop(router))
+        router.spawn(self, self._stop(router))
 
     async def _stop(self, router):
         await router.keeper.hand_over()
@@ -311,8 +386,7 @@
 
     def taken(self):
         """Return the tokens that the store counts as taken."""
-        value = self.values.get(BUDGET_PREFIX + BUDGET)
-        return BudgetRecord.unpack(value.data if value else b"").taken
+        return BudgetRecord.unpack(self.read(BUDGET_PREFIX + BUDGET).data).taken
 
     def close(self):
         """End everything."""
--- a/test/test_prepaid.py
+++ b/test/test_prepaid.py
@@ -28,8 +28,9 @@
 from rowanport.prepaid import HolderRecord
 from rowanport.prepaid.allowance import Allowance
 from rowanport.prepaid.allowance import Allowances
-from rowanport.prepaid.allowance import ended_in_time
 from rowanport.prepaid.allowance import HOLD_SECONDS
+from rowanport.prepaid.allowance import machine_ended_in_time
+from rowanport.prepaid.allowance import process_ended_in_time
 from rowanport.prepaid.drawer import Drawer
 from rowanport.prepaid.lender import Lender
 
@@ -110,15 +111,24 @@
         self.world.peer_fates.extend(fates)
 
     @rule(
-        address=addresses, down=strategies.sampled_from((0.1, 0.7, 1.5, 5.0))
+        address=addresses,
+        down=strategies.sampled_from((0.1, 0.7, 1.5, 5.0)),
+        power=strategies.booleans(),
     )
-    def kill(self, address, down):
-        self.world.kill(address, down)
+    def kill(self, address, down, power):
+        self.world.kill(address, down, power)
 
-    @rule(down=strategies.sampled_from((0.3, 1.5)))
-    def kill_all(self, down):
+    @rule(
+        down=strategies.sampled_from((0.3, 1.5)), power=strategies.booleans()
+    )
+    def kill_all(self, down, power):
         for address in ADDRESSES:
-            self.world.kill(address, down)
+            self.world.kill(address, down, power)
+
+    @rule(address=addresses, jump=strategies.sampled_from((-2.4, 0.0, 2.4)))
+    def jump(self, address, jump):
+        self.world.jumps.clear()
+        self.world.jumps[address] = jump
 
     @rule(address=addresses)
     def stop(self, address):
@@ -166,16 +176,13 @@
 
 @contextlib.contextmanager
 def recovered_however_late():
-    with mock.patch.object(drawer, "ended_in_time", lambda *_: True):
+    with mock.patch.object(drawer, "process_ended_in_time", lambda *_: True):
         yield
 
 
 @contextlib.contextmanager
-def limit_of_an_unheard_write_forgotten():
-    def add(self, allowance):
-        pass
-
-    with mock.patch.object(Allowances, "add", add):
+def machine_recovered_however_late():
+    with mock.patch.object(drawer, "machine_ended_in_time", lambda *_: True):
         yield
 
 
@@ -221,7 +228,7 @@
 BROKEN = (
     limits_not_kept,
     recovered_however_late,
-    limit_of_an_unheard_write_forgotten,
+    machine_recovered_however_late,
     unheard_write_made_anew,
     loan_repeated,
     lent_without_debit,
@@ -343,13 +350,71 @@
     assert allowances.room(account, HOLD_SECONDS + 0.1) is None
 
 
-def test_a_machine_that_restarted_proves_nothing():
+def test_the_limit_of_an_unheard_write_binds_too():
+    account = Account(BUDGET)
+    account.credit(100)
+    allowances = Allowances()
+    heard = Allowance(0.0, {BUDGET: 50}, {BUDGET: 100})
+    allowances.add(heard)
+    allowances.settle_on(heard)
+    allowances.add(Allowance(1.0, {BUDGET: 30}, {BUDGET: 100}))
+    assert allowances.room(account, 1.5) == 30
+    # The older record's limit has lapsed, the unheard one's has not.
+    assert allowances.room(account, HOLD_SECONDS + 0.5) == 30
+    assert allowances.room(account, HOLD_SECONDS + 1.5) is None
+
+
+def test_a_killed_process_is_proved_by_one_steady_clock():
     record = HolderRecord("run", 1, made_at=50.0, wall=1000.0)
-    assert ended_in_time(record, 51.0, 1001.0)
-    assert not ended_in_time(record, 50.1 + HOLD_SECONDS, 1002.9)
+    assert process_ended_in_time(record, 51.0, 1001.0)
+    late = HOLD_SECONDS + 0.1
+    assert not process_ended_in_time(record, 50.0 + late, 1000.0 + late)
     # A steady clock that began anew looks as if little time had passed.
-    assert not ended_in_time(record, 51.0, 1600.0)
-    assert not ended_in_time(record, 2.0, 1600.0)
+    assert not process_ended_in_time(record, 51.0, 1600.0)
+    assert not process_ended_in_time(record, 2.0, 1600.0)
+
+
+def test_a_restarted_machine_is_proved_by_lease_and_clocks_together():
+    record = HolderRecord("run", 1, earliest=1000.0)
+    assert machine_ended_in_time(record, True, True, 1001.0)
+    assert not machine_ended_in_time(record, False, True, 1001.0)
+    assert not machine_ended_in_time(record, True, False, 1001.0)
+    assert not machine_ended_in_time(record, True, True, 1003.0)
+    assert not machine_ended_in_time(record, True, True, 999.0)
+
+
+def test_one_clock_that_jumps_does_not_shorten_a_time():
+    world = make_world()
+    one, other = (world.routers[address] for address in ADDRESSES[:2])
+    world.jumps[ADDRESSES[0]] = 2.4
+    world.advance(0.5)
+    assert one.clocks.earliest() <= world.loop.now + 0.3
+    assert other.clocks.latest() >= world.loop.now + 2.0
+    world.close()
+
+
+def test_restarted_machines_give_back_what_they_left():
+    world = make_world()
+    taken = world.taken()
+    for address in ADDRESSES:
+        world.kill(address, 0.9, power=True)
+    world.advance(4.0)
+    assert world.taken() - world.held() < 0.3 * taken
+    world.check()
+    world.close()
+
+
+def test_nothing_is_recovered_after_an_outage_in_which_leases_waited():
+    world = make_world()
+    before = world.held()
+    world.store_down = True
+    world.advance(4.0)
+    for address in ADDRESSES:
+        world.kill(address, 0.9, power=True)
+    world.store_down = False
+    world.advance(4.0)
+    assert world.taken() - world.held() >= 0.9 * before
+    world.close()
 
 
 @pytest.mark.parametrize("data", (b"\xc1", b"\x93\x01\x02", b"\x01"))
