Keep the prepaid machine's draws apart from what else is loaded

Cause: hypothesis mixes constants of all loaded modules into integers, so five broken variants went unfound when another test file was loaded too; and the machine waited too seldom. Change: numbers come from fixed lists, each rule lets some time pass.

--- a/test/test_prepaid.py
+++ b/test/test_prepaid.py
@@ -38,13 +38,17 @@
 STEPS = 25
 EXAMPLES = int(os.environ.get("ROWANPORT_EXAMPLES", "40"))
 addresses = strategies.sampled_from(ADDRESSES)
+# Numbers are sampled from fixed lists: hypothesis mixes constants of all
+# loaded modules into integers, so a run would depend on what else is loaded.
+seeds = strategies.sampled_from(range(1000))
+sizes = strategies.sampled_from((5, 20, 60, 150, 300))
 
 
 class PrepaidMachine(RuleBasedStateMachine):
     """Four routers share one budget while everything fails."""
 
     @initialize(
-        seed=strategies.integers(0, 10**6),
+        seed=seeds,
         total=strategies.sampled_from((600, 3000)),
     )
     def start(self, seed, total):
@@ -55,18 +59,20 @@
 
     @rule(
         address=addresses,
-        tokens=strategies.integers(5, 300),
+        tokens=sizes,
         share=strategies.sampled_from((0.3, 1.0)),
         seconds=strategies.sampled_from((0.05, 1.0, 5.0)),
     )
     def request(self, address, tokens, share, seconds):
         self.world.request(address, tokens, int(share * tokens), seconds)
+        self.world.advance(0.1)
 
-    @rule(count=strategies.integers(2, 10))
+    @rule(count=strategies.sampled_from((4, 8, 16)))
     def burst(self, count):
         for number in range(count):
             address = ADDRESSES[number % len(ADDRESSES)]
             self.world.request(address, 60, 60, 0.2)
+        self.world.advance(0.3)
 
     @rule(seconds=strategies.sampled_from((0.05, 0.5, 3.0, 8.0)))
     def wait(self, seconds):
@@ -117,6 +123,7 @@
     )
     def kill(self, address, down, power):
         self.world.kill(address, down, power)
+        self.world.advance(0.2)
 
     @rule(
         down=strategies.sampled_from((0.3, 1.5)), power=strategies.booleans()
@@ -124,6 +131,8 @@
     def kill_all(self, down, power):
         for address in ADDRESSES:
             self.world.kill(address, down, power)
+        self.world.advance(3.0)
+        self.world.check()
 
     @rule(address=addresses, jump=strategies.sampled_from((-2.4, 0.0, 2.4)))
     def jump(self, address, jump):
@@ -134,7 +143,7 @@
     def stop(self, address):
         self.world.stop(address)
 
-    @rule(tokens=strategies.integers(50, 500))
+    @rule(tokens=sizes)
     def top_up(self, tokens):
         self.world.set_total(self.world.total + tokens)
 
