--- a/bench/demo.py
+++ b/bench/demo.py
@@ -153,7 +153,7 @@
     started = time.monotonic()
     with Fleet() as fleet:
         await fleet.wait_standins()
-        print("8 routers in 3 halls, 6 engines, 3 services; setting up")
+        print("8 routers in 3 data centres, 6 engines, 3 services; setting up")
         keys, version = await asyncio.to_thread(create_everything, fleet)
         await fleet.wait_routers(version=version)
         await asyncio.sleep(2.0)
--- a/bench/deploy.py
+++ b/bench/deploy.py
@@ -14,7 +14,7 @@
 from rowanport.schema.messages import OrganisationRecord
 from rowanport.schema.messages import PolicyRecord
 from rowanport.schema.messages import UpstreamRecord
-from rowanport.store import PlatformStore
+from rowanport.store import KeyValueStore
 
 MODEL = "forecast"
 SERVICE = "portal"
@@ -40,7 +40,7 @@
     def __init__(self, fleet, shards=SHARDS):
         self._fleet = fleet
         clock = SystemClock()
-        store = PlatformStore(fleet.http, fleet.platform.address, "bench", 2.0)
+        store = KeyValueStore(fleet.http, fleet.platform.address, "bench", 2.0)
         self.config = ConfigEditor(store, "bench", clock)
         self.budgets = BudgetEditor(store, shards, "bench", clock)
         self.keys = {}
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -19,7 +19,7 @@
 from rowanport.errors import UpstreamError
 from rowanport.web import HttpClient
 
-HALLS = ("north", "south", "east")
+DATA_CENTRES = ("north", "south", "east")
 SECRET = "only-for-the-stand-in-fleet"
 START_TIMEOUT = 20.0
 STOP_TIMEOUT = 20.0
@@ -78,8 +78,8 @@
 class Router(Process):
     """A router process and its settings file."""
 
-    def __init__(self, name, hall, ip, ports, path, log, module):
-        self.hall = hall
+    def __init__(self, name, data_centre, ip, ports, path, log, module):
+        self.data_centre = data_centre
         self.ip = ip
         self.settings = path
         self.caller_port, self.peer_port, self.operator_port = ports
@@ -107,7 +107,7 @@
     :param overrides: settings of all routers, ``{section: {key: value}}``
     :param engine_options: options of each engine stand-in
     :param module: module that the routers run
-    :param relays: Relays between the routers, if halls are to be cut
+    :param relays: Relays between the routers, if data centres are to be cut
     """
 
     def __init__(
@@ -115,7 +115,7 @@
         routers=8,
         engines=6,
         services=3,
-        halls=HALLS,
+        data_centres=DATA_CENTRES,
         overrides=None,
         engine_options=(),
         writes=100,
@@ -123,7 +123,7 @@
         relays=None,
     ):
         self._counts = (routers, engines, services)
-        self._halls = halls
+        self._data_centres = data_centres
         self._overrides = overrides or {}
         self._engine_options = engine_options
         self._writes = writes
@@ -173,35 +173,37 @@
                 )
             )
         for number in range(routers):
-            hall = self._halls[number % len(self._halls)]
+            data_centre = self._data_centres[number % len(self._data_centres)]
             three = [next(ports) for _port in range(3)]
-            self.start_router(f"r{number}", hall, three)
+            self.start_router(f"r{number}", data_centre, three)
 
     def _spawn(self, name, arguments, port):
         return Process(name, arguments, port, self.path / f"{name}.log")
 
-    def start_router(self, name, hall, ports=None):
+    def start_router(self, name, data_centre, ports=None):
         """Start one more router and return it."""
         ports = ports or free_ports(3)
         path = self.path / f"{name}.ini"
-        ip = f"127.0.0.{1 + self._halls.index(hall)}"
+        ip = f"127.0.0.{1 + self._data_centres.index(data_centre)}"
         advertised = f"{ip}:{ports[1]}"
         if self._relays is not None:
-            advertised = self._relays.add(hall, advertised)
-        path.write_text(self._settings(name, hall, ip, ports, advertised))
+            advertised = self._relays.add(data_centre, advertised)
+        path.write_text(
+            self._settings(name, data_centre, ip, ports, advertised)
+        )
         log = self.path / f"{name}.log"
-        router = Router(name, hall, ip, ports, path, log, self._module)
+        router = Router(name, data_centre, ip, ports, path, log, self._module)
         router.advertised = advertised
         self.routers.append(router)
         return router
 
-    def _settings(self, name, hall, ip, ports, advertised):
+    def _settings(self, name, data_centre, ip, ports, advertised):
         sections = {
             "router": {
                 "name": name,
                 "address": ip,
                 "advertised": advertised,
-                "hall": hall,
+                "data_centre": data_centre,
                 "caller_port": ports[0],
                 "peer_port": ports[1],
                 "operator_port": ports[2],
@@ -209,7 +211,7 @@
             },
             "platform": {
                 "store": self.platform.address,
-                "halls": ", ".join(self._halls),
+                "data_centres": ", ".join(self._data_centres),
             },
         }
         for section, values in self._overrides.items():
@@ -236,7 +238,9 @@
         value = {
             "address": address,
             "role": role,
-            "hall": getattr(process, "hall", self._halls[0]),
+            "data_centre": getattr(
+                process, "data_centre", self._data_centres[0]
+            ),
             "state": state,
         }
         await self.http.request_json(
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -284,7 +284,7 @@
     for number in range(count):
         address = f"10.0.{number // 200}.{number % 200}:8081"
         name = f"region1/{address}/{hashing.new_id()}"
-        one = Membership(name, "hall", settings, clock, number)
+        one = Membership(name, "north", settings, clock, number)
         one.set_state(READY)
         one.set_seeds(["10.0.0.0:8081"])
         members[address] = one
--- a/rowanport/gateway/views.py
+++ b/rowanport/gateway/views.py
@@ -114,7 +114,8 @@
         )
         try:
             give = await self._peers.call(address, ask, ASK_TIMEOUT)
-        except PeerError:
+        except PeerError as error:
+            LOG.debug("views_unread", peer=address, error=str(error))
             return
         if not isinstance(give, ViewGive):
             return
--- a/rowanport/membership/gossip.py
+++ b/rowanport/membership/gossip.py
@@ -2,11 +2,15 @@
 
 import asyncio
 
+import structlog
+
 from ..errors import PeerError
 from ..errors import StoreError
 from ..schema.messages import Gossip
 from ..store.directory import ROUTER_ROLE
 
+LOG = structlog.get_logger(__name__)
+
 GOSSIP_TIMEOUT = 0.5
 
 
@@ -46,7 +50,8 @@
         while True:
             try:
                 instances = await self._directory.instances()
-            except StoreError:
+            except StoreError as error:
+                LOG.info("instance_list_unread", error=str(error))
                 instances = None
             if instances is not None:
                 routers = [
--- a/rowanport/membership/members.py
+++ b/rowanport/membership/members.py
@@ -38,20 +38,20 @@
     """All routers that one router knows.
 
     :param incarnation: this router's incarnation
-    :param hall: this router's hall
+    :param data_centre: this router's data centre
     :param settings: MembershipSettings
     :param clock: a Clock
     :param seed: seed of the random choices
     """
 
-    def __init__(self, incarnation, hall, settings, clock, seed=None):
+    def __init__(self, incarnation, data_centre, settings, clock, seed=None):
         self._incarnation = incarnation
         self._settings = settings
         self._clock = clock
         self._random = random.Random(seed)
         self._cell = cell_of(incarnation)
         self._address = address_of(incarnation)
-        self._own = MemberEntry(incarnation, hall, 1, STARTING, 0)
+        self._own = MemberEntry(incarnation, data_centre, 1, STARTING, 0)
         self._members = {}
         self._seeds = []
         self._homes = {}
--- a/rowanport/platform/settings.py
+++ b/rowanport/platform/settings.py
@@ -29,13 +29,13 @@
     """Return the PlatformSettings of this process.
 
     :param environment: the process's variables
-    :raises SettingsError: the file cannot be read or lacks a field
+    :raises SettingsError: the file cannot be read, or something is missing
     """
     path = environment.get(PATH_VARIABLE, "")
     try:
         with open(path, encoding="utf-8") as source:
             fields = json.load(source)
-        return _decode(fields, environment.get(SECRET_VARIABLE, ""))
+        return _decode(fields, environment[SECRET_VARIABLE])
     except OSError as error:
         raise SettingsError(f"{path}: {error.strerror}") from None
     except ValueError as error:
--- a/rowanport/prepaid/keeper.py
+++ b/rowanport/prepaid/keeper.py
@@ -7,17 +7,11 @@
 
 from ..errors import ErrorKind
 from ..errors import RequestError
-from ..errors import StoreBusy
 from ..errors import StoreError
-from ..incarnation import address_of
 from ..tasks import TaskSet
 from .account import Account
-from .account import ALLOWANCE_USED
-from .allowance import Allowances
-from .allowance import RENEW_SECONDS
-from .drawer import BATCH_LIMIT
-from .drawer import Drawer
 from .lender import Lender
+from .refill import Refill
 
 LOG = structlog.get_logger(__name__)
 
@@ -31,24 +25,17 @@
 # Longest wait of a request for tokens in seconds: a refusal within a quarter
 # of the shortest objective of a stream (600 ms) still helps its caller.
 RESERVE_WAIT = 0.14
-# Seconds for which a budget is called dry after nobody had tokens, and for
-# which the store is not asked again.
+# Seconds for which a budget is called dry after nobody had tokens.
 DRY_SECONDS = 0.25
-STORE_DRY_SECONDS = 2.0
 # Seconds between two log lines about what is held, and budgets in one.
 REPORT_SECONDS = 5.0
 REPORT_BUDGETS = 20
-# Shortest time in seconds between two records that only widen limits.
-WIDEN_PAUSE = 0.35
 # Least time in seconds after which a caller of a dry budget should return.
 DRY_RETURN = 1.0
 # Longest wait in seconds for the last record at a planned stop.
 RELEASE_WAIT = 0.3
 # Peers that share what a stopping router held.
 HEIRS = 3
-# Routers that hold tokens of one budget drawn from the store; in a larger
-# fleet the others borrow from these.
-HOLDERS = 8
 
 
 class _Waiter:
@@ -73,20 +60,11 @@
     """
 
     def __init__(self, incarnation, store, peers, members, clock, clocks):
-        self._incarnation = incarnation
         self._members = members
         self._clock = clock
         self._accounts = {}
-        self._totals = ({}, 0)
-        self._store_dry = {}
-        self._allowances = Allowances()
-        self._drawer = Drawer(
-            incarnation,
-            address_of(incarnation),
-            store,
-            self._allowances,
-            clock,
-            clocks,
+        self._refill = Refill(
+            incarnation, self._accounts, store, members, clock, clocks
         )
         self._lender = Lender(self, incarnation, peers, members, clock)
         self._tasks = TaskSet()
@@ -94,8 +72,6 @@
         self._wake = asyncio.Event()
         self._failing = False
         self._next_report = 0.0
-        self._stopping = False
-        self._released = asyncio.Event()
 
     @property
     def accounts(self):
@@ -104,7 +80,7 @@
 
     def holders(self, name):
         """Return the routers that draw on a budget; others borrow."""
-        return self._members.homes(name, "budget")[:HOLDERS]
+        return self._refill.holders(name)
 
     # Configuration
 
@@ -113,14 +89,13 @@
 
         :param totals: tokens paid for by budget
         """
-        self._totals = (totals, version)
+        self._refill.set_totals(totals, version)
         for name, total in totals.items():
             account = self._account(name)
             if total != account.total:
                 LOG.info(
                     "budget_total", budget=name, total=total, config=version
                 )
-                self._store_dry.pop(name, None)
             account.set_total(total)
         self._wake.set()
 
@@ -131,7 +106,7 @@
         return account
 
     def _room(self, account):
-        return self._allowances.room(account, self._clock.steady())
+        return self._refill.room(account)
 
     # Requests
 
@@ -198,7 +173,7 @@
         """
         now = self._clock.steady()
         come_back_at = max(
-            now + DRY_RETURN, self._allowances.lapse_at(account.name, now)
+            now + DRY_RETURN, self._refill.lapse_at(account.name)
         )
         room = self._room(account)
         return RequestError(
@@ -233,14 +208,10 @@
 
     async def _ask(self, account):
         await self._lender.ask_all(account)
-        if account.waiting and self._is_store_dry(account):
+        in_vain = self._failing or self._refill.is_dry(account.name)
+        if account.waiting and in_vain:
             self._fail(account)
 
-    def _is_store_dry(self, account):
-        if self._failing:
-            return True
-        return self._clock.steady() < self._store_dry.get(account.name, 0.0)
-
     # Store
 
     async def run(self):
@@ -250,13 +221,10 @@
             self._report()
             pause = URGENT_PAUSE
             try:
-                await self._sync()
+                written = await self._refill.sync()
                 self._note_store(failing=False)
-            except StoreBusy as error:
-                pause = FAILED_PAUSE
-                self._note_store(failing=True, error=error)
-                if self._drawer.batch and not self._drawer.unsure:
-                    self._put_back(self._drawer.drop())
+                if written:
+                    self._serve_waiting()
             except StoreError as error:
                 pause = FAILED_PAUSE
                 self._note_store(failing=True, error=error)
@@ -264,6 +232,12 @@
             if not any(a.waiting for a in self._accounts.values()):
                 await self._sleep()
 
+    def _serve_waiting(self):
+        for account in self._accounts.values():
+            self._pump(account)
+            if account.waiting:
+                self._start_asking(account)
+
     async def _sleep(self):
         try:
             async with asyncio.timeout(TICK * (0.75 + random.random() / 2)):
@@ -277,7 +251,7 @@
         if now < self._next_report:
             return
         self._next_report = now + REPORT_SECONDS
-        held = sorted(self._held(), key=lambda account: -account.total)
+        held = sorted(self._refill.held(), key=lambda account: -account.total)
         LOG.info(
             "budgets_held",
             held={
@@ -291,131 +265,6 @@
             LOG.info("budget_store", failing=failing, error=str(error or ""))
         self._failing = failing
 
-    async def _sync(self):
-        if not self._drawer.recovered:
-            await self._drawer.recover()
-        if self._drawer.batch is None:
-            wishes = self._last_wishes() if self._stopping else self._wishes()
-            if not wishes and not self._renewal_due():
-                return
-            self._begin(wishes)
-        await self._write()
-
-    def _wishes(self):
-        now = self._clock.steady()
-        wishes = {}
-        for name, account in self._accounts.items():
-            holders = self.holders(name)
-            if self._incarnation not in holders:
-                continue
-            wish = account.wish(len(holders), now)
-            if wish > 0 and now < self._store_dry.get(name, 0.0):
-                continue
-            if wish or account.recalled:
-                wishes[name] = wish
-        return dict(list(wishes.items())[:BATCH_LIMIT])
-
-    def _last_wishes(self):
-        """Return what to give back at a planned stop if no peer is there."""
-        if self._members.ready_others():
-            return {}
-        held = [a for a in self._held() if a.available > 0]
-        return {a.name: -a.available for a in held[:BATCH_LIMIT]}
-
-    def _renewal_due(self):
-        """Return whether the written limits are old or nearly used up."""
-        newest = self._allowances.newest()
-        if newest is None:
-            return False
-        held = self._held()
-        if self._stopping and not self._released.is_set():
-            return True
-        now = self._clock.steady()
-        if now > newest.made_at + RENEW_SECONDS:
-            return True
-        if now < newest.made_at + WIDEN_PAUSE:
-            return any(a.waiting and self._is_held_back(a) for a in held)
-        return any(self._is_narrow(account) for account in held)
-
-    def _is_held_back(self, account):
-        """Return whether a limit, not a lack, makes requests wait."""
-        room = self._room(account)
-        return room is not None and room < account.wanted <= account.available
-
-    def _is_narrow(self, account):
-        room = self._room(account)
-        if room is None or room >= account.available:
-            return False
-        allowance = self._allowance(account)
-        return room < (1 - ALLOWANCE_USED) * allowance
-
-    def _held(self):
-        return [a for a in self._accounts.values() if a.inflow]
-
-    def _allowance(self, account):
-        """Return the tokens that may go out before the next record."""
-        if self._stopping:
-            return account.available
-        holders = len(self.holders(account.name))
-        return account.allowance(holders, self._clock.steady())
-
-    def _begin(self, wishes):
-        for name, wish in wishes.items():
-            if wish < 0:
-                # Tokens on their way back are nobody's to spend.
-                self._accounts[name].take_out(-wish)
-        self._drawer.begin(wishes)
-
-    def _put_back(self, batch):
-        for name, wish in batch.wishes.items():
-            if wish < 0:
-                self._accounts[name].put_back(-wish)
-
-    def _limits(self, moves):
-        """Return the limit of tokens out by budget.
-
-        :param moves: tokens by budget that a batch moves in or out
-        """
-        limits = {}
-        for name, account in self._accounts.items():
-            inflow = account.inflow + max(0, moves.get(name, 0))
-            if inflow:
-                limit = account.outflow + self._allowance(account)
-                limits[name] = min(inflow, limit)
-        return limits
-
-    def _inflows(self):
-        return {name: a.inflow for name, a in self._accounts.items()}
-
-    async def _write(self):
-        batch = await self._drawer.write(
-            self._limits, self._inflows, self._totals
-        )
-        if batch is None:
-            return
-        if self._stopping and self._is_released(batch):
-            self._released.set()
-        now = self._clock.steady()
-        for name, wish in batch.wishes.items():
-            account = self._accounts[name]
-            moved = batch.moves[name]
-            account.credit(max(0, moved))
-            account.left = self._drawer.record(name).left
-            if wish <= 0:
-                account.recalled = False
-            if moved < wish:
-                self._store_dry[name] = now + STORE_DRY_SECONDS
-        for account in self._accounts.values():
-            self._pump(account)
-            if account.waiting:
-                self._start_asking(account)
-        if batch.wishes:
-            LOG.info("budget_batch", number=batch.number, moves=batch.moves)
-
-    def _is_released(self, batch):
-        """Return whether a batch lets all go out that is held."""
-        return not batch.record.unspent()
-
     # Planned stop
 
     async def hand_over(self):
@@ -425,17 +274,17 @@
         go; where it cannot, those beyond the written limits follow at the
         next call, once the limits bind no more.
         """
-        self._stopping = True
+        self._refill.release()
         self._wake.set()
         try:
             async with asyncio.timeout(RELEASE_WAIT):
-                await self._released.wait()
+                await self._refill.released.wait()
         except asyncio.TimeoutError:
             LOG.info("limits_not_released", failing=self._failing)
         heirs = self._members.ready_others()[:HEIRS]
         if heirs:
             await self._lender.hand_over(heirs, self._take_free())
-        elif any(a.available > 0 for a in self._held()):
+        elif any(a.available > 0 for a in self._refill.held()):
             LOG.warning("no_heir", failing=self._failing)
 
     def _take_free(self):
--- /dev/null
+++ b/rowanport/prepaid/refill.py
@@ -0,0 +1,226 @@
+"""Keeps one router's accounts filled from the store, and its limits fresh."""
+
+import asyncio
+
+import structlog
+
+from ..errors import StoreBusy
+from ..incarnation import address_of
+from .account import ALLOWANCE_USED
+from .allowance import Allowances
+from .allowance import RENEW_SECONDS
+from .drawer import BATCH_LIMIT
+from .drawer import Drawer
+
+LOG = structlog.get_logger(__name__)
+
+# Seconds for which the store is not asked again for a budget that it had too
+# little of.
+STORE_DRY_SECONDS = 2.0
+# Shortest time in seconds between two records that only widen limits.
+WIDEN_PAUSE = 0.35
+# Routers that hold tokens of one budget drawn from the store; in a larger
+# fleet the others borrow from these.
+HOLDERS = 8
+
+
+class Refill:
+    """Decides what to draw and to give back, and when to write limits.
+
+    :param incarnation: this router's incarnation
+    :param accounts: the Accounts by budget, which it changes
+    :param store: a TransactionStore
+    :param members: the Membership
+    :param clock: a Clock
+    :param clocks: the FleetClocks
+    """
+
+    def __init__(self, incarnation, accounts, store, members, clock, clocks):
+        self._incarnation = incarnation
+        self._accounts = accounts
+        self._members = members
+        self._clock = clock
+        self._totals = ({}, 0)
+        self._dry_until = {}
+        self._allowances = Allowances()
+        self._drawer = Drawer(
+            incarnation,
+            address_of(incarnation),
+            store,
+            self._allowances,
+            clock,
+            clocks,
+        )
+        self._stopping = False
+        self._released = asyncio.Event()
+
+    @property
+    def released(self):
+        """Return the event that all that is held may go out."""
+        return self._released
+
+    def holders(self, name):
+        """Return the routers that draw on a budget; others borrow."""
+        return self._members.homes(name, "budget")[:HOLDERS]
+
+    def set_totals(self, totals, version):
+        """Take over totals by budget, and their configuration's version."""
+        for name, total in totals.items():
+            if total != self._totals[0].get(name):
+                self._dry_until.pop(name, None)
+        self._totals = (totals, version)
+
+    def room(self, account):
+        """Return the tokens of an account that may go out, None for all."""
+        return self._allowances.room(account, self._clock.steady())
+
+    def lapse_at(self, name):
+        """Return the steady time from which no limit binds a budget."""
+        return self._allowances.lapse_at(name, self._clock.steady())
+
+    def is_dry(self, name):
+        """Return whether the store lately had too little of a budget."""
+        return self._clock.steady() < self._dry_until.get(name, 0.0)
+
+    def release(self):
+        """Let everything that is held go out, and draw no more."""
+        self._stopping = True
+
+    # Steps
+
+    async def sync(self):
+        """Bring the store and the accounts one step on.
+
+        :returns: whether a batch stands in the store that did not before
+        :raises StoreBusy: the store refused; nothing changed
+        :raises StoreError: a batch's fate is unknown; it goes out again
+        """
+        try:
+            return await self._step()
+        except StoreBusy:
+            if self._drawer.batch and not self._drawer.unsure:
+                self._put_back(self._drawer.drop())
+            raise
+
+    async def _step(self):
+        if not self._drawer.recovered:
+            await self._drawer.recover()
+        if self._drawer.batch is None:
+            wishes = self._last_wishes() if self._stopping else self._wishes()
+            if not wishes and not self._is_record_due():
+                return False
+            self._begin(wishes)
+        return await self._write()
+
+    def _wishes(self):
+        now = self._clock.steady()
+        wishes = {}
+        for name, account in self._accounts.items():
+            holders = self.holders(name)
+            if self._incarnation not in holders:
+                continue
+            wish = account.wish(len(holders), now)
+            if wish > 0 and now < self._dry_until.get(name, 0.0):
+                continue
+            if wish or account.recalled:
+                wishes[name] = wish
+        return dict(list(wishes.items())[:BATCH_LIMIT])
+
+    def _last_wishes(self):
+        """Return what to give back at a planned stop if no peer is there."""
+        if self._members.ready_others():
+            return {}
+        held = [a for a in self.held() if a.available > 0]
+        return {a.name: -a.available for a in held[:BATCH_LIMIT]}
+
+    def _is_record_due(self):
+        """Return whether the written limits are old or nearly used up."""
+        newest = self._allowances.newest()
+        if newest is None:
+            return False
+        held = self.held()
+        if self._stopping and not self._released.is_set():
+            return True
+        now = self._clock.steady()
+        if now > newest.made_at + RENEW_SECONDS:
+            return True
+        if now < newest.made_at + WIDEN_PAUSE:
+            return any(a.waiting and self._is_held_back(a) for a in held)
+        return any(self._is_narrow(account) for account in held)
+
+    def _is_held_back(self, account):
+        """Return whether a limit, not a lack, makes requests wait."""
+        room = self.room(account)
+        return room is not None and room < account.wanted <= account.available
+
+    def _is_narrow(self, account):
+        room = self.room(account)
+        if room is None or room >= account.available:
+            return False
+        allowance = self._allowance(account)
+        return room < (1 - ALLOWANCE_USED) * allowance
+
+    def held(self):
+        """Return the accounts that ever held tokens."""
+        return [a for a in self._accounts.values() if a.inflow]
+
+    def _allowance(self, account):
+        """Return the tokens that may go out before the next record."""
+        if self._stopping:
+            return account.available
+        holders = len(self.holders(account.name))
+        return account.allowance(holders, self._clock.steady())
+
+    def _begin(self, wishes):
+        for name, wish in wishes.items():
+            if wish < 0:
+                # Tokens on their way back are nobody's to spend.
+                self._accounts[name].take_out(-wish)
+        self._drawer.begin(wishes)
+
+    def _put_back(self, batch):
+        for name, wish in batch.wishes.items():
+            if wish < 0:
+                self._accounts[name].put_back(-wish)
+
+    def _limits(self, moves):
+        """Return the limit of tokens out by budget.
+
+        :param moves: tokens by budget that a batch moves in or out
+        """
+        limits = {}
+        for name, account in self._accounts.items():
+            inflow = account.inflow + max(0, moves.get(name, 0))
+            if inflow:
+                limit = account.outflow + self._allowance(account)
+                limits[name] = min(inflow, limit)
+        return limits
+
+    def _inflows(self):
+        return {name: a.inflow for name, a in self._accounts.items()}
+
+    async def _write(self):
+        batch = await self._drawer.write(
+            self._limits, self._inflows, self._totals
+        )
+        if batch is None:
+            return False
+        if self._stopping and self._is_released(batch):
+            self._released.set()
+        now = self._clock.steady()
+        for name, wish in batch.wishes.items():
+            account = self._accounts[name]
+            moved = batch.moves[name]
+            account.credit(max(0, moved))
+            account.left = self._drawer.record(name).left
+            if wish <= 0:
+                account.recalled = False
+            if moved < wish:
+                self._dry_until[name] = now + STORE_DRY_SECONDS
+        if batch.wishes:
+            LOG.info("budget_batch", number=batch.number, moves=batch.moves)
+        return True
+
+    def _is_released(self, batch):
+        """Return whether a batch lets all go out that is held."""
+        return not batch.record.unspent()
--- a/rowanport/router/daemon.py
+++ b/rowanport/router/daemon.py
@@ -29,8 +29,8 @@
 from ..scheduling import OrganisationLimits
 from ..scheduling.group import GroupScheduler
 from ..schema import messages
-from ..store import PlatformDirectory
-from ..store import PlatformStore
+from ..store import InstanceDirectory
+from ..store import KeyValueStore
 from ..store.directory import LEAVING as LISTED_LEAVING
 from ..tasks import TaskSet
 from ..upstreams import EngineClient
@@ -87,10 +87,10 @@
         platform = settings.platform
         name = settings.router.name
         self._http = HttpClient()
-        self.store = PlatformStore(
+        self.store = KeyValueStore(
             self._http, platform.store, name, platform.call_timeout
         )
-        self.directory = PlatformDirectory(
+        self.directory = InstanceDirectory(
             self._http, platform.store, name, platform.call_timeout
         )
         self._allowance = Allowance(platform.writes_per_second)
@@ -102,7 +102,7 @@
         self._peer_server = PeerServer(self._answer, secret, self.traffic)
         self.members = Membership(
             self.incarnation,
-            settings.router.hall,
+            settings.router.data_centre,
             settings.membership,
             self.clock,
         )
--- a/rowanport/router/operators.py
+++ b/rowanport/router/operators.py
@@ -67,7 +67,7 @@
             "members": [
                 {
                     "incarnation": entry.incarnation,
-                    "hall": entry.hall,
+                    "data_centre": entry.data_centre,
                     "state": entry.state,
                     "config_version": entry.config,
                 }
--- a/rowanport/schema/messages.py
+++ b/rowanport/schema/messages.py
@@ -716,7 +716,7 @@
     """What is known of one router.
 
     :ivar incarnation: incarnation, which names cell and peer address
-    :ivar hall: hall
+    :ivar data_centre: where it stands
     :ivar beat: heartbeat counter, raised by the router itself
     :ivar state: starting, ready or leaving
     :ivar config: configuration version in force there
@@ -724,16 +724,16 @@
 
     __slots__ = (
         "incarnation",
-        "hall",
+        "data_centre",
         "beat",
         "state",
         "config",
     )
     KIND = 0
 
-    def __init__(self, incarnation, hall, beat, state, config):
+    def __init__(self, incarnation, data_centre, beat, state, config):
         self.incarnation = incarnation
-        self.hall = hall
+        self.data_centre = data_centre
         self.beat = beat
         self.state = state
         self.config = config
@@ -742,7 +742,7 @@
         """Return the fields as plain values, in the schema's order."""
         return [
             self.incarnation,
-            self.hall,
+            self.data_centre,
             self.beat,
             self.state,
             self.config,
@@ -1571,7 +1571,7 @@
 
     :ivar address: IP and port
     :ivar group: group
-    :ivar hall: hall
+    :ivar data_centre: where it stands
     :ivar capacity: requests that it runs at once
     :ivar leaving: takes no new work
     """
@@ -1579,16 +1579,16 @@
     __slots__ = (
         "address",
         "group",
-        "hall",
+        "data_centre",
         "capacity",
         "leaving",
     )
     KIND = 0
 
-    def __init__(self, address, group, hall, capacity, leaving):
+    def __init__(self, address, group, data_centre, capacity, leaving):
         self.address = address
         self.group = group
-        self.hall = hall
+        self.data_centre = data_centre
         self.capacity = capacity
         self.leaving = leaving
 
@@ -1597,7 +1597,7 @@
         return [
             self.address,
             self.group,
-            self.hall,
+            self.data_centre,
             self.capacity,
             self.leaving,
         ]
--- a/rowanport/schema/settings.py
+++ b/rowanport/schema/settings.py
@@ -26,13 +26,13 @@
             "IP number that it listens on.",
         ),
         Option(
-            "hall",
+            "data_centre",
             "str",
             None,
             None,
             None,
             "",
-            "Hall of the instance; one of the platform's halls.",
+            "Data centre of the instance; one of the platform's data centres.",
         ),
         Option(
             "cell",
@@ -41,7 +41,7 @@
             None,
             None,
             "",
-            "Cell that shares homes; empty for the hall.",
+            "Cell that shares homes; empty for the data centre.",
         ),
         Option(
             "caller_port",
@@ -109,13 +109,13 @@
             "IP and port of the store and the instance list.",
         ),
         Option(
-            "halls",
+            "data_centres",
             "list",
             None,
             None,
             None,
             "",
-            "Names of all halls, separated by commas.",
+            "Names of all data centres, separated by commas.",
         ),
         Option(
             "call_timeout",
@@ -462,8 +462,8 @@
 
     :ivar name: Name of the instance, for logs.
     :ivar address: IP number that it listens on.
-    :ivar hall: Hall of the instance; one of the platform's halls.
-    :ivar cell: Cell that shares homes; empty for the hall.
+    :ivar data_centre: Data centre of the instance; one of the platform's data centres.
+    :ivar cell: Cell that shares homes; empty for the data centre.
     :ivar caller_port: Port for callers.
     :ivar peer_port: Port for other routers.
     :ivar advertised: IP and port by which other routers reach peer_port; empty if it is address and peer_port.
@@ -475,7 +475,7 @@
     __slots__ = (
         "name",
         "address",
-        "hall",
+        "data_centre",
         "cell",
         "caller_port",
         "peer_port",
@@ -488,7 +488,7 @@
     def __init__(self, values):
         self.name = values["name"]
         self.address = values["address"]
-        self.hall = values["hall"]
+        self.data_centre = values["data_centre"]
         self.cell = values["cell"]
         self.caller_port = values["caller_port"]
         self.peer_port = values["peer_port"]
@@ -502,21 +502,21 @@
     """The platform's key-value service and instance list.
 
     :ivar store: IP and port of the store and the instance list.
-    :ivar halls: Names of all halls, separated by commas.
+    :ivar data_centres: Names of all data centres, separated by commas.
     :ivar call_timeout: Longest wait for one store call.
     :ivar writes_per_second: Store writes that the whole fleet may make.
     """
 
     __slots__ = (
         "store",
-        "halls",
+        "data_centres",
         "call_timeout",
         "writes_per_second",
     )
 
     def __init__(self, values):
         self.store = values["store"]
-        self.halls = values["halls"]
+        self.data_centres = values["data_centres"]
         self.call_timeout = values["call_timeout"]
         self.writes_per_second = values["writes_per_second"]
 
--- a/rowanport/settings.py
+++ b/rowanport/settings.py
@@ -13,6 +13,8 @@
 
 LOG_LEVELS = ("debug", "info", "warning", "error")
 SHORTEST_SECRET = 16
+# Keys of earlier versions, and what they are called now.
+RENAMED = {"hall": "data_centre", "halls": "data_centres"}
 PORTS = ("caller_port", "peer_port", "operator_port")
 
 
@@ -84,7 +86,9 @@
         options = SECTIONS[section]
         names = {option.name for option in options}
         for key in given:
-            if key not in names:
+            if key in RENAMED:
+                self.blame(section, key, f"is {RENAMED[key]} now")
+            elif key not in names:
                 self.blame(section, key, "unknown key")
         for option in options:
             values[option.name] = option.default
@@ -101,9 +105,10 @@
     def check_whole(self, sections):
         """Note mistakes that concern more than one key."""
         router = sections["router"]
-        halls = sections["platform"]["halls"] or []
-        if router["hall"] is not None and router["hall"] not in halls:
-            self.blame("router", "hall", f"{router['hall']!r} is not a hall")
+        data_centres = sections["platform"]["data_centres"] or []
+        own = router["data_centre"]
+        if own is not None and own not in data_centres:
+            self.blame("router", "data_centre", f"{own!r} is no data centre")
         seen = {}
         for key in PORTS:
             port = router[key]
@@ -145,7 +150,7 @@
     if reader.mistakes:
         raise SettingsError("\n".join(reader.mistakes))
     sections["router"]["cell"] = (
-        sections["router"]["cell"] or sections["router"]["hall"]
+        sections["router"]["cell"] or sections["router"]["data_centre"]
     )
     return Settings(sections)
 
@@ -165,10 +170,10 @@
 _EXAMPLES = {
     "name": "r1",
     "address": "127.0.0.1",
-    "hall": "north",
+    "data_centre": "north",
     "secret": "change-me-change-me",
     "store": "127.0.0.1:7000",
-    "halls": "north, south, east",
+    "data_centres": "north, south, east",
 }
 
 
--- a/rowanport/store/__init__.py
+++ b/rowanport/store/__init__.py
@@ -2,8 +2,8 @@
 
 from .directory import Directory
 from .directory import Instance
-from .directory import PlatformDirectory
-from .store import PlatformStore
+from .directory import InstanceDirectory
+from .store import KeyValueStore
 from .store import Store
 from .store import TransactionStore
 from .store import Value
@@ -12,8 +12,8 @@
 __all__ = [
     "Directory",
     "Instance",
-    "PlatformDirectory",
-    "PlatformStore",
+    "InstanceDirectory",
+    "KeyValueStore",
     "Store",
     "TransactionStore",
     "Value",
--- a/rowanport/store/directory.py
+++ b/rowanport/store/directory.py
@@ -18,13 +18,13 @@
     :ivar state: live or leaving
     """
 
-    __slots__ = ("name", "address", "role", "hall", "state")
+    __slots__ = ("name", "address", "role", "data_centre", "state")
 
-    def __init__(self, name, address, role, hall, state):
+    def __init__(self, name, address, role, data_centre, state):
         self.name = name
         self.address = address
         self.role = role
-        self.hall = hall
+        self.data_centre = data_centre
         self.state = state
 
 
@@ -36,7 +36,7 @@
         """Return the list of instances."""
 
 
-class PlatformDirectory(Directory):
+class InstanceDirectory(Directory):
     """The platform's list over HTTP."""
 
     def __init__(self, client, address, instance, timeout):
@@ -63,7 +63,7 @@
                 row["name"],
                 row["address"],
                 row["role"],
-                row["hall"],
+                row["data_centre"],
                 row["state"],
             )
             for row in rows
--- a/rowanport/store/store.py
+++ b/rowanport/store/store.py
@@ -101,8 +101,8 @@
         """
 
 
-class PlatformStore(Store):
-    """The platform's store over HTTP.
+class KeyValueStore(Store):
+    """A key-value store over HTTP, as our stand-in serves it.
 
     :param client: an HttpClient
     :param address: IP and port of the store
--- a/rowanport/ui/__init__.py
+++ b/rowanport/ui/__init__.py
@@ -7,6 +7,7 @@
 from . import budget
 from . import common
 from . import daemons
+from . import explain
 from . import fleet
 from . import organisation
 from . import policy
@@ -29,6 +30,7 @@
 app.command("router")(daemons.run_router)
 app.command("status")(fleet.show_status)
 app.command("audit")(fleet.show_audit)
+app.command("explain")(explain.run_explain)
 
 
 def main():
--- a/rowanport/ui/common.py
+++ b/rowanport/ui/common.py
@@ -16,8 +16,8 @@
 from ..hashing import new_id
 from ..ledger.editor import BudgetEditor
 from ..settings import read_settings
-from ..store import PlatformDirectory
-from ..store import PlatformStore
+from ..store import InstanceDirectory
+from ..store import KeyValueStore
 from ..web import HttpClient
 
 REFUSED = 1
@@ -57,10 +57,10 @@
         self.http = HttpClient()
         platform = self.settings.platform
         name = self.settings.router.name + "-operator"
-        self.store = PlatformStore(
+        self.store = KeyValueStore(
             self.http, platform.store, name, platform.call_timeout
         )
-        self.directory = PlatformDirectory(
+        self.directory = InstanceDirectory(
             self.http, platform.store, name, platform.call_timeout
         )
         who = getpass.getuser()
--- /dev/null
+++ b/rowanport/ui/explain.py
@@ -0,0 +1,73 @@
+"""The command that finds a request's lines in logs."""
+
+import collections
+import json
+import sys
+
+import typer
+
+from ..errors import UserError
+
+# What a router believes, by the event of the line that says so.
+BELIEFS = (
+    "config_in_force",
+    "upstreams_in_force",
+    "budget_store",
+    "budgets_held",
+    "tokens_stranded",
+)
+
+
+class Explanation:
+    """A request's lines, and what its routers believed before each.
+
+    :ivar lines: (line, beliefs by event) pairs in the order of the logs
+    """
+
+    __slots__ = ("lines",)
+
+    def __init__(self):
+        self.lines = []
+
+
+def explain(request, source):
+    """Return the Explanation of a request.
+
+    :param request: its id
+    :param source: lines of logs; what is no JSON object is passed over
+    """
+    beliefs = collections.defaultdict(dict)
+    explanation = Explanation()
+    for text in source:
+        line = _read_line(text)
+        if line is None:
+            continue
+        event = line.get("event")
+        known = beliefs[line.get("instance")]
+        if event in BELIEFS:
+            known[event] = line
+        if line.get("request") == request:
+            explanation.lines.append((line, dict(known)))
+    return explanation
+
+
+def _read_line(text):
+    start = text.find("{")
+    if start < 0:
+        return None
+    try:
+        line = json.loads(text[start:])
+    except ValueError:
+        return None
+    return line if isinstance(line, dict) else None
+
+
+def run_explain(request: str = typer.Argument(..., help="Id of a request.")):
+    """Explain a request from logs on standard input."""
+    explanation = explain(request, sys.stdin)
+    if not explanation.lines:
+        raise UserError(f"no line about {request}")
+    for line, beliefs in explanation.lines:
+        typer.echo(json.dumps(line))
+        for belief in beliefs.values():
+            typer.echo("    believed: " + json.dumps(belief))
--- a/rowanport/ui/fleet.py
+++ b/rowanport/ui/fleet.py
@@ -18,7 +18,7 @@
 
 async def _read_status(peers, instance):
     """Return the status row of one router."""
-    row = {"router": instance.name, "hall": instance.hall}
+    row = {"router": instance.name, "data_centre": instance.data_centre}
     try:
         answer = await peers.call(
             instance.address, StatusAsk(), STATUS_TIMEOUT
--- a/rowanport/ui/upstream.py
+++ b/rowanport/ui/upstream.py
@@ -42,7 +42,7 @@
 def add(
     address: str,
     group: str,
-    hall: str = typer.Option("", help="Hall of the upstream."),
+    data_centre: str = typer.Option("", help="Data centre of the upstream."),
     capacity: int = typer.Option(16, min=1, help="Requests at once."),
     leaving: bool = typer.Option(False, help="Takes no new work."),
     change: str = common.ChangeOption,
@@ -51,7 +51,7 @@
 ):
     """Add or replace an upstream."""
     operator = common.Operator(settings)
-    record = UpstreamRecord(address, group, hall, capacity, leaving)
+    record = UpstreamRecord(address, group, data_centre, capacity, leaving)
     version = common.run(
         operator.config.apply(common.change_id(change), put_upstream(record))
     )
@@ -70,7 +70,7 @@
         {
             "address": record.address,
             "group": record.group,
-            "hall": record.hall,
+            "data_centre": record.data_centre,
             "capacity": record.capacity,
             "leaving": record.leaving,
         }
