Pass large answers on; keep decisions' log lines in one place

Cause: an answer over 1 MB was refused with 502 where the comment said that it is passed on as it comes; the count of sends was never raised. Change: what is held of a large answer goes out, the rest as it comes; log lines and counts of requests and sends are in gateway/decisions.py.

--- a/rowanport/gateway/daemon.py
+++ b/rowanport/gateway/daemon.py
@@ -193,13 +193,6 @@
     def _take_upstreams(self, upstreams):
         self.pool.update(upstreams.upstreams)
 
-    # Counting
-
-    def count_answer(self, outcome, seconds):
-        """Count an answer and the time it took."""
-        self.metrics.answers.inc({"outcome": outcome})
-        self.metrics.request.observe({}, seconds)
-
     # Peers
 
     async def _answer_peer(self, message):
--- /dev/null
+++ b/rowanport/gateway/decisions.py
@@ -0,0 +1,68 @@
+"""One log line and one count for each decision on a request."""
+
+import structlog
+
+LOG = structlog.get_logger(__name__)
+
+
+class DecisionLog:
+    """Logs and counts what became of requests and sends.
+
+    :param metrics: the GatewayMetrics
+    :param clock: a Clock
+    """
+
+    def __init__(self, metrics, clock):
+        self._metrics = metrics
+        self._clock = clock
+
+    def note_send(self, job, state, outcome, error):
+        """Note a send that did not end in an answer.
+
+        :param state: the UpstreamState that it went to
+        """
+        self._metrics.sends.inc({"outcome": outcome})
+        LOG.info(
+            "send",
+            request=job.id,
+            upstream=state.record.id,
+            outcome=outcome,
+            why=str(error),
+            sends=job.sends,
+            runs=job.runs,
+            failures=state.failures,
+        )
+
+    def note_answered(self):
+        """Count a send that ended in an answer; the request's line says it."""
+        self._metrics.sends.inc({"outcome": "answered"})
+
+    def note_end(self, job, outcome, arrived, why="", used=None, revision=0):
+        """Note the end of a request.
+
+        :param job: its Job, or None if it was not admitted
+        :param arrived: steady time of its arrival
+        :param used: tokens settled, None if it draws on no budget
+        :param revision: of the list of upstreams in force
+        """
+        seconds = self._clock.steady() - arrived
+        self._metrics.answers.inc({"outcome": outcome})
+        self._metrics.request.observe({}, seconds)
+        if job is None:
+            return LOG.info("request", outcome=outcome, why=why)
+        LOG.info(
+            "request",
+            request=job.id,
+            outcome=outcome,
+            why=why,
+            route=job.route.name,
+            organisation=job.organisation and job.organisation.name,
+            config=job.config,
+            upstreams=revision,
+            tokens=job.tokens and job.tokens.worst,
+            used=used,
+            sends=job.sends,
+            runs=job.runs,
+            events=job.events,
+            ms=round(seconds * 1000),
+        )
--- a/rowanport/gateway/forwarder.py
+++ b/rowanport/gateway/forwarder.py
@@ -3,18 +3,15 @@
 import asyncio
 import random
 
-import structlog
-
 from ..errors import ANSWERS
 from ..errors import error_body
 from ..errors import ErrorKind
 from ..errors import Outcome
 from ..errors import RequestError
 from ..errors import UpstreamError
+from .decisions import DecisionLog
 from .exchange import NotExecuted
 
-LOG = structlog.get_logger(__name__)
-
 # Rejections of one request after which it is refused.
 REJECTION_LIMIT = 3
 # Failed connections of one request after which it is refused.
@@ -46,6 +43,7 @@
     def __init__(self, gateway):
         self._gateway = gateway
         self._clock = gateway.clock
+        self._log = DecisionLog(gateway.metrics, gateway.clock)
 
     async def handle(self, request, responder):
         """Answer one HttpRequest, whatever becomes of it."""
@@ -57,14 +55,14 @@
             job = gateway.admission.admit(request, gateway.table, arrived)
             async with asyncio.timeout(job.deadline - arrived):
                 await self._serve(job, responder)
-            self._log(job, "done", arrived)
+            self._note_end(job, "done", arrived)
         except RequestError as error:
             await self._send_error(job, request, responder, error, arrived)
         except asyncio.TimeoutError:
             error = _late_error(job)
             await self._send_error(job, request, responder, error, arrived)
         except asyncio.CancelledError:
-            self._log(job, "caller_left", arrived)
+            self._note_end(job, "caller_left", arrived)
             raise
 
     async def _serve(self, job, responder):
@@ -130,13 +128,13 @@
         if error.misdirected:
             state.note_failure(self._clock.steady(), weight=2)
             self._gateway.client.forget(state.record.address)
-        self._log_send(job, state, "not_executed", error)
+        self._log.note_send(job, state, "not_executed", error)
 
     def _note_failure(self, job, state, error):
         job.tried.add(state.record.id)
         weight = 1 if error.started else 2
         state.note_failure(self._clock.steady(), weight)
-        self._log_send(job, state, "failed", error)
+        self._log.note_send(job, state, "failed", error)
 
     def _check_repeat(self, job, responder, error):
         """Raise unless a job that may have run may be sent again."""
@@ -178,6 +176,7 @@
                 unread = 0
                 await self._pass_on_events(job, answer, responder)
             state.note_success()
+            self._log.note_answered()
         finally:
             state.outstanding -= 1
             state.unread -= unread
@@ -208,28 +207,34 @@
     # Answers
 
     async def _pass_on(self, job, answer, responder):
-        """Pass an answer on once it is whole."""
+        """Pass an answer on once it is whole, or too large to hold."""
         if answer.status >= SERVER_ERROR and self._may_repeat(job, responder):
             answer.close()
             raise UpstreamError(f"status {answer.status}")
-        pieces = []
+        if responder.started:
+            raise UpstreamError(f"status {answer.status} instead of events")
+        fields = self._gateway.exchange.answer_fields(answer)
+        held = []
         size = 0
         async for piece in answer.pieces():
-            pieces.append(piece)
+            held.append(piece)
             size += len(piece)
             if size > BUFFER_LIMIT:
-                raise UpstreamError("the answer is too large")
-        body = b"".join(pieces)
-        fields = self._gateway.exchange.answer_fields(answer)
-        fields.append(("content-length", str(size)))
-        if responder.started:
-            raise UpstreamError(f"status {answer.status} instead of events")
+                await self._pass_piece(answer, fields, held, responder)
+        if not responder.started:
+            fields.append(("content-length", str(size)))
         job.whole = True
-        await responder.start(answer.status, fields)
-        if body:
-            await responder.write(body)
+        await self._pass_piece(answer, fields, held, responder)
         await responder.finish()
 
+    async def _pass_piece(self, answer, fields, held, responder):
+        """Send what is held of an answer, its head first."""
+        if not responder.started:
+            await responder.start(answer.status, fields)
+        if held:
+            await responder.write(b"".join(held))
+            held.clear()
+
     def _may_repeat(self, job, responder):
         route = job.route
         return (
@@ -265,7 +270,7 @@
         return left
 
     async def _send_error(self, job, request, responder, error, arrived):
-        self._log(job, error.kind.value, arrived, error.detail)
+        self._note_end(job, error.kind.value, arrived, error.detail)
         if responder.started:
             # Closing it in the middle is all that is left, so that it
             # cannot look whole.
@@ -290,41 +295,10 @@
             seconds = max(seconds, left)
         return seconds + random.uniform(0, RETRY_SPREAD)
 
-    # Log lines
-
-    def _log_send(self, job, state, outcome, error):
-        LOG.info(
-            "send",
-            request=job.id,
-            upstream=state.record.id,
-            outcome=outcome,
-            why=str(error),
-            sends=job.sends,
-            runs=job.runs,
-            failures=state.failures,
-        )
-
-    def _log(self, job, outcome, arrived, detail=""):
-        now = self._clock.steady()
-        self._gateway.count_answer(outcome, now - arrived)
-        if job is None:
-            return LOG.info("request", outcome=outcome, why=detail)
-        LOG.info(
-            "request",
-            request=job.id,
-            outcome=outcome,
-            why=detail,
-            route=job.route.name,
-            organisation=job.organisation and job.organisation.name,
-            config=job.config,
-            upstreams=self._gateway.upstreams.revision,
-            tokens=job.tokens and job.tokens.worst,
-            used=self._used(job) if job.budget else None,
-            sends=job.sends,
-            runs=job.runs,
-            events=job.events,
-            ms=round((now - arrived) * 1000),
-        )
+    def _note_end(self, job, outcome, arrived, why=""):
+        used = self._used(job) if job and job.budget else None
+        revision = self._gateway.upstreams.revision
+        self._log.note_end(job, outcome, arrived, why, used, revision)
 
 
 def _late_error(job):
--- a/test/platform_world.py
+++ b/test/platform_world.py
@@ -25,6 +25,8 @@
 KEY = "key-of-org"
 ORGANISATION = "org"
 ID_HEADER = "x-rowanport-request-id"
+# More than a gateway holds back of an answer.
+LARGE = bytes(range(256)) * 12000
 STAMP_HEADER = "x-rowanport-server-stamp"
 
 
@@ -339,6 +341,10 @@
         await self._do_ok(connection, writer, names, body)
         writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nmore")
 
+    async def _do_large(self, connection, writer, names, body):
+        self.heads.append(names)
+        self._send(connection, writer, 200, self._head(names), LARGE)
+
     async def _do_unsigned(self, connection, writer, names, body):
         self.heads.append(names)
         head = [(ID_HEADER, names[ID_HEADER])]
--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -7,6 +7,7 @@
 from test.platform_world import config
 from test.platform_world import ID_HEADER
 from test.platform_world import KEY
+from test.platform_world import LARGE
 from test.platform_world import Platform
 from test.platform_world import STAMP_HEADER
 
@@ -179,6 +180,15 @@
         assert await answer.read() == f"body of r{number} question".encode()
 
 
+@scenario
+async def test_a_large_answer_is_passed_on_as_it_comes(platform):
+    for upstream in platform.upstreams:
+        upstream.script = ["large"]
+    answer = await platform.ask("/once/")
+    assert answer.status == 200
+    assert await answer.read() == LARGE
+
+
 @scenario
 async def test_a_route_is_answered_at_its_time_out(platform):
     for upstream in platform.upstreams:
