Let no unreadable entry stop a loop

Cause: an entry of the directory, a record or an answer of the store that cannot be read ended the loop that met it for good (found by reading). Change: such an entry is logged and passed over, a malformed answer is an unavailable store, settings that cannot be read at a reload are logged.

--- a/rowanport/platform/__main__.py
+++ b/rowanport/platform/__main__.py
@@ -6,6 +6,8 @@
 import signal
 import sys
 
+import structlog
+
 from .. import logs
 from ..errors import SettingsError
 from ..gateway import Gateway
@@ -19,6 +21,8 @@
 from .store import PlatformStore
 from .words import DIALECT
 
+LOG = structlog.get_logger(__name__)
+
 # Longest wait in seconds for a connection to the store.
 STORE_CONNECT_TIMEOUT = 0.5
 
@@ -43,7 +47,12 @@
     gateway = build(settings)
 
     def reload():
-        gateway.reload(read_settings(os.environ).gateway)
+        try:
+            changed = read_settings(os.environ)
+        except SettingsError as error:
+            LOG.error("settings_unread", error=str(error))
+            return
+        gateway.reload(changed.gateway)
 
     loop.add_signal_handler(signal.SIGHUP, reload)
     await gateway.start()
--- a/rowanport/platform/sources.py
+++ b/rowanport/platform/sources.py
@@ -139,7 +139,7 @@
             name = item.key.removeprefix(self.prefix)
             if item.data is not None:
                 self._missing.pop(name, None)
-                upstreams[name] = _decode(name, item.data)
+                self._take(name, item.data, upstreams)
             elif name in upstreams:
                 self._miss(name, upstreams.pop(name))
         for name, upstream in self._missing.items():
@@ -147,6 +147,13 @@
         if upstreams != known:
             self._hand_on(views, upstreams, listing.revision)
 
+    def _take(self, name, data, upstreams):
+        try:
+            upstreams[name] = _decode(name, data)
+        except (ValueError, KeyError, TypeError) as error:
+            # An entry that cannot be read says nothing new of its upstream.
+            LOG.error("upstream_unreadable", upstream=name, error=repr(error))
+
     def _hand_on(self, views, upstreams, revision):
         revision = max(revision, views.upstreams.revision + 1)
         views.take_upstreams(
--- a/rowanport/platform/store.py
+++ b/rowanport/platform/store.py
@@ -85,7 +85,7 @@
         status, answer = await self._call("GET", "/kv-key", query)
         if status == 404:
             return Listing([], answer.get("at", 0))
-        return Listing([Item(answer)], answer["at"])
+        return _listing(answer, [answer])
 
     async def get_value(self, key):
         listing = await self.get(key)
@@ -106,10 +106,11 @@
             query["stale"] = 1
         while True:
             _status, answer = await self._call("GET", "/kv-range", query)
-            items += map(Item, answer["items"])
+            page = _listing(answer, answer.get("items"))
+            items += page.items
             if revision is None:
-                revision = answer["at"]
-            if not answer["more"]:
+                revision = page.revision
+            if not answer.get("more"):
                 return Listing(items, revision)
             query["start_after_rev"] = items[-1].key
 
@@ -129,8 +130,7 @@
         )
         if status == 410:
             raise HistoryLost(prefix)
-        items = [Item(row) for row in answer["events"]]
-        return Listing(items, answer["at"])
+        return _listing(answer, answer.get("events"))
 
     async def commit(self, writes):
         expected = [
@@ -204,6 +204,14 @@
             raise StoreUnavailable("the answer is not JSON") from None
 
 
+def _listing(answer, rows):
+    """Return the Listing in an answer; raise StoreUnavailable if unfit."""
+    try:
+        return Listing([Item(row) for row in rows], answer["at"])
+    except (KeyError, TypeError, ValueError) as error:
+        raise StoreUnavailable(f"malformed answer: {error!r}") from None
+
+
 def _put(key, data, lease):
     value = base64.b64encode(data).decode()
     return {"private_key": key, "value": value, "lease": lease}
--- a/rowanport/prepaid/drawer.py
+++ b/rowanport/prepaid/drawer.py
@@ -253,7 +253,11 @@
 
     def _own_record(self):
         value = self._values.get(self._key)
-        return HolderRecord.unpack(value.data if value else b"")
+        try:
+            return HolderRecord.unpack(value.data if value else b"")
+        except MessageError as error:
+            LOG.error("holder_unreadable", key=self._key, error=str(error))
+            return HolderRecord()
 
     # Recovery of what an earlier run of this router held
 
--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -369,6 +369,18 @@
     assert one.heads == [] and len(two.heads) == 6
 
 
+@scenario
+async def test_an_entry_that_cannot_be_read_stops_nothing(platform):
+    await platform.store.put("servers/bad", b"not json")
+    await platform.store.put("servers/worse", {"service": "feed"})
+    await platform.store.put("servers/three", platform.upstreams[0].entry())
+    await platform.wait(
+        lambda: "three" in platform.gateway.upstreams.upstreams
+    )
+    assert "bad" not in platform.gateway.upstreams.upstreams
+    assert (await platform.ask("/safe/")).status == 200
+
+
 @scenario
 async def test_a_removed_upstream_is_gone_at_once(platform):
     await platform.store.remove("servers/one")
--- a/test/test_prepaid.py
+++ b/test/test_prepaid.py
@@ -29,6 +29,7 @@
 from rowanport.prepaid.allowance import process_ended_in_time
 from rowanport.prepaid.drawer import Drawer
 from rowanport.prepaid.lender import Lender
+from rowanport.store import Value
 
 ADDRESSES = [f"10.0.0.{number}:1" for number in range(1, 5)]
 STEPS = 25
@@ -371,6 +372,19 @@
     assert allowances.room(account, HOLD_SECONDS + 1.5) is None
 
 
+def test_a_record_of_its_own_that_cannot_be_read_stops_no_router():
+    world = make_world()
+    key = drawer.HOLDER_PREFIX + ADDRESSES[0]
+    world.kill(ADDRESSES[0], 0.5)
+    world.revision += 1
+    world.values[key] = (Value(b"\xc1", world.revision), None)
+    world.advance(3.0)
+    account = world.routers[ADDRESSES[0]].keeper.accounts[BUDGET]
+    assert account.inflow > 0
+    world.check()
+    world.close()
+
+
 def test_a_killed_process_is_proved_by_one_steady_clock():
     record = HolderRecord("run", 1, made_at=50.0, wall=1000.0)
     assert process_ended_in_time(record, 51.0, 1001.0)
