--- a/rowanport/tasks.py
+++ b/rowanport/tasks.py
@@ -11,7 +11,8 @@
     """Keeps tasks alive until they end, and logs those that fail."""
 
     def __init__(self):
-        self._tasks = set()
+        # A dict keeps the order of their start: runs on given time repeat.
+        self._tasks = {}
 
     def __len__(self):
         return len(self._tasks)
@@ -22,7 +23,7 @@
     def spawn(self, coroutine):
         """Start a coroutine and return its task."""
         task = asyncio.ensure_future(coroutine)
-        self._tasks.add(task)
+        self._tasks[task] = True
         task.add_done_callback(self._finish)
         return task
 
@@ -32,6 +33,6 @@
             task.cancel()
 
     def _finish(self, task):
-        self._tasks.discard(task)
+        self._tasks.pop(task, None)
         if not task.cancelled() and task.exception() is not None:
             LOG.error("task_failed", exc_info=task.exception())
