Pass every stream on event by event; ask seeds less often

Change: the answer decides whether it is a stream; seeds are asked each 0.1 s. Measured: test_a_stream_without_tokens_comes_event_by_event_too failed first; it passes with the rest of test_platform (49).

--- a/rowanport/gateway/daemon.py
+++ b/rowanport/gateway/daemon.py
@@ -50,6 +50,8 @@
     "list_interval": 10.0,
 }
 READY_POLL = 0.02
+# Seconds between two rounds of questions to seeds at the start.
+SEED_PAUSE = 0.1
 STOP_POLL = 0.05
 # Seconds after the signal to stop during which callers may still open
 # connections: the balancer needs two missed checks, one a second; also
@@ -232,7 +234,7 @@
             for address in self.settings.seeds:
                 if address != self.settings.peers:
                     await self._views.ask(address)
-            await asyncio.sleep(READY_POLL)
+            await asyncio.sleep(SEED_PAUSE)
 
     @property
     def _known(self):
--- a/rowanport/gateway/forwarder.py
+++ b/rowanport/gateway/forwarder.py
@@ -169,12 +169,12 @@
         state.unread += unread
         try:
             answer = await self._exchange(job, state)
-            if job.tokens is None or not _is_stream(answer):
-                await self._pass_on(job, answer, responder)
-            else:
+            if _is_stream(answer):
                 state.unread -= unread
                 unread = 0
                 await self._pass_on_events(job, answer, responder)
+            else:
+                await self._pass_on(job, answer, responder)
             state.note_success()
             self._log.note_answered()
         finally:
--- a/test/platform_world.py
+++ b/test/platform_world.py
@@ -270,7 +270,8 @@
 
     async def _do_ok(self, connection, writer, names, body):
         self.heads.append(names)
-        if "x-rowanport-token-count" in names:
+        streamed = "x-rowanport-token-count" in names or "accept" in names
+        if streamed:
             return await self._stream(connection, writer, names, self.events)
         data = b"body of " + names[ID_HEADER].encode() + b" " + body
         self._send(connection, writer, 200, self._head(names), data)
--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -254,6 +254,16 @@
     assert platform.runs[0]["priority"] == "1"
 
 
+@scenario
+async def test_a_stream_without_tokens_comes_event_by_event_too(platform):
+    for upstream in platform.upstreams:
+        upstream.pause = 0.3
+    answer = await platform.ask("/stream/", "s1", accept="text/event-stream")
+    async for piece in answer.pieces():
+        assert piece == events("s1", [1])
+        break
+
+
 @pytest.mark.parametrize("fault", ("break", "tear"))
 def test_a_broken_stream_goes_on_elsewhere(fault):
     async def run():
