Take an answer's time of creation from the engine's run

Cause: a whole chat completion told the arrival of this try, by the steady clock, as its time of creation. Ruled out: load; the test failed at once with 1.1 s between the two tries. Before: test_a_second_try_of_a_chat_bulletin_gets_the_same_answer red at each run with the pause; after: test_router and test_upstreams green but for the two known red. Conclusion: the engine says when it took the run, the same for each try.

--- a/rowanport/router/chat.py
+++ b/rowanport/router/chat.py
@@ -206,7 +206,7 @@
     return {
         "id": stream.run,
         "object": "chat.completion",
-        "created": int(job.arrived),
+        "created": stream.created,
         "model": job.decision.group,
         "choices": [
             {
--- a/rowanport/standins/engine.py
+++ b/rowanport/standins/engine.py
@@ -45,6 +45,7 @@
         self.limit = limit
         self.priority = priority
         self.budget = budget
+        self.created = int(time.time())
         self.words = []
         self.finish = None
         self.prefill_until = 0.0
@@ -221,7 +222,7 @@
         chunk = {
             "id": run.number,
             "object": "chat.completion.chunk",
-            "created": 0,
+            "created": run.created,
             "model": "standin",
             "choices": [{"index": 0, "delta": delta, "finish_reason": finish}],
         }
--- a/rowanport/upstreams/engine.py
+++ b/rowanport/upstreams/engine.py
@@ -53,15 +53,30 @@
     def usage(self):
         return self.value.get("usage")
 
+    @property
+    def created(self):
+        created = self.value.get("created", 0)
+        if isinstance(created, bool) or not isinstance(created, int):
+            raise UpstreamError("the answer's time of creation is malformed")
+        return created
+
 
 class EngineStream:
-    """An answer as it arrives, checked to be that of its own request."""
+    """An answer as it arrives, checked to be that of its own request.
+
+    :ivar run: run id as the engine names it, empty before the first event
+    :ivar created: when the engine took the run, in Unix seconds; the same
+        for each stream of one run, so that a second try gets equal answers
+    :ivar usage: the Usage, None before the last event
+    :ivar leaving: whether the engine said that it leaves
+    """
 
     def __init__(self, answer, request, address):
         self._answer = answer
         self._request = request
         self._address = address
         self.run = ""
+        self.created = 0
         self.usage = None
         self.leaving = LEAVING_HEADER in answer.headers
 
@@ -90,6 +105,7 @@
         if self.run and run != self.run:
             raise UpstreamError("the answer changed its run")
         self.run = run
+        self.created = chunk.created
         if chunk.usage:
             self.usage = _read_usage(run, chunk.usage, chunk.finish)
         return chunk
--- a/test/test_router.py
+++ b/test/test_router.py
@@ -4,6 +4,7 @@
 import json
 import signal
 import socket
+import time
 
 import openai
 import pytest
@@ -207,9 +208,12 @@
         "rowanport_repeatable": "no",
     }
     first = site.chat(router=0, **headers)
+    # The time of creation, in whole seconds, is that of the run.
+    site.run(asyncio.sleep(1.1))
     second = site.chat(router=1, **headers)
     assert first[0] == second[0] == 200
     assert first[2] == second[2]
+    assert abs(json.loads(first[2])["created"] - time.time()) < 3600
     other = site.chat(router=2, tokens=9, **headers)
     check_refusal(other, 422, "key_reused")
 
--- a/test/test_upstreams.py
+++ b/test/test_upstreams.py
@@ -118,6 +118,12 @@
     check_stranger([*words, "last"], place + 1, run)
 
 
+def test_an_answer_without_a_whole_time_of_creation_is_not_passed_on():
+    value = {"id": f"{REQUEST}.boot.0", "created": "yesterday"}
+    words, whole = read([b"data: " + json.dumps(value).encode() + b"\n\n"])
+    assert (words, whole) == ([], False)
+
+
 # Broken variants: each must be found
 
 
