Tell peers of long prompts; leave an engine only when late there

Cause: a router saw its own requests only. Change: a note to peers for each prompt of 2,000 unread tokens and more, a backlog an engine that shrinks at its measured rate, a map of what is cached where. A prompt stays where it is cached while it is in time there. Ruled out: refusals (most late ones had been sent at once). Also in the line of a request: first_ms, pause_ms, upstream, backlog; a histogram of first events.

--- /dev/null
+++ b/rowanport/gateway/backlog.py
@@ -0,0 +1,56 @@
+"""What an engine still has to read, as one router estimates it."""
+
+# Prompt tokens that an engine reads a second before any was measured: 50.7 a
+# millisecond by the users' sheets.
+DEFAULT_RATE = 50000.0
+# Bounds of a measured rate as multiples of the default: slow upstreams are
+# three to five times slower on the users' days, and a cached prompt seems to
+# be read faster than any engine reads.
+LEAST_RATE = DEFAULT_RATE / 8
+MOST_RATE = DEFAULT_RATE * 1.5
+# Weight of a new measurement of the rate.
+SMOOTHING = 0.3
+# Smaller sends are no measure of the rate: a step of the engine takes longer.
+MEASURED_LEAST = 2000
+
+
+class Backlog:
+    """Prompt tokens that an engine has not read yet.
+
+    It grows by each send that is known of, this router's and its peers', and
+    shrinks at the rate at which the engine was seen to read.
+    """
+
+    __slots__ = ("_tokens", "_at", "_rate")
+
+    def __init__(self):
+        self._tokens = 0.0
+        self._at = 0.0
+        self._rate = DEFAULT_RATE
+
+    @property
+    def rate(self):
+        """Return the prompt tokens that the engine reads a second."""
+        return self._rate
+
+    def tokens(self, now):
+        """Return the prompt tokens still to be read at a steady time."""
+        read = self._rate * max(0.0, now - self._at)
+        return max(0.0, self._tokens - read)
+
+    def add(self, tokens, now):
+        """Count a send; return what is still to be read with it."""
+        self._tokens = self.tokens(now) + tokens
+        self._at = now
+        return self._tokens
+
+    def measure(self, tokens, seconds):
+        """Learn from a send whose first event came.
+
+        :param tokens: what was to be read with it, as :meth:`add` returned
+        :param seconds: from the send to its first event
+        """
+        if tokens < MEASURED_LEAST or seconds <= 0:
+            return
+        rate = min(MOST_RATE, max(LEAST_RATE, tokens / seconds))
+        self._rate += SMOOTHING * (rate - self._rate)
--- a/rowanport/gateway/choice.py
+++ b/rowanport/gateway/choice.py
@@ -1,25 +1,30 @@
 """Which upstream a request goes to.
 
-Engines: rendezvous hashing by the shared part of the prompt, so that it is
-found in their cache, with a bound on the tokens that still have to be read.
-Plain services: the least busy one, of the own data centre first.
+Engines: where its shared prompt is cached, as long as it is in time there;
+else where its first event should come first.  Plain services: the least busy
+one, of the own data centre first.
 """
 
 import abc
 
 from ..hashing import rendezvous
+from .backlog import Backlog
 
 # Failures in a row after which an upstream is left out, and for how long in
 # seconds; a failed connection counts as that many.
 EJECT_AFTER = 2
 EJECT_SECONDS = 2.0
-# Load above the mean, as a factor and in prompt tokens, at which a request
-# goes to the next upstream in its order: 20,000 tokens are 0.4 s of reading
-# for an engine, half of the shortest objective.
-LOAD_FACTOR = 1.25
-LOAD_SLACK = 20000
-# What one running request weighs beside tokens to be read.
-RUNNING_WEIGHT = 500
+# Part of the objective within which an engine counts as in time: the rest is
+# for the way, and for prompts that are not known of.
+IN_TIME_SHARE = 0.7
+# Seconds by which waits have to differ to matter: an eighth of the shortest
+# objective.  Among alike ones all routers prefer the same engine.
+ALIKE_SECONDS = 0.075
+# Seconds that one running request adds to the wait: 500 prompt tokens' time.
+RUNNING_SECONDS = 0.01
+# Part of a shared prompt that the first engine in its order is taken to have
+# cached when nobody is known to have it, as after a restart of all routers.
+PRESUMED_SHARE = 0.5
 # Shared prompt tokens below which reading them again costs less than the
 # bytes between data centres: 1,000 are read in 20 ms.
 SHARED_LEAST = 1000
@@ -31,35 +36,36 @@
     """An upstream as this router sees it.
 
     :ivar outstanding: requests of this router that run there
-    :ivar unread: prompt tokens of those without a first event yet
+    :ivar backlog: what it has still to read, a Backlog
     """
 
     __slots__ = (
         "record",
         "outstanding",
-        "unread",
+        "backlog",
         "failures",
         "ejected_until",
-        "served",
     )
 
     def __init__(self, record):
         self.record = record
         self.outstanding = 0
-        self.unread = 0
+        self.backlog = Backlog()
         self.failures = 0
         self.ejected_until = 0.0
-        self.served = 0
 
-    @property
-    def load(self):
-        """Return its load in prompt tokens."""
-        return self.unread + RUNNING_WEIGHT * self.outstanding
+    def wait(self, unread, now):
+        """Return the seconds to the first event of one more request.
+
+        :param unread: prompt tokens of it that are not cached there
+        """
+        tokens = self.backlog.tokens(now) + unread
+        running = RUNNING_SECONDS * self.outstanding
+        return tokens / self.backlog.rate + running
 
     def note_success(self):
         """Note that it answered a request."""
         self.failures = 0
-        self.served += 1
 
     def note_failure(self, now, weight=1):
         """Note that it failed; leave it out for a while if it goes on."""
@@ -73,38 +79,86 @@
     """Chooses among upstreams of one service."""
 
     @abc.abstractmethod
-    def choose(self, candidates, key, shared):
+    def choose(self, candidates, job, now):
         """Return one of some UpstreamStates, at least one.
 
-        :param key: what the request should be near, or ""
-        :param shared: prompt tokens that it shares with others
+        :param job: the Job that goes there
+        :param now: steady time
         """
 
 
 class PrefixChoice(Choice):
-    """For engines: keep equal prompts together while loads allow.
+    """For engines: keep equal prompts together while they are in time.
 
     Prompts that share little go to engines of the own data centre.
+
+    :param data_centre: the own one
+    :param prefixes: the PrefixMap
     """
 
-    def __init__(self, data_centre):
+    def __init__(self, data_centre, prefixes):
         self._data_centre = data_centre
+        self._prefixes = prefixes
+
+    def choose(self, candidates, job, now):
+        if job.shared < SHARED_LEAST:
+            near = self._in_time(self._near(candidates), job, now)
+            return self._soonest(near or candidates, job, now)
+        cached = self._cached(candidates, job, now)
+        # Where none is in time, reading a prompt again helps nobody.
+        fit = (
+            self._in_time(cached, job, now)
+            or self._in_time(candidates, job, now)
+            or cached
+            or candidates
+        )
+        return self._soonest(fit, job, now)
+
+    def unread(self, state, job, now):
+        """Return the prompt tokens that an engine has to read of a job."""
+        if state.record.id in self._prefixes.engines(job.prefix, now):
+            return job.tokens.prompt - job.shared
+        return job.tokens.prompt
+
+    def _near(self, candidates):
+        return [
+            state
+            for state in candidates
+            if state.record.data_centre == self._data_centre
+        ]
+
+    def _cached(self, candidates, job, now):
+        engines = self._prefixes.engines(job.prefix, now)
+        return [state for state in candidates if state.record.id in engines]
 
-    def choose(self, candidates, key, shared):
-        if shared < SHARED_LEAST:
-            near = [
-                state
-                for state in candidates
-                if state.record.data_centre == self._data_centre
-            ]
-            candidates = near or candidates
+    def _in_time(self, candidates, job, now):
+        limit = IN_TIME_SHARE * job.route.objective
+        return [
+            state
+            for state in candidates
+            if state.wait(self.unread(state, job, now), now) <= limit
+        ]
+
+    def _soonest(self, candidates, job, now):
+        """Return whose first event comes first, by one order if alike."""
         by_id = {state.record.id: state for state in candidates}
-        mean = sum(state.load for state in candidates) / len(candidates)
-        bound = LOAD_FACTOR * mean + LOAD_SLACK
-        for name in rendezvous(key, by_id):
-            if by_id[name].load <= bound:
-                return by_id[name]
-        return min(candidates, key=lambda state: state.load)
+        order = rendezvous(job.affinity or job.id, by_id)
+        presumed = self._presumed(order[0], job, now)
+
+        def weight(rank):
+            state = by_id[order[rank]]
+            unread = self.unread(state, job, now)
+            if rank == 0:
+                unread -= presumed
+            return int(state.wait(unread, now) / ALIKE_SECONDS), rank
+
+        return by_id[order[min(range(len(order)), key=weight)]]
+
+    def _presumed(self, first, job, now):
+        """Return the tokens that the first engine may have cached unheard."""
+        if self._prefixes.engines(job.prefix, now):
+            return 0
+        return int(PRESUMED_SHARE * job.shared)
 
 
 class NearestChoice(Choice):
@@ -113,8 +167,9 @@
     def __init__(self, data_centre):
         self._data_centre = data_centre
 
-    def choose(self, candidates, key, shared):
-        order = rendezvous(key, [state.record.id for state in candidates])
+    def choose(self, candidates, job, now):
+        ids = [state.record.id for state in candidates]
+        order = rendezvous(job.affinity or job.id, ids)
         rank = {name: index for index, name in enumerate(order)}
 
         def weight(state):
@@ -143,6 +198,10 @@
             states[name] = state
         self._states = states
 
+    def get(self, name):
+        """Return the UpstreamState of an upstream's id, or None."""
+        return self._states.get(name)
+
     def candidates(self, service, avoid, now):
         """Return the UpstreamStates that a request may go to.
 
--- a/rowanport/gateway/daemon.py
+++ b/rowanport/gateway/daemon.py
@@ -29,7 +29,9 @@
 from .forwarder import Forwarder
 from .health import HealthFront
 from .job import Admission
+from .loads import LoadNotes
 from .metrics import GatewayMetrics
+from .prefixes import PrefixMap
 from .retries import RetryWindow
 from .settings import split_address
 from .views import Views
@@ -131,8 +133,12 @@
         self.pool = UpstreamPool()
         self.admission = Admission(self.dialect)
         self.forwarder = Forwarder(self)
-        self._prefix_choice = PrefixChoice(settings.data_centre)
+        prefixes = PrefixMap()
+        self._prefix_choice = PrefixChoice(settings.data_centre, prefixes)
         self._nearest_choice = NearestChoice(settings.data_centre)
+        self.loads = LoadNotes(
+            self.pool, prefixes, self._peers, self.members, self.clock
+        )
         self._limits = HttpLimits()
         self._server = HttpServer(
             self.forwarder.handle, self._refuse, self._limits
@@ -160,6 +166,10 @@
         """Return the Choice for engines or for plain services."""
         return self._prefix_choice if engine else self._nearest_choice
 
+    def unread(self, state, job, now):
+        """Return the prompt tokens that an engine has to read of a job."""
+        return self._prefix_choice.unread(state, job, now)
+
     def retries(self, service):
         """Return the RetryWindow of a service."""
         window = self._retries.get(service)
@@ -202,6 +212,8 @@
             return self.members.receive(message)
         if isinstance(message, messages.ViewAsk):
             return self._views.handle(message)
+        if isinstance(message, messages.LoadNote):
+            return self.loads.take(message)
         return self.budgets.handle(message)
 
     # Callers
--- a/rowanport/gateway/decisions.py
+++ b/rowanport/gateway/decisions.py
@@ -63,6 +63,18 @@
             used=used,
             sends=job.sends,
             runs=job.runs,
+            upstream=job.upstream,
+            backlog=job.backlog,
             events=job.events,
+            first_ms=self._first_ms(job),
+            pause_ms=round(job.longest_pause * 1000),
             ms=round(seconds * 1000),
         )
+
+    def _first_ms(self, job):
+        """Return the milliseconds to the first event, or None."""
+        if job.first_event_at is None:
+            return None
+        seconds = job.first_event_at - job.arrived
+        self._metrics.first_event.observe({}, seconds)
+        return round(seconds * 1000)
--- a/rowanport/gateway/forwarder.py
+++ b/rowanport/gateway/forwarder.py
@@ -120,8 +120,10 @@
         if not candidates:
             raise self._give_up(job, UpstreamError("no upstream is left"))
         choice = gateway.choice(job.tokens is not None)
-        key = job.affinity or job.id
-        return choice.choose(candidates, key, job.shared)
+        state = choice.choose(candidates, job, now)
+        job.upstream = state.record.id
+        job.backlog = round(state.backlog.tokens(now))
+        return state
 
     def _note_rejection(self, job, state, error):
         job.tried.add(state.record.id)
@@ -165,13 +167,12 @@
     async def _send(self, job, state, responder):
         """Send a job to one upstream and pass its answer on."""
         state.outstanding += 1
-        unread = job.tokens.prompt if job.tokens else 0
-        state.unread += unread
+        ahead = self._note_load(job, state)
+        sent_at = self._clock.steady()
         try:
             answer = await self._exchange(job, state)
             if _is_stream(answer):
-                state.unread -= unread
-                unread = 0
+                state.backlog.measure(ahead, self._clock.steady() - sent_at)
                 await self._pass_on_events(job, answer, responder)
             else:
                 await self._pass_on(job, answer, responder)
@@ -179,7 +180,14 @@
             self._log.note_answered()
         finally:
             state.outstanding -= 1
-            state.unread -= unread
+
+    def _note_load(self, job, state):
+        """Count a job's prompt; return what the engine has to read with it."""
+        if job.tokens is None:
+            return 0
+        gateway = self._gateway
+        unread = gateway.unread(state, job, self._clock.steady())
+        return gateway.loads.note_send(state, job.prefix, unread)
 
     async def _exchange(self, job, state):
         """Return the answer's head; count whether the job may have run."""
@@ -255,8 +263,7 @@
                 event for event in splitter.feed(piece) if _is_next(job, event)
             ]
             if events:
-                job.events += len(events)
-                job.last_event = events[-1].id
+                job.note_events(events, self._clock.steady())
                 await responder.write(b"".join(e.data for e in events))
         if splitter.torn:
             raise UpstreamError("the stream ended within an event")
--- a/rowanport/gateway/job.py
+++ b/rowanport/gateway/job.py
@@ -2,6 +2,7 @@
 
 from ..errors import ErrorKind
 from ..errors import RequestError
+from ..hashing import hash_of
 
 
 class Tokens:
@@ -33,14 +34,21 @@
     :ivar organisation: the Organisation, or None on a public route
     :ivar tokens: its Tokens, or None if it uses none
     :ivar affinity: what it should be near, "" for nothing
+    :ivar prefix: hash of that, for routers to tell each other
     :ivar shared: prompt tokens that it shares with others
     :ivar deadline: steady time at which the caller has its answer or none
     :ivar caller_deadline: steady time until which the caller waits
     :ivar tried: ids of upstreams that are not tried again
     :ivar sends: upstreams that it was sent to, rejections included
     :ivar runs: sends that may have been run
+    :ivar upstream: id of the upstream that it was last sent to, or None
+    :ivar backlog: prompt tokens that it had still to read when it was
+        chosen, None before the first choice
     :ivar last_event: number of the last event passed on, or None
     :ivar events: events passed on
+    :ivar first_event_at: steady time of the first event, or None
+    :ivar last_event_at: steady time of the last event, or None
+    :ivar longest_pause: longest time in seconds between two events
     :ivar whole: whether the answer was passed on whole
     """
 
@@ -52,6 +60,7 @@
         "organisation",
         "tokens",
         "affinity",
+        "prefix",
         "shared",
         "arrived",
         "deadline",
@@ -59,8 +68,13 @@
         "tried",
         "sends",
         "runs",
+        "upstream",
+        "backlog",
         "last_event",
         "events",
+        "first_event_at",
+        "last_event_at",
+        "longest_pause",
         "whole",
         "config",
     )
@@ -74,14 +88,20 @@
         self.organisation = None
         self.tokens = None
         self.affinity = ""
+        self.prefix = 0
         self.shared = 0
         self.deadline = arrived + route.timeout
         self.caller_deadline = self.deadline
         self.tried = set()
         self.sends = 0
         self.runs = 0
+        self.upstream = None
+        self.backlog = None
         self.last_event = None
         self.events = 0
+        self.first_event_at = None
+        self.last_event_at = None
+        self.longest_pause = 0.0
         self.whole = False
         self.config = 0
 
@@ -100,6 +120,17 @@
         own = self.organisation and self.organisation.priority
         return self.route.priority if own is None else own
 
+    def note_events(self, events, now):
+        """Count some Events that are about to be passed on."""
+        if self.first_event_at is None:
+            self.first_event_at = now
+        else:
+            pause = now - self.last_event_at
+            self.longest_pause = max(self.longest_pause, pause)
+        self.last_event_at = now
+        self.last_event = events[-1].id
+        self.events += len(events)
+
 
 class Admission:
     """Turns requests into Jobs by the configuration in force.
@@ -161,6 +192,7 @@
         # The last part is the request's own; what comes before is shared.
         shared = parts[:-1] or parts
         job.affinity = ",".join(name for name, _, _ in shared)
+        job.prefix = hash_of(job.affinity)
         job.shared = sum(_read_number(tokens) for _, _, tokens in shared)
 
 
--- a/rowanport/gateway/metrics.py
+++ b/rowanport/gateway/metrics.py
@@ -13,6 +13,9 @@
         self.request = self._histogram(
             "request_seconds", "Time to the end of an answer"
         )
+        self.first_event = self._histogram(
+            "first_event_seconds", "Time to the first event of a stream"
+        )
         self.tokens_held = self._gauge("tokens_held", "Tokens by budget")
         self.logs_dropped = self._gauge("logs_dropped", "Log lines dropped")
         self.config_version = self._gauge("config_version", "Version")
--- a/rowanport/hashing.py
+++ b/rowanport/hashing.py
@@ -15,19 +15,24 @@
     """
 
     def weight(name):
-        return xxhash.xxh3_64_intdigest(f"{key}\0{name}".encode())
+        return hash_of(f"{key}\0{name}")
 
     return sorted(names, key=weight, reverse=True)
 
 
+def hash_of(key):
+    """Return a number of 64 bits that only the key decides."""
+    return xxhash.xxh3_64_intdigest(key.encode())
+
+
 def fraction(key):
     """Return a number from 0 up to 1 that only the key decides."""
-    return xxhash.xxh3_64_intdigest(key.encode()) / 2**64
+    return hash_of(key) / 2**64
 
 
 def shard_of(key, shards):
     """Return the shard number of a key, of ``shards`` in all."""
-    return xxhash.xxh3_64_intdigest(key.encode()) % shards
+    return hash_of(key) % shards
 
 
 def request_id(organisation, key):
--- a/rowanport/schema/messages.py
+++ b/rowanport/schema/messages.py
@@ -1930,6 +1930,45 @@
         )
 
 
+class LoadNote(Message):
+    """A long prompt goes to an upstream; sent to peers, not answered.
+
+    :ivar upstream: id of the upstream
+    :ivar prefix: hash of the prompt's shared part
+    :ivar tokens: prompt tokens that the upstream has to read
+    """
+
+    __slots__ = (
+        "upstream",
+        "prefix",
+        "tokens",
+    )
+    KIND = 63
+
+    def __init__(self, upstream, prefix, tokens):
+        self.upstream = upstream
+        self.prefix = prefix
+        self.tokens = tokens
+
+    def to_wire(self):
+        """Return the fields as plain values, in the schema's order."""
+        return [
+            self.upstream,
+            self.prefix,
+            self.tokens,
+        ]
+
+    @classmethod
+    def from_wire(cls, values):
+        """Build one from plain values; raise MessageError if unfit."""
+        check_length(cls, values, 3)
+        return cls(
+            as_str(values[0]),
+            as_int(values[1]),
+            as_int(values[2]),
+        )
+
+
 BY_KIND = {
     1: Challenge,
     2: Proof,
@@ -1957,4 +1996,5 @@
     60: HandOver,
     61: ViewAsk,
     62: ViewGive,
+    63: LoadNote,
 }
--- a/rowanport/wire.py
+++ b/rowanport/wire.py
@@ -24,6 +24,11 @@
 # Seconds without a frame after which an unanswered call drops a connection;
 # live peers exchange heartbeats more often.
 SILENCE = 1.0
+# Call number of messages that nobody answers.
+UNANSWERED = 0
+# Bytes that may wait on a connection before such messages are dropped: its
+# peer is frozen, cut off or far too busy.
+TELL_LIMIT = 64 * 1024
 _LENGTH = struct.Struct(">I")
 
 
@@ -142,7 +147,7 @@
 
     async def _answer(self, writer, call, message):
         answer = await self._handler(message)
-        if writer.is_closing():
+        if call == UNANSWERED or writer.is_closing():
             return
         frame = pack_frame(call, answer)
         self._traffic.sent += len(frame)
@@ -185,6 +190,14 @@
         self._writer.write(frame)
         return future
 
+    def tell(self, message):
+        """Send a message that is not answered, unless too much waits."""
+        if self._writer.transport.get_write_buffer_size() > TELL_LIMIT:
+            return
+        frame = pack_frame(UNANSWERED, message)
+        self._traffic.sent += len(frame)
+        self._writer.write(frame)
+
     async def _read(self):
         try:
             while True:
@@ -241,6 +254,18 @@
         except (OSError, EOFError, MessageError) as error:
             raise PeerError(f"{address}: {error}") from None
 
+    def tell(self, address, message):
+        """Send a message that needs no answer and may be lost.
+
+        It goes out only on a connection that is open; heartbeats and
+        questions for views open one to each peer of a small fleet.
+
+        :param address: IP and port of the peer
+        """
+        connection = self._connections.get(address)
+        if connection is not None and connection.open:
+            connection.tell(message)
+
     def _drop_silent(self, address):
         """Drop a connection on which nothing arrives any more.
 
--- /dev/null
+++ b/test/test_choice.py
@@ -0,0 +1,269 @@
+"""Which engine a prompt goes to, and what routers tell each other of it."""
+
+import asyncio
+
+import pytest
+
+from rowanport.gateway import backlog
+from rowanport.gateway.backlog import Backlog
+from rowanport.gateway.backlog import DEFAULT_RATE
+from rowanport.gateway.choice import NearestChoice
+from rowanport.gateway.choice import PrefixChoice
+from rowanport.gateway.choice import UpstreamPool
+from rowanport.gateway.job import Job
+from rowanport.gateway.job import Tokens
+from rowanport.gateway.loads import LoadNotes
+from rowanport.gateway.loads import NOTE_LEAST
+from rowanport.gateway.prefixes import KEEP_SECONDS
+from rowanport.gateway.prefixes import PrefixMap
+from rowanport.gateway.upstream import Upstream
+from rowanport.hashing import hash_of
+from rowanport.hashing import rendezvous
+from rowanport.routing.table import Route
+from rowanport.routing.table import RouteKind
+from rowanport.schema.messages import Ack
+from rowanport.schema.messages import LoadNote
+from rowanport.wire import PeerClient
+from rowanport.wire import PeerServer
+
+SERVICE = "llm"
+ENGINES = ("e1", "e2", "e3", "e4")
+OBJECTIVE = 0.8
+
+
+class FakeClock:
+    def __init__(self):
+        self.now = 100.0
+
+    def steady(self):
+        return self.now
+
+
+class FakePeers:
+    """Hands notes to the other routers at once."""
+
+    def __init__(self):
+        self.routers = {}
+        self.told = []
+
+    def tell(self, address, note):
+        self.told.append(note)
+        self.routers[address].notes.take(note)
+
+
+class FakeMembers:
+    def __init__(self, others):
+        self._others = others
+
+    def ready_others(self):
+        return list(self._others)
+
+
+class FakeRouter:
+    """What one router knows of the engines."""
+
+    def __init__(self, clock, peers, name, others=()):
+        self.clock = clock
+        self.pool = UpstreamPool()
+        self.pool.update(
+            {
+                name: Upstream(
+                    name, SERVICE, f"{name}:1", f"hall-{index % 2}", 64, False
+                )
+                for index, name in enumerate(ENGINES)
+            }
+        )
+        self.prefixes = PrefixMap()
+        self.choice = PrefixChoice("hall-0", self.prefixes)
+        self.notes = LoadNotes(
+            self.pool, self.prefixes, peers, FakeMembers(others), clock
+        )
+        peers.routers[name] = self
+
+    def send(self, job):
+        """Choose an engine for a job, send it there, return its id."""
+        now = self.clock.now
+        candidates = self.pool.candidates(SERVICE, (), now)
+        state = self.choice.choose(candidates, job, now)
+        unread = self.choice.unread(state, job, now)
+        self.notes.note_send(state, job.prefix, unread)
+        return state.record.id
+
+
+def make_route():
+    targets = [(SERVICE, 1)]
+    return Route("r", "h", "/", RouteKind.STREAM, targets, 12.0, OBJECTIVE)
+
+
+def make_job(prefix="night", shared=13000, own=4000):
+    job = Job(None, "id", make_route(), SERVICE, 100.0)
+    job.tokens = Tokens(shared + own, 100)
+    job.affinity = prefix
+    job.prefix = hash_of(prefix)
+    job.shared = shared
+    return job
+
+
+@pytest.fixture
+def clock():
+    return FakeClock()
+
+
+@pytest.fixture
+def router(clock):
+    return FakeRouter(clock, FakePeers(), "one")
+
+
+# Backlogs
+
+
+def test_a_backlog_shrinks_as_the_engine_reads():
+    pending = Backlog()
+    assert pending.add(DEFAULT_RATE, 10.0) == DEFAULT_RATE
+    assert pending.tokens(10.5) == DEFAULT_RATE / 2
+    assert pending.tokens(12.0) == 0
+
+
+def test_an_engine_that_was_slow_is_taken_for_slow():
+    pending = Backlog()
+    for _send in range(20):
+        pending.measure(10000, 10000 / (DEFAULT_RATE / 4))
+    assert pending.rate == pytest.approx(DEFAULT_RATE / 4, rel=0.01)
+    # A small prompt says nothing of the rate, nor does one that was cached.
+    pending.measure(backlog.MEASURED_LEAST - 1, 9.0)
+    pending.measure(10000, 0.0)
+    assert pending.rate == pytest.approx(DEFAULT_RATE / 4, rel=0.01)
+    for _send in range(40):
+        pending.measure(10000, 0.001)
+    assert pending.rate <= backlog.MOST_RATE
+
+
+# Choice
+
+
+def test_a_prompt_goes_where_it_is_cached(router):
+    first = router.send(make_job())
+    router.clock.now += 2.0
+    assert {router.send(make_job()) for _send in range(3)} == {first}
+
+
+def test_an_engine_is_left_once_a_prompt_would_be_late_there(router):
+    sends = [router.send(make_job()) for _send in range(6)]
+    assert sends[0] == sends[1] == sends[2]
+    assert len(set(sends)) > 1
+
+
+def test_a_prompt_that_is_late_everywhere_is_not_read_again(router):
+    first = router.send(make_job())
+    for name in ENGINES:
+        router.pool.get(name).backlog.add(90000, router.clock.now)
+    assert router.send(make_job()) == first
+
+
+def test_prompts_that_nobody_has_cached_spread_over_the_engines(router):
+    sends = [router.send(make_job(f"prompt-{n}")) for n in range(4)]
+    assert len(set(sends)) == 4
+
+
+def test_after_a_restart_a_prompt_goes_to_the_first_in_its_order(router):
+    job = make_job()
+    order = rendezvous(job.affinity, ENGINES)
+    router.pool.get(order[0]).backlog.add(3000, router.clock.now)
+    assert router.send(job) == order[0]
+
+
+def test_a_cached_prompt_is_forgotten_after_a_while(clock, router):
+    router.prefixes.note(1, "e1", clock.now)
+    assert set(router.prefixes.engines(1, clock.now)) == {"e1"}
+    assert not router.prefixes.engines(1, clock.now + KEEP_SECONDS + 1)
+
+
+def test_short_prompts_stay_in_the_own_data_centre_while_in_time(router):
+    short = make_job("label", shared=300, own=1100)
+    near = {"e1", "e3"}
+    assert {router.send(short) for _send in range(4)} <= near
+    for name in near:
+        router.pool.get(name).backlog.add(60000, router.clock.now)
+    assert router.send(short) not in near
+
+
+def test_plain_upstreams_are_chosen_by_what_runs_there(router):
+    candidates = router.pool.candidates(SERVICE, (), 100.0)
+    choice = NearestChoice("hall-0")
+    job = make_job()
+    job.affinity = ""
+    first = choice.choose(candidates, job, 100.0)
+    assert first.record.data_centre == "hall-0"
+    for state in candidates:
+        state.outstanding = 9 if state.record.data_centre == "hall-0" else 0
+    assert choice.choose(candidates, job, 100.0).record.data_centre == "hall-1"
+
+
+# Notes to peers
+
+
+def meet(clock, count, told):
+    """Let routers send a prompt each at once; return sends to one engine."""
+    peers = FakePeers()
+    names = [f"r{number}" for number in range(count)]
+    routers = [
+        FakeRouter(clock, peers, f"x/{name}/1", _others(names, name, told))
+        for name in names
+    ]
+    peers.routers = {name: r for name, r in zip(names, routers)}
+    sends = [one.send(make_job(f"p{n}")) for n, one in enumerate(routers * 2)]
+    return max(sends.count(name) for name in ENGINES)
+
+
+def _others(names, own, told):
+    return [f"x/{name}/1" for name in names if told and name != own]
+
+
+def test_routers_that_tell_each_other_do_not_meet_at_one_engine(clock):
+    # Before, each saw its own sends only: eight prompts of one moment met at
+    # one engine, and the first events of all of them were late.
+    assert meet(clock, 6, told=True) == 3
+    assert meet(clock, 6, told=False) > 3
+
+
+def test_short_prompts_are_not_told(clock):
+    peers = FakePeers()
+    peers.routers["r2"] = FakeRouter(clock, peers, "other")
+    router = FakeRouter(clock, peers, "one", ["x/r2/1"])
+    router.send(make_job(shared=0, own=NOTE_LEAST - 1))
+    assert not peers.told
+    router.send(make_job(shared=0, own=NOTE_LEAST))
+    assert [note.tokens for note in peers.told] == [NOTE_LEAST]
+
+
+def test_a_note_of_an_upstream_that_is_not_listed_changes_nothing(router):
+    router.notes.take(LoadNote("gone", 1, 5000))
+    assert all(
+        router.pool.get(name).backlog.tokens(100.0) == 0 for name in ENGINES
+    )
+
+
+def test_messages_that_need_no_answer_get_none():
+    heard = []
+
+    async def handle(message):
+        heard.append(message)
+        return Ack()
+
+    async def run():
+        server = PeerServer(handle, "secret")
+        await server.start("127.0.0.1", 0)
+        port = server._server.sockets[0].getsockname()[1]
+        address = f"127.0.0.1:{port}"
+        peers = PeerClient("x/y/1", "secret")
+        # Without a connection it is lost.
+        peers.tell(address, LoadNote("lost", 1, 1))
+        await peers.call(address, Ack(), 5.0)
+        peers.tell(address, LoadNote("e1", 2, 3))
+        await peers.call(address, Ack(), 5.0)
+        peers.close()
+        await server.close()
+
+    asyncio.run(run())
+    notes = [one for one in heard if isinstance(one, LoadNote)]
+    assert [(n.upstream, n.prefix, n.tokens) for n in notes] == [("e1", 2, 3)]
