Renew leases of records; say when tokens may come, or that none will

Cause: (1) each record cost a grant and a write; a renewal costs a tenth. (3) A budget that was spent sent its callers away for a second each time. Change: one lease a router, renewed before each record, dropped when its renewal went unheard; 'come back' follows the outage's age and stays within the caller's own time; 402 where total less what was surely used cannot hold the request, unless the store is lost. Ruled out: longer lives of records by renewals alone (the clocks of a record have to be as new as the record). Two tests of test_platform asked 429 of a request that its budget can never hold; 402 is asked there now, and 429 with a time of one that it can hold but not now.

--- a/rowanport/errors.py
+++ b/rowanport/errors.py
@@ -27,6 +27,7 @@
     POLICY_REFUSED = "policy_refused"
     POLICY_FAILED = "policy_failed"
     BUDGET_EXHAUSTED = "budget_exhausted"
+    BUDGET_SPENT = "budget_spent"
     BUDGET_UNAVAILABLE = "budget_unavailable"
     CLAIM_UNAVAILABLE = "claim_unavailable"
     ALREADY_CLAIMED = "already_claimed"
@@ -76,6 +77,7 @@
     ErrorKind.POLICY_REFUSED: Answer(403, _NOT_RUN, False, "policy_error"),
     ErrorKind.POLICY_FAILED: Answer(500, _NOT_RUN, True, "policy_error"),
     ErrorKind.BUDGET_EXHAUSTED: Answer(429, _NOT_RUN, True, _QUOTA),
+    ErrorKind.BUDGET_SPENT: Answer(402, _NOT_RUN, False, _QUOTA),
     ErrorKind.BUDGET_UNAVAILABLE: Answer(503, _NOT_RUN, True, _BUSY),
     ErrorKind.CLAIM_UNAVAILABLE: Answer(503, _NOT_RUN, True, _BUSY),
     ErrorKind.ALREADY_CLAIMED: Answer(409, _MAYBE, False, _BAD),
--- a/rowanport/gateway/forwarder.py
+++ b/rowanport/gateway/forwarder.py
@@ -29,6 +29,9 @@
 # that a caller has left.
 RETRY_AFTER = 0.1
 RETRY_SPREAD = 0.3
+# Part of the time that a caller has left after which it is told to come back
+# at the latest, so that it still can be served then.
+RETURN_SHARE = 0.5
 # Larger answers are passed on as they come, not held until they are whole.
 BUFFER_LIMIT = 1024 * 1024
 SERVER_ERROR = 500
@@ -77,7 +80,8 @@
         try:
             await self._send_until_done(job, responder)
         finally:
-            gateway.budgets.settle(budget, worst, self._used(job))
+            used, spent = self._used(job), self._spent(job)
+            gateway.budgets.settle(budget, worst, used, spent)
 
     def _used(self, job):
         """Return the tokens that a job used, or may have used."""
@@ -89,6 +93,17 @@
         made = min(job.tokens.most, job.events * size)
         return job.tokens.prompt + made
 
+    def _spent(self, job):
+        """Return the tokens that a job surely used, by what was passed on.
+
+        The last event may hold fewer tokens than the others.
+        """
+        if not job.events:
+            return 0
+        size = self._gateway.tokens_per_event(job.service)
+        made = min(job.tokens.most, (job.events - 1) * size + 1)
+        return job.tokens.prompt + made
+
     # Sends
 
     async def _send_until_done(self, job, responder):
@@ -284,23 +299,27 @@
             return
         name = self._gateway.dialect.request_id
         own = request.header(name)
-        await self.refuse(responder, error, [(name, own)] if own else [])
+        headers = [(name, own)] if own else []
+        await self.refuse(responder, error, headers, job)
 
-    async def refuse(self, responder, error, headers=()):
+    async def refuse(self, responder, error, headers=(), job=None):
         """Answer with a RequestError, and when to come back."""
         answer = ANSWERS[error.kind]
         headers = list(headers)
         if answer.retry and error.outcome is Outcome.NOT_RUN:
-            seconds = self._retry_seconds(error)
+            seconds = self._retry_seconds(error, job)
             headers.append(("Retry-After", f"{seconds:.3f}"))
         await responder.reply_json(answer.status, error_body(error), headers)
 
-    def _retry_seconds(self, error):
+    def _retry_seconds(self, error, job):
+        now = self._clock.steady()
         seconds = RETRY_AFTER
         if error.come_back_at is not None:
-            left = error.come_back_at - self._clock.steady()
-            seconds = max(seconds, left)
-        return seconds + random.uniform(0, RETRY_SPREAD)
+            seconds = max(seconds, error.come_back_at - now)
+        seconds += random.uniform(0, RETRY_SPREAD)
+        if job is not None:
+            seconds = min(seconds, RETURN_SHARE * (job.caller_deadline - now))
+        return max(0.0, seconds)
 
     def _note_end(self, job, outcome, arrived, why=""):
         used = self._used(job) if job and job.budget else None
--- a/rowanport/prepaid/account.py
+++ b/rowanport/prepaid/account.py
@@ -43,6 +43,9 @@
 
     :ivar inflow: tokens that came in since the start
     :ivar outflow: tokens that went out or are set aside
+    :ivar spent: tokens that requests of this router surely used
+    :ivar reported: how many of these the store's record counts
+    :ivar spent_before: tokens that the record counted when last seen
     :ivar total: tokens paid for, as the configuration says
     :ivar left: tokens left in the store when it was last seen, or None
     :ivar recalled: whether all is to be given back first, as the total fell
@@ -54,6 +57,9 @@
         "name",
         "inflow",
         "outflow",
+        "spent",
+        "reported",
+        "spent_before",
         "total",
         "left",
         "recalled",
@@ -66,6 +72,9 @@
         self.name = name
         self.inflow = 0
         self.outflow = 0
+        self.spent = 0
+        self.reported = 0
+        self.spent_before = 0
         self.total = 0
         self.left = None
         self.recalled = False
@@ -78,6 +87,14 @@
         """Return the tokens that are nobody's yet."""
         return self.inflow - self.outflow
 
+    @property
+    def unspent(self):
+        """Return the tokens that may be unspent, wherever they are.
+
+        Never fewer than really are: what peers spent lately is not known.
+        """
+        return self.total - self.spent_before - (self.spent - self.reported)
+
     @property
     def wanted(self):
         """Return the tokens that waiting requests need."""
@@ -105,9 +122,24 @@
         self.outflow += tokens
         return True
 
-    def settle(self, tokens, used):
-        """End a reservation of which some tokens were used."""
+    def settle(self, tokens, used, spent=0):
+        """End a reservation of which some tokens were used.
+
+        :param used: tokens that may have been used, which do not come back
+        :param spent: tokens that surely were
+        """
         self.outflow -= max(0, tokens - used)
+        self.spent += spent
+
+    def note_record(self, record, reported):
+        """Take in what the store's record says after a batch.
+
+        :param record: the BudgetRecord
+        :param reported: tokens of ``spent`` that it counts
+        """
+        self.left = record.left
+        self.reported = reported
+        self.spent_before = record.spent
 
     # Tokens that come and go
 
--- a/rowanport/prepaid/drawer.py
+++ b/rowanport/prepaid/drawer.py
@@ -46,6 +46,7 @@
 
     :ivar wishes: tokens wished by budget; negative to give back
     :ivar moves: tokens moved by budget by the writes last made
+    :ivar reported: tokens spent by budget that these writes count
     :ivar writes: the writes last made, or None if they are to be made anew
     :ivar allowance: the limits in these writes
     :ivar unsure: whether they may have taken effect unheard
@@ -55,6 +56,7 @@
         "number",
         "wishes",
         "moves",
+        "reported",
         "writes",
         "allowance",
         "record",
@@ -65,6 +67,7 @@
         self.number = number
         self.wishes = wishes
         self.moves = {}
+        self.reported = {}
         self.writes = None
         self.allowance = None
         self.record = None
@@ -96,7 +99,7 @@
         self._number = 0
         self._recovered = False
         self._lease = None
-        self._lease_granted = 0.0
+        self._lease_began = 0.0
         self.batch = None
 
     @property
@@ -119,13 +122,10 @@
 
     # Batches
 
-    async def write(self, make_limits, inflows, totals):
+    async def write(self, books):
         """Write the batch at hand; return it once it stands in the store.
 
-        :param make_limits: function from moves by budget to the limits of
-            tokens out by budget
-        :param inflows: function that returns tokens in by budget so far
-        :param totals: (total by budget, version of the configuration)
+        :param books: the Refill, which tells what the accounts hold now
         :returns: the Batch, or None if others' writes kept overtaking it
         :raises StoreBusy: the store refused it
         :raises StoreError: its fate is unknown
@@ -133,8 +133,8 @@
         batch = self.batch
         for _try in range(CONFLICT_TRIES):
             if batch.writes is None:
-                lease = await self._grant_lease()
-                self._make_writes(batch, make_limits, inflows(), totals, lease)
+                lease = await self._fresh_lease()
+                self._make_writes(batch, books, lease)
             try:
                 version = await self._store.commit(batch.writes)
             except StoreConflict as conflict:
@@ -161,23 +161,38 @@
             return self._finish(batch)
         return None
 
-    async def _grant_lease(self):
-        """Return a fresh lease; raise StoreBusy if there is none to be had.
+    async def _fresh_lease(self):
+        """Return a lease that began anew just now.
 
-        It was granted before the record is made that goes with it.
+        It did so before the record is made that goes with it.  A renewal
+        costs a tenth of a grant.
+
+        :raises StoreBusy: there is none to be had
         """
         now = self._clock.steady()
-        if self._lease and now < self._lease_granted + LEASE_REUSE_SECONDS:
+        if self._lease and now < self._lease_began + LEASE_REUSE_SECONDS:
             return self._lease
+        lease = self._lease
+        # A renewal without an answer may be done late, when the lease is to
+        # have ended: such a lease is not used again.
         self._lease = None
         try:
-            self._lease = await self._store.grant_lease(HOLD_SECONDS)
+            self._lease = await self._renew_or_grant(lease)
         except StoreError as error:
             # A lease that nobody knows of changes nothing.
             raise StoreBusy(f"no lease: {error}") from None
-        self._lease_granted = now
+        self._lease_began = now
         return self._lease
 
+    async def _renew_or_grant(self, lease):
+        if lease is not None:
+            try:
+                await self._store.renew_lease(lease)
+                return lease
+            except LeaseOver:
+                pass
+        return await self._store.grant_lease(HOLD_SECONDS)
+
     def _forget_lease(self, batch):
         """Send the same writes again without the lease that has ended."""
         self._lease = None
@@ -188,14 +203,17 @@
         batch.writes = None
         batch.unsure = False
 
-    def _make_writes(self, batch, make_limits, inflows, totals, lease):
+    def _make_writes(self, batch, books, lease):
         writes = []
         for name, wish in batch.wishes.items():
             record = self.record(name).copy()
-            record.set_total(totals[0].get(name, 0), totals[1])
+            record.set_total(*books.total(name))
             batch.moves[name] = record.move(wish)
+            batch.reported[name] = books.spent(name)
+            record.spent += books.unreported(name)
             writes.append(self._write(BUDGET_PREFIX + name, record))
-        limits = make_limits(batch.moves)
+        limits = books.limits(batch.moves)
+        inflows = books.inflows()
         batch.record = HolderRecord(
             self._incarnation,
             batch.number,
--- a/rowanport/prepaid/keeper.py
+++ b/rowanport/prepaid/keeper.py
@@ -10,6 +10,7 @@
 from ..errors import StoreError
 from ..tasks import TaskSet
 from .account import Account
+from .account import HORIZON
 from .lender import Lender
 from .refill import Refill
 
@@ -70,7 +71,7 @@
         self._tasks = TaskSet()
         self._askers = {}
         self._wake = asyncio.Event()
-        self._failing = False
+        self._store_lost_at = None
         self._next_report = 0.0
 
     @property
@@ -120,7 +121,7 @@
         account.note_demand(tokens, now)
         if account.reserve(tokens, self._room(account)):
             return
-        if now < account.dry_until:
+        if now < account.dry_until or self._is_spent(account, tokens):
             raise self._exhausted(account, tokens)
         future = asyncio.get_running_loop().create_future()
         waiter = _Waiter(tokens, future)
@@ -141,10 +142,14 @@
             if waiter in account.waiting:
                 account.waiting.remove(waiter)
 
-    def settle(self, name, tokens, used):
-        """End a reservation of which some tokens were used."""
+    def settle(self, name, tokens, used, spent=0):
+        """End a reservation of which some tokens were used.
+
+        :param used: tokens that may have been used
+        :param spent: tokens that surely were
+        """
         account = self._account(name)
-        account.settle(tokens, used)
+        account.settle(tokens, used, spent)
         self._pump(account)
 
     def _pump(self, account):
@@ -165,23 +170,41 @@
                 waiter.future.set_exception(error)
         account.waiting.clear()
 
-    def _exhausted(self, account, tokens):
-        """Return the refusal of a request, and when it may come back.
+    def _is_spent(self, account, tokens):
+        """Return whether the whole fleet surely lacks some tokens.
 
-        Where a limit holds tokens back, they are free once it has lapsed;
-        by then a dry budget may have been topped up, or given tokens back.
+        A router without the store may have missed a top-up.
         """
-        now = self._clock.steady()
-        come_back_at = max(
-            now + DRY_RETURN, self._refill.lapse_at(account.name)
-        )
+        return self._store_lost_at is None and account.unspent < tokens
+
+    def _exhausted(self, account, tokens):
+        """Return the refusal of a request, and when it may come back."""
+        if self._is_spent(account, tokens):
+            return RequestError(
+                ErrorKind.BUDGET_SPENT,
+                f"{tokens} tokens needed, {account.unspent} left at most",
+            )
         room = self._room(account)
         return RequestError(
             ErrorKind.BUDGET_EXHAUSTED,
             f"{tokens} tokens needed, {account.available} held, room {room}",
-            come_back_at=come_back_at,
+            come_back_at=self._come_back_at(account, tokens),
         )
 
+    def _come_back_at(self, account, tokens):
+        """Return the steady time from which on there may be tokens.
+
+        Where a limit holds them back, they are free once it has lapsed.
+        What is lacking comes with the store, once it is back, or by a
+        request that ends.
+        """
+        soon = self._clock.steady() + DRY_RETURN
+        if account.available >= tokens:
+            return max(soon, self._refill.lapse_at(account.name))
+        if self._store_lost_at is not None:
+            return max(soon, self._store_lost_at + HORIZON)
+        return soon
+
     # Peers
 
     def handle(self, message):
@@ -208,7 +231,8 @@
 
     async def _ask(self, account):
         await self._lender.ask_all(account)
-        in_vain = self._failing or self._refill.is_dry(account.name)
+        lost = self._store_lost_at is not None
+        in_vain = lost or self._refill.is_dry(account.name)
         if account.waiting and in_vain:
             self._fail(account)
 
@@ -261,9 +285,10 @@
         )
 
     def _note_store(self, failing, error=None):
-        if failing != self._failing:
-            LOG.info("budget_store", failing=failing, error=str(error or ""))
-        self._failing = failing
+        if failing == (self._store_lost_at is not None):
+            return
+        self._store_lost_at = self._clock.steady() if failing else None
+        LOG.info("budget_store", failing=failing, error=str(error or ""))
 
     # Planned stop
 
@@ -280,12 +305,12 @@
             async with asyncio.timeout(RELEASE_WAIT):
                 await self._refill.released.wait()
         except asyncio.TimeoutError:
-            LOG.info("limits_not_released", failing=self._failing)
+            LOG.info("limits_not_released", lost_at=self._store_lost_at)
         heirs = self._members.ready_others()[:HEIRS]
         if heirs:
             await self._lender.hand_over(heirs, self._take_free())
         elif any(a.available > 0 for a in self._refill.held()):
-            LOG.warning("no_heir", failing=self._failing)
+            LOG.warning("no_heir", lost_at=self._store_lost_at)
 
     def _take_free(self):
         """Take out all tokens that may go out now, by budget."""
--- a/rowanport/prepaid/record.py
+++ b/rowanport/prepaid/record.py
@@ -12,14 +12,17 @@
     :ivar total: tokens paid for, by the newest configuration that a writer
         knew
     :ivar version: that configuration's version
+    :ivar spent: tokens that were surely used, as far as routers have told;
+        never more than really were
     """
 
-    __slots__ = ("taken", "total", "version")
+    __slots__ = ("taken", "total", "version", "spent")
 
-    def __init__(self, taken=0, total=0, version=0):
+    def __init__(self, taken=0, total=0, version=0, spent=0):
         self.taken = taken
         self.total = total
         self.version = version
+        self.spent = spent
 
     @property
     def left(self):
@@ -32,15 +35,16 @@
 
         :param data: the bytes; empty for a budget nobody has drawn on
         """
-        return cls(*_unpack(data, 3)) if data else cls()
+        return cls(*_unpack(data, 4)) if data else cls()
 
     def pack(self):
         """Return the bytes for the store."""
-        return msgpack.packb([self.taken, self.total, self.version])
+        fields = [self.taken, self.total, self.version, self.spent]
+        return msgpack.packb(fields)
 
     def copy(self):
         """Return a record of its own with the same values."""
-        return BudgetRecord(self.taken, self.total, self.version)
+        return BudgetRecord(self.taken, self.total, self.version, self.spent)
 
     def set_total(self, total, version):
         """Take over a total unless a newer one is known."""
--- a/rowanport/prepaid/refill.py
+++ b/rowanport/prepaid/refill.py
@@ -183,7 +183,23 @@
             if wish < 0:
                 self._accounts[name].put_back(-wish)
 
-    def _limits(self, moves):
+    # What the drawer writes down
+
+    def total(self, name):
+        """Return a budget's total and its configuration's version."""
+        totals, version = self._totals
+        return totals.get(name, 0), version
+
+    def spent(self, name):
+        """Return the tokens of a budget that this router surely spent."""
+        return self._accounts[name].spent
+
+    def unreported(self, name):
+        """Return how many of these the store's record does not count."""
+        account = self._accounts[name]
+        return account.spent - account.reported
+
+    def limits(self, moves):
         """Return the limit of tokens out by budget.
 
         :param moves: tokens by budget that a batch moves in or out
@@ -196,13 +212,12 @@
                 limits[name] = min(inflow, limit)
         return limits
 
-    def _inflows(self):
+    def inflows(self):
+        """Return the tokens that came in so far, by budget."""
         return {name: a.inflow for name, a in self._accounts.items()}
 
     async def _write(self):
-        batch = await self._drawer.write(
-            self._limits, self._inflows, self._totals
-        )
+        batch = await self._drawer.write(self)
         if batch is None:
             return False
         if self._stopping and self._is_released(batch):
@@ -214,7 +229,8 @@
             drawn = max(0, moved)
             account.credit(drawn)
             batch.allowance.note_drawn(name, drawn)
-            account.left = self._drawer.record(name).left
+            record = self._drawer.record(name)
+            account.note_record(record, batch.reported[name])
             if wish <= 0:
                 account.recalled = False
             if moved < wish:
--- a/rowanport/store/store.py
+++ b/rowanport/store/store.py
@@ -89,6 +89,14 @@
         :raises StoreError: no answer
         """
 
+    @abc.abstractmethod
+    async def renew_lease(self, lease):
+        """Let a lease begin anew, with the seconds it was granted for.
+
+        :raises LeaseOver: it has ended
+        :raises StoreError: no answer; it may be renewed later
+        """
+
     @abc.abstractmethod
     async def commit(self, writes):
         """Write all keys if each has the version that its Write names.
--- a/test/prepaid_world.py
+++ b/test/prepaid_world.py
@@ -52,6 +52,19 @@
         await self._reach()
         return self._world.grant(seconds)
 
+    async def renew_lease(self, lease):
+        await self._reach()
+        world = self._world
+        fate = world.next_fate()
+        if fate == "late":
+            delay = world.random.uniform(1.0, 6.0)
+            world.loop.call_later(delay, world.renew, lease)
+        elif not world.renew(lease):
+            raise LeaseOver("it has ended")
+        if fate:
+            await asyncio.sleep(CALL_TIMEOUT)
+            raise StoreUnavailable("no answer")
+
     async def commit(self, writes):
         await self._reach()
         world = self._world
@@ -205,6 +218,7 @@
         self.version = 1
         self.routers = {}
         self.leases = {}
+        self.spans = {}
         self.jumps = {}
         self.boots = {}
         self._down_since = None
@@ -240,8 +254,17 @@
 
     def grant(self, seconds):
         """Return a new lease."""
-        self.leases[len(self.leases) + 1] = self._store_time + seconds
-        return len(self.leases)
+        lease = len(self.leases) + 1
+        self.leases[lease] = self._store_time + seconds
+        self.spans[lease] = seconds
+        return lease
+
+    def renew(self, lease):
+        """Let a lease begin anew; return whether it had not ended."""
+        if self.leases[lease] < self._store_time:
+            return False
+        self.leases[lease] = self._store_time + self.spans[lease]
+        return True
 
     def read(self, key):
         """Return the Value of a key, unless its lease has ended."""
--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -321,12 +321,26 @@
 
 @scenario
 async def test_a_dry_budget_refuses_with_a_time_to_come_back(platform):
-    answer = await platform.stream("/stream/", tokens="99000,9000")
+    # Some tokens are set aside, so that the rest is too little for now.
+    await platform.wait(lambda: "org" in platform.gateway.budgets.accounts)
+    account = platform.gateway.budgets.accounts["org"]
+    await platform.wait(lambda: account.available > 5000)
+    account.take_out(5000)
+    answer = await platform.stream("/stream/", tokens="90000,9000")
     assert answer.status == 429
     assert 0.5 < float(answer.headers["retry-after"]) < 5.0
     assert platform.runs == []
 
 
+@scenario
+async def test_what_the_whole_budget_cannot_hold_is_refused_for_good(platform):
+    answer = await platform.stream("/stream/", tokens="99000,9000")
+    assert answer.status == 402
+    assert "retry-after" not in answer.headers
+    assert json.loads(await answer.read())["error"]["code"] == "budget_spent"
+    assert platform.runs == []
+
+
 @scenario
 async def test_used_tokens_are_settled_and_the_rest_set_free(platform):
     account = platform.gateway.budgets.accounts["org"]
@@ -339,7 +353,7 @@
 @scenario
 async def test_a_top_up_is_in_force_without_a_restart(platform):
     refused = await platform.stream("/stream/", tokens="99000,9000")
-    assert refused.status == 429
+    assert refused.status == 402
     await platform.store.put("op/config", config(2, prepaid=400000))
     account = platform.gateway.budgets.accounts["org"]
     await platform.wait(lambda: account.total == 400000)
--- a/test/test_prepaid.py
+++ b/test/test_prepaid.py
@@ -8,6 +8,7 @@
 import contextlib
 from test import machines
 from test.prepaid_world import BUDGET
+from test.prepaid_world import FAR
 from test.prepaid_world import World
 from unittest import mock
 
@@ -17,7 +18,9 @@
 from hypothesis.stateful import RuleBasedStateMachine
 import pytest
 
+from rowanport.errors import ErrorKind
 from rowanport.errors import MessageError
+from rowanport.errors import RequestError
 from rowanport.prepaid import Account
 from rowanport.prepaid import BudgetRecord
 from rowanport.prepaid import drawer
@@ -403,6 +406,64 @@
     world.close()
 
 
+def refusal(world, address, tokens):
+    """Return the RequestError that a request for some tokens ends in."""
+    keeper = world.routers[address].keeper
+    with pytest.raises(RequestError) as caught:
+        world.loop.run_until_complete(keeper.reserve(BUDGET, tokens))
+    return caught.value
+
+
+def draw_again(world, address):
+    """Have a router draw tokens, as if it had let go all that it held."""
+    account = world.routers[address].keeper.accounts[BUDGET]
+    account.take_out(account.available)
+
+
+def test_a_budget_is_called_spent_only_when_all_routers_surely_lack_it():
+    world = make_world(1000)
+    one, other = ADDRESSES[:2]
+    assert refusal(world, one, 1001).kind is ErrorKind.BUDGET_SPENT
+    world.routers[one].keeper.settle(BUDGET, 0, 0, 900)
+    assert refusal(world, one, 101).kind is ErrorKind.BUDGET_SPENT
+    # What the other router was not told of may be there.
+    assert refusal(world, other, 990).come_back_at is not None
+    for address in (one, other):
+        draw_again(world, address)
+        world.advance(3.0)
+    assert refusal(world, other, 101).kind is ErrorKind.BUDGET_SPENT
+    world.set_total(2000)
+    world.advance(3.0)
+    world.request(other, 101, 101, 0.1)
+    world.advance(1.0)
+    assert (world.served, world.refusals) == (1, 0)
+    world.close()
+
+
+def test_a_router_without_the_store_does_not_call_a_budget_spent():
+    world = make_world(1000)
+    world.store_down = True
+    world.advance(4.0)
+    error = refusal(world, ADDRESSES[0], 1001)
+    assert error.kind is ErrorKind.BUDGET_EXHAUSTED
+    # Its tokens come with the store: after 10 s by what the users tell.
+    assert 4.0 < error.come_back_at - world.loop.now < 10.0
+    world.close()
+
+
+def test_an_unheard_batch_counts_what_was_spent_once():
+    world = make_world(1000)
+    keeper = world.routers[ADDRESSES[0]].keeper
+    for fate in ("answer lost", "late", ""):
+        world.fates = [fate] * 2
+        keeper.settle(BUDGET, 0, 0, 50)
+        draw_again(world, ADDRESSES[0])
+        world.advance(9.0)
+    key = drawer.BUDGET_PREFIX + BUDGET
+    assert BudgetRecord.unpack(world.read(key).data).spent == 150
+    world.close()
+
+
 def test_limits_bind_for_their_time_and_let_borrowed_tokens_go():
     account = Account(BUDGET)
     account.credit(100)
@@ -493,6 +554,35 @@
     world.close()
 
 
+def test_a_lease_is_renewed_for_each_record_and_granted_once():
+    world = make_world()
+    granted = len(world.leases)
+    world.advance(4.0)
+    assert len(world.leases) == granted
+    # One that ended, as in an outage, is followed by a new one.
+    world.store_down = True
+    world.advance(1.0)
+    for lease in world.leases:
+        world.leases[lease] = -FAR
+    world.store_down = False
+    world.advance(3.0)
+    assert len(world.leases) > granted
+    assert world.routers[ADDRESSES[0]].keeper.accounts[BUDGET].available
+    world.check()
+    world.close()
+
+
+def test_a_lease_whose_renewal_went_unheard_is_not_used_again():
+    # The late renewal would let it live on after the limits have lapsed.
+    world = make_world()
+    granted = len(world.leases)
+    world.fates = ["late"]
+    world.advance(4.0)
+    assert len(world.leases) == granted + 1
+    world.check()
+    world.close()
+
+
 def test_restarted_machines_give_back_what_they_left():
     world = make_world()
     taken = world.taken()
@@ -517,7 +607,9 @@
     world.close()
 
 
-@pytest.mark.parametrize("data", (b"\xc1", b"\x93\x01\x02", b"\x01"))
+@pytest.mark.parametrize(
+    "data", (b"\xc1", b"\x93\x01\x02", b"\x93\x01\x02\x03", b"\x01")
+)
 def test_a_malformed_record_is_an_error(data):
     for kind in (BudgetRecord, HolderRecord):
         with pytest.raises(MessageError):
