Draw for the whole fleet only once the fleet is known

After a loss of power the first router back took itself for the only holder and drew half of each budget; the others refused for a second. A wish is trimmed to the store's record of the moment.

--- a/rowanport/membership/gossip.py
+++ b/rowanport/membership/gossip.py
@@ -61,4 +61,6 @@
                 ]
                 self._members.set_seeds(routers)
                 self._on_list(instances)
+                greetings = self._members.greetings()
+                await asyncio.gather(*(self._tell(*g) for g in greetings))
             await asyncio.sleep(self._settings.list_interval)
--- a/rowanport/membership/members.py
+++ b/rowanport/membership/members.py
@@ -14,6 +14,9 @@
 from ..schema.messages import Gossip
 from ..schema.messages import MemberEntry
 
+# Listed routers that are told at once when they are not known yet: all of a
+# fleet as large as today's.
+GREETINGS = 8
 STARTING = "starting"
 READY = "ready"
 LEAVING = "leaving"
@@ -86,10 +89,24 @@
         message = self._message()
         return [(address, message) for address in self._targets()]
 
+    def greetings(self):
+        """Return (address, Gossip) pairs for listed routers not known yet.
+
+        A router that just started hears of the others a round earlier.
+        """
+        unknown = sorted(self._unknown_seeds())
+        count = min(GREETINGS, len(unknown))
+        message = self._message()
+        chosen = self._random.sample(unknown, count)
+        return [(address, message) for address in chosen]
+
+    def _unknown_seeds(self):
+        return set(self._seeds) - set(map(address_of, self._members))
+
     def _targets(self):
         near = [name for name in self._members if self._near(name)]
         far = [name for name in self._members if not self._near(name)]
-        unknown = set(self._seeds) - set(map(address_of, self._members))
+        unknown = self._unknown_seeds()
         count = min(self._settings.fanout, len(near))
         targets = self._random.sample(near, count)
         if targets:
--- a/rowanport/prepaid/account.py
+++ b/rowanport/prepaid/account.py
@@ -204,11 +204,28 @@
         """
         wanted = self._wanted_tokens(holders, now)
         if self.left is not None:
-            # The share of what all hold that this router sees is its own.
-            unspent = self.left / holders + self.available
-            wanted = min(wanted, UNSPENT_SHARE * unspent)
+            wanted = min(wanted, self._most(holders, self.left))
         return int(wanted)
 
+    def _most(self, holders, left):
+        """Return the tokens to hold at most.
+
+        The share of what all hold that this router sees is its own.
+
+        :param left: tokens left in the store
+        """
+        return UNSPENT_SHARE * (left / holders + self.available)
+
+    def trim(self, wish, holders, left):
+        """Return what is left of a wish once the store's record is known.
+
+        Others may have drawn since it was last seen.
+        """
+        if wish <= 0:
+            return wish
+        room = int(self._most(holders, left)) - self.available
+        return max(self.lacking, min(wish, room))
+
     def wish(self, holders, now):
         """Return the tokens to draw, or to give back if negative."""
         if self.recalled:
--- a/rowanport/prepaid/drawer.py
+++ b/rowanport/prepaid/drawer.py
@@ -45,7 +45,9 @@
     """Moves between the store and this router, written together.
 
     :ivar wishes: tokens wished by budget; negative to give back
-    :ivar moves: tokens moved by budget by the writes last made
+    :ivar asked: tokens asked for by budget by the writes last made: what the
+        wishes come to once the store's records are known
+    :ivar moves: tokens moved by budget by these writes
     :ivar reported: tokens spent by budget that these writes count
     :ivar writes: the writes last made, or None if they are to be made anew
     :ivar allowance: the limits in these writes
@@ -55,6 +57,7 @@
     __slots__ = (
         "number",
         "wishes",
+        "asked",
         "moves",
         "reported",
         "writes",
@@ -66,6 +69,7 @@
     def __init__(self, number, wishes):
         self.number = number
         self.wishes = wishes
+        self.asked = {}
         self.moves = {}
         self.reported = {}
         self.writes = None
@@ -208,7 +212,8 @@
         for name, wish in batch.wishes.items():
             record = self.record(name).copy()
             record.set_total(*books.total(name))
-            batch.moves[name] = record.move(wish)
+            batch.asked[name] = books.trim(name, wish, record.left)
+            batch.moves[name] = record.move(batch.asked[name])
             batch.reported[name] = books.spent(name)
             record.spent += books.unreported(name)
             writes.append(self._write(BUDGET_PREFIX + name, record))
--- a/rowanport/prepaid/refill.py
+++ b/rowanport/prepaid/refill.py
@@ -22,6 +22,10 @@
 # Routers that hold tokens of one budget drawn from the store; in a larger
 # fleet the others borrow from these.
 HOLDERS = 8
+# Seconds after the start during which a router may not know the others yet:
+# heartbeats are 0.8 s apart, and machines that lost power together are back
+# within a second of each other.
+LEARN_SECONDS = 3.0
 
 
 class Refill:
@@ -51,6 +55,7 @@
             clock,
             clocks,
         )
+        self._started = clock.steady()
         self._stopping = False
         self._released = asyncio.Event()
 
@@ -63,6 +68,17 @@
         """Return the routers that draw on a budget; others borrow."""
         return self._members.homes(name, "budget")[:HOLDERS]
 
+    def _holder_count(self, name):
+        """Return how many routers share a budget, as far as is known.
+
+        One that just started may seem alone.  Drawing for the whole fleet,
+        it would leave the others nothing until it has given it back.
+        """
+        count = len(self.holders(name))
+        if self._clock.steady() < self._started + LEARN_SECONDS:
+            return max(count, HOLDERS)
+        return count
+
     def set_totals(self, totals, version):
         """Take over totals by budget, and their configuration's version."""
         for name, total in totals.items():
@@ -116,10 +132,9 @@
         now = self._clock.steady()
         wishes = {}
         for name, account in self._accounts.items():
-            holders = self.holders(name)
-            if self._incarnation not in holders:
+            if self._incarnation not in self.holders(name):
                 continue
-            wish = account.wish(len(holders), now)
+            wish = account.wish(self._holder_count(name), now)
             if wish > 0 and now < self._dry_until.get(name, 0.0):
                 continue
             if wish or account.recalled:
@@ -190,6 +205,14 @@
         totals, version = self._totals
         return totals.get(name, 0), version
 
+    def trim(self, name, wish, left):
+        """Return what to draw now that the store's record is known.
+
+        :param left: tokens left in the store
+        """
+        count = self._holder_count(name)
+        return self._accounts[name].trim(wish, count, left)
+
     def spent(self, name):
         """Return the tokens of a budget that this router surely spent."""
         return self._accounts[name].spent
@@ -223,7 +246,7 @@
         if self._stopping and self._is_released(batch):
             self._released.set()
         now = self._clock.steady()
-        for name, wish in batch.wishes.items():
+        for name, asked in batch.asked.items():
             account = self._accounts[name]
             moved = batch.moves[name]
             drawn = max(0, moved)
@@ -231,9 +254,9 @@
             batch.allowance.note_drawn(name, drawn)
             record = self._drawer.record(name)
             account.note_record(record, batch.reported[name])
-            if wish <= 0:
+            if batch.wishes[name] <= 0:
                 account.recalled = False
-            if moved < wish:
+            if moved < asked:
                 self._dry_until[name] = now + STORE_DRY_SECONDS
         if batch.wishes:
             LOG.info("budget_batch", number=batch.number, moves=batch.moves)
--- a/test/prepaid_world.py
+++ b/test/prepaid_world.py
@@ -55,7 +55,7 @@
     async def renew_lease(self, lease):
         await self._reach()
         world = self._world
-        fate = world.next_fate()
+        fate = world.lease_fates.pop(0) if world.lease_fates else ""
         if fate == "late":
             delay = world.random.uniform(1.0, 6.0)
             world.loop.call_later(delay, world.renew, lease)
@@ -227,6 +227,7 @@
         self.refused = set()
         self.cuts = set()
         self.fates = []
+        self.lease_fates = []
         self.peer_fates = []
         self.spent = 0
         self.served = 0
--- a/test/test_membership.py
+++ b/test/test_membership.py
@@ -57,6 +57,19 @@
             self.round(frozen)
 
 
+def test_listed_routers_that_are_not_known_are_greeted_at_once():
+    cell = Cell(3)
+    one = cell.members["10.0.0.1:1"]
+    others = ["10.0.0.0:1", "10.0.0.2:1"]
+    one.set_seeds(["10.0.0.1:1", *others])
+    greetings = one.greetings()
+    assert sorted(address for address, _message in greetings) == others
+    for address, message in greetings:
+        one.receive(cell.members[address].receive(message))
+    assert len(one.live()) == 3
+    assert one.greetings() == []
+
+
 @pytest.mark.parametrize("count", (2, 4, 8, 16, 35))
 def test_all_see_all_and_agree_on_homes(count):
     cell = Cell(count)
--- a/test/test_prepaid.py
+++ b/test/test_prepaid.py
@@ -25,6 +25,7 @@
 from rowanport.prepaid import BudgetRecord
 from rowanport.prepaid import drawer
 from rowanport.prepaid import HolderRecord
+from rowanport.prepaid.account import FIRST_SHARE
 from rowanport.prepaid.allowance import Allowance
 from rowanport.prepaid.allowance import Allowances
 from rowanport.prepaid.allowance import HOLD_SECONDS
@@ -32,6 +33,8 @@
 from rowanport.prepaid.allowance import process_ended_in_time
 from rowanport.prepaid.drawer import Drawer
 from rowanport.prepaid.lender import Lender
+from rowanport.prepaid.refill import HOLDERS
+from rowanport.prepaid.refill import LEARN_SECONDS
 from rowanport.store import Value
 
 ADDRESSES = [f"10.0.0.{number}:1" for number in range(1, 5)]
@@ -337,6 +340,18 @@
     world.close()
 
 
+def test_a_router_that_knows_nobody_yet_does_not_draw_for_the_whole_fleet():
+    # Found on the bench: after a loss of power the first router back drew
+    # half of each budget, and the others refused for a second.
+    world = World(1, 10000)
+    world.start(ADDRESSES[0])
+    world.advance(1.0)
+    assert 0 < world.held() <= 10000 * FIRST_SHARE / HOLDERS
+    world.advance(LEARN_SECONDS)
+    assert world.held() > 0.5 * 10000 * FIRST_SHARE
+    world.close()
+
+
 def test_half_of_what_is_unspent_stays_in_the_store():
     world = make_world(3000)
     for number in range(30):
@@ -576,7 +591,7 @@
     # The late renewal would let it live on after the limits have lapsed.
     world = make_world()
     granted = len(world.leases)
-    world.fates = ["late"]
+    world.lease_fates = ["late"]
     world.advance(4.0)
     assert len(world.leases) == granted + 1
     world.check()
