Part the forwarder by its jobs; know an event's size from admission

Reading it showed a fault: how many tokens an event holds was looked up in the newest configuration when a request ended; if that had dropped the service, the end raised KeyError and its tokens stayed set aside for good. Before: test_a_stream_whose_service_is_dropped_meanwhile_is_settled failed (KeyError: 'feed'). After: test_platform and test_choice green.

--- a/rowanport/gateway/daemon.py
+++ b/rowanport/gateway/daemon.py
@@ -24,7 +24,6 @@
 from .choice import NearestChoice
 from .choice import PrefixChoice
 from .choice import UpstreamPool
-from .events import EventSplitter
 from .exchange import Exchange
 from .forwarder import Forwarder
 from .health import HealthFront
@@ -32,6 +31,7 @@
 from .loads import LoadNotes
 from .metrics import GatewayMetrics
 from .prefixes import PrefixMap
+from .refusals import Refusals
 from .retries import RetryWindow
 from .settings import split_address
 from .views import Views
@@ -132,6 +132,7 @@
         self.exchange = Exchange(self.client, self.dialect, self.clock)
         self.pool = UpstreamPool()
         self.admission = Admission(self.dialect)
+        self.refusals = Refusals(self.clock)
         self.forwarder = Forwarder(self)
         prefixes = PrefixMap()
         self._prefix_choice = PrefixChoice(settings.data_centre, prefixes)
@@ -180,14 +181,6 @@
             )
         return window
 
-    def tokens_per_event(self, service):
-        """Return the most tokens that one event of a service holds."""
-        return self.table.services[service].tokens_per_event
-
-    def new_splitter(self):
-        """Return an EventSplitter for one answer."""
-        return EventSplitter()
-
     def _take_table(self, table):
         limits = table.limits
         self._limits.head = limits.head
@@ -221,7 +214,7 @@
     async def _refuse(self, responder, error):
         LOG.info("request", outcome=error.kind.value, why=error.detail)
         responder.closing = True
-        await self.forwarder.refuse(responder, error)
+        await self.refusals.send(responder, error)
 
     # Life
 
--- a/rowanport/gateway/dialect.py
+++ b/rowanport/gateway/dialect.py
@@ -11,7 +11,6 @@
     :ivar expected_instance: id of the only upstream that may run it
     :ivar not_executed: an upstream's word that it did not run the request
     :ivar signature: an upstream's proof that the answer is its own
-    :ivar model: the model asked for
     :ivar tokens: tokens of the prompt and most tokens of the answer
     :ivar prefix: parts of the prompt as ID:TOKENS
     :ivar priority: rank for the upstream, 0 the first
@@ -26,7 +25,6 @@
         "expected_instance",
         "not_executed",
         "signature",
-        "model",
         "tokens",
         "prefix",
         "priority",
--- a/rowanport/gateway/forwarder.py
+++ b/rowanport/gateway/forwarder.py
@@ -1,16 +1,15 @@
 """The way of one request: admit, reserve, send, pass on, settle."""
 
 import asyncio
-import random
 
-from ..errors import ANSWERS
-from ..errors import error_body
 from ..errors import ErrorKind
-from ..errors import Outcome
 from ..errors import RequestError
 from ..errors import UpstreamError
 from .decisions import DecisionLog
 from .exchange import NotExecuted
+from .refusals import late_error
+from .relay import is_stream
+from .relay import Relay
 
 # Rejections of one request after which it is refused.
 REJECTION_LIMIT = 3
@@ -20,21 +19,8 @@
 # upstream before it goes to another.
 SILENCE_SHARE = 0.4
 # The same for a stream that may be resumed, as a multiple of its objective
-# before the first event, and in seconds after it: callers give a stream up
-# after 2 s or more.
+# before the first event: callers give a stream up after 2 s or more.
 FIRST_EVENT_OBJECTIVES = 3.0
-EVENT_SILENCE = 1.5
-# Times to come back in seconds where none is known better, and the spread
-# that keeps callers from coming back together: short against the seconds
-# that a caller has left.
-RETRY_AFTER = 0.1
-RETRY_SPREAD = 0.3
-# Part of the time that a caller has left after which it is told to come back
-# at the latest, so that it still can be served then.
-RETURN_SHARE = 0.5
-# Larger answers are passed on as they come, not held until they are whole.
-BUFFER_LIMIT = 1024 * 1024
-SERVER_ERROR = 500
 
 
 class Forwarder:
@@ -47,6 +33,8 @@
         self._gateway = gateway
         self._clock = gateway.clock
         self._log = DecisionLog(gateway.metrics, gateway.clock)
+        self._relay = Relay(gateway.exchange, gateway.clock)
+        self._refusals = gateway.refusals
 
     async def handle(self, request, responder):
         """Answer one HttpRequest, whatever becomes of it."""
@@ -62,7 +50,7 @@
         except RequestError as error:
             await self._send_error(job, request, responder, error, arrived)
         except asyncio.TimeoutError:
-            error = _late_error(job)
+            error = late_error(job)
             await self._send_error(job, request, responder, error, arrived)
         except asyncio.CancelledError:
             self._note_end(job, "caller_left", arrived)
@@ -80,29 +68,7 @@
         try:
             await self._send_until_done(job, responder)
         finally:
-            used, spent = self._used(job), self._spent(job)
-            gateway.budgets.settle(budget, worst, used, spent)
-
-    def _used(self, job):
-        """Return the tokens that a job used, or may have used."""
-        if not job.runs:
-            return 0
-        if not job.whole or job.runs > 1:
-            return job.tokens.worst
-        size = self._gateway.tokens_per_event(job.service)
-        made = min(job.tokens.most, job.events * size)
-        return job.tokens.prompt + made
-
-    def _spent(self, job):
-        """Return the tokens that a job surely used, by what was passed on.
-
-        The last event may hold fewer tokens than the others.
-        """
-        if not job.events:
-            return 0
-        size = self._gateway.tokens_per_event(job.service)
-        made = min(job.tokens.most, (job.events - 1) * size + 1)
-        return job.tokens.prompt + made
+            gateway.budgets.settle(budget, worst, job.used, job.spent)
 
     # Sends
 
@@ -186,11 +152,9 @@
         sent_at = self._clock.steady()
         try:
             answer = await self._exchange(job, state)
-            if _is_stream(answer):
+            if is_stream(answer):
                 state.backlog.measure(ahead, self._clock.steady() - sent_at)
-                await self._pass_on_events(job, answer, responder)
-            else:
-                await self._pass_on(job, answer, responder)
+            await self._relay.pass_on(job, answer, responder)
             state.note_success()
             self._log.note_answered()
         finally:
@@ -227,70 +191,6 @@
             return min(left, FIRST_EVENT_OBJECTIVES * job.route.objective)
         return SILENCE_SHARE * left
 
-    # Answers
-
-    async def _pass_on(self, job, answer, responder):
-        """Pass an answer on once it is whole, or too large to hold."""
-        if answer.status >= SERVER_ERROR and self._may_repeat(job, responder):
-            answer.close()
-            raise UpstreamError(f"status {answer.status}")
-        if responder.started:
-            raise UpstreamError(f"status {answer.status} instead of events")
-        fields = self._gateway.exchange.answer_fields(answer)
-        held = []
-        size = 0
-        async for piece in answer.pieces():
-            held.append(piece)
-            size += len(piece)
-            if size > BUFFER_LIMIT:
-                await self._pass_piece(answer, fields, held, responder)
-        if not responder.started:
-            fields.append(("content-length", str(size)))
-        job.whole = True
-        await self._pass_piece(answer, fields, held, responder)
-        await responder.finish()
-
-    async def _pass_piece(self, answer, fields, held, responder):
-        """Send what is held of an answer, its head first."""
-        if not responder.started:
-            await responder.start(answer.status, fields)
-        if held:
-            await responder.write(b"".join(held))
-            held.clear()
-
-    def _may_repeat(self, job, responder):
-        route = job.route
-        return (
-            not responder.started
-            and route.repeatable
-            and job.runs < route.max_sends
-        )
-
-    async def _pass_on_events(self, job, answer, responder):
-        """Pass events on as they come, each whole and each once."""
-        splitter = self._gateway.new_splitter()
-        if not responder.started:
-            fields = self._gateway.exchange.answer_fields(answer)
-            await responder.start(answer.status, fields)
-        answer.set_timeout(self._event_silence(job))
-        async for piece in answer.pieces():
-            events = [
-                event for event in splitter.feed(piece) if _is_next(job, event)
-            ]
-            if events:
-                job.note_events(events, self._clock.steady())
-                await responder.write(b"".join(e.data for e in events))
-        if splitter.torn:
-            raise UpstreamError("the stream ended within an event")
-        job.whole = True
-        await responder.finish()
-
-    def _event_silence(self, job):
-        left = job.deadline - self._clock.steady()
-        if job.route.resumable and job.runs < job.route.max_sends:
-            return min(left, EVENT_SILENCE)
-        return left
-
     async def _send_error(self, job, request, responder, error, arrived):
         self._note_end(job, error.kind.value, arrived, error.detail)
         if responder.started:
@@ -300,46 +200,9 @@
         name = self._gateway.dialect.request_id
         own = request.header(name)
         headers = [(name, own)] if own else []
-        await self.refuse(responder, error, headers, job)
-
-    async def refuse(self, responder, error, headers=(), job=None):
-        """Answer with a RequestError, and when to come back."""
-        answer = ANSWERS[error.kind]
-        headers = list(headers)
-        if answer.retry and error.outcome is Outcome.NOT_RUN:
-            seconds = self._retry_seconds(error, job)
-            headers.append(("Retry-After", f"{seconds:.3f}"))
-        await responder.reply_json(answer.status, error_body(error), headers)
-
-    def _retry_seconds(self, error, job):
-        now = self._clock.steady()
-        seconds = RETRY_AFTER
-        if error.come_back_at is not None:
-            seconds = max(seconds, error.come_back_at - now)
-        seconds += random.uniform(0, RETRY_SPREAD)
-        if job is not None:
-            seconds = min(seconds, RETURN_SHARE * (job.caller_deadline - now))
-        return max(0.0, seconds)
+        await self._refusals.send(responder, error, headers, job)
 
     def _note_end(self, job, outcome, arrived, why=""):
-        used = self._used(job) if job and job.budget else None
+        used = job.used if job and job.budget else None
         revision = self._gateway.upstreams.revision
         self._log.note_end(job, outcome, arrived, why, used, revision)
-
-
-def _late_error(job):
-    if job.runs:
-        return RequestError(ErrorKind.DEADLINE_PASSED, "the time is over")
-    return RequestError(ErrorKind.OVERLOADED, "not started in time")
-
-
-def _is_stream(answer):
-    kind = answer.headers.get("content-type", "")
-    return answer.status == 200 and kind.startswith("text/event-stream")
-
-
-def _is_next(job, event):
-    """Return whether an event has not been passed on yet."""
-    if event.id is None or job.last_event is None:
-        return True
-    return event.id > job.last_event
--- a/rowanport/gateway/job.py
+++ b/rowanport/gateway/job.py
@@ -10,13 +10,15 @@
 
     :ivar prompt: tokens of the prompt, counted once a request
     :ivar most: most tokens of the answer
+    :ivar per_event: most tokens that one event of the answer holds
     """
 
-    __slots__ = ("prompt", "most")
+    __slots__ = ("prompt", "most", "per_event")
 
-    def __init__(self, prompt, most):
+    def __init__(self, prompt, most, per_event=1):
         self.prompt = prompt
         self.most = most
+        self.per_event = per_event
 
     @property
     def worst(self):
@@ -120,6 +122,27 @@
         own = self.organisation and self.organisation.priority
         return self.route.priority if own is None else own
 
+    @property
+    def used(self):
+        """Return the tokens that it used, or may have used."""
+        if not self.runs:
+            return 0
+        if not self.whole or self.runs > 1:
+            return self.tokens.worst
+        made = self.events * self.tokens.per_event
+        return self.tokens.prompt + min(self.tokens.most, made)
+
+    @property
+    def spent(self):
+        """Return the tokens that it surely used, by what was passed on.
+
+        The last event may hold fewer tokens than the others.
+        """
+        if not self.events:
+            return 0
+        made = (self.events - 1) * self.tokens.per_event + 1
+        return self.tokens.prompt + min(self.tokens.most, made)
+
     def note_events(self, events, now):
         """Count some Events that are about to be passed on."""
         if self.first_event_at is None:
@@ -158,7 +181,7 @@
         job.config = table.version
         self._identify(job, table)
         self._read_deadline(job, now)
-        self._read_tokens(job)
+        self._read_tokens(job, table)
         self._read_affinity(job)
         return job
 
@@ -177,12 +200,16 @@
         job.caller_deadline = now + _read_number(text) / 1000
         job.deadline = min(job.deadline, job.caller_deadline)
 
-    def _read_tokens(self, job):
+    def _read_tokens(self, job, table):
         text = job.request.header(self._dialect.tokens)
         if not text:
             return
         prompt, _, most = text.partition(",")
-        job.tokens = Tokens(_read_number(prompt), _read_number(most or "0"))
+        job.tokens = Tokens(
+            _read_number(prompt),
+            _read_number(most or "0"),
+            table.services[job.service].tokens_per_event,
+        )
 
     def _read_affinity(self, job):
         text = job.request.header(self._dialect.prefix)
--- a/rowanport/platform/words.py
+++ b/rowanport/platform/words.py
@@ -10,7 +10,6 @@
     expected_instance="x-rowanport-expect-instance",
     not_executed="x-rowanport-not-executed",
     signature="x-rowanport-server-stamp",
-    model="x-rowanport-model",
     tokens="x-rowanport-token-count",
     prefix="x-rowanport-prompt-prefix",
     priority="priority",
--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -350,6 +350,26 @@
     await platform.wait(lambda: account.outflow == before + 1000 + 6 * 3)
 
 
+@scenario
+async def test_a_stream_whose_service_is_dropped_meanwhile_is_settled(
+    platform,
+):
+    # Found by reading: what an event holds was looked up at the end, in the
+    # newest configuration; the tokens stayed set aside for good.
+    account = platform.gateway.budgets.accounts["org"]
+    before = account.outflow
+    for upstream in platform.upstreams:
+        upstream.pause = 0.2
+    answer = await platform.stream("/stream/", tokens="1000,500")
+    newer = config(2)
+    newer["services"] = [{**newer["services"][0], "name": "other"}]
+    newer["routes"] = []
+    await platform.store.put("op/config", newer)
+    await platform.wait(lambda: platform.gateway.table.version == 2)
+    assert await read_events(answer) == (events("r1", range(1, 7)), True)
+    await platform.wait(lambda: account.outflow == before + 1000 + 6 * 3)
+
+
 @scenario
 async def test_a_top_up_is_in_force_without_a_restart(platform):
     refused = await platform.stream("/stream/", tokens="99000,9000")
