Find limits that are not kept by a machine of bursts and kills

It had been found after some 195 of them; since a router that just started holds less, what goes beyond a limit is rarely there when a router is killed. Ruled out: load; 'pytest -k limits_not_kept test' fails alike alone (which modules are loaded decides the derandomised run). Change: as for suspicions and losses, a machine of its own for this variant: bursts, kills of all right after them. It runs unbroken too.

--- a/test/test_prepaid.py
+++ b/test/test_prepaid.py
@@ -228,7 +228,6 @@
 
 
 BROKEN = (
-    limits_not_kept,
     loan_repeated,
     lent_without_debit,
     given_back_without_debit,
@@ -277,6 +276,27 @@
         go_beyond_limits_and_restart(power)
 
 
+class LimitMachine(PrepaidMachine):
+    """The same with little else than bursts and kills right after them."""
+
+    store = cut_store = turn_away = cut = network = stop = top_up = None
+    jump = heal = lose = kill = request = None
+
+    @rule(count=strategies.sampled_from((8, 16, 32)))
+    def burst(self, count):
+        for number in range(count):
+            address = ADDRESSES[number % len(ADDRESSES)]
+            self.world.request(address, 20, 20, 0.2)
+        # Too short for a new record.
+        self.world.advance(0.05)
+
+
+def test_the_machine_of_limits_finds_limits_that_are_not_kept():
+    run_machine(LimitMachine, 20)
+    with limits_not_kept(), pytest.raises(AssertionError):
+        run_machine(LimitMachine, 400)
+
+
 class LossMachine(PrepaidMachine):
     """The same with little else than lost and late answers of the store."""
 
