--- a/rowanport/gateway/loads.py
+++ b/rowanport/gateway/loads.py
@@ -13,7 +13,7 @@
 # twelfth of the shortest objective.
 NOTE_LEAST = 2000
 # Peers that are told.  All of them in the fleets of today; a router of a
-# larger fleet hears a sample, at 3 KB a second at the most.
+# larger fleet hears a sample, 25 notes of 33 bytes a second at the target.
 NOTE_FANOUT = 8
 
 
