Let limits grow with their record's age; probe a lost store cheaply

And each router tried a lost store with three loops at full price (20 calls in 3 s).

Change: a limit is base + pace x age of its record, so a run that ended soon gives back more and one that is cut off may let go more; the age of a machine that lost power is proved by two leases (1.6 and 2.6 s) and the clocks, as before each by itself; limits follow what is granted, not what is asked, as callers of a dry budget ask again and again; a request waits up to 0.4 s for a limit that soon lets it go. One probe (a stale read, a tenth of a call) speaks for a store that is away.

--- a/rowanport/platform/directory.py
+++ b/rowanport/platform/directory.py
@@ -55,6 +55,7 @@
                 continue
             except StoreError as error:
                 LOG.info("register_failed", error=str(error))
+                await self._store.reach.wait_up()
                 pause = FAILED_PAUSE
             await asyncio.sleep(pause)
 
--- a/rowanport/platform/sources.py
+++ b/rowanport/platform/sources.py
@@ -3,10 +3,12 @@
 import abc
 import asyncio
 import json
+import math
 import time
 
 import structlog
 
+from ..errors import StoreBusy
 from ..errors import StoreError
 from ..gateway.upstream import Upstream
 from ..gateway.upstream import UpstreamList
@@ -61,18 +63,39 @@
             except StoreError as error:
                 self._note_failure(error)
                 await asyncio.sleep(FAILED_PAUSE)
+                await self._store.reach.wait_up()
 
     async def _follow(self, views):
         if self._revision is None:
             self._revision = await self.load(views)
             self._note_success()
-        listing = await self._store.watch(self.prefix, self._revision)
+        listing = await self._watch()
         self._note_success()
         self._revision = max(self._revision, listing.revision)
         if listing.items:
             self.change(views, listing)
             await asyncio.sleep(BATCH_PAUSE)
 
+    async def _watch(self):
+        """Wait for changes, no longer than the store can be reached.
+
+        :raises StoreError: it cannot, or there was no answer
+        """
+        watch = asyncio.ensure_future(
+            self._store.watch(self.prefix, self._revision)
+        )
+        down = asyncio.ensure_future(self._store.reach.wait_down())
+        try:
+            await asyncio.wait(
+                (watch, down), return_when=asyncio.FIRST_COMPLETED
+            )
+            if not watch.done():
+                raise StoreBusy("the store is away")
+            return watch.result()
+        finally:
+            watch.cancel()
+            down.cancel()
+
     def _note_failure(self, error):
         if not self._failing:
             self._failing = True
@@ -163,7 +186,8 @@
     @property
     def _grace_until(self):
         """Return until when a missing entry may have lapsed in an outage."""
-        return self._store.failed_at + LAPSE_GRACE
+        failed_at = self._store.reach.failed_at
+        return -math.inf if failed_at is None else failed_at + LAPSE_GRACE
 
     def _miss(self, name, upstream):
         """Keep an entry for a while that may have lapsed in an outage."""
--- a/rowanport/platform/store.py
+++ b/rowanport/platform/store.py
@@ -2,8 +2,6 @@
 
 import base64
 import json
-import math
-import time
 import urllib.parse
 
 from ..errors import LeaseOver
@@ -12,6 +10,7 @@
 from ..errors import StoreError
 from ..errors import StoreUnavailable
 from ..errors import UpstreamError
+from ..store import Reach
 from ..store import TransactionStore
 from ..store import Value
 from ..store import Write
@@ -22,6 +21,8 @@
 # Longest wait of a watch in seconds; each watch that returns costs a call.
 WATCH_SECONDS = 20.0
 BUSY = (429, 503)
+# The key that probes read; it need not exist.
+PROBE_KEY = "rowanport/probe"
 
 
 class HistoryLost(StoreError):
@@ -69,15 +70,20 @@
     def __init__(self, client, address):
         self._client = client
         self._address = address
-        self._failed_at = -math.inf
+        self._reach = Reach(self._probe)
 
     @property
-    def failed_at(self):
-        """Return the steady time at which a call last failed.
+    def reach(self):
+        """Return the Reach: whether the store answers calls at all.
 
         Watches do not count: one that waits may be cut at any time.
         """
-        return self._failed_at
+        return self._reach
+
+    async def _probe(self):
+        # A stale read costs a tenth and is not counted in the rate.
+        query = {"private_key": PROBE_KEY, "stale": 1}
+        await self._exchange("GET", "/kv-key", query)
 
     async def get(self, key):
         """Return the Listing of one key, empty if it does not exist."""
@@ -172,10 +178,12 @@
         return await self._call("POST", "/kv-txn", body=body)
 
     async def _call(self, method, path, query=None, body=None):
+        if not self._reach.up:
+            raise StoreBusy("the store is away")
         try:
             return await self._exchange(method, path, query, body)
         except StoreError:
-            self._failed_at = time.monotonic()
+            self._reach.note_failure()
             raise
 
     async def _exchange(
--- a/rowanport/prepaid/account.py
+++ b/rowanport/prepaid/account.py
@@ -28,12 +28,17 @@
 LEAST_DRAW = 0.01
 # Give back what is above this multiple of the target.
 HIGH_WATER = 2.5
-# Seconds of demand that may go out before a new limit is written: what a
-# cut from the store must bear until written limits bind no more.
-ALLOWANCE_SECONDS = 2.5
-# The same as a part of the whole budget, for budgets that are asked rarely
-# and then for much at once.
-ALLOWANCE_SHARE = 0.045
+# Tokens that may go out at once after a record, in seconds of what is granted
+# and as a part of the whole budget for those that are asked rarely and then
+# for much at once.  What is asked is no measure: callers of a dry budget ask
+# again and again, and all that a limit lets go may be lost with its router.
+ALLOWANCE_SECONDS = 0.6
+ALLOWANCE_SHARE = 0.024
+# How fast that limit grows while no new record is made, as a multiple of what
+# is granted and as a part of the whole budget a second: what a cut from the
+# store must bear until limits bind no more.
+PACE_FACTOR = 1.2
+PACE_SHARE = 0.0125
 # Part of an allowance that is used up when a new one is written.
 ALLOWANCE_USED = 0.6
 
@@ -66,6 +71,7 @@
         "dry_until",
         "waiting",
         "_demand",
+        "_granted",
     )
 
     def __init__(self, name):
@@ -81,6 +87,7 @@
         self.dry_until = 0.0
         self.waiting = []
         self._demand = DecayingRate(DEMAND_HALF_LIFE, DEMAND_LEAST_AGE)
+        self._granted = DecayingRate(DEMAND_HALF_LIFE, DEMAND_LEAST_AGE)
 
     @property
     def available(self):
@@ -111,14 +118,16 @@
         """Count what a request asks for."""
         self._demand.add(tokens, now)
 
-    def reserve(self, tokens, room):
+    def reserve(self, tokens, room, now):
         """Set tokens aside if there are enough; return whether.
 
         :param room: tokens that may go out now, None for any number
+        :param now: steady time
         """
         free = self.available if room is None else min(self.available, room)
         if self.recalled or free < tokens:
             return False
+        self._granted.add(tokens, now)
         self.outflow += tokens
         return True
 
@@ -185,13 +194,20 @@
     # Sizes
 
     def allowance(self, holders, now):
-        """Return the tokens that may go out before the next record."""
+        """Return the tokens that may go out at once after a record."""
         wanted = max(
-            ALLOWANCE_SECONDS * self._demand.rate(now),
+            ALLOWANCE_SECONDS * self._granted.rate(now),
             ALLOWANCE_SHARE * self.total / holders,
         )
         return int(wanted) + self.wanted
 
+    def pace(self, holders, now):
+        """Return how many more may go out for each second of its age."""
+        return max(
+            PACE_FACTOR * self._granted.rate(now),
+            PACE_SHARE * self.total / holders,
+        )
+
     def _wanted_tokens(self, holders, now):
         return max(
             HORIZON * self._demand.rate(now),
--- a/rowanport/prepaid/allowance.py
+++ b/rowanport/prepaid/allowance.py
@@ -1,25 +1,32 @@
 """Limits that a router keeps for a while after it wrote them down.
 
 A router writes with each batch how many tokens of each budget it will let
-go at most, as a total since its start.  It keeps to that limit until
-``HOLD_SECONDS`` have passed since it made the record, and writes a new one
-long before.  Only a router that cannot write any more goes beyond.
+go at most, as a total since its start that grows with the age of the record.
+It keeps to that limit until ``HOLD_SECONDS`` have passed since it made the
+record, and writes a new one long before.  Only a router that cannot write
+any more goes beyond.
 
-So whoever knows that a router ended within ``HOLD_SECONDS`` of its last
-record also knows that it let go no more than the limits say, and the rest
-can be given back.  Its own next run may know, in two ways:
+So whoever knows an age of the last record by which its router had ended also
+knows that it let go no more than the limit at that age, and the rest can be
+given back.  Its own next run may know, in two ways:
 
 - A killed process: both runs read the same steady clock.
-- A machine that restarted has a new steady clock.  Then a lease tells, which
-  was granted before the record was made and written with it: while its key
-  is there, the store counted less time than that.  A store that is down may
-  keep a lease waiting; so the wall clocks of the fleet must agree too.
+- A machine that restarted has a new steady clock.  Then leases tell, which
+  began anew before the record was made and were written with it: while the
+  key of one is there, the store counted less time than it spans.  A store
+  that is down may keep a lease waiting; so the wall clocks of the fleet must
+  agree too.
 """
 
+import math
+
 # Seconds for which a written limit binds.  A process or a machine is back
 # 0.6 to 1.5 s after it ended (the users' days), its last record is up to
 # RENEW_SECONDS old by then, and a start takes 0.3 s.
 HOLD_SECONDS = 2.6
+# Spans in seconds of the leases that go with a record.  The shorter one tells
+# of a machine that was back soon; it costs a tenth of a call a record.
+LEASE_SPANS = (1.6, HOLD_SECONDS)
 # Seconds after which a limit is written anew.
 RENEW_SECONDS = 0.7
 # Disagreement of steady and wall clock in seconds beyond which a machine
@@ -27,11 +34,38 @@
 CLOCK_TOLERANCE = 1.0
 
 
+class Limit:
+    """Most tokens of one budget out, as a total since a router's start.
+
+    :ivar base: tokens at the time of the record
+    :ivar pace: tokens a second by which it grows
+    """
+
+    __slots__ = ("base", "pace")
+
+    def __init__(self, base, pace=0.0):
+        self.base = base
+        self.pace = pace
+
+    def at(self, age):
+        """Return the limit when its record has some age in seconds."""
+        return int(self.base + self.pace * age)
+
+    def age_of(self, tokens):
+        """Return the age in seconds from which it is some tokens at least."""
+        if tokens <= self.base:
+            return 0.0
+        if not self.pace:
+            return math.inf
+        # One token more: a limit is rounded down.
+        return (tokens + 1 - self.base) / self.pace
+
+
 class Allowance:
     """One record's limits.
 
     :ivar made_at: steady time just before the record was written
-    :ivar limits: most tokens out by budget; budgets not named are free
+    :ivar limits: Limit by budget; budgets not named are free
     :ivar inflows: tokens in by budget that the record counts and that are
         here; what comes in otherwise is not in the record and may go out
         beyond the limit
@@ -44,6 +78,22 @@
         self.limits = limits
         self.inflows = inflows
 
+    @property
+    def lapses_at(self):
+        """Return the steady time from which its limits bind no more."""
+        return self.made_at + HOLD_SECONDS
+
+    def room(self, account, now):
+        """Return how many more tokens of an Account may go out."""
+        limit = self.limits[account.name].at(now - self.made_at)
+        return limit - self.inflows[account.name] + account.available
+
+    def room_at(self, account, tokens):
+        """Return the steady time from which some tokens may go out."""
+        out = tokens + self.inflows[account.name] - account.available
+        age = self.limits[account.name].age_of(out)
+        return min(self.made_at + age, self.lapses_at)
+
     def note_drawn(self, name, tokens):
         """Note that tokens drawn by the record's own batch have come in.
 
@@ -77,51 +127,59 @@
 
         :returns: None if no limit binds
         """
-        name = account.name
-        rooms = [
-            allowance.limits[name] - allowance.inflows[name]
-            for allowance in self._binding
-            if name in allowance.limits
-            and now < allowance.made_at + HOLD_SECONDS
-        ]
-        return min(rooms) + account.available if rooms else None
-
-    def lapse_at(self, name, now):
-        """Return the steady time from which no limit binds a budget."""
-        times = [
-            allowance.made_at + HOLD_SECONDS
-            for allowance in self._binding
-            if name in allowance.limits
+        binding = self._of(account.name, now)
+        return min((one.room(account, now) for one in binding), default=None)
+
+    def room_at(self, account, tokens, now):
+        """Return the steady time from which limits let some tokens go.
+
+        :param tokens: tokens that the Account holds, or fewer
+        """
+        binding = self._of(account.name, now)
+        times = (one.room_at(account, tokens) for one in binding)
+        return max(times, default=now)
+
+    def _of(self, name, now):
+        """Return the Allowances that bind a budget now."""
+        return [
+            one
+            for one in self._binding
+            if name in one.limits and now < one.lapses_at
         ]
-        return max(times + [now])
 
     def newest(self):
         """Return the newest Allowance, or None."""
         return self._binding[-1] if self._binding else None
 
 
-def process_ended_in_time(record, steady, wall):
-    """Return whether a killed process ended within its limits.
+def process_age(record, steady, wall):
+    """Return the age of a record by which a killed process had ended.
 
     :param record: its last HolderRecord
     :param steady: steady time now, of the machine that wrote it
     :param wall: wall time now, of the same machine
+    :returns: seconds, at most ``HOLD_SECONDS``; None if that is not proved
     """
     age = steady - record.made_at
     if not 0.0 <= age < HOLD_SECONDS:
-        return False
-    return abs(wall - record.wall - age) < CLOCK_TOLERANCE
+        return None
+    proved = abs(wall - record.wall - age) < CLOCK_TOLERANCE
+    return age if proved else None
 
 
-def machine_ended_in_time(record, lease_lives, heard, latest):
-    """Return whether a machine that restarted ended within its limits.
+def machine_age(record, span, heard, latest):
+    """Return the age of a record by which a restarted machine had ended.
 
     :param record: its last HolderRecord
-    :param lease_lives: whether the key of the record's lease is there
+    :param span: seconds of the shortest lease that outlived it, or None
     :param heard: whether any other machine's clock was heard
     :param latest: the latest wall time that any clock of the fleet showed
         when the next run began
+    :returns: seconds, one of ``LEASE_SPANS``; None if that is not proved
     """
-    if not lease_lives or not heard:
-        return False
-    return 0.0 <= latest - record.earliest < HOLD_SECONDS
+    if span is None or not heard:
+        return None
+    age = latest - record.earliest
+    if age < 0.0:
+        return None
+    return next((s for s in LEASE_SPANS if s >= span and age < s), None)
--- a/rowanport/prepaid/drawer.py
+++ b/rowanport/prepaid/drawer.py
@@ -17,25 +17,21 @@
 from ..store import Value
 from ..store import Write
 from .allowance import Allowance
-from .allowance import HOLD_SECONDS
-from .allowance import machine_ended_in_time
-from .allowance import process_ended_in_time
+from .allowance import machine_age
+from .allowance import process_age
+from .leases import RecordLeases
 from .record import BudgetRecord
 from .record import HolderRecord
 
 LOG = structlog.get_logger(__name__)
 
 # Budgets in one batch: the store takes 32 entries, a condition and a write
-# for each budget and for the own record, and a write for its lease.
+# for each budget and for the own record, and a write for each lease.
 BATCH_LIMIT = 14
 # Writes of one batch in a row that others' writes may overtake.
 CONFLICT_TRIES = 8
 BUDGET_PREFIX = "rowanport/budget/"
 HOLDER_PREFIX = "rowanport/holder/"
-LEASE_PREFIX = "rowanport/lease/"
-# Age in seconds up to which a lease serves for one more record: two batches
-# in quick succession then cost one call less.
-LEASE_REUSE_SECONDS = 0.4
 # Longest wait in seconds for peers' clocks at the start.
 CLOCKS_WAIT = 1.0
 CLOCKS_POLL = 0.02
@@ -92,7 +88,7 @@
     def __init__(self, incarnation, address, store, allowances, clock, clocks):
         self._incarnation = incarnation
         self._key = HOLDER_PREFIX + address
-        self._lease_key = LEASE_PREFIX + address
+        self._leases = RecordLeases(store, address, clock)
         self._clocks = clocks
         self._store = store
         self._allowances = allowances
@@ -102,8 +98,6 @@
         self._values = {}
         self._number = 0
         self._recovered = False
-        self._lease = None
-        self._lease_began = 0.0
         self.batch = None
 
     @property
@@ -137,8 +131,8 @@
         batch = self.batch
         for _try in range(CONFLICT_TRIES):
             if batch.writes is None:
-                lease = await self._fresh_lease()
-                self._make_writes(batch, books, lease)
+                await self._leases.begin()
+                self._make_writes(batch, books)
             try:
                 version = await self._store.commit(batch.writes)
             except StoreConflict as conflict:
@@ -151,7 +145,7 @@
             except LeaseOver:
                 # Neither this send nor an earlier one can take effect now,
                 # unless an earlier one has: the condition tells.
-                self._forget_lease(batch)
+                self._forget_leases(batch)
                 continue
             except StoreBusy:
                 # An earlier send of the same writes may still take effect.
@@ -165,41 +159,9 @@
             return self._finish(batch)
         return None
 
-    async def _fresh_lease(self):
-        """Return a lease that began anew just now.
-
-        It did so before the record is made that goes with it.  A renewal
-        costs a tenth of a grant.
-
-        :raises StoreBusy: there is none to be had
-        """
-        now = self._clock.steady()
-        if self._lease and now < self._lease_began + LEASE_REUSE_SECONDS:
-            return self._lease
-        lease = self._lease
-        # A renewal without an answer may be done late, when the lease is to
-        # have ended: such a lease is not used again.
-        self._lease = None
-        try:
-            self._lease = await self._renew_or_grant(lease)
-        except StoreError as error:
-            # A lease that nobody knows of changes nothing.
-            raise StoreBusy(f"no lease: {error}") from None
-        self._lease_began = now
-        return self._lease
-
-    async def _renew_or_grant(self, lease):
-        if lease is not None:
-            try:
-                await self._store.renew_lease(lease)
-                return lease
-            except LeaseOver:
-                pass
-        return await self._store.grant_lease(HOLD_SECONDS)
-
-    def _forget_lease(self, batch):
-        """Send the same writes again without the lease that has ended."""
-        self._lease = None
+    def _forget_leases(self, batch):
+        """Send the same writes again without the leases that have ended."""
+        self._leases.forget()
         batch.writes = [w for w in batch.writes if w.lease is None]
 
     def _forget_writes(self, batch):
@@ -207,7 +169,7 @@
         batch.writes = None
         batch.unsure = False
 
-    def _make_writes(self, batch, books, lease):
+    def _make_writes(self, batch, books):
         writes = []
         for name, wish in batch.wishes.items():
             record = self.record(name).copy()
@@ -226,12 +188,16 @@
             self._clock.wall(),
             self._clocks.earliest(),
             {
-                name: (inflows[name] + max(0, batch.moves.get(name, 0)), limit)
+                name: (
+                    inflows[name] + max(0, batch.moves.get(name, 0)),
+                    limit.base,
+                    limit.pace,
+                )
                 for name, limit in limits.items()
             },
         )
         writes.append(self._write(self._key, batch.record))
-        writes.append(Write(self._lease_key, _mark(batch.record), None, lease))
+        writes.extend(self._leases.writes(_mark(batch.record)))
         batch.allowance = Allowance(batch.record.made_at, limits, inflows)
         self._allowances.add(batch.allowance)
         batch.writes = writes
@@ -309,32 +275,31 @@
         self._recovered = True
 
     async def _provably_unspent(self, old):
-        unspent = old.unspent()
-        if not unspent:
+        """Return by budget the tokens that an earlier run surely left."""
+        if not old.holdings:
             return {}
-        proved = process_ended_in_time(old, self._started, self._started_wall)
-        if not proved:
-            proved = await self._machine_ended_in_time(old)
+        age = process_age(old, self._started, self._started_wall)
+        if age is None:
+            age = await self._machine_age(old)
+        unspent = old.unspent(0.0 if age is None else age)
         LOG.info(
-            "tokens_recovered" if proved else "tokens_stranded",
+            "tokens_stranded" if age is None else "tokens_recovered",
             tokens=unspent,
+            age=age,
             steady_age=round(self._started - old.made_at, 3),
             wall_age=round(self._latest_start() - old.earliest, 3),
             clocks=self._clocks.heard,
         )
-        return unspent if proved else {}
+        return {} if age is None else unspent
 
-    async def _machine_ended_in_time(self, old):
-        value = await self._store.get_value(self._lease_key)
-        lives = value.version > 0 and value.data == _mark(old)
+    async def _machine_age(self, old):
+        span = await self._leases.shortest(_mark(old))
         deadline = self._clock.steady() + CLOCKS_WAIT
-        while lives and not self._clocks.heard:
+        while span is not None and not self._clocks.heard:
             if self._clock.steady() > deadline:
                 break
             await asyncio.sleep(CLOCKS_POLL)
-        return machine_ended_in_time(
-            old, lives, self._clocks.heard, self._latest_start()
-        )
+        return machine_age(old, span, self._clocks.heard, self._latest_start())
 
     def _latest_start(self):
         """Return the latest wall time of any clock when this run began."""
@@ -368,5 +333,5 @@
 
 
 def _mark(record):
-    """Return what the lease's key holds: which record it was granted for."""
+    """Return what the keys of leases hold: the record they go with."""
     return f"{record.incarnation} {record.number}".encode()
--- a/rowanport/prepaid/keeper.py
+++ b/rowanport/prepaid/keeper.py
@@ -27,6 +27,11 @@
 # Longest wait of a request for tokens in seconds: a refusal within a quarter
 # of the shortest objective of a stream (600 ms) still helps its caller.
 RESERVE_WAIT = 0.14
+# Longest wait in seconds for a limit that soon lets tokens go, half of the
+# objective of a stream: served so, a request is still in time.
+ROOM_WAIT = 0.4
+# Seconds added to such a wait, so that the limit surely has grown.
+ROOM_MARGIN = 0.005
 # Seconds for which a budget is called dry after nobody had tokens.
 DRY_SECONDS = 0.25
 # Seconds between two log lines about what is held, and budgets in one.
@@ -41,13 +46,17 @@
 
 
 class _Waiter:
-    """A request that waits for tokens."""
+    """A request that waits for tokens.
 
-    __slots__ = ("tokens", "future")
+    :ivar patient: whether it waits for a limit that soon lets it go
+    """
+
+    __slots__ = ("tokens", "patient", "future")
 
-    def __init__(self, tokens, future):
+    def __init__(self, tokens, patient):
         self.tokens = tokens
-        self.future = future
+        self.patient = patient
+        self.future = asyncio.get_running_loop().create_future()
 
 
 class BudgetKeeper:
@@ -120,29 +129,58 @@
         now = self._clock.steady()
         account = self._account(name)
         account.note_demand(tokens, now)
-        if account.reserve(tokens, self._room(account)):
+        if self._reserve(account, tokens):
             return
-        if now < account.dry_until or self._is_spent(account, tokens):
+        room_at = self._room_soon_at(account, tokens)
+        if room_at is None and (
+            now < account.dry_until or self._is_spent(account, tokens)
+        ):
             raise self._exhausted(account, tokens)
-        future = asyncio.get_running_loop().create_future()
-        waiter = _Waiter(tokens, future)
+        waiter = _Waiter(tokens, room_at is not None)
         account.waiting.append(waiter)
         self._wake.set()
         self._start_asking(account)
         try:
-            async with asyncio.timeout(RESERVE_WAIT):
-                await future
+            async with asyncio.timeout(
+                max(RESERVE_WAIT, (room_at or 0) - now)
+            ):
+                await waiter.future
         except asyncio.TimeoutError:
-            if not _granted(future):
-                raise self._exhausted(account, tokens) from None
+            self._grant_late(account, waiter)
         except asyncio.CancelledError:
-            if _granted(future):
+            if _granted(waiter.future):
                 account.settle(tokens, 0)
             raise
         finally:
             if waiter in account.waiting:
                 account.waiting.remove(waiter)
 
+    def _reserve(self, account, tokens):
+        """Set tokens aside if there are enough; return whether."""
+        now = self._clock.steady()
+        return account.reserve(tokens, self._refill.room(account), now)
+
+    def _room_soon_at(self, account, tokens):
+        """Return the steady time soon at which a limit lets tokens go.
+
+        :returns: None if there are too few tokens, or not soon
+        """
+        if account.recalled or account.available < account.wanted + tokens:
+            return None
+        room_at = self._refill.room_at(account, account.wanted + tokens)
+        soon = room_at <= self._clock.steady() + ROOM_WAIT
+        return room_at + ROOM_MARGIN if soon else None
+
+    def _grant_late(self, account, waiter):
+        """Give a waiter its tokens at the end of its wait, or refuse it.
+
+        :raises RequestError: there are none to be had
+        """
+        if _granted(waiter.future):
+            return
+        if not self._reserve(account, waiter.tokens):
+            raise self._exhausted(account, waiter.tokens)
+
     def settle(self, name, tokens, used, spent=0):
         """End a reservation of which some tokens were used.
 
@@ -158,18 +196,18 @@
             # One that gave up stays listed until its task runs again.
             if waiter.future.done():
                 continue
-            if account.reserve(waiter.tokens, self._room(account)):
+            if self._reserve(account, waiter.tokens):
                 account.waiting.remove(waiter)
                 waiter.future.set_result(None)
 
     def _fail(self, account):
-        """Refuse all that wait: nobody has tokens."""
+        """Refuse all that wait in vain: nobody has tokens."""
         account.dry_until = self._clock.steady() + DRY_SECONDS
         for waiter in account.waiting:
-            if not waiter.future.done():
+            if not waiter.patient and not waiter.future.done():
                 error = self._exhausted(account, waiter.tokens)
                 waiter.future.set_exception(error)
-        account.waiting.clear()
+        account.waiting = [w for w in account.waiting if w.patient]
 
     def _is_spent(self, account, tokens):
         """Return whether the whole fleet surely lacks some tokens.
@@ -201,7 +239,7 @@
         """
         soon = self._clock.steady() + DRY_RETURN
         if account.available >= tokens:
-            return max(soon, self._refill.lapse_at(account.name))
+            return self._refill.room_at(account, tokens)
         if self._store_lost_at is not None:
             return max(soon, self._store_lost_at + HORIZON)
         return soon
--- a/rowanport/prepaid/record.py
+++ b/rowanport/prepaid/record.py
@@ -3,6 +3,7 @@
 import msgpack
 
 from ..errors import MessageError
+from .allowance import Limit
 
 
 class BudgetRecord:
@@ -71,8 +72,8 @@
     :ivar wall: its wall time then
     :ivar earliest: the earliest wall time that any clock of the fleet
         showed then
-    :ivar holdings: by budget, (tokens in, limit of tokens out), both
-        counted from the start of that run
+    :ivar holdings: by budget, (tokens in, base, pace): the last two are a
+        Limit of tokens out; all are counted from the start of that run
     """
 
     __slots__ = (
@@ -118,17 +119,18 @@
             ]
         )
 
-    def unspent(self):
+    def unspent(self, age):
         """Return by budget the tokens that surely were never spent.
 
-        That holds only if the writer ended before it was free to go beyond
-        its limits; see :mod:`rowanport.prepaid.allowance`.
+        :param age: seconds after this record by which its writer surely had
+            ended; see :mod:`rowanport.prepaid.allowance`
         """
-        return {
-            name: tokens_in - limit
-            for name, (tokens_in, limit) in self.holdings.items()
-            if tokens_in > limit
-        }
+        unspent = {}
+        for name, (tokens_in, base, pace) in self.holdings.items():
+            tokens = tokens_in - Limit(base, pace).at(age)
+            if tokens > 0:
+                unspent[name] = tokens
+        return unspent
 
 
 def _unpack(data, count):
--- a/rowanport/prepaid/refill.py
+++ b/rowanport/prepaid/refill.py
@@ -9,6 +9,7 @@
 from ..incarnation import address_of
 from .account import ALLOWANCE_USED
 from .allowance import Allowances
+from .allowance import Limit
 from .allowance import RENEW_SECONDS
 from .drawer import BATCH_LIMIT
 from .drawer import Drawer
@@ -105,9 +106,10 @@
         """Return the tokens of an account that may go out, None for all."""
         return self._allowances.room(account, self._clock.steady())
 
-    def lapse_at(self, name):
-        """Return the steady time from which no limit binds a budget."""
-        return self._allowances.lapse_at(name, self._clock.steady())
+    def room_at(self, account, tokens):
+        """Return the steady time from which limits let some tokens go."""
+        now = self._clock.steady()
+        return self._allowances.room_at(account, tokens, now)
 
     def is_dry(self, name):
         """Return whether the store lately had too little of a budget."""
@@ -208,12 +210,21 @@
         return [a for a in self._accounts.values() if a.inflow]
 
     def _allowance(self, account):
-        """Return the tokens that may go out before the next record."""
+        """Return the tokens that may go out at once after a record."""
         if self._stopping:
             return account.available
         holders = len(self.holders(account.name))
         return account.allowance(holders, self._clock.steady())
 
+    def _limit(self, account, inflow):
+        """Return the Limit for a record that is about to be made.
+
+        :param inflow: tokens that came in, and those that the batch draws
+        """
+        base = min(inflow, account.outflow + self._allowance(account))
+        holders = len(self.holders(account.name))
+        return Limit(base, account.pace(holders, self._clock.steady()))
+
     def _begin(self, wishes):
         for name, wish in wishes.items():
             if wish < 0:
@@ -251,7 +262,7 @@
         return account.spent - account.reported
 
     def limits(self, moves):
-        """Return the limit of tokens out by budget.
+        """Return the Limit of tokens out by budget.
 
         :param moves: tokens by budget that a batch moves in or out
         """
@@ -259,8 +270,7 @@
         for name, account in self._accounts.items():
             inflow = account.inflow + max(0, moves.get(name, 0))
             if inflow:
-                limit = account.outflow + self._allowance(account)
-                limits[name] = min(inflow, limit)
+                limits[name] = self._limit(account, inflow)
         return limits
 
     def inflows(self):
@@ -296,4 +306,4 @@
 
     def _is_released(self, batch):
         """Return whether a batch lets all go out that is held."""
-        return not batch.record.unspent()
+        return not batch.record.unspent(0.0)
--- a/rowanport/store/__init__.py
+++ b/rowanport/store/__init__.py
@@ -3,6 +3,7 @@
 from .directory import Directory
 from .directory import Instance
 from .directory import InstanceDirectory
+from .reach import Reach
 from .store import KeyValueStore
 from .store import Store
 from .store import TransactionStore
@@ -14,6 +15,7 @@
     "Instance",
     "InstanceDirectory",
     "KeyValueStore",
+    "Reach",
     "Store",
     "TransactionStore",
     "Value",
--- /dev/null
+++ b/rowanport/store/reach.py
@@ -0,0 +1,105 @@
+"""Whether the store can be reached, found out by few cheap calls.
+
+Each user of a store that is away would try it again and again, and each call
+has a price.  Here one probe speaks for all of them: a call that fails begins
+it, and while it fails too, other calls are not made at all.
+"""
+
+import asyncio
+import time
+
+import structlog
+
+from ..errors import StoreError
+from ..tasks import TaskSet
+
+LOG = structlog.get_logger(__name__)
+
+# Seconds for the first answer to a probe after a call failed; a store that
+# is slow answers in some 240 ms on the users' days.
+FIRST_TIMEOUT = 0.5
+# Seconds between two probes; those of a store that is silent overlap.
+INTERVAL = 0.3
+# Seconds for the answer to each of them.
+TIMEOUT = 1.0
+
+
+class Reach:
+    """What is known of one store's availability.
+
+    :param probe: coroutine function, a cheap call that raises StoreError
+    """
+
+    def __init__(self, probe):
+        self._probe = probe
+        self._up = asyncio.Event()
+        self._up.set()
+        self._down = asyncio.Event()
+        self._failed_at = None
+        self._tasks = TaskSet()
+        self._prober = None
+
+    @property
+    def up(self):
+        """Return whether calls are worth making."""
+        return self._up.is_set()
+
+    @property
+    def failed_at(self):
+        """Return the steady time of the last failure, None without one."""
+        return self._failed_at
+
+    def note_failure(self):
+        """Note that a call failed; find out whether others would, too."""
+        self._failed_at = time.monotonic()
+        if self._prober is None or self._prober.done():
+            self._prober = self._tasks.spawn(self._watch())
+
+    async def wait_up(self):
+        """Wait until calls are worth making."""
+        await self._up.wait()
+
+    async def wait_down(self):
+        """Wait until calls are not worth making."""
+        await self._down.wait()
+
+    async def _watch(self):
+        """Probe the store until it answers."""
+        if await self._try(FIRST_TIMEOUT):
+            return
+        self._up.clear()
+        self._down.set()
+        lost_at = time.monotonic()
+        LOG.info("store_lost")
+        await self._probe_until_back()
+        self._down.clear()
+        self._up.set()
+        LOG.info("store_back", after=round(time.monotonic() - lost_at, 3))
+
+    async def _probe_until_back(self):
+        pending = set()
+        try:
+            while True:
+                pending.add(asyncio.ensure_future(self._try(TIMEOUT)))
+                deadline = time.monotonic() + INTERVAL
+                done, pending = await asyncio.wait(
+                    pending,
+                    timeout=INTERVAL,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                if any(task.result() for task in done):
+                    return
+                await asyncio.sleep(deadline - time.monotonic())
+        finally:
+            for task in pending:
+                task.cancel()
+
+    async def _try(self, timeout):
+        """Return whether a probe was answered."""
+        try:
+            async with asyncio.timeout(timeout):
+                await self._probe()
+        except (StoreError, asyncio.TimeoutError):
+            self._failed_at = time.monotonic()
+            return False
+        return True
--- a/test/platform_world.py
+++ b/test/platform_world.py
@@ -507,6 +507,11 @@
             x_rowanport_model="m",
         )
 
+    @property
+    def reach(self):
+        """Return the gateway's Reach of the store."""
+        return self.gateway._sources[0]._store.reach
+
     @property
     def runs(self):
         """Return the headers of all requests that upstreams ran."""
--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -23,6 +23,7 @@
 from rowanport.platform.config import decode_config
 from rowanport.platform.store import HistoryLost
 from rowanport.platform.store import PlatformStore
+from rowanport.store import reach
 from rowanport.store import Write
 from rowanport.web import HttpClient
 
@@ -448,6 +449,24 @@
     assert "one" in platform.gateway.upstreams.upstreams
 
 
+@scenario
+async def test_an_outage_costs_few_calls_and_ends_soon(platform):
+    # 20 calls in these seconds, none stale, before one probe spoke for all.
+    platform.store.fault = "busy"
+    await platform.store.put("servers/three", platform.upstreams[0].entry())
+    await platform.wait(lambda: not platform.reach.up)
+    before = len(platform.store.calls)
+    await asyncio.sleep(3.0)
+    calls = platform.store.calls[before:]
+    assert set(calls) == {"/kv-key"}
+    assert len(calls) <= 3.0 / reach.INTERVAL + 2
+    platform.store.fault = ""
+    await platform.wait(lambda: platform.reach.up, reach.INTERVAL + 0.2)
+    await platform.wait(
+        lambda: "three" in platform.gateway.upstreams.upstreams
+    )
+
+
 @scenario
 async def test_what_stays_missing_after_an_outage_is_gone(platform):
     platform.store.fault = "busy"
