Refuse a head over its limit that comes in one piece; tests of edges

Cause: the parser bounds a head only while it is incomplete, so one of 8 KB passed a limit of 4 KB if it came in one read.

Ruled out: the limit of the configuration not reaching the server (bodies and slow heads are bounded by it).

Change: the size of a parsed head is checked, counted at its least.

--- a/rowanport/web/server.py
+++ b/rowanport/web/server.py
@@ -10,6 +10,8 @@
 from ..errors import RequestError
 
 READ_SIZE = 65536
+# Bytes of a header at least beside its name and value: colon and line end.
+HEADER_LEAST = 3
 # Connections that wait to be accepted: a burst of callers in one round trip.
 BACKLOG = 1024
 
@@ -247,6 +249,7 @@
         if not isinstance(head, h11.Request):
             return None
         self._idle.pop(task, None)
+        self._check_head(head)
         headers = {
             name.decode("latin-1"): value.decode("latin-1")
             for name, value in head.headers
@@ -269,6 +272,16 @@
             head.headers.raw_items(),
         )
 
+    def _check_head(self, head):
+        """Raise unless a head is within its limit.
+
+        The parser bounds only heads that arrive in pieces.
+        """
+        size = len(head.method) + len(head.target)
+        size += sum(len(n) + len(v) + HEADER_LEAST for n, v in head.headers)
+        if size > self._limits.head:
+            raise RequestError(ErrorKind.TOO_LARGE, "the head is too large")
+
     async def _wait_first_byte(self, connection, reader):
         """Return whether a request begins before the connection is idle."""
         if connection.trailing_data[0]:
--- a/test/platform_world.py
+++ b/test/platform_world.py
@@ -239,12 +239,16 @@
                 request = await next_event(wrapped)
                 if not isinstance(request, h11.Request):
                     return
+                early = self.script[:1] == ["early"]
+                if early:
+                    await self._answer_early(connection, writer, request)
                 body = b""
                 event = await next_event(wrapped)
                 while isinstance(event, h11.Data):
                     body += bytes(event.data)
                     event = await next_event(wrapped)
-                await self._answer(connection, writer, request, body)
+                if not early:
+                    await self._answer(connection, writer, request, body)
                 await writer.drain()
                 if connection.our_state is not h11.DONE:
                     return
@@ -254,6 +258,15 @@
         finally:
             writer.close()
 
+    async def _answer_early(self, connection, writer, request):
+        """Answer before the body is read, and read on later."""
+        self.script.pop(0)
+        names = {n.decode(): v.decode() for n, v in request.headers}
+        self.heads.append(names)
+        self._send(connection, writer, 200, self._head(names), b"early")
+        await writer.drain()
+        await asyncio.sleep(0.3)
+
     async def _answer(self, connection, writer, request, body):
         names = {n.decode(): v.decode() for n, v in request.headers}
         behaviour = self.script.pop(0) if self.script else "ok"
