Take late answers of peers; hold up no question by another

The router that sent it has a full link; it gave up each question for newer views after a second and asked one peer after the other, so with longer round trips it learned nothing.

Change: questions are not awaited, twelve at once at most, 3 s each; seeds are still asked one by one, half a second each.

--- a/rowanport/gateway/daemon.py
+++ b/rowanport/gateway/daemon.py
@@ -55,6 +55,8 @@
 READY_POLL = 0.02
 # Seconds between two rounds of questions to seeds at the start.
 SEED_PAUSE = 0.1
+# Longest wait in seconds for the answer of one.
+SEED_TIMEOUT = 0.5
 STOP_POLL = 0.05
 # Seconds after the signal to stop during which callers may still open
 # connections: the balancer needs two missed checks, one a second; also
@@ -241,7 +243,7 @@
         while not self._known and self.settings.seeds:
             for address in self.settings.seeds:
                 if address != self.settings.peers:
-                    await self._views.ask(address)
+                    await self._views.ask(address, SEED_TIMEOUT)
             await asyncio.sleep(SEED_PAUSE)
 
     @property
--- a/rowanport/gateway/views.py
+++ b/rowanport/gateway/views.py
@@ -13,6 +13,7 @@
 from ..incarnation import address_of
 from ..schema.messages import ViewAsk
 from ..schema.messages import ViewGive
+from ..tasks import TaskSet
 from .upstream import UpstreamList
 
 LOG = structlog.get_logger(__name__)
@@ -20,8 +21,11 @@
 # Seconds between two questions to peers: a change reaches all routers of a
 # cell in about three rounds.
 ASK_INTERVAL = 0.25
-# Seconds for an answer: long, as a late one tells that a link is congested.
-ASK_TIMEOUT = 1.0
+# Seconds for an answer: a router whose link is congested learns late, but it
+# learns, and a late answer tells it of its link.
+ASK_TIMEOUT = 3.0
+# Questions under way at once: one each interval, as long as answers take.
+ASKS_AT_ONCE = 12
 # Routers that follow the store, and the part of a larger fleet that does; the
 # others ask these.  Each change costs each of them a call.
 FOLLOWERS = 8
@@ -52,6 +56,7 @@
         self._clock = clock
         self._clocks = clocks
         self._congestion = congestion
+        self._asks = TaskSet()
         self._started = clock.steady()
         self._config_data = b""
         self.table = None
@@ -125,10 +130,15 @@
 
     async def run(self):
         """Ask one peer after the other until cancelled."""
-        while True:
-            for address in self._sources()[:1]:
-                await self.ask(address)
-            await asyncio.sleep(ASK_INTERVAL)
+        try:
+            while True:
+                for address in self._sources()[:1]:
+                    # Not awaited: one that is cut off would hold up the next.
+                    if len(self._asks) < ASKS_AT_ONCE:
+                        self._asks.spawn(self.ask(address))
+                await asyncio.sleep(ASK_INTERVAL)
+        finally:
+            self._asks.cancel()
 
     def _sources(self):
         """Return the addresses of ready peers that may know something new.
@@ -139,8 +149,11 @@
         followers = self._followers()
         return [peer for peer in ready if peer in followers] or ready
 
-    async def ask(self, address):
-        """Ask the peer at an address for what it has newer."""
+    async def ask(self, address, timeout=ASK_TIMEOUT):
+        """Ask the peer at an address for what it has newer.
+
+        :param timeout: longest wait in seconds
+        """
         ask = ViewAsk(
             self._version,
             self.upstreams.revision,
@@ -149,7 +162,7 @@
         )
         asked_at = self._clock.steady()
         try:
-            give = await self._peers.call(address, ask, ASK_TIMEOUT)
+            give = await self._peers.call(address, ask, timeout)
         except PeerError as error:
             LOG.debug("views_unread", peer=address, error=str(error))
             self._congestion.note_unanswered(self._clock.steady() - asked_at)
