--- a/rowanport/platform/__main__.py
+++ b/rowanport/platform/__main__.py
@@ -9,6 +9,7 @@
 import structlog
 
 from .. import logs
+from ..clock import SystemClock
 from ..errors import SettingsError
 from ..gateway import Gateway
 from ..web import HttpClient
@@ -27,14 +28,28 @@
 STORE_CONNECT_TIMEOUT = 0.5
 
 
-def build(settings):
-    """Return the Gateway for PlatformSettings."""
+def build(settings, clock=None):
+    """Return the Gateway for PlatformSettings.
+
+    :param clock: a Clock, the machine's if None
+    """
+    clock = clock or SystemClock()
     client = HttpClient(STORE_CONNECT_TIMEOUT, Keepalive())
-    store = PlatformStore(client, settings.store)
+    store = PlatformStore(client, settings.store, clock)
     directory = RouterDirectory(store, settings.gateway)
-    sources = [ConfigSource(store), UpstreamSource(store), directory]
+    sources = [
+        ConfigSource(store, clock),
+        UpstreamSource(store, clock),
+        directory,
+    ]
     return Gateway(
-        settings.gateway, DIALECT, store, directory, sources, decode_config
+        settings.gateway,
+        DIALECT,
+        store,
+        directory,
+        sources,
+        decode_config,
+        clock,
     )
 
 
--- a/rowanport/platform/sources.py
+++ b/rowanport/platform/sources.py
@@ -4,7 +4,6 @@
 import asyncio
 import json
 import math
-import time
 
 import structlog
 
@@ -40,12 +39,14 @@
     """Lists a prefix, then follows its changes; lists again when lost.
 
     :param store: a PlatformStore
+    :param clock: a Clock
     """
 
     prefix = ""
 
-    def __init__(self, store):
+    def __init__(self, store, clock):
         self._store = store
+        self._clock = clock
         self._revision = None
         self._failing = False
 
@@ -145,8 +146,8 @@
 
     prefix = UPSTREAM_PREFIX
 
-    def __init__(self, store):
-        super().__init__(store)
+    def __init__(self, store, clock):
+        super().__init__(store, clock)
         self._missing = {}
 
     async def run(self, views):
@@ -206,14 +207,14 @@
 
     def _miss(self, name, upstream):
         """Keep an entry for a while that may have lapsed in an outage."""
-        if time.monotonic() < self._grace_until:
+        if self._clock.steady() < self._grace_until:
             self._missing.setdefault(name, upstream)
             LOG.info("upstream_missing", upstream=name)
 
     async def _run_missing(self, views):
         while True:
             await asyncio.sleep(BATCH_PAUSE)
-            if not self._missing or time.monotonic() < self._grace_until:
+            if not self._missing or self._clock.steady() < self._grace_until:
                 continue
             upstreams = dict(views.upstreams.upstreams)
             for name in self._missing:
--- a/rowanport/platform/store.py
+++ b/rowanport/platform/store.py
@@ -65,12 +65,14 @@
 
     :param client: an HttpClient
     :param address: IP and port of the store
+    :param clock: a Clock
     """
 
-    def __init__(self, client, address):
+    def __init__(self, client, address, clock):
         self._client = client
         self._address = address
-        self._reach = Reach(self._probe)
+        self._clock = clock
+        self._reach = Reach(self._probe, clock)
 
     @property
     def reach(self):
--- a/rowanport/store/reach.py
+++ b/rowanport/store/reach.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import time
 
 import structlog
 
@@ -28,10 +27,12 @@
     """What is known of one store's availability.
 
     :param probe: coroutine function, a cheap call that raises StoreError
+    :param clock: a Clock
     """
 
-    def __init__(self, probe):
+    def __init__(self, probe, clock):
         self._probe = probe
+        self._clock = clock
         self._up = asyncio.Event()
         self._up.set()
         self._down = asyncio.Event()
@@ -51,7 +52,7 @@
 
     def note_failure(self):
         """Note that a call failed; find out whether others would, too."""
-        self._failed_at = time.monotonic()
+        self._failed_at = self._clock.steady()
         if self._prober is None or self._prober.done():
             self._prober = self._tasks.spawn(self._watch())
 
@@ -69,19 +70,20 @@
             return
         self._up.clear()
         self._down.set()
-        lost_at = time.monotonic()
+        lost_at = self._clock.steady()
         LOG.info("store_lost")
         await self._probe_until_back()
         self._down.clear()
         self._up.set()
-        LOG.info("store_back", after=round(time.monotonic() - lost_at, 3))
+        away = self._clock.steady() - lost_at
+        LOG.info("store_back", after=round(away, 3))
 
     async def _probe_until_back(self):
         pending = set()
         try:
             while True:
                 pending.add(asyncio.ensure_future(self._try(TIMEOUT)))
-                deadline = time.monotonic() + INTERVAL
+                deadline = self._clock.steady() + INTERVAL
                 done, pending = await asyncio.wait(
                     pending,
                     timeout=INTERVAL,
@@ -89,7 +91,7 @@
                 )
                 if any(task.result() for task in done):
                     return
-                await asyncio.sleep(deadline - time.monotonic())
+                await asyncio.sleep(deadline - self._clock.steady())
         finally:
             for task in pending:
                 task.cancel()
@@ -100,6 +102,6 @@
             async with asyncio.timeout(timeout):
                 await self._probe()
         except (StoreError, asyncio.TimeoutError):
-            self._failed_at = time.monotonic()
+            self._failed_at = self._clock.steady()
             return False
         return True
--- a/rowanport/wire.py
+++ b/rowanport/wire.py
@@ -17,8 +17,13 @@
 from .errors import MessageError
 from .errors import PeerError
 from .schema import messages
+from .web import stream
 
 FRAME_LIMIT = 16 * 1024 * 1024
+# Bytes of a connection that wait unread before its peer is held up.
+READ_LIMIT = 65536
+# Connections that wait to be accepted: all of a large fleet that starts.
+BACKLOG = 512
 NONCE_BYTES = 16
 HANDSHAKE_TIMEOUT = 2.0
 # Seconds without a frame after which an unanswered call drops a connection;
@@ -98,9 +103,16 @@
         self._writers = set()
         self._tasks = set()
 
+    @property
+    def open(self):
+        """Number of open connections."""
+        return len(self._writers)
+
     async def start(self, address, port):
         """Listen on an address."""
-        self._server = await asyncio.start_server(self._serve, address, port)
+        self._server = await stream.listen(
+            self._serve, address, port, READ_LIMIT, BACKLOG
+        )
 
     async def close(self):
         """Stop listening and drop all connections."""
@@ -292,7 +304,7 @@
             if connection is not None and connection.open:
                 return connection
             host, _, port = address.rpartition(":")
-            reader, writer = await asyncio.open_connection(
+            reader, writer = await stream.connect(
                 host, int(port), local_addr=self._source
             )
             _call, challenge = await read_frame(reader)
--- a/test/platform_world.py
+++ b/test/platform_world.py
@@ -8,7 +8,6 @@
 import base64
 import contextlib
 import json
-import time
 import urllib.parse
 
 import h11
@@ -50,7 +49,10 @@
         self._server = HttpServer(self._handle)
 
     async def start(self, port):
-        await self._server.start("127.0.0.1", port)
+        await self.start_at("127.0.0.1", port)
+
+    async def start_at(self, host, port):
+        await self._server.start(host, port)
 
     async def close(self):
         await self._server.close()
@@ -122,12 +124,14 @@
     async def _kv_watch(self, request, query):
         after = int(query["start_after_rev"])
         prefix = query["path_prefix"]
-        deadline = time.monotonic() + int(query["wait_ms"]) / 1000
+        deadline = (
+            asyncio.get_running_loop().time() + int(query["wait_ms"]) / 1000
+        )
         while True:
             if after < self.oldest:
                 return 410, {}
             events = self._events(prefix, after)
-            left = deadline - time.monotonic()
+            left = deadline - asyncio.get_running_loop().time()
             if events or left <= 0:
                 return 200, {"events": events, "at": self.revision}
             async with self._changed:
--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -15,6 +15,7 @@
 import pytest
 
 from bench.ports import free_ports
+from rowanport.clock import SystemClock
 from rowanport.errors import LeaseOver
 from rowanport.errors import MessageError
 from rowanport.errors import SettingsError
@@ -532,7 +533,7 @@
         async with Platform() as platform:
             client = HttpClient()
             port = platform.store._server._server.sockets[0].getsockname()[1]
-            store = PlatformStore(client, f"127.0.0.1:{port}")
+            store = PlatformStore(client, f"127.0.0.1:{port}", SystemClock())
             await body(platform.store, store)
             client.close()
 
@@ -617,9 +618,9 @@
         await standin.start(port)
         await standin.put("op/config", config())
         client = HttpClient()
-        store = PlatformStore(client, f"127.0.0.1:{port}")
+        store = PlatformStore(client, f"127.0.0.1:{port}", SystemClock())
         views = FollowedViews()
-        source = ConfigSource(store)
+        source = ConfigSource(store, SystemClock())
         task = asyncio.ensure_future(source.run(views))
         await asyncio.sleep(0.1)
         assert (standin.calls, views.configs) == ([], [])
@@ -650,7 +651,9 @@
         client = HttpClient()
         views = FollowedViews()
         views.on_duty = views.young = True
-        source = ConfigSource(PlatformStore(client, f"127.0.0.1:{port}"))
+        clock = SystemClock()
+        store = PlatformStore(client, f"127.0.0.1:{port}", clock)
+        source = ConfigSource(store, clock)
         task = asyncio.ensure_future(source.run(views))
         for version in range(1, 26):
             await standin.put("op/config", config(version=version))
