--- /dev/null
+++ b/test/test_silence.py
@@ -0,0 +1,199 @@
+"""Connections that go silent for good, without a reset, while new ones work.
+
+What happened: a router handled requests by a configuration that had been
+replaced 2.5 s before, though nothing had happened to it for 3 s, and routers
+of a larger fleet sent work to upstreams that had been leaving for 3.4 and
+4.4 s.
+
+Sequence: all connections that a router had open went silent at once.  Its
+watch of the store ended when the kernel's probes gave the connection up, 3 s
+later; the pause after a failure took 0.2 s more, and each further call could
+take another silent connection from those that were kept.  Its questions to
+peers each waited 3 s on a silent connection, and what gave such a connection
+up was a heartbeat that got no answer, to one peer each 0.8 s, when the next
+question already went to another peer, by chance.
+
+Cause: every wait on a connection was as long as, or longer than, the time in
+which what it waits for has to be known, and a connection that had gone silent
+was found out by each of its users for itself.
+
+What settled it: `watch_lost` at 3.000 s with "did not answer", `watch_back`
+and `config_in_force` from the store at 3.21 s, in each of five plays with one
+silent router; versions from peers came in force between 1.1 and 3.2 s.
+"""
+
+import asyncio
+from test.platform_world import config
+from test.platform_world import StoreStandin
+from test.virtual import LoopClock
+from test.virtual import VirtualLoop
+from test.virtual_net import HOST
+from test.virtual_net import VirtualNet
+
+from rowanport.gateway.settings import GatewaySettings
+from rowanport.platform.__main__ import build
+from rowanport.platform.settings import PlatformSettings
+
+STORE = "10.200.0.1"
+# Seconds in which a configuration has to be in force.
+APPLY_SECONDS = 2.0
+# Seconds after a disturbance of all connections at which all is well again.
+CALM_SECONDS = 3.0
+UPSTREAM = {
+    "service": "feed",
+    "address": "10.9.0.1:80",
+    "zone": "hall-a",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "cold_left_ms": 0,
+    "seq_num": 1,
+}
+
+
+def settings(host, hosts):
+    """Return the settings of the router on a host."""
+    gateway = GatewaySettings(
+        name=host,
+        data_centre="hall-a",
+        region="north",
+        callers=f"{host}:80",
+        health=f"{host}:81",
+        peers=f"{host}:82",
+        seeds=[f"{other}:82" for other in hosts[:3]],
+        secret="a secret of the tests",
+        stop_grace=4.0,
+        retry_ratio=0.2,
+        retry_slack=50,
+        retry_window=10,
+    )
+    return PlatformSettings(gateway, f"{STORE}:80")
+
+
+class Fleet:
+    """Routers and a store on a VirtualNet.
+
+    :param size: number of routers
+    """
+
+    def __init__(self, net, clock, size):
+        self.net = net
+        self.store = StoreStandin()
+        self.version = 1
+        self._clock = clock
+        self.hosts = [f"10.0.0.{number}" for number in range(1, size + 1)]
+        self.gateways = {}
+
+    async def start(self):
+        """Start all, and wait until each is ready and knows the others."""
+        HOST.set(STORE)
+        await self.store.start_at(STORE, 80)
+        await self.store.put("op/config", config())
+        await self.store.put("servers/one", UPSTREAM)
+        for host in self.hosts:
+            HOST.set(host)
+            gateway = build(settings(host, self.hosts), self._clock)
+            self.gateways[host] = gateway
+            await gateway.start()
+        HOST.set("operator")
+        await asyncio.sleep(8.0)
+        for gateway in self.gateways.values():
+            assert gateway.ready
+            assert len(gateway.members.live()) == len(self.hosts)
+
+    async def change_and_wait(self):
+        """Change the configuration.
+
+        :returns: seconds until it was in force in all routers
+        """
+        self.version += 1
+        await self.store.put("op/config", config(version=self.version))
+        changed_at = self._clock.steady()
+        while self._behind:
+            await asyncio.sleep(0.01)
+        return self._clock.steady() - changed_at
+
+    @property
+    def _behind(self):
+        """Return whether an older configuration is in force anywhere."""
+        versions = [g.table.version for g in self.gateways.values()]
+        return min(versions) < self.version
+
+    async def close(self):
+        for gateway in self.gateways.values():
+            await gateway.close()
+        await self.store.close()
+
+
+def fleet_test(size):
+    """Return a decorator for a test that runs with a Fleet."""
+
+    def decorate(body):
+        def test():
+            loop = VirtualLoop()
+            asyncio.set_event_loop(loop)
+            net = VirtualNet(loop)
+            fleet = Fleet(net, LoopClock(loop), size)
+
+            async def run():
+                try:
+                    await fleet.start()
+                    await body(fleet)
+                finally:
+                    await fleet.close()
+
+            with net.installed():
+                try:
+                    loop.run_until_complete(run())
+                finally:
+                    end_tasks(loop)
+
+        test.__name__ = body.__name__
+        test.__doc__ = body.__doc__
+        return test
+
+    return decorate
+
+
+def end_tasks(loop):
+    """End what is left on a loop, and close it."""
+    tasks = asyncio.all_tasks(loop)
+    for task in tasks:
+        task.cancel()
+    loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
+    loop.close()
+
+
+def one(host, names):
+    """Silence all connections of one router."""
+    return host in names
+
+
+def store(host, names):
+    """Silence all connections to the store."""
+    return STORE in names
+
+
+def everything(host, names):
+    """Silence all connections."""
+    return True
+
+
+async def lateness(fleet, choose, rounds):
+    """Return the longest time until a change was in force everywhere."""
+    worst = 0.0
+    for number in range(rounds):
+        host = fleet.hosts[number % len(fleet.hosts)]
+        assert fleet.net.silence(lambda *names: choose(host, names))
+        worst = max(worst, await fleet.change_and_wait())
+        # At another point of the routers' rounds each time.
+        await asyncio.sleep(5.0 + 0.13 * number)
+    return worst
+
+
+@fleet_test(7)
+async def test_a_change_is_in_force_soon_after_connections_went_silent(fleet):
+    # Again and again, as it is chance whom a router asks next.
+    assert await lateness(fleet, one, 21) < APPLY_SECONDS
+    assert await lateness(fleet, store, 7) < CALM_SECONDS
+    assert await lateness(fleet, everything, 7) < CALM_SECONDS
