Replace a connection to a peer that went silent, and ask again

Cause: a question to a peer waited 3 s on a silent connection, and only a heartbeat's time-out to the same peer gave such a connection up. Change: a connection on which a call is unanswered and nothing else has arrived for 0.4 s (or three round trips of a slow peer, 3 s at most) takes no more calls; the next one opens another, and what may be sent twice (heartbeats, questions for views) is sent again on it at once. The old one stays while calls wait on it, so late answers still come. Accepted connections that bring nothing for 60 s are dropped, and not used by their callers after 30 s. PeerClient has a module of its own.

Ruled out: dropping the old connection at once, which loses late answers on a congested link.

--- a/rowanport/gateway/daemon.py
+++ b/rowanport/gateway/daemon.py
@@ -10,6 +10,7 @@
 from ..membership import MembershipLoop
 from ..membership.members import LEAVING
 from ..membership.members import READY
+from ..peers import PeerClient
 from ..prepaid import BudgetKeeper
 from ..prepaid import FleetClocks
 from ..schema import messages
@@ -19,7 +20,6 @@
 from ..web import HttpServer
 from ..web.client import Keepalive
 from ..web.server import HttpLimits
-from ..wire import PeerClient
 from ..wire import PeerServer
 from .choice import NearestChoice
 from .choice import PrefixChoice
--- a/rowanport/gateway/views.py
+++ b/rowanport/gateway/views.py
@@ -162,7 +162,9 @@
         )
         asked_at = self._clock.steady()
         try:
-            give = await self._peers.call(address, ask, timeout)
+            give = await self._peers.call(
+                address, ask, timeout, repeatable=True
+            )
         except PeerError as error:
             LOG.debug("views_unread", peer=address, error=str(error))
             self._congestion.note_unanswered(self._clock.steady() - asked_at)
--- a/rowanport/membership/gossip.py
+++ b/rowanport/membership/gossip.py
@@ -49,7 +49,9 @@
 
     async def _tell(self, address, message):
         try:
-            answer = await self._peers.call(address, message, GOSSIP_TIMEOUT)
+            answer = await self._peers.call(
+                address, message, GOSSIP_TIMEOUT, repeatable=True
+            )
         except PeerError:
             return
         if isinstance(answer, Gossip):
--- a/rowanport/router/daemon.py
+++ b/rowanport/router/daemon.py
@@ -26,6 +26,7 @@
 from ..membership.members import LEAVING
 from ..membership.members import READY
 from ..pauses import PauseDetector
+from ..peers import PeerClient
 from ..scheduling import OrganisationLimits
 from ..scheduling.group import GroupScheduler
 from ..schema import messages
@@ -36,7 +37,6 @@
 from ..upstreams import EngineClient
 from ..upstreams import ServiceClient
 from ..web import HttpClient
-from ..wire import PeerClient
 from ..wire import PeerServer
 from ..wire import Traffic
 from .callers import CallerFront
--- a/rowanport/ui/fleet.py
+++ b/rowanport/ui/fleet.py
@@ -9,9 +9,9 @@
 
 from . import common
 from ..errors import PeerError
+from ..peers import PeerClient
 from ..schema.messages import StatusAsk
 from ..store.directory import ROUTER_ROLE
-from ..wire import PeerClient
 
 STATUS_TIMEOUT = 2.0
 
--- a/rowanport/wire.py
+++ b/rowanport/wire.py
@@ -15,8 +15,8 @@
 import msgpack
 
 from .errors import MessageError
-from .errors import PeerError
 from .schema import messages
+from .tasks import TaskSet
 from .web import stream
 
 FRAME_LIMIT = 16 * 1024 * 1024
@@ -26,14 +26,11 @@
 BACKLOG = 512
 NONCE_BYTES = 16
 HANDSHAKE_TIMEOUT = 2.0
-# Seconds without a frame after which an unanswered call drops a connection;
-# live peers exchange heartbeats more often.
-SILENCE = 1.0
+# Seconds without a frame after which an accepted connection is dropped: its
+# peer opens another one when it has something to say.
+UNUSED_LIMIT = 60.0
 # Call number of messages that nobody answers.
 UNANSWERED = 0
-# Bytes that may wait on a connection before such messages are dropped: its
-# peer is frozen, cut off or far too busy.
-TELL_LIMIT = 64 * 1024
 _LENGTH = struct.Struct(">I")
 
 
@@ -101,7 +98,7 @@
         self._traffic = traffic or Traffic()
         self._server = None
         self._writers = set()
-        self._tasks = set()
+        self._tasks = TaskSet()
 
     @property
     def open(self):
@@ -119,8 +116,7 @@
         self._server.close()
         for writer in list(self._writers):
             writer.close()
-        for task in list(self._tasks):
-            task.cancel()
+        self._tasks.cancel()
 
     async def _serve(self, reader, writer):
         self._writers.add(writer)
@@ -129,12 +125,10 @@
                 self._authenticate(reader, writer), HANDSHAKE_TIMEOUT
             )
             while True:
-                call, message = await read_frame(reader)
-                task = asyncio.ensure_future(
-                    self._answer(writer, call, message)
-                )
-                self._tasks.add(task)
-                task.add_done_callback(self._tasks.discard)
+                # A peer that went silent for good never says goodbye.
+                async with asyncio.timeout(UNUSED_LIMIT):
+                    call, message = await read_frame(reader)
+                self._tasks.spawn(self._answer(writer, call, message))
         except (
             OSError,
             EOFError,
@@ -164,161 +158,3 @@
         frame = pack_frame(call, answer)
         self._traffic.sent += len(frame)
         writer.write(frame)
-
-
-# Connecting side
-
-
-class _Connection:
-    """One open connection to a peer."""
-
-    def __init__(self, reader, writer, traffic):
-        self._reader = reader
-        self._writer = writer
-        self._traffic = traffic
-        self._waiting = {}
-        self._last_call = 0
-        self._heard = asyncio.get_running_loop().time()
-        self._task = asyncio.ensure_future(self._read())
-
-    @property
-    def open(self):
-        return not self._task.done()
-
-    @property
-    def silent(self):
-        """Return whether nothing has arrived for a while."""
-        loop = asyncio.get_running_loop()
-        return loop.time() > self._heard + SILENCE
-
-    def send(self, message):
-        """Send a message; return the future of its answer."""
-        self._last_call += 1
-        future = asyncio.get_running_loop().create_future()
-        self._waiting[self._last_call] = future
-        frame = pack_frame(self._last_call, message)
-        self._traffic.sent += len(frame)
-        self._traffic.calls += 1
-        self._writer.write(frame)
-        return future
-
-    def tell(self, frame):
-        """Send a frame that is not answered, unless too much waits."""
-        if self._writer.transport.get_write_buffer_size() > TELL_LIMIT:
-            return
-        self._traffic.sent += len(frame)
-        self._writer.write(frame)
-
-    async def _read(self):
-        try:
-            while True:
-                call, message = await read_frame(self._reader)
-                self._heard = asyncio.get_running_loop().time()
-                future = self._waiting.pop(call, None)
-                if future is not None and not future.done():
-                    future.set_result(message)
-        except (OSError, EOFError, MessageError, asyncio.CancelledError):
-            pass
-        finally:
-            self._writer.close()
-            for future in self._waiting.values():
-                if not future.done():
-                    future.set_exception(PeerError("connection lost"))
-            self._waiting.clear()
-
-    def close(self):
-        """Drop the connection; waiting calls fail."""
-        self._task.cancel()
-
-
-class PeerClient:
-    """Calls peers by address over one kept connection each.
-
-    :param incarnation: incarnation of this router
-    :param secret: what all routers share
-    :param traffic: a Traffic to count in
-    :param source: own IP number to connect from, if it matters
-    """
-
-    def __init__(self, incarnation, secret, traffic=None, source=None):
-        self._source = (source, 0) if source else None
-        self._incarnation = incarnation
-        self._secret = secret
-        self._traffic = traffic or Traffic()
-        self._connections = {}
-        self._connecting = {}
-
-    async def call(self, address, message, timeout):
-        """Send a message and return the answer.
-
-        :param address: IP and port of the peer
-        :param timeout: longest wait in seconds
-        :raises PeerError: no answer; the peer may have acted on it
-        """
-        try:
-            return await asyncio.wait_for(
-                self._call(address, message), timeout
-            )
-        except asyncio.TimeoutError:
-            self._drop_silent(address)
-            raise PeerError(f"{address} did not answer") from None
-        except (OSError, EOFError, MessageError) as error:
-            raise PeerError(f"{address}: {error}") from None
-
-    def tell(self, addresses, message):
-        """Send a message to peers that needs no answer and may be lost.
-
-        It goes out only on connections that are open; heartbeats and
-        questions for views open one to each peer of a small fleet.
-
-        :param addresses: IP and port of each peer
-        """
-        frame = pack_frame(UNANSWERED, message)
-        for address in addresses:
-            connection = self._connections.get(address)
-            if connection is not None and connection.open:
-                connection.tell(frame)
-
-    def _drop_silent(self, address):
-        """Drop a connection on which nothing arrives any more.
-
-        The host behind it may be cut off or without power; once it is back,
-        a new connection works at once, while an old one waits for the
-        kernel's next retransmission.
-        """
-        connection = self._connections.get(address)
-        if connection is not None and connection.silent:
-            del self._connections[address]
-            connection.close()
-
-    async def _call(self, address, message):
-        connection = self._connections.get(address)
-        if connection is None or not connection.open:
-            connection = await self._connect(address)
-        return await connection.send(message)
-
-    async def _connect(self, address):
-        lock = self._connecting.setdefault(address, asyncio.Lock())
-        async with lock:
-            connection = self._connections.get(address)
-            if connection is not None and connection.open:
-                return connection
-            host, _, port = address.rpartition(":")
-            reader, writer = await stream.connect(
-                host, int(port), local_addr=self._source
-            )
-            _call, challenge = await read_frame(reader)
-            if not isinstance(challenge, messages.Challenge):
-                raise MessageError("expected a challenge")
-            signature = sign(self._secret, challenge.nonce, self._incarnation)
-            proof = messages.Proof(self._incarnation, signature)
-            writer.write(pack_frame(0, proof))
-            connection = _Connection(reader, writer, self._traffic)
-            self._connections[address] = connection
-            return connection
-
-    def close(self):
-        """Drop all connections."""
-        for connection in self._connections.values():
-            connection.close()
-        self._connections.clear()
--- a/test/test_choice.py
+++ b/test/test_choice.py
@@ -20,11 +20,11 @@
 from rowanport.gateway.upstream import Upstream
 from rowanport.hashing import hash_of
 from rowanport.hashing import rendezvous
+from rowanport.peers import PeerClient
 from rowanport.routing.table import Route
 from rowanport.routing.table import RouteKind
 from rowanport.schema.messages import Ack
 from rowanport.schema.messages import LoadNote
-from rowanport.wire import PeerClient
 from rowanport.wire import PeerServer
 
 SERVICE = "llm"
--- a/test/test_views.py
+++ b/test/test_views.py
@@ -18,7 +18,7 @@
         self.silent = silent
         self.delay = delay
 
-    async def call(self, address, message, timeout):
+    async def call(self, address, message, timeout, repeatable):
         late = address in self.silent or self.delay > timeout
         await asyncio.sleep(timeout if late else self.delay)
         if late:
