Find out silent connections to the store within 2 s, and go on at once

Cause: a watch on a silent connection ended when the kernel gave it up after 3 s, then paused 0.2 s; a call that timed out was followed by a probe on another kept connection, silent as well, so that the store was taken for lost though it was there, and each further probe could take one more of them. Change: the kernel gives up a silent connection to the store after 2 s (keep-alive of one probe), a watch that is lost so is sent anew at once, from where it was. A first probe that is not answered in 0.1 s is followed by one on a new connection; if that is answered first, kept connections are dropped and the watches are sent anew. Probes of a lost store always use new ones. When a peer's connection was silent though the peer takes new ones, kept connections to upstreams not heard of since are dropped too, as a request that may not be repeated would wait on one for its time-out.

Ruled out: shorter time-outs of calls, which a slow store answers late.

--- a/rowanport/errors.py
+++ b/rowanport/errors.py
@@ -155,6 +155,10 @@
     """The store did not answer: a write may have taken effect."""
 
 
+class StoreSilent(StoreUnavailable):
+    """The connection to the store went silent; a new one may work."""
+
+
 class StoreConflict(StoreError):
     """A value has another version: the write took no effect.
 
@@ -187,3 +191,7 @@
     def __init__(self, detail, started=True):
         super().__init__(detail)
         self.started = started
+
+
+class ConnectionSilent(UpstreamError):
+    """The kernel found that nobody is at the other end of a connection."""
--- a/rowanport/gateway/daemon.py
+++ b/rowanport/gateway/daemon.py
@@ -134,6 +134,9 @@
 
     def _build_forwarding(self, settings):
         self.client = HttpClient(CONNECT_TIMEOUT, Keepalive())
+        # What silenced a connection to a peer may have silenced those to
+        # upstreams: a request on one would wait for its time-out.
+        self._peers.on_silence = self.client.doubt
         self.exchange = Exchange(self.client, self.dialect, self.clock)
         self.pool = UpstreamPool()
         self.admission = Admission(self.dialect)
--- a/rowanport/platform/__main__.py
+++ b/rowanport/platform/__main__.py
@@ -26,6 +26,9 @@
 
 # Longest wait in seconds for a connection to the store.
 STORE_CONNECT_TIMEOUT = 0.5
+# A watch has nothing else to tell that its connection went silent: it is given
+# up after 2 s, so that a change is in force within 3 s of a silence.
+STORE_KEEPALIVE = Keepalive(probes=1)
 
 
 def build(settings, clock=None):
@@ -34,7 +37,7 @@
     :param clock: a Clock, the machine's if None
     """
     clock = clock or SystemClock()
-    client = HttpClient(STORE_CONNECT_TIMEOUT, Keepalive())
+    client = HttpClient(STORE_CONNECT_TIMEOUT, STORE_KEEPALIVE)
     store = PlatformStore(client, settings.store, clock)
     directory = RouterDirectory(store, settings.gateway)
     sources = [
--- a/rowanport/platform/sources.py
+++ b/rowanport/platform/sources.py
@@ -9,6 +9,7 @@
 
 from ..errors import StoreBusy
 from ..errors import StoreError
+from ..errors import StoreSilent
 from ..gateway.upstream import Upstream
 from ..gateway.upstream import UpstreamList
 from .store import HistoryLost
@@ -67,6 +68,10 @@
             except HistoryLost:
                 LOG.info("watch_history_lost", prefix=self.prefix)
                 self._revision = None
+            except StoreSilent as error:
+                # A new connection may work, and nothing is lost before it
+                # does not: no pause, and no second read of all.
+                LOG.info("watch_silent", prefix=self.prefix, error=str(error))
             except StoreError as error:
                 self._note_failure(error)
                 await asyncio.sleep(FAILED_PAUSE)
@@ -101,16 +106,20 @@
             self._store.watch(self.prefix, self._revision)
         )
         down = asyncio.ensure_future(self._store.reach.wait_down())
+        silence = asyncio.ensure_future(self._store.reach.wait_silence())
         try:
             await asyncio.wait(
-                (watch, down), return_when=asyncio.FIRST_COMPLETED
+                (watch, down, silence), return_when=asyncio.FIRST_COMPLETED
             )
-            if not watch.done():
+            if watch.done():
+                return watch.result()
+            if down.done():
                 raise StoreBusy("the store is away")
-            return watch.result()
+            raise StoreSilent("kept connections turned out silent")
         finally:
             watch.cancel()
             down.cancel()
+            silence.cancel()
 
     def _note_failure(self, error):
         if not self._failing:
--- a/rowanport/platform/store.py
+++ b/rowanport/platform/store.py
@@ -4,10 +4,12 @@
 import json
 import urllib.parse
 
+from ..errors import ConnectionSilent
 from ..errors import LeaseOver
 from ..errors import StoreBusy
 from ..errors import StoreConflict
 from ..errors import StoreError
+from ..errors import StoreSilent
 from ..errors import StoreUnavailable
 from ..errors import UpstreamError
 from ..store import Reach
@@ -73,6 +75,7 @@
         self._address = address
         self._clock = clock
         self._reach = Reach(self._probe, clock)
+        self._reach.on_silence = client.doubt
 
     @property
     def reach(self):
@@ -82,10 +85,10 @@
         """
         return self._reach
 
-    async def _probe(self):
+    async def _probe(self, fresh):
         # A stale read costs a tenth and is not counted in the rate.
         query = {"private_key": PROBE_KEY, "stale": 1}
-        await self._exchange("GET", "/kv-key", query)
+        await self._exchange("GET", "/kv-key", query, fresh=fresh)
 
     async def get(self, key):
         """Return the Listing of one key, empty if it does not exist."""
@@ -126,6 +129,7 @@
         """Wait for changes after a revision; return them as a Listing.
 
         :raises HistoryLost: the store does not know them any more
+        :raises StoreSilent: the connection is given up, a new one may work
         """
         query = {
             "path_prefix": prefix,
@@ -189,7 +193,13 @@
             raise
 
     async def _exchange(
-        self, method, path, query=None, body=None, timeout=CALL_TIMEOUT
+        self,
+        method,
+        path,
+        query=None,
+        body=None,
+        timeout=CALL_TIMEOUT,
+        fresh=False,
     ):
         if query:
             path += "?" + urllib.parse.urlencode(query)
@@ -197,9 +207,17 @@
         headers = [("content-type", "application/json")] if data else []
         try:
             answer = await self._client.request(
-                self._address, method, path, data, headers, timeout
+                self._address,
+                method,
+                path,
+                data,
+                headers,
+                timeout,
+                fresh=fresh,
             )
             text = await answer.read()
+        except ConnectionSilent as error:
+            raise StoreSilent(str(error)) from None
         except UpstreamError as error:
             if not error.started:
                 raise StoreBusy(str(error)) from None
--- a/rowanport/store/reach.py
+++ b/rowanport/store/reach.py
@@ -3,6 +3,10 @@
 Each user of a store that is away would try it again and again, and each call
 has a price.  Here one probe speaks for all of them: a call that fails begins
 it, and while it fails too, other calls are not made at all.
+
+Kept connections may go silent for good while new ones work.  So a probe on a
+kept connection that is not answered soon is followed by one on a new
+connection, and if that one is answered first, the kept ones are given up.
 """
 
 import asyncio
@@ -17,6 +21,9 @@
 # Seconds for the first answer to a probe after a call failed; a store that
 # is slow answers in some 240 ms on the users' days.
 FIRST_TIMEOUT = 0.5
+# Seconds after which a first probe that is not answered is followed by one on
+# a new connection.
+FRESH_AFTER = 0.1
 # Seconds between two probes; those of a store that is silent overlap.
 INTERVAL = 0.3
 # Seconds for the answer to each of them.
@@ -26,8 +33,11 @@
 class Reach:
     """What is known of one store's availability.
 
-    :param probe: coroutine function, a cheap call that raises StoreError
+    :param probe: coroutine function, a cheap call that raises StoreError; it
+        is told whether to use a new connection
     :param clock: a Clock
+    :ivar on_silence: function that is told when kept connections turned out
+        silent: the event loop's time before which they were opened
     """
 
     def __init__(self, probe, clock):
@@ -36,7 +46,9 @@
         self._up = asyncio.Event()
         self._up.set()
         self._down = asyncio.Event()
+        self._silence = asyncio.Event()
         self._failed_at = None
+        self.on_silence = None
         self._tasks = TaskSet()
         self._prober = None
 
@@ -64,9 +76,13 @@
         """Wait until calls are not worth making."""
         await self._down.wait()
 
+    async def wait_silence(self):
+        """Wait until kept connections turn out silent; the store is there."""
+        await self._silence.wait()
+
     async def _watch(self):
         """Probe the store until it answers."""
-        if await self._try(FIRST_TIMEOUT):
+        if await self._try_both():
             return
         self._up.clear()
         self._down.set()
@@ -78,11 +94,42 @@
         away = self._clock.steady() - lost_at
         LOG.info("store_back", after=round(away, 3))
 
+    async def _try_both(self):
+        """Return whether a first probe was answered, of two if need be."""
+        begun_at = asyncio.get_running_loop().time()
+        kept = asyncio.ensure_future(self._try(FIRST_TIMEOUT))
+        done, _pending = await asyncio.wait({kept}, timeout=FRESH_AFTER)
+        if done and kept.result():
+            return True
+        fresh = asyncio.ensure_future(
+            self._try(FIRST_TIMEOUT - FRESH_AFTER, fresh=True)
+        )
+        try:
+            await asyncio.wait(
+                {kept, fresh}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if not kept.done() and fresh.result():
+                self._note_silence(begun_at)
+                return True
+            return await kept or await fresh
+        finally:
+            kept.cancel()
+            fresh.cancel()
+
+    def _note_silence(self, opened_before):
+        """Let all know that connections opened before a time are silent."""
+        LOG.info("store_connections_silent")
+        if self.on_silence is not None:
+            self.on_silence(opened_before)
+        self._silence.set()
+        self._silence.clear()
+
     async def _probe_until_back(self):
         pending = set()
         try:
             while True:
-                pending.add(asyncio.ensure_future(self._try(TIMEOUT)))
+                probe = self._try(TIMEOUT, fresh=True)
+                pending.add(asyncio.ensure_future(probe))
                 deadline = self._clock.steady() + INTERVAL
                 done, pending = await asyncio.wait(
                     pending,
@@ -96,11 +143,11 @@
             for task in pending:
                 task.cancel()
 
-    async def _try(self, timeout):
+    async def _try(self, timeout, fresh=False):
         """Return whether a probe was answered."""
         try:
             async with asyncio.timeout(timeout):
-                await self._probe()
+                await self._probe(fresh)
         except (StoreError, asyncio.TimeoutError):
             self._failed_at = self._clock.steady()
             return False
--- a/rowanport/web/client.py
+++ b/rowanport/web/client.py
@@ -1,12 +1,14 @@
 """An HTTP client with kept connections."""
 
 import asyncio
+import errno
 import json
 import socket
 
 import h11
 
 from . import stream
+from ..errors import ConnectionSilent
 from ..errors import UpstreamError
 
 READ_SIZE = 65536
@@ -46,11 +48,19 @@
 class _Connection:
     """One open connection and its protocol state."""
 
-    __slots__ = ("reader", "writer", "state", "spoiled", "request")
+    __slots__ = (
+        "reader",
+        "writer",
+        "state",
+        "spoiled",
+        "request",
+        "released_at",
+    )
 
     def __init__(self, reader, writer):
         self.reader = reader
         self.writer = writer
+        self.released_at = None
         self.request = None
         self.spoiled = False
         self.state = None
@@ -185,6 +195,7 @@
         headers=(),
         timeout=30.0,
         owner=None,
+        fresh=False,
     ):
         """Send a request and return its HttpAnswer once the head is here.
 
@@ -192,15 +203,20 @@
         :param owner: (name, value) of a header that the answer repeats; an
             answer with another value belongs to an earlier request and is
             read past
+        :param fresh: whether no kept connection is to be used
+        :raises ConnectionSilent: the kernel gave the connection up
         :raises UpstreamError: ``started`` says whether work may have begun
         """
-        connection = await self._connect(address)
+        connection = await self._connect(address, fresh)
         try:
             async with asyncio.timeout(timeout):
                 self._send(connection, address, method, path, body, headers)
                 response = await self._read_head(connection, address, owner)
-        except asyncio.TimeoutError:
+        except asyncio.TimeoutError as error:
             connection.writer.transport.abort()
+            if error.errno == errno.ETIMEDOUT:
+                message = f"the connection to {address} went silent"
+                raise ConnectionSilent(message) from None
             raise UpstreamError(f"{address} did not answer") from None
         except (OSError, h11.ProtocolError) as error:
             connection.writer.close()
@@ -232,6 +248,7 @@
             return
         connection.state.start_next_cycle()
         connection.watch()
+        connection.released_at = asyncio.get_running_loop().time()
         idle.append(connection)
 
     def close(self):
@@ -245,8 +262,25 @@
             connection.unwatch()
             connection.writer.close()
 
-    async def _connect(self, address):
-        idle = self._idle.get(address, [])
+    def doubt(self, before):
+        """Drop the kept connections that may have gone silent.
+
+        :param before: the event loop's time before which they were last
+            heard of
+        :returns: how many were dropped
+        """
+        dropped = 0
+        for idle in self._idle.values():
+            doubted = [one for one in idle if one.released_at < before]
+            for connection in doubted:
+                idle.remove(connection)
+                connection.unwatch()
+                connection.writer.close()
+            dropped += len(doubted)
+        return dropped
+
+    async def _connect(self, address, fresh=False):
+        idle = [] if fresh else self._idle.get(address, [])
         while idle:
             connection = idle.pop()
             connection.unwatch()
--- a/test/platform_world.py
+++ b/test/platform_world.py
@@ -18,12 +18,15 @@
 from rowanport.platform.settings import PlatformSettings
 from rowanport.web import HttpClient
 from rowanport.web import HttpServer
+from rowanport.web import stream
 from rowanport.web.client import next_event
 
 HOST = "feed.example"
 KEY = "key-of-org"
 ORGANISATION = "org"
 ID_HEADER = "x-rowanport-request-id"
+READ_LIMIT = 65536
+BACKLOG = 100
 # More than a gateway holds back of an answer.
 LARGE = bytes(range(256)) * 12000
 STAMP_HEADER = "x-rowanport-server-stamp"
@@ -213,9 +216,12 @@
         self._server = None
 
     async def start(self, port):
-        self.address = f"127.0.0.1:{port}"
-        self._server = await asyncio.start_server(
-            self._serve, "127.0.0.1", port
+        await self.start_at("127.0.0.1", port)
+
+    async def start_at(self, host, port):
+        self.address = f"{host}:{port}"
+        self._server = await stream.listen(
+            self._serve, host, port, READ_LIMIT, BACKLOG
         )
 
     async def close(self):
--- a/test/test_silence.py
+++ b/test/test_silence.py
@@ -24,7 +24,11 @@
 
 import asyncio
 from test.platform_world import config
+from test.platform_world import HOST as HOST_NAME
+from test.platform_world import ID_HEADER
+from test.platform_world import KEY
 from test.platform_world import StoreStandin
+from test.platform_world import UpstreamStandin
 from test.virtual import LoopClock
 from test.virtual import VirtualLoop
 from test.virtual_net import HOST
@@ -33,6 +37,7 @@
 from rowanport.gateway.settings import GatewaySettings
 from rowanport.platform.__main__ import build
 from rowanport.platform.settings import PlatformSettings
+from rowanport.web import HttpClient
 
 STORE = "10.200.0.1"
 # Seconds in which a configuration has to be in force.
@@ -197,3 +202,87 @@
     assert await lateness(fleet, one, 21) < APPLY_SECONDS
     assert await lateness(fleet, store, 7) < CALM_SECONDS
     assert await lateness(fleet, everything, 7) < CALM_SECONDS
+
+
+@fleet_test(7)
+async def test_silence_again_while_the_first_is_found_out(fleet):
+    for number in range(12):
+        fleet.net.silence(lambda *names: True)
+        await asyncio.sleep(0.2 * number)
+        fleet.net.silence(lambda *names: True)
+        assert await fleet.change_and_wait() < CALM_SECONDS
+        await asyncio.sleep(5.0)
+
+
+@fleet_test(7)
+async def test_silence_at_the_end_of_an_outage(fleet):
+    for number in range(6):
+        fleet.store.fault = "silent"
+        await asyncio.sleep(5.0 + 0.1 * number)
+        fleet.store.fault = ""
+        await asyncio.sleep(0.1 * number)
+        fleet.net.silence(lambda *names: fleet.hosts[number] in names)
+        assert await fleet.change_and_wait() < CALM_SECONDS
+        await asyncio.sleep(5.0)
+
+
+@fleet_test(7)
+async def test_silence_is_not_taken_for_an_outage(fleet):
+    """The store is not given up: nothing of what needs it is held back."""
+    await asyncio.sleep(5.0)
+    lost = []
+    for gateway in fleet.gateways.values():
+        reach = gateway._sources[0]._store.reach
+        task = asyncio.ensure_future(reach.wait_down())
+        task.add_done_callback(lambda done: lost.append(not done.cancelled()))
+    for _round in range(3):
+        fleet.net.silence(lambda *names: True)
+        await asyncio.sleep(5.0)
+    assert lost == []
+
+
+@fleet_test(3)
+async def test_no_connection_is_kept_for_a_peer_that_is_gone(fleet):
+    await asyncio.sleep(5.0)
+    fleet.net.silence(lambda *names: True)
+    await asyncio.sleep(120.0)
+    for gateway in fleet.gateways.values():
+        # One from each of the two others.
+        assert gateway._peer_server.open <= 2
+
+
+@fleet_test(3)
+async def test_kept_connections_to_upstreams_are_doubted_too(fleet):
+    """What is not repeatable is not sent on one that may be silent."""
+    upstream = UpstreamStandin("one")
+    HOST.set("10.9.0.1")
+    await upstream.start_at("10.9.0.1", 80)
+    HOST.set("caller")
+    client = HttpClient()
+    host = fleet.hosts[0]
+
+    async def ask(number):
+        answer = await client.request(
+            f"{host}:80",
+            "POST",
+            "/once/",
+            b"question",
+            [
+                ("host", HOST_NAME),
+                (ID_HEADER, f"r{number}"),
+                ("api-key", KEY),
+            ],
+            fresh=True,
+        )
+        await answer.read()
+        return answer.status
+
+    for number in range(8):
+        assert await ask(f"{number}/before") == 200
+        await asyncio.sleep(1.0)
+        fleet.net.silence(lambda *names: host in names)
+        await asyncio.sleep(1.5)
+        assert await ask(f"{number}/after") == 200
+        await asyncio.sleep(3.0)
+    client.close()
+    await upstream.close()
