Give a planned stop deadlines, and take only what can end before them

Cause: a stop was a flag and three constants. Nothing bounded what was taken after the linger, so a router that was sent requests never became idle and cut what it had at the end of the grace period.

Change: `Stopping` holds the deadlines and decides. Until the linger's end callers are served, each answer says "Connection: close", also one whose request came before the signal. After it only requests are taken whose own time ends before the cut, and only while earlier ones hold the stop open; the rest gets 503 with a promise at once, on new and on kept connections. The stop is over when what was taken is done. While tokens are handed over at its end all is refused. What still waits at the cut, for tokens or an upstream, is answered: 503 if it never ran, 502 (`cut_by_stop`) if it may have. A connection on which the first byte of a request came is idle no more, nor one with unread bytes. Where no other router is ready, callers are told to come back when one may be.

Ruled out: closing the listener after the linger (a refused connection promises less than a 503, and callers wait a second for a connection to come up); taking streams on while no other router is ready (a stream has no end that is sure, and one that is cut after the linger breaks a promise).

--- a/rowanport/errors.py
+++ b/rowanport/errors.py
@@ -38,6 +38,7 @@
     UPSTREAM_REFUSED = "upstream_refused"
     UPSTREAM_FAILED = "upstream_failed"
     STOPPING = "stopping"
+    CUT_BY_STOP = "cut_by_stop"
     NOT_READY = "not_ready"
     INTERNAL = "internal"
 
@@ -88,6 +89,7 @@
     ErrorKind.UPSTREAM_REFUSED: Answer(503, _NOT_RUN, True, _BUSY),
     ErrorKind.UPSTREAM_FAILED: Answer(502, _MAYBE, True, _BUSY),
     ErrorKind.STOPPING: Answer(503, _NOT_RUN, True, _BUSY),
+    ErrorKind.CUT_BY_STOP: Answer(502, _MAYBE, True, _BUSY),
     ErrorKind.NOT_READY: Answer(503, _NOT_RUN, True, _BUSY),
     ErrorKind.INTERNAL: Answer(500, _MAYBE, False, _BUSY),
 }
--- a/rowanport/gateway/daemon.py
+++ b/rowanport/gateway/daemon.py
@@ -35,6 +35,7 @@
 from .refusals import Refusals
 from .retries import RetryWindow
 from .settings import split_address
+from .stopping import Stopping
 from .views import Views
 
 LOG = structlog.get_logger(__name__)
@@ -58,13 +59,10 @@
 # Longest wait in seconds for the answer of one.
 SEED_TIMEOUT = 0.5
 STOP_POLL = 0.05
-# Seconds after the signal to stop during which callers may still open
-# connections: the balancer needs two missed checks, one a second; also
-# until written limits on tokens bind no more, so that all are handed over.
-STOP_LINGER = 2.9
-# Seconds before the end of the grace period at which open requests are
-# given up, so that tokens can still be handed over.
-STOP_RESERVE = 0.8
+# Longest waits in seconds, when all that was taken is done, for requests that
+# came in part, and after the cut for answers that are going out.
+STOP_LAST_READS = 0.5
+STOP_LAST_WRITES = 0.1
 
 
 class Gateway:
@@ -85,7 +83,6 @@
         self.dialect = dialect
         self.clock = clock or SystemClock()
         self.metrics = GatewayMetrics()
-        self.stopping = False
         self._sources = sources
         self._tasks = TaskSet()
         self._retries = {}
@@ -138,6 +135,7 @@
         self.pool = UpstreamPool()
         self.admission = Admission(self.dialect)
         self.refusals = Refusals(self.clock)
+        self.stopping = Stopping(self.members, self.clock)
         self.forwarder = Forwarder(self)
         prefixes = PrefixMap()
         self._prefix_choice = PrefixChoice(settings.data_centre, prefixes)
@@ -253,7 +251,7 @@
     async def _become_ready(self):
         while not self._known:
             await asyncio.sleep(READY_POLL)
-        if not self.stopping:
+        if not self.stopping.begun:
             self.members.set_state(READY)
             LOG.info("gateway_ready", config=self.table.version)
 
@@ -265,22 +263,37 @@
 
     async def stop(self):
         """Stop: no new callers, finish requests, hand tokens over."""
-        begun = self.clock.steady()
-        self.stopping = True
+        self.stopping.begin(self.settings.stop_grace)
         self.members.set_state(LEAVING)
+        self._server.drain()
+        self.forwarder.bound_open()
         LOG.info("gateway_stopping", busy=self._server.busy)
         await self.budgets.hand_over()
-        deadline = begun + self.settings.stop_grace - STOP_RESERVE
-        while self.clock.steady() < deadline:
-            if self.clock.steady() > begun + STOP_LINGER:
-                self._server.close_idle()
-                if not self._server.busy:
-                    break
-            await asyncio.sleep(STOP_POLL)
+        await self._finish_requests()
+        self.stopping.close()
         await self.budgets.hand_over()
-        LOG.info("gateway_stopped", busy=self._server.busy)
+        await self._server.finish(self._last_wait())
+        LOG.info(
+            "gateway_stopped",
+            busy=self._server.busy,
+            cut=self.stopping.cut,
+            refused=self.stopping.refused,
+        )
         await self.close()
 
+    async def _finish_requests(self):
+        """Wait until all that was taken is answered, or is to be cut."""
+        while not self.stopping.finished:
+            if self.clock.steady() >= self.stopping.cut_at + STOP_LAST_WRITES:
+                return
+            if not self.stopping.lingering:
+                self._server.close_idle()
+            await asyncio.sleep(STOP_POLL)
+
+    def _last_wait(self):
+        left = self.stopping.cut_at - self.clock.steady()
+        return max(STOP_LAST_WRITES, min(STOP_LAST_READS, left))
+
     async def close(self):
         """Drop everything at once."""
         self._tasks.cancel()
--- a/rowanport/gateway/forwarder.py
+++ b/rowanport/gateway/forwarder.py
@@ -35,26 +35,52 @@
         self._log = DecisionLog(gateway.metrics, gateway.clock)
         self._relay = Relay(gateway.exchange, gateway.clock)
         self._refusals = gateway.refusals
+        self._stopping = gateway.stopping
+        self._limits = set()
 
     async def handle(self, request, responder):
         """Answer one HttpRequest, whatever becomes of it."""
         gateway = self._gateway
-        responder.closing = gateway.stopping
         arrived = self._clock.steady()
         job = None
         try:
             job = gateway.admission.admit(request, gateway.table, arrived)
-            async with asyncio.timeout(job.deadline - arrived):
-                await self._serve(job, responder)
+            self._stopping.take(job)
+            await self._serve_in_time(job, responder)
+            self._stopping.note_whole(job)
             self._note_end(job, "done", arrived)
         except RequestError as error:
             await self._send_error(job, request, responder, error, arrived)
         except asyncio.TimeoutError:
-            error = late_error(job)
+            error = self._stopping.error_at_cut(job) or late_error(job)
             await self._send_error(job, request, responder, error, arrived)
         except asyncio.CancelledError:
             self._note_end(job, "caller_left", arrived)
             raise
+        finally:
+            self._stopping.leave(job)
+
+    def bound_open(self):
+        """End what is in hand at the cut of the stop at the latest.
+
+        What waits then, for tokens or for an upstream, is still answered
+        before its connection closes.
+        """
+        loop = asyncio.get_running_loop()
+        left = self._stopping.cut_at - self._clock.steady()
+        cut = loop.time() + left
+        for limit in self._limits:
+            if not limit.expired():
+                limit.reschedule(min(limit.when(), cut))
+
+    async def _serve_in_time(self, job, responder):
+        left = self._stopping.end_of(job) - self._clock.steady()
+        async with asyncio.timeout(left) as limit:
+            self._limits.add(limit)
+            try:
+                await self._serve(job, responder)
+            finally:
+                self._limits.discard(limit)
 
     async def _serve(self, job, responder):
         gateway = self._gateway
@@ -80,6 +106,7 @@
         rejections = 0
         failed_connections = 0
         while True:
+            self._stopping.check_send(job)
             state = self._choose(job)
             try:
                 return await self._send(job, state, responder)
--- a/rowanport/web/server.py
+++ b/rowanport/web/server.py
@@ -4,16 +4,21 @@
 import json
 
 import h11
+import structlog
 
 from . import stream
 from ..errors import ErrorKind
 from ..errors import RequestError
 
+LOG = structlog.get_logger(__name__)
+
 READ_SIZE = 65536
 # Bytes of a header at least beside its name and value: colon and line end.
 HEADER_LEAST = 3
 # Connections that wait to be accepted: a burst of callers in one round trip.
 BACKLOG = 1024
+# Seconds between two looks at whether all is answered.
+FINISH_POLL = 0.01
 
 
 class HttpRequest:
@@ -87,9 +92,10 @@
 class Responder:
     """Sends the answer to one request, whole or piece by piece."""
 
-    def __init__(self, connection, writer):
+    def __init__(self, connection, writer, server):
         self._connection = connection
         self._writer = writer
+        self._server = server
         self.started = False
         self.finished = False
         self.closing = False
@@ -98,7 +104,7 @@
         """Send the head; without content-length the body is chunked."""
         self.started = True
         headers = list(headers)
-        if self.closing:
+        if self.closing or self._server.draining:
             headers.append(("connection", "close"))
         event = h11.Response(status_code=status, headers=headers)
         await self._send(event)
@@ -153,10 +159,11 @@
         self._idle = {}
         self._tasks = set()
         self._stopping = False
+        self.draining = False
 
     @property
     def busy(self):
-        """Number of connections with a request in hand."""
+        """Number of connections on which a request came, in part or whole."""
         return len(self._tasks) - len(self._idle)
 
     async def start(self, address, port):
@@ -165,6 +172,23 @@
             self._accept, address, port, READ_SIZE, BACKLOG
         )
 
+    def drain(self):
+        """Say in each answer from now on that its connection closes."""
+        self.draining = True
+
+    async def finish(self, seconds):
+        """Stop accepting, and wait for what is in hand.
+
+        :param seconds: longest wait
+        """
+        await self.stop_accepting()
+        try:
+            async with asyncio.timeout(seconds):
+                while self.busy:
+                    await asyncio.sleep(FINISH_POLL)
+        except asyncio.TimeoutError:
+            LOG.info("requests_unfinished", busy=self.busy)
+
     async def stop_accepting(self):
         """Close the listening socket and all idle connections."""
         self._stopping = True
@@ -172,9 +196,10 @@
         self.close_idle()
 
     def close_idle(self):
-        """Close the connections on which no request is in hand."""
-        for writer in list(self._idle.values()):
-            writer.close()
+        """Close the connections on which nothing of a request has come."""
+        for reader, writer in list(self._idle.values()):
+            if not reader.unread:
+                writer.close()
 
     async def close(self):
         """Drop everything at once."""
@@ -202,8 +227,8 @@
             h11.SERVER, max_incomplete_event_size=self._limits.head
         )
         while not self._stopping:
-            self._idle[task] = writer
-            responder = Responder(connection, writer)
+            self._idle[task] = (reader, writer)
+            responder = Responder(connection, writer, self)
             try:
                 request = await self._read_request(
                     connection, reader, writer, task
@@ -239,6 +264,7 @@
         """Return the next request, or None at the end of the stream."""
         if not await self._wait_first_byte(connection, reader):
             return None
+        self._idle.pop(task, None)
         try:
             async with asyncio.timeout(self._limits.head_timeout):
                 head = await self._next_event(connection, reader)
@@ -248,7 +274,6 @@
             ) from None
         if not isinstance(head, h11.Request):
             return None
-        self._idle.pop(task, None)
         self._check_head(head)
         headers = {
             name.decode("latin-1"): value.decode("latin-1")
