Show that the own interface drops half-read requests when it stops

Cause: a connection whose head is half read counted as idle, and what a stopping router refuses did not say "Connection: close", so its callers sent on into the close. Both tests fail: the front has no way to drain yet.

--- a/test/test_stopping.py
+++ b/test/test_stopping.py
@@ -16,15 +16,19 @@
 from test.platform_world import KEY
 from test.platform_world import Platform
 from test.platform_world import STAMP_HEADER
+import types
 
 import pytest
 
+from bench.ports import free_ports
 from rowanport.clock import ManualClock
 from rowanport.errors import ErrorKind
 from rowanport.errors import RequestError
 from rowanport.errors import UpstreamError
 from rowanport.gateway import stopping as stops
 from rowanport.gateway.stopping import Stopping
+from rowanport.metrics import Metrics
+from rowanport.router.callers import CallerFront
 
 GRACE = 8.0
 # Seconds between two requests of a caller that never pauses.
@@ -106,13 +110,13 @@
 class RawCaller:
     """A caller that sends bytes as it likes on one connection."""
 
-    def __init__(self, platform):
-        self._platform = platform
+    def __init__(self, address):
+        self._address = address
         self._reader = None
         self._writer = None
 
     async def open(self):
-        host, _, port = self._platform.callers.rpartition(":")
+        host, _, port = self._address.rpartition(":")
         self._reader, self._writer = await asyncio.open_connection(
             host, int(port)
         )
@@ -340,7 +344,7 @@
 
 @scenario
 async def test_a_head_that_is_half_read_is_no_idle_connection(platform):
-    caller = RawCaller(platform)
+    caller = RawCaller(platform.callers)
     await caller.open()
     held = await hold_open(platform)
     stopping = begin_stop(platform)
@@ -361,14 +365,14 @@
 async def test_a_body_that_is_half_read_when_the_linger_ends_is_answered(
     platform,
 ):
-    caller = RawCaller(platform)
+    caller = RawCaller(platform.callers)
     await caller.open()
     await caller.send(head_of("half", size=8) + b"ques")
     held = await hold_open(platform)
     stopping = begin_stop(platform)
     # A body may take 3 s: the rest comes within that time.
     await asyncio.sleep(1.0)
-    second = RawCaller(platform)
+    second = RawCaller(platform.callers)
     await second.open()
     await second.send(head_of("late", size=8) + b"ques")
     await caller.send(b"tion")
@@ -402,7 +406,7 @@
 
 @scenario
 async def test_a_kept_connection_is_answered_during_the_stop(platform):
-    caller = RawCaller(platform)
+    caller = RawCaller(platform.callers)
     await caller.open()
     await caller.send(head_of("first"))
     status, fields = await caller.read_answer()
@@ -449,3 +453,79 @@
     assert (answer.status, gateway.ready) == (503, False)
     assert STAMP_HEADER not in answer.headers
     await stopping
+
+
+# The own interface
+
+
+class StoppingRouter:
+    """What a CallerFront sees of a router that stops."""
+
+    def __init__(self):
+        self.stopping = False
+        self.ready = True
+        self.metrics = Metrics()
+
+
+async def own_front(router):
+    """Return a CallerFront that listens, and a raw caller of it."""
+    (port,) = free_ports(1)
+    settings = types.SimpleNamespace(
+        callers=types.SimpleNamespace(
+            header_limit=16384,
+            body_limit=10000,
+            header_timeout=5.0,
+            body_timeout=5.0,
+            connections=10,
+        ),
+        scheduling=types.SimpleNamespace(retry_after=1.0),
+    )
+    front = CallerFront(router, settings)
+    await front.start("127.0.0.1", port)
+    caller = RawCaller(f"127.0.0.1:{port}")
+    await caller.open()
+    return front, caller
+
+
+def test_the_own_interface_closes_what_it_refuses_in_a_stop():
+    # What happened: a refused caller was not told that the connection goes,
+    # and sent its next request into the close.
+    async def run():
+        router = StoppingRouter()
+        front, caller = await own_front(router)
+        await caller.send(head_of("first"))
+        status, fields = await caller.read_answer()
+        assert (status, fields.get("connection")) == (404, None)
+        router.stopping = True
+        front.drain()
+        await caller.send(head_of("second"))
+        status, fields = await caller.read_answer()
+        assert (status, fields["connection"]) == (503, "close")
+        caller.close()
+        await front.close()
+
+    asyncio.run(run())
+
+
+def test_the_own_interface_answers_a_head_that_is_half_read():
+    # What happened: a request of which a part had come did not count as in
+    # hand, and a stop dropped it without an answer.
+    async def run():
+        router = StoppingRouter()
+        front, caller = await own_front(router)
+        await caller.send(head_of("half")[:-2])
+        while not front.busy:
+            await asyncio.sleep(0.01)
+        router.stopping = True
+        front.drain()
+        finishing = asyncio.ensure_future(front.finish(5.0))
+        await asyncio.sleep(0.1)
+        await caller.send(b"\r\n")
+        status, _fields = await caller.read_answer()
+        assert status == 503
+        await finishing
+        assert front.busy == 0
+        caller.close()
+        await front.close()
+
+    asyncio.run(run())
