Finish what is half read when the own interface stops

Cause: as in the test: a half-read request was dropped, and a refused caller was not told that its connection closes.

Change: a stopping router says "Connection: close" in each answer; at the end it stops listening and waits up to half a second for requests that came in part and for refusals on their way, within its grace.

Ruled out: closing idle connections at the signal: a request that crosses the close has no answer, while one that is read is refused with a promise.

Before: both tests of the own interface fail. After: test_stopping.py and test_router.py pass but for the one that is known to be red.

--- a/rowanport/router/callers.py
+++ b/rowanport/router/callers.py
@@ -45,6 +45,17 @@
         """Listen on an address."""
         await self._server.start(address, port)
 
+    def drain(self):
+        """Close connections with their next answers."""
+        self._server.drain()
+
+    async def finish(self, seconds):
+        """Stop listening, close idle connections, wait for the others.
+
+        :param seconds: longest wait
+        """
+        await self._server.finish(seconds)
+
     async def close(self):
         """Stop listening and drop all connections."""
         await self._server.close()
--- a/rowanport/router/daemon.py
+++ b/rowanport/router/daemon.py
@@ -51,6 +51,9 @@
 NOTE_TIMEOUT = 1.0
 LEAVING_FANOUT = 8
 STOP_POLL = 0.05
+# Longest wait in seconds, at the end of a stop, for requests that came in
+# part and for refusals that are going out.
+LAST_READS = 0.5
 STORE_GRACE = 5.0
 CANCEL_GRACE = 5.0
 
@@ -385,10 +388,7 @@
         self.members.set_state(LEAVING)
         LOG.info("router_stopping", streams=self.callers.busy)
         deadline = self.clock.wall() + self.settings.router.stop_grace
-        while self.callers.busy and self.clock.wall() < deadline:
-            if at_once.is_set():
-                break
-            await asyncio.sleep(STOP_POLL)
+        await self._finish_requests(at_once, deadline)
         await self.callers.close()
         cancelled = self.clock.wall() + CANCEL_GRACE
         while self._closing and self.clock.wall() < cancelled:
@@ -397,6 +397,16 @@
         await self.close()
         LOG.info("router_stopped")
 
+    async def _finish_requests(self, at_once, deadline):
+        """Wait for open requests; all that come meanwhile are refused."""
+        self.callers.drain()
+        while self.callers.busy and self.clock.wall() < deadline:
+            if at_once.is_set():
+                return
+            await asyncio.sleep(STOP_POLL)
+        left = deadline - self.clock.wall()
+        await self.callers.finish(max(0.0, min(LAST_READS, left)))
+
     @property
     def _closing(self):
         return self.chat.closing + self.service.closing
