Show that routers that all stop learn of no change

Cause: a leaving router is no follower of the store, and routers ask only ready ones. With all of a fleet stopping, none follows the store and none is asked, while they serve for up to 7 s.

--- a/test/test_stopping.py
+++ b/test/test_stopping.py
@@ -11,6 +11,7 @@
 
 import asyncio
 import functools
+from test.platform_world import config
 from test.platform_world import HOST
 from test.platform_world import ID_HEADER
 from test.platform_world import KEY
@@ -27,6 +28,7 @@
 from rowanport.errors import UpstreamError
 from rowanport.gateway import stopping as stops
 from rowanport.gateway.stopping import Stopping
+from rowanport.gateway.views import LEARN_SECONDS
 from rowanport.metrics import Metrics
 from rowanport.router.callers import CallerFront
 
@@ -529,3 +531,24 @@
         await front.close()
 
     asyncio.run(run())
+
+
+# Views
+
+
+@scenario
+async def test_a_router_that_stops_with_all_others_follows_the_store(platform):
+    # What happened: a router that leaves is no follower of the store, and
+    # asks others only while they are ready.  When all stopped together none
+    # learned of a change, while they served for up to 7 s.
+    views = platform.gateway._views
+    views._started -= 2 * LEARN_SECONDS
+    assert not views.young and views.on_duty
+    held = await hold_open(platform)
+    stopping = begin_stop(platform)
+    # A question to the store that is open already still has its answer.
+    for version in (9, 10):
+        await platform.store.put("op/config", config(version=version))
+        await platform.wait(lambda: views.table.version == version, 4.0)
+    assert await held == "whole"
+    await stopping
