--- a/rowanport/gateway/stopping.py
+++ b/rowanport/gateway/stopping.py
@@ -23,7 +23,7 @@
 # its answer surely goes out.
 MARGIN = 0.1
 # Seconds after which some router is back when all of them stop together: they
-# finish what they have, and start again.
+# finish streams of a second or two, and are ready 0.7 s after their end.
 RETURN = 2.5
 # Weight of the newest request in the usual time of its service.
 NEWEST_WEIGHT = 0.1
--- a/rowanport/gateway/views.py
+++ b/rowanport/gateway/views.py
@@ -66,8 +66,12 @@
 
     @property
     def on_duty(self):
-        """Return whether this router follows the store, for others too."""
-        return self.young or self._address in self._followers()
+        """Return whether this router follows the store, for others too.
+
+        Where all routers stop none is left to do so: each does for itself.
+        """
+        followers = self._followers()
+        return self.young or not followers or self._address in followers
 
     @property
     def young(self):
