Test stops of all routers in series, which end the budget loops

Cause: while no router is ready nobody is among those that hold tokens, and the count of holders, 0, is divided by.

Change: tests only. The world's routers that leave are no delegates, as the real membership has it; the oracle takes a router's task that ended by an error for a fault; the machine may stop all routers in series.

--- a/test/prepaid_world.py
+++ b/test/prepaid_world.py
@@ -138,7 +138,7 @@
 
 
 class FakeMembers:
-    """Everybody knows who lives."""
+    """Everybody knows who lives; those that leave hold tokens for nobody."""
 
     def __init__(self, world, incarnation):
         self._world = world
@@ -161,7 +161,11 @@
         ]
 
     def delegates(self, kind, least, share):
-        addresses = list(self._world.routers)
+        addresses = [
+            address
+            for address, router in self._world.routers.items()
+            if not router.leaving
+        ]
         count = max(least, int(share * len(addresses)))
         return rendezvous(kind, addresses)[:count]
 
@@ -204,6 +208,7 @@
 
     def spawn(self, world, coroutine):
         task = world.loop.create_task(coroutine)
+        task.add_done_callback(world.note_end)
         self.tasks.append(task)
         return task
 
@@ -239,6 +244,7 @@
         self.spent = 0
         self.served = 0
         self.refusals = 0
+        self.failures = []
 
     # The store
 
@@ -346,6 +352,14 @@
         router.leaving = True
         router.spawn(self, self._stop(router))
 
+    def stop_all(self, gap):
+        """Stop all routers as planned, one after the other.
+
+        :param gap: seconds between two of them
+        """
+        for index, address in enumerate(ADDRESSES):
+            self.loop.call_later(index * gap, self.stop, address)
+
     async def _stop(self, router):
         await router.keeper.hand_over()
         await asyncio.sleep(2.9)
@@ -408,13 +422,22 @@
         )
 
     def check(self):
-        """Assert that no token was used that nobody paid for."""
+        """Assert that no token was used that nobody paid for.
+
+        Nor may any loop of a router have failed.
+        """
+        assert not self.failures, f"tasks failed: {self.failures}"
         used = self.spent + self.under_way()
         assert used <= self.total, f"{used} used of {self.total}"
         about = used + self.held()
         taken = self.taken()
         assert about <= taken, f"{about} about, {taken} taken"
 
+    def note_end(self, task):
+        """Note a router's task that ended by an error."""
+        if not task.cancelled() and task.exception() is not None:
+            self.failures.append(task.exception())
+
     def taken(self):
         """Return the tokens that the store counts as taken."""
         return BudgetRecord.unpack(
--- a/test/test_prepaid.py
+++ b/test/test_prepaid.py
@@ -140,6 +140,10 @@
     def stop(self, address):
         self.world.stop(address)
 
+    @rule(gap=strategies.sampled_from((0.1, 0.5, 1.1)))
+    def stop_all(self, gap):
+        self.world.stop_all(gap)
+
     @rule(tokens=sizes)
     def top_up(self, tokens):
         self.world.set_total(self.world.total + tokens)
@@ -274,7 +278,7 @@
     """The same with little else than bursts and kills right after them."""
 
     store = cut_store = turn_away = cut = network = stop = top_up = None
-    jump = heal = lose = kill = request = None
+    stop_all = jump = heal = lose = kill = request = None
 
     @rule(count=strategies.sampled_from((8, 16, 32)))
     def burst(self, count):
@@ -337,7 +341,7 @@
     """The same with little else than lost and late answers of the store."""
 
     store = cut_store = turn_away = cut = network = stop = top_up = None
-    jump = heal = kill = kill_all = None
+    stop_all = jump = heal = kill = kill_all = None
 
 
 def test_the_machine_of_losses_finds_a_write_made_anew():
