Count one holder of a budget at least

Cause: those that leave are no holders, so while all routers stop there are none; Account.pace and allowance divided by that count.

Change: the count is made in one place, Refill._holder_count, which says one at least; by how many to share when drawing is another number with a name of its own. Ruled out: a floor in each method of Account, which the next method would lack. Other divisions by counts were read: heirs (guarded), parts of a loan (one at least), rates (an age of 2 s at least), fan-out of notes (after an amount was added).

Run: test_prepaid_stops and the machine of test_prepaid, which failed before, pass; its broken variants are found.

--- a/rowanport/prepaid/account.py
+++ b/rowanport/prepaid/account.py
@@ -2,6 +2,7 @@
 
 Nothing here waits or sends.  Tokens come in by a draw or a loan and go out
 by being spent, lent or given back; at each moment a token is in one place.
+A count of holders is one at least, whoever makes it.
 """
 
 from ..rates import DecayingRate
--- a/rowanport/prepaid/refill.py
+++ b/rowanport/prepaid/refill.py
@@ -79,7 +79,7 @@
     def holders(self, name):
         """Return the addresses of routers that draw on a budget.
 
-        Others borrow from them.
+        Others borrow from them.  There are none while all routers stop.
         """
         routers = self._drawing()
         if len(routers) <= HOLDERS:
@@ -105,12 +105,20 @@
         return self._clock.steady() < self._started + LEARN_SECONDS
 
     def _holder_count(self, name):
-        """Return how many routers share a budget, as far as is known.
+        """Return how many routers hold tokens of a budget, one at least.
+
+        While all routers stop nobody draws on it, and this one still holds
+        some.
+        """
+        return max(1, len(self.holders(name)))
+
+    def _sharer_count(self, name):
+        """Return by how many routers to share a budget when drawing on it.
 
         One that just started may seem alone.  Drawing for the whole fleet,
         it would leave the others nothing until it has given it back.
         """
-        count = len(self.holders(name))
+        count = self._holder_count(name)
         return max(count, HOLDERS) if self._young else count
 
     def set_totals(self, totals, version):
@@ -174,7 +182,7 @@
             needed = account.lacking or account.unmet
             if not needed and self._is_too_early(now):
                 continue
-            wish = account.wish(self._holder_count(name), now)
+            wish = account.wish(self._sharer_count(name), now)
             if wish > 0 and now < self._dry_until.get(name, 0.0):
                 continue
             if wish or account.recalled:
@@ -243,7 +251,7 @@
         """Return the tokens that may go out at once after a record."""
         if self._stopping:
             return account.available
-        holders = len(self.holders(account.name))
+        holders = self._holder_count(account.name)
         return account.allowance(holders, self._clock.steady())
 
     def _limit(self, account, inflow):
@@ -252,7 +260,7 @@
         :param inflow: tokens that came in, and those that the batch draws
         """
         base = min(inflow, account.outflow + self._allowance(account))
-        holders = len(self.holders(account.name))
+        holders = self._holder_count(account.name)
         return Limit(base, account.pace(holders, self._clock.steady()))
 
     def _begin(self, wishes):
@@ -279,7 +287,7 @@
 
         :param left: tokens left in the store
         """
-        count = self._holder_count(name)
+        count = self._sharer_count(name)
         return self._accounts[name].trim(wish, count, left)
 
     def spent(self, name):
