Test what a planned stop leaves behind, and hand-overs without an answer

Cause: a hand-over without an heir waits for no give-back; a router that stops takes what another one hands to it; one that gets no answer is tried for less time than a silent connection lasts, and then its tokens are lost; and a repeat that meets the heir's next run is taken a second time.

Change: tests only. The world's routers learn late that another one leaves, its connections may turn silent for a second, and the last hand-over of a planned stop has 0.8 s. The machine has both.

--- a/test/prepaid_world.py
+++ b/test/prepaid_world.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import random
 from test.virtual import LoopClock
 from test.virtual import VirtualLoop
@@ -28,6 +29,10 @@
 BUDGET = "org"
 ADDRESSES = [f"10.0.0.{number}:1" for number in range(1, 5)]
 CALL_TIMEOUT = 1.0
+# Seconds between the two hand-overs of a planned stop, and those that are
+# left for the second one.
+STOP_LINGER = 2.9
+STOP_RESERVE = 0.8
 FAR = 100000.0
 
 
@@ -125,14 +130,15 @@
             raise PeerError("gone")
         if frozenset((address, self._address)) in world.cuts:
             await asyncio.sleep(FAR)
-        fate = world.next_peer_fate()
+        fate = world.next_peer_fate() or world.silence(self._address, address)
         if fate == "lost":
             await asyncio.sleep(FAR)
         message = type(message).from_wire(message.to_wire())
         if fate == "repeated":
             target.keeper.handle(message)
         answer = target.keeper.handle(message)
-        if fate == "answer lost":
+        silence = world.silence(self._address, address)
+        if "answer lost" in (fate, silence):
             await asyncio.sleep(FAR)
         return answer
 
@@ -157,14 +163,15 @@
         return [
             router.incarnation
             for router in self._world.routers.values()
-            if router.incarnation != self._incarnation and not router.leaving
+            if router.incarnation != self._incarnation
+            and not self._world.is_seen_leaving(router)
         ]
 
     def delegates(self, kind, least, share):
         addresses = [
             address
             for address, router in self._world.routers.items()
-            if not router.leaving
+            if not self._world.is_seen_leaving(router)
         ]
         count = max(least, int(share * len(addresses)))
         return rendezvous(kind, addresses)[:count]
@@ -181,6 +188,7 @@
         self.address = address
         self.incarnation = f"cell/{address}/{world.runs}"
         self.leaving = False
+        self.leaves_at = FAR
         self.tasks = []
         self.open = []
         clock = MachineClock(world, address)
@@ -241,6 +249,8 @@
         self.lease_fates = []
         self.unheard = []
         self.peer_fates = []
+        self.silent = {}
+        self.news_delay = 0.0
         self.spent = 0
         self.served = 0
         self.refusals = 0
@@ -318,6 +328,11 @@
     def next_peer_fate(self):
         return self.peer_fates.pop(0) if self.peer_fates else ""
 
+    def silence(self, caller, called):
+        """Return the fate of calls on a connection that may be silent."""
+        fate, until = self.silent.get((caller, called), ("", 0.0))
+        return fate if self.loop.now < until else ""
+
     # Routers
 
     def start(self, address):
@@ -350,8 +365,15 @@
         if router is None or router.leaving:
             return
         router.leaving = True
+        router.leaves_at = self.loop.now
         router.spawn(self, self._stop(router))
 
+    def is_seen_leaving(self, router):
+        """Return whether others know of a router that it leaves."""
+        return router.leaving and (
+            self.loop.now >= router.leaves_at + self.news_delay
+        )
+
     def stop_all(self, gap):
         """Stop all routers as planned, one after the other.
 
@@ -362,8 +384,10 @@
 
     async def _stop(self, router):
         await router.keeper.hand_over()
-        await asyncio.sleep(2.9)
-        await router.keeper.hand_over()
+        await asyncio.sleep(STOP_LINGER)
+        with contextlib.suppress(asyncio.TimeoutError):
+            async with asyncio.timeout(STOP_RESERVE):
+                await router.keeper.hand_over()
         if self.routers.get(router.address) is router:
             self.kill(router.address, 0.3)
 
@@ -439,10 +463,10 @@
             self.failures.append(task.exception())
 
     def taken(self):
-        """Return the tokens that the store counts as taken."""
-        return BudgetRecord.unpack(
-            self.read(BUDGET_PREFIX + BUDGET).data
-        ).taken
+        """Return the tokens that the store counts as taken, of all budgets."""
+        keys = [key for key in self.values if key.startswith(BUDGET_PREFIX)]
+        records = [BudgetRecord.unpack(self.read(key).data) for key in keys]
+        return sum(record.taken for record in records)
 
     def close(self):
         """End everything."""
--- a/test/test_prepaid.py
+++ b/test/test_prepaid.py
@@ -47,9 +47,11 @@
     @initialize(
         seed=seeds,
         total=strategies.sampled_from((600, 3000)),
+        news_delay=strategies.sampled_from((0.0, 0.8)),
     )
-    def start(self, seed, total):
+    def start(self, seed, total, news_delay):
         self.world = World(seed, total)
+        self.world.news_delay = news_delay
         for address in ADDRESSES:
             self.world.start(address)
         self.world.advance(2.0)
@@ -92,6 +94,14 @@
     def cut(self, one, other):
         self.world.cuts.add(frozenset((one, other)))
 
+    @rule(
+        one=addresses,
+        other=addresses,
+        fate=strategies.sampled_from(("lost", "answer lost")),
+    )
+    def silence(self, one, other, fate):
+        self.world.silent[one, other] = (fate, self.world.loop.now + 1.0)
+
     @rule()
     def heal(self):
         self.world.heal()
@@ -278,7 +288,7 @@
     """The same with little else than bursts and kills right after them."""
 
     store = cut_store = turn_away = cut = network = stop = top_up = None
-    stop_all = jump = heal = lose = kill = request = None
+    stop_all = silence = jump = heal = lose = kill = request = None
 
     @rule(count=strategies.sampled_from((8, 16, 32)))
     def burst(self, count):
@@ -341,7 +351,7 @@
     """The same with little else than lost and late answers of the store."""
 
     store = cut_store = turn_away = cut = network = stop = top_up = None
-    stop_all = jump = heal = kill = kill_all = None
+    stop_all = silence = jump = heal = kill = kill_all = None
 
 
 def test_the_machine_of_losses_finds_a_write_made_anew():
--- a/test/test_prepaid_stops.py
+++ b/test/test_prepaid_stops.py
@@ -1,9 +1,35 @@
 """Planned stops that follow each other closely, and what becomes of tokens."""
 
+from test.prepaid_world import ADDRESSES
+from test.prepaid_world import BUDGET
+from test.prepaid_world import FAR
 from test.prepaid_world import make_world
+from test.prepaid_world import STOP_LINGER
+from test.prepaid_world import World
+from unittest import mock
 
 import pytest
 
+from rowanport.prepaid.lender import Lender
+
+# Budgets that take several batches to give back.
+MANY = [f"org-{number}" for number in range(40)]
+
+
+def make_fleet(count):
+    """Return a world of some routers that have drawn."""
+    world = World(1, 10000)
+    for address in ADDRESSES[:count]:
+        world.start(address)
+    world.advance(4.0)
+    return world
+
+
+def stranded(world):
+    """Return the tokens that are in no place any more."""
+    used = world.spent + world.under_way()
+    return world.taken() - world.held() - used
+
 
 @pytest.mark.parametrize("gap", (0.1, 0.5, 1.1))
 def test_stops_of_all_routers_in_series_end_no_loop(gap):
@@ -21,3 +47,119 @@
     world.advance(6.0)
     world.check()
     world.close()
+
+
+def test_the_last_router_to_stop_gives_back_what_it_holds():
+    # Symptom: "no_heir" of the last router to stop, and its next run wrote
+    # tokens_stranded.  Sequence: no router was ready; the last request ended,
+    # and with it the router.  Cause: a hand-over without an heir waited for
+    # nothing, so that what had become free since the last batch was lost.
+    world = make_fleet(1)
+    router = world.routers[ADDRESSES[0]]
+    keeper = router.keeper
+    world.loop.run_until_complete(keeper.reserve(BUDGET, 150))
+    router.leaving = True
+    world.loop.run_until_complete(keeper.hand_over())
+    world.advance(STOP_LINGER)
+    keeper.settle(BUDGET, 150, 50)
+    world.loop.run_until_complete(keeper.hand_over())
+    assert world.taken() == 50
+    world.close()
+
+
+def test_the_last_router_to_stop_gives_back_many_budgets():
+    # A batch holds 14 budgets, so that the rest is given back by later ones.
+    world = make_fleet(1)
+    keeper = world.routers[ADDRESSES[0]].keeper
+    keeper.set_totals({name: 10000 for name in MANY}, 2)
+    world.advance(6.0)
+    assert all(keeper.accounts[name].available for name in MANY)
+    world.stop(ADDRESSES[0])
+    world.advance(STOP_LINGER + 1.5)
+    assert ADDRESSES[0] in world.routers
+    assert stranded(world) == 0
+    world.close()
+
+
+def test_a_router_without_an_heir_serves_until_it_ends():
+    # What nobody can take is of use where it is while requests still come.
+    world = make_fleet(1)
+    world.stop(ADDRESSES[0])
+    world.advance(1.5)
+    world.request(ADDRESSES[0], 150, 150, 0.1)
+    world.advance(1.0)
+    assert (world.served, world.refusals) == (1, 0)
+    world.close()
+
+
+def test_a_router_that_stops_inherits_nothing():
+    # Symptom: a router that had been stopping for half a second inherited
+    # tokens of another one that stopped.  Cause: who is ready is known late,
+    # and what comes after the last hand-over is lost.  Settled by
+    # tokens_inherited 0.53 s after gateway_stopping on the same instance.
+    world = make_fleet(3)
+    world.news_delay = FAR
+    first, second = ADDRESSES[:2]
+    world.stop(first)
+    world.advance(0.5)
+    inherited = world.routers[first].keeper.accounts[BUDGET].inflow
+    before = world.held()
+    world.stop(second)
+    world.advance(1.0)
+    assert world.routers[first].keeper.accounts[BUDGET].inflow == inherited
+    assert world.held() == before
+    world.advance(6.0)
+    assert stranded(world) == 0
+    world.check()
+    world.close()
+
+
+@pytest.mark.parametrize("fate", ("lost", "answer lost"))
+def test_a_connection_that_turned_silent_strands_nothing(fate):
+    # An heir's connection may be silent for a second, until it is replaced,
+    # at the first hand-over or at the last one, which has less than that.
+    for number in (0, 1):
+        world = make_fleet(2)
+        one, heir = ADDRESSES[:2]
+        begin = world.loop.now + number * STOP_LINGER
+        world.silent[one, heir] = (fate, begin + 1.0)
+        if number:
+            world.silent[one, heir] = (fate, begin + 1.2)
+            world.cuts.add(frozenset((one, heir)))
+            world.loop.call_later(STOP_LINGER - 0.1, world.cuts.clear)
+        world.request(one, 150, 50, STOP_LINGER - 0.2)
+        world.stop(one)
+        world.advance(STOP_LINGER + 4.0)
+        assert stranded(world) == 0
+        world.check()
+        world.close()
+
+
+def hand_over_to_two_runs():
+    """Hand tokens over to a router that takes them, ends and starts again."""
+    world = make_fleet(2)
+    one, heir = ADDRESSES[:2]
+    keeper = world.routers[heir].keeper
+    credit = keeper.credit
+
+    def credit_unheard(name, tokens):
+        world.silent[one, heir] = ("answer lost", world.loop.now + 1.15)
+        credit(name, tokens)
+
+    with mock.patch.object(keeper, "credit", credit_unheard):
+        world.stop(one)
+        world.loop.call_later(1.0, world.kill, heir, 0.1)
+        world.advance(8.0)
+    world.check()
+    world.close()
+
+
+def test_another_run_of_an_heir_does_not_take_the_same_tokens():
+    # Symptom: more tokens about than were taken.  Sequence: an heir took a
+    # hand-over whose answer was lost, wrote its record and was killed; its
+    # next run recovered what the record named, and took the repeated message
+    # as well.  Cause: repeats are known by a memory that ends with the run.
+    hand_over_to_two_runs()
+    taken = mock.patch.object(Lender, "_is_for_this_run", lambda *_: True)
+    with taken, pytest.raises(AssertionError, match="about"):
+        hand_over_to_two_runs()
