Ask on for a loan until a silent connection is replaced

Cause: an ask without an answer was repeated for 0.4 s; a silent connection lasts for up to a second, and what was lent on it was lost.

The waiting request is refused as before, as its caller cannot wait so long.

Ruled out: giving the loan up to the lender, which cannot know whether its answer came.

Run: test_prepaid_loans, which failed, passes; so do the other tests of prepaid budgets.

--- a/rowanport/prepaid/lender.py
+++ b/rowanport/prepaid/lender.py
@@ -20,8 +20,12 @@
 # Longest wait for a peer's loan in seconds: a few round trips between data
 # centres.
 ASK_TIMEOUT = 0.1
-# Longest wait for the answer to the second try of an ask.
+# Seconds for each later try of an ask, between two of them, and after which
+# none follows: a connection that turned silent is replaced within a second,
+# and what was lent without an answer is lost for good.
 COLLECT_TIMEOUT = 0.4
+COLLECT_PAUSE = 0.1
+COLLECT_SECONDS = 3.0
 # Peers asked at once; each lends half of what it has.
 ASK_FANOUT = 3
 # Peers asked in all.
@@ -81,26 +85,31 @@
         except PeerError:
             account.unanswered = True
             self._members.suspect(peer)
-            # Its answer may have been lost: ask once more for the same loan.
+            # Its answer may have been lost: ask on for the same loan.
             self._tasks.spawn(self._collect(account, peer, message))
             return
         account.unanswered = False
         self._take_loan(account, answer, peer)
 
     async def _collect(self, account, peer, message):
-        try:
-            answer = await self._peers.call(
-                address_of(peer), message, COLLECT_TIMEOUT
-            )
-        except PeerError as error:
-            LOG.info(
-                "loan_unanswered",
-                budget=account.name,
-                peer=peer,
-                error=str(error),
-            )
+        last_try_at = self._clock.steady() + COLLECT_SECONDS
+        while self._clock.steady() < last_try_at:
+            try:
+                answer = await self._peers.call(
+                    address_of(peer), message, COLLECT_TIMEOUT
+                )
+            except PeerError as error:
+                failure = error
+                await asyncio.sleep(COLLECT_PAUSE)
+                continue
+            self._take_loan(account, answer, peer)
             return
-        self._take_loan(account, answer, peer)
+        LOG.info(
+            "loan_unanswered",
+            budget=account.name,
+            peer=peer,
+            error=str(failure),
+        )
 
     def _take_loan(self, account, answer, peer):
         if not isinstance(answer, Lent):
