Test a probe of the store that fails by an unexpected error

Cause, found by reading: the probing task ends, and as nobody calls a store that is away, it stays away for that router for good.

Run: fails at this commit, as it must (10 s without the store on given time).

--- a/test/test_supervision.py
+++ b/test/test_supervision.py
@@ -16,6 +16,8 @@
 import pytest
 
 from rowanport import supervision
+from rowanport.errors import StoreUnavailable
+from rowanport.store import Reach
 from rowanport.supervision import FAILING_ENDS
 from rowanport.supervision import FIRST_PAUSE
 from rowanport.supervision import LONGEST_PAUSE
@@ -223,3 +225,24 @@
             await platform.wait(lambda: restarts(gateway, name) > 0)
     names = [loop.name for loop in gateway._loops._loops]
     assert sorted(names) == sorted(parts(gateway))
+
+
+def test_a_store_is_probed_on_after_an_error_that_nobody_expected(scene):
+    # Cause, found by reading: while a store is away nobody calls it, so that
+    # nothing began to probe it again once the probing task had failed.
+    faults = [StoreUnavailable("away"), Fault("odd"), Fault("odd")]
+
+    async def probe():
+        if faults:
+            raise faults.pop(0)
+
+    reach = Reach(probe)
+
+    async def lose():
+        reach.note_failure()
+        async with asyncio.timeout(10.0):
+            await reach.wait_down()
+            await reach.wait_up()
+
+    scene.loop.run_until_complete(lose())
+    assert reach.up
