Probe the store on after an error that nobody expected

Cause: Reach's probing task is a loop that must run, too; one error other than the store's own ended it while the store counted as away.

Change: such an error is logged (store_probe_failed) and counts as no answer.

Run: the test, which failed, passes, with the rest of test_supervision.

--- a/rowanport/store/reach.py
+++ b/rowanport/store/reach.py
@@ -102,4 +102,9 @@
         except (StoreError, asyncio.TimeoutError):
             self._failed_at = time.monotonic()
             return False
+        except Exception:
+            # Nobody else would ever find out that the store is back.
+            LOG.error("store_probe_failed", exc_info=True)
+            self._failed_at = time.monotonic()
+            return False
         return True
