Bound the whole of a hand-over by its deadline

Cause, found by reading: with a store that is away the waits of a last hand-over added up to .85 s, and a planned stop leaves .8 s for it.

Run: the tests of prepaid budgets and of supervision pass.

--- a/rowanport/prepaid/handover.py
+++ b/rowanport/prepaid/handover.py
@@ -97,10 +97,9 @@
         """Return ready peers that answer and take tokens now."""
         candidates = self._members.ready_others()[:CANDIDATES]
         calls = [self._is_willing(peer) for peer in candidates]
-        willing = await asyncio.gather(*calls)
-        return [p for p, is_willing in zip(candidates, willing) if is_willing][
-            :HEIRS
-        ]
+        answers = await asyncio.gather(*calls)
+        heirs = [p for p, willing in zip(candidates, answers) if willing]
+        return heirs[:HEIRS]
 
     async def _is_willing(self, peer):
         try:
@@ -117,10 +116,12 @@
             f"{heir}{ID_MARK}{new_id()}", self._incarnation, tokens
         )
 
-    async def pass_on(self, heirs, tokens):
+    async def pass_on(self, heirs, tokens, deadline):
         """Pass tokens by budget on to some peers, in even shares.
 
-        Those without an answer in time are sent again meanwhile.
+        Those without an answer by then are sent again meanwhile.
+
+        :param deadline: steady time after which not to wait for answers
         """
         shares = _split(tokens, len(heirs))
         tasks = [
@@ -129,7 +130,8 @@
             if share
         ]
         if tasks:
-            await asyncio.wait(tasks, timeout=TRY_TIMEOUT)
+            left = max(0.0, deadline - self._clock.steady())
+            await asyncio.wait(tasks, timeout=min(TRY_TIMEOUT, left))
 
     async def _pass_share(self, heir, tokens):
         message = self._message(heir, tokens)
--- a/rowanport/prepaid/keeper.py
+++ b/rowanport/prepaid/keeper.py
@@ -361,7 +361,8 @@
         await self._wait_for_release()
         heirs = await self._hand_overs.find_heirs()
         if heirs:
-            await self._hand_overs.pass_on(heirs, self._take_free())
+            tokens = self._take_free()
+            await self._hand_overs.pass_on(heirs, tokens, deadline)
         if is_last:
             await self._give_back(deadline)
         self._hand_overs.report()
