--- a/test/prepaid_world.py
+++ b/test/prepaid_world.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import random
 from test.virtual import LoopClock
 from test.virtual import VirtualLoop
@@ -28,6 +29,10 @@
 BUDGET = "org"
 ADDRESSES = [f"10.0.0.{number}:1" for number in range(1, 5)]
 CALL_TIMEOUT = 1.0
+# Seconds between the two hand-overs of a planned stop, and those that are
+# left for the second one.
+STOP_LINGER = 2.9
+STOP_RESERVE = 0.8
 FAR = 100000.0
 
 
@@ -125,20 +130,21 @@
             raise PeerError("gone")
         if frozenset((address, self._address)) in world.cuts:
             await asyncio.sleep(FAR)
-        fate = world.next_peer_fate()
+        fate = world.next_peer_fate() or world.silence(self._address, address)
         if fate == "lost":
             await asyncio.sleep(FAR)
         message = type(message).from_wire(message.to_wire())
         if fate == "repeated":
             target.keeper.handle(message)
         answer = target.keeper.handle(message)
-        if fate == "answer lost":
+        silence = world.silence(self._address, address)
+        if "answer lost" in (fate, silence):
             await asyncio.sleep(FAR)
         return answer
 
 
 class FakeMembers:
-    """Everybody knows who lives."""
+    """Everybody knows who lives; those that leave hold tokens for nobody."""
 
     def __init__(self, world, incarnation):
         self._world = world
@@ -157,11 +163,16 @@
         return [
             router.incarnation
             for router in self._world.routers.values()
-            if router.incarnation != self._incarnation and not router.leaving
+            if router.incarnation != self._incarnation
+            and not self._world.is_seen_leaving(router)
         ]
 
     def delegates(self, kind, least, share):
-        addresses = list(self._world.routers)
+        addresses = [
+            address
+            for address, router in self._world.routers.items()
+            if not self._world.is_seen_leaving(router)
+        ]
         count = max(least, int(share * len(addresses)))
         return rendezvous(kind, addresses)[:count]
 
@@ -177,6 +188,7 @@
         self.address = address
         self.incarnation = f"cell/{address}/{world.runs}"
         self.leaving = False
+        self.leaves_at = FAR
         self.tasks = []
         self.open = []
         clock = MachineClock(world, address)
@@ -204,6 +216,7 @@
 
     def spawn(self, world, coroutine):
         task = world.loop.create_task(coroutine)
+        task.add_done_callback(world.note_end)
         self.tasks.append(task)
         return task
 
@@ -236,9 +249,12 @@
         self.lease_fates = []
         self.unheard = []
         self.peer_fates = []
+        self.silent = {}
+        self.news_delay = 0.0
         self.spent = 0
         self.served = 0
         self.refusals = 0
+        self.failures = []
 
     # The store
 
@@ -312,6 +328,11 @@
     def next_peer_fate(self):
         return self.peer_fates.pop(0) if self.peer_fates else ""
 
+    def silence(self, caller, called):
+        """Return the fate of calls on a connection that may be silent."""
+        fate, until = self.silent.get((caller, called), ("", 0.0))
+        return fate if self.loop.now < until else ""
+
     # Routers
 
     def start(self, address):
@@ -327,9 +348,9 @@
         router = self.routers.pop(address, None)
         if router is None:
             return
-        for task in router.tasks + list(router.keeper._lender._tasks):
-            task.cancel()
-        for task in list(router.keeper._tasks):
+        keeper = router.keeper
+        owners = (keeper, keeper._lender, keeper._hand_overs)
+        for task in router.tasks + [t for o in owners for t in o._tasks]:
             task.cancel()
         # What was under way may have used all that was set aside for it.
         self.spent += sum(router.open)
@@ -344,12 +365,29 @@
         if router is None or router.leaving:
             return
         router.leaving = True
+        router.leaves_at = self.loop.now
         router.spawn(self, self._stop(router))
 
+    def is_seen_leaving(self, router):
+        """Return whether others know of a router that it leaves."""
+        return router.leaving and (
+            self.loop.now >= router.leaves_at + self.news_delay
+        )
+
+    def stop_all(self, gap):
+        """Stop all routers as planned, one after the other.
+
+        :param gap: seconds between two of them
+        """
+        for index, address in enumerate(ADDRESSES):
+            self.loop.call_later(index * gap, self.stop, address)
+
     async def _stop(self, router):
         await router.keeper.hand_over()
-        await asyncio.sleep(2.9)
-        await router.keeper.hand_over()
+        await asyncio.sleep(STOP_LINGER)
+        with contextlib.suppress(asyncio.TimeoutError):
+            async with asyncio.timeout(STOP_RESERVE):
+                await router.keeper.hand_over()
         if self.routers.get(router.address) is router:
             self.kill(router.address, 0.3)
 
@@ -408,18 +446,27 @@
         )
 
     def check(self):
-        """Assert that no token was used that nobody paid for."""
+        """Assert that no token was used that nobody paid for.
+
+        Nor may any loop of a router have failed.
+        """
+        assert not self.failures, f"tasks failed: {self.failures}"
         used = self.spent + self.under_way()
         assert used <= self.total, f"{used} used of {self.total}"
         about = used + self.held()
         taken = self.taken()
         assert about <= taken, f"{about} about, {taken} taken"
 
+    def note_end(self, task):
+        """Note a router's task that ended by an error."""
+        if not task.cancelled() and task.exception() is not None:
+            self.failures.append(task.exception())
+
     def taken(self):
-        """Return the tokens that the store counts as taken."""
-        return BudgetRecord.unpack(
-            self.read(BUDGET_PREFIX + BUDGET).data
-        ).taken
+        """Return the tokens that the store counts as taken, of all budgets."""
+        keys = [key for key in self.values if key.startswith(BUDGET_PREFIX)]
+        records = [BudgetRecord.unpack(self.read(key).data) for key in keys]
+        return sum(record.taken for record in records)
 
     def close(self):
         """End everything."""
--- a/test/test_prepaid.py
+++ b/test/test_prepaid.py
@@ -29,8 +29,8 @@
 from rowanport.prepaid.allowance import Allowances
 from rowanport.prepaid.allowance import HOLD_SECONDS
 from rowanport.prepaid.allowance import process_age
+from rowanport.prepaid.answers import Answers
 from rowanport.prepaid.drawer import Drawer
-from rowanport.prepaid.lender import Lender
 
 STEPS = 25
 EXAMPLES = 40
@@ -47,9 +47,11 @@
     @initialize(
         seed=seeds,
         total=strategies.sampled_from((600, 3000)),
+        news_delay=strategies.sampled_from((0.0, 0.8)),
     )
-    def start(self, seed, total):
+    def start(self, seed, total, news_delay):
         self.world = World(seed, total)
+        self.world.news_delay = news_delay
         for address in ADDRESSES:
             self.world.start(address)
         self.world.advance(2.0)
@@ -92,6 +94,14 @@
     def cut(self, one, other):
         self.world.cuts.add(frozenset((one, other)))
 
+    @rule(
+        one=addresses,
+        other=addresses,
+        fate=strategies.sampled_from(("lost", "answer lost")),
+    )
+    def silence(self, one, other, fate):
+        self.world.silent[one, other] = (fate, self.world.loop.now + 1.0)
+
     @rule()
     def heal(self):
         self.world.heal()
@@ -140,6 +150,10 @@
     def stop(self, address):
         self.world.stop(address)
 
+    @rule(gap=strategies.sampled_from((0.1, 0.5, 1.1)))
+    def stop_all(self, gap):
+        self.world.stop_all(gap)
+
     @rule(tokens=sizes)
     def top_up(self, tokens):
         self.world.set_total(self.world.total + tokens)
@@ -202,7 +216,7 @@
     def once(self, key, act, message):
         return act(message)
 
-    with mock.patch.object(Lender, "_once", once):
+    with mock.patch.object(Answers, "once", once):
         yield
 
 
@@ -274,7 +288,7 @@
     """The same with little else than bursts and kills right after them."""
 
     store = cut_store = turn_away = cut = network = stop = top_up = None
-    jump = heal = lose = kill = request = None
+    stop_all = silence = jump = heal = lose = kill = request = None
 
     @rule(count=strategies.sampled_from((8, 16, 32)))
     def burst(self, count):
@@ -337,7 +351,7 @@
     """The same with little else than lost and late answers of the store."""
 
     store = cut_store = turn_away = cut = network = stop = top_up = None
-    jump = heal = kill = kill_all = None
+    stop_all = silence = jump = heal = kill = kill_all = None
 
 
 def test_the_machine_of_losses_finds_a_write_made_anew():
