--- a/rowanport/gateway/stopping.py
+++ b/rowanport/gateway/stopping.py
@@ -17,8 +17,9 @@
 # has as long to end.
 LINGER_SHARE = 0.5
 # Seconds before the end of the grace period at which open requests are given
-# up, so that tokens can still be handed over.
-RESERVE = 0.8
+# up: the last answers have 0.1 s to go out, tokens 0.7 s to be handed over or
+# given back, what came in part 0.1 s.
+RESERVE = 0.9
 # Seconds before the cut at which a request's own time has to be over, so that
 # its answer surely goes out.
 MARGIN = 0.1
--- a/rowanport/platform/sources.py
+++ b/rowanport/platform/sources.py
@@ -161,7 +161,10 @@
 
     async def run(self, views):
         """Feed the Views until cancelled, and drop what stays missing."""
-        await asyncio.gather(super().run(views), self._run_missing(views))
+        # Both end if one fails, so that what starts them again doubles none.
+        async with asyncio.TaskGroup() as group:
+            group.create_task(super().run(views))
+            group.create_task(self._run_missing(views))
 
     async def load(self, views):
         listing = await self._store.list(self.prefix)
--- a/rowanport/store/reach.py
+++ b/rowanport/store/reach.py
@@ -154,6 +154,6 @@
         except Exception:
             # Nobody else would ever find out that the store is back.
             LOG.error("store_probe_failed", exc_info=True)
-            self._failed_at = time.monotonic()
+            self._failed_at = self._clock.steady()
             return False
         return True
--- a/test/test_supervision.py
+++ b/test/test_supervision.py
@@ -232,11 +232,11 @@
     # nothing began to probe it again once the probing task had failed.
     faults = [StoreUnavailable("away"), Fault("odd"), Fault("odd")]
 
-    async def probe():
+    async def probe(fresh):
         if faults:
             raise faults.pop(0)
 
-    reach = Reach(probe)
+    reach = Reach(probe, LoopClock(scene.loop))
 
     async def lose():
         reach.note_failure()
