--- a/test/test_silence.py
+++ b/test/test_silence.py
@@ -286,3 +286,22 @@
         await asyncio.sleep(3.0)
     client.close()
     await upstream.close()
+
+
+@fleet_test(7)
+async def test_a_removed_upstream_is_gone_soon_after_calls_failed(fleet):
+    # What happened: a removed upstream was sent work for 3.2 to 4 s.  Any
+    # call of the store that failed, on a silent connection or by one lost
+    # answer, was taken for an outage in which entries may lapse, so that an
+    # entry that went was kept for 3 s (`upstream_missing`, and 2.7 s later
+    # `upstream_gone`), though the store was well all along.
+    for number in range(4):
+        name = f"servers/other-{number}"
+        await fleet.store.put(name, UPSTREAM)
+        await asyncio.sleep(5.0)
+        fleet.net.silence(lambda *names: True)
+        await asyncio.sleep(1.5)
+        await fleet.store.remove(name)
+        await asyncio.sleep(APPLY_SECONDS)
+        for gateway in fleet.gateways.values():
+            assert f"other-{number}" not in gateway.upstreams.upstreams
