Count as unsettled what a home holds for other entries

Cause: a router counted its own book only. What a home holds for an entry that was killed was then in no router's count, from the kill until the home took the entry for dead and its runs had ended (some 8 s, or a whole run), although it was still to be billed.

Change: LedgerKeeper.unsettled counts the reservations that its holders have open and the bills that they have not written, unless this router's own book counts them already.

Ruled out: adding it to LedgerClient.unsettled. A planned stop waits for that before it gives anything back, so long runs of others would use up its grace and leave the grants behind.

Conclusion: the bills were late, not lost; the fleet said "settled" too early.

--- a/rowanport/ledger/book.py
+++ b/rowanport/ledger/book.py
@@ -77,6 +77,9 @@
     def __len__(self):
         return len(self._open)
 
+    def __contains__(self, reservation):
+        return reservation in self._open
+
     def __iter__(self):
         return iter(list(self._open.values()))
 
--- a/rowanport/ledger/client.py
+++ b/rowanport/ledger/client.py
@@ -302,7 +302,7 @@
 
     @property
     def unsettled(self):
-        """Return how many reservations are not yet safe.
+        """Return how many reservations of this entry are not yet safe.
 
         Those count too that are billed, but whose witness does not know yet.
         """
--- a/rowanport/ledger/holder.py
+++ b/rowanport/ledger/holder.py
@@ -118,6 +118,11 @@
             for reservation in account.reserved.values()
         ]
 
+    def unsettled(self):
+        """Return the ids of reservations whose bills are yet to be written."""
+        open_here = {one.reservation for one in self.reservations()}
+        return open_here.union(self._bills)
+
     # Entries
 
     def set_entries(self, entries):
--- a/rowanport/ledger/keeper.py
+++ b/rowanport/ledger/keeper.py
@@ -145,6 +145,18 @@
         self._wake = asyncio.Event()
         self._stopping = False
 
+    @property
+    def unsettled(self):
+        """Return how many reservations held for other entries are not safe.
+
+        When their entry dies, no other router knows that they are yet to be
+        billed: a fleet that did not count them would call itself settled
+        some seconds, or a whole run, too early.
+        """
+        held = (place.holder.unsettled() for place in self._places.values())
+        ids = set().union(*held)
+        return sum(reservation not in self._book for reservation in ids)
+
     # Places
 
     def shard(self, budget):
--- a/test/world.py
+++ b/test/world.py
@@ -447,7 +447,11 @@
     @property
     def unsettled(self):
         """Return how many reservations operators are shown as not yet safe."""
-        return sum(router.client.unsettled for router in self.routers.values())
+        routers = self.routers.values()
+        return sum(
+            router.client.unsettled + router.keeper.unsettled
+            for router in routers
+        )
 
     @property
     def spent(self):
