Ask a witness of another cell before running without one

Cause: a home's own reservations live in its memory and in that of a witness. A witness that does not answer within 0.3 s is suspected until its next heartbeat; in a cell of two (or with one router left of a cell) the next try then went on without any. A kill of that router left the runs of that time on no bill, for good.

Change: WitnessChoice names a router of another cell when none of the own one is alive, at most one a request, as a cell that is cut off reaches none of them. It is listed in the shard beforehand, so that no request waits for that write. Alone, a router goes on as before, and says so in a log line; so does a witness that stays silent.

Ruled out: refusing while a suspected cell-mate is still remembered (a minute of refusals in each cell of two that loses a router); a longer timeout (a paused witness would hold every request up for it).

Cost: a router that is alone in its cell pays one round trip to another cell for each request that it reserves at itself. Not measured.

Left: near and far witness both silent, then a kill (docs/proofs.md).

--- a/rowanport/ledger/client.py
+++ b/rowanport/ledger/client.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import structlog
+
 from ..errors import ErrorKind
 from ..errors import PeerError
 from ..errors import RequestError
@@ -16,7 +18,9 @@
 from ..tasks import TaskSet
 from .record import NO_BILL
 from .recoverer import PRESUME_AFTER
+from .witnesses import WitnessChoice
 
+LOG = structlog.get_logger(__name__)
 HOME_TRIES = 4
 ANSWER_MARGIN = 0.5
 WITNESS_TIMEOUT = 0.3
@@ -61,6 +65,7 @@
         self._settings = settings
         self._clock = clock
         self._resolve = resolve
+        self._witnesses = WitnessChoice(incarnation, members)
         self._resolving = set()
         self._untold = set()
         self._tasks = TaskSet()
@@ -76,6 +81,7 @@
         shard = self._keeper.shard(budget)
         failure = None
         tried = set()
+        silent = set()
         for _try in range(HOME_TRIES):
             # Asked anew each time: a home or witness that failed is suspect.
             home = self._next_untried(shard, tried)
@@ -86,7 +92,7 @@
             message = self._book.ask(
                 request, budget, tokens, deadline, home, until
             )
-            witness = self._witness_for(home)
+            witness = self._witness_for(home, silent)
             message.entry = witness or self._incarnation
             try:
                 answer = await self._send(home, message, until)
@@ -107,6 +113,7 @@
             if entry is not None:
                 return entry
             failure = "its witness does not answer"
+            silent.add(witness)
             self.release(message.reservation)
         raise RequestError(
             ErrorKind.BUDGET_UNAVAILABLE, f"no home answers: {failure}"
@@ -125,6 +132,7 @@
         if entry is None:
             return None
         if witness is None:
+            self._note_unwitnessed(entry)
             entry.usable = True
             return entry
         entry.witness = witness
@@ -140,18 +148,38 @@
             answer = await self._peers.call(
                 address_of(witness), message, WITNESS_TIMEOUT
             )
-        except PeerError:
+        except PeerError as error:
+            LOG.info(
+                "witness_silent",
+                request=entry.request,
+                reservation=entry.reservation,
+                witness=witness,
+                error=str(error),
+            )
             self._members.suspect(witness)
             return None
         # A witness that took part in recovering this home refuses.
         entry.usable = isinstance(answer, Ack)
         return entry if entry.usable else None
 
-    def _witness_for(self, home):
-        """Return who remembers a reservation made at this very router."""
+    def _witness_for(self, home, silent):
+        """Return who remembers a reservation made at this very router.
+
+        :param silent: witnesses that did not answer for this request
+        """
         if home != self._incarnation:
             return None
-        return self._members.witness()
+        return self._witnesses.choose(silent)
+
+    def _note_unwitnessed(self, entry):
+        """Log a reservation that dies with this router, if it does."""
+        if entry.home == self._incarnation:
+            LOG.info(
+                "reservation_unwitnessed",
+                request=entry.request,
+                reservation=entry.reservation,
+                live=len(self._members.live()),
+            )
 
     async def _send(self, home, message, until):
         """Send a Reserve and return the answer.
--- a/rowanport/ledger/keeper.py
+++ b/rowanport/ledger/keeper.py
@@ -32,6 +32,7 @@
 from .record import new_shard
 from .recoverer import Recoverer
 from .sizing import Sizing
+from .witnesses import WitnessChoice
 
 LOG = structlog.get_logger(__name__)
 TICK = 0.02
@@ -141,6 +142,7 @@
             resolve,
             self._attest,
         )
+        self._witnesses = WitnessChoice(incarnation, members)
         self._tasks = TaskSet()
         self._wake = asyncio.Event()
         self._stopping = False
@@ -427,7 +429,7 @@
 
     def _review(self, now):
         shards = range(self._settings.shards)
-        entries = self._members.entries()
+        entries = self._witnesses.entries()
         mine = {
             shard
             for shard in shards
--- /dev/null
+++ b/rowanport/ledger/witnesses.py
@@ -0,0 +1,60 @@
+"""Chooses who remembers the reservations that a home makes for its own entry.
+
+When a router is killed that was both entry and home, only a witness knows of
+its runs and has them billed.
+"""
+
+from ..hashing import rendezvous
+from ..incarnation import cell_of
+from ..membership.members import READY
+
+
+class WitnessChoice:
+    """Names the witnesses of one router.
+
+    :param incarnation: incarnation of this router
+    :param members: the Membership
+    """
+
+    def __init__(self, incarnation, members):
+        self._incarnation = incarnation
+        self._members = members
+
+    def choose(self, failed):
+        """Return the witness to ask next, or None if there is none.
+
+        A router of the own cell comes first.  If none is alive, one of
+        another cell is asked: in a cell of two routers, a witness that is
+        slow once would otherwise leave the next runs without any, and a kill
+        would leave their tokens on no bill.  Only one of another cell is
+        tried, as a cell that is cut off reaches none of them.
+
+        :param failed: witnesses that did not answer for this request
+        """
+        near = self._members.witness()
+        if near is not None:
+            return near
+        if not all(map(self._is_near, failed)):
+            return None
+        return self._far_witness()
+
+    def entries(self):
+        """Return the incarnations that may reserve at this router."""
+        entries = self._members.entries()
+        if entries != [self._incarnation]:
+            return entries
+        # Listed beforehand, or each request after a pause waits for a write.
+        far = self._far_witness()
+        return [*entries, far] if far is not None else entries
+
+    def _far_witness(self):
+        names = [
+            entry.incarnation
+            for entry in self._members.live()
+            if entry.state == READY and not self._is_near(entry.incarnation)
+        ]
+        order = rendezvous(self._incarnation, names)
+        return order[0] if order else None
+
+    def _is_near(self, incarnation):
+        return cell_of(incarnation) == cell_of(self._incarnation)
--- a/test/world.py
+++ b/test/world.py
@@ -26,7 +26,9 @@
 from rowanport.ledger.editor import BudgetEditor
 from rowanport.ledger.keeper import read_shard
 from rowanport.ledger.keeper import shard_key
+from rowanport.membership.members import READY
 from rowanport.metrics import Metrics
+from rowanport.schema.messages import MemberEntry
 from rowanport.schema.messages import Started
 from rowanport.schema.messages import Witness
 from rowanport.schema.messages import WitnessEnd
@@ -149,6 +151,12 @@
             or router.incarnation == self._incarnation
         ]
 
+    def live(self):
+        return [
+            MemberEntry(name, cell_of(name), 1, READY, 1)
+            for name in self._live()
+        ]
+
     def is_alive(self, incarnation):
         name = incarnation_of(incarnation)
         known = {r.incarnation for r in self._world.routers.values()}
