Log what dead entries are settled with, and starts that nobody heard of

Cause: when bills of a killed router were missing, no log said whether a run had a witness, whether its upstream was known, when it was settled and with what. The hypotheses could only be told apart by reading state dumps.

Change: "dead_entry_settled" (request, run, tokens, whether presumed, upstream) from home and witness; "start_untold" where an error was swallowed; together with "reservation_unwitnessed" and "witness_silent" each hypothesis has a line.

Ruled out: nothing.

--- a/rowanport/ledger/client.py
+++ b/rowanport/ledger/client.py
@@ -17,6 +17,7 @@
 from ..schema.messages import WitnessEnd
 from ..tasks import TaskSet
 from .record import NO_BILL
+from .recoverer import log_resolved
 from .recoverer import PRESUME_AFTER
 from .witnesses import WitnessChoice
 
@@ -218,8 +219,15 @@
                 await self._peers.call(
                     address_of(home), message, SHORT_TIMEOUT
                 )
-        except PeerError:
-            pass
+        except PeerError as error:
+            # Should this router die, the worst case is presumed of the run.
+            LOG.info(
+                "start_untold",
+                reservation=message.reservation,
+                upstream=message.upstream,
+                peer=home,
+                error=str(error),
+            )
 
     def release(self, reservation):
         """Give back a reservation whose run surely did not start."""
@@ -320,6 +328,7 @@
             result = (entry.reservation, entry.tokens)
             expiry = NO_BILL
         message = self._book.settle(entry.reservation, *result, expiry)
+        log_resolved(message, entry.upstream)
         entry.home = self._next_home(entry)
         self._tasks.spawn(self._settle(entry, message))
 
--- a/rowanport/ledger/recoverer.py
+++ b/rowanport/ledger/recoverer.py
@@ -21,6 +21,23 @@
 PRESUME_AFTER = 5.0
 
 
+def log_resolved(message, upstream):
+    """Log what a dead entry's run is settled with.
+
+    :param message: the Settle message
+    :param upstream: where it ran, empty if nobody was told
+    """
+    LOG.info(
+        "dead_entry_settled",
+        request=message.request,
+        reservation=message.reservation,
+        run=message.run,
+        tokens=message.tokens,
+        presumed=message.expiry == NO_BILL,
+        upstream=upstream,
+    )
+
+
 class Recoverer:
     """Acts for dead entries and dead holders, on behalf of one keeper.
 
@@ -86,6 +103,7 @@
                 expiry,
             )
             if holder.settle(message, now) is None:
+                log_resolved(message, reservation.upstream)
                 self._metrics.resolved_runs.inc({})
         finally:
             self._resolving.discard(reservation.reservation)
