Test that a home does not end its own runs when their witness dies

Cause: a home's own reservation names its witness as the entry, so that a recovery asks it; the recoverer took the witness' death for that of the entry. In the world the engine was asked about a live run each second, and at the deadline plus 5 s its worst case would be presumed besides its bill.

--- a/test/test_ledger.py
+++ b/test/test_ledger.py
@@ -468,6 +468,34 @@
         world.close()
 
 
+def test_a_home_whose_witness_died_does_not_end_its_own_runs():
+    # A home takes the witness of its own entry's reservation for the entry.
+    # When the witness died, the home asked the engine about its own run as if
+    # nobody followed it any more, and past the deadline had it cancelled: the
+    # caller's stream was cut although nothing was wrong with its router.
+    # Found by reading.
+    world = World(seed=1)
+    asked = []
+
+    async def resolve(reservation):
+        asked.append(reservation.request)
+
+    world.resolve = resolve
+    try:
+        home, witness = add_cell(world, "north", 2)
+        world.add_budget(BUDGET, 1000)
+        world.advance(3.0)
+        world.request(home, "request", BUDGET, 50, 40.0)
+        world.advance(1.0)
+        world.kill(witness)
+        world.advance(60.0)
+        assert not asked
+        assert world.spent == world.served
+        world.check_end()
+    finally:
+        world.close()
+
+
 def test_a_bill_before_its_loan_is_written_keeps_the_sum_true():
     # Found by the machine: more was taken from a grant than it had, and
     # what was taken beyond it came into being.
