Leave a home's own runs alone when their witness dies

The recoverer took the entry that a reservation names for the one that follows its run; for a home's own entry that is the witness.

Change: what is in the router's own book is not an orphan.

--- a/rowanport/ledger/keeper.py
+++ b/rowanport/ledger/keeper.py
@@ -139,6 +139,7 @@
             settings,
             clock,
             metrics,
+            book,
             resolve,
             self._attest,
         )
--- a/rowanport/ledger/recoverer.py
+++ b/rowanport/ledger/recoverer.py
@@ -41,6 +41,7 @@
 class Recoverer:
     """Acts for dead entries and dead holders, on behalf of one keeper.
 
+    :param book: this router's ReservationBook
     :param resolve: coroutine function of a Reservation whose entry died,
         to ``(run, tokens)`` or None while that is not known
     :param attest: function of an Attest message, this router's own answer
@@ -54,6 +55,7 @@
         settings,
         clock,
         metrics,
+        book,
         resolve,
         attest,
     ):
@@ -63,6 +65,7 @@
         self._settings = settings
         self._clock = clock
         self._metrics = metrics
+        self._book = book
         self._resolve = resolve
         self._attest = attest
         self._resolving = set()
@@ -73,13 +76,23 @@
     def resolve_dead(self, holder):
         """Bill the runs of a holder's dead entries by what upstreams say."""
         for reservation in holder.reservations():
-            if self._members.is_alive(reservation.entry):
+            if not self._is_orphan(reservation):
                 continue
             if reservation.reservation in self._resolving:
                 continue
             self._resolving.add(reservation.reservation)
             self._tasks.spawn(self._resolve_one(holder, reservation))
 
+    def _is_orphan(self, reservation):
+        """Return whether nobody follows a reservation's run any more.
+
+        One of this router's own entry names its witness, whose death cuts
+        off no run: it would be cancelled at its deadline under its caller.
+        """
+        if reservation.reservation in self._book:
+            return False
+        return not self._members.is_alive(reservation.entry)
+
     async def _resolve_one(self, holder, reservation):
         """Bill a run whose entry died by what its upstream says."""
         try:
