Move loans between holders to a module of their own

Change: Loans keeps what a holder lent and borrowed; the holder asks it. Tests: test_ledger and test_examples, 21 passed before and after.

--- a/rowanport/ledger/holder.py
+++ b/rowanport/ledger/holder.py
@@ -11,14 +11,12 @@
 from ..errors import ErrorKind
 from ..schema.messages import Ack
 from ..schema.messages import BillEntry
-from ..schema.messages import LendAsk
-from ..schema.messages import Lent
 from ..schema.messages import Refused
 from ..schema.messages import Reserved
-from ..schema.messages import TransferRecord
 from .account import Account
-from .account import Loan
 from .account import Reservation
+from .loans import Loans
+from .loans import transfers
 from .record import Batch
 from .record import Draw
 from .record import find_bill
@@ -59,9 +57,7 @@
         self._accounts = {}
         self._number = 0
         self._batch = None
-        self._loans = {}
-        self._asks = set()
-        self._closed = set()
+        self._loans = Loans(self._new_id)
         self._voids = {}
         self._recoveries = []
         self._left = False
@@ -252,11 +248,7 @@
         for key, until in list(self._voids.items()):
             if until < now:
                 del self._voids[key]
-        for key, loan in list(self._loans.items()):
-            if loan.until < now and key not in (
-                self.account(loan.answer.budget).lent
-            ):
-                del self._loans[key]
+        self._loans.forget(self._accounts, now)
 
     def _answer_waiting(self, account, message, now):
         if self._leaving:
@@ -292,44 +284,28 @@
 
         They go out when reservations wait and the shard has nothing free.
         """
-        result = []
         if self.record is None or self._leaving:
-            return result
+            return []
+        result = []
         for account in self._accounts.values():
-            lender = self._next_lender(account, now)
-            if lender is None:
+            if not account.lacking or now < account.dry_until:
+                continue
+            if account.ask is not None:
                 continue
-            message = LendAsk(
-                account.ask, account.name, account.lacking, self.holder
-            )
-            result.append((lender, message))
+            ask = self._ask(account)
+            if ask is not None:
+                result.append(ask)
         return result
 
-    def _next_lender(self, account, now):
-        if not account.lacking or now < account.dry_until:
-            return None
-        if account.ask is not None:
-            return None
-        budget = self.record.budgets.get(account.name)
-        if budget is None or self.holder not in self.record.holders:
+    def _ask(self, account):
+        known = account.name in self.record.budgets
+        if not known or self.holder not in self.record.holders:
             return None
-        lenders = sorted(
-            (
-                name
-                for name, tokens in budget.grants.items()
-                if name != self.holder and tokens > 0
-            ),
-            key=lambda name: -budget.grants[name],
-        )
-        for lender in lenders:
-            live = lender in self.record.holders
-            if live and lender not in account.asked | self._shunned:
-                account.asked.add(lender)
-                account.ask = self._new_id()
-                self._asks.add(account.ask)
-                return lender
-        self._touched = True
-        return None
+        ask = self._loans.ask(account, self.record, self.holder, self._shunned)
+        if ask is None:
+            # Nobody is left to ask: only the shard can help.
+            self._touched = True
+        return ask
 
     def ask_refused(self, message):
         """Note that a lender gave nothing, or cannot be reached.
@@ -343,38 +319,25 @@
 
     def lend(self, message, now):
         """Lend tokens to another holder, once for each ask."""
-        loan = self._loans.get(message.ask)
-        if loan is not None:
-            return loan.answer
+        known = self._loans.known(message.ask)
+        if known is not None:
+            return known
         account = self.account(message.budget)
         record = self.record
         if record is None or message.borrower not in record.holders:
             return _refused(ErrorKind.BUDGET_UNAVAILABLE, "not a holder")
-        # Only what stands in the shard: borrowed tokens are not lent on.
-        borrowed = sum(lent.tokens for lent in account.borrowed.values())
-        spare = account.available - borrowed
-        if account.waiting or self._leaving or spare <= 0:
+        if self._leaving:
             return _refused(ErrorKind.BUDGET_EXHAUSTED, "nothing to lend")
-        # Half of what is left, or all that was asked if that is less.
-        tokens = min(spare, max(message.tokens, spare // 2))
-        answer = Lent(message.ask, message.budget, tokens, self.holder)
-        loan = Loan(tokens, message.borrower, answer, now + VOID_MEMORY)
-        self._loans[message.ask] = loan
-        account.lent[message.ask] = loan
-        return answer
+        return self._loans.lend(account, message, self.holder, now)
 
     def borrow(self, message, now):
         """Take in lent tokens, once for each transfer."""
         account = self.account(message.budget)
         if message.lender in self._shunned:
             return
-        if message.ask not in self._asks:
-            return
-        self._asks.discard(message.ask)
-        self.ask_refused(message)
-        account.asked.discard(message.lender)
-        account.borrowed[message.ask] = message
-        self.pump(now)
+        if self._loans.borrow(account, message):
+            self.ask_refused(message)
+            self.pump(now)
 
     # Dead holders
 
@@ -410,8 +373,8 @@
         self._fill_draws(batch, now)
         self._fill_returns(batch, now)
         batch.bills = [bill for bill, _entry in self._bills.values()]
-        batch.transfers = self._borrowed_transfers()
-        batch.closed = sorted(self._closed)
+        batch.transfers = transfers(self._accounts.values())
+        batch.closed = self._loans.closed
         batch.recoveries = list(self._recoveries)
         batch.leaving = self._may_leave()
         if batch.leaving and self._never_registered(batch):
@@ -496,13 +459,6 @@
             wanted,
         )
 
-    def _borrowed_transfers(self):
-        return [
-            TransferRecord(lent.ask, name, lent.tokens, lent.lender)
-            for name, account in self._accounts.items()
-            for lent in account.borrowed.values()
-        ]
-
     def batch_applied(self, record, now):
         """Take in the shard as it stands with the batch in flight."""
         batch = self._batch
@@ -514,7 +470,7 @@
             account.borrowed.pop(transfer.transfer, None)
         for bill in batch.bills:
             self._forget_bill(bill)
-        self._closed.difference_update(batch.closed)
+        self._loans.forget_closed(batch.closed)
         for recovery in batch.recoveries:
             self._recoveries.remove(recovery)
         self._left = batch.leaving
@@ -577,18 +533,10 @@
             if self.holder in budget.grants or name in self._accounts:
                 account = self.account(name)
                 account.granted = budget.grants.get(self.holder, 0)
-                self._see_transfers(account, record)
+                self._loans.observe(account, record)
                 self._see_bills(account, record)
         self.pump(now)
 
-    def _see_transfers(self, account, record):
-        for transfer, loan in list(account.lent.items()):
-            if transfer in record.transfers:
-                self._closed.add(transfer)
-            elif loan.borrower not in record.expelled:
-                continue
-            del account.lent[transfer]
-
     def _see_bills(self, account, record):
         """Drop reservations that were billed through another home."""
         for key, reservation in list(account.reserved.items()):
--- /dev/null
+++ b/rowanport/ledger/loans.py
@@ -0,0 +1,134 @@
+"""Tokens that holders lend each other when the shard has nothing free.
+
+A loan is debited at the lender before its answer goes out and credited at the
+borrower once; it reaches the shard as a transfer in the borrower's batch.
+"""
+
+from ..errors import ErrorKind
+from ..schema.messages import LendAsk
+from ..schema.messages import Lent
+from ..schema.messages import Refused
+from ..schema.messages import TransferRecord
+from .account import Loan
+
+# Seconds for which a repeated ask gets the same answer.
+LOAN_MEMORY = 3600.0
+
+
+class Loans:
+    """What one holder lent and borrowed.
+
+    :param new_id: function that returns fresh ids
+    """
+
+    def __init__(self, new_id):
+        self._new_id = new_id
+        self._loans = {}
+        self._asks = set()
+        self._closed = set()
+
+    # Borrowing
+
+    def ask(self, account, record, holder, shunned):
+        """Return the next (lender, LendAsk) for an account, or None.
+
+        :param record: the ShardRecord as last read, with its budget
+        :param holder: id of the holder that asks
+        :param shunned: ids of dead holders
+        """
+        budget = record.budgets[account.name]
+        for lender in _lenders(budget, holder):
+            live = lender in record.holders
+            if live and lender not in account.asked | shunned:
+                account.asked.add(lender)
+                account.ask = self._new_id()
+                self._asks.add(account.ask)
+                message = LendAsk(
+                    account.ask, account.name, account.lacking, holder
+                )
+                return lender, message
+        return None
+
+    def borrow(self, account, message):
+        """Take in a Lent message, once; return whether it was new."""
+        if message.ask not in self._asks:
+            return False
+        self._asks.discard(message.ask)
+        account.asked.discard(message.lender)
+        account.borrowed[message.ask] = message
+        return True
+
+    # Lending
+
+    def known(self, ask):
+        """Return the answer that an ask got before, or None."""
+        loan = self._loans.get(ask)
+        return loan.answer if loan is not None else None
+
+    def lend(self, account, message, holder, now):
+        """Lend tokens of an account; return Lent or Refused.
+
+        :param holder: id of the lending holder
+        """
+        # Only what stands in the shard: borrowed tokens are not lent on.
+        borrowed = sum(lent.tokens for lent in account.borrowed.values())
+        spare = account.available - borrowed
+        if account.waiting or spare <= 0:
+            return Refused(ErrorKind.BUDGET_EXHAUSTED.value, "nothing to lend")
+        # Half of what is left, or all that was asked if that is less.
+        tokens = min(spare, max(message.tokens, spare // 2))
+        answer = Lent(message.ask, message.budget, tokens, holder)
+        loan = Loan(tokens, message.borrower, answer, now + LOAN_MEMORY)
+        self._loans[message.ask] = loan
+        account.lent[message.ask] = loan
+        return answer
+
+    def forget(self, accounts, now):
+        """Drop answers that are too old to be asked for again.
+
+        :param accounts: Account by budget
+        """
+        for key, loan in list(self._loans.items()):
+            account = accounts.get(loan.answer.budget)
+            open_here = account is not None and key in account.lent
+            if loan.until < now and not open_here:
+                del self._loans[key]
+
+    # The shard
+
+    @property
+    def closed(self):
+        """Return ids of transfers lent here and seen in the shard."""
+        return sorted(self._closed)
+
+    def forget_closed(self, closed):
+        """Drop closed transfers that a batch has taken out of the shard."""
+        self._closed.difference_update(closed)
+
+    def observe(self, account, record):
+        """Close an account's loans that a reading of the shard settles."""
+        for transfer, loan in list(account.lent.items()):
+            if transfer in record.transfers:
+                self._closed.add(transfer)
+            elif loan.borrower not in record.expelled:
+                continue
+            del account.lent[transfer]
+
+
+def transfers(accounts):
+    """Return the TransferRecords of all that accounts borrowed."""
+    return [
+        TransferRecord(lent.ask, account.name, lent.tokens, lent.lender)
+        for account in accounts
+        for lent in account.borrowed.values()
+    ]
+
+
+def _lenders(budget, holder):
+    """Return the other holders of a budget, the richest first."""
+    names = (
+        name
+        for name, tokens in budget.grants.items()
+        if name != holder and tokens > 0
+    )
+    return sorted(names, key=lambda name: -budget.grants[name])
