--- /dev/null
+++ b/rowanport/ledger/balance.py
@@ -0,0 +1,68 @@
+"""What a holder draws from its shard, marks as wanted and gives back."""
+
+from .record import Draw
+from .record import free_tokens
+from .record import unspent_tokens
+
+WANT_SECONDS = 10.0
+
+
+class Balance:
+    """Fills the draws, wants and returns of batches.
+
+    :param sizing: a Sizing
+    """
+
+    def __init__(self, sizing):
+        self._sizing = sizing
+
+    def fill_draw(self, batch, account, budget, now):
+        """Draw tokens of a budget, or mark it as wanted, if need be.
+
+        :param budget: the BudgetRecord of the account
+        """
+        name = account.name
+        free = free_tokens(budget)
+        need = account.lacking
+        rate = account.demand.rate(now)
+        available = account.available
+        unspent = unspent_tokens(budget)
+        tokens = self._sizing.draw(free, unspent, need, available, rate)
+        if tokens > 0 or need:
+            batch.draws[name] = Draw(need, available, rate)
+        marked = budget.wanted.get(batch.holder, 0.0)
+        if need and need > free:
+            if marked < now + WANT_SECONDS / 2:
+                batch.wants[name] = now + WANT_SECONDS
+        elif marked:
+            batch.wants[name] = 0.0
+
+    def fill_return(self, batch, account, budget, leaving, now):
+        """Give back what is not needed here.
+
+        :param leaving: whether the holder gives back all that it can
+        """
+        if account.waiting:
+            return
+        if leaving:
+            tokens = max(0, account.available)
+        else:
+            tokens = self._surplus(batch.holder, account, budget, now)
+        # Only what stands in the shard can be returned; borrowed tokens
+        # reach it with this very batch.
+        if tokens > 0:
+            batch.returns[account.name] = tokens
+            batch.draws.pop(account.name, None)
+
+    def _surplus(self, holder, account, budget, now):
+        wanted = any(
+            until > now and name != holder
+            for name, until in budget.wanted.items()
+        )
+        return self._sizing.surplus(
+            free_tokens(budget),
+            unspent_tokens(budget),
+            account.available,
+            account.demand.rate(now),
+            wanted,
+        )
--- a/rowanport/ledger/holder.py
+++ b/rowanport/ledger/holder.py
@@ -15,16 +15,14 @@
 from ..schema.messages import Reserved
 from .account import Account
 from .account import Reservation
+from .balance import Balance
 from .loans import Loans
 from .loans import transfers
 from .record import Batch
-from .record import Draw
 from .record import find_bill
-from .record import free_tokens
 from .record import unspent_tokens
 
 DRY_SECONDS = 0.5
-WANT_SECONDS = 10.0
 VOID_MEMORY = 3600.0
 
 
@@ -39,7 +37,7 @@
 
     def __init__(self, holder, shard, sizing, new_id):
         self.shard = shard
-        self._sizing = sizing
+        self._balance = Balance(sizing)
         self._new_id = new_id
         self._bills = {}
         self._shunned = set()
@@ -416,48 +414,15 @@
             return
         for name, budget in self.record.budgets.items():
             account = self.account(name)
-            free = free_tokens(budget)
-            need = account.lacking
-            rate = account.demand.rate(now)
-            available = account.available
-            unspent = unspent_tokens(budget)
-            tokens = self._sizing.draw(free, unspent, need, available, rate)
-            if tokens > 0 or need:
-                batch.draws[name] = Draw(need, available, rate)
-            marked = budget.wanted.get(self.holder, 0.0)
-            if need and need > free:
-                if marked < now + WANT_SECONDS / 2:
-                    batch.wants[name] = now + WANT_SECONDS
-            elif marked:
-                batch.wants[name] = 0.0
+            self._balance.fill_draw(batch, account, budget, now)
 
     def _fill_returns(self, batch, now):
         for name, account in self._accounts.items():
             budget = self.record.budgets.get(name)
-            if budget is None or account.waiting:
-                continue
-            tokens = self._surplus(account, budget, now)
-            # Only what stands in the shard can be returned; borrowed
-            # tokens reach it with this very batch.
-            if tokens > 0:
-                batch.returns[name] = tokens
-                batch.draws.pop(name, None)
-
-    def _surplus(self, account, budget, now):
-        available = account.available
-        if self._leaving:
-            return max(0, available)
-        wanted = any(
-            until > now and holder != self.holder
-            for holder, until in budget.wanted.items()
-        )
-        return self._sizing.surplus(
-            free_tokens(budget),
-            unspent_tokens(budget),
-            available,
-            account.demand.rate(now),
-            wanted,
-        )
+            if budget is not None:
+                self._balance.fill_return(
+                    batch, account, budget, self._leaving, now
+                )
 
     def batch_applied(self, record, now):
         """Take in the shard as it stands with the batch in flight."""
