Move a holder's unwritten bills to a module of their own

Change: UnwrittenBills keeps them with the entries that they came from. Tests: test_ledger and test_examples, 21 passed before and after.

--- /dev/null
+++ b/rowanport/ledger/bills.py
@@ -0,0 +1,69 @@
+"""Bills that a holder has taken in and that are not yet in the shard."""
+
+import collections
+
+from ..schema.messages import BillEntry
+
+
+def make_bill(message):
+    """Return the BillEntry of a Settle message."""
+    return BillEntry(
+        message.request,
+        message.reservation,
+        message.run,
+        message.budget,
+        message.holder,
+        message.tokens,
+        message.expiry,
+    )
+
+
+class UnwrittenBills:
+    """Bills by reservation, each with the entry that it came from."""
+
+    def __init__(self):
+        self._bills = {}
+        self._written = []
+
+    def __len__(self):
+        return len(self._bills)
+
+    def __contains__(self, reservation):
+        return reservation in self._bills
+
+    def __iter__(self):
+        return iter([bill for bill, _entry in self._bills.values()])
+
+    def add(self, bill, entry):
+        """Keep a bill for the next batch.
+
+        :param entry: incarnation of the entry, empty if not known
+        """
+        self._bills[bill.reservation] = (bill, entry)
+
+    def written(self, bill):
+        """Forget a bill that stands in the shard."""
+        self._bills.pop(bill.reservation, None)
+        self._written.append(bill.reservation)
+
+    def take_written(self):
+        """Return ids of reservations whose bills stand in the shard."""
+        written = self._written
+        self._written = []
+        return written
+
+    def reservations(self):
+        """Return the ids of the reservations that are billed."""
+        return set(self._bills)
+
+    def entries(self):
+        """Return the entries that the bills came from."""
+        return {entry for _bill, entry in self._bills.values()}
+
+    def owed(self, holder):
+        """Return what the bills take from a holder's grants, by budget."""
+        owed = collections.Counter()
+        for bill in self:
+            if bill.holder == holder:
+                owed[bill.budget] += bill.tokens
+        return owed
--- a/rowanport/ledger/holder.py
+++ b/rowanport/ledger/holder.py
@@ -10,12 +10,13 @@
 
 from ..errors import ErrorKind
 from ..schema.messages import Ack
-from ..schema.messages import BillEntry
 from ..schema.messages import Refused
 from ..schema.messages import Reserved
 from .account import Account
 from .account import Reservation
 from .balance import Balance
+from .bills import make_bill
+from .bills import UnwrittenBills
 from .loans import Loans
 from .loans import transfers
 from .record import Batch
@@ -39,11 +40,10 @@
         self.shard = shard
         self._balance = Balance(sizing)
         self._new_id = new_id
-        self._bills = {}
+        self._bills = UnwrittenBills()
         self._shunned = set()
         self._entries = set()
         self._answers = []
-        self._written = []
         self._leaving = False
         self._begin(holder)
 
@@ -115,7 +115,7 @@
     def unsettled(self):
         """Return the ids of reservations whose bills are yet to be written."""
         open_here = {one.reservation for one in self.reservations()}
-        return open_here.union(self._bills)
+        return open_here | self._bills.reservations()
 
     # Entries
 
@@ -126,15 +126,12 @@
         this holder's death asks it.
         """
         kept = {reservation.entry for reservation in self.reservations()}
-        kept.update(self._entry_of_bills())
+        kept.update(self._bills.entries())
         wanted = set(entries) | kept
         if wanted != self._entries:
             self._entries = wanted
             self._touched = True
 
-    def _entry_of_bills(self):
-        return {entry for _bill, entry in self._bills.values()}
-
     # Reservations
 
     def reserve(self, message, now):
@@ -208,22 +205,13 @@
             return Ack()
         if message.reservation in self._bills:
             return None
-        bill = BillEntry(
-            message.request,
-            message.reservation,
-            message.run,
-            message.budget,
-            message.holder,
-            message.tokens,
-            message.expiry,
-        )
+        bill = make_bill(message)
         if own and reservation is None:
             if self._is_written(bill):
                 return Ack()
         if own:
             account.unwritten += message.tokens
-        entry = reservation.entry if reservation else ""
-        self._bills[message.reservation] = (bill, entry)
+        self._bills.add(bill, reservation.entry if reservation else "")
         return None
 
     def _is_written(self, bill):
@@ -271,9 +259,7 @@
 
     def take_written(self):
         """Return ids of reservations whose bills stand in the shard."""
-        written = self._written
-        self._written = []
-        return written
+        return self._bills.take_written()
 
     # Loans
 
@@ -347,9 +333,7 @@
             for message in account.borrowed.values():
                 if message.lender == holder:
                     outstanding[account.name] += message.tokens
-        for bill, _entry in self._bills.values():
-            if bill.holder == holder:
-                outstanding[bill.budget] += bill.tokens
+        outstanding.update(self._bills.owed(holder))
         return outstanding
 
     def recover(self, recovery):
@@ -370,7 +354,7 @@
         batch = Batch(self.holder, self._number + 1, now, self._listing())
         self._fill_draws(batch, now)
         self._fill_returns(batch, now)
-        batch.bills = [bill for bill, _entry in self._bills.values()]
+        batch.bills = list(self._bills)
         batch.transfers = transfers(self._accounts.values())
         batch.closed = self._loans.closed
         batch.recoveries = list(self._recoveries)
@@ -443,10 +427,9 @@
         self._finish_round(batch, record, now)
 
     def _forget_bill(self, bill):
-        self._bills.pop(bill.reservation, None)
+        self._bills.written(bill)
         if bill.holder == self.holder:
             self.account(bill.budget).unwritten -= bill.tokens
-        self._written.append(bill.reservation)
 
     def _finish_round(self, batch, record, now):
         """Call a budget dry when neither shard nor lenders had enough."""
