Test that a holder lists no entry without a name

Fails on this commit (entries are ["", "entry"]); the mend follows. Cause: a bill whose reservation was made elsewhere has no known entry, and the empty name was listed in the shard like one.

--- a/test/test_ledger.py
+++ b/test/test_ledger.py
@@ -32,6 +32,7 @@
 from rowanport.schema.messages import LendAsk
 from rowanport.schema.messages import Lent
 from rowanport.schema.messages import Recovery
+from rowanport.schema.messages import Settle
 from rowanport.schema.messages import TransferRecord
 from rowanport.schema.messages import Witness
 
@@ -528,6 +529,21 @@
     assert lent.tokens == 10
 
 
+def test_a_holder_lists_no_entry_without_a_name():
+    # A home that wrote the bill of another, dead home listed "" among its
+    # entries for a second or more.  Had it died then, each recovery of its
+    # grants would have failed on the address of "", and the grants would
+    # have been stranded for good.  Found by reading.
+    shard = record.new_shard()
+    record.add_budget(shard, BUDGET, 100)
+    holder_ = Holder("me", 0, Sizing(), iter("abc").__next__)
+    holder_.observe(shard, 1.0)
+    bill = Settle("request", "r", "run", BUDGET, "dead~1", 10, 9.0)
+    assert holder_.settle(bill, 1.0) is None
+    holder_.set_entries(["entry"])
+    assert holder_.make_batch(1.0).entries == ["entry"]
+
+
 def test_a_recovery_is_refused_after_a_later_batch_or_a_new_holder():
     for batch_number, newcomer in ((5, None), (4, "newcomer")):
         shard = record.new_shard()
