--- a/rowanport/ledger/bills.py
+++ b/rowanport/ledger/bills.py
@@ -37,7 +37,7 @@
     def add(self, bill, entry):
         """Keep a bill for the next batch.
 
-        :param entry: incarnation of the entry, empty if not known
+        :param entry: incarnation of the entry, None if not known
         """
         self._bills[bill.reservation] = (bill, entry)
 
@@ -57,8 +57,14 @@
         return set(self._bills)
 
     def entries(self):
-        """Return the entries that the bills came from."""
-        return {entry for _bill, entry in self._bills.values()}
+        """Return the known entries that the bills came from.
+
+        A recovery asks each entry that is listed: an empty name would make
+        it fail each time, and strand the grants.
+        """
+        return {
+            entry for _bill, entry in self._bills.values() if entry is not None
+        }
 
     def owed(self, holder):
         """Return what the bills take from a holder's grants, by budget."""
--- a/rowanport/ledger/holder.py
+++ b/rowanport/ledger/holder.py
@@ -211,7 +211,7 @@
                 return Ack()
         if own:
             account.unwritten += message.tokens
-        self._bills.add(bill, reservation.entry if reservation else "")
+        self._bills.add(bill, reservation.entry if reservation else None)
         return None
 
     def _is_written(self, bill):
