Move a keeper's places and waiting callers to modules of their own

Change: Place and Waiters; the table of futures stood there once for answers and once for bills. Tests: test_ledger and test_examples, 22 passed before and after.

--- a/rowanport/ledger/keeper.py
+++ b/rowanport/ledger/keeper.py
@@ -25,6 +25,7 @@
 from ..store import Value
 from ..tasks import TaskSet
 from .holder import Holder
+from .place import Place
 from .record import apply_batch
 from .record import Expelled
 from .record import is_applied
@@ -32,6 +33,7 @@
 from .record import new_shard
 from .recoverer import Recoverer
 from .sizing import Sizing
+from .waiters import Waiters
 from .witnesses import WitnessChoice
 
 LOG = structlog.get_logger(__name__)
@@ -54,37 +56,6 @@
     return ShardRecord.unpack(value.data) if value.version else new_shard()
 
 
-class _Place:
-    """One shard at this router: its holder and when to write next."""
-
-    __slots__ = (
-        "shard",
-        "holder",
-        "data",
-        "version",
-        "last_sync",
-        "next_sync",
-        "next_read",
-        "task",
-        "home_until",
-        "dead_since",
-        "count",
-    )
-
-    def __init__(self, shard, holder):
-        self.shard = shard
-        self.holder = holder
-        self.data = b""
-        self.version = 0
-        self.last_sync = 0.0
-        self.next_sync = 0.0
-        self.next_read = 0.0
-        self.task = None
-        self.home_until = 0.0
-        self.dead_since = {}
-        self.count = 0
-
-
 class LedgerKeeper:
     """Runs the holders of one router.
 
@@ -129,8 +100,8 @@
         self._limits = MemoryLimits(settings.memory_limit)
         self._places = {}
         self._retired = {}
-        self._answers = {}
-        self._written = {}
+        self._answers = Waiters()
+        self._written = Waiters()
         self._shunned = set()
         self._recoverer = Recoverer(
             incarnation,
@@ -180,8 +151,7 @@
                 holder.attest(name)
             if self._stopping:
                 holder.leave()
-            place = self._places[shard] = _Place(shard, holder)
-            place.count = count
+            place = self._places[shard] = Place(shard, holder, count)
         return place
 
     def _name(self, count):
@@ -229,43 +199,26 @@
                 place.last_sync + self._settings.urgent_interval,
             )
         self._wake.set()
-        return await self._wait(self._answers, message.reservation)
+        return await self._answers.wait(message.reservation)
 
     async def _settle(self, holder, message, now):
         answer = holder.settle(message, now)
         self._flush(holder)
         if answer is not None:
             return answer
-        waiter = self._wait(self._written, message.reservation)
+        waiter = self._written.wait(message.reservation)
         try:
             return await asyncio.wait_for(waiter, WRITTEN_WAIT)
         except asyncio.TimeoutError:
             return Refused(ErrorKind.NOT_READY.value, "not written yet")
 
-    async def _wait(self, table, key):
-        future = asyncio.get_running_loop().create_future()
-        table.setdefault(key, []).append(future)
-        try:
-            return await future
-        finally:
-            waiting = table.get(key, [])
-            if future in waiting:
-                waiting.remove(future)
-            if not waiting:
-                table.pop(key, None)
-
     def _flush(self, holder):
         """Hand out answers and confirmations that a holder has ready."""
         holder.pump(self._clock.wall())
         for message, answer in holder.take_answers():
-            self._finish(self._answers, message.reservation, answer)
+            self._answers.finish(message.reservation, answer)
         for reservation in holder.take_written():
-            self._finish(self._written, reservation, Ack())
-
-    def _finish(self, table, key, answer):
-        for future in table.pop(key, []):
-            if not future.done():
-                future.set_result(answer)
+            self._written.finish(reservation, Ack())
 
     def _attest(self, message):
         self._shunned.add(message.holder)
@@ -305,9 +258,7 @@
         if holder.waiting:
             self._flush(holder)
             self._send_asks(holder, now)
-        if place.task is not None and not place.task.done():
-            return
-        if now < place.next_sync:
+        if place.syncing or now < place.next_sync:
             return
         place.last_sync = now
         place.next_sync = now + self._settings.interval
