Test that two kills one after the other leave no run unbilled

Cause: a witness is chosen once, when tokens are set aside; when it dies, the runs under way have none any more.

--- a/test/test_ledger.py
+++ b/test/test_ledger.py
@@ -469,6 +469,31 @@
         world.close()
 
 
+def test_two_kills_one_after_the_other_leave_no_run_unbilled():
+    # The witness of a home was killed, and seconds later the home itself,
+    # while a run that had begun before was still under way.  The witness was
+    # chosen once, at the reservation, so nobody alive knew of the run by
+    # then: its tokens were on no bill for good.  Found by reading.
+    world = World(seed=1)
+    try:
+        home, witness = add_cell(world, "north", 2)
+        add_cell(world, "south", 2)
+        world.add_budget(BUDGET, 1000)
+        world.advance(3.0)
+        world.request(home, "request", BUDGET, 50, 8.0)
+        world.advance(1.0)
+        world.kill(witness)
+        world.advance(4.0)
+        assert not world.served
+        world.kill(home)
+        world.advance(60.0)
+        assert world.served[BUDGET] > 0
+        assert world.spent == world.served
+        world.check_end()
+    finally:
+        world.close()
+
+
 def test_a_home_whose_witness_died_does_not_end_its_own_runs():
     # A home takes the witness of its own entry's reservation for the entry.
     # When the witness died, the home asked the engine about its own run as if
