Find a new witness for runs whose witness died

Change: each second an entry looks for reservations of its own home that no live witness remembers, has another router remember them (of the own cell, else of another), tells it the upstream, and lists it in the shard. All that were asked are told the end. Also: a home whose answer may not be used, while no witness was asked, put None among the silent witnesses; the next try at this very router would have failed on it. Mended here, without a test of its own.

Ruled out: a second witness from the start, which costs a message more for each request.

--- a/rowanport/ledger/book.py
+++ b/rowanport/ledger/book.py
@@ -19,6 +19,7 @@
     :ivar holder: holder that granted it; empty while unanswered
     :ivar settlement: the Settle message, once the run has ended
     :ivar witness: incarnation that remembers it too, if any
+    :ivar asked: incarnations that may remember it, to be told its end
     :ivar witnessed: whether it is kept for the home's own entry
     :ivar upstream: where it runs, empty until that is known
     :ivar usable: whether a run may start on it, its witness told
@@ -34,6 +35,7 @@
         "holder",
         "settlement",
         "witness",
+        "asked",
         "witnessed",
         "upstream",
         "usable",
@@ -49,6 +51,7 @@
         self.holder = ""
         self.settlement = None
         self.witness = None
+        self.asked = []
         self.witnessed = False
         self.upstream = ""
         self.usable = False
--- a/rowanport/ledger/client.py
+++ b/rowanport/ledger/client.py
@@ -14,23 +14,18 @@
 from ..schema.messages import Reserved
 from ..schema.messages import Started
 from ..schema.messages import Witness
-from ..schema.messages import WitnessEnd
 from ..tasks import TaskSet
 from .record import NO_BILL
 from .recoverer import log_resolved
 from .recoverer import PRESUME_AFTER
-from .witnesses import WitnessChoice
+from .witnessing import Witnessing
 
 LOG = structlog.get_logger(__name__)
 HOME_TRIES = 4
 ANSWER_MARGIN = 0.5
-WITNESS_TIMEOUT = 0.3
 SETTLE_TIMEOUT = 30.0
 SETTLE_PAUSE = 0.2
 SHORT_TIMEOUT = 1.0
-# Seconds between two tries to tell a witness that a reservation has ended: a
-# paused witness holds nobody up, and a dead one is not called in a loop.
-UNTOLD_PAUSE = 1.0
 PROBE_AFTER = 0.2
 PROBE_TIMEOUT = 0.2
 
@@ -66,9 +61,11 @@
         self._settings = settings
         self._clock = clock
         self._resolve = resolve
-        self._witnesses = WitnessChoice(incarnation, members)
+        self._witnessing = Witnessing(
+            incarnation, keeper, book, peers, members
+        )
         self._resolving = set()
-        self._untold = set()
+        self._replacing = set()
         self._tasks = TaskSet()
 
     # Reserving
@@ -93,7 +90,7 @@
             message = self._book.ask(
                 request, budget, tokens, deadline, home, until
             )
-            witness = self._witness_for(home, silent)
+            witness = self._witnessing.choose(home, silent)
             message.entry = witness or self._incarnation
             try:
                 answer = await self._send(home, message, until)
@@ -114,7 +111,8 @@
             if entry is not None:
                 return entry
             failure = "its witness does not answer"
-            silent.add(witness)
+            if witness is not None:
+                silent.add(witness)
             self.release(message.reservation)
         raise RequestError(
             ErrorKind.BUDGET_UNAVAILABLE, f"no home answers: {failure}"
@@ -136,42 +134,9 @@
             self._note_unwitnessed(entry)
             entry.usable = True
             return entry
-        entry.witness = witness
-        message = Witness(
-            entry.request,
-            entry.reservation,
-            entry.budget,
-            entry.tokens,
-            entry.deadline,
-            entry.holder,
-        )
-        try:
-            answer = await self._peers.call(
-                address_of(witness), message, WITNESS_TIMEOUT
-            )
-        except PeerError as error:
-            LOG.info(
-                "witness_silent",
-                request=entry.request,
-                reservation=entry.reservation,
-                witness=witness,
-                error=str(error),
-            )
-            self._members.suspect(witness)
-            return None
-        # A witness that took part in recovering this home refuses.
-        entry.usable = isinstance(answer, Ack)
+        entry.usable = await self._witnessing.ask(entry, witness)
         return entry if entry.usable else None
 
-    def _witness_for(self, home, silent):
-        """Return who remembers a reservation made at this very router.
-
-        :param silent: witnesses that did not answer for this request
-        """
-        if home != self._incarnation:
-            return None
-        return self._witnesses.choose(silent)
-
     def _note_unwitnessed(self, entry):
         """Log a reservation that dies with this router, if it does."""
         if entry.home == self._incarnation:
@@ -208,8 +173,8 @@
         """Tell the home where a run goes, without waiting."""
         message = self._book.start(entry.reservation, upstream)
         self._tasks.spawn(self._tell(entry.home, message))
-        if entry.witness is not None:
-            self._tasks.spawn(self._tell(entry.witness, message))
+        for witness in entry.asked:
+            self._tasks.spawn(self._tell(witness, message))
 
     async def _tell(self, home, message):
         try:
@@ -256,29 +221,7 @@
                     break
                 home = self._next_home(entry)
         self._book.written(entry.reservation)
-        if entry.witness is not None:
-            await self._end_witness(entry)
-
-    async def _end_witness(self, entry):
-        """Have the witness forget, so that it never presumes it spent.
-
-        A witness that seems dead may only be paused or cut off: it keeps the
-        reservation, and would keep it for good.  So it is told once it is
-        back, as long as members remember it.
-        """
-        end = WitnessEnd(entry.reservation)
-        self._untold.add(entry.reservation)
-        try:
-            while self._members.is_known(entry.witness):
-                try:
-                    await self._peers.call(
-                        address_of(entry.witness), end, SHORT_TIMEOUT
-                    )
-                    return
-                except PeerError:
-                    await asyncio.sleep(UNTOLD_PAUSE)
-        finally:
-            self._untold.discard(entry.reservation)
+        await self._witnessing.end(entry)
 
     def _next_home(self, entry):
         shard = self._keeper.shard(entry.budget)
@@ -305,13 +248,31 @@
         return Ack()
 
     async def run(self):
-        """Bill witnessed runs of dead homes by what their upstreams say."""
+        """Each second, act for reservations that lost a home or witness."""
         while True:
             await asyncio.sleep(SHORT_TIMEOUT)
-            for entry in self._book.orphans(self._is_holder_alive):
-                if entry.reservation not in self._resolving:
-                    self._resolving.add(entry.reservation)
-                    self._tasks.spawn(self._resolve_orphan(entry))
+            self._resolve_orphans()
+            self._replace_witnesses()
+
+    def _resolve_orphans(self):
+        """Bill witnessed runs of dead homes by what their upstreams say."""
+        for entry in self._book.orphans(self._is_holder_alive):
+            if entry.reservation not in self._resolving:
+                self._resolving.add(entry.reservation)
+                self._tasks.spawn(self._resolve_orphan(entry))
+
+    def _replace_witnesses(self):
+        """Find witnesses for runs that lost theirs."""
+        for entry in self._witnessing.unwatched():
+            if entry.reservation not in self._replacing:
+                self._replacing.add(entry.reservation)
+                self._tasks.spawn(self._replace_witness(entry))
+
+    async def _replace_witness(self, entry):
+        try:
+            await self._witnessing.replace(entry)
+        finally:
+            self._replacing.discard(entry.reservation)
 
     async def _resolve_orphan(self, entry):
         try:
@@ -343,4 +304,4 @@
 
         Those count too that are billed, but whose witness does not know yet.
         """
-        return len(self._book) + len(self._untold)
+        return len(self._book) + self._witnessing.untold
--- a/rowanport/ledger/holder.py
+++ b/rowanport/ledger/holder.py
@@ -132,6 +132,14 @@
             self._entries = wanted
             self._touched = True
 
+    def rename_entry(self, reservation, budget, entry):
+        """Note who remembers a reservation from now on, and list it."""
+        reserved = self.account(budget).reserved.get(reservation)
+        if reserved is not None:
+            reserved.entry = entry
+            self._entries.add(entry)
+            self._touched = True
+
     # Reservations
 
     def reserve(self, message, now):
--- a/rowanport/ledger/keeper.py
+++ b/rowanport/ledger/keeper.py
@@ -179,6 +179,14 @@
             return holder.lend(message, now)
         return Refused(ErrorKind.INTERNAL.value, "unexpected message")
 
+    def rename_entry(self, entry):
+        """Note which witness remembers a reservation of the own entry.
+
+        :param entry: its OpenReservation
+        """
+        holder = self._place(self.shard(entry.budget)).holder
+        holder.rename_entry(entry.reservation, entry.budget, entry.witness)
+
     async def _staying(self, holder):
         """Return the shard's holder, kept from leaving if it may be."""
         while holder.leaving and not self._stopping and not holder.stay():
