--- a/rowanport/ledger/client.py
+++ b/rowanport/ledger/client.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import structlog
+
 from ..errors import ErrorKind
 from ..errors import PeerError
 from ..errors import RequestError
@@ -12,20 +14,18 @@
 from ..schema.messages import Reserved
 from ..schema.messages import Started
 from ..schema.messages import Witness
-from ..schema.messages import WitnessEnd
 from ..tasks import TaskSet
 from .record import NO_BILL
+from .recoverer import log_resolved
 from .recoverer import PRESUME_AFTER
+from .witnessing import Witnessing
 
+LOG = structlog.get_logger(__name__)
 HOME_TRIES = 4
 ANSWER_MARGIN = 0.5
-WITNESS_TIMEOUT = 0.3
 SETTLE_TIMEOUT = 30.0
 SETTLE_PAUSE = 0.2
 SHORT_TIMEOUT = 1.0
-# Seconds between two tries to tell a witness that a reservation has ended: a
-# paused witness holds nobody up, and a dead one is not called in a loop.
-UNTOLD_PAUSE = 1.0
 PROBE_AFTER = 0.2
 PROBE_TIMEOUT = 0.2
 
@@ -61,8 +61,11 @@
         self._settings = settings
         self._clock = clock
         self._resolve = resolve
+        self._witnessing = Witnessing(
+            incarnation, keeper, book, peers, members
+        )
         self._resolving = set()
-        self._untold = set()
+        self._replacing = set()
         self._tasks = TaskSet()
 
     # Reserving
@@ -76,6 +79,7 @@
         shard = self._keeper.shard(budget)
         failure = None
         tried = set()
+        silent = set()
         for _try in range(HOME_TRIES):
             # Asked anew each time: a home or witness that failed is suspect.
             home = self._next_untried(shard, tried)
@@ -86,7 +90,7 @@
             message = self._book.ask(
                 request, budget, tokens, deadline, home, until
             )
-            witness = self._witness_for(home)
+            witness = self._witnessing.choose(home, silent)
             message.entry = witness or self._incarnation
             try:
                 answer = await self._send(home, message, until)
@@ -107,6 +111,8 @@
             if entry is not None:
                 return entry
             failure = "its witness does not answer"
+            if witness is not None:
+                silent.add(witness)
             self.release(message.reservation)
         raise RequestError(
             ErrorKind.BUDGET_UNAVAILABLE, f"no home answers: {failure}"
@@ -125,33 +131,21 @@
         if entry is None:
             return None
         if witness is None:
+            self._note_unwitnessed(entry)
             entry.usable = True
             return entry
-        entry.witness = witness
-        message = Witness(
-            entry.request,
-            entry.reservation,
-            entry.budget,
-            entry.tokens,
-            entry.deadline,
-            entry.holder,
-        )
-        try:
-            answer = await self._peers.call(
-                address_of(witness), message, WITNESS_TIMEOUT
-            )
-        except PeerError:
-            self._members.suspect(witness)
-            return None
-        # A witness that took part in recovering this home refuses.
-        entry.usable = isinstance(answer, Ack)
+        entry.usable = await self._witnessing.ask(entry, witness)
         return entry if entry.usable else None
 
-    def _witness_for(self, home):
-        """Return who remembers a reservation made at this very router."""
-        if home != self._incarnation:
-            return None
-        return self._members.witness()
+    def _note_unwitnessed(self, entry):
+        """Log a reservation that dies with this router, if it does."""
+        if entry.home == self._incarnation:
+            LOG.info(
+                "reservation_unwitnessed",
+                request=entry.request,
+                reservation=entry.reservation,
+                live=len(self._members.live()),
+            )
 
     async def _send(self, home, message, until):
         """Send a Reserve and return the answer.
@@ -179,8 +173,8 @@
         """Tell the home where a run goes, without waiting."""
         message = self._book.start(entry.reservation, upstream)
         self._tasks.spawn(self._tell(entry.home, message))
-        if entry.witness is not None:
-            self._tasks.spawn(self._tell(entry.witness, message))
+        for witness in entry.asked:
+            self._tasks.spawn(self._tell(witness, message))
 
     async def _tell(self, home, message):
         try:
@@ -190,8 +184,15 @@
                 await self._peers.call(
                     address_of(home), message, SHORT_TIMEOUT
                 )
-        except PeerError:
-            pass
+        except PeerError as error:
+            # Should this router die, the worst case is presumed of the run.
+            LOG.info(
+                "start_untold",
+                reservation=message.reservation,
+                upstream=message.upstream,
+                peer=home,
+                error=str(error),
+            )
 
     def release(self, reservation):
         """Give back a reservation whose run surely did not start."""
@@ -220,29 +221,7 @@
                     break
                 home = self._next_home(entry)
         self._book.written(entry.reservation)
-        if entry.witness is not None:
-            await self._end_witness(entry)
-
-    async def _end_witness(self, entry):
-        """Have the witness forget, so that it never presumes it spent.
-
-        A witness that seems dead may only be paused or cut off: it keeps the
-        reservation, and would keep it for good.  So it is told once it is
-        back, as long as members remember it.
-        """
-        end = WitnessEnd(entry.reservation)
-        self._untold.add(entry.reservation)
-        try:
-            while self._members.is_known(entry.witness):
-                try:
-                    await self._peers.call(
-                        address_of(entry.witness), end, SHORT_TIMEOUT
-                    )
-                    return
-                except PeerError:
-                    await asyncio.sleep(UNTOLD_PAUSE)
-        finally:
-            self._untold.discard(entry.reservation)
+        await self._witnessing.end(entry)
 
     def _next_home(self, entry):
         shard = self._keeper.shard(entry.budget)
@@ -269,13 +248,31 @@
         return Ack()
 
     async def run(self):
-        """Bill witnessed runs of dead homes by what their upstreams say."""
+        """Each second, act for reservations that lost a home or witness."""
         while True:
             await asyncio.sleep(SHORT_TIMEOUT)
-            for entry in self._book.orphans(self._is_holder_alive):
-                if entry.reservation not in self._resolving:
-                    self._resolving.add(entry.reservation)
-                    self._tasks.spawn(self._resolve_orphan(entry))
+            self._resolve_orphans()
+            self._replace_witnesses()
+
+    def _resolve_orphans(self):
+        """Bill witnessed runs of dead homes by what their upstreams say."""
+        for entry in self._book.orphans(self._is_holder_alive):
+            if entry.reservation not in self._resolving:
+                self._resolving.add(entry.reservation)
+                self._tasks.spawn(self._resolve_orphan(entry))
+
+    def _replace_witnesses(self):
+        """Find witnesses for runs that lost theirs."""
+        for entry in self._witnessing.unwatched():
+            if entry.reservation not in self._replacing:
+                self._replacing.add(entry.reservation)
+                self._tasks.spawn(self._replace_witness(entry))
+
+    async def _replace_witness(self, entry):
+        try:
+            await self._witnessing.replace(entry)
+        finally:
+            self._replacing.discard(entry.reservation)
 
     async def _resolve_orphan(self, entry):
         try:
@@ -292,6 +289,7 @@
             result = (entry.reservation, entry.tokens)
             expiry = NO_BILL
         message = self._book.settle(entry.reservation, *result, expiry)
+        log_resolved(message, entry.upstream)
         entry.home = self._next_home(entry)
         self._tasks.spawn(self._settle(entry, message))
 
@@ -302,8 +300,8 @@
 
     @property
     def unsettled(self):
-        """Return how many reservations are not yet safe.
+        """Return how many reservations of this entry are not yet safe.
 
         Those count too that are billed, but whose witness does not know yet.
         """
-        return len(self._book) + len(self._untold)
+        return len(self._book) + self._witnessing.untold
--- a/rowanport/ledger/holder.py
+++ b/rowanport/ledger/holder.py
@@ -10,23 +10,20 @@
 
 from ..errors import ErrorKind
 from ..schema.messages import Ack
-from ..schema.messages import BillEntry
-from ..schema.messages import LendAsk
-from ..schema.messages import Lent
 from ..schema.messages import Refused
 from ..schema.messages import Reserved
-from ..schema.messages import TransferRecord
 from .account import Account
-from .account import Loan
 from .account import Reservation
+from .balance import Balance
+from .bills import make_bill
+from .bills import UnwrittenBills
+from .loans import Loans
+from .loans import transfers
 from .record import Batch
-from .record import Draw
 from .record import find_bill
-from .record import free_tokens
 from .record import unspent_tokens
 
 DRY_SECONDS = 0.5
-WANT_SECONDS = 10.0
 VOID_MEMORY = 3600.0
 
 
@@ -41,13 +38,12 @@
 
     def __init__(self, holder, shard, sizing, new_id):
         self.shard = shard
-        self._sizing = sizing
+        self._balance = Balance(sizing)
         self._new_id = new_id
-        self._bills = {}
+        self._bills = UnwrittenBills()
         self._shunned = set()
         self._entries = set()
         self._answers = []
-        self._written = []
         self._leaving = False
         self._begin(holder)
 
@@ -59,9 +55,7 @@
         self._accounts = {}
         self._number = 0
         self._batch = None
-        self._loans = {}
-        self._asks = set()
-        self._closed = set()
+        self._loans = Loans(self._new_id)
         self._voids = {}
         self._recoveries = []
         self._left = False
@@ -118,6 +112,11 @@
             for reservation in account.reserved.values()
         ]
 
+    def unsettled(self):
+        """Return the ids of reservations whose bills are yet to be written."""
+        open_here = {one.reservation for one in self.reservations()}
+        return open_here | self._bills.reservations()
+
     # Entries
 
     def set_entries(self, entries):
@@ -127,14 +126,19 @@
         this holder's death asks it.
         """
         kept = {reservation.entry for reservation in self.reservations()}
-        kept.update(self._entry_of_bills())
+        kept.update(self._bills.entries())
         wanted = set(entries) | kept
         if wanted != self._entries:
             self._entries = wanted
             self._touched = True
 
-    def _entry_of_bills(self):
-        return {entry for _bill, entry in self._bills.values()}
+    def rename_entry(self, reservation, budget, entry):
+        """Note who remembers a reservation from now on, and list it."""
+        reserved = self.account(budget).reserved.get(reservation)
+        if reserved is not None:
+            reserved.entry = entry
+            self._entries.add(entry)
+            self._touched = True
 
     # Reservations
 
@@ -209,22 +213,13 @@
             return Ack()
         if message.reservation in self._bills:
             return None
-        bill = BillEntry(
-            message.request,
-            message.reservation,
-            message.run,
-            message.budget,
-            message.holder,
-            message.tokens,
-            message.expiry,
-        )
+        bill = make_bill(message)
         if own and reservation is None:
             if self._is_written(bill):
                 return Ack()
         if own:
             account.unwritten += message.tokens
-        entry = reservation.entry if reservation else ""
-        self._bills[message.reservation] = (bill, entry)
+        self._bills.add(bill, reservation.entry if reservation else None)
         return None
 
     def _is_written(self, bill):
@@ -247,11 +242,7 @@
         for key, until in list(self._voids.items()):
             if until < now:
                 del self._voids[key]
-        for key, loan in list(self._loans.items()):
-            if loan.until < now and key not in (
-                self.account(loan.answer.budget).lent
-            ):
-                del self._loans[key]
+        self._loans.forget(self._accounts, now)
 
     def _answer_waiting(self, account, message, now):
         if self._leaving:
@@ -276,9 +267,7 @@
 
     def take_written(self):
         """Return ids of reservations whose bills stand in the shard."""
-        written = self._written
-        self._written = []
-        return written
+        return self._bills.take_written()
 
     # Loans
 
@@ -287,44 +276,28 @@
 
         They go out when reservations wait and the shard has nothing free.
         """
-        result = []
         if self.record is None or self._leaving:
-            return result
+            return []
+        result = []
         for account in self._accounts.values():
-            lender = self._next_lender(account, now)
-            if lender is None:
+            if not account.lacking or now < account.dry_until:
+                continue
+            if account.ask is not None:
                 continue
-            message = LendAsk(
-                account.ask, account.name, account.lacking, self.holder
-            )
-            result.append((lender, message))
+            ask = self._ask(account)
+            if ask is not None:
+                result.append(ask)
         return result
 
-    def _next_lender(self, account, now):
-        if not account.lacking or now < account.dry_until:
-            return None
-        if account.ask is not None:
+    def _ask(self, account):
+        known = account.name in self.record.budgets
+        if not known or self.holder not in self.record.holders:
             return None
-        budget = self.record.budgets.get(account.name)
-        if budget is None or self.holder not in self.record.holders:
-            return None
-        lenders = sorted(
-            (
-                name
-                for name, tokens in budget.grants.items()
-                if name != self.holder and tokens > 0
-            ),
-            key=lambda name: -budget.grants[name],
-        )
-        for lender in lenders:
-            live = lender in self.record.holders
-            if live and lender not in account.asked | self._shunned:
-                account.asked.add(lender)
-                account.ask = self._new_id()
-                self._asks.add(account.ask)
-                return lender
-        self._touched = True
-        return None
+        ask = self._loans.ask(account, self.record, self.holder, self._shunned)
+        if ask is None:
+            # Nobody is left to ask: only the shard can help.
+            self._touched = True
+        return ask
 
     def ask_refused(self, message):
         """Note that a lender gave nothing, or cannot be reached.
@@ -338,38 +311,25 @@
 
     def lend(self, message, now):
         """Lend tokens to another holder, once for each ask."""
-        loan = self._loans.get(message.ask)
-        if loan is not None:
-            return loan.answer
+        known = self._loans.known(message.ask)
+        if known is not None:
+            return known
         account = self.account(message.budget)
         record = self.record
         if record is None or message.borrower not in record.holders:
             return _refused(ErrorKind.BUDGET_UNAVAILABLE, "not a holder")
-        # Only what stands in the shard: borrowed tokens are not lent on.
-        borrowed = sum(lent.tokens for lent in account.borrowed.values())
-        spare = account.available - borrowed
-        if account.waiting or self._leaving or spare <= 0:
+        if self._leaving:
             return _refused(ErrorKind.BUDGET_EXHAUSTED, "nothing to lend")
-        # Half of what is left, or all that was asked if that is less.
-        tokens = min(spare, max(message.tokens, spare // 2))
-        answer = Lent(message.ask, message.budget, tokens, self.holder)
-        loan = Loan(tokens, message.borrower, answer, now + VOID_MEMORY)
-        self._loans[message.ask] = loan
-        account.lent[message.ask] = loan
-        return answer
+        return self._loans.lend(account, message, self.holder, now)
 
     def borrow(self, message, now):
         """Take in lent tokens, once for each transfer."""
         account = self.account(message.budget)
         if message.lender in self._shunned:
             return
-        if message.ask not in self._asks:
-            return
-        self._asks.discard(message.ask)
-        self.ask_refused(message)
-        account.asked.discard(message.lender)
-        account.borrowed[message.ask] = message
-        self.pump(now)
+        if self._loans.borrow(account, message):
+            self.ask_refused(message)
+            self.pump(now)
 
     # Dead holders
 
@@ -381,9 +341,7 @@
             for message in account.borrowed.values():
                 if message.lender == holder:
                     outstanding[account.name] += message.tokens
-        for bill, _entry in self._bills.values():
-            if bill.holder == holder:
-                outstanding[bill.budget] += bill.tokens
+        outstanding.update(self._bills.owed(holder))
         return outstanding
 
     def recover(self, recovery):
@@ -404,9 +362,9 @@
         batch = Batch(self.holder, self._number + 1, now, self._listing())
         self._fill_draws(batch, now)
         self._fill_returns(batch, now)
-        batch.bills = [bill for bill, _entry in self._bills.values()]
-        batch.transfers = self._borrowed_transfers()
-        batch.closed = sorted(self._closed)
+        batch.bills = list(self._bills)
+        batch.transfers = transfers(self._accounts.values())
+        batch.closed = self._loans.closed
         batch.recoveries = list(self._recoveries)
         batch.leaving = self._may_leave()
         if batch.leaving and self._never_registered(batch):
@@ -448,55 +406,15 @@
             return
         for name, budget in self.record.budgets.items():
             account = self.account(name)
-            free = free_tokens(budget)
-            need = account.lacking
-            rate = account.demand.rate(now)
-            available = account.available
-            unspent = unspent_tokens(budget)
-            tokens = self._sizing.draw(free, unspent, need, available, rate)
-            if tokens > 0 or need:
-                batch.draws[name] = Draw(need, available, rate)
-            marked = budget.wanted.get(self.holder, 0.0)
-            if need and need > free:
-                if marked < now + WANT_SECONDS / 2:
-                    batch.wants[name] = now + WANT_SECONDS
-            elif marked:
-                batch.wants[name] = 0.0
+            self._balance.fill_draw(batch, account, budget, now)
 
     def _fill_returns(self, batch, now):
         for name, account in self._accounts.items():
             budget = self.record.budgets.get(name)
-            if budget is None or account.waiting:
-                continue
-            tokens = self._surplus(account, budget, now)
-            # Only what stands in the shard can be returned; borrowed
-            # tokens reach it with this very batch.
-            if tokens > 0:
-                batch.returns[name] = tokens
-                batch.draws.pop(name, None)
-
-    def _surplus(self, account, budget, now):
-        available = account.available
-        if self._leaving:
-            return max(0, available)
-        wanted = any(
-            until > now and holder != self.holder
-            for holder, until in budget.wanted.items()
-        )
-        return self._sizing.surplus(
-            free_tokens(budget),
-            unspent_tokens(budget),
-            available,
-            account.demand.rate(now),
-            wanted,
-        )
-
-    def _borrowed_transfers(self):
-        return [
-            TransferRecord(lent.ask, name, lent.tokens, lent.lender)
-            for name, account in self._accounts.items()
-            for lent in account.borrowed.values()
-        ]
+            if budget is not None:
+                self._balance.fill_return(
+                    batch, account, budget, self._leaving, now
+                )
 
     def batch_applied(self, record, now):
         """Take in the shard as it stands with the batch in flight."""
@@ -509,7 +427,7 @@
             account.borrowed.pop(transfer.transfer, None)
         for bill in batch.bills:
             self._forget_bill(bill)
-        self._closed.difference_update(batch.closed)
+        self._loans.forget_closed(batch.closed)
         for recovery in batch.recoveries:
             self._recoveries.remove(recovery)
         self._left = batch.leaving
@@ -517,10 +435,9 @@
         self._finish_round(batch, record, now)
 
     def _forget_bill(self, bill):
-        self._bills.pop(bill.reservation, None)
+        self._bills.written(bill)
         if bill.holder == self.holder:
             self.account(bill.budget).unwritten -= bill.tokens
-        self._written.append(bill.reservation)
 
     def _finish_round(self, batch, record, now):
         """Call a budget dry when neither shard nor lenders had enough."""
@@ -572,18 +489,10 @@
             if self.holder in budget.grants or name in self._accounts:
                 account = self.account(name)
                 account.granted = budget.grants.get(self.holder, 0)
-                self._see_transfers(account, record)
+                self._loans.observe(account, record)
                 self._see_bills(account, record)
         self.pump(now)
 
-    def _see_transfers(self, account, record):
-        for transfer, loan in list(account.lent.items()):
-            if transfer in record.transfers:
-                self._closed.add(transfer)
-            elif loan.borrower not in record.expelled:
-                continue
-            del account.lent[transfer]
-
     def _see_bills(self, account, record):
         """Drop reservations that were billed through another home."""
         for key, reservation in list(account.reserved.items()):
