Pass on no header of a caller that is the routers' own

Cause: the list of what to drop named only what the gateway sets itself; all else passed, so a caller could reserve, pin, copy or take over an engine's memory, or ask for another version.

Change: gateway/headers.py is the one place that says which headers pass, by names of the dialect: of a request the routers' own (what the gateway sets and what it might set) and those of a connection, whatever their case, number or spelling with underscores; of an answer an upstream's word to routers. All else passes unaltered. All Connection headers count, not the last one alone, and none may name what routers decide by.

Ruled out: a list of what may pass; unknown headers of callers are to be forwarded.

After: test_headers, test_platform and test_platform_edges pass. Each of six broken variants of the filter fails in test_headers.

--- a/rowanport/gateway/dialect.py
+++ b/rowanport/gateway/dialect.py
@@ -15,6 +15,9 @@
     :ivar prefix: parts of the prompt as ID:TOKENS
     :ivar priority: rank for the upstream, 0 the first
     :ivar last_event: id of the last event of a stream that has arrived
+    :ivar orders: further headers by which a router steers an upstream
+    :ivar facts: further headers of answers that are for routers only
+    :ivar hints: further headers of callers by which an upstream decides
     """
 
     __slots__ = (
@@ -29,8 +32,44 @@
         "prefix",
         "priority",
         "last_event",
+        "orders",
+        "facts",
+        "hints",
     )
 
     def __init__(self, **names):
         for slot in self.__slots__:
             setattr(self, slot, names[slot])
+
+    @property
+    def routers_own(self):
+        """Return the headers that no upstream gets as a caller sent them.
+
+        A router sets them itself or not at all.
+        """
+        return (
+            self.key,
+            self.organisation,
+            self.expected_instance,
+            self.timeout_ms,
+            self.priority,
+            self.last_event,
+            *self.orders,
+        )
+
+    @property
+    def answers_own(self):
+        """Return the headers of answers that no caller gets."""
+        return (self.not_executed, *self.facts)
+
+    @property
+    def end_to_end(self):
+        """Return the headers that are never those of one connection."""
+        return (
+            "host",
+            self.request_id,
+            self.signature,
+            self.tokens,
+            self.prefix,
+            *self.hints,
+        )
--- a/rowanport/gateway/exchange.py
+++ b/rowanport/gateway/exchange.py
@@ -1,23 +1,8 @@
 """One send of a request to one upstream."""
 
 from ..errors import UpstreamError
+from .headers import HeaderFilter
 
-# Headers that concern one connection only.
-HOP_BY_HOP = frozenset(
-    (
-        b"connection",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-        b"expect",
-        b"content-length",
-    )
-)
 # Statuses that say "not run" when an upstream marks them so.
 MISDIRECTED = 421
 # An engine's priorities reach from 0 to 9.
@@ -47,6 +32,7 @@
         self._client = client
         self._dialect = dialect
         self._clock = clock
+        self._filter = HeaderFilter(dialect)
 
     async def send(self, job, upstream, silence):
         """Send a job and return the HttpAnswer that belongs to it.
@@ -74,21 +60,7 @@
 
     def _headers(self, job, upstream):
         names = self._dialect
-        own = (
-            names.key,
-            names.organisation,
-            names.expected_instance,
-            names.timeout_ms,
-            names.priority,
-            names.last_event,
-        )
-        dropped = HOP_BY_HOP | {name.encode() for name in own}
-        dropped |= _connection_names(job.request.header("connection"))
-        headers = [
-            (name, value)
-            for name, value in job.request.fields
-            if name.lower() not in dropped
-        ]
+        headers = self._filter.request_fields(job.request.fields)
         headers.append((names.expected_instance, upstream.id))
         left = job.deadline - self._clock.steady()
         headers.append((names.timeout_ms, str(max(1, int(left * 1000)))))
@@ -120,16 +92,4 @@
 
     def answer_fields(self, answer):
         """Return the headers of an answer that are passed on."""
-        names = {name.lower() for name, _value in answer.fields}
-        dropped = HOP_BY_HOP
-        if b"connection" in names:
-            dropped |= _connection_names(answer.headers["connection"])
-        return [
-            (name, value)
-            for name, value in answer.fields
-            if name.lower() not in dropped
-        ]
-
-
-def _connection_names(text):
-    return {name.strip().lower().encode() for name in text.split(",")}
+        return self._filter.answer_fields(answer.fields)
--- a/rowanport/platform/words.py
+++ b/rowanport/platform/words.py
@@ -14,4 +14,17 @@
     prefix="x-rowanport-prompt-prefix",
     priority="priority",
     last_event="last-event-id",
+    # The pages let only the system set these; an upstream reserves, pins,
+    # copies and takes over memory by them.
+    orders=(
+        "expect-version",
+        "hold",
+        "kv-backup",
+        "kv-fetch",
+        "kv-from",
+        "pin-ms",
+        "wait-ms",
+    ),
+    facts=("x-rowanport-instance-id",),
+    hints=("length-hint", "x-rowanport-model"),
 )
--- a/test/test_headers.py
+++ b/test/test_headers.py
@@ -9,10 +9,18 @@
 # the gateway dropped what it sets today, not what is the system's to set.
 # Settled by the upstreams' own record of the headers they ran with.
 
+import itertools
 from test.test_platform import read_events
 from test.test_platform import scenario
 from test.test_platform_edges import raw
 
+from hypothesis import given
+from hypothesis import strategies
+import pytest
+
+from rowanport.gateway.headers import HeaderFilter
+from rowanport.platform.words import DIALECT
+
 # What the pages name as the system's to set, each with a value that works.
 SYSTEMS_OWN = (
     ("Hold", "h-1"),
@@ -26,6 +34,133 @@
     ("X-Rowanport-Expect-Instance", "elsewhere"),
     ("X-Rowanport-Tenant", "another"),
 )
+# What a caller may say, and what nobody has heard of.
+CALLERS_OWN = (
+    ("X-Rowanport-Request-Id", "r1"),
+    ("X-Rowanport-Model", "m"),
+    ("X-Rowanport-Token-Count", "100,30"),
+    ("X-Rowanport-Prompt-Prefix", "aa:60,bb:40"),
+    ("Length-Hint", "17"),
+    ("Host", "feed.example"),
+    ("Content-Type", "text/plain"),
+    ("Accept", "a, b"),
+    ("Accept", "c"),
+    ("X-Hold", "mine"),
+    ("Holder", "mine"),
+    ("Kv", ""),
+)
+HOP_BY_HOP = (
+    ("Keep-Alive", "timeout=5"),
+    ("TE", "trailers"),
+    ("Trailer", "Hold"),
+    ("Upgrade", "h2c"),
+    ("Proxy-Authorization", "Basic x"),
+    ("Proxy-Connection", "keep-alive"),
+    ("Expect", "100-continue"),
+    ("Content-Length", "3"),
+    ("Transfer-Encoding", "chunked"),
+)
+CASES = (str, str.lower, str.upper, str.swapcase)
+# Upstreams that read headers as CGI variables take these for the same name.
+SPELLINGS = (str, lambda name: name.replace("-", "_"))
+
+
+def encode(fields):
+    return [(name.encode(), value.encode()) for name, value in fields]
+
+
+def spell(row, case, spelling):
+    name, value = row
+    return spelling(case(name)), value
+
+
+def filter_request(fields):
+    return HeaderFilter(DIALECT).request_fields(encode(fields))
+
+
+def filter_answer(fields):
+    return HeaderFilter(DIALECT).answer_fields(encode(fields))
+
+
+dropped_rows = strategies.builds(
+    spell,
+    strategies.sampled_from(SYSTEMS_OWN + (("Api-Key", "key"),)),
+    strategies.sampled_from(CASES),
+    strategies.sampled_from(SPELLINGS),
+) | strategies.builds(
+    spell,
+    strategies.sampled_from(HOP_BY_HOP),
+    strategies.sampled_from(CASES),
+    strategies.just(str),
+)
+callers_rows = strategies.builds(
+    spell,
+    strategies.sampled_from(CALLERS_OWN),
+    strategies.sampled_from(CASES),
+    strategies.just(str),
+)
+marked_rows = strategies.lists(
+    strategies.tuples(strategies.just(True), callers_rows)
+    | strategies.tuples(strategies.just(False), dropped_rows),
+    max_size=24,
+)
+
+
+@given(marked_rows)
+def test_only_what_is_the_callers_passes_and_passes_unaltered(rows):
+    """Whatever the case, number and order of the headers."""
+    passed = filter_request([row for _callers, row in rows])
+    assert passed == encode([row for callers, row in rows if callers])
+
+
+@pytest.mark.parametrize("name", [name for name, _value in SYSTEMS_OWN])
+def test_no_header_of_the_systems_own_passes(name):
+    spellings = itertools.product(CASES, SPELLINGS)
+    fields = [spell((name, "1"), *pair) for pair in spellings]
+    assert filter_request(fields) == []
+
+
+def test_headers_that_the_caller_calls_hop_by_hop_are_dropped():
+    # Only the last Connection header was read.
+    fields = [
+        ("Connection", "close, X-One"),
+        ("X-One", "1"),
+        ("X-Two", "2"),
+        ("X-Three", "3"),
+        ("connection", " x-two ,,keep-alive"),
+    ]
+    assert filter_request(fields) == encode([("X-Three", "3")])
+
+
+def test_what_the_router_decided_by_cannot_be_called_hop_by_hop():
+    # The router would set tokens aside by a count that the upstream does not
+    # see, and send the request under a host that was not asked for.
+    kept = [row for row in CALLERS_OWN if row[0].startswith("X-Rowanport")]
+    kept += [("Host", "feed.example"), ("Length-Hint", "17")]
+    named = ("Connection", ", ".join(name for name, _value in kept))
+    assert filter_request([named, *kept]) == encode(kept)
+
+
+def test_an_answer_keeps_what_is_the_callers():
+    kept = [
+        ("X-Rowanport-Request-Id", "r1"),
+        ("X-Rowanport-Server-Stamp", "stamp"),
+        ("Versions", "3"),
+        ("Content-Type", "text/plain"),
+        ("Set-Cookie", "a=1"),
+        ("Set-Cookie", "b=2"),
+        ("Retry-After", "1"),
+    ]
+    own = [
+        ("X-Rowanport-Instance-Id", "i-1"),
+        ("x-rowanport-not-executed", "1"),
+        ("Connection", "X-Hop"),
+        ("Connection", "close"),
+        ("X-Hop", "1"),
+        ("Keep-Alive", "timeout=5"),
+        ("Content-Length", "3"),
+    ]
+    assert filter_answer(own + kept) == encode(kept)
 
 
 @scenario
