Test that an unmarked refusal of an upstream is no promise to a caller

Fails for now for 408, 429 and 503: an answer with one of these statuses that lacks the upstream's mark of not having run is passed on to the caller as it came, and to a caller it says that nothing ran or ever will.

--- a/test/test_headers.py
+++ b/test/test_headers.py
@@ -9,17 +9,24 @@
 # the gateway dropped what it sets today, not what is the system's to set.
 # Settled by the upstreams' own record of the headers they ran with.
 
+import asyncio
 import itertools
 from test.test_platform import read_events
 from test.test_platform import scenario
 from test.test_platform_edges import raw
+import types
 
 from hypothesis import given
 from hypothesis import strategies
 import pytest
 
+from rowanport.errors import UpstreamError
+from rowanport.gateway.exchange import Exchange
+from rowanport.gateway.exchange import NotExecuted
 from rowanport.gateway.headers import HeaderFilter
+from rowanport.gateway.job import Job
 from rowanport.platform.words import DIALECT
+from rowanport.web.server import HttpRequest
 
 # What the pages name as the system's to set, each with a value that works.
 SYSTEMS_OWN = (
@@ -208,3 +215,60 @@
     (run,) = platform.runs
     assert run["x-rowanport-token-count"] == "100,30"
     assert "x-mine" not in run
+
+
+class AnsweringClient:
+    """Answers each request with one status and the marks that are due."""
+
+    def __init__(self, status, **marks):
+        self._status = status
+        self._marks = marks
+
+    async def request(self, *_request):
+        answer = types.SimpleNamespace(
+            status=self._status,
+            headers={
+                DIALECT.request_id: "r1",
+                DIALECT.signature: "stamp",
+                **{
+                    name.replace("_", "-"): v
+                    for name, v in self._marks.items()
+                },
+            },
+            close=lambda: None,
+        )
+        return answer
+
+
+def send_to(client):
+    """Send a job to an upstream by a client; return the answer."""
+    request = HttpRequest("POST", "/once/", {}, b"")
+    route = types.SimpleNamespace(timeout=1.0)
+    job = Job(request, "r1", route, "feed", 0.0)
+    upstream = types.SimpleNamespace(id="one", address="127.0.0.1:1")
+    clock = types.SimpleNamespace(steady=lambda: 0.0)
+    return asyncio.run(Exchange(client, DIALECT, clock).send(job, upstream, 1))
+
+
+# Found by reading: an upstream's 408, 429 or 503 that lacks its mark of "not
+# run" was passed on as it came.  To a caller these statuses are a promise, so
+# it repeats what may not be repeated, although the upstream promised nothing.
+
+
+@pytest.mark.parametrize("status", (408, 429, 503))
+def test_a_refusal_without_its_mark_may_have_run(status):
+    with pytest.raises(UpstreamError) as failure:
+        send_to(AnsweringClient(status))
+    assert failure.value.started
+    assert not isinstance(failure.value, NotExecuted)
+
+
+@pytest.mark.parametrize("status", (400, 408, 429, 503))
+def test_a_refusal_with_its_mark_has_not_run(status):
+    with pytest.raises(NotExecuted):
+        send_to(AnsweringClient(status, x_rowanport_not_executed="1"))
+
+
+@pytest.mark.parametrize("status", (200, 302, 400, 404, 500, 504))
+def test_other_answers_are_the_upstreams_own(status):
+    assert send_to(AnsweringClient(status)).status == status
