Take an unmarked refusal of an upstream for a failure

Cause: only the mark was read; an unmarked 408, 429 or 503 was passed on, and its caller, promised that nothing ran, could run the same again.

Change: such an answer counts as a run that failed: a repeatable request goes to another upstream, another ends with 502, which promises nothing.

Ruled out: passing the status on without Retry-After; it is the status that promises. 421 needs no mark.

After: test_headers, test_platform and test_platform_edges pass (3 failed before).

--- a/rowanport/gateway/exchange.py
+++ b/rowanport/gateway/exchange.py
@@ -3,7 +3,10 @@
 from ..errors import UpstreamError
 from .headers import HeaderFilter
 
-# Statuses that say "not run" when an upstream marks them so.
+# Statuses that tell a caller that nothing ran; an upstream means them so only
+# if it marks them.
+PROMISES = (408, 429, 503)
+# The status that means it without a mark.
 MISDIRECTED = 421
 # An engine's priorities reach from 0 to 9.
 LOWEST_PRIORITY = 9
@@ -83,6 +86,9 @@
             raise NotExecuted(f"status {answer.status}")
         if answer.status == MISDIRECTED:
             raise NotExecuted("another upstream is there", misdirected=True)
+        # Passed on, it would let a caller repeat what may have run.
+        if answer.status in PROMISES:
+            raise UpstreamError(f"status {answer.status} without its mark")
         if names.request_id not in answer.headers:
             raise UpstreamError("an answer without an id")
         if answer.headers.get("content-encoding", "identity") != "identity":
