--- /dev/null
+++ b/rowanport/standins/upstream.py
@@ -0,0 +1,212 @@
+"""Stand-in of an upstream on the users' platform, with its faults."""
+
+import asyncio
+
+import h11
+
+from ..web.client import next_event
+
+ID_HEADER = "x-rowanport-request-id"
+STAMP_HEADER = "x-rowanport-server-stamp"
+# More than a gateway holds back of an answer.
+LARGE = bytes(range(256)) * 12000
+
+
+class UpstreamStandin:
+    """One upstream that does what its script says, request by request.
+
+    :ivar script: names of behaviours to come; "ok" when it is used up
+    :ivar heads: headers of the requests that it ran
+    """
+
+    def __init__(self, name, events=6):
+        self.name = name
+        self.events = events
+        self.pause = 0.01
+        self.script = []
+        self.heads = []
+        self.cut = 0
+        self.connections = 0
+        self.address = None
+        self._server = None
+
+    async def start(self, port):
+        self.address = f"127.0.0.1:{port}"
+        self._server = await asyncio.start_server(
+            self._serve, "127.0.0.1", port
+        )
+
+    async def close(self):
+        self._server.close()
+
+    def entry(self, service="feed", state="ready"):
+        """Return its entry in the directory."""
+        return {
+            "service": service,
+            "address": self.address,
+            "zone": "hall-a",
+            "version": "v1",
+            "slots": 8,
+            "state": state,
+            "cold_left_ms": 0,
+            "seq_num": 1,
+        }
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        connection = h11.Connection(h11.SERVER)
+        wrapped = _Wrapped(connection, reader)
+        try:
+            while True:
+                request = await next_event(wrapped)
+                if not isinstance(request, h11.Request):
+                    return
+                early = self.script[:1] == ["early"]
+                if early:
+                    await self._answer_early(connection, writer, request)
+                body = b""
+                event = await next_event(wrapped)
+                while isinstance(event, h11.Data):
+                    body += bytes(event.data)
+                    event = await next_event(wrapped)
+                if not early:
+                    await self._answer(connection, writer, request, body)
+                await writer.drain()
+                if connection.our_state is not h11.DONE:
+                    return
+                connection.start_next_cycle()
+        except (OSError, h11.ProtocolError):
+            self.cut += 1
+        finally:
+            writer.close()
+
+    async def _answer_early(self, connection, writer, request):
+        """Answer before the body is read, and read on later."""
+        self.script.pop(0)
+        names = {n.decode(): v.decode() for n, v in request.headers}
+        self.heads.append(names)
+        self._send(connection, writer, 200, self._head(names), b"early")
+        await writer.drain()
+        await asyncio.sleep(0.3)
+
+    async def _answer(self, connection, writer, request, body):
+        names = {n.decode(): v.decode() for n, v in request.headers}
+        behaviour = self.script.pop(0) if self.script else "ok"
+        await getattr(self, f"_do_{behaviour}")(
+            connection, writer, names, body
+        )
+
+    def _head(self, names, **more):
+        head = [
+            (ID_HEADER, names.get(ID_HEADER, "")),
+            (STAMP_HEADER, f"stamp-{self.name}"),
+        ]
+        return head + [(k.replace("_", "-"), v) for k, v in more.items()]
+
+    async def _do_ok(self, connection, writer, names, body):
+        self.heads.append(names)
+        streamed = "x-rowanport-token-count" in names or "accept" in names
+        if streamed:
+            return await self._stream(connection, writer, names, self.events)
+        data = b"body of " + names[ID_HEADER].encode() + b" " + body
+        self._send(connection, writer, 200, self._head(names), data)
+
+    def _send(self, connection, writer, status, head, data):
+        head = [*head, ("content-length", str(len(data)))]
+        for event in (
+            h11.Response(status_code=status, headers=head),
+            h11.Data(data=data),
+            h11.EndOfMessage(),
+        ):
+            writer.write(connection.send(event))
+
+    async def _stream(self, connection, writer, names, last, torn=b""):
+        head = self._head(names, content_type="text/event-stream")
+        response = h11.Response(status_code=200, headers=head)
+        writer.write(connection.send(response))
+        first = int(names.get("last-event-id", 0)) + 1
+        for number in range(first, last + 1):
+            event = f"id: {number}\ndata: {names[ID_HEADER]}\n\n".encode()
+            writer.write(connection.send(h11.Data(data=event)))
+            await writer.drain()
+            await asyncio.sleep(self.pause)
+        if last == self.events:
+            writer.write(connection.send(h11.EndOfMessage()))
+            return
+        if torn:
+            writer.write(connection.send(h11.Data(data=torn)))
+            await writer.drain()
+            await asyncio.sleep(0.02)
+        writer.transport.abort()
+
+    async def _do_break(self, connection, writer, names, body):
+        self.heads.append(names)
+        await self._stream(connection, writer, names, 3)
+
+    async def _do_tear(self, connection, writer, names, body):
+        self.heads.append(names)
+        await self._stream(connection, writer, names, 3, b"id: 4\nda")
+
+    async def _do_reset(self, connection, writer, names, body):
+        self.heads.append(names)
+        writer.transport.abort()
+
+    async def _do_error(self, connection, writer, names, body):
+        self.heads.append(names)
+        self._send(connection, writer, 500, self._head(names), b"error")
+
+    async def _do_full(self, connection, writer, names, body):
+        head = self._head(names, x_rowanport_not_executed="1")
+        self._send(connection, writer, 503, head, b"")
+
+    async def _do_misdirect(self, connection, writer, names, body):
+        head = [("x-rowanport-instance-id", "another")]
+        self._send(connection, writer, 421, head, b"")
+
+    async def _do_stray(self, connection, writer, names, body):
+        """Answer an earlier request first, then this one."""
+        other = {**names, ID_HEADER: "another-request"}
+        extra = h11.Connection(h11.SERVER)
+        extra.receive_data(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
+        extra.next_event()
+        self._send(extra, writer, 200, self._head(other), b"not yours")
+        await self._do_ok(connection, writer, names, body)
+
+    async def _do_surplus(self, connection, writer, names, body):
+        """Answer, and send more bytes behind the answer."""
+        await self._do_ok(connection, writer, names, body)
+        writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nmore")
+
+    async def _do_large(self, connection, writer, names, body):
+        self.heads.append(names)
+        self._send(connection, writer, 200, self._head(names), LARGE)
+
+    async def _do_unsigned(self, connection, writer, names, body):
+        self.heads.append(names)
+        head = [(ID_HEADER, names[ID_HEADER])]
+        self._send(connection, writer, 200, head, b"unsigned")
+
+    async def _do_short(self, connection, writer, names, body):
+        self.heads.append(names)
+        head = [*self._head(names), ("content-length", "100")]
+        response = h11.Response(status_code=200, headers=head)
+        writer.write(connection.send(response))
+        writer.write(connection.send(h11.Data(data=b"too short")))
+        await writer.drain()
+        writer.close()
+
+    async def _do_hang(self, connection, writer, names, body):
+        self.heads.append(names)
+        try:
+            await asyncio.sleep(60)
+        except asyncio.CancelledError:
+            self.cut += 1
+            raise
+
+
+class _Wrapped:
+    """What next_event needs of a connection."""
+
+    def __init__(self, state, reader):
+        self.state = state
+        self.reader = reader
