--- a/rowanport/standins/upstream.py
+++ b/rowanport/standins/upstream.py
@@ -84,18 +84,37 @@
         """Answer before the body is read, and read on later."""
         self.script.pop(0)
         names = {n.decode(): v.decode() for n, v in request.headers}
-        self.heads.append(names)
+        self._note_run(connection, names)
         self._send(connection, writer, 200, self._head(names), b"early")
         await writer.drain()
         await asyncio.sleep(0.3)
 
     async def _answer(self, connection, writer, request, body):
         names = {n.decode(): v.decode() for n, v in request.headers}
-        behaviour = self.script.pop(0) if self.script else "ok"
+        behaviour = self._next_behaviour(names)
         await getattr(self, f"_do_{behaviour}")(
             connection, writer, names, body
         )
 
+    # What a stand-in that keeps a record overrides
+
+    def _next_behaviour(self, names):
+        """Return the name of what to do with a request."""
+        return self.script.pop(0) if self.script else "ok"
+
+    def _note_run(self, connection, names):
+        """Note that a request begins to run."""
+        self.heads.append(names)
+
+    def _note_event(self, connection, number):
+        """Note that an event is about to be handed out."""
+
+    def _last_event(self, names):
+        """Return the number of the last event of a request's stream."""
+        return self.events
+
+    # Behaviours
+
     def _head(self, names, **more):
         head = [
             (ID_HEADER, names.get(ID_HEADER, "")),
@@ -104,10 +123,11 @@
         return head + [(k.replace("_", "-"), v) for k, v in more.items()]
 
     async def _do_ok(self, connection, writer, names, body):
-        self.heads.append(names)
+        self._note_run(connection, names)
         streamed = "x-rowanport-token-count" in names or "accept" in names
         if streamed:
-            return await self._stream(connection, writer, names, self.events)
+            last = self._last_event(names)
+            return await self._stream(connection, writer, names, last)
         data = b"body of " + names[ID_HEADER].encode() + b" " + body
         self._send(connection, writer, 200, self._head(names), data)
 
@@ -126,11 +146,12 @@
         writer.write(connection.send(response))
         first = int(names.get("last-event-id", 0)) + 1
         for number in range(first, last + 1):
+            self._note_event(connection, number)
             event = f"id: {number}\ndata: {names[ID_HEADER]}\n\n".encode()
             writer.write(connection.send(h11.Data(data=event)))
             await writer.drain()
             await asyncio.sleep(self.pause)
-        if last == self.events:
+        if last == self._last_event(names):
             writer.write(connection.send(h11.EndOfMessage()))
             return
         if torn:
@@ -140,19 +161,19 @@
         writer.transport.abort()
 
     async def _do_break(self, connection, writer, names, body):
-        self.heads.append(names)
+        self._note_run(connection, names)
         await self._stream(connection, writer, names, 3)
 
     async def _do_tear(self, connection, writer, names, body):
-        self.heads.append(names)
+        self._note_run(connection, names)
         await self._stream(connection, writer, names, 3, b"id: 4\nda")
 
     async def _do_reset(self, connection, writer, names, body):
-        self.heads.append(names)
+        self._note_run(connection, names)
         writer.transport.abort()
 
     async def _do_error(self, connection, writer, names, body):
-        self.heads.append(names)
+        self._note_run(connection, names)
         self._send(connection, writer, 500, self._head(names), b"error")
 
     async def _do_full(self, connection, writer, names, body):
@@ -178,16 +199,16 @@
         writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nmore")
 
     async def _do_large(self, connection, writer, names, body):
-        self.heads.append(names)
+        self._note_run(connection, names)
         self._send(connection, writer, 200, self._head(names), LARGE)
 
     async def _do_unsigned(self, connection, writer, names, body):
-        self.heads.append(names)
+        self._note_run(connection, names)
         head = [(ID_HEADER, names[ID_HEADER])]
         self._send(connection, writer, 200, head, b"unsigned")
 
     async def _do_short(self, connection, writer, names, body):
-        self.heads.append(names)
+        self._note_run(connection, names)
         head = [*self._head(names), ("content-length", "100")]
         response = h11.Response(status_code=200, headers=head)
         writer.write(connection.send(response))
@@ -196,7 +217,7 @@
         writer.close()
 
     async def _do_hang(self, connection, writer, names, body):
-        self.heads.append(names)
+        self._note_run(connection, names)
         try:
             await asyncio.sleep(60)
         except asyncio.CancelledError:
