A fault soak: real routers, faults from outside, promises checked

Change: soak/, with relays on the links to the store, to upstreams and between routers, a seeded plan, callers with kept connections, checks over a recorded history, and broken variants that are still to be run. Ruled out: a hook in the program; a launcher moves ports and the clock.

--- a/rowanport/standins/upstream.py
+++ b/rowanport/standins/upstream.py
@@ -162,11 +162,14 @@
 
     async def _do_break(self, connection, writer, names, body):
         self._note_run(connection, names)
-        await self._stream(connection, writer, names, 3)
+        last = min(3, self._last_event(names))
+        await self._stream(connection, writer, names, last)
 
     async def _do_tear(self, connection, writer, names, body):
         self._note_run(connection, names)
-        await self._stream(connection, writer, names, 3, b"id: 4\nda")
+        last = min(3, self._last_event(names))
+        torn = f"id: {last + 1}\nda".encode()
+        await self._stream(connection, writer, names, last, torn)
 
     async def _do_reset(self, connection, writer, names, body):
         self._note_run(connection, names)
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A fault soak: real routers, faults from outside, promises checked."""
--- /dev/null
+++ b/soak/broken.py
@@ -0,0 +1,214 @@
+"""Deliberately broken routers, one a promise, which the soak must find."""
+
+import abc
+import asyncio
+
+
+class Variant(abc.ABC):
+    """A way to break the router.
+
+    :cvar promise: name of the promise that it breaks
+    :cvar theme: the plan's theme in which that shows
+    """
+
+    promise = ""
+    theme = "stops"
+
+    @abc.abstractmethod
+    def apply(self):
+        """Change the imported program before it runs."""
+
+
+class Overspend(Variant):
+    """Admits requests whatever is left of their budgets."""
+
+    promise = "budget"
+
+    def apply(self):
+        from rowanport.prepaid import BudgetKeeper
+
+        async def reserve(self, budget, tokens):
+            return None
+
+        BudgetKeeper.reserve = reserve
+        BudgetKeeper.settle = lambda self, *_arguments: None
+
+
+class LooksWhole(Variant):
+    """Ends a broken answer as if it were whole."""
+
+    promise = "whole_answer"
+
+    def apply(self):
+        from rowanport.gateway.forwarder import Forwarder
+
+        send_error = Forwarder._send_error
+
+        async def end(self, job, request, responder, error, arrived):
+            if responder.started and not responder.finished:
+                return await responder.finish()
+            await send_error(self, job, request, responder, error, arrived)
+
+        Forwarder._send_error = end
+
+
+class SaysNotRun(Variant):
+    """Says 503 of requests that may have run."""
+
+    promise = "not_run"
+
+    def apply(self):
+        from rowanport.errors import ErrorKind
+        from rowanport.errors import RequestError
+        from rowanport.gateway.forwarder import Forwarder
+
+        def give_up(self, job, error):
+            return RequestError(ErrorKind.UPSTREAM_REFUSED, str(error))
+
+        Forwarder._give_up = give_up
+
+
+class RunsAgain(Variant):
+    """Sends again what may run only once."""
+
+    promise = "at_most_once"
+
+    def apply(self):
+        from rowanport.gateway.forwarder import Forwarder
+
+        Forwarder._check_repeat = lambda self, *_arguments: None
+
+
+class ForgetsKey(Variant):
+    """Names another organisation to the upstream."""
+
+    promise = "asked"
+
+    def apply(self):
+        from rowanport.gateway.exchange import Exchange
+
+        headers = Exchange._headers
+
+        def swap(self, job, upstream):
+            name = self._dialect.organisation
+            return [
+                (key, "ample" if key == name else value)
+                for key, value in headers(self, job, upstream)
+            ]
+
+        Exchange._headers = swap
+
+
+class IgnoresLeaving(Variant):
+    """Goes on sending to upstreams that leave."""
+
+    promise = "leaving"
+
+    def apply(self):
+        from rowanport.gateway import Gateway
+
+        take = Gateway._take_upstreams
+
+        def take_first(self, upstreams):
+            if not self.pool.candidates("feed", set(), 0.0):
+                take(self, upstreams)
+
+        Gateway._take_upstreams = take_first
+
+
+class StopsAtOnce(Variant):
+    """Drops what it has in hand when it is told to stop."""
+
+    promise = "planned_stop"
+
+    def apply(self):
+        from rowanport.gateway import Gateway
+
+        async def stop(self):
+            await self.close()
+
+        Gateway.stop = stop
+
+
+class LateConfiguration(Variant):
+    """Takes a configuration over seconds after it is known."""
+
+    promise = "configuration"
+
+    def apply(self):
+        from rowanport.gateway import Gateway
+
+        kept = []
+
+        def late(self):
+            now = asyncio.get_running_loop().time()
+            current = self._views.table
+            if not kept or kept[-1][1] is not current:
+                kept.append((now, current))
+            old = [table for at, table in kept if at < now - 5.0]
+            return old[-1] if old else kept[0][1]
+
+        Gateway.table = property(late)
+
+
+class OlderConfiguration(Variant):
+    """Goes by the first configuration now and then."""
+
+    promise = "never_older"
+
+    def apply(self):
+        from rowanport.gateway import Gateway
+
+        kept = []
+
+        def older(self):
+            current = self._views.table
+            if current is not None and not kept:
+                kept.append(current)
+            now = asyncio.get_running_loop().time()
+            return kept[0] if kept and int(now) % 4 == 0 else current
+
+        Gateway.table = property(older)
+
+
+class StaysReady(Variant):
+    """Says that it is ready while it stops."""
+
+    promise = "readiness"
+
+    def apply(self):
+        from rowanport.gateway import Gateway
+
+        Gateway.ready = property(lambda self: self._known)
+
+
+class Ends(Variant):
+    """Ends by itself after some seconds."""
+
+    promise = "own_end"
+
+    def apply(self):
+        import os
+        import threading
+
+        timer = threading.Timer(6.0, os._exit, (3,))
+        timer.daemon = True
+        timer.start()
+
+
+VARIANTS = {
+    kind.__name__: kind()
+    for kind in (
+        Overspend,
+        LooksWhole,
+        SaysNotRun,
+        RunsAgain,
+        ForgetsKey,
+        IgnoresLeaving,
+        StopsAtOnce,
+        LateConfiguration,
+        OlderConfiguration,
+        StaysReady,
+        Ends,
+    )
+}
--- /dev/null
+++ b/soak/faults.py
@@ -0,0 +1,205 @@
+"""Carries the steps of a plan out on a World."""
+
+import asyncio
+import signal
+
+from .history import STORE
+from .relay import DOWN
+from .relay import UP
+from .router import now
+
+DELAY = 0.4
+STORE_SLOWNESS = 0.24
+LOSSY_SHARE = 0.3
+LATE_SHARE = 0.5
+# Seconds between two steps by which a lapsed list comes back.
+DIRECTIONS = {"up": (UP,), "down": (DOWN,), "both": (UP, DOWN)}
+
+
+class Injector:
+    """Does to a World what a plan says.
+
+    :param world: the World
+    :ivar done: texts of the steps that were carried out, with their times
+    """
+
+    def __init__(self, world):
+        self._world = world
+        self.done = []
+
+    async def run(self, plan):
+        """Carry out all steps, each at its time, however long they last."""
+        begun = now()
+        async with asyncio.TaskGroup() as group:
+            for step in plan:
+                await asyncio.sleep(max(0.0, begun + step.at - now()))
+                self.done.append(f"{now():.2f} {step!r}")
+                group.create_task(self._do(step))
+
+    async def _do(self, step):
+        await getattr(self, f"_do_{step.kind}")(step)
+
+    def _router(self, step):
+        return self._world.routers[step.target]
+
+    def _seat(self, step):
+        return self._world.seats[step.target]
+
+    # Processes
+
+    async def _do_term(self, step):
+        router = self._router(step)
+        if not router.life or not router.alive or router.told:
+            return
+        router.told = True
+        life = router.life
+        self._world.note("term", [router.name], now(), float("inf"), True)
+        router.signal(signal.SIGTERM)
+        grace = self._world.history.bounds.grace
+        self._world.tasks.spawn(self._kill_later(router, life, grace))
+
+    async def _kill_later(self, router, life, seconds):
+        await asyncio.sleep(seconds)
+        if router.life == life:
+            router.signal(signal.SIGKILL)
+
+    async def _do_kill(self, step):
+        router = self._router(step)
+        if not router.life or not router.alive:
+            return
+        router.told = True
+        self._world.note("kill", [router.name], now(), float("inf"))
+        router.signal(signal.SIGKILL)
+
+    async def _do_hup(self, step):
+        router = self._router(step)
+        router.write_settings(self._world.choose_seeds())
+        if router.life and router.alive and not router.told:
+            at = now()
+            self._world.note("hup", [router.name], at, at, planned=True)
+        router.signal(signal.SIGHUP)
+
+    async def _do_freeze(self, step):
+        router = self._router(step)
+        if not router.life or not router.alive or router.frozen:
+            return
+        life = router.life
+        router.frozen = True
+        fault = self._world.note("freeze", [router.name], now(), float("inf"))
+        router.signal(signal.SIGSTOP)
+        await asyncio.sleep(step.seconds)
+        if router.life == life:
+            router.signal(signal.SIGCONT)
+            router.frozen = False
+        fault.ended = min(fault.ended, now())
+
+    async def _do_clock(self, step):
+        router = self._router(step)
+        for offset, seconds in ((step.variant, step.seconds), (0.0, 0.0)):
+            router.set_clock(offset)
+            at = now()
+            self._world.note("clock", [router.name], at, at)
+            await asyncio.sleep(seconds)
+
+    # Links
+
+    def _pairs(self, router, links):
+        """Return the (source, target) pairs of some links of a router."""
+        others = [r.name for r in self._world.routers if r is not router]
+        name = router.name
+        groups = {
+            "store": [(name, STORE)],
+            "upstreams": [(name, seat.name) for seat in self._world.seats],
+            "peers": [(name, other) for other in others]
+            + [(other, name) for other in others],
+        }
+        if links in groups:
+            return groups[links]
+        return [pair for pairs in groups.values() for pair in pairs]
+
+    def _note_links(self, step, ended, targets=None):
+        names = targets or [self._router(step).name]
+        return self._world.note(step.kind, names, now(), ended)
+
+    async def _do_delay(self, step):
+        pairs = self._pairs(self._router(step), step.variant)
+        fault = self._note_links(step, float("inf"))
+        self._world.relays.change(pairs, delay=DELAY)
+        await asyncio.sleep(step.seconds)
+        self._world.relays.change(pairs)
+        fault.ended = now()
+
+    async def _do_cut(self, step):
+        links, _, direction = step.variant.partition(" ")
+        pairs = self._pairs(self._router(step), links)
+        fault = self._note_links(step, float("inf"))
+        self._world.relays.change(pairs, held=DIRECTIONS[direction])
+        await asyncio.sleep(step.seconds)
+        self._world.relays.change(pairs)
+        fault.ended = now()
+
+    async def _do_reset(self, step):
+        self._note_links(step, now())
+        pairs = self._pairs(self._router(step), step.variant)
+        self._world.relays.reset(pairs)
+
+    async def _do_silence(self, step):
+        # The platform's rules count it as a reset of all channels.
+        self._note_links(step, now(), ["*"])
+        routers = [self._router(step)]
+        if step.variant == "everyone":
+            routers = self._world.routers
+        for router in routers:
+            pairs = self._pairs(router, step.variant)
+            self._world.relays.silence(pairs)
+
+    # The store
+
+    async def _store_fault(self, step, name, value, calm):
+        store = self._world.store
+        fault = self._world.note(step.kind, [STORE], now(), float("inf"))
+        setattr(store, name, value)
+        await asyncio.sleep(step.seconds)
+        setattr(store, name, calm)
+        fault.ended = now()
+
+    async def _do_store_down(self, step):
+        kind, _, lapse = step.variant.partition(" ")
+        await self._store_fault(step, "fault", kind, "")
+        if lapse:
+            fault = self._world.note("lapse", [STORE], now(), float("inf"))
+            await self._world.lapse()
+            fault.ended = now()
+
+    async def _do_store_slow(self, step):
+        await self._store_fault(step, "slow", STORE_SLOWNESS, 0.0)
+
+    async def _do_store_lossy(self, step):
+        await self._store_fault(step, "lossy", LOSSY_SHARE, 0.0)
+
+    async def _do_store_late(self, step):
+        await self._store_fault(step, "late", LATE_SHARE, 0.0)
+
+    async def _do_store_forget(self, step):
+        self._world.store.forget_history()
+
+    async def _do_store_away(self, step):
+        name = self._router(step).name
+        fault = self._world.note(step.kind, [name], now(), float("inf"))
+        self._world.store.away[name] = step.variant
+        await asyncio.sleep(step.seconds)
+        self._world.store.away.pop(name, None)
+        fault.ended = now()
+
+    # The operator and the upstreams
+
+    async def _do_config(self, step):
+        await self._world.publish(step.variant)
+
+    async def _do_leave(self, step):
+        self._world.tasks.spawn(
+            self._world.leave(self._seat(step), step.variant)
+        )
+
+    async def _do_crash(self, step):
+        self._world.tasks.spawn(self._world.crash(self._seat(step)))
--- /dev/null
+++ b/soak/plan.py
@@ -0,0 +1,147 @@
+"""A seeded plan of faults that come in series and overlap."""
+
+import random
+
+# Kinds of steps by theme, with weights.
+THEMES = {
+    "stops": {"term": 3, "roll": 2, "hup": 3, "config": 4, "leave": 3},
+    "crashes": {"kill": 3, "freeze": 3, "crash": 2, "config": 3, "term": 1},
+    "network": {
+        "delay": 2,
+        "reset": 2,
+        "cut": 3,
+        "silence": 4,
+        "config": 4,
+        "leave": 2,
+    },
+    "store": {
+        "store_down": 3,
+        "store_slow": 2,
+        "store_lossy": 2,
+        "store_late": 1,
+        "store_forget": 2,
+        "store_away": 3,
+        "config": 4,
+        "leave": 2,
+        "kill": 1,
+    },
+    "clocks": {"clock": 4, "config": 3, "kill": 1, "term": 1, "store_slow": 1},
+}
+THEMES["all"] = {
+    kind: max(theme.get(kind, 0) for theme in THEMES.values())
+    for kind in sorted({kind for theme in THEMES.values() for kind in theme})
+}
+# Shortest and longest time in seconds that a step of a kind lasts.
+SPANS = {
+    "freeze": (0.2, 6.0),
+    "delay": (1.0, 6.0),
+    "cut": (0.5, 8.0),
+    "clock": (1.0, 8.0),
+    "store_down": (0.5, 8.0),
+    "store_slow": (1.0, 8.0),
+    "store_lossy": (1.0, 6.0),
+    "store_late": (1.0, 6.0),
+    "store_away": (1.0, 8.0),
+}
+# Kinds that strike a router, and those that strike an upstream.
+ROUTER_KINDS = (
+    "term",
+    "kill",
+    "hup",
+    "freeze",
+    "clock",
+    "delay",
+    "reset",
+    "cut",
+    "silence",
+    "store_away",
+)
+UPSTREAM_KINDS = ("leave", "crash")
+# Variants of a kind: which links, in which direction, how a store is down.
+VARIANTS = {
+    "delay": ("store", "upstreams", "peers", "all"),
+    "reset": ("store", "upstreams", "peers", "all"),
+    "cut": ("store up", "store down", "peers up", "peers down", "all both"),
+    "silence": ("store", "upstreams", "peers", "all", "all", "everyone"),
+    "store_down": ("silent", "reset", "busy", "silent lapse"),
+    "store_away": ("silent", "reset", "busy", "limited"),
+    "config": ("route", "route", "top_up"),
+    "leave": ("draining", "draining", "gone"),
+}
+CLOCK_JUMPS = (-30.0, -5.0, -2.0, 2.0, 5.0, 30.0)
+# Seconds between the stops of a series over the whole fleet.
+ROLL_PAUSE = 1.1
+# Seconds without faults in which the fleet starts.
+WARM_UP = 3.0
+# Share of steps that are followed by another one at once.
+SERIES_SHARE = 0.35
+
+
+class Step:
+    """One thing that is done to the system.
+
+    :ivar at: seconds after the start
+    :ivar kind: what is done
+    :ivar target: number of the router or upstream that it strikes
+    :ivar seconds: for how long
+    :ivar variant: which kind of its kind
+    """
+
+    __slots__ = ("at", "kind", "target", "seconds", "variant")
+
+    def __init__(self, at, kind, target, seconds, variant):
+        self.at = at
+        self.kind = kind
+        self.target = target
+        self.seconds = seconds
+        self.variant = variant
+
+    def __repr__(self):
+        return (
+            f"{self.at:6.2f} {self.kind} {self.target} "
+            f"{self.seconds:.2f} {self.variant}"
+        )
+
+
+def choose_theme(seed):
+    """Return the theme of a seed."""
+    return list(THEMES)[seed % len(THEMES)]
+
+
+def make_plan(seed, theme, seconds, routers, upstreams):
+    """Return the Steps of a seed, in order; the same for the same seed."""
+    draw = random.Random(f"{seed} {theme} {seconds} {routers} {upstreams}")
+    kinds = THEMES[theme]
+    rate = 0.5 + 0.05 * routers
+    steps = []
+    at = WARM_UP
+    target = 0
+    while True:
+        in_series = bool(steps) and draw.random() < SERIES_SHARE
+        pause = draw.uniform(0.05, 0.4) if in_series else 0.0
+        at += pause or draw.expovariate(rate)
+        if at >= seconds:
+            break
+        kind = draw.choices(list(kinds), list(kinds.values()))[0]
+        if not in_series or draw.random() < 0.5:
+            target = draw.randrange(routers)
+        steps += _draw_steps(draw, at, kind, target, routers, upstreams)
+    steps = [step for step in steps if step.at < seconds]
+    for step in steps:
+        step.seconds = min(step.seconds, seconds - step.at)
+    return sorted(steps, key=lambda step: step.at)
+
+
+def _draw_steps(draw, at, kind, target, routers, upstreams):
+    if kind == "roll":
+        return [
+            Step(at + ROLL_PAUSE * number, "term", number, 0.0, "")
+            for number in range(routers)
+        ]
+    if kind in UPSTREAM_KINDS:
+        target = draw.randrange(upstreams)
+    seconds = draw.uniform(*SPANS.get(kind, (0.0, 0.0)))
+    variant = draw.choice(VARIANTS.get(kind, ("",)))
+    if kind == "clock":
+        variant = draw.choice(CLOCK_JUMPS)
+    return [Step(at, kind, target, seconds, variant)]
--- /dev/null
+++ b/soak/promises.py
@@ -0,0 +1,319 @@
+"""The promises, each a pure function from a History to Findings.
+
+What a promise covers, and which disturbances excuse a router, follows the
+platform's rules: a router is bound by a time only while it is in touch, that
+is, undisturbed, with an undisturbed store, for ``contact`` seconds.
+"""
+
+from .history import STORE
+
+NOT_RUN = (408, 421, 429, 503)
+# A kept connection that closes without an answer may cross the request.
+MOST_CUT_IN_TOUCH = 3
+# Seconds after the signal to stop by which a router is out of use.
+OUT_OF_USE = 4.0
+# Seconds after the last disturbance by which requests are served again.
+RECOVERY = 12.0
+SERVED_SHARE = 0.25
+FEWEST_REQUESTS = 8
+
+
+class Finding:
+    """A promise that was broken.
+
+    :ivar promise: its name
+    :ivar at: when, in steady seconds
+    :ivar evidence: what was seen
+    """
+
+    __slots__ = ("promise", "at", "evidence")
+
+    def __init__(self, promise, at, evidence):
+        self.promise = promise
+        self.at = at
+        self.evidence = evidence
+
+    @property
+    def key(self):
+        """Return what tells it from other findings."""
+        return self.promise, self.evidence
+
+
+def check_budgets(history):
+    """No organisation gets more tokens than were paid for.
+
+    Counted are the prompt, once a request that ran, and the tokens of each
+    event once, whether or not it reached the caller.
+    """
+    totals = {}
+    for version in history.versions:
+        for name, total in version.totals.items():
+            totals[name] = max(total, totals.get(name, 0))
+    used = {}
+    for id_, runs in history.runs_of().items():
+        request = history.requests[id_]
+        if not request.most or not request.organisation:
+            continue
+        tokens = {}
+        for run in runs:
+            tokens.update(run.tokens)
+        spent = request.prompt + sum(tokens.values())
+        name = request.organisation
+        used[name] = used.get(name, 0) + spent
+        if used[name] > totals.get(name, 0):
+            evidence = f"{name} got more than its {totals.get(name, 0)} tokens"
+            yield Finding("budget", runs[0].arrived_at, evidence)
+
+
+def check_answers(history):
+    """Each caller gets the whole of its own answer, or sees that it broke."""
+    for request in history.requests.values():
+        if request.wrong:
+            evidence = f"{request.id} {request.path}: {request.wrong}"
+            yield Finding("whole_answer", request.ended_at, evidence)
+
+
+def check_not_run(history):
+    """A request answered 429, 503, 408 or 421 never runs."""
+    for id_, runs in history.runs_of().items():
+        request = history.requests[id_]
+        if request.status in NOT_RUN and not request.signed:
+            evidence = (
+                f"{id_} {request.path} got {request.status} from "
+                f"{request.router}, and ran at {runs[0].upstream}"
+            )
+            yield Finding("not_run", request.ended_at, evidence)
+
+
+def check_at_most_once(history):
+    """What may not be repeated runs once at most."""
+    for id_, runs in history.runs_of().items():
+        if len(runs) > 1 and not history.requests[id_].repeatable:
+            evidence = f"{id_} {history.requests[id_].path} ran {len(runs)}x"
+            yield Finding("at_most_once", runs[1].arrived_at, evidence)
+
+
+def check_asked(history):
+    """Upstreams run only what was sent, for whom it was sent."""
+    for run in history.runs:
+        request = history.requests.get(run.request)
+        sent = request and (request.path, request.organisation)
+        if sent != (run.path, run.organisation):
+            evidence = (
+                f"{run.upstream} ran {run.request} {run.path} for "
+                f"'{run.organisation}', sent was {sent}"
+            )
+            yield Finding("asked", run.arrived_at, evidence)
+
+
+def check_leaving(history):
+    """A leaving upstream gets no new work after its bound."""
+    bounds = history.bounds
+    for leave in history.leaves:
+        if not history.in_touch(STORE, leave.taken_at):
+            continue
+        for run in history.runs:
+            late = run.arrived_at - leave.taken_at
+            request = history.requests.get(run.request)
+            if run.upstream != leave.upstream or late <= bounds.drain:
+                continue
+            if request is None:
+                continue
+            if history.in_touch(
+                request.router, request.sent_at, run.arrived_at
+            ):
+                evidence = (
+                    f"{run.request} from {request.router} reached "
+                    f"{run.upstream} {late:.2f} s after it had said "
+                    "that it leaves"
+                )
+                yield Finding("leaving", run.arrived_at, evidence)
+
+
+def check_planned_stop(history):
+    """A planned stop, or a reload, cuts no request."""
+    runs = history.runs_of()
+    works = [f for f in history.faults if f.kind in ("term", "hup")]
+    for request in history.requests.values():
+        if request.outcome != "cut":
+            continue
+        own = runs.get(request.id, [])
+        if _excused(history, request, own):
+            continue
+        for work in works:
+            if request.router in work.targets and _cut_by(
+                history, work, request, own
+            ):
+                after = request.sent_at - work.begun
+                evidence = (
+                    f"{request.id} {request.path} at {request.router}: sent "
+                    f"{after:+.2f} s after {work.kind}, cut after "
+                    f"{request.ended_at - request.sent_at:.2f} s"
+                )
+                yield Finding("planned_stop", request.ended_at, evidence)
+                break
+
+
+def _excused(history, request, runs):
+    """Return whether something else than planned work may have cut it."""
+    if request.ended_at >= request.until or any(r.broke_off for r in runs):
+        return True
+    waited = request.ended_at - request.sent_at
+    if not runs and waited <= history.bounds.slack:
+        return True
+    begun = request.sent_at - history.bounds.contact
+    names = [request.router, STORE, *(run.upstream for run in runs)]
+    return any(
+        fault.touches(name, begun, request.ended_at)
+        for fault in history.faults
+        if not fault.planned
+        for name in names
+    )
+
+
+def _cut_by(history, work, request, runs):
+    bounds = history.bounds
+    if work.kind == "hup":
+        begun, ended = work.begun, request.ended_at
+        return begun <= request.ended_at and (
+            request.sent_at <= begun + bounds.apply and ended >= begun
+        )
+    over = work.begun + bounds.grace
+    if not work.begun <= request.ended_at <= over + 1:
+        return False
+    early = request.sent_at <= work.begun + 3.0
+    # Work that fills the whole grace period cannot be waited for.
+    filled = request.ended_at >= over - bounds.grace / 6
+    return not (early and filled and runs)
+
+
+def check_lost(history):
+    """A router in touch doesn't lose requests that it passed on."""
+    runs = history.runs_of()
+    cut = []
+    for request in history.requests.values():
+        own = runs.get(request.id, [])
+        if request.outcome != "cut" or not own:
+            continue
+        if any(run.broke_off for run in own):
+            continue
+        names = [request.router, *(run.upstream for run in own)]
+        if request.ended_at < request.until and all(
+            history.in_touch(name, request.sent_at, request.ended_at)
+            for name in names
+        ):
+            cut.append(request)
+    if len(cut) > MOST_CUT_IN_TOUCH:
+        names = " ".join(f"{r.id}@{r.router}" for r in cut[:6])
+        evidence = f"requests were cut by routers in touch: {names}"
+        yield Finding("lost", cut[MOST_CUT_IN_TOUCH].ended_at, evidence)
+
+
+def check_configuration(history):
+    """A configuration is in force within its bound, and never older."""
+    versions = {version.number: version for version in history.versions}
+    for probe in history.probes:
+        version = versions.get(probe.version)
+        if probe.known or version is None:
+            continue
+        late = probe.sent_at - version.taken_at
+        if late > history.bounds.apply and history.in_touch(
+            probe.router, probe.sent_at, probe.ended_at
+        ):
+            evidence = (
+                f"{probe.router} doesn't know version {probe.version} "
+                f"{late:.2f} s after it was taken"
+            )
+            yield Finding("configuration", probe.sent_at, evidence)
+    yield from _check_never_older(history)
+
+
+def _check_never_older(history):
+    newest = {}
+    for probe in sorted(history.probes, key=lambda p: p.ended_at):
+        life = (probe.router, probe.life)
+        version, since = newest.get(life, (0, 0.0))
+        if probe.known:
+            if probe.version > version:
+                newest[life] = (probe.version, probe.ended_at)
+        elif (
+            probe.version <= version
+            and probe.sent_at > since + history.bounds.rollback
+        ):
+            evidence = (
+                f"{probe.router} went by version {version} and "
+                f"doesn't know {probe.version} any more"
+            )
+            yield Finding("never_older", probe.sent_at, evidence)
+
+
+def check_readiness(history):
+    """A stopping router soon says that it isn't ready."""
+    for stop in history.faults:
+        if stop.kind != "term":
+            continue
+        for answer in history.readiness:
+            late = answer.at - stop.begun
+            if (
+                answer.router in stop.targets
+                and answer.ready
+                and OUT_OF_USE < late
+                and answer.at <= stop.ended
+            ):
+                evidence = (
+                    f"{answer.router} is ready {late:.2f} s after the "
+                    "signal to stop"
+                )
+                yield Finding("readiness", answer.at, evidence)
+
+
+def check_own_ends(history):
+    """No process ends by itself, and no task of one fails."""
+    for end in history.own_ends:
+        evidence = f"{end.router} ended by itself with {end.code}"
+        yield Finding("own_end", end.at, evidence)
+    for router, at, text in history.failed_tasks:
+        yield Finding("failed_task", at, f"{router}: {text}")
+
+
+def check_recovery(history):
+    """Requests are served again when the disturbances are over."""
+    begun = history.calm_at + RECOVERY
+    late = [
+        request
+        for request in history.requests.values()
+        if request.sent_at > begun
+        and request.outcome in ("whole", "cut")
+        and not request.most
+    ]
+    served = [request for request in late if request.status == 200]
+    if len(late) < FEWEST_REQUESTS:
+        return
+    if len(served) < SERVED_SHARE * len(late):
+        evidence = f"{len(served)} of {len(late)} served after the last fault"
+        yield Finding("recovery", begun, evidence)
+
+
+PROMISES = (
+    check_budgets,
+    check_answers,
+    check_not_run,
+    check_at_most_once,
+    check_asked,
+    check_leaving,
+    check_planned_stop,
+    check_lost,
+    check_configuration,
+    check_readiness,
+    check_own_ends,
+    check_recovery,
+)
+
+
+def check(history):
+    """Return all Findings, each once, in the order of their times."""
+    found = {}
+    for promise in PROMISES:
+        for finding in promise(history):
+            found.setdefault(finding.key, finding)
+    return sorted(found.values(), key=lambda finding: finding.at)
--- /dev/null
+++ b/soak/relay.py
@@ -0,0 +1,160 @@
+"""Relays on the links between processes, whose connections can be harmed.
+
+Each link leads from a source, told by its IP number, to a target.  The relay's
+own kernel acknowledges what it receives, so that a silenced connection is not
+noticed by the kernel's probes, only by a time-out of the program itself.
+"""
+
+import asyncio
+import contextlib
+
+READ_SIZE = 65536
+UP = "up"
+DOWN = "down"
+
+
+class Link:
+    """How new bytes between a source and a target fare at present.
+
+    :ivar delay: seconds by which each piece is late
+    :ivar held: directions that are cut
+    """
+
+    __slots__ = ("delay", "held")
+
+    def __init__(self):
+        self.delay = 0.0
+        self.held = set()
+
+
+class _Connection:
+    """One open connection through a relay."""
+
+    def __init__(self, relays, source, target, near, far):
+        self.source = source
+        self.target = target
+        self.silent = False
+        self._relays = relays
+        self._near = near
+        self._far = far
+
+    async def run(self):
+        """Copy both ways until an end closes."""
+        near_reader, near = self._near
+        far_reader, far = self._far
+        await asyncio.gather(
+            self._copy(UP, near_reader, far),
+            self._copy(DOWN, far_reader, near),
+        )
+
+    async def _copy(self, direction, reader, writer):
+        try:
+            while data := await reader.read(READ_SIZE):
+                if await self._pass(direction):
+                    writer.write(data)
+                    await writer.drain()
+        except OSError:
+            if await self._pass(direction):
+                writer.transport.abort()
+        if await self._pass(direction):
+            writer.close()
+
+    async def _pass(self, direction):
+        """Wait as the link says; return False on a silent connection."""
+        link = self._relays.link(self.source, self.target)
+        if link.delay:
+            await asyncio.sleep(link.delay)
+        while direction in link.held and not self.silent:
+            await self._relays.wait_changed()
+        return not self.silent
+
+    def abort(self):
+        """Reset both ends."""
+        for _reader, writer in (self._near, self._far):
+            writer.transport.abort()
+
+
+class Relays:
+    """All relays of a world.
+
+    :param names: names of sources by IP number
+    """
+
+    def __init__(self, names):
+        self._names = names
+        self._links = {}
+        self._open = set()
+        self._servers = []
+        self._changed = asyncio.Event()
+
+    async def add(self, target, address, destination):
+        """Relay an address to a destination; both are (IP, port)."""
+
+        async def serve(reader, writer):
+            source = self._names.get(writer.get_extra_info("peername")[0], "")
+            await self._serve(source, target, destination, reader, writer)
+
+        server = await asyncio.start_server(serve, *address, backlog=1024)
+        self._servers.append(server)
+        return server
+
+    async def _serve(self, source, target, destination, reader, writer):
+        try:
+            far = await asyncio.open_connection(*destination)
+        except OSError:
+            writer.transport.abort()
+            return
+        connection = _Connection(self, source, target, (reader, writer), far)
+        self._open.add(connection)
+        try:
+            with contextlib.suppress(OSError):
+                await connection.run()
+        finally:
+            self._open.discard(connection)
+            connection.abort()
+
+    def name(self, address, name):
+        """Give the source at an IP number a name."""
+        self._names[address] = name
+
+    def link(self, source, target):
+        """Return the Link from a source to a target."""
+        key = (source, target)
+        if key not in self._links:
+            self._links[key] = Link()
+        return self._links[key]
+
+    async def wait_changed(self):
+        """Wait until a link may have changed."""
+        await self._changed.wait()
+
+    def change(self, pairs, delay=0.0, held=()):
+        """Set how bytes fare on links, given as (source, target)."""
+        for source, target in pairs:
+            link = self.link(source, target)
+            link.delay = delay
+            link.held = set(held)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def reset(self, pairs):
+        """Reset the open connections of links."""
+        for connection in self._chosen(pairs):
+            connection.abort()
+
+    def silence(self, pairs):
+        """Silence the open connections of links for good."""
+        for connection in self._chosen(pairs):
+            connection.silent = True
+
+    def _chosen(self, pairs):
+        pairs = set(pairs)
+        return [c for c in self._open if (c.source, c.target) in pairs]
+
+    def close(self):
+        """Stop all relays."""
+        for server in self._servers:
+            server.close()
+        self.change(list(self._links))
+        for connection in list(self._open):
+            connection.abort()
--- /dev/null
+++ b/soak/upstream.py
@@ -0,0 +1,145 @@
+"""An upstream that keeps a record of what it ran."""
+
+import asyncio
+import random
+import time
+
+from rowanport.standins.upstream import ID_HEADER
+from rowanport.standins.upstream import UpstreamStandin
+
+from .history import Run
+
+# Tokens that one event holds, the last one fewer.
+STRIDE = 3
+# Shares of requests that a faulty upstream doesn't answer well.
+BEHAVIOURS = {
+    "break": 0.03,
+    "tear": 0.02,
+    "reset": 0.02,
+    "error": 0.02,
+    "full": 0.04,
+    "stray": 0.02,
+    "surplus": 0.02,
+    "short": 0.01,
+    "unsigned": 0.01,
+}
+# Behaviours by which the upstream itself breaks its answer off.
+BREAKING = ("break", "tear", "reset", "short", "unsigned", "stray")
+STREAM_ONLY = ("break", "tear")
+
+
+def _streamed(names):
+    return "x-rowanport-token-count" in names
+
+
+def tokens_out(request_id, most):
+    """Return how many tokens the answer to a request has, 1 to the most."""
+    return random.Random(request_id).randint(1, max(1, most))
+
+
+def last_event(request_id, most):
+    """Return the number of the last event of a request's stream."""
+    return -(-tokens_out(request_id, most) // STRIDE)
+
+
+def body_of(request_id, body):
+    """Return the body of a plain answer."""
+    return b"body of " + request_id.encode() + b" " + body
+
+
+class RecordingUpstream(UpstreamStandin):
+    """Runs requests within its slots, with random faults of its own.
+
+    :param history: the History to write to
+    :param faulty: whether it has faults of its own
+    """
+
+    def __init__(self, name, history, seed, faulty, slots=8):
+        super().__init__(name)
+        self.slots = slots
+        self.active = 0
+        self.leaving = False
+        self._history = history
+        self._faulty = faulty
+        self._random = random.Random(f"{seed} {name}")
+        self._runs = {}
+        self._writers = set()
+
+    def entry(self, service="feed", state="ready"):
+        """Return its entry in the directory."""
+        return {**super().entry(service, state), "slots": self.slots}
+
+    def crash(self):
+        """Drop everything at once."""
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _serve(self, reader, writer):
+        self._writers.add(writer)
+        try:
+            await super()._serve(reader, writer)
+        finally:
+            self._writers.discard(writer)
+
+    async def _answer(self, connection, writer, request, body):
+        names = {n.decode(): v.decode() for n, v in request.headers}
+        expected = names.get("x-rowanport-expect-instance", self.name)
+        if expected != self.name:
+            await self._do_misdirect(connection, writer, names, body)
+            return
+        if self.active >= self.slots:
+            await self._do_full(connection, writer, names, body)
+            return
+        self.active += 1
+        names["path"] = request.target.decode()
+        self._runs[connection] = names
+        try:
+            await asyncio.sleep(self._random.uniform(0, 0.02))
+            behaviour = self._next_behaviour(names)
+            names["behaviour"] = behaviour
+            method = getattr(self, f"_do_{behaviour}")
+            await method(connection, writer, names, body)
+            await writer.drain()
+        finally:
+            self.active -= 1
+            self._end(self._runs.pop(connection))
+
+    def _end(self, run):
+        if isinstance(run, Run):
+            run.ended_at = time.monotonic()
+
+    def _next_behaviour(self, names):
+        if not self._faulty:
+            return "ok"
+        drawn = self._random.random()
+        for behaviour, share in BEHAVIOURS.items():
+            drawn -= share
+            if drawn < 0 and behaviour in STREAM_ONLY and not _streamed(names):
+                return "reset"
+            if drawn < 0:
+                return behaviour
+        return "ok"
+
+    def _note_run(self, connection, names):
+        run = Run(
+            names.get(ID_HEADER, ""),
+            self.name,
+            time.monotonic(),
+            names["path"],
+            names.get("x-rowanport-tenant", ""),
+        )
+        run.broke_off = names["behaviour"] in BREAKING
+        self._runs[connection] = run
+        self._history.runs.append(run)
+
+    def _note_event(self, connection, number):
+        run = self._runs[connection]
+        request = self._history.requests.get(run.request)
+        most = request.most if request else 0
+        left = tokens_out(run.request, most) - STRIDE * (number - 1)
+        run.tokens[number] = max(0, min(STRIDE, left))
+
+    def _last_event(self, names):
+        _prompt, _, most = names["x-rowanport-token-count"].partition(",")
+        return last_event(names[ID_HEADER], int(most))
