Check the soak's promises, relays and plans; find each broken variant

Cause: a check that nothing can break proves nothing. Change: thirteen broken routers, one a promise, each started in place of the real one; unit tests of each check on hand-made histories, of plans and of relays; a short seeded run of the real program. The reset of a relay was a plain close (found by its test) and is a reset now. Waiting for readiness is bounded by 2 s, not the platform's 4 s: an idle router ends sooner than that. Ruled out: one run a variant in a row, which would take minutes.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -10,6 +10,7 @@
 import sys
 import tempfile
 import time
+import tomllib
 
 from . import promises
 from .broken import VARIANTS
@@ -25,17 +26,38 @@
 CALM = 16.0
 
 
+CASES = pathlib.Path(__file__).parent / "cases"
+
+
+class Wanted:
+    """What a run is to be like.
+
+    :ivar processes: number of routers
+    :ivar calm: seconds after the last fault
+    :ivar broken: name of a broken variant, "" for the real program
+    """
+
+    __slots__ = ("seed", "theme", "seconds", "processes", "calm", "broken")
+
+    def __init__(self, seed, theme, seconds, processes, calm=CALM, broken=""):
+        self.seed = seed
+        self.theme = theme
+        self.seconds = seconds
+        self.processes = processes
+        self.calm = calm
+        self.broken = broken
+
+
 class Outcome:
     """What a run of one seed came to.
 
     :ivar findings: Findings, their times relative to the start
     """
 
-    __slots__ = ("seed", "theme", "history", "findings", "plan", "lag")
+    __slots__ = ("wanted", "history", "findings", "plan", "lag")
 
-    def __init__(self, seed, theme, history, findings, plan, lag):
-        self.seed = seed
-        self.theme = theme
+    def __init__(self, wanted, history, findings, plan, lag):
+        self.wanted = wanted
         self.history = history
         self.findings = findings
         self.plan = plan
@@ -49,7 +71,8 @@
         )
         figures = " ".join(f"{k}:{v}" for k, v in sorted(counts.items()))
         return (
-            f"seed {self.seed} {self.theme}: {len(self.findings)} findings, "
+            f"seed {self.wanted.seed} {self.wanted.theme}: "
+            f"{len(self.findings)} findings, "
             f"{len(requests)} requests ({figures}), "
             f"{len(self.history.runs)} runs, {len(self.plan)} steps, "
             f"{len(self.history.versions)} versions, "
@@ -71,13 +94,24 @@
             self.longest = max(self.longest, late)
 
 
-async def _watch_promises(world, begun, seen):
-    """Print each finding once, as soon as it shows."""
-    while True:
+async def _watch_promises(world, begun, seen, broken):
+    """Print each finding once, as soon as it shows.
+
+    It ends when a broken variant was found.
+    """
+    while not _found(broken, seen.values()):
         await asyncio.sleep(CHECK_PAUSE)
         _print_new(world.history, begun, seen)
 
 
+def _found(broken, findings):
+    """Return whether the promise of a broken variant was found broken."""
+    if not broken:
+        return False
+    promise = VARIANTS[broken].promise
+    return any(finding.promise == promise for finding in findings)
+
+
 def _print_new(history, begun, seen):
     for finding in promises.check(history):
         if finding.key not in seen:
@@ -89,69 +123,103 @@
             )
 
 
-async def run_seed(options, seed, directory):
-    """Run one seed; return its Outcome."""
-    theme = options.theme or choose_theme(seed)
-    world = World(
-        seed,
-        options.processes,
-        UPSTREAMS,
-        options.seconds,
-        directory,
-        options.broken,
-    )
-    plan = make_plan(
-        seed, theme, options.seconds, options.processes, UPSTREAMS
-    )
+async def _inject(world, injector, plan, calm):
+    """Carry out the plan, and wait until the system is well again."""
+    await injector.run(plan)
+    world.history.calm_at = time.monotonic()
+    await asyncio.sleep(calm)
+
+
+async def run(wanted, directory):
+    """Run one seed; return its Outcome.
+
+    :param directory: for settings files, logs and the list of steps
+    """
+    size = (wanted.seconds, wanted.processes, UPSTREAMS)
+    plan = make_plan(wanted.seed, wanted.theme, *size)
+    world = World(wanted.seed, *size, directory, wanted.broken)
     injector = Injector(world)
     lag = _Lag()
     seen = {}
     begun = time.monotonic()
-    tasks = []
     try:
         await world.start()
         begun = time.monotonic()
-        tasks = [
-            asyncio.ensure_future(lag.run()),
-            asyncio.ensure_future(_watch_promises(world, begun, seen)),
-        ]
-        await injector.run(plan)
-        world.history.calm_at = time.monotonic()
-        await asyncio.sleep(options.calm)
+        await _run_parts(
+            lag.run(),
+            _inject(world, injector, plan, wanted.calm),
+            _watch_promises(world, begun, seen, wanted.broken),
+        )
     finally:
-        for task in tasks:
-            task.cancel()
         await world.close()
-        (directory / "steps.txt").write_text("\n".join(injector.done) + "\n")
+        steps = "".join(f"{step}\n" for step in injector.done)
+        (directory / "steps.txt").write_text(steps)
     _print_new(world.history, begun, seen)
-    return Outcome(
-        seed, theme, world.history, list(seen.values()), plan, lag.longest
-    )
+    findings = list(seen.values())
+    return Outcome(wanted, world.history, findings, plan, lag.longest)
 
 
-def _run_all(options):
-    failed = 0
-    for seed in range(options.seed, options.seed + options.seeds):
-        directory = pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
-        outcome = asyncio.run(_run_stoppable(options, seed, directory))
-        print(outcome.line(), flush=True)
-        for finding in outcome.findings:
-            row = {"seed": seed, "promise": finding.promise}
-            print(json.dumps({**row, "evidence": finding.evidence}))
-        if outcome.findings:
-            failed += 1
-            print(f"  logs and steps: {directory}", flush=True)
-        else:
-            shutil.rmtree(directory)
-    return failed
-
-
-async def _run_stoppable(options, seed, directory):
+async def _run_parts(*coroutines):
+    """Run coroutines until the first one ends, and end the others."""
+    tasks = [asyncio.ensure_future(coroutine) for coroutine in coroutines]
+    try:
+        await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        for task in tasks:
+            if task.done():
+                task.result()
+    finally:
+        for task in tasks:
+            task.cancel()
+
+
+async def _run_stoppable(wanted, directory):
     """Run a seed so that SIGTERM ends its processes too."""
     task = asyncio.current_task()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, task.cancel)
-    return await run_seed(options, seed, directory)
+    return await run(wanted, directory)
+
+
+def _run_and_report(wanted):
+    """Run a seed and print what was found; return whether all is well."""
+    directory = pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
+    outcome = asyncio.run(_run_stoppable(wanted, directory))
+    print(outcome.line(), flush=True)
+    for finding in outcome.findings:
+        row = {"seed": wanted.seed, "promise": finding.promise}
+        print(json.dumps({**row, "evidence": finding.evidence}))
+    if wanted.broken:
+        shutil.rmtree(directory)
+        return _found(wanted.broken, outcome.findings)
+    if outcome.findings:
+        print(f"  logs and steps: {directory}", flush=True)
+        return False
+    shutil.rmtree(directory)
+    return True
+
+
+def _read_cases():
+    """Return a Wanted for each seed that ever failed."""
+    for path in sorted(CASES.glob("*.toml")):
+        fields = tomllib.loads(path.read_text(encoding="utf-8"))
+        print(f"{path.name}: {fields.pop('cause')}", flush=True)
+        yield Wanted(**fields)
+
+
+def _wanted(options):
+    """Return a Wanted for each seed that the command line asks for."""
+    for seed in range(options.seed, options.seed + options.seeds):
+        theme = options.theme or choose_theme(seed)
+        if options.broken and not options.theme:
+            theme = VARIANTS[options.broken].theme
+        yield Wanted(
+            seed,
+            theme,
+            options.seconds,
+            options.processes,
+            options.calm,
+            options.broken,
+        )
 
 
 def main():
@@ -166,7 +234,14 @@
     )
     parser.add_argument("--theme", choices=list(THEMES))
     parser.add_argument("--broken", choices=list(VARIANTS), default="")
-    sys.exit(1 if _run_all(parser.parse_args()) else 0)
+    parser.add_argument(
+        "--cases", action="store_true", help="run the seeds that ever failed"
+    )
+    options = parser.parse_args()
+    runs = _read_cases() if options.cases else _wanted(options)
+    well = [_run_and_report(wanted) for wanted in runs]
+    print(f"{well.count(True)} of {len(well)} runs were as they should be")
+    sys.exit(0 if all(well) else 1)
 
 
 if __name__ == "__main__":
--- a/soak/broken.py
+++ b/soak/broken.py
@@ -2,6 +2,7 @@
 
 import abc
 import asyncio
+import time
 
 
 class Variant(abc.ABC):
@@ -103,6 +104,7 @@
     """Goes on sending to upstreams that leave."""
 
     promise = "leaving"
+    theme = "changes"
 
     def apply(self):
         from rowanport.gateway import Gateway
@@ -134,6 +136,7 @@
     """Takes a configuration over seconds after it is known."""
 
     promise = "configuration"
+    theme = "changes"
 
     def apply(self):
         from rowanport.gateway import Gateway
@@ -155,6 +158,7 @@
     """Goes by the first configuration now and then."""
 
     promise = "never_older"
+    theme = "changes"
 
     def apply(self):
         from rowanport.gateway import Gateway
@@ -182,6 +186,47 @@
         Gateway.ready = property(lambda self: self._known)
 
 
+class Drops(Variant):
+    """Closes connections in the middle of streams."""
+
+    promise = "lost"
+    theme = "changes"
+
+    def apply(self):
+        from rowanport.web.server import Responder
+
+        write = Responder.write
+        count = [0]
+
+        async def drop(self, data):
+            count[0] += 1
+            if count[0] % 40 == 0:
+                self._writer.transport.abort()
+            await write(self, data)
+
+        Responder.write = drop
+
+
+class StopsServing(Variant):
+    """Refuses everything some seconds after its start."""
+
+    promise = "recovery"
+    theme = "changes"
+
+    def apply(self):
+        from rowanport.gateway.job import Admission
+
+        admit = Admission.admit
+        begun = time.monotonic()
+
+        def refuse(self, request, table, now):
+            if time.monotonic() > begun + 6.0:
+                table = None
+            return admit(self, request, table, now)
+
+        Admission.admit = refuse
+
+
 class Ends(Variant):
     """Ends by itself after some seconds."""
 
@@ -209,6 +254,8 @@
         LateConfiguration,
         OlderConfiguration,
         StaysReady,
+        Drops,
+        StopsServing,
         Ends,
     )
 }
--- a/soak/caller.py
+++ b/soak/caller.py
@@ -59,7 +59,7 @@
     Ask("/stream/", True, True, True, 6.0),
     Ask("/plain-stream/", False, False, True, 6.0),
 )
-WEIGHTS = (2, 2, 2, 4, 2)
+WEIGHTS = (2, 2, 2, 4, 3)
 
 
 class _Channel:
--- a/soak/history.py
+++ b/soak/history.py
@@ -7,7 +7,25 @@
 STORE = "store"
 
 
-class Request:
+class Record:
+    """A plain record; values come by position or name, or from defaults.
+
+    :cvar defaults: value by slot, of what need not be given
+    """
+
+    __slots__ = ()
+    defaults = {}
+
+    def __init__(self, *values, **named):
+        for name, value in self.defaults.items():
+            setattr(self, name, value)
+        for name, value in zip(self.__slots__, values):
+            setattr(self, name, value)
+        for name, value in named.items():
+            setattr(self, name, value)
+
+
+class Request(Record):
     """One attempt of a caller.
 
     :ivar id: its own id
@@ -30,9 +48,9 @@
 
     __slots__ = (
         "id",
+        "path",
         "router",
         "life",
-        "path",
         "organisation",
         "repeatable",
         "prompt",
@@ -46,27 +64,24 @@
         "wrong",
     )
 
-    def __init__(self, id_, path, **values):
-        self.id = id_
-        self.path = path
-        self.router = ""
-        self.life = 0
-        self.organisation = ""
-        self.repeatable = True
-        self.prompt = 0
-        self.most = 0
-        self.sent_at = 0.0
-        self.until = NEVER
-        self.ended_at = NEVER
-        self.status = 0
-        self.outcome = ""
-        self.signed = False
-        self.wrong = ""
-        for name, value in values.items():
-            setattr(self, name, value)
-
-
-class Run:
+    defaults = {
+        "router": "",
+        "life": 0,
+        "organisation": "",
+        "repeatable": True,
+        "prompt": 0,
+        "most": 0,
+        "sent_at": 0.0,
+        "until": NEVER,
+        "ended_at": NEVER,
+        "status": 0,
+        "outcome": "",
+        "signed": False,
+        "wrong": "",
+    }
+
+
+class Run(Record):
     """One request at work at one upstream.
 
     :ivar request: the request's id
@@ -91,17 +106,13 @@
     )
 
     def __init__(self, request, upstream, arrived_at, path, organisation=""):
-        self.request = request
-        self.upstream = upstream
-        self.path = path
-        self.organisation = organisation
-        self.arrived_at = arrived_at
+        super().__init__(request, upstream, path, organisation, arrived_at)
         self.ended_at = NEVER
         self.tokens = {}
         self.broke_off = False
 
 
-class Version:
+class Version(Record):
     """A configuration that the store took.
 
     :ivar number: its version
@@ -112,14 +123,8 @@
 
     __slots__ = ("number", "sent_at", "taken_at", "totals")
 
-    def __init__(self, number, sent_at, taken_at, totals):
-        self.number = number
-        self.sent_at = sent_at
-        self.taken_at = taken_at
-        self.totals = totals
 
-
-class Probe:
+class Probe(Record):
     """A question that shows which configuration a router goes by.
 
     :ivar version: the version whose own route was asked for
@@ -128,16 +133,8 @@
 
     __slots__ = ("router", "life", "version", "sent_at", "ended_at", "known")
 
-    def __init__(self, router, life, version, sent_at, ended_at, known):
-        self.router = router
-        self.life = life
-        self.version = version
-        self.sent_at = sent_at
-        self.ended_at = ended_at
-        self.known = known
-
 
-class Fault:
+class Fault(Record):
     """Something that was done to the system.
 
     :ivar kind: what, as the plan calls it
@@ -147,14 +144,9 @@
     :ivar ended: when it was over
     """
 
-    __slots__ = ("kind", "targets", "planned", "begun", "ended")
+    __slots__ = ("kind", "targets", "begun", "ended", "planned")
 
-    def __init__(self, kind, targets, begun, ended=NEVER, planned=False):
-        self.kind = kind
-        self.targets = frozenset(targets)
-        self.begun = begun
-        self.ended = ended
-        self.planned = planned
+    defaults = {"ended": NEVER, "planned": False}
 
     def touches(self, name, begun, ended):
         """Return whether it disturbed a process within a span."""
@@ -165,59 +157,37 @@
         return name in self.targets
 
 
-class Leave:
+class Leave(Record):
     """An upstream that leaves, as the store confirmed it."""
 
     __slots__ = ("upstream", "taken_at")
 
-    def __init__(self, upstream, taken_at):
-        self.upstream = upstream
-        self.taken_at = taken_at
-
 
-class Readiness:
+class Readiness(Record):
     """One answer of a router to the balancer's question."""
 
     __slots__ = ("router", "life", "at", "ready")
 
-    def __init__(self, router, life, at, ready):
-        self.router = router
-        self.life = life
-        self.at = at
-        self.ready = ready
 
-
-class OwnEnd:
+class OwnEnd(Record):
     """A process that ended without having been told to."""
 
     __slots__ = ("router", "at", "code")
 
-    def __init__(self, router, at, code):
-        self.router = router
-        self.at = at
-        self.code = code
-
 
-class Bounds:
+class Bounds(Record):
     """The platform's bounds in seconds, as the settings give them."""
 
     __slots__ = ("contact", "drain", "grace", "apply", "rollback", "slack")
 
-    def __init__(
-        self,
-        contact=3.0,
-        drain=3.0,
-        grace=8.0,
-        apply=2.0,
-        rollback=0.25,
-        slack=0.2,
-    ):
-        self.contact = contact
-        self.drain = drain
-        self.grace = grace
-        self.apply = apply
-        self.rollback = rollback
-        self.slack = slack
+    defaults = {
+        "contact": 3.0,
+        "drain": 3.0,
+        "grace": 8.0,
+        "apply": 2.0,
+        "rollback": 0.25,
+        "slack": 0.2,
+    }
 
 
 class History:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -25,6 +25,7 @@
         "leave": 2,
         "kill": 1,
     },
+    "changes": {"config": 4, "leave": 3, "hup": 1},
     "clocks": {"clock": 4, "config": 3, "kill": 1, "term": 1, "store_slow": 1},
 }
 THEMES["all"] = {
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -10,8 +10,10 @@
 NOT_RUN = (408, 421, 429, 503)
 # A kept connection that closes without an answer may cross the request.
 MOST_CUT_IN_TOUCH = 3
-# Seconds after the signal to stop by which a router is out of use.
-OUT_OF_USE = 4.0
+# Seconds after the signal to stop by which a router is out of use: the
+# balancer asks once a second and leaves out who misses twice.  The platform
+# allows 4 s.
+OUT_OF_USE = 2.0
 # Seconds after the last disturbance by which requests are served again.
 RECOVERY = 12.0
 SERVED_SHARE = 0.25
@@ -140,7 +142,7 @@
         own = runs.get(request.id, [])
         if _excused(history, request, own):
             continue
-        for work in works:
+        for work in reversed(works):
             if request.router in work.targets and _cut_by(
                 history, work, request, own
             ):
@@ -172,6 +174,9 @@
 
 
 def _cut_by(history, work, request, runs):
+    """Return whether a request was cut by the process that was told."""
+    if request.sent_at > work.ended and work.kind == "term":
+        return False
     bounds = history.bounds
     if work.kind == "hup":
         begun, ended = work.begun, request.ended_at
--- a/soak/relay.py
+++ b/soak/relay.py
@@ -7,10 +7,14 @@
 
 import asyncio
 import contextlib
+import socket
+import struct
 
 READ_SIZE = 65536
 UP = "up"
 DOWN = "down"
+# Lingering for no time makes the kernel reset a connection that is closed.
+RESET = struct.pack("ii", 1, 0)
 
 
 class Link:
@@ -55,7 +59,7 @@
                     await writer.drain()
         except OSError:
             if await self._pass(direction):
-                writer.transport.abort()
+                _reset(writer)
         if await self._pass(direction):
             writer.close()
 
@@ -71,7 +75,15 @@
     def abort(self):
         """Reset both ends."""
         for _reader, writer in (self._near, self._far):
-            writer.transport.abort()
+            _reset(writer)
+
+
+def _reset(writer):
+    """Close a connection by a reset; plain closing says "the end"."""
+    sock = writer.get_extra_info("socket")
+    if sock is not None and sock.fileno() >= 0:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+    writer.transport.abort()
 
 
 class Relays:
--- a/soak/upstream.py
+++ b/soak/upstream.py
@@ -13,8 +13,8 @@
 STRIDE = 3
 # Shares of requests that a faulty upstream doesn't answer well.
 BEHAVIOURS = {
-    "break": 0.03,
-    "tear": 0.02,
+    "break": 0.06,
+    "tear": 0.04,
     "reset": 0.02,
     "error": 0.02,
     "full": 0.04,
--- a/soak/world.py
+++ b/soak/world.py
@@ -75,7 +75,7 @@
     :ivar history: the History
     """
 
-    def __init__(self, seed, routers, upstreams, seconds, directory, broken):
+    def __init__(self, seed, seconds, routers, upstreams, directory, broken):
         self.history = History()
         self.seed = seed
         self.routers = []
@@ -131,7 +131,7 @@
         upstream = RecordingUpstream(name, self.history, self.seed, faulty)
         if service == "probe":
             upstream.slots = 10000
-        upstream.pause = self._random.choice((0.01, 0.04, 0.12))
+        upstream.pause = self._random.choice((0.02, 0.06, 0.15))
         await upstream.start(seat.port)
         upstream.address = seat.address
         seat.occupant = upstream
@@ -286,7 +286,7 @@
 
     def note(self, kind, targets, begun, ended, planned=False):
         """Write a Fault down and return it."""
-        fault = Fault(kind, targets, begun, ended, planned)
+        fault = Fault(kind, frozenset(targets), begun, ended, planned)
         self.history.faults.append(fault)
         return fault
 
--- /dev/null
+++ b/test/test_soak.py
@@ -0,0 +1,471 @@
+"""The soak's checks, its relays and plans, and short runs of real routers."""
+
+import asyncio
+import concurrent.futures
+import pathlib
+import subprocess
+import sys
+
+import pytest
+
+from bench.ports import free_ports
+from soak import promises
+from soak.broken import VARIANTS
+from soak.history import Fault
+from soak.history import History
+from soak.history import Leave
+from soak.history import OwnEnd
+from soak.history import Probe
+from soak.history import Readiness
+from soak.history import Request
+from soak.history import Run
+from soak.history import STORE
+from soak.history import Version
+from soak.plan import make_plan
+from soak.plan import THEMES
+from soak.relay import Relays
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+LOCAL = "127.0.0.1"
+AT_ONCE = 4
+# A run of each kind of fault; a variant ends as soon as it is found.
+REAL = ("--theme", "all", "--seconds", "20", "--calm", "14", "--seed", "1")
+BROKEN = ("--seconds", "14", "--calm", "15.5", "--seed", "1")
+
+
+def found(history):
+    """Return the names of the promises that a history breaks."""
+    return [finding.promise for finding in promises.check(history)]
+
+
+def add_request(history, id_="c1", **values):
+    """Add a request of 100 s, answered within a tenth of a second."""
+    fields = {
+        "router": "r0",
+        "life": 1,
+        "organisation": "org",
+        "sent_at": 100.0,
+        "ended_at": 100.1,
+        "until": 105.0,
+        "status": 200,
+        "outcome": "whole",
+        "signed": True,
+        **values,
+    }
+    request = Request(id_, "/x/", **fields)
+    history.requests[id_] = request
+    return request
+
+
+def add_run(history, id_="c1", upstream="u0", at=100.01, tokens=(), **values):
+    """Add a run of a request."""
+    run = Run(id_, upstream, at, "/x/", values.pop("organisation", "org"))
+    run.tokens = dict(tokens)
+    for name, value in values.items():
+        setattr(run, name, value)
+    history.runs.append(run)
+    return run
+
+
+def test_a_history_without_faults_breaks_nothing():
+    history = History()
+    add_request(history)
+    add_run(history)
+    assert found(history) == []
+
+
+# Budgets
+
+
+def spend(total, *runs):
+    """Return a History with one request of 10 tokens in and some runs."""
+    history = History()
+    history.versions.append(Version(1, 0.0, 0.0, {"org": total}))
+    add_request(history, prompt=10, most=9)
+    for number, tokens in enumerate(runs):
+        add_run(history, at=100.0 + number, tokens=tokens)
+    return history
+
+
+def test_tokens_beyond_what_was_paid_for_are_found():
+    assert found(spend(15, {1: 3, 2: 3})) == ["budget"]
+    assert found(spend(16, {1: 3, 2: 3})) == []
+
+
+def test_the_prompt_and_each_event_count_once():
+    history = spend(16, {1: 3, 2: 3}, {2: 3})
+    assert found(history) == []
+
+
+def test_a_top_up_counts_from_then_on():
+    history = spend(15, {1: 3, 2: 3})
+    history.versions.append(Version(2, 1.0, 1.0, {"org": 16}))
+    assert found(history) == []
+
+
+# Requests
+
+
+def test_a_foreign_answer_is_found():
+    history = History()
+    add_request(history, wrong="an answer to another")
+    assert found(history) == ["whole_answer"]
+
+
+@pytest.mark.parametrize("status", [408, 421, 429, 503])
+def test_not_run_is_a_promise_before_and_after(status):
+    for at in (99.0, 200.0):
+        history = History()
+        add_request(history, status=status, signed=False)
+        add_run(history, at=at)
+        assert found(history) == ["not_run"]
+
+
+def test_an_upstreams_own_refusal_promises_nothing_of_the_router():
+    history = History()
+    add_request(history, status=503, signed=True)
+    add_run(history)
+    assert found(history) == []
+
+
+def test_what_is_not_repeatable_runs_once():
+    for repeatable, expected in ((True, []), (False, ["at_most_once"])):
+        history = History()
+        add_request(history, repeatable=repeatable)
+        add_run(history)
+        add_run(history, upstream="u1")
+        assert found(history) == expected
+
+
+def test_a_run_for_another_organisation_is_found():
+    history = History()
+    add_request(history)
+    add_run(history, organisation="other")
+    assert found(history) == ["asked"]
+
+
+def test_a_run_that_nobody_asked_for_is_found():
+    history = History()
+    add_run(history)
+    assert found(history) == ["asked"]
+
+
+# Upstreams that leave
+
+
+def late_run(at):
+    """Return a History with an upstream that leaves at 90 s, and a run."""
+    history = History()
+    history.leaves.append(Leave("u0", 90.0))
+    add_request(history, sent_at=at - 0.01)
+    add_run(history, at=at)
+    return history
+
+
+def test_work_for_an_upstream_that_left_is_found_after_the_bound():
+    assert found(late_run(92.9)) == []
+    assert found(late_run(93.1)) == ["leaving"]
+
+
+@pytest.mark.parametrize("target", ["r0", "*", STORE])
+def test_a_router_that_was_disturbed_is_not_bound(target):
+    history = late_run(94.0)
+    history.faults.append(Fault("cut", {target}, 91.5, 92.0))
+    assert found(history) == []
+
+
+def test_a_disturbance_elsewhere_or_long_ago_is_no_excuse():
+    history = late_run(96.0)
+    history.faults.append(Fault("cut", {"r0"}, 91.5, 92.0))
+    history.faults.append(Fault("cut", {"r1"}, 95.0, 97.0))
+    assert found(history) == ["leaving"]
+
+
+# Planned work
+
+
+def cut(sent_at, ended_at, **values):
+    """Return a History with a stop at 100 s and a request that was cut."""
+    history = History()
+    stop = Fault("term", {"r0"}, 100.0, 109.0, planned=True)
+    history.faults.append(stop)
+    fields = {"sent_at": sent_at, "ended_at": ended_at, "status": 0}
+    fields |= {"outcome": "cut", "until": 200.0, **values}
+    add_request(history, **fields)
+    return history
+
+
+def test_a_request_cut_by_a_stop_is_found():
+    history = cut(99.0, 103.0)
+    add_run(history, at=99.01)
+    assert found(history) == ["planned_stop"]
+
+
+def test_a_request_taken_late_and_cut_is_found():
+    history = cut(105.0, 107.2)
+    add_run(history, at=105.01)
+    assert found(history) == ["planned_stop"]
+
+
+def test_a_request_that_crossed_the_close_is_not_cut():
+    assert found(cut(103.0, 103.1)) == []
+    assert found(cut(103.0, 103.5)) == ["planned_stop"]
+
+
+def test_work_that_fills_the_grace_period_may_be_cut():
+    history = cut(102.0, 107.5)
+    add_run(history, at=102.01)
+    assert found(history) == []
+
+
+def test_an_upstream_that_breaks_off_or_a_time_limit_is_no_cut():
+    history = cut(99.0, 103.0)
+    add_run(history, at=99.01, broke_off=True)
+    assert found(history) == []
+    history = cut(99.0, 103.0, until=103.0)
+    add_run(history, at=99.01)
+    assert found(history) == []
+
+
+def test_an_unplanned_fault_may_have_cut_it():
+    history = cut(99.0, 103.0)
+    add_run(history, at=99.01)
+    history.faults.append(Fault("reset", {"u0"}, 102.0, 102.0))
+    assert found(history) == []
+
+
+def test_a_reload_cuts_nothing():
+    history = cut(99.0, 103.0)
+    history.faults[0] = Fault("hup", {"r0"}, 100.0, 100.0, planned=True)
+    add_run(history, at=99.01)
+    assert found(history) == ["planned_stop"]
+
+
+def test_a_stopping_router_that_says_it_is_ready_is_found():
+    for at, expected in ((101.9, []), (102.1, ["readiness"])):
+        history = History()
+        history.faults.append(Fault("term", {"r0"}, 100.0, 108.0, True))
+        history.readiness.append(Readiness("r0", 1, at, True))
+        assert found(history) == expected
+
+
+def test_requests_cut_by_a_router_in_touch_are_found():
+    history = History()
+    for number in range(4):
+        id_ = f"c{number}"
+        add_request(history, id_, status=0, outcome="cut", signed=False)
+        add_run(history, id_)
+    assert found(history) == ["lost"]
+    del history.requests["c3"], history.runs[3]
+    assert found(history) == []
+
+
+# Configuration
+
+
+def asked(*probes):
+    """Return a History with versions 2 at 90 s and 5 at 100 s."""
+    history = History()
+    history.versions.append(Version(2, 90.0, 90.0, {}))
+    history.versions.append(Version(5, 100.0, 100.0, {}))
+    for version, at, known in probes:
+        probe = Probe("r0", 1, version, at, at + 0.01, known)
+        history.probes.append(probe)
+    return history
+
+
+def test_a_late_configuration_is_found():
+    assert found(asked((5, 101.9, False))) == []
+    assert found(asked((5, 102.1, False))) == ["configuration"]
+
+
+def test_an_older_configuration_is_found_though_disturbed():
+    probes = ((5, 100.5, True), (5, 101.0, False))
+    history = asked(*probes)
+    history.faults.append(Fault("cut", {"r0"}, 99.0, 110.0))
+    assert found(history) == ["never_older"]
+
+
+def test_another_life_may_begin_older():
+    history = asked((5, 100.5, True), (5, 101.0, False))
+    history.probes[1].life = 2
+    assert found(history) == []
+
+
+# Processes and recovery
+
+
+def test_an_end_without_cause_is_found():
+    history = History()
+    history.own_ends.append(OwnEnd("r0", 100.0, 1))
+    assert found(history) == ["own_end"]
+
+
+def test_a_failed_task_is_found():
+    history = History()
+    history.failed_tasks.append(("r0", 100.0, "ZeroDivisionError"))
+    assert found(history) == ["failed_task"]
+
+
+def test_a_system_that_does_not_recover_is_found():
+    history = History()
+    history.calm_at = 100.0
+    for number in range(8):
+        status = 200 if number < 1 else 503
+        add_request(
+            history, f"c{number}", sent_at=113.0, status=status, signed=True
+        )
+    assert found(history) == ["recovery"]
+    history.requests["c1"].status = 200
+    assert found(history) == []
+
+
+# Plans
+
+
+@pytest.mark.parametrize("theme", THEMES)
+def test_a_seed_has_one_plan(theme):
+    one, again, other = (
+        [repr(step) for step in make_plan(seed, theme, 60.0, 3, 4)]
+        for seed in (7, 7, 8)
+    )
+    assert one == again != other
+
+
+def test_faults_of_a_plan_overlap_and_end_in_time():
+    plan = make_plan(3, "all", 60.0, 3, 4)
+    assert all(step.at + step.seconds <= 60.0 for step in plan)
+    assert any(
+        one.at < other.at < one.at + one.seconds
+        for one in plan
+        for other in plan
+    )
+
+
+# Relays
+
+
+@pytest.fixture
+def loop():
+    """Return a loop for one test."""
+    loop = asyncio.new_event_loop()
+    yield loop
+    loop.close()
+
+
+async def echo(reader, writer):
+    """Send back what comes."""
+    while data := await reader.read(100):
+        writer.write(data)
+    writer.close()
+
+
+async def with_relay(check):
+    """Run a check with Relays and a function that opens connections."""
+    front, behind = free_ports(2)
+    server = await asyncio.start_server(echo, LOCAL, behind)
+    relays = Relays({LOCAL: "one"})
+    await relays.add("two", (LOCAL, front), (LOCAL, behind))
+    try:
+        await check(relays, lambda: asyncio.open_connection(LOCAL, front))
+    finally:
+        relays.close()
+        server.close()
+        await asyncio.sleep(0.05)
+
+
+async def answers(connection, seconds=0.2):
+    """Return what comes back within some time, None for nothing."""
+    reader, writer = connection
+    writer.write(b"x")
+    try:
+        async with asyncio.timeout(seconds):
+            return await reader.read(100)
+    except asyncio.TimeoutError:
+        return None
+
+
+LINK = [("one", "two")]
+
+
+def test_a_silenced_connection_stays_silent_while_new_ones_work(loop):
+    async def check(relays, connect):
+        old = await connect()
+        assert await answers(old) == b"x"
+        relays.silence(LINK)
+        assert await answers(old) is None
+        assert await answers(await connect()) == b"x"
+        assert await answers(old) is None
+
+    loop.run_until_complete(with_relay(check))
+
+
+@pytest.mark.parametrize("direction", ["up", "down"])
+def test_what_a_cut_holds_up_arrives_after_it(loop, direction):
+    async def check(relays, connect):
+        old = await connect()
+        relays.change(LINK, held=[direction])
+        assert await answers(old) is None
+        relays.change(LINK)
+        assert await old[0].read(100) == b"x"
+
+    loop.run_until_complete(with_relay(check))
+
+
+def test_a_reset_ends_open_connections(loop):
+    async def check(relays, connect):
+        reader, _writer = await connect()
+        await asyncio.sleep(0.05)
+        relays.reset(LINK)
+        with pytest.raises(ConnectionResetError):
+            await reader.read(100)
+
+    loop.run_until_complete(with_relay(check))
+
+
+def test_a_delayed_link_answers_late(loop):
+    async def check(relays, connect):
+        old = await connect()
+        relays.change(LINK, delay=0.2)
+        assert await answers(old) is None
+        assert await old[0].read(100) == b"x"
+
+    loop.run_until_complete(with_relay(check))
+
+
+# Real routers
+
+
+def soak(*arguments):
+    """Run the soak; return its exit code and what it printed."""
+    done = subprocess.run(
+        [sys.executable, "-m", "soak", *arguments],
+        cwd=ROOT,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+        timeout=120,
+    )
+    return done.returncode, done.stdout
+
+
+@pytest.fixture(scope="module")
+def runs():
+    """Start all runs, some at once; return a future by name."""
+    pool = concurrent.futures.ThreadPoolExecutor(AT_ONCE)
+    started = {"": pool.submit(soak, *REAL)}
+    for name in VARIANTS:
+        started[name] = pool.submit(soak, *BROKEN, "--broken", name)
+    yield started
+    pool.shutdown()
+
+
+def test_real_routers_keep_their_promises(runs):
+    code, text = runs[""].result()
+    assert code == 0, text
+
+
+@pytest.mark.parametrize("name", VARIANTS)
+def test_a_broken_router_is_found(runs, name):
+    code, text = runs[name].result()
+    assert code == 0, text
