--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup demo test lint generate fuzz bench slopes format
+.PHONY: setup demo test lint generate fuzz bench slopes soak format
 
 $(VENV)/.installed: pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -21,13 +21,13 @@
 
 lint: setup
 	$(BIN)/python tools/generate.py --check
-	$(BIN)/isort -q --check-only rowanport bench tools test examples
-	$(BIN)/black -q --check rowanport bench tools test examples
-	$(BIN)/flake8 rowanport bench tools test examples
+	$(BIN)/isort -q --check-only rowanport bench soak tools test examples
+	$(BIN)/black -q --check rowanport bench soak tools test examples
+	$(BIN)/flake8 rowanport bench soak tools test examples
 
 format: setup
-	$(BIN)/isort -q rowanport bench tools test examples
-	$(BIN)/black -q rowanport bench tools test examples
+	$(BIN)/isort -q rowanport bench soak tools test examples
+	$(BIN)/black -q rowanport bench soak tools test examples
 
 generate: setup
 	$(BIN)/python tools/generate.py
@@ -40,3 +40,7 @@
 
 slopes: setup
 	$(BIN)/python -m bench.slopes
+
+# SOAK_FLAGS="--seed 100 --seeds 50", see docs/soak.md
+soak: setup
+	$(BIN)/python -m soak $(SOAK_FLAGS)
