--- /dev/null
+++ b/soak/history.py
@@ -0,0 +1,228 @@
+"""What callers, upstreams and the operator saw; times are steady seconds."""
+
+import math
+
+NEVER = math.inf
+# The name of the platform's store among what faults disturb.
+STORE = "store"
+
+
+class Record:
+    """A plain record; values come by position or name, or from defaults.
+
+    :cvar defaults: value by slot, of what need not be given
+    """
+
+    __slots__ = ()
+    defaults = {}
+
+    def __init__(self, *values, **named):
+        for name, value in self.defaults.items():
+            setattr(self, name, value)
+        for name, value in zip(self.__slots__, values):
+            setattr(self, name, value)
+        for name, value in named.items():
+            setattr(self, name, value)
+
+
+class Request(Record):
+    """One attempt of a caller.
+
+    :ivar id: its own id
+    :ivar router: name of the router that it was sent to
+    :ivar life: which run of that router's process, counted from 1
+    :ivar path: the whole path
+    :ivar organisation: whose key it carried, "" on a public route
+    :ivar repeatable: whether it may run more than once
+    :ivar prompt: tokens in, 0 without tokens
+    :ivar most: most tokens out
+    :ivar sent_at: when its last byte was written
+    :ivar until: when its caller, or its route's timeout, gives it up
+    :ivar ended_at: when the answer was complete, or the connection ended
+    :ivar status: of the answer, 0 without one
+    :ivar outcome: "" while open, "whole", "cut", "unsent", or "left" if the
+        caller closed it
+    :ivar signed: whether an upstream's signature came with it
+    :ivar wrong: how the answer is not the request's own, "" if it is
+    """
+
+    __slots__ = (
+        "id",
+        "path",
+        "router",
+        "life",
+        "organisation",
+        "repeatable",
+        "prompt",
+        "most",
+        "sent_at",
+        "until",
+        "ended_at",
+        "status",
+        "outcome",
+        "signed",
+        "wrong",
+    )
+
+    defaults = {
+        "router": "",
+        "life": 0,
+        "organisation": "",
+        "repeatable": True,
+        "prompt": 0,
+        "most": 0,
+        "sent_at": 0.0,
+        "until": NEVER,
+        "ended_at": NEVER,
+        "status": 0,
+        "outcome": "",
+        "signed": False,
+        "wrong": "",
+    }
+
+
+class Run(Record):
+    """One request at work at one upstream.
+
+    :ivar request: the request's id
+    :ivar upstream: name of the upstream
+    :ivar path: as it arrived
+    :ivar organisation: as the router named it, "" if it named none
+    :ivar arrived_at: when it began
+    :ivar ended_at: when it ended
+    :ivar tokens: tokens handed out, by number of the event
+    :ivar broke_off: whether the upstream itself broke the answer off
+    """
+
+    __slots__ = (
+        "request",
+        "upstream",
+        "path",
+        "organisation",
+        "arrived_at",
+        "ended_at",
+        "tokens",
+        "broke_off",
+    )
+
+    def __init__(self, request, upstream, arrived_at, path, organisation=""):
+        super().__init__(request, upstream, path, organisation, arrived_at)
+        self.ended_at = NEVER
+        self.tokens = {}
+        self.broke_off = False
+
+
+class Version(Record):
+    """A configuration that the store took.
+
+    :ivar number: its version
+    :ivar sent_at: when the operator sent it
+    :ivar taken_at: when the store confirmed it
+    :ivar totals: prepaid tokens by organisation
+    """
+
+    __slots__ = ("number", "sent_at", "taken_at", "totals")
+
+
+class Probe(Record):
+    """A question that shows which configuration a router goes by.
+
+    :ivar version: the version whose own route was asked for
+    :ivar known: whether the router knew the route
+    """
+
+    __slots__ = ("router", "life", "version", "sent_at", "ended_at", "known")
+
+
+class Fault(Record):
+    """Something that was done to the system.
+
+    :ivar kind: what, as the plan calls it
+    :ivar targets: names of processes that it disturbs; "*" for all routers
+    :ivar planned: whether it is an operator's planned work
+    :ivar begun: when it began
+    :ivar ended: when it was over
+    """
+
+    __slots__ = ("kind", "targets", "begun", "ended", "planned")
+
+    defaults = {"ended": NEVER, "planned": False}
+
+    def touches(self, name, begun, ended):
+        """Return whether it disturbed a process within a span."""
+        if self.begun > ended or self.ended < begun:
+            return False
+        if "*" in self.targets and name != STORE:
+            return True
+        return name in self.targets
+
+
+class Leave(Record):
+    """An upstream that leaves, as the store confirmed it."""
+
+    __slots__ = ("upstream", "taken_at")
+
+
+class Readiness(Record):
+    """One answer of a router to the balancer's question."""
+
+    __slots__ = ("router", "life", "at", "ready")
+
+
+class OwnEnd(Record):
+    """A process that ended without having been told to."""
+
+    __slots__ = ("router", "at", "code")
+
+
+class Bounds(Record):
+    """The platform's bounds in seconds, as the settings give them."""
+
+    __slots__ = ("contact", "drain", "grace", "apply", "rollback", "slack")
+
+    defaults = {
+        "contact": 3.0,
+        "drain": 3.0,
+        "grace": 8.0,
+        "apply": 2.0,
+        "rollback": 0.25,
+        "slack": 0.2,
+    }
+
+
+class History:
+    """All that was seen, in the order in which it was written down.
+
+    :ivar calm_at: from when on nothing is disturbed any more
+    """
+
+    def __init__(self, bounds=None):
+        self.bounds = bounds or Bounds()
+        self.requests = {}
+        self.runs = []
+        self.versions = []
+        self.probes = []
+        self.faults = []
+        self.leaves = []
+        self.readiness = []
+        self.own_ends = []
+        self.failed_tasks = []
+        self.calm_at = NEVER
+
+    def in_touch(self, router, begun, ended=None):
+        """Return whether a router was in touch throughout a span."""
+        begun -= self.bounds.contact
+        ended = begun + self.bounds.contact if ended is None else ended
+        return not any(
+            fault.touches(name, begun, ended)
+            for fault in self.faults
+            for name in (router, STORE)
+        )
+
+    def runs_of(self):
+        """Return lists of Run by id, of the requests that were sent."""
+        runs = {}
+        for run in self.runs:
+            if run.request in self.requests:
+                runs.setdefault(run.request, []).append(run)
+        return runs
