--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -154,6 +154,8 @@
         await world.close()
         steps = "".join(f"{step}\n" for step in injector.done)
         (directory / "steps.txt").write_text(steps)
+    if world.failures:
+        raise world.failures[0]
     _print_new(world.history, begun, seen)
     findings = list(seen.values())
     return Outcome(wanted, world.history, findings, plan, lag.longest)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -3,6 +3,7 @@
 import asyncio
 import signal
 
+from .history import NEVER
 from .history import STORE
 from .relay import DOWN
 from .relay import UP
@@ -12,7 +13,6 @@
 STORE_SLOWNESS = 0.24
 LOSSY_SHARE = 0.3
 LATE_SHARE = 0.5
-# Seconds between two steps by which a lapsed list comes back.
 DIRECTIONS = {"up": (UP,), "down": (DOWN,), "both": (UP, DOWN)}
 
 
@@ -43,7 +43,7 @@
         return self._world.routers[step.target]
 
     def _seat(self, step):
-        return self._world.seats[step.target]
+        return self._world.operator.seats[step.target]
 
     # Processes
 
@@ -53,10 +53,10 @@
             return
         router.told = True
         life = router.life
-        self._world.note("term", [router.name], now(), float("inf"), True)
+        self._world.note("term", [router.name], now(), NEVER, True)
         router.signal(signal.SIGTERM)
         grace = self._world.history.bounds.grace
-        self._world.tasks.spawn(self._kill_later(router, life, grace))
+        self._world.spawn(self._kill_later(router, life, grace))
 
     async def _kill_later(self, router, life, seconds):
         await asyncio.sleep(seconds)
@@ -68,7 +68,7 @@
         if not router.life or not router.alive:
             return
         router.told = True
-        self._world.note("kill", [router.name], now(), float("inf"))
+        self._world.note("kill", [router.name], now(), NEVER)
         router.signal(signal.SIGKILL)
 
     async def _do_hup(self, step):
@@ -85,7 +85,7 @@
             return
         life = router.life
         router.frozen = True
-        fault = self._world.note("freeze", [router.name], now(), float("inf"))
+        fault = self._world.note("freeze", [router.name], now(), NEVER)
         router.signal(signal.SIGSTOP)
         await asyncio.sleep(step.seconds)
         if router.life == life:
@@ -109,7 +109,9 @@
         name = router.name
         groups = {
             "store": [(name, STORE)],
-            "upstreams": [(name, seat.name) for seat in self._world.seats],
+            "upstreams": [
+                (name, seat.name) for seat in self._world.operator.seats
+            ],
             "peers": [(name, other) for other in others]
             + [(other, name) for other in others],
         }
@@ -123,7 +125,7 @@
 
     async def _do_delay(self, step):
         pairs = self._pairs(self._router(step), step.variant)
-        fault = self._note_links(step, float("inf"))
+        fault = self._note_links(step, NEVER)
         self._world.relays.change(pairs, delay=DELAY)
         await asyncio.sleep(step.seconds)
         self._world.relays.change(pairs)
@@ -132,7 +134,7 @@
     async def _do_cut(self, step):
         links, _, direction = step.variant.partition(" ")
         pairs = self._pairs(self._router(step), links)
-        fault = self._note_links(step, float("inf"))
+        fault = self._note_links(step, NEVER)
         self._world.relays.change(pairs, held=DIRECTIONS[direction])
         await asyncio.sleep(step.seconds)
         self._world.relays.change(pairs)
@@ -157,7 +159,7 @@
 
     async def _store_fault(self, step, name, value, calm):
         store = self._world.store
-        fault = self._world.note(step.kind, [STORE], now(), float("inf"))
+        fault = self._world.note(step.kind, [STORE], now(), NEVER)
         setattr(store, name, value)
         await asyncio.sleep(step.seconds)
         setattr(store, name, calm)
@@ -167,8 +169,8 @@
         kind, _, lapse = step.variant.partition(" ")
         await self._store_fault(step, "fault", kind, "")
         if lapse:
-            fault = self._world.note("lapse", [STORE], now(), float("inf"))
-            await self._world.lapse()
+            fault = self._world.note("lapse", [STORE], now(), NEVER)
+            await self._world.operator.lapse()
             fault.ended = now()
 
     async def _do_store_slow(self, step):
@@ -185,7 +187,7 @@
 
     async def _do_store_away(self, step):
         name = self._router(step).name
-        fault = self._world.note(step.kind, [name], now(), float("inf"))
+        fault = self._world.note(step.kind, [name], now(), NEVER)
         self._world.store.away[name] = step.variant
         await asyncio.sleep(step.seconds)
         self._world.store.away.pop(name, None)
@@ -194,12 +196,12 @@
     # The operator and the upstreams
 
     async def _do_config(self, step):
-        await self._world.publish(step.variant)
+        await self._world.operator.publish(step.variant)
 
     async def _do_leave(self, step):
-        self._world.tasks.spawn(
-            self._world.leave(self._seat(step), step.variant)
+        self._world.spawn(
+            self._world.operator.leave(self._seat(step), step.variant)
         )
 
     async def _do_crash(self, step):
-        self._world.tasks.spawn(self._world.crash(self._seat(step)))
+        self._world.spawn(self._world.operator.crash(self._seat(step)))
--- /dev/null
+++ b/soak/operator.py
@@ -0,0 +1,251 @@
+"""The operator: configurations, and upstreams that come and go."""
+
+import asyncio
+import json
+import random
+
+from bench.ports import free_ports
+
+from .caller import ASKS
+from .caller import HOST
+from .history import Leave
+from .history import NEVER
+from .history import Version
+from .router import now
+from .upstream import RecordingUpstream
+from .upstream import STRIDE
+
+LOCAL = "127.0.0.1"
+FEED = "feed"
+PROBE = "probe"
+# Slots of the upstream that answers probes: it is never full.
+PROBE_SLOTS = 10000
+# Seconds between two events of a stream, chosen by upstream.
+PAUSES = (0.02, 0.06, 0.15)
+# Prepaid tokens by second of a run, of organisations that use more.
+TOKENS_A_SECOND = 150
+PLENTY = 10**9
+STORE_POLL = 0.05
+# Seconds that a leaving upstream serves on beyond the bound.
+LINGER = (2.0, 6.0)
+# Seconds after which the entry of an upstream that ended without a word goes,
+# and those until another one may have its address.
+LAPSE_AFTER = 3.6
+REUSE_PAUSE = 2.0
+# Longest time in seconds until entries that lapsed are back.
+LAPSE_SECONDS = 1.5
+
+
+class Seat:
+    """An address that one upstream after the other takes.
+
+    :ivar service: which its upstreams serve
+    :ivar occupant: the RecordingUpstream there, or None
+    """
+
+    __slots__ = ("number", "service", "address", "port", "occupant", "count")
+
+    def __init__(self, number, service, address, port):
+        self.number = number
+        self.service = service
+        self.address = address
+        self.port = port
+        self.occupant = None
+        self.count = 0
+
+    @property
+    def name(self):
+        return f"seat{self.number}"
+
+
+class Operator:
+    """Writes to the store as the platform's operator and upstreams do.
+
+    :param world: the World, for its store, history and relays
+    :ivar seats: addresses of upstreams, the last one for probes
+    :ivar totals: prepaid tokens by organisation
+    """
+
+    def __init__(self, world, seed, seconds):
+        self.seats = []
+        self._world = world
+        self._store = world.store
+        self._history = world.history
+        self._seed = seed
+        self._random = random.Random(f"operator {seed}")
+        self._version = 1
+        self._publishing = asyncio.Lock()
+        small = int(TOKENS_A_SECOND * max(10, seconds))
+        self.totals = {"ample": PLENTY, "small": small, "topped": small}
+
+    async def start(self, upstreams):
+        """Start upstreams, and write the first configuration."""
+        for number in range(upstreams + 1):
+            public, behind = free_ports(2)
+            service = FEED if number < upstreams else PROBE
+            seat = Seat(number, service, f"{LOCAL}:{public}", behind)
+            self.seats.append(seat)
+            await self._world.relays.add(
+                seat.name, (LOCAL, public), (LOCAL, behind)
+            )
+            await self._fill(seat)
+        await self._put_config(now())
+
+    async def _store_up(self):
+        """Wait until the store takes a call."""
+        while self._store.fault:
+            await asyncio.sleep(STORE_POLL)
+
+    # Configurations
+
+    def versions(self):
+        """Return the versions taken so far."""
+        return [version.number for version in self._history.versions]
+
+    async def publish(self, variant):
+        """Write the next configuration."""
+        sent_at = now()
+        async with self._publishing:
+            await self._store_up()
+            self._version += self._random.randint(1, 4)
+            if variant == "top_up":
+                self.totals["topped"] += self.totals["topped"] // 10
+            await self._put_config(sent_at)
+
+    async def _put_config(self, sent_at):
+        data = json.dumps(self._config()).encode()
+        await self._store.put("op/config", data)
+        totals = dict(self.totals)
+        version = Version(self._version, sent_at, now(), totals)
+        self._history.versions.append(version)
+
+    def _config(self):
+        routes = [_ask_route(ask) for ask in ASKS]
+        # A version is told by the routes that it knows: each adds one.
+        routes += [
+            _route(f"/since-{number}/", "idempotent", PROBE, public=True)
+            for number in (*self.versions(), self._version)
+        ]
+        return {
+            "version": self._version,
+            "routes": routes,
+            "services": [_service(FEED), _service(PROBE)],
+            "limits": {
+                "max_header_bytes": 16384,
+                "max_body_bytes": 100000,
+                "header_timeout_ms": 3000,
+                "idle_timeout_ms": 15000,
+            },
+            "tenants": [
+                {"name": n, "api_keys": [f"key-of-{n}"], "prepaid": total}
+                for n, total in self.totals.items()
+            ],
+        }
+
+    # Upstreams
+
+    async def _fill(self, seat):
+        """Start the next upstream at an address, and list it."""
+        seat.count += 1
+        name = f"u{seat.number}-{seat.count}"
+        faulty = seat.service == FEED and seat.number % 2 == 0
+        upstream = RecordingUpstream(name, self._history, self._seed, faulty)
+        if seat.service == PROBE:
+            upstream.slots = PROBE_SLOTS
+        upstream.pause = self._random.choice(PAUSES)
+        await upstream.start(seat.port)
+        upstream.address = seat.address
+        seat.occupant = upstream
+        await self._list(seat, "ready")
+
+    async def _list(self, seat, state):
+        """Write an upstream's entry, or remove it for an empty state."""
+        upstream = seat.occupant
+        upstream.listed = state
+        key = f"servers/{upstream.name}"
+        if state:
+            entry = upstream.entry(seat.service, state)
+            await self._store.put(key, entry)
+        elif key in self._store.items:
+            await self._store.remove(key)
+
+    async def leave(self, seat, variant):
+        """Let an upstream leave, end, and another one take its address."""
+        upstream = seat.occupant
+        if upstream is None or upstream.leaving:
+            return
+        upstream.leaving = True
+        await self._store_up()
+        await self._list(seat, "" if variant == "gone" else "draining")
+        self._history.leaves.append(Leave(upstream.name, now()))
+        linger = self._random.uniform(*LINGER)
+        await asyncio.sleep(self._history.bounds.drain + linger)
+        await self._list(seat, "")
+        at = now()
+        self._world.note("end", [upstream.name], at, at)
+        await self._vacate(seat)
+
+    async def crash(self, seat):
+        """Let an upstream end without a word."""
+        upstream = seat.occupant
+        if upstream is None or upstream.leaving:
+            return
+        upstream.leaving = True
+        self._world.note("crash", [upstream.name], now(), NEVER)
+        upstream.crash()
+        await asyncio.sleep(LAPSE_AFTER)
+        await self._list(seat, "")
+        await self._vacate(seat)
+
+    async def _vacate(self, seat):
+        seat.occupant.crash()
+        seat.occupant = None
+        await asyncio.sleep(REUSE_PAUSE)
+        await self._fill(seat)
+
+    async def lapse(self):
+        """Let the upstreams' entries go, and come back within 2 s."""
+        for key in list(self._store.items):
+            if key.startswith("servers/"):
+                await self._store.remove(key)
+        await asyncio.sleep(self._random.uniform(0.2, LAPSE_SECONDS))
+        for seat in self.seats:
+            if seat.occupant is not None:
+                await self._list(seat, seat.occupant.listed)
+
+
+def _ask_route(ask):
+    kind = "idempotent" if ask.repeatable else "non_idempotent"
+    return _route(
+        ask.path,
+        "streaming" if ask.streamed else kind,
+        timeout_ms=int(ask.timeout * 1000),
+        max_attempts=3 if ask.repeatable else 1,
+        stream_resume=ask.resumable,
+        public=not ask.keyed,
+    )
+
+
+def _route(prefix, kind, service=FEED, **more):
+    return {
+        "name": prefix.strip("/"),
+        "host": HOST,
+        "path_prefix": prefix,
+        "route_type": kind,
+        "timeout_ms": 2000,
+        "target_latency_ms": 500,
+        "priority": 1,
+        "service": service,
+        "max_attempts": 2,
+        "public": False,
+        **more,
+    }
+
+
+def _service(name):
+    return {
+        "name": name,
+        "health_path": "/healthz",
+        "max_connections": 1000,
+        "engine": {"stride": STRIDE},
+    }
--- a/soak/upstream.py
+++ b/soak/upstream.py
@@ -52,6 +52,7 @@
 
     :param history: the History to write to
     :param faulty: whether it has faults of its own
+    :ivar listed: its state in the store, "" if it isn't there
     """
 
     def __init__(self, name, history, seed, faulty, slots=8):
@@ -59,6 +60,7 @@
         self.slots = slots
         self.active = 0
         self.leaving = False
+        self.listed = ""
         self._history = history
         self._faulty = faulty
         self._random = random.Random(f"{seed} {name}")
