Let the soak run with hundreds of routers

Cause: with 200 routers the relays between them would fill the soak's loop, and faults of the store, which grew with the fleet, would never end.

--- a/soak/plan.py
+++ b/soak/plan.py
@@ -57,6 +57,19 @@
     "silence",
     "store_away",
 )
+# Kinds that strike all routers: in a large fleet there are more steps, but not
+# more of these, or nobody would ever be in touch.
+FLEET_KINDS = (
+    "roll",
+    "config",
+    "leave",
+    "crash",
+    "store_down",
+    "store_slow",
+    "store_lossy",
+    "store_late",
+)
+SMALL_FLEET = 10
 UPSTREAM_KINDS = ("leave", "crash")
 # Variants of a kind: which links, in which direction, how a store is down.
 VARIANTS = {
@@ -114,6 +127,7 @@
     draw = random.Random(f"{seed} {theme} {seconds} {routers} {upstreams}")
     kinds = THEMES[theme]
     rate = 0.5 + 0.05 * routers
+    fleet_share = min(1.0, (0.5 + 0.05 * SMALL_FLEET) / rate)
     steps = []
     at = WARM_UP
     target = 0
@@ -124,6 +138,9 @@
         if at >= seconds:
             break
         kind = draw.choices(list(kinds), list(kinds.values()))[0]
+        if kind in FLEET_KINDS and fleet_share < 1.0:
+            if draw.random() > fleet_share:
+                continue
         if not in_series or draw.random() < 0.5:
             target = draw.randrange(routers)
         steps += _draw_steps(draw, at, kind, target, routers, upstreams)
--- a/soak/router.py
+++ b/soak/router.py
@@ -22,12 +22,13 @@
     :param ports: Ports that are alike on all routers
     :param seeds: addresses of routers that it asks first
     :param broken: name of the broken variant to run, "" for the real one
+    :param relayed: whether others reach it through a relay
     :ivar callers: (IP, port) for callers
     :ivar life: count of its processes
     :ivar told: whether its process was told to end
     """
 
-    def __init__(self, name, ip, ports, directory, bounds, broken=""):
+    def __init__(self, name, ip, ports, directory, bounds, broken, relayed):
         self.name = name
         self.ip = ip
         self.callers = (ip, ports.callers)
@@ -39,6 +40,7 @@
         self._ports = ports
         self._bounds = bounds
         self._broken = broken
+        self._relayed = relayed
         self._settings = directory / f"{name}.json"
         self._clock = directory / f"{name}.clock"
         self.log = directory / f"{name}.log"
@@ -90,9 +92,10 @@
     def start(self):
         """Start its next process."""
         ports = self._ports
+        moved = {str(ports.peers): ports.peers_behind}
         wanted = {
             "address": self.ip,
-            "ports": {str(ports.peers): ports.peers_behind},
+            "ports": moved if self._relayed else {},
             "clock": str(self._clock),
             "broken": self._broken,
         }
