--- a/soak/history.py
+++ b/soak/history.py
@@ -5,6 +5,8 @@
 NEVER = math.inf
 # The name of the platform's store among what faults disturb.
 STORE = "store"
+# A signal to reload is planned work that excuses nothing.
+RELOAD = "hup"
 
 
 class Record:
@@ -216,6 +218,7 @@
         return not any(
             fault.touches(name, begun, ended)
             for fault in self.faults
+            if fault.kind != RELOAD
             for name in (router, STORE)
         )
 
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -175,6 +175,12 @@
     assert found(history) == []
 
 
+def test_a_reload_is_no_disturbance():
+    history = late_run(94.0)
+    history.faults.append(Fault("hup", {"r0"}, 93.0, 93.0, planned=True))
+    assert found(history) == ["leaving"]
+
+
 def test_a_disturbance_elsewhere_or_long_ago_is_no_excuse():
     history = late_run(96.0)
     history.faults.append(Fault("cut", {"r0"}, 91.5, 92.0))
