--- a/rowanport/standins/upstream.py
+++ b/rowanport/standins/upstream.py
@@ -11,6 +11,8 @@
 READ_LIMIT = 65536
 BACKLOG = 100
 STAMP_HEADER = "x-rowanport-server-stamp"
+READ_LIMIT = 65536
+BACKLOG = 100
 # More than a gateway holds back of an answer.
 LARGE = bytes(range(256)) * 12000
 
--- a/test/test_silence.py
+++ b/test/test_silence.py
@@ -28,7 +28,6 @@
 from test.platform_world import ID_HEADER
 from test.platform_world import KEY
 from test.platform_world import StoreStandin
-from test.platform_world import UpstreamStandin
 from test.virtual import LoopClock
 from test.virtual import VirtualLoop
 from test.virtual_net import HOST
@@ -37,6 +36,7 @@
 from rowanport.gateway.settings import GatewaySettings
 from rowanport.platform.__main__ import build
 from rowanport.platform.settings import PlatformSettings
+from rowanport.standins.upstream import UpstreamStandin
 from rowanport.web import HttpClient
 
 STORE = "10.200.0.1"
