--- a/rowanport/standins/upstream.py
+++ b/rowanport/standins/upstream.py
@@ -8,6 +8,8 @@
 from ..web.client import next_event
 
 ID_HEADER = "x-rowanport-request-id"
+READ_LIMIT = 65536
+BACKLOG = 100
 STAMP_HEADER = "x-rowanport-server-stamp"
 READ_LIMIT = 65536
 BACKLOG = 100
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -28,6 +28,8 @@
     "changes": {"config": 4, "leave": 3, "hup": 1},
     "clocks": {"clock": 4, "config": 3, "kill": 1, "term": 1, "store_slow": 1},
 }
+# Not among all: a proxy that hangs is a fault beyond the platform's pages.
+PROXIES = {"stall": 4, "delay": 1, "config": 4, "leave": 3}
 THEMES["all"] = {
     kind: max(theme.get(kind, 0) for theme in THEMES.values())
     for kind in sorted({kind for theme in THEMES.values() for kind in theme})
@@ -55,14 +57,29 @@
     "reset",
     "cut",
     "silence",
+    "stall",
     "store_away",
 )
+# Kinds that strike all routers: in a large fleet there are more steps, but not
+# more of these, or nobody would ever be in touch.
+FLEET_KINDS = (
+    "roll",
+    "config",
+    "leave",
+    "crash",
+    "store_down",
+    "store_slow",
+    "store_lossy",
+    "store_late",
+)
+SMALL_FLEET = 10
 UPSTREAM_KINDS = ("leave", "crash")
 # Variants of a kind: which links, in which direction, how a store is down.
 VARIANTS = {
     "delay": ("store", "upstreams", "peers", "all"),
     "reset": ("store", "upstreams", "peers", "all"),
     "cut": ("store up", "store down", "peers up", "peers down", "all both"),
+    "stall": ("store", "upstreams", "peers", "all", "everyone"),
     "silence": ("store", "upstreams", "peers", "all", "all", "everyone"),
     "store_down": ("silent", "reset", "busy", "silent lapse"),
     "store_away": ("silent", "reset", "busy", "limited"),
@@ -104,9 +121,13 @@
         )
 
 
+SEEDED_THEMES = tuple(THEMES)
+THEMES["proxies"] = PROXIES
+
+
 def choose_theme(seed):
     """Return the theme of a seed."""
-    return list(THEMES)[seed % len(THEMES)]
+    return SEEDED_THEMES[seed % len(SEEDED_THEMES)]
 
 
 def make_plan(seed, theme, seconds, routers, upstreams):
@@ -114,6 +135,7 @@
     draw = random.Random(f"{seed} {theme} {seconds} {routers} {upstreams}")
     kinds = THEMES[theme]
     rate = 0.5 + 0.05 * routers
+    fleet_share = min(1.0, (0.5 + 0.05 * SMALL_FLEET) / rate)
     steps = []
     at = WARM_UP
     target = 0
@@ -124,6 +146,9 @@
         if at >= seconds:
             break
         kind = draw.choices(list(kinds), list(kinds.values()))[0]
+        if kind in FLEET_KINDS and fleet_share < 1.0:
+            if draw.random() > fleet_share:
+                continue
         if not in_series or draw.random() < 0.5:
             target = draw.randrange(routers)
         steps += _draw_steps(draw, at, kind, target, routers, upstreams)
