--- a/test/test_choice.py
+++ b/test/test_choice.py
@@ -5,6 +5,7 @@
 import pytest
 
 from rowanport.gateway import backlog
+from rowanport.gateway import pacing
 from rowanport.gateway.backlog import Backlog
 from rowanport.gateway.backlog import DEFAULT_RATE
 from rowanport.gateway.choice import NearestChoice
@@ -92,13 +93,22 @@
         return state.record.id
 
 
-def make_route():
+def make_route(gap_objective):
     targets = [(SERVICE, 1)]
-    return Route("r", "h", "/", RouteKind.STREAM, targets, 12.0, OBJECTIVE)
+    return Route(
+        "r",
+        "h",
+        "/",
+        RouteKind.STREAM,
+        targets,
+        12.0,
+        OBJECTIVE,
+        gap_objective=gap_objective,
+    )
 
 
-def make_job(prefix="night", shared=13000, own=4000):
-    job = Job(None, "id", make_route(), SERVICE, 100.0)
+def make_job(prefix="night", shared=13000, own=4000, gap_objective=0.0):
+    job = Job(None, "id", make_route(gap_objective), SERVICE, 100.0)
     job.tokens = Tokens(shared + own, 100)
     job.affinity = prefix
     job.prefix = hash_of(prefix)
@@ -189,6 +199,86 @@
     assert router.send(short) not in near
 
 
+# What happened: on a deployment whose engines differ in speed, a quarter of
+# the short prompts came late though no first event did: on the quiet day 180
+# of 860 had a pause over their objective of 300 ms, 122 of them at two of six
+# engines (47 of 65 and 75 of 188).  Sequence: an engine slower than others
+# reads a long prompt in pieces between the tokens of its streams; three such
+# steps, an event, take longer than the objective; the next short prompt goes
+# there again.  Cause: only the wait for the first event was looked at.
+# Settled by first_ms, pause_ms and upstream in the lines of the requests.
+
+
+def send_short(router, pause=0.0, count=1):
+    """Send short prompts whose streams pause; return where they went."""
+    sends = []
+    for _send in range(count):
+        job = make_job("label", shared=300, own=100, gap_objective=0.3)
+        sends.append(router.send(job))
+        job.longest_pause = pause
+        job.whole = True
+    return sends
+
+
+def test_short_prompts_leave_an_engine_whose_streams_pause(clock, router):
+    (slow,) = send_short(router, pause=0.4)
+    (other,) = {"e1", "e3"} - {slow}
+    assert set(send_short(router, count=4)) == {other}
+    # Sooner to another data centre than to one that pauses.
+    for _stream in range(pacing.STREAMS):
+        follow_pause(router, slow)
+        follow_pause(router, other)
+    assert not set(send_short(router, count=4)) & {slow, other}
+
+
+def test_one_pause_among_many_even_streams_says_nothing(router):
+    even = send_short(router, count=4)
+    assert len(set(even)) == 1
+    assert send_short(router, pause=0.4) == even[:1]
+    assert send_short(router) == even[:1]
+
+
+def test_pauses_everywhere_change_nothing(clock, router):
+    send_short(router, pause=0.4, count=40)
+    assert set(send_short(router, count=4)) <= {"e1", "e3"}
+
+
+def test_a_pause_is_forgotten_after_a_while(clock, router):
+    slow = send_short(router, pause=0.4)
+    clock.now += pacing.KEEP_SECONDS + 1
+    assert send_short(router) == slow
+
+
+def test_a_long_prompt_goes_to_the_even_one_of_those_that_have_it(router):
+    for name in ("e1", "e2"):
+        router.prefixes.note(hash_of("night"), name, router.clock.now)
+    first = router.send(make_job())
+    (other,) = {"e1", "e2"} - {first}
+    router.clock.now += 2.0
+    follow_pause(router, first)
+    assert router.send(make_job()) == other
+    # Reading it again elsewhere costs more than a pause.
+    follow_pause(router, other)
+    router.clock.now += 2.0
+    assert router.send(make_job()) in ("e1", "e2")
+
+
+def follow_pause(router, engine):
+    """Let a stream pause too long at an engine."""
+    job = make_job(gap_objective=0.3)
+    router.pool.get(engine).pacing.follow(job, router.clock.now)
+    job.longest_pause = 0.4
+
+
+def test_a_stream_that_goes_on_elsewhere_did_not_pause_there():
+    job = make_job(gap_objective=0.3)
+    job.events = 3
+    job.longest_pause = 1.5
+    moved = pacing.Pacing()
+    moved.follow(job, 100.0)
+    assert moved.uneven_share(100.0) == 0
+
+
 def test_plain_upstreams_are_chosen_by_what_runs_there(router):
     candidates = router.pool.candidates(SERVICE, (), 100.0)
     choice = NearestChoice("hall-0")
