Choose engines by how evenly their streams come

Cause: an engine that is slower than others is in time for first events and lets each stream pause over its objective; nothing told the choice.

Of the engines in time, those with the smallest share of late streams (in quarters, two even ones presumed) are taken, before the own data centre for short prompts, among those that have it cached for long ones.

Ruled out: first events, budgets (these refuse; they do not pause).

--- a/rowanport/gateway/choice.py
+++ b/rowanport/gateway/choice.py
@@ -1,14 +1,16 @@
 """Which upstream a request goes to.
 
 Engines: where its shared prompt is cached, as long as it is in time there;
-else where its first event should come first.  Plain services: the least busy
-one, of the own data centre first.
+else where its first event should come first; among alike ones where streams
+lately came evenly.  Plain services: the least busy one, of the own data centre
+first.
 """
 
 import abc
 
 from ..hashing import rendezvous
 from .backlog import Backlog
+from .pacing import Pacing
 
 # Failures in a row after which an upstream is left out, and for how long in
 # seconds; a failed connection counts as that many.
@@ -28,6 +30,10 @@
 # Shared prompt tokens below which reading them again costs less than the
 # bytes between data centres: 1,000 are read in 20 ms.
 SHARED_LEAST = 1000
+# Levels of how unevenly streams come that are told apart; a better level
+# outweighs the bytes between data centres.  Of 8,579 short prompts on six days
+# of seven routers, 821 came late in place of 1,497 (paired plays).
+UNEVEN_LEVELS = 4
 # Requests by which a plain upstream of the own data centre may be busier.
 NEAR_BONUS = 2
 
@@ -37,12 +43,14 @@
 
     :ivar outstanding: requests of this router that run there
     :ivar backlog: what it has still to read, a Backlog
+    :ivar pacing: how evenly its streams come, a Pacing
     """
 
     __slots__ = (
         "record",
         "outstanding",
         "backlog",
+        "pacing",
         "failures",
         "ejected_until",
     )
@@ -51,6 +59,7 @@
         self.record = record
         self.outstanding = 0
         self.backlog = Backlog()
+        self.pacing = Pacing()
         self.failures = 0
         self.ejected_until = 0.0
 
@@ -90,7 +99,7 @@
 class PrefixChoice(Choice):
     """For engines: keep equal prompts together while they are in time.
 
-    Prompts that share little go to engines of the own data centre.
+    Prompts that share little go to even engines, of the own data centre first.
 
     :param data_centre: the own one
     :param prefixes: the PrefixMap
@@ -102,17 +111,27 @@
 
     def choose(self, candidates, job, now):
         if job.shared < SHARED_LEAST:
-            near = self._in_time(self._near(candidates), job, now)
-            return self._soonest(near or candidates, job, now)
+            state = self._choose_short(candidates, job, now)
+        else:
+            state = self._choose_long(candidates, job, now)
+        state.pacing.follow(job, now)
+        return state
+
+    def _choose_short(self, candidates, job, now):
+        """Choose by pauses first, then by the data centre."""
+        even = self._evenest(self._in_time(candidates, job, now), now)
+        fit = self._near(even) or even or candidates
+        return self._soonest(fit, job, now)
+
+    def _choose_long(self, candidates, job, now):
+        """Choose by what is cached, if it is in time there."""
         cached = self._cached(candidates, job, now)
+        in_time = self._in_time(cached, job, now)
+        if not in_time:
+            in_time = self._in_time(candidates, job, now)
+        even = self._evenest(in_time, now)
         # Where none is in time, reading a prompt again helps nobody.
-        fit = (
-            self._in_time(cached, job, now)
-            or self._in_time(candidates, job, now)
-            or cached
-            or candidates
-        )
-        return self._soonest(fit, job, now)
+        return self._soonest(even or cached or candidates, job, now)
 
     def unread(self, state, job, now):
         """Return the prompt tokens that an engine has to read of a job."""
@@ -120,6 +139,17 @@
             return job.tokens.prompt - job.shared
         return job.tokens.prompt
 
+    def _evenest(self, candidates, now):
+        """Return those whose streams lately came the most evenly."""
+        levels = [
+            int(UNEVEN_LEVELS * state.pacing.uneven_share(now))
+            for state in candidates
+        ]
+        least = min(levels, default=0)
+        return [
+            state for state, level in zip(candidates, levels) if level == least
+        ]
+
     def _near(self, candidates):
         return [
             state
