Do not wait to tell a far witness the end of a billed run

Change: an end that a witness of another cell has yet to be told counts as unsettled only while it could do harm, which is for a reservation that was given back: the shard no longer takes a presumption for a reservation that stands there with its bill. Witnesses of the own cell are waited for as before.

Ruled out: taking a refused connection for the witness' end, the better sign, which would also spare a planned stop the minute after a kill of a witness of the own cell: PeerError does not tell it apart.

--- a/rowanport/ledger/record.py
+++ b/rowanport/ledger/record.py
@@ -189,6 +189,8 @@
     """
     if find_bill(record, entry.request, entry.run) is not None:
         return
+    if _is_presumed_of_billed(record, entry):
+        return
     budget = record.budgets[entry.budget]
     _take(budget, entry.holder, entry.tokens)
     known = record.bills.get(entry.request)
@@ -208,6 +210,17 @@
     record.bills[absorbed_key(entry.request, entry.run)] = bill
 
 
+def _is_presumed_of_billed(record, entry):
+    """Return whether a presumed run is the very one that was billed.
+
+    A witness that missed a reservation's end presumes it spent.
+    """
+    bill = record.bills.get(entry.request)
+    if bill is None or entry.expiry != NO_BILL:
+        return False
+    return bill.reservation == entry.reservation
+
+
 def _take(budget, holder, tokens):
     """Take tokens from a grant, below nothing if need be.
 
--- a/rowanport/ledger/witnessing.py
+++ b/rowanport/ledger/witnessing.py
@@ -6,6 +6,7 @@
 
 from ..errors import PeerError
 from ..incarnation import address_of
+from ..incarnation import cell_of
 from ..schema.messages import Ack
 from ..schema.messages import Started
 from ..schema.messages import Witness
@@ -95,15 +96,30 @@
         reservation, and would keep it for good.  So it is told once it is
         back, as long as members remember it.
         """
-        self._untold.add(entry.reservation)
+        await asyncio.gather(
+            *(self._end_one(entry, witness) for witness in entry.asked)
+        )
+
+    async def _end_one(self, entry, witness):
+        key = (entry.reservation, witness)
+        if self._is_awaited(entry, witness):
+            self._untold.add(key)
         try:
-            await asyncio.gather(
-                *(self._end_one(entry, witness) for witness in entry.asked)
-            )
+            await self._tell_end(entry, witness)
         finally:
-            self._untold.discard(entry.reservation)
+            self._untold.discard(key)
 
-    async def _end_one(self, entry, witness):
+    def _is_awaited(self, entry, witness):
+        """Return whether a reservation is unsettled until a witness knows.
+
+        Not if it is billed and the witness is of another cell: the shard
+        refuses to presume it spent besides, and after a kill of the witness
+        the books would stay open for as long as members remember it.
+        """
+        near = cell_of(witness) == cell_of(self._incarnation)
+        return near or not entry.settlement.tokens
+
+    async def _tell_end(self, entry, witness):
         message = WitnessEnd(entry.reservation)
         while self._members.is_known(witness):
             try:
