Name apart what is not billed and what a planned stop waits for

An end that a witness has yet to be told counted as unsettled at the home too, although a living witness counts the reservation itself, and a dead one counts for nothing.

Change: LedgerClient.unbilled is what this router remembers; operators are to be shown it together with LedgerKeeper.unsettled. A planned stop goes on waiting for LedgerClient.unsettled, which has the untold ends as before.

--- a/rowanport/ledger/client.py
+++ b/rowanport/ledger/client.py
@@ -298,9 +298,18 @@
 
     # Stop
 
+    @property
+    def unbilled(self):
+        """Return how many reservations this router remembers as an entry.
+
+        One whose witness has yet to be told its end is remembered there, if
+        the witness lives: a dead one keeps no books open.
+        """
+        return len(self._book)
+
     @property
     def unsettled(self):
-        """Return how many reservations of this entry are not yet safe.
+        """Return how many reservations a planned stop waits for.
 
         Those count too that are billed, but whose witness does not know yet.
         """
