--- a/bench/baseline.py
+++ b/bench/baseline.py
@@ -65,10 +65,6 @@
     def unsettled(self):
         return len(self._open) + len(self._tasks)
 
-    @property
-    def unbilled(self):
-        return self.unsettled
-
     @abc.abstractmethod
     async def reserve(self, request, budget, tokens, deadline):
         """Set tokens aside; raise RequestError if that cannot be done."""
--- a/rowanport/router/operators.py
+++ b/rowanport/router/operators.py
@@ -32,17 +32,11 @@
             return await responder.reply_json(200, self.status())
         return await responder.reply(404, b"")
 
-    @property
-    def _unsettled(self):
-        """Return how many reservations are open, whoever's they are."""
-        router = self._router
-        return router.ledger.unbilled + router.keeper.unsettled
-
     def _update_gauges(self):
         router = self._router
         metrics = router.metrics
         metrics.config_version.set({}, router.config.snapshot.version)
-        metrics.unsettled.set({}, self._unsettled)
+        metrics.unsettled.set({}, router.ledger.unsettled)
         metrics.store_calls.set({"kind": "read"}, router.store.reads)
         metrics.store_calls.set({"kind": "write"}, router.store.writes)
         metrics.peer_bytes.set({}, router.traffic.sent)
@@ -64,7 +58,7 @@
             "state": router.members.own.state,
             "config_version": router.config.snapshot.version,
             "requests": router.callers.busy,
-            "unsettled": self._unsettled,
+            "unsettled": router.ledger.unsettled,
             "store": {
                 "reads": router.store.reads,
                 "writes": router.store.writes,
