--- a/test/test_stopping.py
+++ b/test/test_stopping.py
@@ -341,6 +341,17 @@
     stop.refusal(12.0)
 
 
+@pytest.mark.parametrize("grace", [3.0, 4.0, 5.0, 8.0, 30.0])
+def test_nothing_is_cut_before_the_last_sixth_of_the_grace(grace):
+    # Up to there an upstream that works on is no reason to cut its answer.
+    # With a grace of 3 s answers were cut after 2.0 s, with 5 s after 4.0 s.
+    stop = Stop()
+    begun_at = stop.clock.steady()
+    stop.state.begin(grace)
+    assert stop.state.cut_at >= begun_at + grace * 5 / 6
+    assert stop.state.cut_at < begun_at + grace
+
+
 # Kept connections
 
 
