Cut nothing before the last sixth of a short grace

The reserve before the end of a grace is a second at most, and 0.15 of the grace for shorter ones: cut 2.55, 3.4 and 4.25 s after the signal with 3, 4 and 5 s, in place of 2.0, 3.0 and 4.0. A hand-over of tokens after the cut may then not end in time; most are handed over as the stop begins. With 8 s nothing changes.

--- a/rowanport/gateway/stopping.py
+++ b/rowanport/gateway/stopping.py
@@ -20,6 +20,9 @@
 # up: the last answers have 0.1 s to go out, tokens 0.7 s to be handed over or
 # given back, what came in part 0.1 s, late timers and the end the rest.
 RESERVE = 1.0
+# Part of the grace period that this takes at most: with a grace of 3 s the cut
+# comes after 2.55 s in place of 2.0, and more answers end by themselves.
+RESERVE_SHARE = 0.15
 # Seconds before the cut at which a request's own time has to be over, so that
 # its answer surely goes out.
 MARGIN = 0.1
@@ -96,7 +99,7 @@
         :param grace: seconds until the process is killed
         """
         now = self._clock.steady()
-        left = max(0.0, grace - RESERVE)
+        left = grace - min(RESERVE, RESERVE_SHARE * grace)
         self.cut_at = now + left
         self.linger_until = now + min(LINGER, LINGER_SHARE * left)
 
