Let upstreams of the soak fall silent within long streams

Cause: streams were cut around a planned stop when their upstream fell silent, and the soak could not show it: its streams lasted a second or two, its upstreams were never silent, and three sends and an ample allowance of repeats always left another way.

Change: the shape of a theme's traffic (routes, callers, upstreams, allowance of repeats) is one table, soak/shapes.py. The new theme `pauses`, only by name, has streams that last as long as their routes allow, three upstreams of which some or all streams fall silent for 0.3 to 4 s, and an allowance of 0.05 of the requests and four. The promise planned_stop excuses less: an upstream that broke off counts only if it was the last one and did break off, and the end of the grace period only where the upstream was at work then; a stop's excuse holds for a reload beside it too.

Before: no theme has such traffic.

--- a/rowanport/standins/upstream.py
+++ b/rowanport/standins/upstream.py
@@ -121,6 +121,10 @@
         """Return the number of the last event of a request's stream."""
         return self.events
 
+    async def _rest(self, connection, writer):
+        """Wait between two events of a stream."""
+        await asyncio.sleep(self.pause)
+
     # Behaviours
 
     def _head(self, names, **more):
@@ -158,7 +162,7 @@
             event = f"id: {number}\ndata: {names[ID_HEADER]}\n\n".encode()
             writer.write(connection.send(h11.Data(data=event)))
             await writer.drain()
-            await asyncio.sleep(self.pause)
+            await self._rest(connection, writer)
         if last == self._last_event(names):
             writer.write(connection.send(h11.EndOfMessage()))
             return
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -18,10 +18,10 @@
 from .plan import choose_theme
 from .plan import make_plan
 from .plan import THEMES
+from .shapes import shape_of
 from .world import World
 
 CHECK_PAUSE = 2.0
-UPSTREAMS = 4
 # Seconds after the last fault, so that recovery shows.
 CALM = 16.0
 
@@ -135,9 +135,10 @@
 
     :param directory: for settings files, logs and the list of steps
     """
-    size = (wanted.seconds, wanted.processes, UPSTREAMS)
-    plan = make_plan(wanted.seed, wanted.theme, *size)
-    world = World(wanted.seed, *size, directory, wanted.broken)
+    size = (wanted.seconds, wanted.processes)
+    shape = shape_of(wanted.theme)
+    plan = make_plan(wanted.seed, wanted.theme, *size, shape.upstreams)
+    world = World(wanted.seed, *size, shape, directory, wanted.broken)
     injector = Injector(world)
     lag = _Lag()
     seen = {}
--- a/soak/caller.py
+++ b/soak/caller.py
@@ -12,14 +12,14 @@
 
 from .history import Probe
 from .history import Request
+from .shapes import Ask
+from .shapes import USUAL
 from .upstream import body_of
 from .upstream import last_event
 
 HOST = "feed.example"
 CONNECT_TIMEOUT = 1.0
 READ_SIZE = 65536
-# Seconds without an event after which a caller gives a stream up.
-STREAM_GAP = 2.0
 NOT_RUN = (408, 421, 429, 503)
 MOST_TRIES = 3
 # Part of the time left up to which a caller comes back as it is told.
@@ -28,40 +28,6 @@
 LEAVING_SHARE = 0.02
 
 
-class Ask:
-    """A kind of request.
-
-    :ivar path: prefix of its route
-    :ivar repeatable: whether it may run more than once
-    :ivar resumable: whether a broken stream of it may be resumed
-    :ivar keyed: whether it carries its organisation's key
-    :ivar timeout: the route's timeout in seconds
-    """
-
-    __slots__ = ("path", "repeatable", "resumable", "keyed", "timeout")
-
-    def __init__(self, path, repeatable, resumable, keyed, timeout):
-        self.path = path
-        self.repeatable = repeatable
-        self.resumable = resumable
-        self.keyed = keyed
-        self.timeout = timeout
-
-    @property
-    def streamed(self):
-        return "stream" in self.path
-
-
-ASKS = (
-    Ask("/safe/", True, False, True, 3.0),
-    Ask("/once/", False, False, True, 3.0),
-    Ask("/open/", True, False, False, 3.0),
-    Ask("/stream/", True, True, True, 6.0),
-    Ask("/plain-stream/", False, False, True, 6.0),
-)
-WEIGHTS = (2, 2, 2, 4, 3)
-
-
 class _Channel:
     """A caller's connection to a router."""
 
@@ -96,10 +62,14 @@
     :param organisation: whose key it carries
     :param key: that key
     :param pause: mean seconds between two requests
+    :param shape: the Shape of its requests
     """
 
-    def __init__(self, history, choose, name, organisation, key, pause, seed):
+    def __init__(
+        self, history, choose, name, organisation, key, pause, shape, seed
+    ):
         self._history = history
+        self._shape = shape
         self._choose = choose
         self._name = name
         self._organisation = organisation
@@ -120,8 +90,10 @@
             self._drop()
 
     async def _ask(self):
-        ask = self._random.choices(ASKS, WEIGHTS)[0]
-        until = time.monotonic() + self._random.choice((2.0, 5.0, 8.0))
+        asks = self._shape.asks
+        ask = self._random.choices(list(asks), list(asks.values()))[0]
+        patience = self._random.choice(self._shape.patience)
+        until = time.monotonic() + patience
         for _try in range(MOST_TRIES):
             request, retry_after = await self._attempt(ask, until)
             left = until - time.monotonic()
@@ -147,8 +119,8 @@
         if ask.keyed:
             request.organisation = self._organisation
         if ask.streamed:
-            request.prompt = self._random.choice((20, 60, 200))
-            request.most = self._random.choice((6, 30, 90))
+            request.prompt = self._random.choice(self._shape.prompts)
+            request.most = self._random.choice(self._shape.mosts)
         request.until = min(until, time.monotonic() + ask.timeout)
         return request
 
@@ -261,10 +233,9 @@
     async def _read(self, channel, ask, request, leaves):
         """Return the body as far as it came; set the outcome."""
         body = b""
-        gap = STREAM_GAP if ask.streamed else None
         try:
             while True:
-                async with asyncio.timeout(gap):
+                async with asyncio.timeout(ask.gap):
                     event = await channel.event()
                 if isinstance(event, h11.EndOfMessage):
                     request.outcome = "whole"
@@ -331,7 +302,9 @@
 
     def __init__(self, history, router, versions, pause, seed):
         name = f"probe-{router.name}"
-        super().__init__(history, lambda _r: router, name, "", "", pause, seed)
+        super().__init__(
+            history, lambda _r: router, name, "", "", pause, USUAL, seed
+        )
         self._versions = versions
 
     async def _ask(self):
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -209,5 +209,13 @@
             self._world.operator.leave(self._seat(step), step.variant)
         )
 
+    async def _do_pause(self, step):
+        upstream = self._seat(step).occupant
+        if upstream is None:
+            return
+        stall = upstream.stall(step.variant)
+        await asyncio.sleep(step.seconds)
+        upstream.resume(stall)
+
     async def _do_crash(self, step):
         self._world.spawn(self._world.operator.crash(self._seat(step)))
--- a/soak/history.py
+++ b/soak/history.py
@@ -7,6 +7,8 @@
 STORE = "store"
 # A signal to reload is planned work that excuses nothing.
 RELOAD = "hup"
+# A signal to stop.
+STOP = "term"
 
 
 class Record:
--- a/soak/operator.py
+++ b/soak/operator.py
@@ -6,7 +6,6 @@
 
 from bench.ports import free_ports
 
-from .caller import ASKS
 from .caller import HOST
 from .history import Leave
 from .history import NEVER
@@ -20,10 +19,6 @@
 PROBE = "probe"
 # Slots of the upstream that answers probes: it is never full.
 PROBE_SLOTS = 10000
-# Seconds between two events of a stream, chosen by upstream.
-PAUSES = (0.02, 0.06, 0.15)
-# Prepaid tokens by second of a run, of organisations that use more.
-TOKENS_A_SECOND = 150
 PLENTY = 10**9
 STORE_POLL = 0.05
 # Seconds that a leaving upstream serves on beyond the bound.
@@ -68,6 +63,7 @@
 
     def __init__(self, world, seed, seconds):
         self.seats = []
+        self._shape = world.shape
         self._world = world
         self._store = world.store
         self._history = world.history
@@ -75,11 +71,12 @@
         self._random = random.Random(f"operator {seed}")
         self._version = 1
         self._publishing = asyncio.Lock()
-        small = int(TOKENS_A_SECOND * max(10, seconds))
+        small = int(self._shape.paid * max(10, seconds))
         self.totals = {"ample": PLENTY, "small": small, "topped": small}
 
-    async def start(self, upstreams):
+    async def start(self):
         """Start upstreams, and write the first configuration."""
+        upstreams = self._shape.upstreams
         for number in range(upstreams + 1):
             public, behind = free_ports(2)
             service = FEED if number < upstreams else PROBE
@@ -120,7 +117,7 @@
         self._history.versions.append(version)
 
     def _config(self):
-        routes = [_ask_route(ask) for ask in ASKS]
+        routes = [_ask_route(ask) for ask in self._shape.asks]
         # A version is told by the routes that it knows: each adds one.
         routes += [
             _route(f"/since-{number}/", "idempotent", PROBE, public=True)
@@ -148,11 +145,12 @@
         """Start the next upstream at an address, and list it."""
         seat.count += 1
         name = f"u{seat.number}-{seat.count}"
-        faulty = seat.service == FEED and seat.number % 2 == 0
+        faulty = seat.service == FEED and seat.number % self._shape.faulty == 0
         upstream = RecordingUpstream(name, self._history, self._seed, faulty)
+        upstream.slots = self._shape.slots
         if seat.service == PROBE:
             upstream.slots = PROBE_SLOTS
-        upstream.pause = self._random.choice(PAUSES)
+        upstream.pause = self._random.choice(self._shape.pauses)
         await upstream.start(seat.port)
         upstream.address = seat.address
         seat.occupant = upstream
@@ -220,7 +218,9 @@
         ask.path,
         "streaming" if ask.streamed else kind,
         timeout_ms=int(ask.timeout * 1000),
-        max_attempts=3 if ask.repeatable else 1,
+        target_latency_ms=int(ask.objective * 1000),
+        gap_aim_ms=int(ask.pause * 1000),
+        max_attempts=ask.sends,
         stream_resume=ask.resumable,
         public=not ask.keyed,
     )
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -30,6 +30,8 @@
 }
 # Not among all: a proxy that hangs is a fault beyond the platform's pages.
 PROXIES = {"stall": 4, "delay": 1, "config": 4, "leave": 3}
+# Upstreams that fall silent within streams, while routers stop.
+PAUSES = {"pause": 6, "term": 3, "roll": 1, "config": 2, "leave": 2}
 THEMES["all"] = {
     kind: max(theme.get(kind, 0) for theme in THEMES.values())
     for kind in sorted({kind for theme in THEMES.values() for kind in theme})
@@ -45,6 +47,7 @@
     "store_lossy": (1.0, 6.0),
     "store_late": (1.0, 6.0),
     "store_away": (1.0, 8.0),
+    "pause": (0.3, 4.0),
 }
 # Kinds that strike a router, and those that strike an upstream.
 ROUTER_KINDS = (
@@ -67,13 +70,14 @@
     "config",
     "leave",
     "crash",
+    "pause",
     "store_down",
     "store_slow",
     "store_lossy",
     "store_late",
 )
 SMALL_FLEET = 10
-UPSTREAM_KINDS = ("leave", "crash")
+UPSTREAM_KINDS = ("leave", "crash", "pause")
 # Variants of a kind: which links, in which direction, how a store is down.
 VARIANTS = {
     "delay": ("store", "upstreams", "peers", "all"),
@@ -85,6 +89,7 @@
     "store_away": ("silent", "reset", "busy", "limited"),
     "config": ("route", "route", "top_up"),
     "leave": ("draining", "draining", "gone"),
+    "pause": ("all", "streams", "newest"),
 }
 CLOCK_JUMPS = (-30.0, -5.0, -2.0, 2.0, 5.0, 30.0)
 # Seconds between the stops of a series over the whole fleet.
@@ -122,7 +127,9 @@
 
 
 SEEDED_THEMES = tuple(THEMES)
+# By name only, so that the seeds keep their themes.
 THEMES["proxies"] = PROXIES
+THEMES["pauses"] = PAUSES
 
 
 def choose_theme(seed):
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -5,6 +5,8 @@
 is, undisturbed, with an undisturbed store, for ``contact`` seconds.
 """
 
+from .history import RELOAD
+from .history import STOP
 from .history import STORE
 
 NOT_RUN = (408, 421, 429, 503)
@@ -14,6 +16,9 @@
 # balancer asks once a second and leaves out who misses twice.  The platform
 # allows 4 s.
 OUT_OF_USE = 2.0
+PLANNED_KINDS = (STOP, RELOAD)
+# Seconds after the signal to stop until which callers are still sent.
+TAKEN_EARLY = 3.0
 # Seconds after the last disturbance by which requests are served again.
 RECOVERY = 12.0
 SERVED_SHARE = 0.25
@@ -135,7 +140,7 @@
 def check_planned_stop(history):
     """A planned stop, or a reload, cuts no request."""
     runs = history.runs_of()
-    works = [f for f in history.faults if f.kind in ("term", "hup")]
+    works = [f for f in history.faults if f.kind in PLANNED_KINDS]
     for request in history.requests.values():
         if request.outcome != "cut":
             continue
@@ -144,7 +149,7 @@
             continue
         for work in reversed(works):
             if request.router in work.targets and _cut_by(
-                history, work, request, own
+                history, work, request
             ):
                 after = request.sent_at - work.begun
                 evidence = (
@@ -158,11 +163,17 @@
 
 def _excused(history, request, runs):
     """Return whether something else than planned work may have cut it."""
-    if request.ended_at >= request.until or any(r.broke_off for r in runs):
+    if request.ended_at >= request.until:
+        return True
+    # What broke off before the last run was no reason to end it.
+    if runs and runs[-1].broke_off:
         return True
     waited = request.ended_at - request.sent_at
     if not runs and waited <= history.bounds.slack:
         return True
+    stops = _stops(history, request)
+    if any(_filled_grace(history, stop, request, runs) for stop in stops):
+        return True
     begun = request.sent_at - history.bounds.contact
     names = [request.router, STORE, *(run.upstream for run in runs)]
     return any(
@@ -173,23 +184,40 @@
     )
 
 
-def _cut_by(history, work, request, runs):
+def _stops(history, request):
+    """Return the stops of a request's router."""
+    return [
+        fault
+        for fault in history.faults
+        if fault.kind == STOP and request.router in fault.targets
+    ]
+
+
+def _filled_grace(history, stop, request, runs):
+    """Return whether its upstream worked until the grace period was over.
+
+    Such work cannot be waited for.  It excuses no request that was sent
+    when the balancer had left the router out.
+    """
+    grace = history.bounds.grace
+    last = stop.begun + grace - grace / 6
+    early = request.sent_at <= stop.begun + TAKEN_EARLY
+    return (
+        early
+        and last <= request.ended_at <= stop.begun + grace + 1
+        and any(run.ended_at >= last for run in runs)
+    )
+
+
+def _cut_by(history, work, request):
     """Return whether a request was cut by the process that was told."""
-    if request.sent_at > work.ended and work.kind == "term":
+    if request.ended_at < work.begun:
         return False
-    bounds = history.bounds
-    if work.kind == "hup":
-        begun, ended = work.begun, request.ended_at
-        return begun <= request.ended_at and (
-            request.sent_at <= begun + bounds.apply and ended >= begun
-        )
-    over = work.begun + bounds.grace
-    if not work.begun <= request.ended_at <= over + 1:
+    if work.kind == RELOAD:
+        return request.sent_at <= work.begun + history.bounds.apply
+    if request.sent_at > work.ended:
         return False
-    early = request.sent_at <= work.begun + 3.0
-    # Work that fills the whole grace period cannot be waited for.
-    filled = request.ended_at >= over - bounds.grace / 6
-    return not (early and filled and runs)
+    return request.ended_at <= work.begun + history.bounds.grace + 1
 
 
 def check_lost(history):
--- a/soak/router.py
+++ b/soak/router.py
@@ -28,7 +28,9 @@
     :ivar told: whether its process was told to end
     """
 
-    def __init__(self, name, ip, ports, directory, bounds, broken, relayed):
+    def __init__(
+        self, name, ip, ports, directory, bounds, repeats, broken, relayed
+    ):
         self.name = name
         self.ip = ip
         self.callers = (ip, ports.callers)
@@ -39,6 +41,7 @@
         self.frozen = False
         self._ports = ports
         self._bounds = bounds
+        self._repeats = repeats
         self._broken = broken
         self._relayed = relayed
         self._settings = directory / f"{name}.json"
@@ -59,6 +62,7 @@
         """Write the settings file as the platform does."""
         bounds = self._bounds
         ports = self._ports
+        ratio, slack = self._repeats
         fields = {
             "node_name": self.name,
             "role": "router",
@@ -75,8 +79,8 @@
                 "grace_s": bounds.grace,
                 "drain_ms": int(bounds.drain * 1000),
                 "config_apply_ms": int(bounds.apply * 1000),
-                "retry_budget_ratio": 0.2,
-                "retry_slack": 54,
+                "retry_budget_ratio": ratio,
+                "retry_slack": slack,
                 "budget_window_s": 10,
             },
             "platform": {"address": f"{self.ip}:{ports.store}"},
--- /dev/null
+++ b/soak/shapes.py
@@ -0,0 +1,119 @@
+"""Shapes of traffic: routes, callers, upstreams and bounds of a theme."""
+
+from .history import Record
+
+# Least seconds without an event after which a caller gives a stream up.
+LEAST_GAP = 2.0
+
+
+class Ask(Record):
+    """A kind of request.
+
+    :ivar path: prefix of its route
+    :ivar repeatable: whether it may run more than once
+    :ivar resumable: whether a broken stream of it may be resumed
+    :ivar keyed: whether it carries its organisation's key
+    :ivar timeout: the route's timeout in seconds
+    :ivar sends: how many upstreams it may be sent to
+    :ivar objective: seconds to the answer, or to a stream's first event
+    :ivar pause: longest pause in seconds between events in time
+    """
+
+    __slots__ = (
+        "path",
+        "repeatable",
+        "resumable",
+        "keyed",
+        "timeout",
+        "sends",
+        "objective",
+        "pause",
+    )
+
+    defaults = {"sends": 1, "objective": 0.5, "pause": 0.0}
+
+    @property
+    def streamed(self):
+        return "stream" in self.path
+
+    @property
+    def gap(self):
+        """Return the silence in seconds that ends a caller's patience."""
+        if not self.streamed:
+            return None
+        return max(LEAST_GAP, 4 * self.objective, 8 * self.pause)
+
+
+class Shape(Record):
+    """How traffic looks while a theme's faults come.
+
+    :ivar asks: kinds of requests, with weights
+    :ivar patience: seconds that callers wait for an answer
+    :ivar prompts: tokens in
+    :ivar mosts: most tokens out
+    :ivar upstreams: how many there are, and slots of each
+    :ivar faulty: every how manyth upstream has faults of its own
+    :ivar pauses: seconds between two events of a stream, by upstream
+    :ivar paid: prepaid tokens by second, of organisations that use more
+    :ivar repeats: sends past the first of a request, by request and beyond
+    """
+
+    __slots__ = (
+        "asks",
+        "patience",
+        "prompts",
+        "mosts",
+        "upstreams",
+        "slots",
+        "faulty",
+        "pauses",
+        "paid",
+        "repeats",
+    )
+
+    defaults = {
+        "asks": {
+            Ask("/safe/", True, False, True, 3.0, 3): 2,
+            Ask("/once/", False, False, True, 3.0): 2,
+            Ask("/open/", True, False, False, 3.0, 3): 2,
+            Ask("/stream/", True, True, True, 6.0, 3): 4,
+            Ask("/plain-stream/", False, False, True, 6.0): 3,
+        },
+        "patience": (2.0, 5.0, 8.0),
+        "prompts": (20, 60, 200),
+        "mosts": (6, 30, 90),
+        "upstreams": 4,
+        "slots": 8,
+        "faulty": 2,
+        "pauses": (0.02, 0.06, 0.15),
+        "paid": 150,
+        "repeats": (0.2, 54),
+    }
+
+
+USUAL = Shape()
+# Streams that last as long as their routes allow, few upstreams, and hardly a
+# repeat: what pauses can often go on nowhere else.
+LONG_STREAMS = Shape(
+    asks={
+        Ask("/safe/", True, False, True, 3.0, 2): 1,
+        Ask("/once/", False, False, True, 3.0): 1,
+        Ask("/long-stream/", True, True, True, 15.0, 2, 0.6, 0.4): 4,
+        Ask("/stream/", True, True, True, 12.0, 2, 0.8, 0.4): 4,
+        Ask("/plain-stream/", False, False, True, 6.0, 1, 0.8, 0.4): 2,
+    },
+    patience=(6.0, 15.0, 15.0),
+    mosts=(30, 150, 600),
+    upstreams=3,
+    slots=16,
+    faulty=3,
+    pauses=(0.06, 0.15, 0.3),
+    paid=1500,
+    repeats=(0.05, 4),
+)
+SHAPES = {"pauses": LONG_STREAMS}
+
+
+def shape_of(theme):
+    """Return the Shape of a theme's traffic."""
+    return SHAPES.get(theme, USUAL)
--- a/soak/upstream.py
+++ b/soak/upstream.py
@@ -24,14 +24,22 @@
     "unsigned": 0.01,
 }
 # Behaviours by which the upstream itself breaks its answer off.
-BREAKING = ("break", "tear", "reset", "short", "unsigned", "stray")
+BREAKING = ("reset", "short", "unsigned", "stray")
+# The same, after some events of a stream.
 STREAM_ONLY = ("break", "tear")
+# Seconds between two looks whether a silent upstream goes on.
+STALL_POLL = 0.02
 
 
 def _streamed(names):
     return "x-rowanport-token-count" in names
 
 
+def _has_begun(run):
+    """Return whether events of a stream were handed out."""
+    return isinstance(run, Run) and bool(run.tokens)
+
+
 def tokens_out(request_id, most):
     """Return how many tokens the answer to a request has, 1 to the most."""
     return random.Random(request_id).randint(1, max(1, most))
@@ -65,7 +73,8 @@
         self._faulty = faulty
         self._random = random.Random(f"{seed} {name}")
         self._runs = {}
-        self._writers = set()
+        self._readers = {}
+        self._stalls = []
 
     def entry(self, service="feed", state="ready"):
         """Return its entry in the directory."""
@@ -74,17 +83,53 @@
     def crash(self):
         """Drop everything at once."""
         self._server.close()
-        for writer in list(self._writers):
+        for writer in list(self._readers):
             writer.transport.abort()
 
+    def stall(self, what):
+        """Fall silent, as when its process is stopped or memory ran out.
+
+        :param what: "all", "streams" that run, or the "newest" half of these
+        :return: what resume takes
+        """
+        streams = [c for c, run in self._runs.items() if _has_begun(run)]
+        if what == "newest":
+            streams = streams[len(streams) // 2 :]
+        stall = (what, streams)
+        self._stalls.append(stall)
+        return stall
+
+    def resume(self, stall):
+        """Go on where it fell silent."""
+        self._stalls.remove(stall)
+
+    def _stalled(self, connection):
+        return any(
+            what == "all" or connection in streams
+            for what, streams in self._stalls
+        )
+
+    async def _wait_stalled(self, connection, writer):
+        """Wait while it is silent; end when the router has closed."""
+        while not self._readers[writer].at_eof():
+            if not self._stalled(connection):
+                return
+            await asyncio.sleep(STALL_POLL)
+        raise ConnectionResetError
+
+    async def _rest(self, connection, writer):
+        await super()._rest(connection, writer)
+        await self._wait_stalled(connection, writer)
+
     async def _serve(self, reader, writer):
-        self._writers.add(writer)
+        self._readers[writer] = reader
         try:
             await super()._serve(reader, writer)
         finally:
-            self._writers.discard(writer)
+            del self._readers[writer]
 
     async def _answer(self, connection, writer, request, body):
+        await self._wait_stalled(connection, writer)
         names = {n.decode(): v.decode() for n, v in request.headers}
         expected = names.get("x-rowanport-expect-instance", self.name)
         if expected != self.name:
@@ -102,11 +147,17 @@
             names["behaviour"] = behaviour
             method = getattr(self, f"_do_{behaviour}")
             await method(connection, writer, names, body)
+            self._note_broken(connection, behaviour)
             await writer.drain()
         finally:
             self.active -= 1
             self._end(self._runs.pop(connection))
 
+    def _note_broken(self, connection, behaviour):
+        run = self._runs[connection]
+        if behaviour in STREAM_ONLY and isinstance(run, Run):
+            run.broke_off = True
+
     def _end(self, run):
         if isinstance(run, Run):
             run.ended_at = time.monotonic()
--- a/soak/world.py
+++ b/soak/world.py
@@ -50,11 +50,13 @@
     :param directory: for settings files and logs
     :param broken: name of a broken variant, "" for the real program
     :ivar history: the History
+    :ivar shape: the Shape of its traffic
     :ivar failures: exceptions of the soak's own tasks
     """
 
-    def __init__(self, seed, seconds, routers, upstreams, directory, broken):
+    def __init__(self, seed, seconds, routers, shape, directory, broken):
         self.history = History()
+        self.shape = shape
         self.seed = seed
         self.routers = []
         self.relays = Relays({})
@@ -63,7 +65,7 @@
         self.failures = []
         self._tasks = TaskSet()
         self._random = random.Random(f"world {seed}")
-        self._counts = (routers, upstreams)
+        self._count = routers
         self._directory = directory
         self._broken = broken
         self._callers = []
@@ -75,9 +77,9 @@
 
     async def start(self):
         """Start everything, and wait until the routers are ready."""
-        routers, upstreams = self._counts
+        routers = self._count
         await self.store.start(*free_ports(1))
-        await self.operator.start(upstreams)
+        await self.operator.start()
         await self._start_routers(routers)
         for task in (self._watch(), self._expire()):
             self.spawn(task)
@@ -102,6 +104,7 @@
                     ports,
                     self._directory,
                     self.history.bounds,
+                    self.shape.repeats,
                     self._broken,
                     relayed,
                 )
@@ -141,6 +144,7 @@
                 organisation,
                 f"key-of-{organisation}",
                 PAUSE,
+                self.shape,
                 self.seed,
             )
             self._callers.append(self.spawn(caller.run()))
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -5,10 +5,12 @@
 import pathlib
 import subprocess
 import sys
+import zlib
 
 import pytest
 
 from bench.ports import free_ports
+from rowanport.standins.upstream import ID_HEADER
 from rowanport.web.client import Keepalive
 from soak import promises
 from soak.broken import VARIANTS
@@ -22,13 +24,18 @@
 from soak.history import Run
 from soak.history import STORE
 from soak.history import Version
+from soak.plan import choose_theme
 from soak.plan import make_plan
+from soak.plan import SEEDED_THEMES
 from soak.plan import THEMES
 from soak.relay import Relays
+from soak.upstream import RecordingUpstream
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 LOCAL = "127.0.0.1"
 AT_ONCE = 4
+# A checksum of plans: seeds that failed are kept by number.
+PLANS_OF_SEED_7 = 2033550673
 # A run of each kind of fault; a variant ends as soon as it is found.
 REAL = ("--theme", "all", "--seconds", "20", "--calm", "14", "--seed", "1")
 BROKEN = ("--seconds", "14", "--calm", "15.5", "--seed", "1")
@@ -225,6 +232,44 @@
     assert found(history) == []
 
 
+@pytest.mark.parametrize(
+    "sent_at, ended_at, run_ended_at",
+    [
+        (103.1, 107.5, 107.5),  # sent when the router was left out
+        (102.0, 106.5, 107.5),  # cut before the last sixth of the grace
+        (102.0, 107.5, 106.5),  # its upstream had finished before that
+    ],
+)
+def test_other_work_than_that_may_not_be_cut(sent_at, ended_at, run_ended_at):
+    history = cut(sent_at, ended_at)
+    add_run(history, at=sent_at, ended_at=run_ended_at)
+    assert found(history) == ["planned_stop"]
+
+
+def test_work_that_fills_the_grace_period_is_no_cut_of_a_reload():
+    history = cut(102.0, 107.5)
+    add_run(history, at=102.01)
+    history.faults.append(Fault("hup", {"r0"}, 101.0, 101.0, planned=True))
+    assert found(history) == []
+    history.requests["c1"].ended_at = 106.5
+    assert found(history) == ["planned_stop"]
+
+
+def test_an_upstream_that_broke_off_before_is_no_reason_to_end_an_answer():
+    history = cut(99.0, 103.0)
+    add_run(history, at=99.01, broke_off=True)
+    add_run(history, upstream="u1", at=100.5)
+    assert found(history) == ["planned_stop"]
+    history.runs[-1].broke_off = True
+    assert found(history) == []
+
+
+def test_silence_of_an_upstream_is_no_reason_to_end_an_answer():
+    history = cut(99.0, 103.0)
+    add_run(history, at=99.01, tokens={1: 3}, ended_at=103.0)
+    assert found(history) == ["planned_stop"]
+
+
 def test_an_upstream_that_breaks_off_or_a_time_limit_is_no_cut():
     history = cut(99.0, 103.0)
     add_run(history, at=99.01, broke_off=True)
@@ -349,6 +394,86 @@
     )
 
 
+def test_a_seed_keeps_its_theme_and_its_plan():
+    themes = [choose_theme(seed) for seed in range(8)]
+    assert themes == [*SEEDED_THEMES, "stops"]
+    assert len(SEEDED_THEMES) == 7
+    plans = [make_plan(7, theme, 30.0, 3, 4) for theme in SEEDED_THEMES]
+    assert zlib.crc32(repr(plans).encode()) == PLANS_OF_SEED_7
+
+
+# Upstreams
+
+
+def event_counts(history):
+    """Return how many events were handed out, by request."""
+    return {run.request: len(run.tokens) for run in history.runs}
+
+
+async def has_events(history, ids, counts=()):
+    """Wait until streams have more events than some counts say."""
+    async with asyncio.timeout(20.0):
+        while any(
+            event_counts(history).get(id_, 0) <= dict(counts).get(id_, 0)
+            for id_ in ids
+        ):
+            await asyncio.sleep(0.01)
+
+
+async def check_stall(what, silent, served):
+    """Check which streams a silent upstream goes on with.
+
+    :param silent: requests that get nothing, "c3" was sent meanwhile
+    :param served: requests that do
+    """
+    history = History()
+    upstream = RecordingUpstream("u0", history, 1, faulty=False)
+    (port,) = free_ports(1)
+    await upstream.start(port)
+    writers = []
+
+    async def ask(id_):
+        add_request(history, id_, most=3000)
+        _reader, writer = await asyncio.open_connection(LOCAL, port)
+        writers.append(writer)
+        head = (
+            "POST /x/ HTTP/1.1\r\nhost: x\r\ncontent-length: 0\r\n"
+            f"x-rowanport-token-count: 1,3000\r\n{ID_HEADER}: {id_}\r\n\r\n"
+        )
+        writer.write(head.encode())
+
+    for id_ in ("c1", "c2"):
+        await ask(id_)
+        await has_events(history, [id_])
+    stall = upstream.stall(what)
+    await ask("c3")
+    before = event_counts(history)
+    await asyncio.sleep(0.2)
+    await has_events(history, served, before)
+    after = event_counts(history)
+    assert [after.get(i) for i in silent] == [before.get(i) for i in silent]
+    upstream.resume(stall)
+    await has_events(history, silent, after)
+    for writer in writers:
+        writer.close()
+    await upstream.close()
+    while event_counts(history) != after:
+        after = event_counts(history)
+        await asyncio.sleep(0.1)
+
+
+@pytest.mark.parametrize(
+    "what, silent, served",
+    [
+        ("all", ["c1", "c2", "c3"], []),
+        ("streams", ["c1", "c2"], ["c3"]),
+        ("newest", ["c2"], ["c1", "c3"]),
+    ],
+)
+def test_a_silent_upstream_hands_out_no_events(loop, what, silent, served):
+    loop.run_until_complete(check_stall(what, silent, served))
+
+
 # Relays
 
 
