--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -67,7 +67,8 @@
         """Return one line of figures."""
         requests = self.history.requests.values()
         counts = collections.Counter(
-            str(r.status or r.outcome) for r in requests
+            r.outcome if r.outcome == "half" else str(r.status or r.outcome)
+            for r in requests
         )
         figures = " ".join(f"{k}:{v}" for k, v in sorted(counts.items()))
         return (
--- a/soak/caller.py
+++ b/soak/caller.py
@@ -1,6 +1,7 @@
 """Callers: kept connections, whole answers, retries as the platform says."""
 
 import asyncio
+import math
 import random
 import time
 import zlib
@@ -10,6 +11,12 @@
 from rowanport.standins.upstream import ID_HEADER
 from rowanport.standins.upstream import STAMP_HEADER
 
+from .channel import Ahead
+from .channel import connect
+from .channel import EARLY
+from .channel import encode
+from .channel import HALF
+from .channel import PIPELINED
 from .history import Probe
 from .history import Request
 from .shapes import Ask
@@ -18,42 +25,16 @@
 from .upstream import last_event
 
 HOST = "feed.example"
-CONNECT_TIMEOUT = 1.0
-READ_SIZE = 65536
 NOT_RUN = (408, 421, 429, 503)
 MOST_TRIES = 3
 # Part of the time left up to which a caller comes back as it is told.
 RETRY_SHARE = 1 / 3
+# Whether callers of a manner keep connections; others do as they like.
+KEEPS = {HALF: False, PIPELINED: True, EARLY: True}
 # Share of requests that their callers leave in the middle.
 LEAVING_SHARE = 0.02
 
 
-class _Channel:
-    """A caller's connection to a router."""
-
-    def __init__(self, router, reader, writer):
-        self.router = router
-        self.life = router.life
-        self.reader = reader
-        self.writer = writer
-        self.state = h11.Connection(h11.CLIENT)
-
-    @property
-    def usable(self):
-        return not self.reader.at_eof() and not self.writer.is_closing()
-
-    async def event(self):
-        """Return the next event of the answer."""
-        while True:
-            event = self.state.next_event()
-            if event is not h11.NEED_DATA:
-                return event
-            self.state.receive_data(await self.reader.read(READ_SIZE))
-
-    def close(self):
-        self.writer.transport.abort()
-
-
 class Caller:
     """One caller, which asks again and again.
 
@@ -76,7 +57,9 @@
         self._key = key
         self._pause = pause
         self._random = random.Random(f"{seed} {name}")
+        self._manner = _draw_manner(shape.manners, f"{seed} {name}")
         self._keeps = self._random.random() < 0.7
+        self._keeps = KEEPS.get(self._manner, self._keeps)
         self._channel = None
         self._count = 0
 
@@ -90,17 +73,22 @@
             self._drop()
 
     async def _ask(self):
-        asks = self._shape.asks
-        ask = self._random.choices(list(asks), list(asks.values()))[0]
-        patience = self._random.choice(self._shape.patience)
+        ask, patience = self._draw()
         until = time.monotonic() + patience
         for _try in range(MOST_TRIES):
             request, retry_after = await self._attempt(ask, until)
             left = until - time.monotonic()
             if not self._comes_back(ask, request, retry_after, left):
-                return
+                break
             self._drop()
             await asyncio.sleep(retry_after)
+        await self._take_ahead()
+
+    def _draw(self):
+        """Return a kind of request, and how many seconds it may take."""
+        asks = self._shape.asks
+        ask = self._random.choices(list(asks), list(asks.values()))[0]
+        return ask, self._random.choice(self._shape.patience)
 
     def _comes_back(self, ask, request, retry_after, left):
         if left <= 0.2 or request.outcome == "left":
@@ -122,24 +110,35 @@
             request.prompt = self._random.choice(self._shape.prompts)
             request.most = self._random.choice(self._shape.mosts)
         request.until = min(until, time.monotonic() + ask.timeout)
+        self._history.requests[request.id] = request
         return request
 
     async def _attempt(self, ask, until):
         """Send one request; return it and the time to come back."""
         request = self._request(ask, until)
-        self._history.requests[request.id] = request
         channel = await self._connect()
         if channel is None:
             request.outcome = "unsent"
             request.ended_at = request.sent_at = time.monotonic()
             return request, 0.1
+        if self._manner in (PIPELINED, EARLY) and channel.ahead is None:
+            channel.ahead = self._next_ahead(channel)
+        return request, await self._conduct(channel, ask, request, until)
+
+    async def _conduct(self, channel, ask, request, until, written=False):
+        """Exchange one request; return the time to come back.
+
+        :param written: whether it was sent before its turn
+        """
         request.router = channel.router.name
         request.life = channel.life
         retry_after = 0.1
         request.sent_at = time.monotonic()
         try:
             async with asyncio.timeout(max(0.05, until - time.monotonic())):
-                retry_after = await self._exchange(channel, ask, request)
+                retry_after = await self._exchange(
+                    channel, ask, request, written
+                )
         except (OSError, h11.ProtocolError) as error:
             self._note_broken(channel, request, error)
         except (asyncio.TimeoutError, asyncio.CancelledError) as error:
@@ -151,14 +150,42 @@
             request.ended_at = time.monotonic()
         if request.outcome != "whole" or not self._keeps:
             self._drop()
-        return request, retry_after
+        return retry_after
+
+    def _next_ahead(self, channel):
+        """Return the Ahead of a channel's next request."""
+        ask, patience = self._draw()
+        request = self._request(ask, time.monotonic() + patience)
+        request.router = channel.router.name
+        request.life = channel.life
+        request.sent_at = time.monotonic()
+        body = self._body(ask, request)
+        scratch = h11.Connection(h11.CLIENT)
+        data = encode(scratch, self._head(request, body), body)
+        return Ahead(ask, request, data, patience)
+
+    async def _take_ahead(self):
+        """Wait for the answer to what was sent before its turn."""
+        channel = self._channel
+        if channel is None or channel.ahead is None:
+            return
+        ahead, channel.ahead = channel.ahead, None
+        now = time.monotonic()
+        request = ahead.request
+        request.until = now + min(ahead.patience, ahead.ask.timeout)
+        until = now + ahead.patience
+        await self._conduct(channel, ahead.ask, request, until, ahead.written)
 
     def _note_broken(self, channel, request, error):
-        request.outcome = "cut"
+        self._note_cut(request)
         garbled = isinstance(error, h11.RemoteProtocolError)
         if garbled and not channel.reader.at_eof():
             request.wrong = f"bytes that are no answer: {error}"
 
+    def _note_cut(self, request):
+        # The rules don't say what becomes of a caller that closes half.
+        request.outcome = "half" if self._manner == HALF else "cut"
+
     # One exchange
 
     async def _connect(self):
@@ -167,31 +194,34 @@
                 return self._channel
             self._drop()
         router = self._choose(self._random)
-        try:
-            async with asyncio.timeout(CONNECT_TIMEOUT):
-                reader, writer = await asyncio.open_connection(*router.callers)
-        except (OSError, asyncio.TimeoutError):
-            return None
-        self._channel = _Channel(router, reader, writer)
+        self._channel = await connect(router, self._manner)
         return self._channel
 
     def _drop(self):
-        if self._channel is not None:
-            self._channel.close()
-            self._channel = None
-
-    async def _exchange(self, channel, ask, request):
-        body = b"" if ask.streamed else f"ask {request.id}".encode()
-        data = channel.state.send(self._head(request, body))
-        if body:
-            data += channel.state.send(h11.Data(data=body))
-        data += channel.state.send(h11.EndOfMessage())
-        channel.writer.write(data)
-        await channel.writer.drain()
+        if self._channel is None:
+            return
+        ahead = self._channel.ahead
+        if ahead is not None:
+            ahead.request.outcome = "left"
+            ahead.request.ended_at = time.monotonic()
+        self._channel.close()
+        self._channel = None
+
+    def _body(self, ask, request):
+        if ask.streamed:
+            return b""
+        size = random.Random(request.id).choice(self._shape.bodies)
+        return f"ask {request.id}".encode().ljust(size)
+
+    async def _exchange(self, channel, ask, request, written):
+        body = self._body(ask, request)
+        data = encode(channel.state, self._head(request, body), body)
+        if not written:
+            await channel.write(data)
         request.sent_at = time.monotonic()
         head = await channel.event()
         if not isinstance(head, h11.Response):
-            request.outcome = "cut"
+            self._note_cut(request)
             return 0.1
         headers = {n.decode(): v.decode() for n, v in head.headers}
         request.status = head.status_code
@@ -202,7 +232,7 @@
         answer = await self._read(channel, ask, request, leaves)
         if request.outcome == "whole":
             self._compare(ask, request, headers, answer, body)
-            if channel.state.trailing_data[0]:
+            if channel.state.trailing_data[0] and not channel.ahead:
                 request.wrong = "more bytes behind the answer"
             self._keep(channel, headers)
         elif ask.streamed and request.status == 200:
@@ -210,12 +240,13 @@
         return float(headers.get("retry-after", 0.1))
 
     def _head(self, request, body):
-        left = max(1, int(1000 * (request.until - time.monotonic())))
+        # Rounded up: a router that ends it a little earlier has cut it.
+        left = math.ceil(1000 * (request.until - time.monotonic()))
         headers = [
             ("host", HOST),
             ("content-length", str(len(body))),
             (ID_HEADER, request.id),
-            ("x-rowanport-deadline-ms", str(left)),
+            ("x-rowanport-deadline-ms", str(max(1, left))),
         ]
         if request.organisation:
             headers.append(("api-key", self._key))
@@ -241,9 +272,11 @@
                     request.outcome = "whole"
                     return body
                 if not isinstance(event, h11.Data):
-                    request.outcome = "cut"
+                    self._note_cut(request)
                     return body
                 body += bytes(event.data)
+                if self._manner == EARLY and _ends(ask, request, body):
+                    channel.write_ahead()
                 if leaves:
                     request.outcome = "left"
                     return body
@@ -294,6 +327,20 @@
             request.wrong = f"{len(events)} events of {last} look whole"
 
 
+def _draw_manner(manners, name):
+    """Return the manner of a caller."""
+    draw = random.Random(f"manner {name}")
+    return draw.choices(list(manners), list(manners.values()))[0]
+
+
+def _ends(ask, request, body):
+    """Return whether an answer is about to end."""
+    if not ask.streamed:
+        return True
+    last = last_event(request.id, request.most)
+    return f"id: {last}\n".encode() in body
+
+
 class Prober(Caller):
     """Asks one router again and again which configuration it goes by.
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -71,9 +71,18 @@
         self._world.note("kill", [router.name], now(), NEVER)
         router.signal(signal.SIGKILL)
 
+    async def _do_again(self, _step):
+        """Send the signal again to all routers that stop."""
+        for router in self._world.routers:
+            if router.told:
+                router.signal(signal.SIGTERM)
+
+    async def _do_settings(self, step):
+        self._router(step).write_settings(self._world.choose_seeds())
+
     async def _do_hup(self, step):
         router = self._router(step)
-        router.write_settings(self._world.choose_seeds())
+        await self._do_settings(step)
         if router.life and router.alive and not router.told:
             at = now()
             self._world.note("hup", [router.name], at, at, planned=True)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -32,6 +32,17 @@
 PROXIES = {"stall": 4, "delay": 1, "config": 4, "leave": 3}
 # Upstreams that fall silent within streams, while routers stop.
 PAUSES = {"pause": 6, "term": 3, "roll": 1, "config": 2, "leave": 2}
+# What comes during a stop, and callers of all manners.
+CALLERS = {
+    "term": 3,
+    "again": 3,
+    "roll": 1,
+    "hup": 2,
+    "settings": 2,
+    "pause": 3,
+    "config": 2,
+    "leave": 1,
+}
 THEMES["all"] = {
     kind: max(theme.get(kind, 0) for theme in THEMES.values())
     for kind in sorted({kind for theme in THEMES.values() for kind in theme})
@@ -49,20 +60,6 @@
     "store_away": (1.0, 8.0),
     "pause": (0.3, 4.0),
 }
-# Kinds that strike a router, and those that strike an upstream.
-ROUTER_KINDS = (
-    "term",
-    "kill",
-    "hup",
-    "freeze",
-    "clock",
-    "delay",
-    "reset",
-    "cut",
-    "silence",
-    "stall",
-    "store_away",
-)
 # Kinds that strike all routers: in a large fleet there are more steps, but not
 # more of these, or nobody would ever be in touch.
 FLEET_KINDS = (
@@ -130,6 +127,7 @@
 # By name only, so that the seeds keep their themes.
 THEMES["proxies"] = PROXIES
 THEMES["pauses"] = PAUSES
+THEMES["callers"] = CALLERS
 
 
 def choose_theme(seed):
--- a/soak/shapes.py
+++ b/soak/shapes.py
@@ -1,5 +1,10 @@
 """Shapes of traffic: routes, callers, upstreams and bounds of a theme."""
 
+from .channel import EARLY
+from .channel import HALF
+from .channel import PIPELINED
+from .channel import PLAIN
+from .channel import SLOW
 from .history import Record
 
 # Least seconds without an event after which a caller gives a stream up.
@@ -56,6 +61,10 @@
     :ivar pauses: seconds between two events of a stream, by upstream
     :ivar paid: prepaid tokens by second, of organisations that use more
     :ivar repeats: sends past the first of a request, by request and beyond
+    :ivar manners: of callers, with weights
+    :ivar bodies: least bytes of a plain request, and of its answer
+    :ivar graces: seconds from the signal to stop until the process is
+        killed, by seed
     """
 
     __slots__ = (
@@ -69,6 +78,9 @@
         "pauses",
         "paid",
         "repeats",
+        "manners",
+        "bodies",
+        "graces",
     )
 
     defaults = {
@@ -88,30 +100,40 @@
         "pauses": (0.02, 0.06, 0.15),
         "paid": 150,
         "repeats": (0.2, 54),
+        "manners": {PLAIN: 1},
+        "bodies": (0,),
+        "graces": (8.0,),
     }
 
 
 USUAL = Shape()
 # Streams that last as long as their routes allow, few upstreams, and hardly a
 # repeat: what pauses can often go on nowhere else.
-LONG_STREAMS = Shape(
-    asks={
+LONG_STREAMS = {
+    "asks": {
         Ask("/safe/", True, False, True, 3.0, 2): 1,
         Ask("/once/", False, False, True, 3.0): 1,
         Ask("/long-stream/", True, True, True, 15.0, 2, 0.6, 0.4): 4,
         Ask("/stream/", True, True, True, 12.0, 2, 0.8, 0.4): 4,
         Ask("/plain-stream/", False, False, True, 6.0, 1, 0.8, 0.4): 2,
     },
-    patience=(6.0, 15.0, 15.0),
-    mosts=(30, 150, 600),
-    upstreams=3,
-    slots=16,
-    faulty=3,
-    pauses=(0.06, 0.15, 0.3),
-    paid=1500,
-    repeats=(0.05, 4),
-)
-SHAPES = {"pauses": LONG_STREAMS}
+    "patience": (6.0, 15.0, 15.0),
+    "mosts": (30, 150, 600),
+    "upstreams": 3,
+    "slots": 16,
+    "faulty": 3,
+    "pauses": (0.06, 0.15, 0.3),
+    "paid": 1500,
+}
+SHAPES = {
+    "pauses": Shape(**LONG_STREAMS, repeats=(0.05, 4)),
+    "callers": Shape(
+        **LONG_STREAMS,
+        manners={PLAIN: 5, SLOW: 4, PIPELINED: 4, EARLY: 4, HALF: 1},
+        bodies=(0, 90000),
+        graces=(3.0, 5.0, 8.0, 15.0, 30.0),
+    ),
+}
 
 
 def shape_of(theme):
--- a/soak/world.py
+++ b/soak/world.py
@@ -11,6 +11,7 @@
 
 from .caller import Caller
 from .caller import Prober
+from .history import Bounds
 from .history import Fault
 from .history import History
 from .history import OwnEnd
@@ -55,7 +56,8 @@
     """
 
     def __init__(self, seed, seconds, routers, shape, directory, broken):
-        self.history = History()
+        grace = shape.graces[seed % len(shape.graces)]
+        self.history = History(Bounds(grace=grace))
         self.shape = shape
         self.seed = seed
         self.routers = []
