--- a/soak/caller.py
+++ b/soak/caller.py
@@ -1,6 +1,7 @@
 """Callers: kept connections, whole answers, retries as the platform says."""
 
 import asyncio
+import math
 import random
 import time
 import zlib
@@ -10,84 +11,30 @@
 from rowanport.standins.upstream import ID_HEADER
 from rowanport.standins.upstream import STAMP_HEADER
 
+from .channel import Ahead
+from .channel import connect
+from .channel import EARLY
+from .channel import encode
+from .channel import HALF
+from .channel import PIPELINED
 from .history import Probe
 from .history import Request
+from .shapes import Ask
+from .shapes import USUAL
 from .upstream import body_of
 from .upstream import last_event
 
 HOST = "feed.example"
-CONNECT_TIMEOUT = 1.0
-READ_SIZE = 65536
-# Seconds without an event after which a caller gives a stream up.
-STREAM_GAP = 2.0
 NOT_RUN = (408, 421, 429, 503)
 MOST_TRIES = 3
 # Part of the time left up to which a caller comes back as it is told.
 RETRY_SHARE = 1 / 3
+# Whether callers of a manner keep connections; others do as they like.
+KEEPS = {HALF: False, PIPELINED: True, EARLY: True}
 # Share of requests that their callers leave in the middle.
 LEAVING_SHARE = 0.02
 
 
-class Ask:
-    """A kind of request.
-
-    :ivar path: prefix of its route
-    :ivar repeatable: whether it may run more than once
-    :ivar resumable: whether a broken stream of it may be resumed
-    :ivar keyed: whether it carries its organisation's key
-    :ivar timeout: the route's timeout in seconds
-    """
-
-    __slots__ = ("path", "repeatable", "resumable", "keyed", "timeout")
-
-    def __init__(self, path, repeatable, resumable, keyed, timeout):
-        self.path = path
-        self.repeatable = repeatable
-        self.resumable = resumable
-        self.keyed = keyed
-        self.timeout = timeout
-
-    @property
-    def streamed(self):
-        return "stream" in self.path
-
-
-ASKS = (
-    Ask("/safe/", True, False, True, 3.0),
-    Ask("/once/", False, False, True, 3.0),
-    Ask("/open/", True, False, False, 3.0),
-    Ask("/stream/", True, True, True, 6.0),
-    Ask("/plain-stream/", False, False, True, 6.0),
-)
-WEIGHTS = (2, 2, 2, 4, 3)
-
-
-class _Channel:
-    """A caller's connection to a router."""
-
-    def __init__(self, router, reader, writer):
-        self.router = router
-        self.life = router.life
-        self.reader = reader
-        self.writer = writer
-        self.state = h11.Connection(h11.CLIENT)
-
-    @property
-    def usable(self):
-        return not self.reader.at_eof() and not self.writer.is_closing()
-
-    async def event(self):
-        """Return the next event of the answer."""
-        while True:
-            event = self.state.next_event()
-            if event is not h11.NEED_DATA:
-                return event
-            self.state.receive_data(await self.reader.read(READ_SIZE))
-
-    def close(self):
-        self.writer.transport.abort()
-
-
 class Caller:
     """One caller, which asks again and again.
 
@@ -96,17 +43,23 @@
     :param organisation: whose key it carries
     :param key: that key
     :param pause: mean seconds between two requests
+    :param shape: the Shape of its requests
     """
 
-    def __init__(self, history, choose, name, organisation, key, pause, seed):
+    def __init__(
+        self, history, choose, name, organisation, key, pause, shape, seed
+    ):
         self._history = history
+        self._shape = shape
         self._choose = choose
         self._name = name
         self._organisation = organisation
         self._key = key
         self._pause = pause
         self._random = random.Random(f"{seed} {name}")
+        self._manner = _draw_manner(shape.manners, f"{seed} {name}")
         self._keeps = self._random.random() < 0.7
+        self._keeps = KEEPS.get(self._manner, self._keeps)
         self._channel = None
         self._count = 0
 
@@ -120,15 +73,22 @@
             self._drop()
 
     async def _ask(self):
-        ask = self._random.choices(ASKS, WEIGHTS)[0]
-        until = time.monotonic() + self._random.choice((2.0, 5.0, 8.0))
+        ask, patience = self._draw()
+        until = time.monotonic() + patience
         for _try in range(MOST_TRIES):
             request, retry_after = await self._attempt(ask, until)
             left = until - time.monotonic()
             if not self._comes_back(ask, request, retry_after, left):
-                return
+                break
             self._drop()
             await asyncio.sleep(retry_after)
+        await self._take_ahead()
+
+    def _draw(self):
+        """Return a kind of request, and how many seconds it may take."""
+        asks = self._shape.asks
+        ask = self._random.choices(list(asks), list(asks.values()))[0]
+        return ask, self._random.choice(self._shape.patience)
 
     def _comes_back(self, ask, request, retry_after, left):
         if left <= 0.2 or request.outcome == "left":
@@ -147,27 +107,38 @@
         if ask.keyed:
             request.organisation = self._organisation
         if ask.streamed:
-            request.prompt = self._random.choice((20, 60, 200))
-            request.most = self._random.choice((6, 30, 90))
+            request.prompt = self._random.choice(self._shape.prompts)
+            request.most = self._random.choice(self._shape.mosts)
         request.until = min(until, time.monotonic() + ask.timeout)
+        self._history.requests[request.id] = request
         return request
 
     async def _attempt(self, ask, until):
         """Send one request; return it and the time to come back."""
         request = self._request(ask, until)
-        self._history.requests[request.id] = request
         channel = await self._connect()
         if channel is None:
             request.outcome = "unsent"
             request.ended_at = request.sent_at = time.monotonic()
             return request, 0.1
+        if self._manner in (PIPELINED, EARLY) and channel.ahead is None:
+            channel.ahead = self._next_ahead(channel)
+        return request, await self._conduct(channel, ask, request, until)
+
+    async def _conduct(self, channel, ask, request, until, written=False):
+        """Exchange one request; return the time to come back.
+
+        :param written: whether it was sent before its turn
+        """
         request.router = channel.router.name
         request.life = channel.life
         retry_after = 0.1
         request.sent_at = time.monotonic()
         try:
             async with asyncio.timeout(max(0.05, until - time.monotonic())):
-                retry_after = await self._exchange(channel, ask, request)
+                retry_after = await self._exchange(
+                    channel, ask, request, written
+                )
         except (OSError, h11.ProtocolError) as error:
             self._note_broken(channel, request, error)
         except (asyncio.TimeoutError, asyncio.CancelledError) as error:
@@ -179,14 +150,42 @@
             request.ended_at = time.monotonic()
         if request.outcome != "whole" or not self._keeps:
             self._drop()
-        return request, retry_after
+        return retry_after
+
+    def _next_ahead(self, channel):
+        """Return the Ahead of a channel's next request."""
+        ask, patience = self._draw()
+        request = self._request(ask, time.monotonic() + patience)
+        request.router = channel.router.name
+        request.life = channel.life
+        request.sent_at = time.monotonic()
+        body = self._body(ask, request)
+        scratch = h11.Connection(h11.CLIENT)
+        data = encode(scratch, self._head(request, body), body)
+        return Ahead(ask, request, data, patience)
+
+    async def _take_ahead(self):
+        """Wait for the answer to what was sent before its turn."""
+        channel = self._channel
+        if channel is None or channel.ahead is None:
+            return
+        ahead, channel.ahead = channel.ahead, None
+        now = time.monotonic()
+        request = ahead.request
+        request.until = now + min(ahead.patience, ahead.ask.timeout)
+        until = now + ahead.patience
+        await self._conduct(channel, ahead.ask, request, until, ahead.written)
 
     def _note_broken(self, channel, request, error):
-        request.outcome = "cut"
+        self._note_cut(request)
         garbled = isinstance(error, h11.RemoteProtocolError)
         if garbled and not channel.reader.at_eof():
             request.wrong = f"bytes that are no answer: {error}"
 
+    def _note_cut(self, request):
+        # The rules don't say what becomes of a caller that closes half.
+        request.outcome = "half" if self._manner == HALF else "cut"
+
     # One exchange
 
     async def _connect(self):
@@ -195,31 +194,34 @@
                 return self._channel
             self._drop()
         router = self._choose(self._random)
-        try:
-            async with asyncio.timeout(CONNECT_TIMEOUT):
-                reader, writer = await asyncio.open_connection(*router.callers)
-        except (OSError, asyncio.TimeoutError):
-            return None
-        self._channel = _Channel(router, reader, writer)
+        self._channel = await connect(router, self._manner)
         return self._channel
 
     def _drop(self):
-        if self._channel is not None:
-            self._channel.close()
-            self._channel = None
-
-    async def _exchange(self, channel, ask, request):
-        body = b"" if ask.streamed else f"ask {request.id}".encode()
-        data = channel.state.send(self._head(request, body))
-        if body:
-            data += channel.state.send(h11.Data(data=body))
-        data += channel.state.send(h11.EndOfMessage())
-        channel.writer.write(data)
-        await channel.writer.drain()
+        if self._channel is None:
+            return
+        ahead = self._channel.ahead
+        if ahead is not None:
+            ahead.request.outcome = "left"
+            ahead.request.ended_at = time.monotonic()
+        self._channel.close()
+        self._channel = None
+
+    def _body(self, ask, request):
+        if ask.streamed:
+            return b""
+        size = random.Random(request.id).choice(self._shape.bodies)
+        return f"ask {request.id}".encode().ljust(size)
+
+    async def _exchange(self, channel, ask, request, written):
+        body = self._body(ask, request)
+        data = encode(channel.state, self._head(request, body), body)
+        if not written:
+            await channel.write(data)
         request.sent_at = time.monotonic()
         head = await channel.event()
         if not isinstance(head, h11.Response):
-            request.outcome = "cut"
+            self._note_cut(request)
             return 0.1
         headers = {n.decode(): v.decode() for n, v in head.headers}
         request.status = head.status_code
@@ -230,7 +232,7 @@
         answer = await self._read(channel, ask, request, leaves)
         if request.outcome == "whole":
             self._compare(ask, request, headers, answer, body)
-            if channel.state.trailing_data[0]:
+            if channel.state.trailing_data[0] and not channel.ahead:
                 request.wrong = "more bytes behind the answer"
             self._keep(channel, headers)
         elif ask.streamed and request.status == 200:
@@ -238,12 +240,13 @@
         return float(headers.get("retry-after", 0.1))
 
     def _head(self, request, body):
-        left = max(1, int(1000 * (request.until - time.monotonic())))
+        # Rounded up: a router that ends it a little earlier has cut it.
+        left = math.ceil(1000 * (request.until - time.monotonic()))
         headers = [
             ("host", HOST),
             ("content-length", str(len(body))),
             (ID_HEADER, request.id),
-            ("x-rowanport-deadline-ms", str(left)),
+            ("x-rowanport-deadline-ms", str(max(1, left))),
         ]
         if request.organisation:
             headers.append(("api-key", self._key))
@@ -261,18 +264,19 @@
     async def _read(self, channel, ask, request, leaves):
         """Return the body as far as it came; set the outcome."""
         body = b""
-        gap = STREAM_GAP if ask.streamed else None
         try:
             while True:
-                async with asyncio.timeout(gap):
+                async with asyncio.timeout(ask.gap):
                     event = await channel.event()
                 if isinstance(event, h11.EndOfMessage):
                     request.outcome = "whole"
                     return body
                 if not isinstance(event, h11.Data):
-                    request.outcome = "cut"
+                    self._note_cut(request)
                     return body
                 body += bytes(event.data)
+                if self._manner == EARLY and _ends(ask, request, body):
+                    channel.write_ahead()
                 if leaves:
                     request.outcome = "left"
                     return body
@@ -323,6 +327,20 @@
             request.wrong = f"{len(events)} events of {last} look whole"
 
 
+def _draw_manner(manners, name):
+    """Return the manner of a caller."""
+    draw = random.Random(f"manner {name}")
+    return draw.choices(list(manners), list(manners.values()))[0]
+
+
+def _ends(ask, request, body):
+    """Return whether an answer is about to end."""
+    if not ask.streamed:
+        return True
+    last = last_event(request.id, request.most)
+    return f"id: {last}\n".encode() in body
+
+
 class Prober(Caller):
     """Asks one router again and again which configuration it goes by.
 
@@ -331,7 +349,9 @@
 
     def __init__(self, history, router, versions, pause, seed):
         name = f"probe-{router.name}"
-        super().__init__(history, lambda _r: router, name, "", "", pause, seed)
+        super().__init__(
+            history, lambda _r: router, name, "", "", pause, USUAL, seed
+        )
         self._versions = versions
 
     async def _ask(self):
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -30,6 +30,19 @@
 }
 # Not among all: a proxy that hangs is a fault beyond the platform's pages.
 PROXIES = {"stall": 4, "delay": 1, "config": 4, "leave": 3}
+# Upstreams that fall silent within streams, while routers stop.
+PAUSES = {"pause": 6, "term": 3, "roll": 1, "config": 2, "leave": 2}
+# What comes during a stop, and callers of all manners.
+CALLERS = {
+    "term": 3,
+    "again": 3,
+    "roll": 1,
+    "hup": 2,
+    "settings": 2,
+    "pause": 3,
+    "config": 2,
+    "leave": 1,
+}
 THEMES["all"] = {
     kind: max(theme.get(kind, 0) for theme in THEMES.values())
     for kind in sorted({kind for theme in THEMES.values() for kind in theme})
@@ -45,21 +58,8 @@
     "store_lossy": (1.0, 6.0),
     "store_late": (1.0, 6.0),
     "store_away": (1.0, 8.0),
+    "pause": (0.3, 4.0),
 }
-# Kinds that strike a router, and those that strike an upstream.
-ROUTER_KINDS = (
-    "term",
-    "kill",
-    "hup",
-    "freeze",
-    "clock",
-    "delay",
-    "reset",
-    "cut",
-    "silence",
-    "stall",
-    "store_away",
-)
 # Kinds that strike all routers: in a large fleet there are more steps, but not
 # more of these, or nobody would ever be in touch.
 FLEET_KINDS = (
@@ -67,13 +67,14 @@
     "config",
     "leave",
     "crash",
+    "pause",
     "store_down",
     "store_slow",
     "store_lossy",
     "store_late",
 )
 SMALL_FLEET = 10
-UPSTREAM_KINDS = ("leave", "crash")
+UPSTREAM_KINDS = ("leave", "crash", "pause")
 # Variants of a kind: which links, in which direction, how a store is down.
 VARIANTS = {
     "delay": ("store", "upstreams", "peers", "all"),
@@ -85,6 +86,7 @@
     "store_away": ("silent", "reset", "busy", "limited"),
     "config": ("route", "route", "top_up"),
     "leave": ("draining", "draining", "gone"),
+    "pause": ("all", "streams", "newest"),
 }
 CLOCK_JUMPS = (-30.0, -5.0, -2.0, 2.0, 5.0, 30.0)
 # Seconds between the stops of a series over the whole fleet.
@@ -122,7 +124,10 @@
 
 
 SEEDED_THEMES = tuple(THEMES)
+# By name only, so that the seeds keep their themes.
 THEMES["proxies"] = PROXIES
+THEMES["pauses"] = PAUSES
+THEMES["callers"] = CALLERS
 
 
 def choose_theme(seed):
--- a/soak/world.py
+++ b/soak/world.py
@@ -11,6 +11,7 @@
 
 from .caller import Caller
 from .caller import Prober
+from .history import Bounds
 from .history import Fault
 from .history import History
 from .history import OwnEnd
@@ -50,11 +51,14 @@
     :param directory: for settings files and logs
     :param broken: name of a broken variant, "" for the real program
     :ivar history: the History
+    :ivar shape: the Shape of its traffic
     :ivar failures: exceptions of the soak's own tasks
     """
 
-    def __init__(self, seed, seconds, routers, upstreams, directory, broken):
-        self.history = History()
+    def __init__(self, seed, seconds, routers, shape, directory, broken):
+        grace = shape.graces[seed % len(shape.graces)]
+        self.history = History(Bounds(grace=grace))
+        self.shape = shape
         self.seed = seed
         self.routers = []
         self.relays = Relays({})
@@ -63,7 +67,7 @@
         self.failures = []
         self._tasks = TaskSet()
         self._random = random.Random(f"world {seed}")
-        self._counts = (routers, upstreams)
+        self._count = routers
         self._directory = directory
         self._broken = broken
         self._callers = []
@@ -75,9 +79,9 @@
 
     async def start(self):
         """Start everything, and wait until the routers are ready."""
-        routers, upstreams = self._counts
+        routers = self._count
         await self.store.start(*free_ports(1))
-        await self.operator.start(upstreams)
+        await self.operator.start()
         await self._start_routers(routers)
         for task in (self._watch(), self._expire()):
             self.spawn(task)
@@ -102,6 +106,7 @@
                     ports,
                     self._directory,
                     self.history.bounds,
+                    self.shape.repeats,
                     self._broken,
                     relayed,
                 )
@@ -141,6 +146,7 @@
                 organisation,
                 f"key-of-{organisation}",
                 PAUSE,
+                self.shape,
                 self.seed,
             )
             self._callers.append(self.spawn(caller.run()))
