--- a/rowanport/gateway/attempt.py
+++ b/rowanport/gateway/attempt.py
@@ -3,6 +3,8 @@
 import asyncio
 
 from ..errors import UpstreamError
+from .events import END
+from .relay import BUFFER_LIMIT
 from .relay import is_stream
 
 # Answers from this status on are failures of the upstream.
@@ -18,6 +20,7 @@
     :param state: the UpstreamState that it went to
     :param opening: task that returns its HttpAnswer
     :param relay: function from the HttpAnswer to its Relay
+    :ivar tokens: tokens that are set aside for it beside another one
     :ivar answer: the HttpAnswer, None until its head is here
     :ivar doubt_at: steady time from which its silence is too long, None if
         nothing else can be done than to wait
@@ -26,6 +29,7 @@
 
     __slots__ = (
         "state",
+        "tokens",
         "answer",
         "doubt_at",
         "doubt",
@@ -39,6 +43,7 @@
 
     def __init__(self, state, opening, relay):
         self.state = state
+        self.tokens = 0
         self.answer = None
         self.doubt_at = None
         self.doubt = None
@@ -60,6 +65,22 @@
         """Return whether its answer is the one that is passed on."""
         return self._relay is not None
 
+    @property
+    def proved(self):
+        """Return whether what has arrived is surely of use by itself.
+
+        That is a whole event of a stream, or a plain answer that is whole or
+        too large to hold.  Less than that may end right after.
+        """
+        if self.answer is None:
+            return False
+        if self._ended:
+            return True
+        held = b"".join(self._pieces)
+        if is_stream(self.answer):
+            return END in held
+        return len(held) > BUFFER_LIMIT
+
     async def advance(self):
         """Wait until there is more of the answer: its head, its next piece.
 
@@ -70,9 +91,25 @@
         if self._pieces or self._ended:
             return
         if self.answer is None:
-            self.answer = await asyncio.shield(self._opening)
+            await self._read_head()
             if not is_stream(self.answer):
                 return
+        await self._read_piece()
+
+    async def prove(self):
+        """Wait until enough of the answer is here to go on with it.
+
+        :raises UpstreamError: it failed or broke off
+        """
+        if self.answer is None:
+            await self._read_head()
+        while not self.proved:
+            await self._read_piece()
+
+    async def _read_head(self):
+        self.answer = await asyncio.shield(self._opening)
+
+    async def _read_piece(self):
         piece = await self.answer.next_piece()
         if piece is None:
             self._ended = True
@@ -106,7 +143,12 @@
             return
         self._closed = True
         self.state.outstanding -= 1
-        if not self._opening.done():
-            self._opening.cancel()
-        elif not self._opening.cancelled() and not self._opening.exception():
+        if self.answer is not None:
+            self.answer.close()
+        elif not self._opening.cancel():
+            self._close_unseen()
+
+    def _close_unseen(self):
+        """Close an answer whose head nobody has waited for."""
+        if not self._opening.cancelled() and not self._opening.exception():
             self._opening.result().close()
--- a/rowanport/gateway/daemon.py
+++ b/rowanport/gateway/daemon.py
@@ -286,9 +286,11 @@
         self._server.drain()
         self.forwarder.bound_open()
         LOG.info("gateway_stopping", busy=self._server.busy)
+        self.budgets.keep(self.stopping.unmade)
         await self.budgets.hand_over()
         await self._finish_requests()
         self.stopping.close()
+        self.budgets.keep({})
         await self.budgets.hand_over()
         await self._server.finish(self._last_wait())
         LOG.info(
--- a/rowanport/gateway/repeats.py
+++ b/rowanport/gateway/repeats.py
@@ -26,68 +26,79 @@
             return False
         return route.resumable or not responder.started
 
-    def refuse_beside(self, job, responder):
-        """Allow a send beside one that is silent, or say why not.
-
-        What it needs is taken for it: an allowance, and tokens for what the
-        silent run may still make.
-
-        :returns: the reason, "" if the send is allowed
-        """
+    def refusal_beside(self, job, responder):
+        """Return why a job may not run beside a silent run, "" if it may."""
         gateway = self._gateway
         now = gateway.clock.steady()
         if not self.can_run_again(job, responder):
             return "no send is left"
+        if self._is_rejected_too_often(job):
+            return "rejected too often"
         if not gateway.stopping.may_send(job):
             return "too late for a send"
         if not gateway.pool.candidates(job.service, job.tried, now):
             return "no upstream is left"
-        tokens = job.unmade
-        if not self._reserve(job, tokens):
-            return "no tokens for a second run"
-        if not self._take_allowance(job):
-            self._release(job, tokens)
+        if not self._window(job).allows(self._routers, now):
             return "no allowance for a repeat"
         return ""
 
-    def check_rejected(self, job, error):
-        """Raise RequestError unless a job may follow a rejection."""
-        job.rejections += 1
-        if job.rejections >= REJECTION_LIMIT or not self._take_allowance(job):
-            raise give_up(job, error) from None
+    def take_beside(self, job):
+        """Take what a run beside a silent one needs.
 
-    def check_failed(self, job, responder, error):
-        """Raise RequestError unless a job may follow a failed send."""
-        if not error.started:
-            # It cost the upstreams nothing.
-            job.failed_connections += 1
-            if job.failed_connections >= CONNECT_LIMIT:
-                raise give_up(job, error) from None
-            return
-        if not self.can_run_again(job, responder):
-            raise give_up(job, error) from None
-        if not self._take_allowance(job):
-            raise give_up(job, error) from None
+        Both together may make more than the request's most: all that the
+        silent one has not made yet is set aside a second time.
 
-    def _take_allowance(self, job):
-        """Return whether the fleet's budget has room for one more send."""
-        gateway = self._gateway
-        routers = len(gateway.members.live())
-        now = gateway.clock.steady()
-        return gateway.retries(job.service).take(routers, now)
+        :returns: the tokens set aside, None if there are too few
+        """
+        tokens = job.unmade if job.budget is not None else 0
+        if tokens:
+            if not self._gateway.budgets.reserve_now(job.budget, tokens):
+                return None
+            job.reserved += tokens
+        self._take_allowance(job)
+        return tokens
+
+    def give_back(self, job, tokens):
+        """Give back what was set aside for a run that was none."""
+        if tokens:
+            self._gateway.budgets.settle(job.budget, tokens, 0)
+            job.reserved -= tokens
+
+    def check_again(self, job, responder, error):
+        """Raise RequestError unless a job may be sent again after a failure.
 
-    def _reserve(self, job, tokens):
-        if job.budget is None or not tokens:
+        :param error: the UpstreamError of its last send
+        """
+        if not self._may_follow(job, responder, error):
+            raise give_up(job, error) from None
+
+    def _may_follow(self, job, responder, error):
+        if self._is_rejected_too_often(job):
+            return False
+        if not error.started and not isinstance(error, NotExecuted):
+            # Without a connection it cost the upstreams nothing.
             return True
-        if not self._gateway.budgets.reserve_now(job.budget, tokens):
+        if error.started and not self.can_run_again(job, responder):
             return False
-        job.reserved += tokens
-        return True
+        return self._take_allowance(job)
 
-    def _release(self, job, tokens):
-        if job.budget is not None:
-            self._gateway.budgets.settle(job.budget, tokens, 0)
-            job.reserved -= tokens
+    def _is_rejected_too_often(self, job):
+        return (
+            job.rejections >= REJECTION_LIMIT
+            or job.failed_connections >= CONNECT_LIMIT
+        )
+
+    @property
+    def _routers(self):
+        return len(self._gateway.members.live())
+
+    def _window(self, job):
+        return self._gateway.retries(job.service)
+
+    def _take_allowance(self, job):
+        """Return whether the fleet's budget has room for one more send."""
+        now = self._gateway.clock.steady()
+        return self._window(job).take(self._routers, now)
 
 
 def give_up(job, error):
--- a/rowanport/gateway/retries.py
+++ b/rowanport/gateway/retries.py
@@ -27,15 +27,22 @@
         self._requests.append(now)
         self._trim(self._requests, now)
 
-    def take(self, routers, now):
-        """Return whether a request may be sent once more, and count it.
+    def allows(self, routers, now):
+        """Return whether a request may be sent once more.
 
         :param routers: number of live routers, which share the slack
         """
         self._trim(self._requests, now)
         self._trim(self._sends, now)
         allowed = self._slack / routers + self._ratio * len(self._requests)
-        if len(self._sends) + 1 > CAUTION * allowed:
+        return len(self._sends) + 1 <= CAUTION * allowed
+
+    def take(self, routers, now):
+        """Return whether a request may be sent once more, and count it.
+
+        :param routers: number of live routers, which share the slack
+        """
+        if not self.allows(routers, now):
             return False
         self._sends.append(now)
         return True
--- a/rowanport/gateway/sending.py
+++ b/rowanport/gateway/sending.py
@@ -48,6 +48,7 @@
         :raises RequestError: it cannot be served
         """
         try:
+            self._gateway.stopping.check_send(self._job)
             attempt = self._begin()
             while not self._job.whole:
                 attempt = await self._step(attempt)
@@ -71,10 +72,8 @@
             return attempt
         except UpstreamError as error:
             self._drop(attempt, error)
-            if isinstance(error, NotExecuted):
-                self._repeats.check_rejected(self._job, error)
-            else:
-                self._repeats.check_failed(self._job, self._responder, error)
+            self._repeats.check_again(self._job, self._responder, error)
+            self._gateway.stopping.check_send(self._job)
             return self._begin()
 
     async def _advances(self, attempt):
@@ -110,17 +109,19 @@
     def _begin(self):
         """Send the job to one more upstream; return the Attempt.
 
-        :raises RequestError: it is too late, or no upstream is left
+        :raises RequestError: no upstream is left
         """
         job = self._job
-        self._gateway.stopping.check_send(job)
         state = self._choose()
         job.sends += 1
         job.runs += 1
-        opening = asyncio.ensure_future(self._open(state))
+        # Counted at once, so that others of this moment go elsewhere.
+        ahead = self._note_load(state)
+        opening = asyncio.ensure_future(self._open(state, ahead))
         attempt = Attempt(state, opening, self._relay)
         self._attempts.append(attempt)
         self._note_sign(attempt)
+        job.upstream = state.record.id
         return attempt
 
     def _choose(self):
@@ -131,13 +132,14 @@
             raise give_up(job, UpstreamError("no upstream is left"))
         choice = gateway.choice(job.tokens is not None)
         state = choice.choose(candidates, job, now)
-        job.upstream = state.record.id
         job.backlog = round(state.backlog.tokens(now))
         return state
 
-    async def _open(self, state):
-        """Return the head of an upstream's answer."""
-        ahead = self._note_load(state)
+    async def _open(self, state, ahead):
+        """Return the head of an upstream's answer.
+
+        :param ahead: prompt tokens that the engine has to read before it
+        """
         sent_at = self._clock.steady()
         answer = await self._gateway.exchange.send(self._job, state.record)
         if is_stream(answer):
@@ -161,20 +163,31 @@
     def _drop(self, attempt, error):
         """Note that an Attempt failed, and close it."""
         job, state = self._job, attempt.state
+        job.tried.add(state.record.id)
         if not error.started:
             job.runs -= 1
-        job.tried.add(state.record.id)
-        if not isinstance(error, NotExecuted):
-            weight = 1 if error.started else 2
-            state.note_failure(self._clock.steady(), weight)
-            self._log.note_send(job, state, "failed", error)
+            self._repeats.give_back(job, attempt.tokens)
+        if isinstance(error, NotExecuted):
+            self._note_rejection(state, error)
         else:
-            if error.misdirected:
-                state.note_failure(self._clock.steady(), weight=2)
-                self._gateway.client.forget(state.record.address)
-            self._log.note_send(job, state, "not_executed", error)
+            self._note_failure(state, error)
         attempt.close()
 
+    def _note_rejection(self, state, error):
+        self._job.rejections += 1
+        if error.misdirected:
+            state.note_failure(self._clock.steady(), weight=2)
+            self._gateway.client.forget(state.record.address)
+        self._log.note_send(self._job, state, "not_executed", error)
+
+    def _note_failure(self, state, error):
+        weight = 1
+        if not error.started:
+            self._job.failed_connections += 1
+            weight = 2
+        state.note_failure(self._clock.steady(), weight)
+        self._log.note_send(self._job, state, "failed", error)
+
     # Silence
 
     def _note_sign(self, attempt):
@@ -206,18 +219,36 @@
 
         :returns: the Attempt to go on with
         """
-        job = self._job
-        job.tried.add(attempt.state.record.id)
-        why = self._repeats.refuse_beside(job, self._responder)
-        if why:
-            self._note_doubt(attempt, why)
-            attempt.doubt_at = self._clock.steady() + DOUBT_AGAIN
+        other = self._begin_beside(attempt)
+        if other is None:
             return attempt
-        other = self._begin()
-        self._note_doubt(attempt, f"{other.state.record.id} is asked as well")
-        return await self._first_to_advance(attempt, other)
+        winner = await self._race([attempt, other])
+        self._note_sign(winner)
+        self._job.upstream = winner.state.record.id
+        return winner
 
-    def _note_doubt(self, attempt, why):
+    def _begin_beside(self, silent):
+        """Send the job once more beside a silent Attempt.
+
+        :returns: the other Attempt, None if that is not allowed now
+        """
+        job = self._job
+        job.tried.add(silent.state.record.id)
+        why = self._repeats.refusal_beside(job, self._responder)
+        if not why:
+            tokens = self._repeats.take_beside(job)
+            if tokens is not None:
+                other = self._begin()
+                other.tokens = tokens
+                name = other.state.record.id
+                self._note_silence(silent, f"{name} is asked as well")
+                return other
+            why = "no tokens for a second run"
+        self._note_silence(silent, why)
+        silent.doubt_at = self._clock.steady() + DOUBT_AGAIN
+        return None
+
+    def _note_silence(self, attempt, why):
         """Count a silence against its upstream; log what it leads to."""
         if attempt.doubt is None:
             # What is new goes elsewhere for a while.
@@ -226,40 +257,82 @@
             attempt.doubt = why
             self._log.note_send(self._job, attempt.state, "silent", why)
 
-    async def _first_to_advance(self, silent, other):
-        """Return which of two Attempts goes on first, the other one closed."""
-        waits = {
-            asyncio.ensure_future(attempt.advance()): attempt
-            for attempt in (silent, other)
-        }
+    async def _race(self, racers):
+        """Wait for the first of some Attempts to go on, and close the others.
+
+        :param racers: the Attempts, the silent one first
+        :returns: the one that went on, or the only one that has not failed
+        """
+        proofs = {}
         try:
-            done, _ = await asyncio.wait(
-                waits, return_when=asyncio.FIRST_COMPLETED
-            )
+            while len(racers) > 1:
+                for attempt in racers:
+                    if attempt not in proofs:
+                        proving = asyncio.ensure_future(attempt.prove())
+                        proofs[attempt] = proving
+                await self._wait_for_proof(racers, proofs)
+                self._drop_failed(racers, proofs)
+                winner = _winner(racers)
+                if winner is not None:
+                    self._close_losers(racers, winner)
+                    return winner
         finally:
-            await _end(waits)
-        # Where both went on, the one that has the prompt read.
-        task = next(task for task in waits if task in done)
-        winner = waits[task]
-        loser = other if winner is silent else silent
-        try:
-            task.result()
-            winner.check(self._responder)
-        except UpstreamError as error:
-            self._drop(winner, error)
-            return loser
-        self._note_superseded(loser, winner)
-        self._job.upstream = winner.state.record.id
-        return winner
-
-    def _note_superseded(self, loser, winner):
-        loser.close()
+            await _end(list(proofs.values()))
+        return racers[0]
+
+    async def _wait_for_proof(self, racers, proofs):
+        """Wait for news of some Attempts; ask one more if all stay silent."""
+        last = racers[-1]
+        left = None
+        if last.doubt_at is not None:
+            left = max(0.0, last.doubt_at - self._clock.steady())
+        waits = [proof for proof in proofs.values() if not proof.done()]
+        done, _ = await asyncio.wait(
+            waits, timeout=left, return_when=asyncio.FIRST_COMPLETED
+        )
+        if done:
+            return
+        other = self._begin_beside(last)
+        if other is not None:
+            racers.append(other)
+
+    def _drop_failed(self, racers, proofs):
+        """Take out the Attempts that failed, or whose answer is of no use."""
+        for attempt in list(racers):
+            proof = proofs[attempt] if attempt in proofs else None
+            if proof is None or not proof.done():
+                continue
+            try:
+                proof.result()
+                attempt.check(self._responder)
+            except UpstreamError as error:
+                self._drop(attempt, error)
+                racers.remove(attempt)
+
+    def _close_losers(self, racers, winner):
         why = f"{winner.state.record.id} was first"
-        self._log.note_send(self._job, loser.state, "superseded", why)
+        for loser in racers:
+            if loser is not winner:
+                loser.close()
+                self._log.note_send(self._job, loser.state, "superseded", why)
+
+
+def _winner(racers):
+    """Return the Attempt to go on with, None while there is none.
+
+    A stream that has begun elsewhere runs there: its earlier run must end,
+    even if it goes on after all.
+    """
+    for attempt in reversed(racers):
+        if attempt.proved:
+            return attempt
+        if attempt.begun and is_stream(attempt.answer):
+            return None
+    return None
 
 
 async def _end(tasks):
     """Cancel tasks, and wait until they have ended."""
     for task in tasks:
         task.cancel()
-    await asyncio.wait(tasks)
+    await asyncio.gather(*tasks, return_exceptions=True)
--- a/rowanport/gateway/stopping.py
+++ b/rowanport/gateway/stopping.py
@@ -6,6 +6,8 @@
 From then on nothing is in hand, and all is refused.
 """
 
+import collections
+
 from ..errors import ErrorKind
 from ..errors import RequestError
 
@@ -93,6 +95,19 @@
             return False
         return not self._held and not self._late
 
+    @property
+    def unmade(self):
+        """Return by budget what the jobs in hand may still make.
+
+        Without it none of them could go on elsewhere when its upstream falls
+        silent: tokens for a second run are then at other routers.
+        """
+        tokens = collections.Counter()
+        for job in self._held:
+            if job.budget is not None:
+                tokens[job.budget] += job.unmade
+        return tokens
+
     def begin(self, grace):
         """Begin the stop.
 
--- a/rowanport/prepaid/keeper.py
+++ b/rowanport/prepaid/keeper.py
@@ -86,6 +86,7 @@
         self._wake = asyncio.Event()
         self._exhaustion = Exhaustion(self._refill, clock)
         self._next_report = 0.0
+        self._kept = {}
 
     @property
     def accounts(self):
@@ -350,6 +351,10 @@
 
     # Planned stop
 
+    def keep(self, tokens):
+        """Keep some tokens by budget from being handed over."""
+        self._kept = tokens
+
     async def hand_over(self):
         """Pass all free tokens on; called as a stop begins and as it ends.
 
@@ -399,7 +404,7 @@
         tokens = {}
         for name, account in self._accounts.items():
             room = self._room(account)
-            free = account.available
+            free = account.available - self._kept.get(name, 0)
             free = free if room is None else min(free, room)
             if free > 0:
                 account.take_out(free)
