Know of each outage in which entries of upstreams lapse

Hypotheses, before any change: 1. Only a call that fails tells of an outage. A router that calls nothing sees none, as its watch survives. 2. Where tokens are drawn it is the same cause: the moment of the next draw is chance, and a call that fails late tells late. 3. The test with draws is not the same every run for an order of names or sets that depends on the hash seed. 4. The store can be seen to have been away afterwards: by its revision, by heartbeats that are missing from the watch, by leases.

Change: a router that follows the store lets it be probed when it has answered nothing for 1.5 s; a stale read, none while other calls are answered. An outage is known 2.2 s after its begin at the latest, and entries lapse after 2.4 s (two heartbeats of 1.2 s) at the earliest. An entry that goes while a probe is under way is kept until the probe has told: 0.7 s at most, if the store is there.

Weighed and not taken: to keep each entry that goes for a while (a removed upstream would be sent work too long); shorter watches (a whole call each); probes with the short patience of those after a failure (a store that answers in 240 ms would be probed twice, and its connections might be taken for silent).

--- a/rowanport/platform/sources.py
+++ b/rowanport/platform/sources.py
@@ -175,6 +175,7 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(super().run(views))
             group.create_task(self._run_missing(views))
+            group.create_task(self._run_probes(views))
 
     async def load(self, views):
         listing = await self._store.list(self.prefix)
@@ -232,7 +233,7 @@
         # Only an outage lets entries lapse.  A call that failed by itself
         # would keep a removed upstream in use beyond what its bound allows.
         reach = self._store.reach
-        if not reach.up:
+        if reach.in_doubt:
             return math.inf
         if reach.back_at is None:
             return self._mass_grace_until
@@ -244,8 +245,8 @@
         :param gone: Upstream by id, of those that went together
         :param known: Upstream by id, of all that were known before
         """
-        # A router that had nothing to ask of the store did not see it away;
-        # but that most upstreams leave at once is no plan of anybody's.
+        # A router that began to follow the store just now did not see it
+        # away; but that most upstreams leave at once is no plan of anybody's.
         if len(gone) > LAPSE_SHARE * len(known):
             until = self._clock.steady() + LAPSE_GRACE
             self._mass_grace_until = until
@@ -254,6 +255,18 @@
                 self._missing.setdefault(name, upstream)
                 LOG.info("upstream_missing", upstream=name)
 
+    async def _run_probes(self, views):
+        """Find out each outage, also where nobody calls the store.
+
+        A watch survives an outage, and at its end tells of what lapsed just
+        as of what was removed.
+        """
+        while True:
+            if views.on_duty:
+                await self._store.reach.probe_when_idle()
+            else:
+                await asyncio.sleep(DUTY_POLL)
+
     async def _run_missing(self, views):
         while True:
             await asyncio.sleep(BATCH_PAUSE)
--- a/rowanport/platform/store.py
+++ b/rowanport/platform/store.py
@@ -187,11 +187,14 @@
     async def _call(self, method, path, query=None, body=None):
         if not self._reach.up:
             raise StoreBusy("the store is away")
+        sent_at = self._clock.steady()
         try:
-            return await self._exchange(method, path, query, body)
+            answer = await self._exchange(method, path, query, body)
         except StoreError:
             self._reach.note_failure()
             raise
+        self._reach.note_answer(sent_at)
+        return answer
 
     async def _exchange(
         self,
--- a/rowanport/store/reach.py
+++ b/rowanport/store/reach.py
@@ -7,6 +7,10 @@
 Kept connections may go silent for good while new ones work.  So a probe on a
 kept connection that is not answered soon is followed by one on a new
 connection, and if that one is answered first, the kept ones are given up.
+
+A watch waits through an outage, and its user may call nothing else meanwhile.
+So one who has to know of each outage lets the store be probed when it has
+answered nothing for a while.
 """
 
 import asyncio
@@ -24,6 +28,13 @@
 # Seconds after which a first probe that is not answered is followed by one on
 # a new connection.
 FRESH_AFTER = 0.1
+# Seconds without an answer after which the store is probed for one who has to
+# know of each outage.  Entries of upstreams lapse 2.4 s after its begin at the
+# earliest (two heartbeats of 1.2 s); it is known 2.2 s after it at the latest.
+IDLE_LIMIT = 1.5
+# The same as FRESH_AFTER where no call has failed: a store that is only slow
+# is not to be asked twice, nor its kept connections taken for silent.
+IDLE_FRESH_AFTER = 0.3
 # Seconds between two probes; those of a store that is silent overlap.
 INTERVAL = 0.3
 # Seconds for the answer to each of them.
@@ -48,6 +59,7 @@
         self._down = asyncio.Event()
         self._silence = asyncio.Event()
         self._back_at = None
+        self._heard_at = clock.steady()
         self.on_silence = None
         self._tasks = TaskSet()
         self._prober = None
@@ -65,10 +77,40 @@
         """
         return self._back_at
 
+    @property
+    def in_doubt(self):
+        """Return whether a probe is yet to tell if the store is there."""
+        return self._prober is not None and not self._prober.done()
+
+    def note_answer(self, sent_at):
+        """Note that a call was answered.
+
+        :param sent_at: steady time at which it was sent; the store may be
+            away since then
+        """
+        self._heard_at = max(self._heard_at, sent_at)
+
     def note_failure(self):
         """Note that a call failed; find out whether others would, too."""
-        if self._prober is None or self._prober.done():
-            self._prober = self._tasks.spawn(self._watch())
+        self._begin_probing(FRESH_AFTER)
+
+    async def probe_when_idle(self):
+        """Wait until the store has answered nothing for long; probe it.
+
+        Returns once the store is known to be there.
+        """
+        while not self.in_doubt:
+            left = self._heard_at + IDLE_LIMIT - self._clock.steady()
+            if left <= 0:
+                self._begin_probing(IDLE_FRESH_AFTER)
+                break
+            await asyncio.sleep(left)
+        # It goes on for others if this wait is cancelled.
+        await asyncio.wait({self._prober})
+
+    def _begin_probing(self, fresh_after):
+        if not self.in_doubt:
+            self._prober = self._tasks.spawn(self._watch(fresh_after))
 
     async def wait_up(self):
         """Wait until calls are worth making."""
@@ -82,9 +124,12 @@
         """Wait until kept connections turn out silent; the store is there."""
         await self._silence.wait()
 
-    async def _watch(self):
-        """Probe the store until it answers."""
-        if await self._try_both():
+    async def _watch(self, fresh_after):
+        """Probe the store until it answers.
+
+        :param fresh_after: seconds until a new connection is tried, too
+        """
+        if await self._try_both(fresh_after):
             return
         self._up.clear()
         self._down.set()
@@ -97,16 +142,15 @@
         away = self._back_at - lost_at
         LOG.info("store_back", after=round(away, 3))
 
-    async def _try_both(self):
+    async def _try_both(self, fresh_after):
         """Return whether a first probe was answered, of two if need be."""
         begun_at = asyncio.get_running_loop().time()
-        kept = asyncio.ensure_future(self._try(FIRST_TIMEOUT))
-        done, _pending = await asyncio.wait({kept}, timeout=FRESH_AFTER)
+        fresh_timeout = FIRST_TIMEOUT - FRESH_AFTER
+        kept = asyncio.ensure_future(self._try(fresh_after + fresh_timeout))
+        done, _pending = await asyncio.wait({kept}, timeout=fresh_after)
         if done and kept.result():
             return True
-        fresh = asyncio.ensure_future(
-            self._try(FIRST_TIMEOUT - FRESH_AFTER, fresh=True)
-        )
+        fresh = asyncio.ensure_future(self._try(fresh_timeout, fresh=True))
         try:
             await asyncio.wait(
                 {kept, fresh}, return_when=asyncio.FIRST_COMPLETED
@@ -148,6 +192,7 @@
 
     async def _try(self, timeout, fresh=False):
         """Return whether a probe was answered."""
+        sent_at = self._clock.steady()
         try:
             async with asyncio.timeout(timeout):
                 await self._probe(fresh)
@@ -157,4 +202,5 @@
             # Nobody else would ever find out that the store is back.
             LOG.error("store_probe_failed", exc_info=True)
             return False
+        self.note_answer(sent_at)
         return True
