Close a connection only when its last answer is out

Cause: a connection counted as done as soon as its answer was in its buffer, idle ones were closed with the end of an answer still in it, and a connection was closed with bytes unread, which makes the kernel reset it.

Change: a connection that serves no more requests says so by closing its own direction, reads on and discards what comes, for 2 s at most after the caller has all, and is closed then (web/closing.py). While the end of an answer would be lost with the process, it counts as in use; a stop waits for it until the cut. Bytes that only the kernel holds do not hold a stop up, unless others came behind them that nobody reads. A request whose first byte comes as the idle time ends is served instead of dropped.

Ruled out: waiting until the kernel has everything acknowledged, whatever came behind: a caller that has gone silent would then hold each stop up to the cut, and the kernel sends on after the process has ended.

The network in memory learns to close one direction.

--- a/rowanport/gateway/daemon.py
+++ b/rowanport/gateway/daemon.py
@@ -290,7 +290,7 @@
         await self._finish_requests()
         self.stopping.close()
         await self.budgets.hand_over()
-        await self._server.finish(self._last_wait())
+        await self._server.finish(self._last_wait(), self._time_to_cut)
         LOG.info(
             "gateway_stopped",
             busy=self._server.busy,
@@ -308,9 +308,12 @@
                 self._server.close_idle()
             await asyncio.sleep(STOP_POLL)
 
+    @property
+    def _time_to_cut(self):
+        return self.stopping.cut_at - self.clock.steady()
+
     def _last_wait(self):
-        left = self.stopping.cut_at - self.clock.steady()
-        return max(STOP_LAST_WRITES, min(STOP_LAST_READS, left))
+        return max(STOP_LAST_WRITES, min(STOP_LAST_READS, self._time_to_cut))
 
     async def close(self):
         """Drop everything at once."""
--- a/rowanport/web/server.py
+++ b/rowanport/web/server.py
@@ -9,6 +9,7 @@
 from . import stream
 from ..errors import ErrorKind
 from ..errors import RequestError
+from .closing import Closing
 
 LOG = structlog.get_logger(__name__)
 
@@ -90,12 +91,16 @@
 
 
 class Responder:
-    """Sends the answer to one request, whole or piece by piece."""
+    """Sends the answer to one request, whole or piece by piece.
+
+    :ivar dropped: whether the server itself gives the request up
+    """
 
     def __init__(self, connection, writer, server):
         self._connection = connection
         self._writer = writer
         self._server = server
+        self.dropped = False
         self.started = False
         self.finished = False
         self.closing = False
@@ -142,6 +147,60 @@
             await self._writer.drain()
 
 
+class _Connection:
+    """One open connection, and what it waits for.
+
+    :ivar state: the h11.Connection
+    :ivar responder: the Responder of the request in hand, or None
+    :ivar idle_limit: the time limit while it waits for the first byte of a
+        request, or None
+    :ivar closing: its Closing once no more requests are served, or None
+    """
+
+    __slots__ = (
+        "reader",
+        "writer",
+        "state",
+        "responder",
+        "idle_limit",
+        "closing",
+    )
+
+    def __init__(self, reader, writer, head_limit):
+        self.reader = reader
+        self.writer = writer
+        self.state = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=head_limit
+        )
+        self.responder = None
+        self.idle_limit = None
+        self.closing = None
+
+    @property
+    def in_use(self):
+        """Return whether a request, or the end of an answer, is in hand."""
+        if self.closing is not None:
+            return self.closing.in_use
+        return self.idle_limit is None
+
+    @property
+    def sending(self):
+        """Return whether only the end of an answer is in hand."""
+        return self.closing is not None and self.closing.sending
+
+    def end_idle(self):
+        """Close it unless something of a request has come.
+
+        It counts as in use until its last answer is out.
+        """
+        limit = self.idle_limit
+        if limit is None or self.reader.unread:
+            return
+        self.idle_limit = None
+        if not limit.expired():
+            limit.reschedule(asyncio.get_running_loop().time())
+
+
 class HttpServer:
     """Serves requests with a handler.
 
@@ -156,15 +215,24 @@
         self._refuse = refuse or refuse_plainly
         self._limits = limits or HttpLimits()
         self._server = None
-        self._idle = {}
-        self._tasks = set()
+        # By the task that serves it.
+        self._connections = {}
         self._stopping = False
         self.draining = False
 
     @property
     def busy(self):
-        """Number of connections on which a request came, in part or whole."""
-        return len(self._tasks) - len(self._idle)
+        """Number of connections in use.
+
+        On each a request came, in part or whole, or the end of an answer is
+        still on its way.
+        """
+        return sum(item.in_use for item in self._connections.values())
+
+    @property
+    def sending(self):
+        """Number of connections in use only by the end of an answer."""
+        return sum(item.sending for item in self._connections.values())
 
     async def start(self, address, port):
         """Listen on an address."""
@@ -176,18 +244,25 @@
         """Say in each answer from now on that its connection closes."""
         self.draining = True
 
-    async def finish(self, seconds):
+    async def finish(self, seconds, answer_seconds=0.0):
         """Stop accepting, and wait for what is in hand.
 
         :param seconds: longest wait
+        :param answer_seconds: longest wait for answers that only have to go
+            out, if it is longer
         """
         await self.stop_accepting()
-        try:
-            async with asyncio.timeout(seconds):
-                while self.busy:
-                    await asyncio.sleep(FINISH_POLL)
-        except asyncio.TimeoutError:
-            LOG.info("requests_unfinished", busy=self.busy)
+        loop = asyncio.get_running_loop()
+        until = loop.time() + seconds
+        answers_until = loop.time() + answer_seconds
+        while self.busy:
+            now = loop.time()
+            if now >= until and (now >= answers_until or not self.sending):
+                LOG.info(
+                    "requests_unfinished", busy=self.busy, sending=self.sending
+                )
+                return
+            await asyncio.sleep(FINISH_POLL)
 
     async def stop_accepting(self):
         """Close the listening socket and all idle connections."""
@@ -197,56 +272,72 @@
 
     def close_idle(self):
         """Close the connections on which nothing of a request has come."""
-        for reader, writer in list(self._idle.values()):
-            if not reader.unread:
-                writer.close()
+        for connection in list(self._connections.values()):
+            connection.end_idle()
 
     async def close(self):
         """Drop everything at once."""
         await self.stop_accepting()
-        for task in list(self._tasks):
-            task.cancel()
+        for task, connection in list(self._connections.items()):
+            self._drop(task, connection)
+
+    def _drop(self, task, connection):
+        """Give a connection up, whatever is in hand on it."""
+        if connection.responder is not None:
+            connection.responder.dropped = True
+        if connection.in_use:
+            unsent = connection.writer.transport.get_write_buffer_size()
+            LOG.warning(
+                "connection_dropped",
+                serving=connection.responder is not None,
+                unsent=unsent,
+            )
+        task.cancel()
 
     async def _accept(self, reader, writer):
-        if len(self._tasks) >= self._limits.connections:
+        if len(self._connections) >= self._limits.connections:
+            LOG.info("connection_refused", connections=len(self._connections))
             writer.close()
             return
         task = asyncio.current_task()
-        self._tasks.add(task)
+        connection = _Connection(reader, writer, self._limits.head)
+        self._connections[task] = connection
         try:
-            await self._serve(reader, writer, task)
-        except (OSError, h11.ProtocolError, asyncio.CancelledError):
-            pass
+            await self._serve(connection)
+            connection.closing = Closing(reader, writer)
+            await connection.closing.run()
+        except (OSError, h11.ProtocolError) as error:
+            LOG.debug("connection_lost", error=repr(error))
+        except asyncio.CancelledError:
+            # Its caller has left, or it was dropped, which is logged there.
+            LOG.debug("connection_cancelled")
         finally:
-            self._tasks.discard(task)
-            self._idle.pop(task, None)
+            del self._connections[task]
             writer.close()
 
-    async def _serve(self, reader, writer, task):
-        connection = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=self._limits.head
-        )
+    async def _serve(self, connection):
+        """Serve requests, until no more are to come on the connection."""
+        state = connection.state
         while not self._stopping:
-            self._idle[task] = (reader, writer)
-            responder = Responder(connection, writer, self)
+            responder = Responder(state, connection.writer, self)
             try:
-                request = await self._read_request(
-                    connection, reader, writer, task
-                )
+                request = await self._read_request(connection)
                 if request is None:
                     return
-                await self._run_handler(request, responder, reader)
+                connection.responder = responder
+                await self._run_handler(request, responder, connection.reader)
             except RequestError as error:
-                if connection.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+                if state.our_state in (h11.IDLE, h11.SEND_RESPONSE):
                     await self._refuse(responder, error)
             except h11.RemoteProtocolError as error:
-                if connection.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+                if state.our_state in (h11.IDLE, h11.SEND_RESPONSE):
                     await self._refuse(responder, _protocol_error(error))
-            if connection.our_state is not h11.DONE:
+            connection.responder = None
+            if state.our_state is not h11.DONE:
                 return
-            if connection.their_state is not h11.DONE:
+            if state.their_state is not h11.DONE:
                 return
-            connection.start_next_cycle()
+            state.start_next_cycle()
 
     async def _run_handler(self, request, responder, reader):
         """Run the handler, and cancel it when the caller goes away."""
@@ -260,14 +351,14 @@
             reader.on_end = None
             handler.cancel()
 
-    async def _read_request(self, connection, reader, writer, task):
+    async def _read_request(self, connection):
         """Return the next request, or None at the end of the stream."""
-        if not await self._wait_first_byte(connection, reader):
+        if not await self._wait_first_byte(connection):
             return None
-        self._idle.pop(task, None)
+        state, reader = connection.state, connection.reader
         try:
             async with asyncio.timeout(self._limits.head_timeout):
-                head = await self._next_event(connection, reader)
+                head = await self._next_event(state, reader)
         except asyncio.TimeoutError:
             raise RequestError(
                 ErrorKind.TOO_SLOW, "the request head took too long"
@@ -279,12 +370,12 @@
             name.decode("latin-1"): value.decode("latin-1")
             for name, value in head.headers
         }
-        if connection.they_are_waiting_for_100_continue:
+        if state.they_are_waiting_for_100_continue:
             go_on = h11.InformationalResponse(status_code=100, headers=[])
-            writer.write(connection.send(go_on))
+            connection.writer.write(state.send(go_on))
         try:
             async with asyncio.timeout(self._limits.body_timeout):
-                body = await self._read_body(connection, reader, headers)
+                body = await self._read_body(state, reader, headers)
         except asyncio.TimeoutError:
             raise RequestError(
                 ErrorKind.TOO_SLOW, "the request body took too long"
@@ -307,17 +398,24 @@
         if size > self._limits.head:
             raise RequestError(ErrorKind.TOO_LARGE, "the head is too large")
 
-    async def _wait_first_byte(self, connection, reader):
+    async def _wait_first_byte(self, connection):
         """Return whether a request begins before the connection is idle."""
-        if connection.trailing_data[0]:
+        state, reader = connection.state, connection.reader
+        if state.trailing_data[0]:
             return True
         idle = self._limits.idle_timeout or self._limits.head_timeout
         try:
-            async with asyncio.timeout(idle):
+            async with asyncio.timeout(idle) as limit:
+                connection.idle_limit = limit
                 data = await reader.read(READ_SIZE)
         except asyncio.TimeoutError:
-            return False
-        connection.receive_data(data)
+            if not reader.unread:
+                return False
+            # It came at the last moment.
+            data = await reader.read(READ_SIZE)
+        finally:
+            connection.idle_limit = None
+        state.receive_data(data)
         return bool(data)
 
     async def _read_body(self, connection, reader, headers):
--- a/rowanport/web/stream.py
+++ b/rowanport/web/stream.py
@@ -1,6 +1,15 @@
 """Streams whose end is noticed at once, without reading or polling."""
 
 import asyncio
+import fcntl
+import socket
+import sys
+import termios
+
+# State of a connection, in the first byte of what the kernel tells of it, of
+# which nothing is left.
+TCP_CLOSE = 7
+COUNT_SIZE = 4
 
 
 class WatchedReader(asyncio.StreamReader):
@@ -65,3 +74,15 @@
         return asyncio.StreamReaderProtocol(reader, handle, loop=loop)
 
     return await loop.create_server(make, host, port, backlog=backlog)
+
+
+def unacknowledged(writer):
+    """Return how many bytes the kernel holds until the peer has them."""
+    sock = writer.get_extra_info("socket")
+    if sock.fileno() < 0:
+        return 0
+    info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+    if info[0] == TCP_CLOSE:
+        return 0
+    count = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(COUNT_SIZE))
+    return int.from_bytes(count, sys.byteorder)
--- a/test/process_world.py
+++ b/test/process_world.py
@@ -52,7 +52,7 @@
     :param size: length that its head says, if not that of the body
     """
     lines = [
-        f"POST /once/ HTTP/1.1",
+        "POST /once/ HTTP/1.1",
         f"host: {HOST}",
         f"{ID_HEADER}: {name}",
         f"api-key: {KEY}",
--- a/test/test_process_end.py
+++ b/test/test_process_end.py
@@ -3,8 +3,8 @@
 A router ended with the last bytes of an answer in its own memory.  A job
 counts as done when the whole answer has been handed to the connection, of
 which up to 64 KB may still wait for a slow caller; nobody waited for them.  A
-caller that read on 2 s after the signal, with 2 s of the grace left, got 12,288
-of 51,211 bytes, and 6,144 where its next requests lay unread.
+caller that read on 2 s after the signal, with 2 s of the grace left, got
+12,288 of 51,211 bytes, and 6,144 where its next requests lay unread.
 
 The tests run on real sockets and real processes: a network in memory delivers
 what was written, whatever becomes of its sender.
--- a/test/virtual_net.py
+++ b/test/virtual_net.py
@@ -41,6 +41,10 @@
         if level == socket.IPPROTO_TCP and option in self.options:
             self.options[option] = value
 
+    def fileno(self):
+        """Return no descriptor: nothing is left to the kernel."""
+        return -1
+
     @property
     def patience(self):
         """Return the seconds of silence after which the kernel gives up."""
@@ -75,6 +79,11 @@
     async def drain(self):
         """Never hold a writer up."""
 
+    def write_eof(self):
+        """Close the own direction."""
+        if not self._closed:
+            self._later(self.other.hear_eof)
+
     def close(self):
         """Close both directions."""
         self._end(self._later, lambda: self.other.hear_end(None))
@@ -118,6 +127,11 @@
         if not self._closed and not self.reader.ended:
             self.reader.feed_data(data)
 
+    def hear_eof(self):
+        """Take in that the other end has closed its direction."""
+        if not self._closed:
+            self._feed_end(None)
+
     def hear_end(self, error):
         """Take in that the other end has closed or reset."""
         self._closed = True
