--- a/test/process_world.py
+++ b/test/process_world.py
@@ -44,6 +44,8 @@
 """
 # Seconds that anything may take before a test gives up.
 PATIENCE = 20.0
+# Seconds that an upstream takes for a late answer.
+LATE_SECONDS = 0.3
 
 
 def request_of(name, body=b"", size=None):
@@ -128,6 +130,16 @@
         self._socket.close()
 
 
+class Upstream(UpstreamStandin):
+    """An upstream that may take its time."""
+
+    async def _do_late(self, connection, writer, names, body):
+        self._note_run(connection, names)
+        await asyncio.sleep(LATE_SECONDS)
+        data = b"body of " + names[ID_HEADER].encode() + b" " + body
+        self._send(connection, writer, 200, self._head(names), data)
+
+
 class GatewayProcess:
     """A store, two upstreams, and a gateway in a process of its own.
 
@@ -138,7 +150,7 @@
 
     def __init__(self, directory, grace=4.0):
         self.store = StoreStandin()
-        self.upstreams = [UpstreamStandin("one"), UpstreamStandin("two")]
+        self.upstreams = [Upstream("one"), Upstream("two")]
         self.rows = []
         self.other_lines = []
         self.process = None
