Handle signals from the first line of a process to its end

Cause: the loop installed the handlers some 0.4 s after the start, most of which goes into imports, and took them away as it closed.

Change: signals.py, which imports nothing that takes long, is the first import of the platform's program. A signal to stop before the loop runs ends the process at once and in order; a SIGHUP is kept until the loop can follow it; from the loop's end on signals are ignored. The soak's launcher does the same, as it stands in the program's place.

Ruled out: handlers by the loop alone, ignored after it: the loop sets them to their defaults as it closes, which leaves a gap.

--- a/rowanport/platform/__main__.py
+++ b/rowanport/platform/__main__.py
@@ -1,9 +1,14 @@
 """``python -m rowanport.platform``: a gateway on the users' platform."""
 
+from ..signals import PROCESS
+
+if __name__ == "__main__":
+    # The imports below take most of the start.
+    PROCESS.watch()
+
 import asyncio
 import gc
 import os
-import signal
 import sys
 
 import structlog
@@ -59,9 +64,6 @@
 async def run(settings):
     """Run a gateway until SIGTERM or SIGINT."""
     stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
     gateway = build(settings)
 
     def reload():
@@ -72,7 +74,7 @@
             return
         gateway.reload(changed.gateway)
 
-    loop.add_signal_handler(signal.SIGHUP, reload)
+    PROCESS.follow(asyncio.get_running_loop(), stop.set, reload)
     await gateway.start()
     # What is alive now stays: keep it out of later collections.
     gc.collect()
@@ -83,12 +85,14 @@
 
 def main():
     """Read the settings and run."""
+    PROCESS.watch()
     try:
         settings = read_settings(os.environ)
     except SettingsError as error:
         sys.exit(str(error))
     logs.set_up_bounded(instance=settings.gateway.name)
     asyncio.run(run(settings))
+    PROCESS.ignore()
 
 
 if __name__ == "__main__":
--- a/soak/launch.py
+++ b/soak/launch.py
@@ -6,6 +6,12 @@
 variant is asked for by name.
 """
 
+from rowanport.signals import PROCESS
+
+if __name__ == "__main__":
+    # As the program itself does, before the imports.
+    PROCESS.watch()
+
 import asyncio
 import json
 import os
