--- a/test/test_signals.py
+++ b/test/test_signals.py
@@ -10,11 +10,15 @@
 import asyncio
 import signal
 from test.process_world import GatewayProcess
+from test.process_world import PATIENCE
 from test.process_world import request_of
 from test.process_world import SlowCaller
+import time
 
 import pytest
 
+from bench.fleet import Fleet
+
 # Starts the program, which gets a signal in the middle of its imports.
 LAUNCH = """
 import os
@@ -134,3 +138,40 @@
         assert await ending == 0
 
     run_with_process(tmp_path, body)
+
+
+# The own interface
+
+
+@pytest.fixture
+def router():
+    with Fleet(routers=1, engines=1, services=1, data_centres=("n",)) as fleet:
+        yield fleet.routers[0], fleet.path / f"{fleet.routers[0].name}.log"
+
+
+async def wait_for_line(log, text):
+    """Wait until a log has a line with some text."""
+    async with asyncio.timeout(PATIENCE):
+        while text not in log.read_text():
+            await asyncio.sleep(0.05)
+
+
+def test_a_hang_up_stops_the_own_router_in_order(router):
+    # What happened: SIGHUP, as a terminal sends it when it closes, ended the
+    # process with all its streams.
+    process, log = router
+    asyncio.run(wait_for_line(log, "router_started"))
+    process.signal(signal.SIGHUP)
+    assert process.wait() == 0
+    assert "router_stopped" in log.read_text()
+
+
+def test_signals_up_to_the_very_end_are_no_end_of_the_own_router(router):
+    process, log = router
+    asyncio.run(wait_for_line(log, "router_started"))
+    while process.alive:
+        process.signal(signal.SIGTERM)
+        process.signal(signal.SIGHUP)
+        time.sleep(PAUSE)
+    assert process.wait() == 0
+    assert "router_stopped" in log.read_text()
