Stop a router of the own interface in order at a hang-up

Cause: nothing handled SIGHUP, and the loop's handlers went as it closed. Change: its daemons use signals.py; a SIGHUP begins a stop like the first SIGTERM. An early SIGTERM still ends such a process by the signal: at once, and with nothing in hand.

--- a/rowanport/ui/daemons.py
+++ b/rowanport/ui/daemons.py
@@ -3,13 +3,13 @@
 import asyncio
 import gc
 import pathlib
-import signal
 
 import typer
 
 from .. import logs
 from ..router import Router
 from ..settings import read_settings
+from ..signals import PROCESS
 from ..standins.engine import EngineStandin
 from ..standins.platform import PlatformStandin
 from ..standins.service import ServiceStandin
@@ -22,16 +22,24 @@
 
 
 def _watch_signals(first, second):
-    """Set one event at the first signal, another at the second."""
+    """Set one event at the first signal to stop, another at the second.
+
+    A SIGHUP, as a closing terminal sends it, sets the first one only.
+    """
 
     def stop():
         if first.is_set():
             second.set()
         first.set()
 
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop)
+    PROCESS.watch()
+    PROCESS.follow(asyncio.get_running_loop(), stop, first.set)
+
+
+def _run(coroutine):
+    """Run a daemon until it has stopped."""
+    asyncio.run(coroutine)
+    PROCESS.ignore()
 
 
 async def _run_router(settings):
@@ -55,7 +63,7 @@
     """Run a router; SIGTERM stops it without cutting a stream."""
     parsed = read_settings(settings)
     logs.set_up(parsed.logs, instance=parsed.router.name)
-    asyncio.run(_run_router(parsed))
+    _run(_run_router(parsed))
 
 
 async def _run_standin(standin, address, port):
@@ -79,7 +87,7 @@
         standin = PlatformStandin(lag, writes)
         await _run_standin(standin, address, port)
 
-    asyncio.run(run())
+    _run(run())
 
 
 @standin_app.command("engine")
@@ -97,7 +105,7 @@
         standin = EngineStandin(step, batch, queue, prefixes)
         await _run_standin(standin, address, port)
 
-    asyncio.run(run())
+    _run(run())
 
 
 @standin_app.command("service")
@@ -111,4 +119,4 @@
     async def run():
         await _run_standin(ServiceStandin(delay), address, port)
 
-    asyncio.run(run())
+    _run(run())
