Say in the log how connections end

Change: one line each, at debug level where a caller's leaving is ordinary; a warning for an answer that we broke ourselves, for a handler that was cancelled though its caller is there, one for all that a close drops (with the bytes that are not out), and one when the server becomes full. Responder.dropped tells a handler that the server gives its request up, not its caller. The soak's own process leaves debug lines out: its stand-ins have thousands of them.

--- a/rowanport/web/server.py
+++ b/rowanport/web/server.py
@@ -188,6 +188,11 @@
         """Return whether only the end of an answer is in hand."""
         return self.closing is not None and self.closing.sending
 
+    @property
+    def unsent(self):
+        """Return the bytes that wait to be handed to the kernel."""
+        return self.writer.transport.get_write_buffer_size()
+
     def end_idle(self):
         """Close it unless something of a request has come.
 
@@ -217,6 +222,7 @@
         self._server = None
         # By the task that serves it.
         self._connections = {}
+        self._full = False
         self._stopping = False
         self.draining = False
 
@@ -277,26 +283,36 @@
 
     async def close(self):
         """Drop everything at once."""
+        self._note_dropped()
         await self.stop_accepting()
         for task, connection in list(self._connections.items()):
-            self._drop(task, connection)
-
-    def _drop(self, task, connection):
-        """Give a connection up, whatever is in hand on it."""
-        if connection.responder is not None:
-            connection.responder.dropped = True
-        if connection.in_use:
-            unsent = connection.writer.transport.get_write_buffer_size()
+            if connection.responder is not None:
+                connection.responder.dropped = True
+            task.cancel()
+
+    def _note_dropped(self):
+        """Log what is lost by dropping everything, if anything is."""
+        connections = self._connections.values()
+        unsent = sum(connection.unsent for connection in connections)
+        if self.busy or unsent:
             LOG.warning(
-                "connection_dropped",
-                serving=connection.responder is not None,
+                "connections_dropped",
+                busy=self.busy,
+                serving=sum(c.responder is not None for c in connections),
                 unsent=unsent,
             )
-        task.cancel()
+
+    def _has_room(self):
+        """Return whether one more connection may be open, and note changes."""
+        count = len(self._connections)
+        full = count >= self._limits.connections
+        if full and not self._full:
+            LOG.warning("connections_full", connections=count)
+        self._full = full
+        return not full
 
     async def _accept(self, reader, writer):
-        if len(self._connections) >= self._limits.connections:
-            LOG.info("connection_refused", connections=len(self._connections))
+        if not self._has_room():
             writer.close()
             return
         task = asyncio.current_task()
@@ -306,15 +322,25 @@
             await self._serve(connection)
             connection.closing = Closing(reader, writer)
             await connection.closing.run()
+        except h11.LocalProtocolError as error:
+            LOG.warning("answer_broken", error=repr(error))
         except (OSError, h11.ProtocolError) as error:
             LOG.debug("connection_lost", error=repr(error))
         except asyncio.CancelledError:
-            # Its caller has left, or it was dropped, which is logged there.
-            LOG.debug("connection_cancelled")
+            self._note_cancelled(task, reader)
         finally:
             del self._connections[task]
             writer.close()
 
+    def _note_cancelled(self, task, reader):
+        """Log why a request was given up, unless close() has done so."""
+        if task.cancelling():
+            return
+        if reader.ended:
+            LOG.debug("caller_left")
+        else:
+            LOG.warning("request_cancelled")
+
     async def _serve(self, connection):
         """Serve requests, until no more are to come on the connection."""
         state = connection.state
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -4,6 +4,7 @@
 import asyncio
 import collections
 import json
+import logging
 import pathlib
 import shutil
 import signal
@@ -12,6 +13,8 @@
 import time
 import tomllib
 
+import structlog
+
 from . import promises
 from .broken import VARIANTS
 from .faults import Injector
@@ -240,6 +243,9 @@
         "--cases", action="store_true", help="run the seeds that ever failed"
     )
     options = parser.parse_args()
+    # The soak's own servers run in this process.
+    level = structlog.make_filtering_bound_logger(logging.INFO)
+    structlog.configure(wrapper_class=level)
     runs = _read_cases() if options.cases else _wanted(options)
     well = [_run_and_report(wanted) for wanted in runs]
     print(f"{well.count(True)} of {len(well)} runs were as they should be")
