--- a/test/test_process_end.py
+++ b/test/test_process_end.py
@@ -12,6 +12,7 @@
 
 import asyncio
 import socket
+from test.platform_world import Platform
 from test.process_world import GatewayProcess
 from test.process_world import LOCAL
 from test.process_world import request_of
@@ -196,3 +197,32 @@
         caller.close()
 
     run_with_process(tmp_path, body)
+
+
+# Faults of the stop itself
+
+
+@pytest.mark.parametrize("failing", (1, 2))
+def test_a_failed_hand_over_ends_no_answer(failing):
+    # What happened: an error in passing tokens on, as the division by zero
+    # with no holder left was one, ended the stop and with it the process,
+    # whatever it had in hand.
+    async def run():
+        async with Platform() as platform:
+            calls = []
+
+            async def hand_over():
+                calls.append(failing)
+                if len(calls) == failing:
+                    raise ZeroDivisionError
+
+            platform.gateway.budgets.hand_over = hand_over
+            for upstream in platform.upstreams:
+                upstream.pause = 0.2
+            answer = await platform.stream("/stream/")
+            await platform.gateway.stop()
+            assert (await answer.read()).count(b"data: r1") == 6
+            assert len(calls) == 2
+            assert platform.gateway.stopping.cut == 0
+
+    asyncio.run(run())
