Keep a stop going when its hand-over of tokens fails

Cause: the stop passed errors on, and the process ended with what it had in hand. Change: they are logged (hand_over_failed) and the stop goes on.

--- a/rowanport/gateway/daemon.py
+++ b/rowanport/gateway/daemon.py
@@ -286,10 +286,10 @@
         self._server.drain()
         self.forwarder.bound_open()
         LOG.info("gateway_stopping", busy=self._server.busy)
-        await self.budgets.hand_over()
+        await self._hand_over()
         await self._finish_requests()
         self.stopping.close()
-        await self.budgets.hand_over()
+        await self._hand_over()
         await self._server.finish(self._last_wait(), self._time_to_cut)
         LOG.info(
             "gateway_stopped",
@@ -299,6 +299,13 @@
         )
         await self.close()
 
+    async def _hand_over(self):
+        """Pass tokens on; an error must not end answers that are in hand."""
+        try:
+            await self.budgets.hand_over()
+        except Exception:
+            LOG.exception("hand_over_failed")
+
     async def _finish_requests(self):
         """Wait until all that was taken is answered, or is to be cut."""
         while not self.stopping.finished:
