Notice a supervised loop that hangs

Cause, found by reading: a loop was sound as long as it had not ended, so that one that waits for good left its router ready with what it knew then.

Change: each loop of a gateway beats every round. One without a beat for 10 s (30 s where it watches the store, for up to 21 s at once) is logged once, makes the router unready as one that keeps failing does, and shows in rowanport_loop_silent_seconds. Who waits for the end of an outage beats meanwhile, so that an outage of the store makes no router unready.

Ruled out: starting a hung loop again, as one that has ended: to cancel it in the middle of a batch leaves it open whether the batch was written. Not seen: a hang of the part of the upstreams' source that drops missing entries, which runs beside its watch.

--- a/rowanport/gateway/daemon.py
+++ b/rowanport/gateway/daemon.py
@@ -55,6 +55,10 @@
     "forget_after": 60.0,
     "list_interval": 10.0,
 }
+# Longest time in seconds between two beats of a loop; and of one that watches
+# the store, up to 21 s at once, or looks into it now and then.
+LONGEST_ROUND = 10.0
+LONGEST_STORE_ROUND = 30.0
 READY_POLL = 0.02
 # Seconds between two rounds of questions to seeds at the start.
 SEED_PAUSE = 0.1
@@ -175,6 +179,10 @@
         """
         return self.members.own.state == READY and not self._loops.failing
 
+    def loop_silences(self):
+        """Return by loop the seconds since it was last heard of."""
+        return self._loops.silences()
+
     def choice(self, engine):
         """Return the Choice for engines or for plain services."""
         return self._prefix_choice if engine else self._nearest_choice
@@ -245,11 +253,14 @@
         """Start what must run as long as this router serves."""
         for source in self._sources:
             run = functools.partial(source.run, self._views)
-            self._loops.start(type(source).__name__, run)
-        self._loops.start("heartbeats", self._membership.run_heartbeats)
-        self._loops.start("router_list", self._membership.run_list)
-        self._loops.start("views", self._views.run)
-        self._loops.start("budgets", self.budgets.run)
+            name = type(source).__name__
+            self._loops.start(name, run, LONGEST_STORE_ROUND)
+        run = self._membership.run_heartbeats
+        self._loops.start("heartbeats", run, LONGEST_ROUND)
+        run = self._membership.run_list
+        self._loops.start("router_list", run, LONGEST_STORE_ROUND)
+        self._loops.start("views", self._views.run, LONGEST_ROUND)
+        self._loops.start("budgets", self.budgets.run, LONGEST_ROUND)
 
     def _note_restart(self, loop):
         self.metrics.loop_restarts.inc({"loop": loop})
--- a/rowanport/gateway/health.py
+++ b/rowanport/gateway/health.py
@@ -37,6 +37,8 @@
         metrics = gateway.metrics
         for name, account in gateway.budgets.accounts.items():
             metrics.tokens_held.set({"budget": name}, account.available)
+        for name, seconds in gateway.loop_silences().items():
+            metrics.loop_silent.set({"loop": name}, seconds)
         metrics.logs_dropped.set({}, logs.dropped())
         version = gateway.table.version if gateway.table else 0
         metrics.config_version.set({}, version)
--- a/rowanport/gateway/metrics.py
+++ b/rowanport/gateway/metrics.py
@@ -13,6 +13,9 @@
         self.loop_restarts = self._counter(
             "loop_restarts", "Loops started again after they ended"
         )
+        self.loop_silent = self._gauge(
+            "loop_silent_seconds", "Time since the last beat of a loop"
+        )
         self.request = self._histogram(
             "request_seconds", "Time to the end of an answer"
         )
--- a/rowanport/gateway/views.py
+++ b/rowanport/gateway/views.py
@@ -14,6 +14,7 @@
 from ..incarnation import address_of
 from ..schema.messages import ViewAsk
 from ..schema.messages import ViewGive
+from ..supervision import beat
 from ..tasks import TaskSet
 from .upstream import UpstreamList
 
@@ -149,6 +150,7 @@
         """Ask one peer after the other until cancelled."""
         try:
             while True:
+                beat()
                 for address in self._sources()[:1]:
                     # Not awaited: one that is cut off would hold up the next.
                     if len(self._asks) < ASKS_AT_ONCE:
--- a/rowanport/membership/gossip.py
+++ b/rowanport/membership/gossip.py
@@ -9,6 +9,7 @@
 from ..errors import StoreError
 from ..schema.messages import Gossip
 from ..store.directory import ROUTER_ROLE
+from ..supervision import beat
 
 LOG = structlog.get_logger(__name__)
 
@@ -42,6 +43,7 @@
     async def run_heartbeats(self):
         """Send heartbeats until cancelled."""
         for number in itertools.count():
+            beat()
             calls = [self._tell(*pair) for pair in self._members.tick()]
             sending = asyncio.gather(*calls)
             speed = FIRST_SPEED if number < FIRST_ROUNDS else 1
@@ -69,6 +71,7 @@
 
     async def _read_list(self):
         """Greet the routers in the list that are not known yet."""
+        beat()
         try:
             instances = await self._directory.instances()
         except StoreError as error:
--- a/rowanport/platform/directory.py
+++ b/rowanport/platform/directory.py
@@ -10,6 +10,7 @@
 from ..store import Instance
 from ..store.directory import LIVE
 from ..store.directory import ROUTER_ROLE
+from ..supervision import beat
 
 LOG = structlog.get_logger(__name__)
 
@@ -54,6 +55,7 @@
         if self._seeds:
             await asyncio.sleep(SEEDED_PAUSE)
         while True:
+            beat()
             if self._seeds and not views.on_duty:
                 await asyncio.sleep(RENEW_SECONDS)
                 continue
--- a/rowanport/platform/sources.py
+++ b/rowanport/platform/sources.py
@@ -12,6 +12,7 @@
 from ..errors import StoreSilent
 from ..gateway.upstream import Upstream
 from ..gateway.upstream import UpstreamList
+from ..supervision import beat
 from .store import HistoryLost
 
 LOG = structlog.get_logger(__name__)
@@ -66,6 +67,7 @@
     async def run(self, views):
         """Feed the Views until cancelled."""
         while True:
+            beat()
             await self._wait_for_duty(views)
             try:
                 await self._follow(views)
@@ -87,6 +89,7 @@
         while not views.on_duty:
             # What happens meanwhile comes from peers.
             self._revision = None
+            beat()
             await asyncio.sleep(DUTY_POLL)
 
     async def _follow(self, views):
--- a/rowanport/prepaid/keeper.py
+++ b/rowanport/prepaid/keeper.py
@@ -7,6 +7,7 @@
 
 from ..errors import StoreError
 from ..schema.messages import LendAsk
+from ..supervision import beat
 from ..tasks import TaskSet
 from .account import Account
 from .exhaustion import Exhaustion
@@ -286,6 +287,7 @@
     async def run(self):
         """Draw, give back and renew limits until cancelled."""
         while True:
+            beat()
             self._wake.clear()
             self._report()
             pause = URGENT_PAUSE
--- a/rowanport/store/reach.py
+++ b/rowanport/store/reach.py
@@ -10,10 +10,12 @@
 """
 
 import asyncio
+import contextlib
 
 import structlog
 
 from ..errors import StoreError
+from ..supervision import beat
 from ..tasks import TaskSet
 
 LOG = structlog.get_logger(__name__)
@@ -28,6 +30,8 @@
 INTERVAL = 0.3
 # Seconds for the answer to each of them.
 TIMEOUT = 1.0
+# Seconds between two beats of a loop that waits for the end of an outage.
+BEAT_PAUSE = 1.0
 
 
 class Reach:
@@ -72,7 +76,12 @@
 
     async def wait_up(self):
         """Wait until calls are worth making."""
-        await self._up.wait()
+        while not self.up:
+            # An outage of any length is no hang of who waits for its end.
+            beat()
+            with contextlib.suppress(asyncio.TimeoutError):
+                async with asyncio.timeout(BEAT_PAUSE):
+                    await self._up.wait()
 
     async def wait_down(self):
         """Wait until calls are not worth making."""
--- a/rowanport/supervision.py
+++ b/rowanport/supervision.py
@@ -1,10 +1,13 @@
-"""Loops that must run as long as their process: started again when they end.
+"""Loops that must run as long as their process.
 
-A router whose loop has ended would serve on by what it knew then: tokens that
-nobody renews, a configuration that stays as it was.
+One that ends is started again, and one that hangs is noticed.  A router whose
+loop stands still would serve on by what it knew then: tokens that nobody
+renews, a configuration that stays as it was.
 """
 
 import asyncio
+import contextvars
+import math
 
 import structlog
 
@@ -18,6 +21,18 @@
 SOUND_SECONDS = 5.0
 # Ends in a row, each before the loop was sound, from which it keeps failing.
 FAILING_ENDS = 3
+# Seconds between two looks at which loops hang.
+CHECK_SECONDS = 1.0
+
+# The loop that the running task belongs to.
+_running = contextvars.ContextVar("loop", default=None)
+
+
+def beat():
+    """Note that the loop of the running task goes on; call it each round."""
+    loop = _running.get()
+    if loop is not None:
+        loop.beat()
 
 
 class _Loop:
@@ -26,22 +41,53 @@
     :ivar ends: ends in a row since it was last sound
     :ivar sound_at: steady time from which it is sound if it runs till then,
         None while it does not run
+    :ivar beat_at: steady time of its last beat, or of its start
+    :ivar hangs: whether it was found hanging
     """
 
-    __slots__ = ("name", "function", "ends", "sound_at")
-
-    def __init__(self, name, function):
+    __slots__ = (
+        "name",
+        "function",
+        "ends",
+        "sound_at",
+        "beat_at",
+        "hangs",
+        "_longest_round",
+        "_clock",
+    )
+
+    def __init__(self, name, function, longest_round, clock):
         self.name = name
         self.function = function
         self.ends = 0
         self.sound_at = None
+        self.beat_at = clock.steady()
+        self.hangs = False
+        self._longest_round = longest_round
+        self._clock = clock
+
+    def start(self):
+        """Note that it starts."""
+        self.sound_at = self._clock.steady() + SOUND_SECONDS
+        self.beat()
+
+    def beat(self):
+        """Note that it goes on."""
+        self.beat_at = self._clock.steady()
+
+    def is_silent(self, now):
+        """Return whether it runs, and goes on no more."""
+        late = now > self.beat_at + self._longest_round
+        return self.sound_at is not None and late
 
     def is_sound(self, now):
         """Return whether it has run well for a while."""
         return self.sound_at is not None and now >= self.sound_at
 
     def is_failing(self, now):
-        """Return whether it has ended again and again."""
+        """Return whether it has ended again and again, or hangs."""
+        if self.is_silent(now):
+            return True
         return self.ends >= FAILING_ENDS and not self.is_sound(now)
 
     @property
@@ -64,26 +110,52 @@
         self._clock = clock
         self._on_restart = on_restart
         self._loops = []
+        self._check = None
 
     @property
     def failing(self):
-        """Return the names of the loops that keep failing."""
+        """Return the names of the loops that keep failing, or hang."""
         now = self._clock.steady()
         return [loop.name for loop in self._loops if loop.is_failing(now)]
 
-    def start(self, name, function):
+    def silences(self):
+        """Return by loop the seconds since its last beat."""
+        now = self._clock.steady()
+        return {loop.name: now - loop.beat_at for loop in self._loops}
+
+    def start(self, name, function, longest_round=math.inf):
         """Run a loop until the tasks are cancelled.
 
         :param name: what it does, for logs and metrics
         :param function: coroutine function that does not return
+        :param longest_round: seconds from which it hangs if it did not call
+            beat()
         """
-        loop = _Loop(name, function)
+        loop = _Loop(name, function, longest_round, self._clock)
         self._loops.append(loop)
         self._tasks.spawn(self._keep(loop))
+        if self._check is None:
+            self._check = self._tasks.spawn(self._check_beats())
+
+    async def _check_beats(self):
+        """Log which loops hang, and which of them go on again."""
+        while True:
+            now = self._clock.steady()
+            for loop in self._loops:
+                hangs = loop.is_silent(now)
+                if hangs != loop.hangs:
+                    loop.hangs = hangs
+                    LOG.error(
+                        "loop_hangs" if hangs else "loop_goes_on",
+                        loop=loop.name,
+                        silent=round(now - loop.beat_at, 1),
+                    )
+            await asyncio.sleep(CHECK_SECONDS)
 
     async def _keep(self, loop):
+        _running.set(loop)
         while True:
-            loop.sound_at = self._clock.steady() + SOUND_SECONDS
+            loop.start()
             error = await _run(loop.function)
             self._note_end(loop, error)
             restart_at = self._clock.steady() + loop.pause
