--- a/rowanport/gateway/daemon.py
+++ b/rowanport/gateway/daemon.py
@@ -55,6 +55,10 @@
     "forget_after": 60.0,
     "list_interval": 10.0,
 }
+# Longest time in seconds between two beats of a loop; and of one that watches
+# the store, up to 21 s at once, or looks into it now and then.
+LONGEST_ROUND = 10.0
+LONGEST_STORE_ROUND = 30.0
 READY_POLL = 0.02
 # Seconds between two rounds of questions to seeds at the start.
 SEED_PAUSE = 0.1
@@ -175,6 +179,10 @@
         """
         return self.members.own.state == READY and not self._loops.failing
 
+    def loop_silences(self):
+        """Return by loop the seconds since it was last heard of."""
+        return self._loops.silences()
+
     def choice(self, engine):
         """Return the Choice for engines or for plain services."""
         return self._prefix_choice if engine else self._nearest_choice
@@ -245,11 +253,14 @@
         """Start what must run as long as this router serves."""
         for source in self._sources:
             run = functools.partial(source.run, self._views)
-            self._loops.start(type(source).__name__, run)
-        self._loops.start("heartbeats", self._membership.run_heartbeats)
-        self._loops.start("router_list", self._membership.run_list)
-        self._loops.start("views", self._views.run)
-        self._loops.start("budgets", self.budgets.run)
+            name = type(source).__name__
+            self._loops.start(name, run, LONGEST_STORE_ROUND)
+        run = self._membership.run_heartbeats
+        self._loops.start("heartbeats", run, LONGEST_ROUND)
+        run = self._membership.run_list
+        self._loops.start("router_list", run, LONGEST_STORE_ROUND)
+        self._loops.start("views", self._views.run, LONGEST_ROUND)
+        self._loops.start("budgets", self.budgets.run, LONGEST_ROUND)
 
     def _note_restart(self, loop):
         self.metrics.loop_restarts.inc({"loop": loop})
@@ -287,12 +298,12 @@
         self.forwarder.bound_open()
         LOG.info("gateway_stopping", busy=self._server.busy)
         self.budgets.keep(self.stopping.unmade)
-        await self.budgets.hand_over()
+        await self._hand_over()
         await self._finish_requests()
         self.stopping.close()
         self.budgets.keep({})
-        await self.budgets.hand_over()
-        await self._server.finish(self._last_wait())
+        await self._hand_over()
+        await self._server.finish(self._last_wait(), self._time_to_cut)
         LOG.info(
             "gateway_stopped",
             busy=self._server.busy,
@@ -301,6 +312,13 @@
         )
         await self.close()
 
+    async def _hand_over(self):
+        """Pass tokens on; an error must not end answers that are in hand."""
+        try:
+            await self.budgets.hand_over()
+        except Exception:
+            LOG.exception("hand_over_failed")
+
     async def _finish_requests(self):
         """Wait until all that was taken is answered, or is to be cut."""
         while not self.stopping.finished:
@@ -310,9 +328,12 @@
                 self._server.close_idle()
             await asyncio.sleep(STOP_POLL)
 
+    @property
+    def _time_to_cut(self):
+        return self.stopping.cut_at - self.clock.steady()
+
     def _last_wait(self):
-        left = self.stopping.cut_at - self.clock.steady()
-        return max(STOP_LAST_WRITES, min(STOP_LAST_READS, left))
+        return max(STOP_LAST_WRITES, min(STOP_LAST_READS, self._time_to_cut))
 
     async def close(self):
         """Drop everything at once."""
--- a/rowanport/store/reach.py
+++ b/rowanport/store/reach.py
@@ -14,10 +14,12 @@
 """
 
 import asyncio
+import contextlib
 
 import structlog
 
 from ..errors import StoreError
+from ..supervision import beat
 from ..tasks import TaskSet
 
 LOG = structlog.get_logger(__name__)
@@ -39,6 +41,8 @@
 INTERVAL = 0.3
 # Seconds for the answer to each of them.
 TIMEOUT = 1.0
+# Seconds between two beats of a loop that waits for the end of an outage.
+BEAT_PAUSE = 1.0
 
 
 class Reach:
@@ -114,7 +118,12 @@
 
     async def wait_up(self):
         """Wait until calls are worth making."""
-        await self._up.wait()
+        while not self.up:
+            # An outage of any length is no hang of who waits for its end.
+            beat()
+            with contextlib.suppress(asyncio.TimeoutError):
+                async with asyncio.timeout(BEAT_PAUSE):
+                    await self._up.wait()
 
     async def wait_down(self):
         """Wait until calls are not worth making."""
