Show operators which reservations are unsettled, and why

Cause: two tests of the own interface wait in vain for settled books, or read them too early, and a count cannot tell why. Change: /status names the oldest 20 unsettled reservations, with their age, deadline, role of this router, peer, upstream and what each waits for. The count is again that of this router's own and witnessed reservations and of those that its homes hold for others; ends that a witness was not told are shown apart, as `untold`.

--- a/bench/baseline.py
+++ b/bench/baseline.py
@@ -65,6 +65,18 @@
     def unsettled(self):
         return len(self._open) + len(self._tasks)
 
+    @property
+    def unbilled(self):
+        return self.unsettled
+
+    @property
+    def untold(self):
+        return 0
+
+    def unsettled_items(self):
+        """Return nothing: these clients keep no book."""
+        return []
+
     @abc.abstractmethod
     async def reserve(self, request, budget, tokens, deadline):
         """Set tokens aside; raise RequestError if that cannot be done."""
--- a/rowanport/ledger/account.py
+++ b/rowanport/ledger/account.py
@@ -11,6 +11,7 @@
     """Tokens set aside for one run.
 
     :ivar upstream: where it runs, empty until that is known
+    :ivar since: wall time at which it was set aside
     """
 
     __slots__ = (
@@ -21,9 +22,10 @@
         "entry",
         "deadline",
         "upstream",
+        "since",
     )
 
-    def __init__(self, message):
+    def __init__(self, message, now):
         self.request = message.request
         self.reservation = message.reservation
         self.budget = message.budget
@@ -31,6 +33,7 @@
         self.entry = message.entry
         self.deadline = message.deadline
         self.upstream = ""
+        self.since = now
 
 
 class Account:
--- a/rowanport/ledger/book.py
+++ b/rowanport/ledger/book.py
@@ -16,6 +16,7 @@
     """One reservation as its entry sees it.
 
     :ivar home: incarnation that was asked
+    :ivar since: wall time at which this router took it in
     :ivar holder: holder that granted it; empty while unanswered
     :ivar settlement: the Settle message, once the run has ended
     :ivar witness: incarnation that remembers it too, if any
@@ -39,6 +40,7 @@
         "witnessed",
         "upstream",
         "usable",
+        "since",
     )
 
     def __init__(self, request, reservation, budget, tokens, deadline, home):
@@ -55,6 +57,7 @@
         self.witnessed = False
         self.upstream = ""
         self.usable = False
+        self.since = 0.0
 
     @property
     def owed(self):
--- a/rowanport/ledger/client.py
+++ b/rowanport/ledger/client.py
@@ -18,6 +18,7 @@
 from .record import NO_BILL
 from .recoverer import log_resolved
 from .recoverer import PRESUME_AFTER
+from .unsettled import item_of_entry
 from .witnessing import Witnessing
 
 LOG = structlog.get_logger(__name__)
@@ -90,6 +91,7 @@
             message = self._book.ask(
                 request, budget, tokens, deadline, home, until
             )
+            self._book.get(message.reservation).since = now
             witness = self._witnessing.choose(home, silent)
             message.entry = witness or self._incarnation
             try:
@@ -241,6 +243,7 @@
         if isinstance(message, Witness):
             if not self._book.witness(message):
                 return Refused(ErrorKind.BUDGET_UNAVAILABLE.value, "shunned")
+            self._book.get(message.reservation).since = self._clock.wall()
         elif isinstance(message, Started):
             self._book.started(message)
         else:
@@ -307,10 +310,20 @@
         """
         return len(self._book)
 
+    def unsettled_items(self):
+        """Return an UnsettledItem of each that counts as unbilled."""
+        alive = self._is_holder_alive
+        return [item_of_entry(entry, alive) for entry in self._book]
+
+    @property
+    def untold(self):
+        """Return how many ends some witness has yet to be told."""
+        return self._witnessing.untold
+
     @property
     def unsettled(self):
         """Return how many reservations a planned stop waits for.
 
         Those count too that are billed, but whose witness does not know yet.
         """
-        return len(self._book) + self._witnessing.untold
+        return len(self._book) + self.untold
--- a/rowanport/ledger/holder.py
+++ b/rowanport/ledger/holder.py
@@ -168,14 +168,14 @@
             account.waiting[message.reservation] = message
             return None
         if account.available >= message.tokens and not account.waiting:
-            return self._set_aside(account, message)
+            return self._set_aside(account, message, now)
         if now < account.dry_until:
             return self._refuse_dry(account, message)
         account.waiting[message.reservation] = message
         return None
 
-    def _set_aside(self, account, message):
-        reservation = Reservation(message)
+    def _set_aside(self, account, message, now):
+        reservation = Reservation(message, now)
         account.reserved[message.reservation] = reservation
         return Reserved(message.reservation, self.holder, message.tokens)
 
@@ -252,7 +252,7 @@
                 return _refused(ErrorKind.UNKNOWN_BUDGET, "no such budget")
         listed = message.entry in self.listed
         if listed and account.available >= message.tokens:
-            return self._set_aside(account, message)
+            return self._set_aside(account, message, now)
         if now >= message.waits_until:
             return _refused(ErrorKind.BUDGET_UNAVAILABLE, "no tokens in time")
         if listed and now < account.dry_until:
--- a/rowanport/ledger/keeper.py
+++ b/rowanport/ledger/keeper.py
@@ -33,6 +33,7 @@
 from .record import new_shard
 from .recoverer import Recoverer
 from .sizing import Sizing
+from .unsettled import item_of_reservation
 from .waiters import Waiters
 from .witnesses import WitnessChoice
 
@@ -131,6 +132,20 @@
         ids = set().union(*held)
         return sum(reservation not in self._book for reservation in ids)
 
+    def unsettled_items(self):
+        """Return an UnsettledItem of each reservation held for others.
+
+        Bills that are yet to be written are left out: they stand there for
+        the time between two writes.
+        """
+        alive = self._members.is_alive
+        return [
+            item_of_reservation(reservation, alive)
+            for place in self._places.values()
+            for reservation in place.holder.reservations()
+            if reservation.reservation not in self._book
+        ]
+
     # Places
 
     def shard(self, budget):
--- /dev/null
+++ b/rowanport/ledger/unsettled.py
@@ -0,0 +1,95 @@
+"""What operators are shown of reservations that are not settled yet.
+
+A number alone does not say whether a home waits for a run, for an engine's
+word or for a write; each of these has another remedy.
+"""
+
+OWN = "entry"
+HELD = "home"
+WITNESSED = "witness"
+
+ASKING = "its home has not answered"
+NOT_STARTED = "its run has not started"
+RUNNING = "its run is under way"
+UNWRITTEN = "its bill is not written"
+ENTRY_ALIVE = "its entry is alive"
+NO_UPSTREAM = "its entry is dead and named no upstream"
+UPSTREAM_ASKED = "its entry is dead and its upstream is asked"
+
+
+class UnsettledItem:
+    """One reservation that is not settled, as one router sees it.
+
+    :ivar role: what this router is to it
+    :ivar peer: incarnation of its entry at its home, else of its home
+    :ivar since: wall time at which this router took it in
+    :ivar reason: what it waits for
+    """
+
+    __slots__ = (
+        "reservation",
+        "request",
+        "budget",
+        "tokens",
+        "role",
+        "peer",
+        "upstream",
+        "deadline",
+        "since",
+        "reason",
+    )
+
+    def __init__(self, source, role, peer, reason):
+        self.reservation = source.reservation
+        self.request = source.request
+        self.budget = source.budget
+        self.tokens = source.tokens
+        self.role = role
+        self.peer = peer
+        self.upstream = source.upstream
+        self.deadline = source.deadline
+        self.since = source.since
+        self.reason = reason
+
+    def as_dict(self, now):
+        """Return it as plain values, times as seconds from now."""
+        value = {name: getattr(self, name) for name in self.__slots__}
+        value["age"] = round(now - value.pop("since"), 1)
+        value["seconds_left"] = round(value.pop("deadline") - now, 1)
+        return value
+
+
+def item_of_entry(entry, is_alive):
+    """Return the UnsettledItem of an OpenReservation.
+
+    :param is_alive: function of a holder
+    """
+    role = WITNESSED if entry.witnessed else OWN
+    peer = entry.holder or entry.home
+    return UnsettledItem(entry, role, peer, _entry_reason(entry, is_alive))
+
+
+def _entry_reason(entry, is_alive):
+    if entry.settlement is not None:
+        return UNWRITTEN
+    if entry.witnessed:
+        return _orphan_reason(entry, is_alive(entry.holder))
+    if not entry.usable:
+        return ASKING
+    return RUNNING if entry.upstream else NOT_STARTED
+
+
+def item_of_reservation(reservation, is_alive):
+    """Return the UnsettledItem of a Reservation at its home.
+
+    :param is_alive: function of an incarnation
+    """
+    alive = is_alive(reservation.entry)
+    reason = _orphan_reason(reservation, alive)
+    return UnsettledItem(reservation, HELD, reservation.entry, reason)
+
+
+def _orphan_reason(source, alive):
+    if alive:
+        return ENTRY_ALIVE
+    return UPSTREAM_ASKED if source.upstream else NO_UPSTREAM
--- a/rowanport/router/operators.py
+++ b/rowanport/router/operators.py
@@ -2,6 +2,9 @@
 
 from ..web import HttpServer
 
+# Reservations shown of those that are unsettled, the oldest first.
+SHOWN_UNSETTLED = 20
+
 
 class OperatorFront:
     """Serves ``/healthz``, ``/readyz``, ``/metrics`` and ``/status``."""
@@ -32,11 +35,26 @@
             return await responder.reply_json(200, self.status())
         return await responder.reply(404, b"")
 
+    @property
+    def _unsettled(self):
+        """Return how many reservations are open, whoever's they are."""
+        router = self._router
+        return router.ledger.unbilled + router.keeper.unsettled
+
+    def _oldest_unsettled(self):
+        """Return the oldest unsettled reservations as plain values."""
+        router = self._router
+        items = router.ledger.unsettled_items()
+        items += router.keeper.unsettled_items()
+        items.sort(key=lambda item: item.since)
+        now = router.clock.wall()
+        return [item.as_dict(now) for item in items[:SHOWN_UNSETTLED]]
+
     def _update_gauges(self):
         router = self._router
         metrics = router.metrics
         metrics.config_version.set({}, router.config.snapshot.version)
-        metrics.unsettled.set({}, router.ledger.unsettled)
+        metrics.unsettled.set({}, self._unsettled)
         metrics.store_calls.set({"kind": "read"}, router.store.reads)
         metrics.store_calls.set({"kind": "write"}, router.store.writes)
         metrics.peer_bytes.set({}, router.traffic.sent)
@@ -58,7 +76,9 @@
             "state": router.members.own.state,
             "config_version": router.config.snapshot.version,
             "requests": router.callers.busy,
-            "unsettled": router.ledger.unsettled,
+            "unsettled": self._unsettled,
+            "untold": router.ledger.untold,
+            "oldest_unsettled": self._oldest_unsettled(),
             "store": {
                 "reads": router.store.reads,
                 "writes": router.store.writes,
