Presume early what no upstream is known to have; let entries correct it

Cause: a router was killed while a request of it waited for its turn. Its home, or its witness, knew of no upstream to ask, and kept the reservation open until 5 s after the request's deadline.

Change: once its entry has been dead for 10 s, such a run is presumed spent, on no bill, as it was before at the deadline; also one whose upstream answers that it does not know it. Nothing is released by that, so it is safe though the entry may live. If it does, its word comes last: a bill takes the place of what was presumed, and a release gives it back. One class decides this for homes and witnesses, which did it each for themselves.

Ruled out: to release what never named an upstream, as an entry that is merely cut off may still start it; an answer to Started before each run, which costs every request a round trip; to ask all engines, 600 at the target size.

After: they pass, and the machine of late starts, which finds the variant that takes nothing back.

--- a/rowanport/ledger/account.py
+++ b/rowanport/ledger/account.py
@@ -12,6 +12,8 @@
 
     :ivar upstream: where it runs, empty until that is known
     :ivar since: wall time at which it was set aside
+    :ivar presume_at: when it is presumed spent if its entry stays dead and
+        no upstream is known to have its run; None while that is not so
     """
 
     __slots__ = (
@@ -23,6 +25,7 @@
         "deadline",
         "upstream",
         "since",
+        "presume_at",
     )
 
     def __init__(self, message, now):
@@ -34,6 +37,7 @@
         self.deadline = message.deadline
         self.upstream = ""
         self.since = now
+        self.presume_at = None
 
 
 class Account:
--- a/rowanport/ledger/bills.py
+++ b/rowanport/ledger/bills.py
@@ -3,6 +3,7 @@
 import collections
 
 from ..schema.messages import BillEntry
+from .record import NO_BILL
 
 
 def make_bill(message):
@@ -34,6 +35,11 @@
     def __iter__(self):
         return iter([bill for bill, _entry in self._bills.values()])
 
+    def is_presumed(self, reservation):
+        """Return whether the bill kept of a reservation is presumed."""
+        bill, _entry = self._bills[reservation]
+        return bill.expiry == NO_BILL
+
     def add(self, bill, entry):
         """Keep a bill for the next batch.
 
--- a/rowanport/ledger/book.py
+++ b/rowanport/ledger/book.py
@@ -17,6 +17,7 @@
 
     :ivar home: incarnation that was asked
     :ivar since: wall time at which this router took it in
+    :ivar presume_at: as that of a Reservation
     :ivar holder: holder that granted it; empty while unanswered
     :ivar settlement: the Settle message, once the run has ended
     :ivar witness: incarnation that remembers it too, if any
@@ -41,6 +42,7 @@
         "upstream",
         "usable",
         "since",
+        "presume_at",
     )
 
     def __init__(self, request, reservation, budget, tokens, deadline, home):
@@ -58,6 +60,7 @@
         self.upstream = ""
         self.usable = False
         self.since = 0.0
+        self.presume_at = None
 
     @property
     def owed(self):
@@ -186,13 +189,15 @@
 
         :param is_alive: function of a holder
         """
-        return [
-            entry
-            for entry in self._open.values()
-            if entry.witnessed
-            and entry.settlement is None
-            and not is_alive(entry.holder)
-        ]
+        orphans = []
+        for entry in self._open.values():
+            if not entry.witnessed or entry.settlement is not None:
+                continue
+            if is_alive(entry.holder):
+                entry.presume_at = None
+            else:
+                orphans.append(entry)
+        return orphans
 
     def attest(self, holder):
         """Return what a dead holder's grants still owe for this entry.
--- a/rowanport/ledger/client.py
+++ b/rowanport/ledger/client.py
@@ -15,9 +15,8 @@
 from ..schema.messages import Started
 from ..schema.messages import Witness
 from ..tasks import TaskSet
-from .record import NO_BILL
-from .recoverer import log_resolved
-from .recoverer import PRESUME_AFTER
+from .orphans import log_resolved
+from .orphans import OrphanResolver
 from .unsettled import item_of_entry
 from .witnessing import Witnessing
 
@@ -61,7 +60,7 @@
         self._members = members
         self._settings = settings
         self._clock = clock
-        self._resolve = resolve
+        self._resolver = OrphanResolver(resolve, settings.bill_memory, clock)
         self._witnessing = Witnessing(
             incarnation, keeper, book, peers, members
         )
@@ -217,7 +216,8 @@
                 if isinstance(answer, Ack):
                     break
             except PeerError:
-                await asyncio.sleep(SETTLE_PAUSE)
+                pass
+            await asyncio.sleep(SETTLE_PAUSE)
             if not self._members.is_alive(incarnation_of(home)):
                 if message.tokens == 0:
                     break
@@ -279,19 +279,16 @@
 
     async def _resolve_orphan(self, entry):
         try:
-            result = await self._resolve(entry)
+            result = await self._resolver.resolve(entry)
         finally:
             self._resolving.discard(entry.reservation)
-        if entry.settlement is not None:
+        if result is None or entry.settlement is not None:
             return
-        expiry = entry.deadline + self._settings.bill_memory
-        if result is None:
-            if self._clock.wall() < entry.deadline + PRESUME_AFTER:
-                return
-            # Nobody can tell: presume all spent, on no bill.
-            result = (entry.reservation, entry.tokens)
-            expiry = NO_BILL
-        message = self._book.settle(entry.reservation, *result, expiry)
+        if entry.reservation not in self._book:
+            return
+        message = self._book.settle(
+            entry.reservation, result.run, result.tokens, result.expiry
+        )
         log_resolved(message, entry.upstream)
         entry.home = self._next_home(entry)
         self._tasks.spawn(self._settle(entry, message))
--- a/rowanport/ledger/holder.py
+++ b/rowanport/ledger/holder.py
@@ -19,14 +19,31 @@
 from .bills import UnwrittenBills
 from .loans import Loans
 from .loans import transfers
+from .orphans import PRESUME_UNKNOWN_AFTER
 from .record import Batch
 from .record import find_bill
+from .record import is_presumed
+from .record import NO_BILL
 from .record import unspent_tokens
 
 DRY_SECONDS = 0.5
 VOID_MEMORY = 3600.0
 
 
+class LateRelease:
+    """A reservation that was given back late: it may have been presumed.
+
+    :ivar message: the Settle message, without tokens
+    :ivar until: until when that is looked for in the shard
+    """
+
+    __slots__ = ("message", "until")
+
+    def __init__(self, message, until):
+        self.message = message
+        self.until = until
+
+
 class Holder:
     """Decides for one shard at one router.
 
@@ -44,6 +61,10 @@
         self._shunned = set()
         self._entries = set()
         self._answers = []
+        # Kept when others recover this holder: an entry that lives may give
+        # back what was presumed of the holder's old id.
+        self._voids = {}
+        self._late_releases = {}
         self._leaving = False
         self._begin(holder)
 
@@ -56,7 +77,6 @@
         self._number = 0
         self._batch = None
         self._loans = Loans(self._new_id)
-        self._voids = {}
         self._recoveries = []
         self._left = False
         self._touched = False
@@ -112,6 +132,11 @@
             for reservation in account.reserved.values()
         ]
 
+    def holds(self, reservation):
+        """Return whether a Reservation is still open here."""
+        reserved = self.account(reservation.budget).reserved
+        return reserved.get(reservation.reservation) is reservation
+
     def unsettled(self):
         """Return the ids of reservations whose bills are yet to be written."""
         open_here = {one.reservation for one in self.reservations()}
@@ -209,10 +234,10 @@
         reservation = account.reserved.pop(message.reservation, None)
         account.waiting.pop(message.reservation, None)
         if message.tokens == 0:
-            self._voids[message.reservation] = now + VOID_MEMORY
+            self._void(message, reservation, now)
             return Ack()
         if message.reservation in self._bills:
-            return None
+            return self._settle_again(message)
         bill = make_bill(message)
         if own and reservation is None:
             if self._is_written(bill):
@@ -222,6 +247,32 @@
         self._bills.add(bill, reservation.entry if reservation else None)
         return None
 
+    def _void(self, message, reservation, now):
+        """Note that a reservation was given back.
+
+        :param reservation: the Reservation, None if it is not open here
+        """
+        until = now + VOID_MEMORY
+        self._voids[message.reservation] = until
+        # An overload gives back hundreds a second, within moments: only those
+        # that others may have presumed spent are looked up in each record.
+        if reservation is None or (
+            now >= reservation.since + PRESUME_UNKNOWN_AFTER
+        ):
+            late = LateRelease(message, until)
+            self._late_releases[message.reservation] = late
+
+    def _settle_again(self, message):
+        """Return the answer to a Settle whose reservation has a bill here.
+
+        What was presumed has to be written before the entry's own word can
+        take its place.
+        """
+        presumed = self._bills.is_presumed(message.reservation)
+        if presumed and message.expiry != NO_BILL:
+            return _refused(ErrorKind.NOT_READY, "presumed, not written yet")
+        return None
+
     def _is_written(self, bill):
         if self.record is None:
             return False
@@ -242,6 +293,9 @@
         for key, until in list(self._voids.items()):
             if until < now:
                 del self._voids[key]
+        for key, late in list(self._late_releases.items()):
+            if late.until < now:
+                del self._late_releases[key]
         self._loans.forget(self._accounts, now)
 
     def _answer_waiting(self, account, message, now):
@@ -491,6 +545,7 @@
                 account.granted = budget.grants.get(self.holder, 0)
                 self._loans.observe(account, record)
                 self._see_bills(account, record)
+        self._withdraw_presumed(record)
         self.pump(now)
 
     def _see_bills(self, account, record):
@@ -500,6 +555,15 @@
             if bill is not None and bill.reservation == key:
                 del account.reserved[key]
 
+    def _withdraw_presumed(self, record):
+        """Bill nothing for what was given back, but presumed spent."""
+        for late in self._late_releases.values():
+            message = late.message
+            if message.reservation in self._bills:
+                continue
+            if is_presumed(record, message.request, message.reservation):
+                self._bills.add(make_bill(message), None)
+
     # Ends
 
     def leave(self):
--- a/rowanport/ledger/record.py
+++ b/rowanport/ledger/record.py
@@ -186,13 +186,17 @@
     The first run of a request is billed.  Another run of it, or one whose
     request may have been forgotten, is taken from the budget but appears on
     no bill: tokens served never exceed the total, and nobody pays twice.
+    One without tokens says that a reservation's run never began.
     """
     if find_bill(record, entry.request, entry.run) is not None:
         return
     if _is_presumed_of_billed(record, entry):
         return
     budget = record.budgets[entry.budget]
-    _take(budget, entry.holder, entry.tokens)
+    covered = _withdraw_presumption(record, budget, entry)
+    _take(budget, entry.holder, max(0, entry.tokens - covered))
+    if not entry.tokens:
+        return
     known = record.bills.get(entry.request)
     bill = BillRecord(
         entry.run,
@@ -221,6 +225,26 @@
     return bill.reservation == entry.reservation
 
 
+def is_presumed(record, request, reservation):
+    """Return whether a reservation stands there as presumed spent."""
+    return absorbed_key(request, reservation) in record.bills
+
+
+def _withdraw_presumption(record, budget, entry):
+    """Take back that a reservation was presumed spent; return its tokens.
+
+    Its entry lives after all and says what it consumed.  Without this a
+    router that was cut off, or paused, cost the customer the worst case of
+    each run that had not begun.
+    """
+    key = absorbed_key(entry.request, entry.reservation)
+    presumed = record.bills.pop(key, None)
+    if presumed is None:
+        return 0
+    budget.absorbed -= presumed.tokens
+    return presumed.tokens
+
+
 def _take(budget, holder, tokens):
     """Take tokens from a grant, below nothing if need be.
 
--- a/rowanport/ledger/recoverer.py
+++ b/rowanport/ledger/recoverer.py
@@ -13,29 +13,12 @@
 from ..schema.messages import Recovery
 from ..schema.messages import Settle
 from ..tasks import TaskSet
-from .record import NO_BILL
+from .orphans import log_resolved
+from .orphans import OrphanResolver
 
 LOG = structlog.get_logger(__name__)
 ATTEST_TIMEOUT = 1.0
 RECOVER_AFTER = 5.0
-PRESUME_AFTER = 5.0
-
-
-def log_resolved(message, upstream):
-    """Log what a dead entry's run is settled with.
-
-    :param message: the Settle message
-    :param upstream: where it ran, empty if nobody was told
-    """
-    LOG.info(
-        "dead_entry_settled",
-        request=message.request,
-        reservation=message.reservation,
-        run=message.run,
-        tokens=message.tokens,
-        presumed=message.expiry == NO_BILL,
-        upstream=upstream,
-    )
 
 
 class Recoverer:
@@ -62,11 +45,10 @@
         self._incarnation = incarnation
         self._peers = peers
         self._members = members
-        self._settings = settings
         self._clock = clock
         self._metrics = metrics
         self._book = book
-        self._resolve = resolve
+        self._resolver = OrphanResolver(resolve, settings.bill_memory, clock)
         self._attest = attest
         self._resolving = set()
         self._tasks = TaskSet()
@@ -77,6 +59,7 @@
         """Bill the runs of a holder's dead entries by what upstreams say."""
         for reservation in holder.reservations():
             if not self._is_orphan(reservation):
+                reservation.presume_at = None
                 continue
             if reservation.reservation in self._resolving:
                 continue
@@ -96,26 +79,21 @@
     async def _resolve_one(self, holder, reservation):
         """Bill a run whose entry died by what its upstream says."""
         try:
-            result = await self._resolve(reservation)
-            now = self._clock.wall()
-            expiry = reservation.deadline + self._settings.bill_memory
-            if result is None:
-                if now < reservation.deadline + PRESUME_AFTER:
-                    return
-                # Nobody can tell: presume all spent, on no bill.
-                result = (reservation.reservation, reservation.tokens)
-                expiry = NO_BILL
-            run, tokens = result
+            result = await self._resolver.resolve(reservation)
+            if result is None or not holder.holds(reservation):
+                return
+            if not self._is_orphan(reservation):
+                return
             message = Settle(
                 reservation.request,
                 reservation.reservation,
-                run,
+                result.run,
                 reservation.budget,
                 holder.holder,
-                tokens,
-                expiry,
+                result.tokens,
+                result.expiry,
             )
-            if holder.settle(message, now) is None:
+            if holder.settle(message, self._clock.wall()) is None:
                 log_resolved(message, reservation.upstream)
                 self._metrics.resolved_runs.inc({})
         finally:
--- a/rowanport/router/daemon.py
+++ b/rowanport/router/daemon.py
@@ -21,6 +21,7 @@
 from ..ledger import ReservationBook
 from ..ledger.allowance import Allowance
 from ..ledger.client import LedgerClient
+from ..ledger.orphans import RunUnknown
 from ..membership import Membership
 from ..membership import MembershipLoop
 from ..membership.members import LEAVING
@@ -282,7 +283,10 @@
         return await self.keeper.handle(message)
 
     async def _resolve(self, reservation):
-        """Return run and tokens of a dead entry's run once it has ended."""
+        """Return run and tokens of a dead entry's run once it has ended.
+
+        :raises RunUnknown: its engine answers that it has no such run
+        """
         if not reservation.upstream:
             return None
         late = self.clock.wall() > reservation.deadline
@@ -292,7 +296,9 @@
             )
         except UpstreamError:
             return None
-        if usage is None or usage.finish is None:
+        if usage is None:
+            raise RunUnknown(reservation.upstream)
+        if usage.finish is None:
             return None
         return usage.run, usage.tokens
 
--- a/test/test_ledger.py
+++ b/test/test_ledger.py
@@ -5,6 +5,7 @@
 the machine must find, so that the proof is seen to fail.
 """
 
+import asyncio
 import contextlib
 import os
 from test import machines
@@ -18,6 +19,7 @@
 from hypothesis.stateful import RuleBasedStateMachine
 import pytest
 
+from rowanport.errors import RequestError
 from rowanport.incarnation import address_of
 from rowanport.ledger import holder
 from rowanport.ledger import keeper
@@ -25,6 +27,7 @@
 from rowanport.ledger.book import ReservationBook
 from rowanport.ledger.holder import Holder
 from rowanport.ledger.keeper import LedgerKeeper
+from rowanport.ledger.orphans import RunUnknown
 from rowanport.ledger.recoverer import Recoverer
 from rowanport.ledger.sizing import Sizing
 from rowanport.schema.messages import Attested
@@ -352,6 +355,68 @@
         run_machine(SuspicionMachine, 400)
 
 
+class LateStartMachine(LedgerMachine):
+    """Requests wait for a turn, so that homes presume them spent early.
+
+    Nobody is killed: all that was presumed has to be taken back by the end.
+    """
+
+    kill = stop = top_up = retry = burst = store = cut_store = None
+
+    @rule(
+        index=indexes,
+        cost=strategies.integers(5, 100),
+        pause=strategies.sampled_from((1.0, 13.0, 25.0)),
+        runs=strategies.booleans(),
+    )
+    def request_late(self, index, cost, pause, runs):
+        name = f"request{len(self.requests)}"
+        self.requests.append((name, cost))
+        router = self.router(index)
+        late = self._request_late(router, name, cost, pause, runs)
+        self.world.spawn(router.address, late)
+
+    async def _request_late(self, router, name, cost, pause, runs):
+        world = self.world
+        deadline = world.loop.now + 60.0
+        try:
+            entry = await router.client.reserve(name, BUDGET, cost, deadline)
+        except RequestError:
+            return
+        await asyncio.sleep(pause)
+        await world.wait_thawed(router.address)
+        if not runs:
+            router.client.release(entry.reservation)
+            return
+        run = world._start_run(name, None, BUDGET, cost, 1.0)
+        router.client.start(entry, run.run)
+        while not run.finished:
+            await asyncio.sleep(0.05)
+        await world.wait_thawed(router.address)
+        router.client.settle(entry.reservation, run.run, run.tokens)
+        world.survivors.add(name)
+
+    @rule(seconds=strategies.sampled_from((0.5, 14.0)))
+    def wait(self, seconds):
+        self.world.advance(seconds)
+        self.world.check()
+
+
+@contextlib.contextmanager
+def presumption_never_withdrawn():
+    def withdraw(shard, budget, entry):
+        return 0
+
+    with mock.patch.object(record, "_withdraw_presumption", withdraw):
+        yield
+
+
+def test_what_was_presumed_of_living_entries_is_taken_back():
+    run_machine(LateStartMachine, EXAMPLES)
+    with presumption_never_withdrawn(), pytest.raises(AssertionError):
+        run_machine(LateStartMachine, 400)
+
+
 # Focused cases
 
 
@@ -541,6 +606,127 @@
         world.close()
 
 
+def reserve(world, router, seconds=30.0):
+    """Set 50 tokens aside at a router without starting a run."""
+    deadline = world.loop.now + seconds
+    asked = router.client.reserve("request", BUDGET, 50, deadline)
+    return world.spawn(router.address, asked)
+
+
+def check_presumed_soon(world, killed):
+    """Kill a router; see its unstarted reservation presumed spent."""
+    world.advance(1.0)
+    world.kill(killed)
+    world.advance(3.0)
+    assert world.unsettled == 1
+    world.advance(12.0)
+    assert not world.unsettled
+    assert world.spent == {BUDGET: 50}
+    world.check()
+
+
+@pytest.mark.parametrize("own", (False, True), ids=("home", "witness"))
+def test_a_dead_entrys_run_without_an_upstream_is_soon_presumed_spent(own):
+    # A router was killed while a request of it waited for its turn at an
+    # engine.  Its home, or its witness, knew of no engine to ask, and kept the
+    # reservation until 5 s after the request's deadline, 35 s after it came.
+    # test_router waited 30 s in vain or nearly so: in each of the two runs
+    # looked at the same request was settled 29.4 and 33 s into the wait, by
+    # "dead_entry_settled ... presumed=True upstream=''".
+    world = World(seed=1)
+    try:
+        home, other = add_cell(world, "north", 2)
+        world.add_budget(BUDGET, 1000)
+        world.advance(3.0)
+        killed = home if own else other
+        reserve(world, killed)
+        check_presumed_soon(world, killed)
+    finally:
+        world.close()
+
+
+def test_a_dead_entrys_run_that_its_engine_does_not_know_is_presumed():
+    # The same, but that the engine was named just before the kill and never
+    # got the request.  It answers that it knows no such run, which told the
+    # home as little as no answer.  Found by reading.
+    world = World(seed=1)
+
+    async def resolve(reservation):
+        raise RunUnknown(reservation.upstream)
+
+    world.resolve = resolve
+    try:
+        _home, entry = add_cell(world, "north", 2)
+        world.add_budget(BUDGET, 1000)
+        world.advance(3.0)
+        asked = reserve(world, entry)
+        world.advance(1.0)
+        world.loop.call_soon(entry.client.start, asked.result(), "engine")
+        check_presumed_soon(world, entry)
+    finally:
+        world.close()
+
+
+@pytest.mark.parametrize("own", (False, True), ids=("home", "witness"))
+def test_a_bill_takes_the_place_of_what_was_presumed_of_its_run(own):
+    # A router that is cut off from its home or witness looks dead to them for
+    # longer than they wait for the name of an upstream.  Its run then begins
+    # and is billed all the same: what was presumed spent has to go, or the
+    # budget pays twice.  Needed since such runs are presumed spent early.
+    world = World(seed=1)
+    try:
+        home, other = add_cell(world, "north", 2)
+        world.add_budget(BUDGET, 1000)
+        world.advance(3.0)
+        entry = home if own else other
+        asked = reserve(world, entry)
+        world.advance(1.0)
+        world.suspected.add(entry.incarnation)
+        world.advance(16.0)
+        assert world.spent == {BUDGET: 50}
+        world.heal()
+        reservation = asked.result().reservation
+        world.loop.call_soon(entry.client.start, asked.result(), "engine")
+        world.loop.call_soon(
+            entry.client.settle, reservation, "request.run", 20
+        )
+        world.advance(5.0)
+        assert world.spent == {BUDGET: 20}
+        assert not world.unsettled
+        world.check_record()
+        world.check()
+    finally:
+        world.close()
+
+
+@pytest.mark.parametrize("own", (False, True), ids=("home", "witness"))
+def test_a_release_gives_back_what_was_presumed_of_its_run(own):
+    # The same, but that the run never began: a router that was paused refuses
+    # what waited meanwhile, and gives back its reservations.  The customer
+    # would have lost the worst case of each.
+    world = World(seed=1)
+    try:
+        home, other = add_cell(world, "north", 2)
+        world.add_budget(BUDGET, 1000)
+        world.advance(3.0)
+        entry = home if own else other
+        asked = reserve(world, entry)
+        world.advance(1.0)
+        world.suspected.add(entry.incarnation)
+        world.advance(16.0)
+        assert world.spent == {BUDGET: 50}
+        world.heal()
+        reservation = asked.result().reservation
+        world.loop.call_soon(entry.client.release, reservation)
+        world.advance(8.0)
+        assert world.spent == {BUDGET: 0}
+        assert not world.unsettled
+        world.check_record()
+        world.check()
+    finally:
+        world.close()
+
+
 def test_a_run_that_is_billed_is_not_presumed_spent_besides():
     # A witness that was not told of a reservation's end, and whose engine
     # forgot the run, took the worst case from the budget although the same
