Give back the reservation of a caller that goes away while it waits

Cause: the server cancels the handler of a caller whose connection closes. While a reservation was asked for, that cancelled all that would have given it back: the book counted it for good, the home held its tokens for good, and a planned stop waited for it to its deadline.

Before: the new test failed (one unsettled). After: it passes.

--- a/rowanport/ledger/client.py
+++ b/rowanport/ledger/client.py
@@ -104,6 +104,10 @@
                 self._members.suspect(home)
                 self.release(message.reservation)
                 continue
+            except asyncio.CancelledError:
+                # The caller went away: nobody else would give it back.
+                self.release(message.reservation)
+                raise
             if isinstance(answer, Refused):
                 self._book.refused(message.reservation)
                 if answer.kind == ErrorKind.STOPPING.value:
@@ -138,7 +142,11 @@
             self._note_unwitnessed(entry)
             entry.usable = True
             return entry
-        entry.usable = await self._witnessing.ask(entry, witness)
+        try:
+            entry.usable = await self._witnessing.ask(entry, witness)
+        except asyncio.CancelledError:
+            self.release(entry.reservation)
+            raise
         return entry if entry.usable else None
 
     def _note_unwitnessed(self, entry):
--- a/test/test_ledger.py
+++ b/test/test_ledger.py
@@ -755,6 +755,29 @@
         world.close()
 
 
+def test_a_caller_that_goes_away_while_it_waits_for_tokens_leaves_none():
+    # A caller's connection closed while its reservation was asked for.  The
+    # call was cancelled, and with it all that would have given the tokens
+    # back: the book counted it as unsettled for good, the home held it for
+    # good, and a planned stop waited for it.  Found by reading.
+    world = World(seed=1)
+    try:
+        home, entry = add_cell(world, "north", 2)
+        world.add_budget(BUDGET, 1000)
+        world.advance(3.0)
+        for router in (home, entry):
+            asked = reserve(world, router)
+            world.advance(0.001)
+            assert len(router.book) == 1
+            asked.cancel()
+            world.advance(5.0)
+            assert not world.unsettled
+            assert not router.client.unsettled
+        assert not home.keeper.places()[0].reservations()
+    finally:
+        world.close()
+
+
 def test_a_run_that_is_billed_is_not_presumed_spent_besides():
     # A witness that was not told of a reservation's end, and whose engine
     # forgot the run, took the worst case from the budget although the same
