--- a/rowanport/ledger/account.py
+++ b/rowanport/ledger/account.py
@@ -11,6 +11,9 @@
     """Tokens set aside for one run.
 
     :ivar upstream: where it runs, empty until that is known
+    :ivar since: wall time at which it was set aside
+    :ivar presume_at: when it is presumed spent if its entry stays dead and
+        no upstream is known to have its run; None while that is not so
     """
 
     __slots__ = (
@@ -21,9 +24,11 @@
         "entry",
         "deadline",
         "upstream",
+        "since",
+        "presume_at",
     )
 
-    def __init__(self, message):
+    def __init__(self, message, now):
         self.request = message.request
         self.reservation = message.reservation
         self.budget = message.budget
@@ -31,6 +36,8 @@
         self.entry = message.entry
         self.deadline = message.deadline
         self.upstream = ""
+        self.since = now
+        self.presume_at = None
 
 
 class Account:
--- a/rowanport/ledger/client.py
+++ b/rowanport/ledger/client.py
@@ -15,9 +15,9 @@
 from ..schema.messages import Started
 from ..schema.messages import Witness
 from ..tasks import TaskSet
-from .record import NO_BILL
-from .recoverer import log_resolved
-from .recoverer import PRESUME_AFTER
+from .orphans import log_resolved
+from .orphans import OrphanResolver
+from .unsettled import item_of_entry
 from .witnessing import Witnessing
 
 LOG = structlog.get_logger(__name__)
@@ -25,6 +25,9 @@
 ANSWER_MARGIN = 0.5
 SETTLE_TIMEOUT = 30.0
 SETTLE_PAUSE = 0.2
+# Seconds between two tries to tell a silent home of a release: a dead one is
+# not called in a loop.
+RELEASE_PAUSE = 1.0
 SHORT_TIMEOUT = 1.0
 PROBE_AFTER = 0.2
 PROBE_TIMEOUT = 0.2
@@ -60,7 +63,7 @@
         self._members = members
         self._settings = settings
         self._clock = clock
-        self._resolve = resolve
+        self._resolver = OrphanResolver(resolve, settings.bill_memory, clock)
         self._witnessing = Witnessing(
             incarnation, keeper, book, peers, members
         )
@@ -90,6 +93,7 @@
             message = self._book.ask(
                 request, budget, tokens, deadline, home, until
             )
+            self._book.get(message.reservation).since = now
             witness = self._witnessing.choose(home, silent)
             message.entry = witness or self._incarnation
             try:
@@ -100,6 +104,10 @@
                 self._members.suspect(home)
                 self.release(message.reservation)
                 continue
+            except asyncio.CancelledError:
+                # The caller went away: nobody else would give it back.
+                self.release(message.reservation)
+                raise
             if isinstance(answer, Refused):
                 self._book.refused(message.reservation)
                 if answer.kind == ErrorKind.STOPPING.value:
@@ -134,7 +142,11 @@
             self._note_unwitnessed(entry)
             entry.usable = True
             return entry
-        entry.usable = await self._witnessing.ask(entry, witness)
+        try:
+            entry.usable = await self._witnessing.ask(entry, witness)
+        except asyncio.CancelledError:
+            self.release(entry.reservation)
+            raise
         return entry if entry.usable else None
 
     def _note_unwitnessed(self, entry):
@@ -215,14 +227,29 @@
                 if isinstance(answer, Ack):
                     break
             except PeerError:
-                await asyncio.sleep(SETTLE_PAUSE)
+                pass
+            await asyncio.sleep(SETTLE_PAUSE)
             if not self._members.is_alive(incarnation_of(home)):
                 if message.tokens == 0:
+                    self._tasks.spawn(self._tell_release(home, message))
                     break
                 home = self._next_home(entry)
         self._book.written(entry.reservation)
         await self._witnessing.end(entry)
 
+    async def _tell_release(self, home, message):
+        """Tell a home that seems dead of a release, if it comes back.
+
+        One that froze with the Reserve in its socket takes it in when it
+        wakes, and would hold the tokens for as long as this router lives.
+        """
+        while self._members.is_known(incarnation_of(home)):
+            try:
+                await self._settle_at(home, message)
+                return
+            except PeerError:
+                await asyncio.sleep(RELEASE_PAUSE)
+
     def _next_home(self, entry):
         shard = self._keeper.shard(entry.budget)
         return self._members.homes(shard)[0]
@@ -241,6 +268,7 @@
         if isinstance(message, Witness):
             if not self._book.witness(message):
                 return Refused(ErrorKind.BUDGET_UNAVAILABLE.value, "shunned")
+            self._book.get(message.reservation).since = self._clock.wall()
         elif isinstance(message, Started):
             self._book.started(message)
         else:
@@ -276,19 +304,16 @@
 
     async def _resolve_orphan(self, entry):
         try:
-            result = await self._resolve(entry)
+            result = await self._resolver.resolve(entry)
         finally:
             self._resolving.discard(entry.reservation)
-        if entry.settlement is not None:
+        if result is None or entry.settlement is not None:
             return
-        expiry = entry.deadline + self._settings.bill_memory
-        if result is None:
-            if self._clock.wall() < entry.deadline + PRESUME_AFTER:
-                return
-            # Nobody can tell: presume all spent, on no bill.
-            result = (entry.reservation, entry.tokens)
-            expiry = NO_BILL
-        message = self._book.settle(entry.reservation, *result, expiry)
+        if entry.reservation not in self._book:
+            return
+        message = self._book.settle(
+            entry.reservation, result.run, result.tokens, result.expiry
+        )
         log_resolved(message, entry.upstream)
         entry.home = self._next_home(entry)
         self._tasks.spawn(self._settle(entry, message))
@@ -307,10 +332,20 @@
         """
         return len(self._book)
 
+    def unsettled_items(self):
+        """Return an UnsettledItem of each that counts as unbilled."""
+        alive = self._is_holder_alive
+        return [item_of_entry(entry, alive) for entry in self._book]
+
+    @property
+    def untold(self):
+        """Return how many ends some witness has yet to be told."""
+        return self._witnessing.untold
+
     @property
     def unsettled(self):
         """Return how many reservations a planned stop waits for.
 
         Those count too that are billed, but whose witness does not know yet.
         """
-        return len(self._book) + self._witnessing.untold
+        return len(self._book) + self.untold
