Let callers of the soak read slowly, pipeline and close half

Change: a caller keeps to one manner, from the shape's table: it reads in small pieces with rests, sends the next request at once or while the answer before it ends, or closes its side behind each request.

A router may read a request that was sent ahead before its turn, and the time limit runs from then on; the limit is taken 0.1 s earlier for these.

--- a/soak/broken.py
+++ b/soak/broken.py
@@ -132,6 +132,28 @@
         Gateway.stop = stop
 
 
+class GivesUpOnSilence(Variant):
+    """Drops a stream that falls silent, whatever could follow."""
+
+    promise = "lost"
+    theme = "pauses"
+
+    def apply(self):
+        from rowanport.web.server import Responder
+
+        send = Responder._send
+
+        async def send_and_watch(self, event):
+            if hasattr(self, "limit"):
+                self.limit.cancel()
+            await send(self, event)
+            if not self.finished:
+                drop = self._writer.transport.abort
+                self.limit = asyncio.get_running_loop().call_later(1.0, drop)
+
+        Responder._send = send_and_watch
+
+
 class LateConfiguration(Variant):
     """Takes a configuration over seconds after it is known."""
 
@@ -251,6 +273,7 @@
         ForgetsKey,
         IgnoresLeaving,
         StopsAtOnce,
+        GivesUpOnSilence,
         LateConfiguration,
         OlderConfiguration,
         StaysReady,
--- a/soak/caller.py
+++ b/soak/caller.py
@@ -31,6 +31,9 @@
 RETRY_SHARE = 1 / 3
 # Whether callers of a manner keep connections; others do as they like.
 KEEPS = {HALF: False, PIPELINED: True, EARLY: True}
+# Seconds before its turn at which a router may have read a request that was
+# sent ahead: its time limit runs from then on.
+READ_AHEAD = 0.1
 # Share of requests that their callers leave in the middle.
 LEAVING_SHARE = 0.02
 
@@ -173,6 +176,8 @@
         now = time.monotonic()
         request = ahead.request
         request.until = now + min(ahead.patience, ahead.ask.timeout)
+        if ahead.written:
+            request.until -= READ_AHEAD
         until = now + ahead.patience
         await self._conduct(channel, ahead.ask, request, until, ahead.written)
 
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import concurrent.futures
+import contextlib
 import pathlib
 import subprocess
 import sys
@@ -11,9 +12,12 @@
 
 from bench.ports import free_ports
 from rowanport.standins.upstream import ID_HEADER
+from rowanport.standins.upstream import STAMP_HEADER
 from rowanport.web.client import Keepalive
+from rowanport.web.stream import listen
 from soak import promises
 from soak.broken import VARIANTS
+from soak.caller import Caller
 from soak.history import Fault
 from soak.history import History
 from soak.history import Leave
@@ -29,6 +33,9 @@
 from soak.plan import SEEDED_THEMES
 from soak.plan import THEMES
 from soak.relay import Relays
+from soak.shapes import Ask
+from soak.shapes import Shape
+from soak.upstream import body_of
 from soak.upstream import RecordingUpstream
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -474,6 +481,119 @@
     loop.run_until_complete(check_stall(what, silent, served))
 
 
+# Callers
+
+
+class OneServer:
+    """Answers plain requests, and notes what comes while it does.
+
+    :ivar name: as a router has it
+    :ivar seen: what had come beside a request: before its answer, and after
+        half of it
+    :ivar closes: whether it closes in the middle of answers
+    """
+
+    def __init__(self, closes=False):
+        self.name = "r0"
+        self.life = 1
+        self.seen = []
+        self.callers = (LOCAL, *free_ports(1))
+        self.closes = closes
+        self._server = None
+
+    async def start(self):
+        self._server = await listen(self._serve, *self.callers, 65536, 9)
+
+    def close(self):
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                fields = dict(
+                    line.split(b": ", 1) for line in head.split(b"\r\n")[1:-2]
+                )
+                body = await reader.readexactly(int(fields[b"content-length"]))
+                await self._answer(reader, writer, fields, body)
+        writer.close()
+
+    async def _answer(self, reader, writer, fields, body):
+        id_ = fields[ID_HEADER.encode()]
+        data = body_of(id_.decode(), body)
+        writer.write(
+            b"HTTP/1.1 200 OK\r\n%s: 1\r\ncontent-length: %d\r\n\r\n"
+            % (STAMP_HEADER.encode(), len(data))
+        )
+        before = await self._look(reader)
+        writer.write(data[:9])
+        self.seen.append((before, await self._look(reader)))
+        if self.closes:
+            writer.close()
+        writer.write(data[9:])
+
+    async def _look(self, reader):
+        """Return what came beside the request."""
+        await asyncio.sleep(0.1)
+        if reader.at_eof():
+            return "end"
+        return "next" if reader.unread else ""
+
+
+async def ask_once(manner, server, bodies=(0,)):
+    """Let a caller ask a OneServer; return its requests."""
+    asks = {Ask("/safe/", True, False, True, 3.0): 1}
+    shape = Shape(asks=asks, manners={manner: 1}, bodies=bodies)
+    history = History()
+    # By this seed it leaves none of its requests in the middle.
+    caller = Caller(history, lambda _: server, "c", "org", "k", 1, shape, 2)
+    await server.start()
+    try:
+        await caller._ask()
+    finally:
+        caller._drop()
+        server.close()
+        await asyncio.sleep(0.05)
+    return list(history.requests.values())
+
+
+@pytest.mark.parametrize(
+    "manner, seen, outcomes",
+    [
+        ("plain", [("", "")], ["whole"]),
+        ("slow", [("", "")], ["whole"]),
+        ("half", [("end", "end")], ["whole"]),
+        ("pipelined", [("next", "next"), ("", "")], ["whole", "whole"]),
+        ("early", [("", "next"), ("", "")], ["whole", "whole"]),
+    ],
+)
+def test_a_caller_has_its_manner(loop, manner, seen, outcomes):
+    server = OneServer()
+    requests = loop.run_until_complete(ask_once(manner, server))
+    assert server.seen == seen
+    assert [request.outcome for request in requests] == outcomes
+    assert not any(request.wrong for request in requests)
+
+
+def test_a_slow_reader_gets_a_large_answer_whole(loop):
+    requests = loop.run_until_complete(ask_once("slow", OneServer(), [9000]))
+    assert [request.outcome for request in requests] == ["whole"]
+
+
+@pytest.mark.parametrize(
+    "manner, outcomes",
+    [
+        ("plain", ["cut", "cut", "cut"]),
+        ("half", ["half"]),
+        ("pipelined", ["cut", "left"] * 3),
+    ],
+)
+def test_an_answer_that_ends_in_the_middle_is_cut(loop, manner, outcomes):
+    server = OneServer(closes=True)
+    requests = loop.run_until_complete(ask_once(manner, server))
+    assert [request.outcome for request in requests] == outcomes
+
+
 # Relays
 
 
