Check in the soak that configurations cut no requests

Cause: the platform's rule counts a configuration as planned work too; the soak checked stops and reloads only. Also, no theme had streams alone, where another send hardly ends before the cut of a stop.

Change: promise planned_change, with a test on both sides of each excuse: a router may not cut requests more than three times as often while a configuration comes, and what has used seven tenths of its time does not count. Theme `streams`. The balancer asks once a second also where a question has no answer. What a caller sends ahead is small.

A router that says `Connection: close` closes while 90 kB of the next request are on their way; the caller's writing fails, and asyncio drops the answer with it.

--- a/soak/caller.py
+++ b/soak/caller.py
@@ -162,7 +162,7 @@
         request.router = channel.router.name
         request.life = channel.life
         request.sent_at = time.monotonic()
-        body = self._body(ask, request)
+        body = self._body(ask, request, ahead=True)
         scratch = h11.Connection(h11.CLIENT)
         data = encode(scratch, self._head(request, body), body)
         return Ahead(ask, request, data, patience)
@@ -212,14 +212,17 @@
         self._channel.close()
         self._channel = None
 
-    def _body(self, ask, request):
+    def _body(self, ask, request, ahead):
         if ask.streamed:
             return b""
+        # What is sent ahead is small: a router that closes behind the answer
+        # before it would reset the connection, answer and all.
         size = random.Random(request.id).choice(self._shape.bodies)
+        size = 0 if ahead else size
         return f"ask {request.id}".encode().ljust(size)
 
     async def _exchange(self, channel, ask, request, written):
-        body = self._body(ask, request)
+        body = self._body(ask, request, written)
         data = encode(channel.state, self._head(request, body), body)
         if not written:
             await channel.write(data)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -127,6 +127,7 @@
 # By name only, so that the seeds keep their themes.
 THEMES["proxies"] = PROXIES
 THEMES["pauses"] = PAUSES
+THEMES["streams"] = PAUSES
 THEMES["callers"] = CALLERS
 
 
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -17,6 +17,11 @@
 # allows 4 s.
 OUT_OF_USE = 2.0
 PLANNED_KINDS = (STOP, RELOAD)
+ANSWERED = ("whole", "cut")
+# How many times as often a router may cut requests while a configuration
+# comes, and the part of its time after which a request doesn't count.
+MOST_OFTEN = 3
+USED_UP = 0.7
 # Seconds after the signal to stop until which callers are still sent.
 TAKEN_EARLY = 3.0
 # Seconds after the last disturbance by which requests are served again.
@@ -139,14 +144,8 @@
 
 def check_planned_stop(history):
     """A planned stop, or a reload, cuts no request."""
-    runs = history.runs_of()
     works = [f for f in history.faults if f.kind in PLANNED_KINDS]
-    for request in history.requests.values():
-        if request.outcome != "cut":
-            continue
-        own = runs.get(request.id, [])
-        if _excused(history, request, own):
-            continue
+    for request in _requests_cut(history):
         for work in reversed(works):
             if request.router in work.targets and _cut_by(
                 history, work, request
@@ -161,6 +160,17 @@
                 break
 
 
+def _requests_cut(history):
+    """Return the requests that only a router itself can have cut."""
+    runs = history.runs_of()
+    return [
+        request
+        for request in history.requests.values()
+        if request.outcome == "cut"
+        and not _excused(history, request, runs.get(request.id, []))
+    ]
+
+
 def _excused(history, request, runs):
     """Return whether something else than planned work may have cut it."""
     if request.ended_at >= request.until:
@@ -220,6 +230,42 @@
     return request.ended_at <= work.begun + history.bounds.grace + 1
 
 
+def check_planned_change(history):
+    """A new configuration cuts no more requests than other times do."""
+    ended = [r for r in history.requests.values() if r.outcome in ANSWERED]
+    cut = [r for r in _requests_cut(history) if not _used_up(r)]
+    for router in {request.router for request in cut}:
+        own = [r for r in ended if r.router == router]
+        near = [r for r in own if _near_change(history, r)]
+        near_cut = [r for r in cut if r in near]
+        other = len(own) - len(near)
+        other_cut = sum(r.router == router for r in cut) - len(near_cut)
+        # Shares of those that ended, multiplied out.
+        if len(near_cut) * other > MOST_OFTEN * other_cut * len(near):
+            for request in near_cut:
+                evidence = (
+                    f"{request.id} {request.path} at {router}: cut after "
+                    f"{request.ended_at - request.sent_at:.2f} s, as a new "
+                    "configuration came"
+                )
+                yield Finding("planned_change", request.ended_at, evidence)
+
+
+def _used_up(request):
+    """Return whether a request has had most of its time."""
+    waited = request.ended_at - request.sent_at
+    return waited >= USED_UP * (request.until - request.sent_at)
+
+
+def _near_change(history, request):
+    """Return whether a request ended while a configuration came."""
+    late = history.bounds.apply + 1
+    return any(
+        version.sent_at <= request.ended_at <= version.taken_at + late
+        for version in history.versions
+    )
+
+
 def check_lost(history):
     """A router in touch doesn't lose requests that it passed on."""
     runs = history.runs_of()
@@ -335,6 +381,7 @@
     check_asked,
     check_leaving,
     check_planned_stop,
+    check_planned_change,
     check_lost,
     check_configuration,
     check_readiness,
--- a/soak/shapes.py
+++ b/soak/shapes.py
@@ -107,15 +107,17 @@
 
 
 USUAL = Shape()
-# Streams that last as long as their routes allow, few upstreams, and hardly a
-# repeat: what pauses can often go on nowhere else.
+# Streams that last as long as their routes allow, and few upstreams.
+STREAMS = {
+    Ask("/long-stream/", True, True, True, 15.0, 2, 0.6, 0.4): 4,
+    Ask("/stream/", True, True, True, 12.0, 2, 0.8, 0.4): 4,
+    Ask("/plain-stream/", False, False, True, 6.0, 1, 0.8, 0.4): 2,
+}
 LONG_STREAMS = {
     "asks": {
         Ask("/safe/", True, False, True, 3.0, 2): 1,
         Ask("/once/", False, False, True, 3.0): 1,
-        Ask("/long-stream/", True, True, True, 15.0, 2, 0.6, 0.4): 4,
-        Ask("/stream/", True, True, True, 12.0, 2, 0.8, 0.4): 4,
-        Ask("/plain-stream/", False, False, True, 6.0, 1, 0.8, 0.4): 2,
+        **STREAMS,
     },
     "patience": (6.0, 15.0, 15.0),
     "mosts": (30, 150, 600),
@@ -126,7 +128,12 @@
     "paid": 1500,
 }
 SHAPES = {
+    # Hardly a repeat: what falls silent can often go on nowhere else.
     "pauses": Shape(**LONG_STREAMS, repeats=(0.05, 4)),
+    # Nothing but long streams, so that another send hardly ends in a stop.
+    "streams": Shape(
+        **{**LONG_STREAMS, "asks": STREAMS, "pauses": (0.15, 0.3)}
+    ),
     "callers": Shape(
         **LONG_STREAMS,
         manners={PLAIN: 5, SLOW: 4, PIPELINED: 4, EARLY: 4, HALF: 1},
--- a/soak/world.py
+++ b/soak/world.py
@@ -224,7 +224,7 @@
             self.history.readiness.append(
                 Readiness(router.name, router.life, asked_at, ready)
             )
-            await asyncio.sleep(READY_INTERVAL)
+            await asyncio.sleep(asked_at + READY_INTERVAL - now())
 
     async def _ask_ready(self, router):
         try:
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -300,6 +300,48 @@
     assert found(history) == ["planned_stop"]
 
 
+def changed(near, near_cut, other, other_cut, **values):
+    """Return a History with a configuration of 100 s and requests.
+
+    :param near: how many requests end while it comes
+    :param near_cut: how many of these are cut
+    :param other: how many end at another time
+    """
+    history = History()
+    history.versions.append(Version(1, 100.0, 100.0, {}))
+    for name, count, cut_count, at in (
+        ("near", near, near_cut, 102.9),
+        ("other", other, other_cut, 103.1),
+    ):
+        for number in range(count):
+            fields = {"sent_at": at - 0.9, "ended_at": at, **values}
+            if number < cut_count:
+                fields |= {"outcome": "cut", "status": 0, "signed": False}
+            add_request(history, f"{name}{number}", **fields)
+    return history
+
+
+@pytest.mark.parametrize(
+    "counts, expected",
+    [
+        ((10, 1, 10, 0), ["planned_change"]),
+        ((10, 0, 10, 1), []),
+        ((20, 3, 20, 1), []),
+        ((19, 3, 20, 1), ["planned_change"] * 3),
+    ],
+)
+def test_requests_cut_more_often_by_a_configuration_are_found(
+    counts, expected
+):
+    assert found(changed(*counts)) == expected
+
+
+def test_a_request_near_its_time_limit_is_no_cut_of_a_configuration():
+    # Of 0.9 s, seven tenths are used at a limit of 9 / 7 s.
+    for until, expected in ((103.3, ["planned_change"]), (103.28, [])):
+        assert found(changed(10, 1, 10, 0, until=until)) == expected
+
+
 def test_a_stopping_router_that_says_it_is_ready_is_found():
     for at, expected in ((101.9, []), (102.1, ["readiness"])):
         history = History()
