--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -15,6 +15,7 @@
 from . import promises
 from .broken import VARIANTS
 from .faults import Injector
+from .history import Record
 from .plan import choose_theme
 from .plan import make_plan
 from .plan import THEMES
@@ -29,7 +30,7 @@
 CASES = pathlib.Path(__file__).parent / "cases"
 
 
-class Wanted:
+class Wanted(Record):
     """What a run is to be like.
 
     :ivar processes: number of routers
@@ -39,16 +40,10 @@
 
     __slots__ = ("seed", "theme", "seconds", "processes", "calm", "broken")
 
-    def __init__(self, seed, theme, seconds, processes, calm=CALM, broken=""):
-        self.seed = seed
-        self.theme = theme
-        self.seconds = seconds
-        self.processes = processes
-        self.calm = calm
-        self.broken = broken
+    defaults = {"calm": CALM, "broken": ""}
 
 
-class Outcome:
+class Outcome(Record):
     """What a run of one seed came to.
 
     :ivar findings: Findings, their times relative to the start
@@ -56,13 +51,6 @@
 
     __slots__ = ("wanted", "history", "findings", "plan", "lag")
 
-    def __init__(self, wanted, history, findings, plan, lag):
-        self.wanted = wanted
-        self.history = history
-        self.findings = findings
-        self.plan = plan
-        self.lag = lag
-
     def line(self):
         """Return one line of figures."""
         requests = self.history.requests.values()
--- a/soak/caller.py
+++ b/soak/caller.py
@@ -133,10 +133,8 @@
 
         :param written: whether it was sent before its turn
         """
-        request.router = channel.router.name
-        request.life = channel.life
+        channel.take(request)
         retry_after = 0.1
-        request.sent_at = time.monotonic()
         try:
             async with asyncio.timeout(max(0.05, until - time.monotonic())):
                 retry_after = await self._exchange(
@@ -159,9 +157,7 @@
         """Return the Ahead of a channel's next request."""
         ask, patience = self._draw()
         request = self._request(ask, time.monotonic() + patience)
-        request.router = channel.router.name
-        request.life = channel.life
-        request.sent_at = time.monotonic()
+        channel.take(request)
         body = self._body(ask, request, ahead=True)
         scratch = h11.Connection(h11.CLIENT)
         data = encode(scratch, self._head(request, body), body)
@@ -217,8 +213,8 @@
             return b""
         # What is sent ahead is small: a router that closes behind the answer
         # before it would reset the connection, answer and all.
-        size = random.Random(request.id).choice(self._shape.bodies)
-        size = 0 if ahead else size
+        sizes = (0,) if ahead else self._shape.bodies
+        size = random.Random(request.id).choice(sizes)
         return f"ask {request.id}".encode().ljust(size)
 
     async def _exchange(self, channel, ask, request, written):
--- a/soak/channel.py
+++ b/soak/channel.py
@@ -2,9 +2,12 @@
 
 import asyncio
 import socket
+import time
 
 import h11
 
+from .history import Record
+
 READ_SIZE = 65536
 CONNECT_TIMEOUT = 1.0
 # What a slow reader takes at once, and how long it rests after it.
@@ -21,7 +24,7 @@
 EARLY = "early"
 
 
-class Ahead:
+class Ahead(Record):
     """A request that is sent before its turn.
 
     :ivar ask: its kind
@@ -32,13 +35,7 @@
     """
 
     __slots__ = ("ask", "request", "data", "patience", "written")
-
-    def __init__(self, ask, request, data, patience):
-        self.ask = ask
-        self.request = request
-        self.data = data
-        self.patience = patience
-        self.written = False
+    defaults = {"written": False}
 
 
 class Channel:
@@ -60,6 +57,12 @@
     def usable(self):
         return not self.reader.at_eof() and not self._writer.is_closing()
 
+    def take(self, request):
+        """Note in a Request that it is sent here now."""
+        request.router = self.router.name
+        request.life = self.life
+        request.sent_at = time.monotonic()
+
     async def write(self, data):
         """Send a request's bytes, and what the manner asks for behind it."""
         self._writer.write(data)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -10,9 +10,9 @@
 from .router import now
 
 DELAY = 0.4
-STORE_SLOWNESS = 0.24
-LOSSY_SHARE = 0.3
-LATE_SHARE = 0.5
+# Seconds by which the store is slow, and shares of calls that it loses or
+# carries out late.
+STORE_FAULTS = {"slow": 0.24, "lossy": 0.3, "late": 0.5}
 DIRECTIONS = {"up": (UP,), "down": (DOWN,), "both": (UP, DOWN)}
 
 
@@ -133,18 +133,17 @@
         return self._world.note(step.kind, names, now(), ended)
 
     async def _do_delay(self, step):
-        pairs = self._pairs(self._router(step), step.variant)
-        fault = self._note_links(step, NEVER)
-        self._world.relays.change(pairs, delay=DELAY)
-        await asyncio.sleep(step.seconds)
-        self._world.relays.change(pairs)
-        fault.ended = now()
+        await self._harm(step, step.variant, delay=DELAY)
 
     async def _do_cut(self, step):
         links, _, direction = step.variant.partition(" ")
+        await self._harm(step, links, held=DIRECTIONS[direction])
+
+    async def _harm(self, step, links, **change):
+        """Change how bytes fare on a router's links for some time."""
         pairs = self._pairs(self._router(step), links)
         fault = self._note_links(step, NEVER)
-        self._world.relays.change(pairs, held=DIRECTIONS[direction])
+        self._world.relays.change(pairs, **change)
         await asyncio.sleep(step.seconds)
         self._world.relays.change(pairs)
         fault.ended = now()
@@ -189,13 +188,11 @@
             fault.ended = now()
 
     async def _do_store_slow(self, step):
-        await self._store_fault(step, "slow", STORE_SLOWNESS, 0.0)
-
-    async def _do_store_lossy(self, step):
-        await self._store_fault(step, "lossy", LOSSY_SHARE, 0.0)
+        """Let the store's fault of that name last for some time."""
+        name = step.kind.removeprefix("store_")
+        await self._store_fault(step, name, STORE_FAULTS[name], 0.0)
 
-    async def _do_store_late(self, step):
-        await self._store_fault(step, "late", LATE_SHARE, 0.0)
+    _do_store_lossy = _do_store_late = _do_store_slow
 
     async def _do_store_forget(self, step):
         self._world.store.forget_history()
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -2,6 +2,8 @@
 
 import random
 
+from .history import Record
+
 # Kinds of steps by theme, with weights.
 THEMES = {
     "stops": {"term": 3, "roll": 2, "hup": 3, "config": 4, "leave": 3},
@@ -97,7 +99,7 @@
 SERIES_SHARE = 0.35
 
 
-class Step:
+class Step(Record):
     """One thing that is done to the system.
 
     :ivar at: seconds after the start
@@ -109,13 +111,6 @@
 
     __slots__ = ("at", "kind", "target", "seconds", "variant")
 
-    def __init__(self, at, kind, target, seconds, variant):
-        self.at = at
-        self.kind = kind
-        self.target = target
-        self.seconds = seconds
-        self.variant = variant
-
     def __repr__(self):
         return (
             f"{self.at:6.2f} {self.kind} {self.target} "
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -5,6 +5,7 @@
 is, undisturbed, with an undisturbed store, for ``contact`` seconds.
 """
 
+from .history import Record
 from .history import RELOAD
 from .history import STOP
 from .history import STORE
@@ -30,7 +31,7 @@
 FEWEST_REQUESTS = 8
 
 
-class Finding:
+class Finding(Record):
     """A promise that was broken.
 
     :ivar promise: its name
@@ -40,11 +41,6 @@
 
     __slots__ = ("promise", "at", "evidence")
 
-    def __init__(self, promise, at, evidence):
-        self.promise = promise
-        self.at = at
-        self.evidence = evidence
-
     @property
     def key(self):
         """Return what tells it from other findings."""
@@ -144,20 +140,28 @@
 
 def check_planned_stop(history):
     """A planned stop, or a reload, cuts no request."""
-    works = [f for f in history.faults if f.kind in PLANNED_KINDS]
     for request in _requests_cut(history):
-        for work in reversed(works):
-            if request.router in work.targets and _cut_by(
-                history, work, request
-            ):
-                after = request.sent_at - work.begun
-                evidence = (
-                    f"{request.id} {request.path} at {request.router}: sent "
-                    f"{after:+.2f} s after {work.kind}, cut after "
-                    f"{request.ended_at - request.sent_at:.2f} s"
-                )
-                yield Finding("planned_stop", request.ended_at, evidence)
-                break
+        work = _work_that_cut(history, request)
+        if work is not None:
+            after = request.sent_at - work.begun
+            evidence = (
+                f"{request.id} {request.path} at {request.router}: sent "
+                f"{after:+.2f} s after {work.kind}, cut after "
+                f"{request.ended_at - request.sent_at:.2f} s"
+            )
+            yield Finding("planned_stop", request.ended_at, evidence)
+
+
+def _work_that_cut(history, request):
+    """Return the last stop or reload that cut a request, or None."""
+    for work in reversed(history.faults):
+        if (
+            work.kind in PLANNED_KINDS
+            and request.router in work.targets
+            and _cut_by(history, work, request)
+        ):
+            return work
+    return None
 
 
 def _requests_cut(history):
@@ -231,9 +235,16 @@
 
 
 def check_planned_change(history):
-    """A new configuration cuts no more requests than other times do."""
+    """A new configuration cuts no more requests than other times do.
+
+    What a stop or a reload cut is found by their own promise.
+    """
     ended = [r for r in history.requests.values() if r.outcome in ANSWERED]
-    cut = [r for r in _requests_cut(history) if not _used_up(r)]
+    cut = [
+        request
+        for request in _requests_cut(history)
+        if not _used_up(request) and not _work_that_cut(history, request)
+    ]
     for router in {request.router for request in cut}:
         own = [r for r in ended if r.router == router]
         near = [r for r in own if _near_change(history, r)]
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -342,6 +342,12 @@
         assert found(changed(10, 1, 10, 0, until=until)) == expected
 
 
+def test_what_a_stop_cuts_while_a_configuration_comes_is_found_once():
+    history = changed(10, 1, 10, 0)
+    history.faults.append(Fault("term", {"r0"}, 101.0, 109.0, True))
+    assert found(history) == ["planned_stop"]
+
+
 def test_a_stopping_router_that_says_it_is_ready_is_found():
     for at, expected in ((101.9, []), (102.1, ["readiness"])):
         history = History()
