Show the variant LooksWhole where streams can pay, and part soaks at once

Cause: one run of test_a_broken_router_is_found[LooksWhole] failed, without a finding in 1,007 requests.

Change: the variant runs in a theme of its own, `breaks`, where all upstreams break answers off and all callers can pay. A soak's routers have IP numbers by its process.

Ruled out: that the manners of callers or the silent upstreams hide it; the theme `stops` has neither.

--- a/soak/broken.py
+++ b/soak/broken.py
@@ -39,6 +39,7 @@
     """Ends a broken answer as if it were whole."""
 
     promise = "whole_answer"
+    theme = "breaks"
 
     def apply(self):
         from rowanport.gateway.forwarder import Forwarder
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -123,6 +123,7 @@
 THEMES["proxies"] = PROXIES
 THEMES["pauses"] = PAUSES
 THEMES["streams"] = PAUSES
+THEMES["breaks"] = THEMES["changes"]
 THEMES["callers"] = CALLERS
 
 
--- a/soak/shapes.py
+++ b/soak/shapes.py
@@ -134,6 +134,8 @@
     "streams": Shape(
         **{**LONG_STREAMS, "asks": STREAMS, "pauses": (0.15, 0.3)}
     ),
+    # Every upstream breaks answers off, and all callers can pay.
+    "breaks": Shape(faulty=1, paid=1500),
     "callers": Shape(
         **LONG_STREAMS,
         manners={PLAIN: 5, SLOW: 4, PIPELINED: 4, EARLY: 4, HALF: 1},
--- a/soak/world.py
+++ b/soak/world.py
@@ -1,6 +1,7 @@
 """A fleet of real routers, its stand-ins, callers and operator."""
 
 import asyncio
+import os
 import random
 
 from bench.ports import free_ports
@@ -96,8 +97,11 @@
         numbers = free_ports(5)
         ports = Ports(numbers)
         relayed = count <= SMALL_FLEET
+        # Soaks that run at once have IP numbers of their own: connections of
+        # one would take the ports of another.
+        block = 2 + os.getpid() % 250
         for number in range(count):
-            ip = f"127.1.{number // 250}.{number % 250 + 1}"
+            ip = f"127.{block}.{number // 250}.{number % 250 + 1}"
             name = f"r{number}"
             self.routers.append(
                 Router(
