--- a/soak/caller.py
+++ b/soak/caller.py
@@ -31,6 +31,9 @@
 RETRY_SHARE = 1 / 3
 # Whether callers of a manner keep connections; others do as they like.
 KEEPS = {HALF: False, PIPELINED: True, EARLY: True}
+# Seconds before its turn at which a router may have read a request that was
+# sent ahead: its time limit runs from then on.
+READ_AHEAD = 0.1
 # Share of requests that their callers leave in the middle.
 LEAVING_SHARE = 0.02
 
@@ -130,10 +133,8 @@
 
         :param written: whether it was sent before its turn
         """
-        request.router = channel.router.name
-        request.life = channel.life
+        channel.take(request)
         retry_after = 0.1
-        request.sent_at = time.monotonic()
         try:
             async with asyncio.timeout(max(0.05, until - time.monotonic())):
                 retry_after = await self._exchange(
@@ -156,10 +157,8 @@
         """Return the Ahead of a channel's next request."""
         ask, patience = self._draw()
         request = self._request(ask, time.monotonic() + patience)
-        request.router = channel.router.name
-        request.life = channel.life
-        request.sent_at = time.monotonic()
-        body = self._body(ask, request)
+        channel.take(request)
+        body = self._body(ask, request, ahead=True)
         scratch = h11.Connection(h11.CLIENT)
         data = encode(scratch, self._head(request, body), body)
         return Ahead(ask, request, data, patience)
@@ -173,6 +172,8 @@
         now = time.monotonic()
         request = ahead.request
         request.until = now + min(ahead.patience, ahead.ask.timeout)
+        if ahead.written:
+            request.until -= READ_AHEAD
         until = now + ahead.patience
         await self._conduct(channel, ahead.ask, request, until, ahead.written)
 
@@ -207,14 +208,17 @@
         self._channel.close()
         self._channel = None
 
-    def _body(self, ask, request):
+    def _body(self, ask, request, ahead):
         if ask.streamed:
             return b""
-        size = random.Random(request.id).choice(self._shape.bodies)
+        # What is sent ahead is small: a router that closes behind the answer
+        # before it would reset the connection, answer and all.
+        sizes = (0,) if ahead else self._shape.bodies
+        size = random.Random(request.id).choice(sizes)
         return f"ask {request.id}".encode().ljust(size)
 
     async def _exchange(self, channel, ask, request, written):
-        body = self._body(ask, request)
+        body = self._body(ask, request, written)
         data = encode(channel.state, self._head(request, body), body)
         if not written:
             await channel.write(data)
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -5,6 +5,7 @@
 is, undisturbed, with an undisturbed store, for ``contact`` seconds.
 """
 
+from .history import Record
 from .history import RELOAD
 from .history import STOP
 from .history import STORE
@@ -17,6 +18,11 @@
 # allows 4 s.
 OUT_OF_USE = 2.0
 PLANNED_KINDS = (STOP, RELOAD)
+ANSWERED = ("whole", "cut")
+# How many times as often a router may cut requests while a configuration
+# comes, and the part of its time after which a request doesn't count.
+MOST_OFTEN = 3
+USED_UP = 0.7
 # Seconds after the signal to stop until which callers are still sent.
 TAKEN_EARLY = 3.0
 # Seconds after the last disturbance by which requests are served again.
@@ -25,7 +31,7 @@
 FEWEST_REQUESTS = 8
 
 
-class Finding:
+class Finding(Record):
     """A promise that was broken.
 
     :ivar promise: its name
@@ -35,11 +41,6 @@
 
     __slots__ = ("promise", "at", "evidence")
 
-    def __init__(self, promise, at, evidence):
-        self.promise = promise
-        self.at = at
-        self.evidence = evidence
-
     @property
     def key(self):
         """Return what tells it from other findings."""
@@ -139,26 +140,39 @@
 
 def check_planned_stop(history):
     """A planned stop, or a reload, cuts no request."""
+    for request in _requests_cut(history):
+        work = _work_that_cut(history, request)
+        if work is not None:
+            after = request.sent_at - work.begun
+            evidence = (
+                f"{request.id} {request.path} at {request.router}: sent "
+                f"{after:+.2f} s after {work.kind}, cut after "
+                f"{request.ended_at - request.sent_at:.2f} s"
+            )
+            yield Finding("planned_stop", request.ended_at, evidence)
+
+
+def _work_that_cut(history, request):
+    """Return the last stop or reload that cut a request, or None."""
+    for work in reversed(history.faults):
+        if (
+            work.kind in PLANNED_KINDS
+            and request.router in work.targets
+            and _cut_by(history, work, request)
+        ):
+            return work
+    return None
+
+
+def _requests_cut(history):
+    """Return the requests that only a router itself can have cut."""
     runs = history.runs_of()
-    works = [f for f in history.faults if f.kind in PLANNED_KINDS]
-    for request in history.requests.values():
-        if request.outcome != "cut":
-            continue
-        own = runs.get(request.id, [])
-        if _excused(history, request, own):
-            continue
-        for work in reversed(works):
-            if request.router in work.targets and _cut_by(
-                history, work, request
-            ):
-                after = request.sent_at - work.begun
-                evidence = (
-                    f"{request.id} {request.path} at {request.router}: sent "
-                    f"{after:+.2f} s after {work.kind}, cut after "
-                    f"{request.ended_at - request.sent_at:.2f} s"
-                )
-                yield Finding("planned_stop", request.ended_at, evidence)
-                break
+    return [
+        request
+        for request in history.requests.values()
+        if request.outcome == "cut"
+        and not _excused(history, request, runs.get(request.id, []))
+    ]
 
 
 def _excused(history, request, runs):
@@ -220,6 +234,49 @@
     return request.ended_at <= work.begun + history.bounds.grace + 1
 
 
+def check_planned_change(history):
+    """A new configuration cuts no more requests than other times do.
+
+    What a stop or a reload cut is found by their own promise.
+    """
+    ended = [r for r in history.requests.values() if r.outcome in ANSWERED]
+    cut = [
+        request
+        for request in _requests_cut(history)
+        if not _used_up(request) and not _work_that_cut(history, request)
+    ]
+    for router in {request.router for request in cut}:
+        own = [r for r in ended if r.router == router]
+        near = [r for r in own if _near_change(history, r)]
+        near_cut = [r for r in cut if r in near]
+        other = len(own) - len(near)
+        other_cut = sum(r.router == router for r in cut) - len(near_cut)
+        # Shares of those that ended, multiplied out.
+        if len(near_cut) * other > MOST_OFTEN * other_cut * len(near):
+            for request in near_cut:
+                evidence = (
+                    f"{request.id} {request.path} at {router}: cut after "
+                    f"{request.ended_at - request.sent_at:.2f} s, as a new "
+                    "configuration came"
+                )
+                yield Finding("planned_change", request.ended_at, evidence)
+
+
+def _used_up(request):
+    """Return whether a request has had most of its time."""
+    waited = request.ended_at - request.sent_at
+    return waited >= USED_UP * (request.until - request.sent_at)
+
+
+def _near_change(history, request):
+    """Return whether a request ended while a configuration came."""
+    late = history.bounds.apply + 1
+    return any(
+        version.sent_at <= request.ended_at <= version.taken_at + late
+        for version in history.versions
+    )
+
+
 def check_lost(history):
     """A router in touch doesn't lose requests that it passed on."""
     runs = history.runs_of()
@@ -335,6 +392,7 @@
     check_asked,
     check_leaving,
     check_planned_stop,
+    check_planned_change,
     check_lost,
     check_configuration,
     check_readiness,
