Add a broken router that cuts at a new configuration

Cause: the promise planned_change had no broken variant.

Ruled out: that the soak finds what is not there.

--- a/soak/broken.py
+++ b/soak/broken.py
@@ -3,6 +3,7 @@
 import abc
 import asyncio
 import time
+import weakref
 
 
 class Variant(abc.ABC):
@@ -155,6 +156,37 @@
         Responder._send = send_and_watch
 
 
+class CutsAtChange(Variant):
+    """Drops what it answers when a configuration comes."""
+
+    promise = "planned_change"
+    theme = "breaks"
+
+    def apply(self):
+        from rowanport.gateway import Gateway
+        from rowanport.web.server import Responder
+
+        start = Responder.start
+        answering = weakref.WeakSet()
+        seen = set()
+
+        async def note(self, status, headers):
+            answering.add(self)
+            await start(self, status, headers)
+
+        def drop(self):
+            table = self._views.table
+            if table is not None and table.version not in seen:
+                seen.add(table.version)
+                for responder in list(answering):
+                    if not responder.finished:
+                        responder._writer.transport.abort()
+            return table
+
+        Responder.start = note
+        Gateway.table = property(drop)
+
+
 class LateConfiguration(Variant):
     """Takes a configuration over seconds after it is known."""
 
@@ -275,6 +307,7 @@
         IgnoresLeaving,
         StopsAtOnce,
         GivesUpOnSilence,
+        CutsAtChange,
         LateConfiguration,
         OlderConfiguration,
         StaysReady,
