--- a/test/process_world.py
+++ b/test/process_world.py
@@ -240,6 +240,10 @@
             except ValueError:
                 self.other_lines.append(line.decode())
 
+    def close_log(self):
+        """Read the log no more, as a reader that has died."""
+        self.process._transport.get_pipe_transport(1).close()
+
     def row(self, event, **fields):
         """Return the first line of the log with these fields, or None."""
         wanted = {"event": event, **fields}.items()
