Serve and stop on without a reader of the log

Cause: only a slow reader was expected. With one that was gone, or a full disk, each log line raised an OSError: the server took it for a lost connection and closed it without an answer to a request that had run, and a stop ended at its first line with all that was in hand.

Change: such lines are dropped and counted, as those for a slow reader are. As the process ends, lines that wait are written for 0.2 s at most. Not mended: the own interface logs through the interpreter's own standard error, which waits for a slow reader and fails without one.

--- a/rowanport/logs.py
+++ b/rowanport/logs.py
@@ -3,7 +3,9 @@
 import collections
 import logging
 import os
+import select
 import sys
+import time
 
 import structlog
 
@@ -11,12 +13,14 @@
 # bytes are 0.6 MB.
 QUEUE_LINES = 2000
 STDOUT = 1
+# Longest wait in seconds for a slow reader as the process ends.
+LAST_WAIT = 0.2
 
 
 class BoundedWriter:
     """Writes lines to a file descriptor without ever waiting for it.
 
-    :ivar dropped: lines lost because their reader was too slow
+    :ivar dropped: lines lost because their reader was too slow, or is gone
     """
 
     def __init__(self, descriptor):
@@ -45,8 +49,31 @@
                 count = os.write(self._descriptor, self._rest)
             except BlockingIOError:
                 return
+            except OSError:
+                # Nobody reads, or nothing can be stored: what is logged must
+                # not fail for that.
+                return self._drop()
             self._rest = self._rest[count:]
 
+    def finish(self, seconds):
+        """Write what waits, as the process ends.
+
+        :param seconds: longest wait for the reader
+        """
+        until = time.monotonic() + seconds
+        while self._rest or self._lines:
+            left = until - time.monotonic()
+            if left <= 0:
+                return self._drop()
+            select.select([], [self._descriptor], [], left)
+            self.flush()
+
+    def _drop(self):
+        """Give up all lines that wait."""
+        self.dropped += len(self._lines) + bool(self._rest)
+        self._lines.clear()
+        self._rest = b""
+
 
 _writer = None
 
@@ -56,6 +83,12 @@
     return _writer.dropped if _writer is not None else 0
 
 
+def finish():
+    """Write the lines that wait, as the process ends."""
+    if _writer is not None:
+        _writer.finish(LAST_WAIT)
+
+
 def set_up(settings, **bound):
     """Send log lines to standard error.
 
--- a/rowanport/platform/__main__.py
+++ b/rowanport/platform/__main__.py
@@ -91,8 +91,11 @@
     except SettingsError as error:
         sys.exit(str(error))
     logs.set_up_bounded(instance=settings.gateway.name)
-    asyncio.run(run(settings))
-    PROCESS.ignore()
+    try:
+        asyncio.run(run(settings))
+    finally:
+        PROCESS.ignore()
+        logs.finish()
 
 
 if __name__ == "__main__":
