--- a/test/test_silence.py
+++ b/test/test_silence.py
@@ -177,6 +177,18 @@
     loop.close()
 
 
+def run_on_net(main):
+    """Run a coroutine function, given a new loop and VirtualNet."""
+    loop = VirtualLoop()
+    asyncio.set_event_loop(loop)
+    net = VirtualNet(loop)
+    with net.installed():
+        try:
+            return loop.run_until_complete(main(loop, net))
+        finally:
+            end_tasks(loop)
+
+
 def one(host, names):
     """Silence all connections of one router."""
     return host in names
--- a/test/test_silence_races.py
+++ b/test/test_silence_races.py
@@ -1,7 +1,7 @@
 """Two upstreams that work on one request, and what is left of both."""
 
-# Each test says in its first lines which fault it looks for.  Those of the
-# last part look for leaks and repeats, and found none.
+# A run is let go only once another one is sure to go on; each test says in its
+# first lines what the caller, the engines or the books would lose else.
 
 import asyncio
 import gc
@@ -9,6 +9,7 @@
 from test.platform_world import config
 from test.platform_world import route
 from test.test_silence import end_tasks
+from test.test_silence import run_on_net
 from test.test_silence import settings
 from test.test_silent_upstreams import FOREVER
 from test.test_silent_upstreams import PausingUpstream
@@ -151,13 +152,9 @@
 
     def decorate(body):
         def test():
-            loop = VirtualLoop()
-            asyncio.set_event_loop(loop)
-            net = VirtualNet(loop)
-            reports = []
-            loop.set_exception_handler(lambda _l, c: reports.append(c))
-
-            async def run():
+            async def run(loop, net):
+                reports = []
+                loop.set_exception_handler(lambda _l, c: reports.append(c))
                 scene = OddScene(loop, net, count, sends)
                 scene.reports = reports
                 await scene.start(**options)
@@ -166,11 +163,7 @@
                     await scene.second.close()
                 await scene.close()
 
-            with net.installed():
-                try:
-                    loop.run_until_complete(run())
-                finally:
-                    end_tasks(loop)
+            run_on_net(run)
 
         test.__name__ = body.__name__
         return test
@@ -402,7 +395,7 @@
             end_tasks(loop)
 
 
-# Looked for and not found
+# What is left when a request ends in a race: nothing
 
 
 @odd_scene()
--- a/test/test_silent_upstreams.py
+++ b/test/test_silent_upstreams.py
@@ -17,13 +17,11 @@
 from test.platform_world import ID_HEADER
 from test.platform_world import KEY
 from test.platform_world import route
-from test.test_silence import end_tasks
+from test.test_silence import run_on_net
 from test.test_silence import settings
 from test.test_silence import STORE
 from test.virtual import LoopClock
-from test.virtual import VirtualLoop
 from test.virtual_net import HOST
-from test.virtual_net import VirtualNet
 
 import h11
 
@@ -238,21 +236,13 @@
 
     def decorate(body):
         def test():
-            loop = VirtualLoop()
-            asyncio.set_event_loop(loop)
-            net = VirtualNet(loop)
-
-            async def run():
+            async def run(loop, net):
                 scene = Scene(loop, net)
                 await scene.start(**options)
                 await body(scene)
                 await scene.close()
 
-            with net.installed():
-                try:
-                    loop.run_until_complete(run())
-                finally:
-                    end_tasks(loop)
+            run_on_net(run)
 
         test.__name__ = body.__name__
         return test
--- a/test/test_sources.py
+++ b/test/test_sources.py
@@ -21,12 +21,10 @@
 """
 
 import asyncio
-from test.test_silence import end_tasks
+from test.test_silence import run_on_net
 from test.test_silence import UPSTREAM
 from test.virtual import LoopClock
-from test.virtual import VirtualLoop
 from test.virtual_net import HOST
-from test.virtual_net import VirtualNet
 
 from rowanport.gateway.upstream import UpstreamList
 from rowanport.platform.__main__ import STORE_CONNECT_TIMEOUT
@@ -123,21 +121,13 @@
     """Return a test that runs a coroutine function with a Follower."""
 
     def test():
-        loop = VirtualLoop()
-        asyncio.set_event_loop(loop)
-        net = VirtualNet(loop)
-
-        async def run():
+        async def run(loop, _net):
             follower = Follower(loop)
             await follower.start()
             await body(follower)
             await follower.close()
 
-        with net.installed():
-            try:
-                loop.run_until_complete(run())
-            finally:
-                end_tasks(loop)
+        run_on_net(run)
 
     test.__name__ = body.__name__
     return test
