Show that a race whose runs break off together ends in an error of its own

Cause: two runs of one request that break off in one moment, as by the loss of the router's own link, are both taken out of the race, which then returns the first of none. The request ends without an answer of its own and without its line in the log (no request line in place of outcome=upstream_failed).

Ruled out: both breaking off a moment apart, and before the second one's head, which end as one failure already (test_both_failing_at_once).

Conclusion: the last run of a race has to be left to the usual way of a failure.

--- a/test/test_silence_races.py
+++ b/test/test_silence_races.py
@@ -530,3 +530,24 @@
     begun = scene.loop.time()
     assert await asking == "whole"
     assert scene.loop.time() - begun < 4.0
+
+
+@odd_scene()
+async def test_both_breaking_off_in_one_moment_end_as_one_failure(scene):
+    # Two silent runs whose connections are reset together, as by the loss of
+    # the router's own link: the race was left without any run.
+    asking, first, (other,) = await scene.begin()
+    first.pauses = {4: FOREVER}
+    other.half = True
+    other.half_seconds = FOREVER
+    await asyncio.sleep(2.0)
+    assert len(scene.runs) == 2
+    with capture_logs() as logs:
+        for link in scene.net._links:
+            if link.names[1].startswith("10.9.0."):
+                link.ends[1].abort()
+        assert await asking == "cut"
+    ends = [e["outcome"] for e in logs if e.get("event") == "request"]
+    assert ends == ["upstream_failed"]
+    assert scene.outstanding == [0, 0]
+    assert not scene.reports, scene.reports
