Leave the last run of a race to the usual way of a failure; a race of its own

Cause: the race took out every run that had failed, also the last one, and returned the first of none; the request ended in an IndexError, without an answer of its own and without its line in the log.

Change: the last run stays, and who waits for it hears why it failed.

Ruled out: that the runs' errors are lost on the way; each is raised again to whoever waits for the same run.

Before: test_both_breaking_off_in_one_moment fails (no request line in place of upstream_failed). After: it passes, with the other tests of silent upstreams and of races; one of them is the known red one.

--- a/rowanport/gateway/attempt.py
+++ b/rowanport/gateway/attempt.py
@@ -77,10 +77,9 @@
             return False
         if self._ended:
             return True
-        held = b"".join(self._pieces)
         if is_stream(self.answer):
-            return END in held
-        return len(held) > BUFFER_LIMIT
+            return END in b"".join(self._pieces)
+        return sum(len(piece) for piece in self._pieces) > BUFFER_LIMIT
 
     async def advance(self):
         """Wait until there is more of the answer: its head, its next piece.
--- a/rowanport/gateway/repeats.py
+++ b/rowanport/gateway/repeats.py
@@ -2,6 +2,7 @@
 
 from ..errors import ErrorKind
 from ..errors import RequestError
+from ..errors import RowanportError
 from .exchange import NotExecuted
 
 # Rejections of one request after which it is refused.
@@ -10,6 +11,10 @@
 CONNECT_LIMIT = 6
 
 
+class RepeatRefused(RowanportError):
+    """A request may not be sent once more; the text says why."""
+
+
 class Repeats:
     """Whether Jobs may be sent once more.
 
@@ -26,38 +31,39 @@
             return False
         return route.resumable or not responder.started
 
-    def refusal_beside(self, job, responder):
-        """Return why a job may not run beside a silent run, "" if it may."""
-        gateway = self._gateway
-        now = gateway.clock.steady()
-        if not self.can_run_again(job, responder):
-            return "no send is left"
-        if self._is_rejected_too_often(job):
-            return "rejected too often"
-        if not gateway.stopping.may_send(job):
-            return "too late for a send"
-        if not gateway.pool.candidates(job.service, job.tried, now):
-            return "no upstream is left"
-        if not self._window(job).allows(self._routers, now):
-            return "no allowance for a repeat"
-        return ""
-
-    def take_beside(self, job):
+    def take_beside(self, job, responder):
         """Take what a run beside a silent one needs.
 
         Both together may make more than the request's most: all that the
         silent one has not made yet is set aside a second time.
 
-        :returns: the tokens set aside, None if there are too few
+        :returns: the tokens set aside
+        :raises RepeatRefused: it is not allowed now; nothing was taken
         """
+        self._check_beside(job, responder)
         tokens = job.unmade if job.budget is not None else 0
         if tokens:
             if not self._gateway.budgets.reserve_now(job.budget, tokens):
-                return None
+                raise RepeatRefused("no tokens for a second run")
             job.reserved += tokens
         self._take_allowance(job)
         return tokens
 
+    def _check_beside(self, job, responder):
+        """Raise RepeatRefused unless all but tokens allows one more run."""
+        gateway = self._gateway
+        now = gateway.clock.steady()
+        if not self.can_run_again(job, responder):
+            raise RepeatRefused("no send is left")
+        if self._is_rejected_too_often(job):
+            raise RepeatRefused("rejected too often")
+        if not gateway.stopping.may_send(job):
+            raise RepeatRefused("too late for a send")
+        if not gateway.pool.candidates(job.service, job.tried, now):
+            raise RepeatRefused("no upstream is left")
+        if not self._window(job).allows(self._routers, now):
+            raise RepeatRefused("no allowance for a repeat")
+
     def give_back(self, job, tokens):
         """Give back what was set aside for a run that was none."""
         if tokens:
--- a/rowanport/gateway/sending.py
+++ b/rowanport/gateway/sending.py
@@ -5,10 +5,12 @@
 from ..errors import UpstreamError
 from .attempt import Attempt
 from .exchange import NotExecuted
+from .race import Race
 from .relay import EventRelay
 from .relay import is_stream
 from .relay import WholeRelay
 from .repeats import give_up
+from .repeats import RepeatRefused
 
 # Part of the remaining time after which a repeatable request that has no
 # answer is sent to another upstream as well.
@@ -18,9 +20,6 @@
 FIRST_EVENT_OBJECTIVES = 3.0
 # The same in seconds within such a stream.
 EVENT_SILENCE = 1.5
-# Longest time in seconds for which a run that has begun holds up one that goes
-# on: two engines may work on one request for 0.4 s.
-OVERLAP = 0.3
 # Seconds after which it is asked again whether a send is allowed: an
 # allowance or tokens may be free by then.
 ASK_AGAIN = 0.25
@@ -225,7 +224,16 @@
         other = self._begin_beside(attempt)
         if other is None:
             return attempt
-        winner = await self._race([attempt, other])
+        race = Race(
+            attempt,
+            other,
+            self._responder,
+            self._clock,
+            self._begin_beside,
+            self._drop,
+        )
+        winner = await race.run()
+        self._close_losers(race.racers, winner)
         self._job.upstream = winner.state.record.id
         if winner.proved:
             self._note_sign(winner)
@@ -240,19 +248,17 @@
         """
         job = self._job
         job.tried.add(silent.state.record.id)
-        why = self._repeats.refusal_beside(job, self._responder)
-        if not why:
-            tokens = self._repeats.take_beside(job)
-            if tokens is not None:
-                other = self._begin()
-                other.tokens = tokens
-                name = other.state.record.id
-                self._note_silence(silent, f"{name} is asked as well")
-                return other
-            why = "no tokens for a second run"
-        self._note_silence(silent, why)
-        silent.silent_at = self._clock.steady() + ASK_AGAIN
-        return None
+        try:
+            tokens = self._repeats.take_beside(job, self._responder)
+        except RepeatRefused as refusal:
+            self._note_silence(silent, str(refusal))
+            silent.silent_at = self._clock.steady() + ASK_AGAIN
+            return None
+        other = self._begin()
+        other.tokens = tokens
+        name = other.state.record.id
+        self._note_silence(silent, f"{name} is asked as well")
+        return other
 
     def _note_silence(self, attempt, why):
         """Count a silence against its upstream; log what it leads to."""
@@ -263,97 +269,9 @@
             attempt.silence_note = why
             self._log.note_send(self._job, attempt.state, "silent", why)
 
-    async def _race(self, racers):
-        """Wait for the first of some Attempts to go on, and close the others.
-
-        :param racers: the Attempts, the silent one first
-        :returns: the one that went on, or the only one that has not failed
-        """
-        proofs = {}
-        try:
-            while len(racers) > 1:
-                for attempt in racers:
-                    if attempt not in proofs:
-                        proving = asyncio.ensure_future(attempt.prove())
-                        proofs[attempt] = proving
-                news = await self._wait_for_news(racers, proofs)
-                self._drop_failed(racers, proofs)
-                winner = _winner(racers) if news else _proved(racers)
-                if winner is not None:
-                    self._close_losers(racers, winner)
-                    return winner
-        finally:
-            await _end(list(proofs.values()))
-        return racers[0]
-
-    async def _wait_for_news(self, racers, proofs):
-        """Wait until an Attempt goes on or fails; return whether one did.
-
-        If all stay silent for too long, one more upstream is asked.
-        """
-        last = racers[-1]
-        left = None
-        if _proved(racers) is not None:
-            left = OVERLAP
-        elif last.silent_at is not None:
-            left = max(0.0, last.silent_at - self._clock.steady())
-        waits = [proof for proof in proofs.values() if not proof.done()]
-        done, _ = await asyncio.wait(
-            waits, timeout=left, return_when=asyncio.FIRST_COMPLETED
-        )
-        if done:
-            return True
-        if _proved(racers) is None:
-            other = self._begin_beside(last)
-            if other is not None:
-                racers.append(other)
-        return False
-
-    def _drop_failed(self, racers, proofs):
-        """Take out the Attempts that failed, or whose answer is of no use."""
-        for attempt in list(racers):
-            proof = proofs[attempt] if attempt in proofs else None
-            if proof is None or not proof.done():
-                continue
-            try:
-                proof.result()
-                attempt.check(self._responder)
-            except UpstreamError as error:
-                self._drop(attempt, error)
-                racers.remove(attempt)
-
     def _close_losers(self, racers, winner):
         why = f"{winner.state.record.id} was first"
         for loser in racers:
             if loser is not winner:
                 loser.close()
                 self._log.note_send(self._job, loser.state, "superseded", why)
-
-
-def _winner(racers):
-    """Return the Attempt to go on with, None while there is none.
-
-    A stream that has begun elsewhere runs there: its earlier run must end,
-    even if it goes on after all.
-    """
-    for attempt in reversed(racers):
-        if attempt.proved:
-            return attempt
-        if attempt.begun and is_stream(attempt.answer):
-            return None
-    return None
-
-
-def _proved(racers):
-    """Return the latest Attempt that goes on, None if none does."""
-    for attempt in reversed(racers):
-        if attempt.proved:
-            return attempt
-    return None
-
-
-async def _end(tasks):
-    """Cancel tasks, and wait until they have ended."""
-    for task in tasks:
-        task.cancel()
-    await asyncio.gather(*tasks, return_exceptions=True)
