--- a/test/test_ledger.py
+++ b/test/test_ledger.py
@@ -668,6 +668,25 @@
         world.close()
 
 
+def presume_of_one_cut_off(world, own):
+    """See a reservation presumed whose router only looks dead.
+
+    :param own: whether its home is that router, and a witness presumes
+    :returns: the router, connected again, and the reservation
+    """
+    home, other = add_cell(world, "north", 2)
+    world.add_budget(BUDGET, 1000)
+    world.advance(3.0)
+    entry = home if own else other
+    asked = reserve(world, entry)
+    world.advance(1.0)
+    world.suspected.add(entry.incarnation)
+    world.advance(16.0)
+    assert world.spent == {BUDGET: 50}
+    world.heal()
+    return entry, asked.result()
+
+
 @pytest.mark.parametrize("own", (False, True), ids=("home", "witness"))
 def test_a_bill_takes_the_place_of_what_was_presumed_of_its_run(own):
     # A router that is cut off from its home or witness looks dead to them for
@@ -676,18 +695,9 @@
     # budget pays twice.  Needed since such runs are presumed spent early.
     world = World(seed=1)
     try:
-        home, other = add_cell(world, "north", 2)
-        world.add_budget(BUDGET, 1000)
-        world.advance(3.0)
-        entry = home if own else other
-        asked = reserve(world, entry)
-        world.advance(1.0)
-        world.suspected.add(entry.incarnation)
-        world.advance(16.0)
-        assert world.spent == {BUDGET: 50}
-        world.heal()
-        reservation = asked.result().reservation
-        world.loop.call_soon(entry.client.start, asked.result(), "engine")
+        entry, reserved = presume_of_one_cut_off(world, own)
+        reservation = reserved.reservation
+        world.loop.call_soon(entry.client.start, reserved, "engine")
         world.loop.call_soon(
             entry.client.settle, reservation, "request.run", 20
         )
@@ -707,17 +717,8 @@
     # would have lost the worst case of each.
     world = World(seed=1)
     try:
-        home, other = add_cell(world, "north", 2)
-        world.add_budget(BUDGET, 1000)
-        world.advance(3.0)
-        entry = home if own else other
-        asked = reserve(world, entry)
-        world.advance(1.0)
-        world.suspected.add(entry.incarnation)
-        world.advance(16.0)
-        assert world.spent == {BUDGET: 50}
-        world.heal()
-        reservation = asked.result().reservation
+        entry, reserved = presume_of_one_cut_off(world, own)
+        reservation = reserved.reservation
         world.loop.call_soon(entry.client.release, reservation)
         world.advance(8.0)
         assert world.spent == {BUDGET: 0}
--- a/test/test_silence_races.py
+++ b/test/test_silence_races.py
@@ -132,14 +132,6 @@
                 await asyncio.sleep(0.1)
         await asyncio.sleep(2.0)
 
-    async def begin(self, **options):
-        """Ask for one stream; return its task, its upstream, the others."""
-        asking = asyncio.ensure_future(self.ask("r", **options))
-        await asyncio.sleep(0.25)
-        (run,) = self.runs
-        first = next(u for u in self.upstreams if u.name == run.upstream)
-        return asking, first, [u for u in self.upstreams if u is not first]
-
     @property
     def outstanding(self):
         """Return the requests that are counted at upstreams."""
--- a/test/test_silent_upstreams.py
+++ b/test/test_silent_upstreams.py
@@ -213,6 +213,14 @@
             expected = b"".join(events)
         assert data == expected
 
+    async def begin(self, **options):
+        """Ask for a stream; return its task, its upstream, the others."""
+        asking = asyncio.ensure_future(self.ask("r", **options))
+        await asyncio.sleep(0.25)
+        (run,) = self.runs
+        first = next(u for u in self.upstreams if u.name == run.upstream)
+        return asking, first, [u for u in self.upstreams if u is not first]
+
     async def ask_many(self, count, **options):
         """Send requests together; return what became of them, in order."""
         asking = [self.ask(f"r{n}", **options) for n in range(count)]
@@ -308,15 +316,10 @@
 
 @scene()
 async def test_a_pause_cuts_no_stream_that_nobody_else_takes(scene):
-    first, second = scene.upstreams
-    asking = asyncio.ensure_future(scene.ask("r"))
-    await asyncio.sleep(0.25)
+    asking, first, (second,) = await scene.begin()
     (run,) = scene.runs
-    busy, idle = first, second
-    if run.upstream == second.name:
-        busy, idle = second, first
-    busy.pauses = {4: 2.2}
-    idle.full = True
+    first.pauses = {4: 2.2}
+    second.full = True
     assert await asking == "whole"
     assert not run.broken_off
 
@@ -332,14 +335,10 @@
 @scene()
 async def test_a_stream_goes_on_where_it_first_does(scene):
     # The one that paused is back before the other one has begun.
-    asking = asyncio.ensure_future(scene.ask("r"))
-    await asyncio.sleep(0.25)
+    asking, first, (second,) = await scene.begin()
     (run,) = scene.runs
-    for upstream in scene.upstreams:
-        if upstream.name == run.upstream:
-            upstream.pauses = {4: 2.2}
-        else:
-            upstream.pauses = {number: 3.0 for number in range(1, 9)}
+    first.pauses = {4: 2.2}
+    second.pauses = {number: 3.0 for number in range(1, 9)}
     assert await asking == "whole"
     assert not run.broken_off
     scene.check_overlap()
@@ -350,12 +349,8 @@
 
 @scene()
 async def test_a_stream_moves_on_from_an_upstream_that_stays_silent(scene):
-    asking = asyncio.ensure_future(scene.ask("r"))
-    await asyncio.sleep(0.25)
-    (run,) = scene.runs
-    for upstream in scene.upstreams:
-        if upstream.name == run.upstream:
-            upstream.pauses = {4: FOREVER}
+    asking, first, _others = await scene.begin()
+    first.pauses = {4: FOREVER}
     begun = scene.loop.time()
     assert await asking == "whole"
     # Callers give a stream up after 3.2 s without an event.
@@ -366,12 +361,8 @@
 
 @scene()
 async def test_a_stream_moves_on_during_a_stop_while_there_is_time(scene):
-    asking = asyncio.ensure_future(scene.ask("r"))
-    await asyncio.sleep(0.25)
-    (run,) = scene.runs
-    for upstream in scene.upstreams:
-        if upstream.name == run.upstream:
-            upstream.pauses = {4: FOREVER}
+    asking, first, _others = await scene.begin()
+    first.pauses = {4: FOREVER}
     stopping = asyncio.ensure_future(scene.gateway.stop())
     assert await asking == "whole"
     assert len(scene.runs) == 2
@@ -392,13 +383,9 @@
 async def test_a_repeat_beside_a_silent_run_is_paid_for(scene):
     account = scene.gateway.budgets.accounts["org"]
     before = account.outflow
-    asking = asyncio.ensure_future(scene.ask("r", tokens="100,30"))
-    await asyncio.sleep(0.25)
+    asking, first, _others = await scene.begin(tokens="100,30")
     assert account.outflow - before == 130
-    (run,) = scene.runs
-    for upstream in scene.upstreams:
-        if upstream.name == run.upstream:
-            upstream.pauses = {4: FOREVER}
+    first.pauses = {4: FOREVER}
     await asyncio.sleep(1.7)
     # Nine tokens of three events are passed on; the silent run may have made
     # the rest as well.
