Keep a silent run of the own interface until another may follow

Cause: the client ended an answer after upstream_timeout of silence, the run was cancelled, and only then was it asked whether a retry is allowed.

Change: at each silence the run is asked for: kept unless the request may repeat, nothing went out, another upstream has room, its tokens are set aside and the allowance taken; past the caller's deadline a silence ends it, and hosts that are gone are found by the kernel after 30 s (keep-alive).

--- a/rowanport/router/chat.py
+++ b/rowanport/router/chat.py
@@ -66,7 +66,11 @@
             "stream_options": {"include_usage": True},
         }
         stream = await self._engines.complete(
-            upstream.address, job.call.request, job.call.budget, body
+            upstream.address,
+            job.call.request,
+            job.call.budget,
+            body,
+            job.patience,
         )
         if stream.leaving:
             self._router.spread_leaving(upstream.address)
--- a/rowanport/router/daemon.py
+++ b/rowanport/router/daemon.py
@@ -38,6 +38,7 @@
 from ..upstreams import EngineClient
 from ..upstreams import ServiceClient
 from ..web import HttpClient
+from ..web.client import Keepalive
 from ..wire import PeerServer
 from ..wire import Traffic
 from .callers import CallerFront
@@ -56,6 +57,8 @@
 # part and for refusals that are going out.
 LAST_READS = 0.5
 STORE_GRACE = 5.0
+# An upstream whose host is gone is noticed after 30 s.
+UPSTREAM_KEEPALIVE = Keepalive(idle=10, interval=5, probes=4)
 CANCEL_GRACE = 5.0
 
 
@@ -91,6 +94,9 @@
         platform = settings.platform
         name = settings.router.name
         self._http = HttpClient()
+        # Answers are waited for through pauses, so that only the kernel
+        # finds an upstream whose host is gone.
+        self._upstream_http = HttpClient(keepalive=UPSTREAM_KEEPALIVE)
         self.store = KeyValueStore(
             self._http, platform.store, name, platform.call_timeout
         )
@@ -157,8 +163,8 @@
 
     def _build_fronts(self, settings):
         timeout = settings.scheduling.upstream_timeout
-        self._engines = EngineClient(self._http, timeout)
-        services = ServiceClient(self._http, timeout)
+        self._engines = EngineClient(self._upstream_http, timeout)
+        services = ServiceClient(self._upstream_http, timeout)
         self.chat = ChatRunner(self, self._engines)
         self.service = ServiceRunner(self, services)
         self.callers = CallerFront(self, settings)
@@ -434,3 +440,4 @@
         await self._peer_server.close()
         self.peers.close()
         self._http.close()
+        self._upstream_http.close()
--- a/rowanport/router/runner.py
+++ b/rowanport/router/runner.py
@@ -16,6 +16,8 @@
 from ..errors import UpstreamError
 from ..hashing import new_id
 from ..tasks import TaskSet
+from ..web.client import NO_PATIENCE
+from .patience import RunPatience
 
 CLOSE_TRIES = 20
 CLOSE_PAUSE = 0.5
@@ -30,6 +32,9 @@
     :ivar size: most tokens of its answer; 1 for a plain service
     :ivar key: affinity key
     :ivar entry: its OpenReservation, if tokens are set aside
+    :ivar next_entry: the OpenReservation of a run that may follow, or None
+    :ivar retry_taken: whether the allowance of a run that may follow is taken
+    :ivar patience: the Patience asked when its upstream falls silent
     :ivar run: run id as the upstream names it, once known
     :ivar claim: run id under which it was claimed, if it was
     :ivar sent: whether a byte of the answer went out
@@ -45,6 +50,9 @@
         "size",
         "key",
         "entry",
+        "next_entry",
+        "retry_taken",
+        "patience",
         "run",
         "claim",
         "sent",
@@ -60,6 +68,9 @@
         self.size = size
         self.key = key
         self.entry = None
+        self.next_entry = None
+        self.retry_taken = False
+        self.patience = NO_PATIENCE
         self.run = ""
         self.claim = ""
         self.sent = False
@@ -129,12 +140,14 @@
         try:
             await self._run_attempts(job, responder)
         finally:
+            self._release_next(job)
             limits.leave(call.organisation)
 
     async def _run_attempts(self, job, responder):
         group = self._router.group(job.decision.group)
         group.retries.request()
         tried = set()
+        job.patience = RunPatience(self._router, job, group, tried)
         while True:
             try:
                 return await self._run_once(job, group, tried, responder)
@@ -149,7 +162,8 @@
             return False
         if error.started and not job.call.repeatable:
             return False
-        return group.retries.retry()
+        taken, job.retry_taken = job.retry_taken, False
+        return taken or group.retries.retry()
 
     async def _run_once(self, job, group, tried, responder):
         await self._reserve(job)
@@ -219,6 +233,9 @@
     async def _reserve(self, job):
         if job.cost == 0 or job.entry is not None:
             return
+        if job.next_entry is not None:
+            job.entry, job.next_entry = job.next_entry, None
+            return
         call = job.call
         begun = self._router.clock.steady()
         job.entry = await self._router.ledger.reserve(
@@ -227,6 +244,12 @@
         seconds = self._router.clock.steady() - begun
         self._router.metrics.reserve.observe({}, seconds)
 
+    def _release_next(self, job):
+        """Give back what was set aside for a run that did not follow."""
+        if job.next_entry is not None:
+            self._router.ledger.release(job.next_entry.reservation)
+            job.next_entry = None
+
     def _release(self, job):
         if job.entry is not None:
             self._router.ledger.release(job.entry.reservation)
--- a/rowanport/schema/settings.py
+++ b/rowanport/schema/settings.py
@@ -422,7 +422,7 @@
             0.1,
             3600,
             "s",
-            "Longest silence of an upstream within an answer.",
+            "Silence of an upstream within an answer after which another one is tried, if one may be.",
         ),
         Option(
             "load_reads",
@@ -650,7 +650,7 @@
     :ivar oversubscription: Requests that the fleet sends to an upstream for each that it can run at once.
     :ivar retry_ratio: Retries allowed for each request to a group.
     :ivar retry_after: Least time after which a refused caller should return.
-    :ivar upstream_timeout: Longest silence of an upstream within an answer.
+    :ivar upstream_timeout: Silence of an upstream within an answer after which another one is tried, if one may be.
     :ivar load_reads: Reads of engines' loads that this router makes, all engines in turn.
     """
 
--- a/rowanport/upstreams/engine.py
+++ b/rowanport/upstreams/engine.py
@@ -3,6 +3,7 @@
 import json
 
 from ..errors import UpstreamError
+from ..web.client import NO_PATIENCE
 
 REQUEST_HEADER = "x-request-id"
 BUDGET_HEADER = "x-budget"
@@ -126,11 +127,14 @@
         self._client = client
         self._timeout = timeout
 
-    async def complete(self, address, request, budget, body):
+    async def complete(
+        self, address, request, budget, body, patience=NO_PATIENCE
+    ):
         """Start a request and return its EngineStream.
 
         :param request: request id; an engine that knows it attaches the
             caller to the run it has
+        :param patience: the Patience asked when it falls silent
         :raises UpstreamError: ``started`` says if it may have run
         """
         headers = [
@@ -145,6 +149,7 @@
             json.dumps(body).encode(),
             headers=headers,
             timeout=self._timeout,
+            patience=patience,
         )
         return await self._open(answer, address, request)
 
--- a/rowanport/upstreams/service.py
+++ b/rowanport/upstreams/service.py
@@ -24,11 +24,12 @@
         self._client = client
         self._timeout = timeout
 
-    async def call(self, address, request, method, path, body, kind):
+    async def call(self, address, request, method, path, body, kind, patience):
         """Send a request and return the ServiceReply.
 
         :param request: request id, passed on so that a service can refuse
             to do the same twice
+        :param patience: the Patience asked when it falls silent
         :raises UpstreamError: ``started`` says if it may have run
         """
         headers = [
@@ -37,7 +38,13 @@
             (KEY_HEADER, request),
         ]
         answer = await self._client.request(
-            address, method, path, body, headers, self._timeout
+            address,
+            method,
+            path,
+            body,
+            headers,
+            self._timeout,
+            patience=patience,
         )
         data = await answer.read()
         if answer.headers.get(REQUEST_HEADER, request) != request:
--- a/rowanport/web/client.py
+++ b/rowanport/web/client.py
@@ -1,5 +1,6 @@
 """An HTTP client with kept connections."""
 
+import abc
 import asyncio
 import errno
 import json
@@ -50,6 +51,24 @@
         sock.setsockopt(level, socket.TCP_USER_TIMEOUT, longest)
 
 
+class Patience(abc.ABC):
+    """Decides what follows when an answer falls silent."""
+
+    @abc.abstractmethod
+    async def give_up(self):
+        """Return whether the answer is let go, asked at each silence."""
+
+
+class NoPatience(Patience):
+    """Lets an answer go at its first silence."""
+
+    async def give_up(self):
+        return True
+
+
+NO_PATIENCE = NoPatience()
+
+
 class _Connection:
     """One open connection and its protocol state."""
 
@@ -116,11 +135,14 @@
     :ivar fields: (name, value) pairs of bytes in their order
     """
 
-    def __init__(self, client, address, connection, response, timeout):
+    def __init__(
+        self, client, address, connection, response, timeout, patience
+    ):
         self._client = client
         self._address = address
         self._connection = connection
         self._timeout = timeout
+        self._patience = patience
         self.status = response.status_code
         self.fields = response.headers.raw_items()
         self.headers = {
@@ -158,8 +180,9 @@
         """
         try:
             while True:
-                async with asyncio.timeout(self._timeout):
-                    piece = await self.next_piece()
+                piece = await _wait(
+                    self.next_piece(), self._timeout, self._patience
+                )
                 if piece is None:
                     break
                 yield piece
@@ -210,6 +233,7 @@
         timeout=30.0,
         owner=None,
         fresh=False,
+        patience=NO_PATIENCE,
     ):
         """Send a request and return its HttpAnswer once the head is here.
 
@@ -218,14 +242,15 @@
             answer with another value belongs to an earlier request and is
             read past
         :param fresh: whether no kept connection is to be used
+        :param patience: the Patience asked after each such silence
         :raises ConnectionSilent: the kernel gave the connection up
         :raises UpstreamError: ``started`` says whether work may have begun
         """
         connection = await self._connect(address, fresh)
         try:
-            async with asyncio.timeout(timeout):
-                self._send(connection, address, method, path, body, headers)
-                response = await self._read_head(connection, address, owner)
+            self._send(connection, address, method, path, body, headers)
+            reading = self._read_head(connection, address, owner)
+            response = await _wait(reading, timeout, patience)
         except asyncio.TimeoutError as error:
             connection.writer.transport.abort()
             if error.errno == errno.ETIMEDOUT:
@@ -239,7 +264,9 @@
         except BaseException:
             connection.writer.transport.abort()
             raise
-        return HttpAnswer(self, address, connection, response, timeout)
+        return HttpAnswer(
+            self, address, connection, response, timeout, patience
+        )
 
     async def request_json(self, address, method, path, value=None, **options):
         """Send JSON and return status and JSON answer."""
@@ -370,6 +397,30 @@
     return not values or values == [value]
 
 
+async def _wait(reading, timeout, patience):
+    """Return what a coroutine returns, however often it falls silent.
+
+    :param timeout: longest silence in seconds, None for any
+    :param patience: the Patience asked after each silence
+    :raises TimeoutError: it was given up
+    """
+    if patience is NO_PATIENCE:
+        async with asyncio.timeout(timeout):
+            return await reading
+    task = asyncio.ensure_future(reading)
+    try:
+        while True:
+            await asyncio.wait((task,), timeout=timeout)
+            # What came while the decision was made is not let go.
+            if task.done() or await patience.give_up() and not task.done():
+                break
+        if not task.done():
+            raise asyncio.TimeoutError
+        return task.result()
+    finally:
+        task.cancel()
+
+
 async def next_event(connection):
     """Return the next h11 event of an answer."""
     while True:
--- a/test/test_silence_races.py
+++ b/test/test_silence_races.py
@@ -339,6 +339,19 @@
         await responder.finish()
 
 
+class PausingOnceEngine(PausingEngine):
+    """An engine that pauses within its first stream only."""
+
+    async def handle(self, request, responder):
+        """Answer as a PausingEngine, the next time without a pause."""
+        answer = super().handle(request, responder)
+        asyncio.get_running_loop().call_later(0.5, self._end_pauses)
+        await answer
+
+    def _end_pauses(self):
+        self._pause = 0.0
+
+
 def own_router(loop, allowed):
     """Return what a ChatRunner needs of a router."""
     router = mock.MagicMock()
@@ -387,6 +400,40 @@
             end_tasks(loop)
 
 
+def test_the_own_interface_moves_on_from_a_silence_where_it_may():
+    # The same pause, with an allowance for another run: the silent one is
+    # cancelled, and the caller has the second one's answer after 1 s of
+    # silence in place of the whole pause.
+    loop = VirtualLoop()
+    asyncio.set_event_loop(loop)
+    net = VirtualNet(loop)
+    engine = PausingOnceEngine(50.0)
+
+    async def run():
+        server = HttpServer(engine.handle)
+        HOST.set("10.9.0.9")
+        await server.start("10.9.0.9", 80)
+        HOST.set("router")
+        router = own_router(loop, allowed=True)
+        runner = ChatRunner(router, EngineClient(HttpClient(), 1.0))
+        call = mock.MagicMock(request="r", key="k", budget="b")
+        call.repeatable = True
+        call.deadline = loop.now + 20
+        decision = mock.MagicMock(group="m", priority=0)
+        job = Job(call, {}, decision, 0, 1, "", loop.now, 0)
+        responder = mock.MagicMock(reply_json=mock.AsyncMock())
+        await runner.run(job, responder)
+        assert loop.now < job.arrived + 2.0
+        assert engine.cancelled == 1
+        responder.reply_json.assert_awaited_once()
+
+    with net.installed():
+        try:
+            loop.run_until_complete(run())
+        finally:
+            end_tasks(loop)
+
+
 # What is left when a request ends in a race: nothing
 
 
