Read entries of upstreams as anybody's: unfit ones name none; runs by born

Cause: an entry with an unknown state counted as ready, fields had any type, and one that could not be read left the old entry in force. An upstream that started again under its id kept its cached prompts, backlog, pace, failures and mark of leaving here. A heartbeat done late (its answer was lost) called a leaving upstream ready again.

Change: platform/entries.py checks each field; an unfit entry takes its upstream out of use, the others hold. A run is an id and the time it began; another run begins without a past, and may be tried by a request that met the one before. Beats of a run that are older than the newest are passed over, and a run dated earlier than the known one is in force with its second beat.

--- a/rowanport/gateway/choice.py
+++ b/rowanport/gateway/choice.py
@@ -219,14 +219,22 @@
     def update(self, upstreams):
         """Take over a list of upstreams.
 
+        One that started again under its id begins without a past.
+
         :param upstreams: Upstream by id
+        :returns: the ids of those that started again
         """
-        states = {}
+        states, restarted = {}, []
         for name, record in upstreams.items():
-            state = self._states.get(name) or UpstreamState(record)
+            state = self._states.get(name)
+            if state is not None and state.record.run != record.run:
+                restarted.append(name)
+                state = None
+            state = state or UpstreamState(record)
             state.record = record
             states[name] = state
         self._states = states
+        return restarted
 
     def get(self, name):
         """Return the UpstreamState of an upstream's id, or None."""
@@ -235,6 +243,8 @@
     def candidates(self, service, avoid, now):
         """Return the UpstreamStates that a request may go to.
 
+        :param avoid: UpstreamRuns that it is not to meet again
+
         Ejected ones are among them only if half of the service or more is
         ejected: then the fault is hardly the upstreams' own.
         """
@@ -246,5 +256,5 @@
         healthy = [s for s in taking if s.ejected_until <= now]
         if 2 * len(healthy) < len(taking):
             healthy = taking
-        fresh = [s for s in healthy if s.record.id not in avoid]
-        return fresh or [s for s in taking if s.record.id not in avoid]
+        fresh = [s for s in healthy if s.record.run not in avoid]
+        return fresh or [s for s in taking if s.record.run not in avoid]
--- a/rowanport/gateway/daemon.py
+++ b/rowanport/gateway/daemon.py
@@ -147,7 +147,7 @@
         self.refusals = Refusals(self.clock)
         self.stopping = Stopping(self.members, self.clock)
         self.forwarder = Forwarder(self)
-        prefixes = PrefixMap()
+        self._prefixes = prefixes = PrefixMap()
         self._prefix_choice = PrefixChoice(settings.data_centre, prefixes)
         self._nearest_choice = NearestChoice(settings.data_centre)
         self.loads = LoadNotes(
@@ -216,7 +216,9 @@
         self.budgets.set_totals(totals, table.version)
 
     def _take_upstreams(self, upstreams):
-        self.pool.update(upstreams.upstreams)
+        for name in self.pool.update(upstreams.upstreams):
+            self._prefixes.forget(name)
+            LOG.info("upstream_restarted", upstream=name)
 
     # Peers
 
--- a/rowanport/gateway/job.py
+++ b/rowanport/gateway/job.py
@@ -40,7 +40,7 @@
     :ivar shared: prompt tokens that it shares with others
     :ivar deadline: steady time at which the caller has its answer or none
     :ivar caller_deadline: steady time until which the caller waits
-    :ivar tried: ids of upstreams that are not tried again
+    :ivar tried: UpstreamRuns that are not tried again
     :ivar sends: upstreams that it was sent to, rejections included
     :ivar runs: sends that may have been run
     :ivar rejections: sends that an upstream rejected
--- a/rowanport/gateway/prefixes.py
+++ b/rowanport/gateway/prefixes.py
@@ -27,6 +27,11 @@
         while len(self._engines) > PROMPT_LIMIT:
             self._engines.popitem(last=False)
 
+    def forget(self, engine):
+        """Forget an engine, which started again with an empty cache."""
+        for engines in self._engines.values():
+            engines.pop(engine, None)
+
     def engines(self, prefix, now):
         """Return the ids of the engines that should have it cached."""
         engines = self._engines.get(prefix, {})
--- a/rowanport/gateway/sending.py
+++ b/rowanport/gateway/sending.py
@@ -165,7 +165,7 @@
     def _drop(self, attempt, error):
         """Note that an Attempt failed, and close it."""
         job, state = self._job, attempt.state
-        job.tried.add(state.record.id)
+        job.tried.add(state.record.run)
         if not error.started:
             job.runs -= 1
             self._repeats.give_back(job, attempt.tokens)
@@ -247,7 +247,7 @@
         :returns: the other Attempt, None if that is not allowed now
         """
         job = self._job
-        job.tried.add(silent.state.record.id)
+        job.tried.add(silent.state.record.run)
         try:
             tokens = self._repeats.take_beside(job, self._responder)
         except RepeatRefused as refusal:
--- a/rowanport/gateway/upstream.py
+++ b/rowanport/gateway/upstream.py
@@ -5,25 +5,63 @@
 from ..errors import MessageError
 
 
+class UpstreamRun:
+    """What tells two runs of upstreams apart.
+
+    :ivar id: the upstream's id
+    :ivar born: when this run began
+    """
+
+    __slots__ = ("id", "born")
+
+    def __init__(self, id_, born):
+        self.id = id_
+        self.born = born
+
+    def __eq__(self, other):
+        return (self.id, self.born) == (other.id, other.born)
+
+    def __hash__(self):
+        return hash((self.id, self.born))
+
+
 class Upstream:
     """One run of one upstream.
 
-    :ivar id: found nowhere else; a restart has another one
+    :ivar id: found nowhere else; a restart may keep it
     :ivar service: the service that it belongs to
     :ivar address: IP and port, which another upstream may get later
     :ivar slots: requests that it runs at once
     :ivar leaving: whether it takes no new work
+    :ivar born: Unix time in milliseconds at which it started, 0 if unknown;
+        a run that began at another time knows nothing of this one
     """
 
-    __slots__ = ("id", "service", "address", "data_centre", "slots", "leaving")
-
-    def __init__(self, id_, service, address, data_centre, slots, leaving):
+    __slots__ = (
+        "id",
+        "service",
+        "address",
+        "data_centre",
+        "slots",
+        "leaving",
+        "born",
+    )
+
+    def __init__(
+        self, id_, service, address, data_centre, slots, leaving, born=0
+    ):
         self.id = id_
         self.service = service
         self.address = address
         self.data_centre = data_centre
         self.slots = slots
         self.leaving = leaving
+        self.born = born
+
+    @property
+    def run(self):
+        """Return its UpstreamRun."""
+        return UpstreamRun(self.id, self.born)
 
     def fields(self):
         """Return the values of all slots, in their order."""
--- a/rowanport/platform/sources.py
+++ b/rowanport/platform/sources.py
@@ -2,17 +2,18 @@
 
 import abc
 import asyncio
-import json
 import math
 
 import structlog
 
+from ..errors import MessageError
 from ..errors import StoreBusy
 from ..errors import StoreError
 from ..errors import StoreSilent
-from ..gateway.upstream import Upstream
 from ..gateway.upstream import UpstreamList
 from ..supervision import beat
+from .entries import decode_entry
+from .entries import EntryBook
 from .store import HistoryLost
 
 LOG = structlog.get_logger(__name__)
@@ -20,7 +21,6 @@
 CONFIG_KEY = "op/config"
 CONFIG_PREFIX = "op/"
 UPSTREAM_PREFIX = "servers/"
-DRAINING = "draining"
 # Seconds between two looks whether this router is to follow the store.
 DUTY_POLL = 0.5
 # Pause in seconds after a failed call.
@@ -170,6 +170,7 @@
     def __init__(self, store, clock):
         super().__init__(store, clock)
         self._missing = {}
+        self._book = EntryBook()
         self._mass_grace_until = -math.inf
 
     async def run(self, views):
@@ -189,6 +190,8 @@
             for name, upstream in known.items()
             if self.prefix + name not in present
         }
+        for name in gone:
+            self._book.forget(name)
         self._miss(gone, known)
         self._apply(views, listing, {})
         return listing.revision
@@ -208,21 +211,34 @@
             name = item.key.removeprefix(self.prefix)
             if item.data is not None:
                 self._missing.pop(name, None)
-                self._take(name, item.data, upstreams)
+                self._take(name, item.data, upstreams, known.get(name))
             elif name in upstreams:
                 gone[name] = upstreams.pop(name)
+                self._book.forget(name)
         self._miss(gone, known)
         for name, upstream in self._missing.items():
             upstreams.setdefault(name, upstream)
         if upstreams != known:
             self._hand_on(views, upstreams, listing.revision)
 
-    def _take(self, name, data, upstreams):
+    def _take(self, name, data, upstreams, known):
+        """Take in an entry that was written.
+
+        :param upstreams: Upstream by id, which it changes
+        :param known: the Upstream that was known under its id, or None
+        """
         try:
-            upstreams[name] = _decode(name, data)
-        except (ValueError, KeyError, TypeError) as error:
-            # An entry that cannot be read says nothing new of its upstream.
-            LOG.error("upstream_unreadable", upstream=name, error=repr(error))
+            entry = decode_entry(name, data)
+        except MessageError as error:
+            upstreams.pop(name, None)
+            LOG.error("upstream_unreadable", upstream=name, error=str(error))
+            return
+        if self._book.take(entry):
+            upstreams[name] = entry.upstream
+            return
+        LOG.info("upstream_entry_late", upstream=name, beat=entry.beat)
+        if known is not None:
+            upstreams[name] = known
 
     def _hand_on(self, views, upstreams, revision):
         revision = max(revision, views.upstreams.revision + 1)
@@ -281,15 +297,3 @@
                 LOG.info("upstream_gone", upstream=name)
             self._missing.clear()
             self._hand_on(views, upstreams, 0)
-
-
-def _decode(name, data):
-    row = json.loads(data)
-    return Upstream(
-        name,
-        row["service"],
-        row["address"],
-        row["zone"],
-        row["slots"],
-        row["state"] == DRAINING,
-    )
