--- a/bench/pairs/plays.py
+++ b/bench/pairs/plays.py
@@ -125,4 +125,5 @@
 
     def _call(self, checkout, *words):
         command = [self._bench, *map(str, words)]
-        subprocess.run(command, cwd=checkout, stdout=subprocess.DEVNULL)
+        with open(self._out / "bench.log", "a") as log:
+            subprocess.run(command, cwd=checkout, stdout=log, stderr=log)
--- a/bench/pairs/table.py
+++ b/bench/pairs/table.py
@@ -53,9 +53,9 @@
 
 def compare(pairs):
     """Return the Differences of all figures of some pairs, worth first."""
-    names = []
+    names = {}
     for one, other in pairs.values():
-        names += [n for n in (*one.values, *other.values) if n not in names]
+        names.update(dict.fromkeys((*one.values, *other.values)))
     return [
         Difference(
             name,
@@ -92,8 +92,8 @@
         place = " ".join(map(str, pair))
         lines.append(f"{place}: {one.worth:.3f} {two.worth:.3f}{broken}")
     means = [
-        statistics.fmean(one[n].worth for one in pairs.values())
-        for n in (0, 1)
+        statistics.fmean(figures.worth for figures in side)
+        for side in zip(*pairs.values())
     ]
     lines.append(f"mean worth: {means[0]:.4f} {means[1]:.4f}")
     return "\n".join(lines)
