--- a/test/test_choice.py
+++ b/test/test_choice.py
@@ -77,7 +77,9 @@
             }
         )
         self.prefixes = PrefixMap()
-        self.choice = PrefixChoice("hall-0", self.prefixes)
+        self.choice = PrefixChoice(
+            "hall-0", self.prefixes, self.pool, lambda: 1 + len(others)
+        )
         self.notes = LoadNotes(
             self.pool, self.prefixes, peers, FakeMembers(others), clock
         )
