--- a/bench/engines/fleet.py
+++ b/bench/engines/fleet.py
@@ -142,9 +142,7 @@
         self.pool = UpstreamPool()
         self.pool.update(fleet.records)
         prefixes = PrefixMap()
-        self.choice = PrefixChoice(
-            self._data_centre, prefixes, self.pool, lambda: fleet.size
-        )
+        self.choice = PrefixChoice(self._data_centre, prefixes)
         self.notes = LoadNotes(self.pool, prefixes, self, self, fleet.timeline)
 
     # What LoadNotes asks of members and peers
@@ -232,9 +230,6 @@
         self._requests.append(request)
         router = self._rng.choice(self.routers)
         candidates = router.pool.candidates(SERVICE, (), now)
-        if router.choice.come_back_at(candidates, job, now) is not None:
-            request.refused = True
-            return
         self._send(router, candidates, request, parts, answer, now)
 
     def _make_job(self, kind, parts, answer, now):
@@ -263,7 +258,6 @@
         unread = router.choice.unread(state, job, now)
         ahead = router.notes.note_send(state, job.prefix, unread)
         state.outstanding += 1
-        job.pace = state.pace
         run = Run(
             parts,
             answer,
--- a/rowanport/gateway/choice.py
+++ b/rowanport/gateway/choice.py
@@ -1,19 +1,14 @@
 """Which upstream a request goes to.
 
-Engines: those that read long prompts or those that run short ones; there
-where its shared prompt is cached, as long as it is in time; else where its
-first event should come first; among alike ones where streams lately came
-evenly.  What no engine could begin in time is refused.  Plain services: the
-least busy one, of the own data centre first.
+Engines: where its shared prompt is cached, as long as it is in time there;
+else where its first event should come first; among alike ones where streams
+lately came evenly.  Plain services: the least busy one, of the own data centre
+first.
 """
 
 import abc
-import math
-import statistics
 
 from ..hashing import rendezvous
-from ..scheduling.split import Pace
-from ..scheduling.split import Split
 from .backlog import Backlog
 from .pacing import Pacing
 
@@ -39,13 +34,6 @@
 # outweighs the bytes between data centres.  Of 8,579 short prompts on six days
 # of seven routers, 821 came late in place of 1,497 (paired plays).
 UNEVEN_LEVELS = 4
-# Streams that an engine may have against the mean of those that it could be
-# chosen from; beyond it the next one in order is taken (bounded loads,
-# Mirrokni et al., 2016).
-SPREAD = 1.25
-# Part of the objective that may be left, at the time to come back, for what
-# is still to be read.
-RETURN_SHARE = 0.5
 # Requests by which a plain upstream of the own data centre may be busier.
 NEAR_BONUS = 2
 
@@ -56,7 +44,6 @@
     :ivar outstanding: requests of this router that run there
     :ivar backlog: what it has still to read, a Backlog
     :ivar pacing: how evenly its streams come, a Pacing
-    :ivar pace: the usual pause of its streams, a Pace
     """
 
     __slots__ = (
@@ -64,7 +51,6 @@
         "outstanding",
         "backlog",
         "pacing",
-        "pace",
         "failures",
         "ejected_until",
     )
@@ -74,7 +60,6 @@
         self.outstanding = 0
         self.backlog = Backlog()
         self.pacing = Pacing()
-        self.pace = Pace()
         self.failures = 0
         self.ejected_until = 0.0
 
@@ -102,13 +87,6 @@
 class Choice(abc.ABC):
     """Chooses among upstreams of one service."""
 
-    def come_back_at(self, candidates, job, now):
-        """Return when a job may come back that none of some begins in time.
-
-        :returns: steady time, None if it may go to one of them
-        """
-        return None
-
     @abc.abstractmethod
     def choose(self, candidates, job, now):
         """Return one of some UpstreamStates, at least one.
@@ -125,99 +103,26 @@
 
     :param data_centre: the own one
     :param prefixes: the PrefixMap
-    :param pool: the UpstreamPool
-    :param count_routers: function that returns the number of live routers
     """
 
-    def __init__(self, data_centre, prefixes, pool, count_routers):
+    def __init__(self, data_centre, prefixes):
         self._data_centre = data_centre
         self._prefixes = prefixes
-        self._pool = pool
-        self._count_routers = count_routers
-        self._splits = {}
-        self._last_readers = {}
 
     def choose(self, candidates, job, now):
-        fit = self._of_its_kind(candidates, job, now)
         if job.shared < SHARED_LEAST:
-            state = self._choose_short(fit, job, now)
+            state = self._choose_short(candidates, job, now)
         else:
-            state = self._choose_long(fit, job, now)
+            state = self._choose_long(candidates, job, now)
         state.pacing.follow(job, now)
         return state
 
-    def come_back_at(self, candidates, job, now):
-        """Return when a job may come back that no engine begins in time.
-
-        :returns: steady time, None if an engine should begin it in time
-        """
-        waits = [s.wait(self.unread(s, job, now), now) for s in candidates]
-        objective = job.route.objective
-        if min(waits) <= objective:
-            return None
-        return now + min(waits) - RETURN_SHARE * objective
-
-    # Long and short prompts
-
-    def _of_its_kind(self, candidates, job, now):
-        """Return the engines for prompts of a job's length.
-
-        Others are taken where none of these begins it in time.
-        """
-        readers = self._readers(candidates, job, now)
-        if readers is None:
-            return candidates
-        is_long = self._is_long(candidates, job)
-        fit = [s for s in candidates if (s.record.id in readers) == is_long]
-        if any(self._is_on_time(state, job, now) for state in fit):
-            return fit
-        return self._in_time(candidates, job, now) or fit or candidates
-
-    def _is_long(self, candidates, job):
-        rate = statistics.median_high(s.backlog.rate for s in candidates)
-        gap = job.route.gap_objective
-        return Split.is_long(job.tokens.prompt, rate, gap)
-
-    def _readers(self, candidates, job, now):
-        """Return the ids of engines for long prompts, None without a split."""
-        if not job.route.gap_objective:
-            return None
-        split = self._splits.setdefault(job.service, Split())
-        unread = min(self.unread(s, job, now) for s in candidates)
-        split.note(self._is_long(candidates, job), unread, now)
-        # All that take work, so that routers agree whatever each one lately
-        # left out.
-        engines = self._pool.taking(job.service)
-        last = self._last_readers.get(job.service) or ()
-        running = sum(
-            s.outstanding for s in engines if s.record.id not in last
-        )
-        split.note_running(running * self._count_routers())
-        readers = split.readers(
-            {s.record.id: s.pace for s in engines},
-            statistics.fmean(s.record.slots for s in engines),
-            now,
-        )
-        self._last_readers[job.service] = readers
-        return readers
-
-    def _is_on_time(self, state, job, now):
-        wait = state.wait(self.unread(state, job, now), now)
-        return wait <= job.route.objective
-
     def _choose_short(self, candidates, job, now):
-        """Choose by load and pauses first, then by the data centre."""
-        fit = self._less_loaded(self._in_time(candidates, job, now))
-        even = self._evenest(fit, now)
+        """Choose by pauses first, then by the data centre."""
+        even = self._evenest(self._in_time(candidates, job, now), now)
         fit = self._near(even) or even or candidates
         return self._soonest(fit, job, now)
 
-    def _less_loaded(self, candidates):
-        """Return those with room for one more stream of this router."""
-        total = 1 + sum(state.outstanding for state in candidates)
-        bound = math.ceil(SPREAD * total / max(1, len(candidates)))
-        return [s for s in candidates if s.outstanding < bound]
-
     def _choose_long(self, candidates, job, now):
         """Choose by what is cached, if it is in time there."""
         cached = self._cached(candidates, job, now)
@@ -335,14 +240,6 @@
         """Return the UpstreamState of an upstream's id, or None."""
         return self._states.get(name)
 
-    def taking(self, service):
-        """Return the UpstreamStates of a service that take new work."""
-        return [
-            state
-            for state in self._states.values()
-            if state.record.service == service and not state.record.leaving
-        ]
-
     def candidates(self, service, avoid, now):
         """Return the UpstreamStates that a request may go to.
 
@@ -351,7 +248,11 @@
         Ejected ones are among them only if half of the service or more is
         ejected: then the fault is hardly the upstreams' own.
         """
-        taking = self.taking(service)
+        taking = [
+            state
+            for state in self._states.values()
+            if state.record.service == service and not state.record.leaving
+        ]
         healthy = [s for s in taking if s.ejected_until <= now]
         if 2 * len(healthy) < len(taking):
             healthy = taking
--- a/rowanport/gateway/daemon.py
+++ b/rowanport/gateway/daemon.py
@@ -148,12 +148,7 @@
         self.stopping = Stopping(self.members, self.clock)
         self.forwarder = Forwarder(self)
         self._prefixes = prefixes = PrefixMap()
-        self._prefix_choice = PrefixChoice(
-            settings.data_centre,
-            prefixes,
-            self.pool,
-            lambda: len(self.members.live()),
-        )
+        self._prefix_choice = PrefixChoice(settings.data_centre, prefixes)
         self._nearest_choice = NearestChoice(settings.data_centre)
         self.loads = LoadNotes(
             self.pool, prefixes, self._peers, self.members, self.clock
--- a/rowanport/gateway/job.py
+++ b/rowanport/gateway/job.py
@@ -54,7 +54,6 @@
     :ivar first_event_at: steady time of the first event, or None
     :ivar last_event_at: steady time of the last event, or None
     :ivar longest_pause: longest time in seconds between two events
-    :ivar pace: the Pace of the engine that it runs at, or None
     :ivar whole: whether the answer was passed on whole
     """
 
@@ -84,7 +83,6 @@
         "first_event_at",
         "last_event_at",
         "longest_pause",
-        "pace",
         "whole",
         "config",
     )
@@ -115,7 +113,6 @@
         self.first_event_at = None
         self.last_event_at = None
         self.longest_pause = 0.0
-        self.pace = None
         self.whole = False
         self.config = 0
 
@@ -171,8 +168,6 @@
         else:
             pause = now - self.last_event_at
             self.longest_pause = max(self.longest_pause, pause)
-            if self.pace is not None:
-                self.pace.note(pause)
         self.last_event_at = now
         self.last_event = events[-1].id
         self.events += len(events)
--- a/rowanport/gateway/sending.py
+++ b/rowanport/gateway/sending.py
@@ -2,8 +2,6 @@
 
 import asyncio
 
-from ..errors import ErrorKind
-from ..errors import RequestError
 from ..errors import UpstreamError
 from .attempt import Attempt
 from .exchange import NotExecuted
@@ -126,7 +124,6 @@
         self._attempts.append(attempt)
         self._note_sign(attempt)
         job.upstream = state.record.id
-        job.pace = state.pace
         return attempt
 
     def _choose(self):
@@ -136,27 +133,10 @@
         if not candidates:
             raise give_up(job, UpstreamError("no upstream is left"))
         choice = gateway.choice(job.tokens is not None)
-        if not job.sends:
-            self._check_in_time(choice, candidates, now)
         state = choice.choose(candidates, job, now)
         job.backlog = round(state.backlog.tokens(now))
         return state
 
-    def _check_in_time(self, choice, candidates, now):
-        """Refuse a job that no upstream could begin in time.
-
-        Taken, it would be late itself and make those late that come after
-        it: in a model of three engines with twice their load, refusing such
-        prompts raised what came in time from 25 to 50 in 100.
-        """
-        come_back_at = choice.come_back_at(candidates, self._job, now)
-        if come_back_at is not None:
-            raise RequestError(
-                ErrorKind.OVERLOADED,
-                "no upstream begins it in time",
-                come_back_at=come_back_at,
-            )
-
     async def _open(self, state, ahead):
         """Return the head of an upstream's answer.
 
--- a/test/test_choice.py
+++ b/test/test_choice.py
@@ -77,9 +77,7 @@
             }
         )
         self.prefixes = PrefixMap()
-        self.choice = PrefixChoice(
-            "hall-0", self.prefixes, self.pool, lambda: 1 + len(others)
-        )
+        self.choice = PrefixChoice("hall-0", self.prefixes)
         self.notes = LoadNotes(
             self.pool, self.prefixes, peers, FakeMembers(others), clock
         )
