--- a/bench/engines/fleet.py
+++ b/bench/engines/fleet.py
@@ -230,7 +230,7 @@
         self._requests.append(request)
         router = self._rng.choice(self.routers)
         candidates = router.pool.candidates(SERVICE, (), now)
-        if router.choice.come_back_at(candidates, job, now) is not None:
+        if router.choice.late_start(candidates, job, now) is not None:
             request.refused = True
             return
         self._send(router, candidates, request, parts, answer, now)
--- a/rowanport/gateway/choice.py
+++ b/rowanport/gateway/choice.py
@@ -102,10 +102,10 @@
         :param now: steady time
         """
 
-    def come_back_at(self, candidates, job, now):
-        """Return when a job may come back that nobody begins in time.
+    def late_start(self, candidates, job, now):
+        """Return the LateStart of a job that nobody begins in time.
 
-        :returns: steady time, None if one of some UpstreamStates should
+        :returns: None if one of some UpstreamStates should
         """
         return None
 
@@ -125,11 +125,11 @@
         self._prefixes = prefixes
         self._overloads = {}
 
-    def come_back_at(self, candidates, job, now):
+    def late_start(self, candidates, job, now):
         overload = self._overloads.setdefault(job.service, Overload())
         waits = [s.wait(self.unread(s, job, now), now) for s in candidates]
         objective = job.route.objective
-        return overload.come_back_at(waits, objective, job.priority, now)
+        return overload.late_start(waits, objective, job.priority, now)
 
     def choose(self, candidates, job, now):
         if job.shared < SHARED_LEAST:
--- a/rowanport/gateway/sending.py
+++ b/rowanport/gateway/sending.py
@@ -148,12 +148,12 @@
 
         :raises RequestError: with the time at which it may come back
         """
-        come_back_at = choice.come_back_at(candidates, self._job, now)
-        if come_back_at is not None:
+        late = choice.late_start(candidates, self._job, now)
+        if late is not None:
             raise RequestError(
                 ErrorKind.OVERLOADED,
-                "no upstream begins it in time",
-                come_back_at=come_back_at,
+                f"first event after {late.wait:.2f} s, {late.due:.2f} s due",
+                come_back_at=late.come_back_at,
             )
 
     async def _open(self, state, ahead):
--- a/rowanport/scheduling/overload.py
+++ b/rowanport/scheduling/overload.py
@@ -19,6 +19,22 @@
 RANK_SECONDS = 10.0
 
 
+class LateStart:
+    """Why a request would begin late, and when it may come back.
+
+    :ivar wait: expected seconds to its first event where that comes soonest
+    :ivar due: seconds within which it had to be expected
+    :ivar come_back_at: steady time
+    """
+
+    __slots__ = ("wait", "due", "come_back_at")
+
+    def __init__(self, wait, due, come_back_at):
+        self.wait = wait
+        self.due = due
+        self.come_back_at = come_back_at
+
+
 class Overload:
     """Whether a service begins requests in time, as one router expects."""
 
@@ -26,15 +42,15 @@
         self._most_urgent = None
         self._until = 0.0
 
-    def come_back_at(self, waits, objective, rank, now):
-        """Return when a request may come back that nobody begins in time.
+    def late_start(self, waits, objective, rank, now):
+        """Return the LateStart of a request that nobody begins in time.
 
         :param waits: expected seconds to its first event at each upstream,
             at least one
         :param objective: seconds within which that is due
         :param rank: of the request, 0 the most urgent
         :param now: steady time
-        :returns: steady time, None if an upstream should begin it in time
+        :returns: None if an upstream should begin it in time
         """
         self._note_rank(rank, now)
         due = objective
@@ -43,7 +59,7 @@
         wait = min(waits)
         if wait <= due:
             return None
-        return now + wait - RETURN_SHARE * due
+        return LateStart(wait, due, now + wait - RETURN_SHARE * due)
 
     def _note_rank(self, rank, now):
         lapsed = self._most_urgent is None or now > self._until
--- a/test/test_engine_load.py
+++ b/test/test_engine_load.py
@@ -48,13 +48,13 @@
 def test_few_engines_serve_more_where_the_late_are_turned_away():
     # Three engines get half as much again as they read.  Taken all, prompts
     # queue up to their callers' patience, and nearly all come late.
-    without = play_without("few", PrefixChoice, "come_back_at", take_all)
+    without = play_without("few", PrefixChoice, "late_start", take_all)
     assert credit(play("few")) > credit(without) + 0.1
 
 
 def test_a_jump_of_users_is_served_no_worse_where_some_are_turned_away():
     # Twice the users for 8 s: what queues up then is late for seconds after.
-    without = play_without("jump", PrefixChoice, "come_back_at", take_all)
+    without = play_without("jump", PrefixChoice, "late_start", take_all)
     assert credit(play("jump")) >= credit(without)
 
 
@@ -114,7 +114,8 @@
 
 
 def come_back_at(overload, wait, rank=0, now=100.0):
-    return overload.come_back_at([wait + 1.0, wait], 1.0, rank, now)
+    late = overload.late_start([wait + 1.0, wait], 1.0, rank, now)
+    return late and late.come_back_at
 
 
 def test_what_one_upstream_begins_in_time_is_taken():
