--- a/bench/engines/fleet.py
+++ b/bench/engines/fleet.py
@@ -12,10 +12,10 @@
 from bench.engines.load import Prompts
 from bench.engines.load import SHORT
 from rowanport.gateway.choice import PrefixChoice
-from rowanport.gateway.choice import UpstreamPool
 from rowanport.gateway.job import Job
 from rowanport.gateway.job import Tokens
 from rowanport.gateway.loads import LoadNotes
+from rowanport.gateway.pool import UpstreamPool
 from rowanport.gateway.prefixes import PrefixMap
 from rowanport.gateway.upstream import Upstream
 from rowanport.hashing import hash_of
--- a/rowanport/gateway/daemon.py
+++ b/rowanport/gateway/daemon.py
@@ -25,7 +25,6 @@
 from ..wire import PeerServer
 from .choice import NearestChoice
 from .choice import PrefixChoice
-from .choice import UpstreamPool
 from .congestion import Congestion
 from .exchange import Exchange
 from .forwarder import Forwarder
@@ -33,6 +32,7 @@
 from .job import Admission
 from .loads import LoadNotes
 from .metrics import GatewayMetrics
+from .pool import UpstreamPool
 from .prefixes import PrefixMap
 from .refusals import Refusals
 from .retries import RetryWindow
--- /dev/null
+++ b/rowanport/gateway/pool.py
@@ -0,0 +1,106 @@
+"""The upstreams as one router sees them, and which of them take work."""
+
+from .backlog import Backlog
+from .pacing import Pacing
+
+# Failures in a row after which an upstream is left out, and for how long in
+# seconds; a failed connection counts as that many.
+EJECT_AFTER = 2
+EJECT_SECONDS = 2.0
+# Seconds that one running request adds to the wait: 500 prompt tokens' time.
+RUNNING_SECONDS = 0.01
+
+
+class UpstreamState:
+    """An upstream as this router sees it.
+
+    :ivar outstanding: requests of this router that run there
+    :ivar backlog: what it has still to read, a Backlog
+    :ivar pacing: how evenly its streams come, a Pacing
+    """
+
+    __slots__ = (
+        "record",
+        "outstanding",
+        "backlog",
+        "pacing",
+        "failures",
+        "ejected_until",
+    )
+
+    def __init__(self, record):
+        self.record = record
+        self.outstanding = 0
+        self.backlog = Backlog()
+        self.pacing = Pacing()
+        self.failures = 0
+        self.ejected_until = 0.0
+
+    def wait(self, unread, now):
+        """Return the seconds to the first event of one more request.
+
+        :param unread: prompt tokens of it that are not cached there
+        """
+        running = RUNNING_SECONDS * self.outstanding
+        return self.backlog.seconds(unread, now) + running
+
+    def note_success(self):
+        """Note that it answered a request."""
+        self.failures = 0
+
+    def note_failure(self, now, weight=1):
+        """Note that it failed; leave it out for a while if it goes on."""
+        self.failures += weight
+        if self.failures >= EJECT_AFTER:
+            self.failures = EJECT_AFTER - 1
+            self.ejected_until = now + EJECT_SECONDS
+
+
+class UpstreamPool:
+    """The states of all upstreams, by service."""
+
+    def __init__(self):
+        self._states = {}
+
+    def update(self, upstreams):
+        """Take over a list of upstreams.
+
+        One that started again under its id begins without a past.
+
+        :param upstreams: Upstream by id
+        :returns: the ids of those that started again
+        """
+        states, restarted = {}, []
+        for name, record in upstreams.items():
+            state = self._states.get(name)
+            if state is not None and state.record.run != record.run:
+                restarted.append(name)
+                state = None
+            state = state or UpstreamState(record)
+            state.record = record
+            states[name] = state
+        self._states = states
+        return restarted
+
+    def get(self, name):
+        """Return the UpstreamState of an upstream's id, or None."""
+        return self._states.get(name)
+
+    def candidates(self, service, avoid, now):
+        """Return the UpstreamStates that a request may go to.
+
+        :param avoid: UpstreamRuns that it is not to meet again
+
+        Ejected ones are among them only if half of the service or more is
+        ejected: then the fault is hardly the upstreams' own.
+        """
+        taking = [
+            state
+            for state in self._states.values()
+            if state.record.service == service and not state.record.leaving
+        ]
+        healthy = [s for s in taking if s.ejected_until <= now]
+        if 2 * len(healthy) < len(taking):
+            healthy = taking
+        fresh = [s for s in healthy if s.record.run not in avoid]
+        return fresh or [s for s in taking if s.record.run not in avoid]
--- a/rowanport/router/patience.py
+++ b/rowanport/router/patience.py
@@ -1,7 +1,7 @@
 """Decides what follows when an upstream falls silent within an answer."""
 
 from ..errors import RequestError
-from ..web.client import Patience
+from ..web.patience import Patience
 
 
 class RunPatience(Patience):
--- a/rowanport/router/runner.py
+++ b/rowanport/router/runner.py
@@ -16,7 +16,7 @@
 from ..errors import UpstreamError
 from ..hashing import new_id
 from ..tasks import TaskSet
-from ..web.client import NO_PATIENCE
+from ..web.patience import NO_PATIENCE
 from .patience import RunPatience
 
 CLOSE_TRIES = 20
--- a/rowanport/upstreams/engine.py
+++ b/rowanport/upstreams/engine.py
@@ -3,7 +3,7 @@
 import json
 
 from ..errors import UpstreamError
-from ..web.client import NO_PATIENCE
+from ..web.patience import NO_PATIENCE
 
 REQUEST_HEADER = "x-request-id"
 BUDGET_HEADER = "x-budget"
--- a/rowanport/web/client.py
+++ b/rowanport/web/client.py
@@ -1,6 +1,5 @@
 """An HTTP client with kept connections."""
 
-import abc
 import asyncio
 import errno
 import json
@@ -11,6 +10,8 @@
 from . import stream
 from ..errors import ConnectionSilent
 from ..errors import UpstreamError
+from .patience import NO_PATIENCE
+from .patience import wait_patiently
 
 READ_SIZE = 65536
 IDLE_CONNECTIONS = 64
@@ -51,24 +52,6 @@
         sock.setsockopt(level, socket.TCP_USER_TIMEOUT, longest)
 
 
-class Patience(abc.ABC):
-    """Decides what follows when an answer falls silent."""
-
-    @abc.abstractmethod
-    async def give_up(self):
-        """Return whether the answer is let go, asked at each silence."""
-
-
-class NoPatience(Patience):
-    """Lets an answer go at its first silence."""
-
-    async def give_up(self):
-        return True
-
-
-NO_PATIENCE = NoPatience()
-
-
 class _Connection:
     """One open connection and its protocol state."""
 
@@ -180,7 +163,7 @@
         """
         try:
             while True:
-                piece = await _wait(
+                piece = await wait_patiently(
                     self.next_piece(), self._timeout, self._patience
                 )
                 if piece is None:
@@ -250,7 +233,7 @@
         try:
             self._send(connection, address, method, path, body, headers)
             reading = self._read_head(connection, address, owner)
-            response = await _wait(reading, timeout, patience)
+            response = await wait_patiently(reading, timeout, patience)
         except asyncio.TimeoutError as error:
             connection.writer.transport.abort()
             if error.errno == errno.ETIMEDOUT:
@@ -397,30 +380,6 @@
     return not values or values == [value]
 
 
-async def _wait(reading, timeout, patience):
-    """Return what a coroutine returns, however often it falls silent.
-
-    :param timeout: longest silence in seconds, None for any
-    :param patience: the Patience asked after each silence
-    :raises TimeoutError: it was given up
-    """
-    if patience is NO_PATIENCE:
-        async with asyncio.timeout(timeout):
-            return await reading
-    task = asyncio.ensure_future(reading)
-    try:
-        while True:
-            await asyncio.wait((task,), timeout=timeout)
-            # What came while the decision was made is not let go.
-            if task.done() or await patience.give_up() and not task.done():
-                break
-        if not task.done():
-            raise asyncio.TimeoutError
-        return task.result()
-    finally:
-        task.cancel()
-
-
 async def next_event(connection):
     """Return the next h11 event of an answer."""
     while True:
--- a/test/test_choice.py
+++ b/test/test_choice.py
@@ -10,12 +10,12 @@
 from rowanport.gateway.backlog import DEFAULT_RATE
 from rowanport.gateway.choice import NearestChoice
 from rowanport.gateway.choice import PrefixChoice
-from rowanport.gateway.choice import UpstreamPool
 from rowanport.gateway.job import Job
 from rowanport.gateway.job import Tokens
 from rowanport.gateway.loads import LoadNotes
 from rowanport.gateway.loads import NOTE_LEAST
 from rowanport.gateway.loads import NOTES_A_SECOND
+from rowanport.gateway.pool import UpstreamPool
 from rowanport.gateway.prefixes import KEEP_SECONDS
 from rowanport.gateway.prefixes import PrefixMap
 from rowanport.gateway.upstream import Upstream
