--- a/test/test_entries.py
+++ b/test/test_entries.py
@@ -224,6 +224,15 @@
     assert router.pool.get(name) is state
 
 
+def test_an_upstream_of_a_service_that_nobody_named_gets_nothing():
+    router = FakeRouter(FakeClock(), FakePeers(), "a")
+    odd = Upstream("odd", "unheard", "10.0.0.9:9", "hall-0", 64, False)
+    records = {s.record.id: s.record for s in router.pool._states.values()}
+    router.pool.update({**records, "odd": odd})
+    names = {s.record.id for s in router.pool.candidates("llm", (), 0.0)}
+    assert names == set(records)
+
+
 def test_a_request_may_meet_the_next_run_of_an_upstream_it_tried():
     router = FakeRouter(FakeClock(), FakePeers(), "a")
     tried = {state.record.run for state in router.pool._states.values()}
