Put an earlier dated run in force by time, not by a second beat

Cause: a write that only counts on ends no watch, so a second beat of a run whose clock went back may never be seen, and the old address stayed in force. Change: where the newest known run writes nothing for 3 s, the other one is in force; what is in doubt does not outlive its entry; upstreams that went while this router did not follow the store are forgotten.

--- a/rowanport/platform/entries.py
+++ b/rowanport/platform/entries.py
@@ -8,13 +8,16 @@
 
 from ..errors import MessageError
 from ..gateway.upstream import Upstream
-from ..gateway.upstream import UpstreamRun
 
 READY = "ready"
 DRAINING = "draining"
 # Largest entry in bytes that is read: a usual one has 200 to 300, and reading
 # a huge one would hold up all else.
 ENTRY_LIMIT = 16384
+# Seconds in which an upstream that lives has written its entry again: two
+# heartbeats of 1.2 s and the way to here.  A write that only counts on tells
+# nobody who waits for changes, so a second one is not waited for.
+OBJECTION_SECONDS = 3.0
 # Largest port number.
 PORT_LIMIT = 65535
 
@@ -95,6 +98,19 @@
     return state == DRAINING
 
 
+class _Doubt:
+    """An Entry of an earlier run than the newest known one.
+
+    :ivar until: steady time until which the newest run may object
+    """
+
+    __slots__ = ("entry", "until")
+
+    def __init__(self, entry, until):
+        self.entry = entry
+        self.until = until
+
+
 class EntryBook:
     """Tells entries that are in force from those that came late.
 
@@ -104,36 +120,64 @@
 
     def __init__(self):
         self._newest = {}
-        self._unproved = {}
+        self._doubts = {}
 
-    def take(self, entry):
+    def take(self, entry, now):
         """Return whether an Entry is in force, and remember it then.
 
-        One of an older run than the newest known one may be such a late
-        write, or the clock that it is dated by went back: it is in force once
-        a second write shows that this run lives.
+        One of an earlier run than the newest known one may be such a late
+        write, or its clock went back: :meth:`settle` tells.
+
+        :param now: steady time
         """
         upstream = entry.upstream
-        run, beat = UpstreamRun(upstream.id, upstream.born), entry.beat
         known = self._newest.get(upstream.id)
         if known is not None:
-            known_run, known_beat = known
-            if run == known_run and run.born and beat < known_beat:
+            if _is_older_beat(entry, known):
                 return False
-            if run.born < known_run.born and not self._is_proved(run, beat):
+            if upstream.born < known.upstream.born:
+                self._doubt(entry, now)
                 return False
-        self._newest[upstream.id] = (run, beat)
-        self._unproved.pop(upstream.id, None)
+        self._accept(entry)
         return True
 
-    def _is_proved(self, run, beat):
-        seen = self._unproved.get(run.id)
-        if seen is not None and seen[0] == run and beat > seen[1]:
-            return True
-        self._unproved[run.id] = (run, beat)
-        return False
+    def settle(self, now):
+        """Return the Entries of earlier runs that are in force by now.
+
+        The newest run, if it lives, has written its own entry meanwhile.
+        """
+        settled = [d.entry for d in self._doubts.values() if now >= d.until]
+        for entry in settled:
+            self._accept(entry)
+        return settled
+
+    def keep(self, names):
+        """Forget all upstreams but some."""
+        for name in self._newest.keys() - names:
+            self.forget(name)
 
     def forget(self, name):
         """Forget an upstream that is gone."""
         self._newest.pop(name, None)
-        self._unproved.pop(name, None)
+        self._doubts.pop(name, None)
+
+    def _accept(self, entry):
+        self._newest[entry.upstream.id] = entry
+        self._doubts.pop(entry.upstream.id, None)
+
+    def _doubt(self, entry, now):
+        """Wait for the newest run's word; later writes do not prolong it."""
+        name = entry.upstream.id
+        seen = self._doubts.get(name)
+        until = now + OBJECTION_SECONDS
+        if seen is not None and seen.entry.upstream.run == entry.upstream.run:
+            until = seen.until
+        self._doubts[name] = _Doubt(entry, until)
+
+
+def _is_older_beat(entry, known):
+    """Return whether an Entry is an earlier write of the known one's run."""
+    run = entry.upstream.run
+    if not run.born or run != known.upstream.run:
+        return False
+    return entry.beat < known.beat
--- a/rowanport/platform/sources.py
+++ b/rowanport/platform/sources.py
@@ -179,19 +179,19 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(super().run(views))
             group.create_task(self._run_missing(views))
+            group.create_task(self._run_doubts(views))
             group.create_task(self._run_probes(views))
 
     async def load(self, views):
         listing = await self._store.list(self.prefix)
         present = {item.key for item in listing.items}
+        self._book.keep({key.removeprefix(self.prefix) for key in present})
         known = views.upstreams.upstreams
         gone = {
             name: upstream
             for name, upstream in known.items()
             if self.prefix + name not in present
         }
-        for name in gone:
-            self._book.forget(name)
         self._miss(gone, known)
         self._apply(views, listing, {})
         return listing.revision
@@ -212,9 +212,10 @@
             if item.data is not None:
                 self._missing.pop(name, None)
                 self._take(name, item.data, upstreams, known.get(name))
-            elif name in upstreams:
+                continue
+            self._book.forget(name)
+            if name in upstreams:
                 gone[name] = upstreams.pop(name)
-                self._book.forget(name)
         self._miss(gone, known)
         for name, upstream in self._missing.items():
             upstreams.setdefault(name, upstream)
@@ -231,9 +232,10 @@
             entry = decode_entry(name, data)
         except MessageError as error:
             upstreams.pop(name, None)
+            self._book.forget(name)
             LOG.error("upstream_unreadable", upstream=name, error=str(error))
             return
-        if self._book.take(entry):
+        if self._book.take(entry, self._clock.steady()):
             upstreams[name] = entry.upstream
             return
         LOG.info("upstream_entry_late", upstream=name, beat=entry.beat)
@@ -286,6 +288,18 @@
             else:
                 await asyncio.sleep(DUTY_POLL)
 
+    async def _run_doubts(self, views):
+        """Put entries in force that nobody objected to in time."""
+        while True:
+            await asyncio.sleep(BATCH_PAUSE)
+            entries = self._book.settle(self._clock.steady())
+            if not entries:
+                continue
+            upstreams = dict(views.upstreams.upstreams)
+            for entry in entries:
+                upstreams[entry.upstream.id] = entry.upstream
+            self._hand_on(views, upstreams, 0)
+
     async def _run_missing(self, views):
         while True:
             await asyncio.sleep(BATCH_PAUSE)
