Log tracebacks in tests as plain text

The first traceback that the console renderer draws with frames and source takes 0.1 s on an idle machine; the router of the test waits meanwhile. The test is unchanged; the product logs no such text.

--- a/test/conftest.py
+++ b/test/conftest.py
@@ -7,6 +7,7 @@
 import pathlib
 
 import pytest
+import structlog
 
 LIST = pathlib.Path(__file__).resolve().parent.parent / "KNOWN-RED.txt"
 
@@ -20,6 +21,28 @@
     return {test: f"{cause} ({issue})" for test, cause, issue in rows}
 
 
+def pytest_configure():
+    """Let tests log tracebacks as plain text.
+
+    Drawn with frames and source, the first one takes 0.1 s, and on a busy
+    machine so long that the routers in the same process miss deadlines.
+    """
+    renderer = structlog.dev.ConsoleRenderer(
+        colors=False,
+        exception_formatter=structlog.dev.plain_traceback,
+    )
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.StackInfoRenderer(),
+            structlog.dev.set_exc_info,
+            structlog.processors.TimeStamper(fmt="%Y-%m-%d %H:%M:%S"),
+            renderer,
+        ]
+    )
+
+
 def pytest_collection_modifyitems(items):
     """Mark what is known to be red."""
     known = read_list()
