Build no run of an upstream per request where none is to be avoided

Cause: each choice compared the run of every upstream with those tried before, which are none for a first send, and built an object for each. Change: with none to avoid the healthy ones are returned as they are; the choice is the same.

--- a/rowanport/gateway/pool.py
+++ b/rowanport/gateway/pool.py
@@ -98,10 +98,11 @@
     def candidates(self, service, avoid, now):
         """Return the UpstreamStates that a request may go to.
 
-        :param avoid: UpstreamRuns that it is not to meet again
-
         Ejected ones are among them only if half of the service or more is
         ejected: then the fault is hardly the upstreams' own.
+
+        :param avoid: UpstreamRuns that it is not to meet again, most often
+            none
         """
         taking = [
             state
@@ -111,5 +112,7 @@
         healthy = [s for s in taking if s.ejected_until <= now]
         if 2 * len(healthy) < len(taking):
             healthy = taking
+        if not avoid:
+            return healthy
         fresh = [s for s in healthy if s.record.run not in avoid]
         return fresh or [s for s in taking if s.record.run not in avoid]
