--- a/bench/engines/__main__.py
+++ b/bench/engines/__main__.py
@@ -5,6 +5,7 @@
 import statistics
 
 from bench.engines.fleet import Fleet
+from bench.engines.fleet import Outcome
 from bench.engines.load import LONG
 from bench.engines.load import PATTERNS
 from bench.engines.load import SHORT
@@ -19,7 +20,7 @@
     means = [
         statistics.fmean(function(one, kind) for one in outcomes)
         for kind in (LONG, SHORT)
-        for function in (type(outcomes[0]).late, type(outcomes[0]).refused)
+        for function in (Outcome.late, Outcome.refused)
     ]
     read = statistics.fmean(one.tokens_read for one in outcomes)
     return [statistics.fmean(credits), error, *means, read / 1e6]
--- a/rowanport/platform/sources.py
+++ b/rowanport/platform/sources.py
@@ -178,8 +178,7 @@
         # Both end if one fails, so that what starts them again doubles none.
         async with asyncio.TaskGroup() as group:
             group.create_task(super().run(views))
-            group.create_task(self._run_missing(views))
-            group.create_task(self._run_doubts(views))
+            group.create_task(self._run_settling(views))
             group.create_task(self._run_probes(views))
 
     async def load(self, views):
@@ -288,26 +287,27 @@
             else:
                 await asyncio.sleep(DUTY_POLL)
 
-    async def _run_doubts(self, views):
-        """Put entries in force that nobody objected to in time."""
+    async def _run_settling(self, views):
+        """Drop what stays missing, and take in what nobody objected to."""
         while True:
             await asyncio.sleep(BATCH_PAUSE)
-            entries = self._book.settle(self._clock.steady())
-            if not entries:
+            gone = self._end_grace()
+            settled = self._book.settle(self._clock.steady())
+            if not gone and not settled:
                 continue
             upstreams = dict(views.upstreams.upstreams)
-            for entry in entries:
+            for name in gone:
+                upstreams.pop(name, None)
+            for entry in settled:
                 upstreams[entry.upstream.id] = entry.upstream
             self._hand_on(views, upstreams, 0)
 
-    async def _run_missing(self, views):
-        while True:
-            await asyncio.sleep(BATCH_PAUSE)
-            if not self._missing or self._clock.steady() < self._grace_until:
-                continue
-            upstreams = dict(views.upstreams.upstreams)
-            for name in self._missing:
-                upstreams.pop(name, None)
-                LOG.info("upstream_gone", upstream=name)
-            self._missing.clear()
-            self._hand_on(views, upstreams, 0)
+    def _end_grace(self):
+        """Return the ids of upstreams that were missing for too long."""
+        if self._clock.steady() < self._grace_until:
+            return []
+        gone = list(self._missing)
+        self._missing.clear()
+        for name in gone:
+            LOG.info("upstream_gone", upstream=name)
+        return gone
--- a/rowanport/router/patience.py
+++ b/rowanport/router/patience.py
@@ -38,6 +38,10 @@
             return False
         if self._group.pool.choose(job.key, self._tried) is None:
             return False
+        # Tokens are set aside last but one: without an allowance they would
+        # lie idle until the silent run ends.
+        if not job.retry_taken and not self._group.retries.allows:
+            return False
         return await self._take_tokens() and self._take_allowance()
 
     async def _take_tokens(self):
--- a/rowanport/scheduling/limits.py
+++ b/rowanport/scheduling/limits.py
@@ -69,9 +69,14 @@
         """Count a first try."""
         self._saved = min(RETRY_SAVED, self._saved + self._ratio)
 
-    def retry(self):
+    @property
+    def allows(self):
         """Return whether one retry may be made."""
-        if self._saved < 1.0:
+        return self._saved >= 1.0
+
+    def retry(self):
+        """Return whether one retry may be made, and count it."""
+        if not self.allows:
             return False
         self._saved -= 1.0
         return True
--- a/test/test_silence_races.py
+++ b/test/test_silence_races.py
@@ -364,74 +364,68 @@
     return router
 
 
-def test_a_pause_of_an_engine_ends_no_answer_of_the_own_interface():
-    # Its silence ends and even cancels the run, and only then is it asked
-    # whether a retry is allowed.
-    loop = VirtualLoop()
-    asyncio.set_event_loop(loop)
-    net = VirtualNet(loop)
-    engine = PausingEngine(1.5)
+class OwnRun:
+    """How the own interface served one chat completion.
+
+    :ivar error: its RequestError, or None
+    :ivar seconds: how long it took
+    :ivar responder: a mock of its caller's Responder
+    """
 
-    async def run():
-        server = HttpServer(engine.handle)
+    def __init__(self, engine, allowed, left):
+        self.error = None
+        self.seconds = 0.0
+        self.responder = mock.MagicMock(reply_json=mock.AsyncMock())
+        self._engine = engine
+        self._allowed = allowed
+        self._left = left
+        self._loop = VirtualLoop()
+        asyncio.set_event_loop(self._loop)
+        with VirtualNet(self._loop).installed():
+            try:
+                self._loop.run_until_complete(self._run())
+            finally:
+                end_tasks(self._loop)
+
+    async def _run(self):
+        loop = self._loop
+        server = HttpServer(self._engine.handle)
         HOST.set("10.9.0.9")
         await server.start("10.9.0.9", 80)
         HOST.set("router")
-        router = own_router(loop, allowed=False)
+        router = own_router(loop, self._allowed)
         runner = ChatRunner(router, EngineClient(HttpClient(), 1.0))
         call = mock.MagicMock(request="r", key="k", budget="b")
         call.repeatable = True
-        call.deadline = loop.now + 60
+        call.deadline = loop.now + self._left
         decision = mock.MagicMock(group="m", priority=0)
         job = Job(call, {}, decision, 0, 1, "", loop.now, 0)
-        responder = mock.MagicMock(reply_json=mock.AsyncMock())
-        error = None
         try:
-            await runner.run(job, responder)
+            await runner.run(job, self.responder)
         except RequestError as failure:
-            error = failure
+            self.error = failure
+        self.seconds = loop.now - job.arrived
+        # A run that is let go is cancelled in the background.
         await asyncio.sleep(1.0)
-        assert (error, engine.cancelled) == (None, 0)
 
-    with net.installed():
-        try:
-            loop.run_until_complete(run())
-        finally:
-            end_tasks(loop)
+
+def test_a_pause_of_an_engine_ends_no_answer_of_the_own_interface():
+    # Its silence ends and even cancels the run, and only then is it asked
+    # whether a retry is allowed.
+    engine = PausingEngine(1.5)
+    run = OwnRun(engine, allowed=False, left=60)
+    assert (run.error, engine.cancelled) == (None, 0)
 
 
 def test_the_own_interface_moves_on_from_a_silence_where_it_may():
     # The same pause, with an allowance for another run: the silent one is
     # cancelled, and the caller has the second one's answer after 1 s of
     # silence in place of the whole pause.
-    loop = VirtualLoop()
-    asyncio.set_event_loop(loop)
-    net = VirtualNet(loop)
     engine = PausingOnceEngine(50.0)
-
-    async def run():
-        server = HttpServer(engine.handle)
-        HOST.set("10.9.0.9")
-        await server.start("10.9.0.9", 80)
-        HOST.set("router")
-        router = own_router(loop, allowed=True)
-        runner = ChatRunner(router, EngineClient(HttpClient(), 1.0))
-        call = mock.MagicMock(request="r", key="k", budget="b")
-        call.repeatable = True
-        call.deadline = loop.now + 20
-        decision = mock.MagicMock(group="m", priority=0)
-        job = Job(call, {}, decision, 0, 1, "", loop.now, 0)
-        responder = mock.MagicMock(reply_json=mock.AsyncMock())
-        await runner.run(job, responder)
-        assert loop.now < job.arrived + 2.0
-        assert engine.cancelled == 1
-        responder.reply_json.assert_awaited_once()
-
-    with net.installed():
-        try:
-            loop.run_until_complete(run())
-        finally:
-            end_tasks(loop)
+    run = OwnRun(engine, allowed=True, left=20)
+    assert (run.error, engine.cancelled) == (None, 1)
+    assert run.seconds < 2.0
+    run.responder.reply_json.assert_awaited_once()
 
 
 # What is left when a request ends in a race: nothing
