--- a/bench/pairs/__main__.py
+++ b/bench/pairs/__main__.py
@@ -39,6 +39,7 @@
     add("--out", default="bench/out/pairs", help="directory of reports")
     add("--plot", help="file for a plot of the differences")
     add("--cpu", action="store_true", help="count processor time")
+    add("--small", action="store_true", help="small twins of large days")
     return parser.parse_args()
 
 
@@ -56,6 +57,7 @@
     grid = itertools.product(options.site, options.day, seeds, options.variant)
     plays = [Play(variant, *place) for *place, variant in grid]
     more = () if options.cpu else ("--no-cpu",)
+    more += ("--small",) if options.small else ()
     player = Player(
         options.bench, options.out, options.why, options.jobs, more
     )
@@ -66,6 +68,7 @@
         print(write_table(first, name, pairs))
         print()
     if options.plot:
+        # Its library is wanted by nothing else.
         from .plot import plot
 
         plot(options.plot, first, comparisons)
