A fleet is large by the routers that go on, not by those heard just now

A router that doubts others for a moment would take the fleet for small, count every router as a holder, draw, and give it back: found in reading. The test fails on the code before: of 20 routers 20 were holders there.

--- a/rowanport/prepaid/refill.py
+++ b/rowanport/prepaid/refill.py
@@ -116,12 +116,20 @@
         """Return the addresses of routers that draw on any budget."""
         if self._is_large:
             return self._members.delegates("budget", HOLDERS, DRAWING_SHARE)
-        return self._members.delegates("small fleet", SMALL_FLEET, 1.0)
+        return self._routers()
+
+    def _routers(self):
+        """Return the addresses of all routers of the cell that go on.
+
+        One that is suspected for a moment stays among them: a fleet does not
+        turn small and draw anew because of it.
+        """
+        return self._members.delegates("routers", SMALL_FLEET, 1.0)
 
     @property
     def _is_large(self):
         """Return whether some routers borrow what others draw."""
-        return 1 + len(self._members.others()) > SMALL_FLEET
+        return len(self._routers()) > SMALL_FLEET
 
     @property
     def _young(self):
--- a/test/test_prepaid_fleet.py
+++ b/test/test_prepaid_fleet.py
@@ -61,6 +61,19 @@
     world.close()
 
 
+def test_a_fleet_does_not_turn_small_for_a_router_that_doubts_the_others():
+    # Cut off for a moment it would have counted every router as a holder, and
+    # the next moment have given back what it drew.
+    world = World(1, 100000)
+    for number in range(20):
+        world.start(f"10.0.1.{number}:1")
+    world.advance(8.0)
+    keeper = next(iter(world.routers.values())).keeper
+    with mock.patch.object(keeper._members, "others", lambda: []):
+        assert len(keeper.holders(BUDGET)) == HOLDERS
+    world.close()
+
+
 def test_a_router_finds_the_holders_of_a_budget_once_for_the_same_fleet():
     # To order the routers that draw took 50 us a budget at 195 routers, each
     # time; a router looks at all its budgets several times a second.
@@ -69,7 +82,7 @@
         world.start(f"10.0.1.{number}:1")
     world.advance(1.0)
     keeper = next(iter(world.routers.values())).keeper
-    drawing = list(world.routers)[: 2 * HOLDERS]
+    drawing = list(world.routers)[: 3 * HOLDERS]
     with (
         mock.patch.object(keeper._members, "delegates", lambda *_: drawing),
         mock.patch.object(refill, "rendezvous", wraps=rendezvous) as order,
