Say in one step who holds a budget in a larger fleet

Cause: read as a newcomer, the choice of holders had two ways out (few routers that draw, a small fleet) and a cache named by what it is ordered by.

Change: a small fleet is asked for once; the cache is named for what it holds. Which routers hold a budget does not change.

--- a/rowanport/prepaid/refill.py
+++ b/rowanport/prepaid/refill.py
@@ -61,8 +61,9 @@
         self._totals = ({}, 0)
         self._dry_until = {}
         self._drawn = set()
-        self._order_of = None
-        self._orders = {}
+        # Holders by budget, and the routers among which they were chosen.
+        self._holders = {}
+        self._holders_among = None
         self._allowances = Allowances()
         self._drawer = Drawer(
             incarnation,
@@ -93,15 +94,16 @@
         Others borrow from them.  There are none while all routers stop.
         """
         routers = self._drawing()
-        if len(routers) <= HOLDERS or not self._is_large:
+        if not self._is_large:
             return routers
-        if routers is not self._order_of:
-            self._orders = {}
-            self._order_of = routers
-        order = self._orders.get(name)
-        if order is None:
-            order = self._orders[name] = rendezvous(name, routers)[:HOLDERS]
-        return order
+        if routers is not self._holders_among:
+            self._holders_among = routers
+            self._holders = {}
+        holders = self._holders.get(name)
+        if holders is None:
+            holders = rendezvous(name, routers)[:HOLDERS]
+            self._holders[name] = holders
+        return holders
 
     def is_holder(self, name):
         """Return whether this router draws on a budget."""
