List the ready routers of a cell in one place

Cause: the same list was built in three methods (ready ones, witness, homes), two of them by taking each incarnation apart again, though members know their cell since who lives is kept.

--- a/rowanport/membership/members.py
+++ b/rowanport/membership/members.py
@@ -166,10 +166,6 @@
         fresh = [member for member in self._fresh_members() if member.near]
         return min(fresh or near, key=lambda member: member.seen)
 
-    def _near(self, incarnation):
-        """Return whether a router is of this cell."""
-        return cell_of(incarnation) == self._cell
-
     def _message(self):
         """Return a Gossip of the own entry and some fresh ones.
 
@@ -201,7 +197,7 @@
             return
         known = self._members.get(entry.incarnation)
         if known is None:
-            near = self._near(entry.incarnation)
+            near = cell_of(entry.incarnation) == self._cell
             member = _Member(entry, now, near)
             self._members[entry.incarnation] = member
             self._drop_older(member)
@@ -313,29 +309,31 @@
 
     def ready_others(self):
         """Return the other live and ready incarnations of the cell."""
-        ready = [
+        ready = self._ready_others()
+        self._random.shuffle(ready)
+        return ready
+
+    def _ready_others(self):
+        return [
             member.entry.incarnation
             for member in self._fresh_members()
             if member.near and member.entry.state == READY
         ]
-        self._random.shuffle(ready)
-        return ready
 
     def some(self, count):
         """Return some live incarnations, of this and of other cells."""
-        others = [entry.incarnation for entry in self.live()[1:]]
-        far = [name for name in others if not self._near(name)]
-        near = [name for name in others if self._near(name)]
+        near = self.others()
+        far = [
+            member.entry.incarnation
+            for member in self._fresh_members()
+            if not member.near
+        ]
         chosen = self._random.sample(near, min(count, len(near)))
         return chosen + self._random.sample(far, min(2, len(far)))
 
     def witness(self):
         """Return the router that witnesses this one's own reservations."""
-        ready = [
-            entry.incarnation
-            for entry in self.live()[1:]
-            if self._near(entry.incarnation) and entry.state == READY
-        ]
+        ready = self._ready_others()
         if not ready:
             return None
         return rendezvous(self._incarnation, ready)[0]
@@ -345,11 +343,9 @@
         key = f"{kind}/{shard}"
         order = self._homes.get(key)
         if order is None:
-            ready = [
-                entry.incarnation
-                for entry in self.live()
-                if self._near(entry.incarnation) and entry.state == READY
-            ]
+            ready = self._ready_others()
+            if self._own.state == READY:
+                ready.append(self._incarnation)
             order = rendezvous(key, ready) or [self._incarnation]
             self._homes[key] = order
         return order
