--- a/test/test_prepaid_fleet.py
+++ b/test/test_prepaid_fleet.py
@@ -132,7 +132,8 @@
 def test_a_borrower_borrows_little_that_it_does_not_need():
     # Three lenders at a time were asked for the whole of it, and each lent
     # what it could: what was too much lay with the borrower, where it is lost
-    # in a loss of power.  Beside 48,000 tokens that were used, 24,356 lay there.
+    # in a loss of power.  Beside 48,000 tokens that were used, 24,356 lay
+    # there.
     world = World(1, 100000)
     fleet = [f"10.0.1.{number}:1" for number in range(20)]
     for address in fleet:
