Let routers of a larger fleet hear of long prompts from those that follow

Cause: a note of a long prompt goes out on open connections only, and of 194 peers a router has some dozens open; so most send their prompts to an engine that others just sent theirs to.

Change: beyond 33 routers notes go to those that follow the store, to which each has connections; the answers to questions for views, four a second, carry what was heard since the last one, 16 notes at most (1.9 KB/s at most for who asks), none of the asker's own. Smaller fleets as before.

Ruled out: a connection of each pair (38,000 in that fleet).

--- a/bench/engines/fleet.py
+++ b/bench/engines/fleet.py
@@ -143,7 +143,9 @@
         self.pool.update(fleet.records)
         prefixes = PrefixMap()
         self.choice = PrefixChoice(self._data_centre, prefixes)
-        self.notes = LoadNotes(self.pool, prefixes, self, self, fleet.timeline)
+        self.notes = LoadNotes(
+            self.pool, prefixes, self, self, str(self.name), fleet.timeline
+        )
 
     # What LoadNotes asks of members and peers
 
@@ -151,6 +153,8 @@
         """Return the incarnations of the other routers."""
         return [f"r/{n}/1" for n in range(self._fleet.size) if n != self.name]
 
+    others = ready_others
+
     def tell(self, addresses, note):
         """Hand a note to other routers."""
         at = self._fleet.timeline.now + TRIP
--- a/rowanport/gateway/daemon.py
+++ b/rowanport/gateway/daemon.py
@@ -150,8 +150,13 @@
         self._prefixes = prefixes = PrefixMap()
         self._prefix_choice = PrefixChoice(settings.data_centre, prefixes)
         self._nearest_choice = NearestChoice(settings.data_centre)
-        self.loads = LoadNotes(
-            self.pool, prefixes, self._peers, self.members, self.clock
+        self.loads = self._views.loads = LoadNotes(
+            self.pool,
+            prefixes,
+            self._peers,
+            self.members,
+            settings.peers,
+            self.clock,
         )
         self._limits = HttpLimits()
         self._server = HttpServer(
@@ -228,7 +233,7 @@
         if isinstance(message, messages.ViewAsk):
             return self._views.handle(message)
         if isinstance(message, messages.LoadNote):
-            return self.loads.take(message)
+            return self.loads.hear(message)
         return self.budgets.handle(message)
 
     # Callers
--- a/rowanport/gateway/loads.py
+++ b/rowanport/gateway/loads.py
@@ -4,11 +4,21 @@
 engine idle send it eight prompts at once, and all of them are late.  So a
 router tells its peers of each long prompt as it sends it.  A note that is
 lost costs a worse choice, nothing else; nobody waits for one.
+
+Notes go out on connections that are open.  In a larger fleet these are few, so
+notes go to the routers that follow the store; the others hear them from these
+with the answers to the questions that they ask anyway.  In a model of 195
+routers and 39 engines that earned .92 of what was asked for, as if all heard
+all at once; .90 if three in ten routers hear a note (three seeds).
 """
 
+import random
+
 from ..incarnation import address_of
 from ..rates import DecayingRate
 from ..schema.messages import LoadNote
+from .digest import LoadDigest
+from .followers import followers
 
 # Prompt tokens below which a send is not told: they are read in 50 ms, one
 # twelfth of the shortest objective.
@@ -17,6 +27,8 @@
 # in the fleets of today, a sample in larger ones.  At 33 bytes a note this is
 # half of the 5 KB/s that control may cost.
 NOTES_A_SECOND = 75
+# Other routers up to which all are told: each pair soon has a connection.
+DIRECT_FLEET = 32
 # Peers that are told at least.
 LEAST_FANOUT = 8
 # Half life in seconds of the rate of sends by which the sample is sized.
@@ -31,15 +43,19 @@
     :param prefixes: the PrefixMap
     :param peers: a PeerClient
     :param members: the Membership
+    :param address: this router's peer address
     :param clock: a Clock
     """
 
-    def __init__(self, pool, prefixes, peers, members, clock):
+    def __init__(self, pool, prefixes, peers, members, address, clock):
         self._pool = pool
         self._prefixes = prefixes
         self._peers = peers
         self._members = members
         self._clock = clock
+        self._address = address
+        self._digest = LoadDigest(clock)
+        self._heard_at = clock.steady()
         self._rate = DecayingRate(RATE_HALF_LIFE, RATE_LEAST_AGE)
 
     def note_send(self, state, prefix, unread):
@@ -52,19 +68,54 @@
         """
         now = self._clock.steady()
         if unread >= NOTE_LEAST:
-            note = LoadNote(state.record.id, prefix, unread)
-            peers = self._members.ready_others()[: self._fanout(now)]
-            self._peers.tell(map(address_of, peers), note)
+            upstream = state.record.id
+            note = LoadNote(upstream, prefix, unread, self._address)
+            self._peers.tell(self._listeners(now), note)
+            self._digest.add(note)
         self._prefixes.note(prefix, state.record.id, now)
         return state.backlog.add(unread, now)
 
+    def _listeners(self, now):
+        """Return the addresses of the peers that are told of a send."""
+        if self._is_large:
+            peers = followers(self._members)
+            return random.sample(peers, min(self._fanout(now), len(peers)))
+        peers = self._members.ready_others()[: self._fanout(now)]
+        return map(address_of, peers)
+
+    @property
+    def _is_large(self):
+        """Return whether most routers hear of sends from those that follow."""
+        return len(self._members.others()) > DIRECT_FLEET
+
     def _fanout(self, now):
         """Count a note that is about to be sent; return to how many peers."""
         self._rate.add(1, now)
         return max(LEAST_FANOUT, int(NOTES_A_SECOND / self._rate.rate(now)))
 
+    def unheard_seconds(self):
+        """Return for which last seconds to ask for notes, 0 for none.
+
+        What is lost with an answer is not asked for again.
+        """
+        now = self._clock.steady()
+        seconds = now - self._heard_at
+        self._heard_at = now
+        if not self._is_large or self._address in followers(self._members):
+            return 0.0
+        return seconds
+
+    def heard(self, seconds, asker):
+        """Return the notes heard in some last seconds, not the asker's."""
+        return self._digest.since(seconds, asker)
+
+    def hear(self, note):
+        """Take in a LoadNote of its sender, and keep it for others."""
+        self._digest.add(note)
+        self.take(note)
+
     def take(self, note):
-        """Take in a LoadNote of a peer."""
+        """Take in a LoadNote."""
         now = self._clock.steady()
         self._prefixes.note(note.prefix, note.upstream, now)
         state = self._pool.get(note.upstream)
--- a/rowanport/gateway/views.py
+++ b/rowanport/gateway/views.py
@@ -12,11 +12,11 @@
 from ..errors import MessageError
 from ..errors import PeerError
 from ..incarnation import address_of
-from ..membership.members import STORE_DUTY
 from ..schema.messages import ViewAsk
 from ..schema.messages import ViewGive
 from ..supervision import beat
 from ..tasks import TaskSet
+from .followers import followers
 from .upstream import UpstreamList
 
 LOG = structlog.get_logger(__name__)
@@ -29,10 +29,6 @@
 ASK_TIMEOUT = 3.0
 # Questions under way at once: one each interval, as long as answers take.
 ASKS_AT_ONCE = 12
-# Routers that follow the store, and the part of a larger fleet that does; the
-# others ask these.  Each change costs each of them a call.
-FOLLOWERS = 8
-FOLLOWER_SHARE = 0.1
 # Seconds after the start during which a router may not know the fleet yet.
 LEARN_SECONDS = 5.0
 # Seconds after the start before a router follows the store if its settings
@@ -51,6 +47,7 @@
     :param clock: a Clock
     :param clocks: the FleetClocks, which learn from each exchange
     :param congestion: the Congestion, which does, too
+    :ivar loads: the LoadNotes that ask and answer along with it, or None
     """
 
     def __init__(
@@ -71,6 +68,7 @@
         self.upstreams = UpstreamList()
         self.on_table = None
         self.on_upstreams = None
+        self.loads = None
 
     @property
     def on_duty(self):
@@ -82,8 +80,8 @@
             return True
         if self._clock.steady() < self._started + SEEDED_PAUSE:
             return False
-        followers = self._followers()
-        return not followers or self._address in followers
+        leading = self._followers()
+        return not leading or self._address in leading
 
     @property
     def _leads(self):
@@ -100,7 +98,7 @@
         return self._clock.steady() < self._started + LEARN_SECONDS
 
     def _followers(self):
-        return self._members.delegates(STORE_DUTY, FOLLOWERS, FOLLOWER_SHARE)
+        return followers(self._members)
 
     def take_config(self, data, source):
         """Take over a configuration if it is newer.
@@ -145,7 +143,9 @@
     def handle(self, message):
         """Answer a ViewAsk."""
         self._clocks.hear(message.asker, message.wall)
-        give = ViewGive(0, b"", 0, b"", self._clock.wall())
+        give = ViewGive(0, b"", 0, b"", self._clock.wall(), [])
+        if self.loads is not None:
+            give.notes = self.loads.heard(message.seconds, message.asker)
         if message.config < self._version:
             give.config = self._version
             give.config_data = self._pack_config()
@@ -183,8 +183,8 @@
         They are shuffled; any will do while no follower is known.
         """
         ready = [address_of(peer) for peer in self._members.ready_others()]
-        followers = self._followers()
-        return [peer for peer in ready if peer in followers] or ready
+        leading = self._followers()
+        return [peer for peer in ready if peer in leading] or ready
 
     async def ask(self, address, timeout=ASK_TIMEOUT):
         """Ask the peer at an address for what it has newer.
@@ -196,6 +196,7 @@
             self.upstreams.revision,
             self._address,
             self._clock.wall(),
+            self.loads.unheard_seconds() if self.loads else 0.0,
         )
         asked_at = self._clock.steady()
         try:
@@ -211,6 +212,8 @@
         # Without the time in which a silent connection was found out.
         self._congestion.note_round_trip(self._peers.last_trip(address))
         self._clocks.hear(address, give.wall)
+        for note in give.notes:
+            self.loads.take(note)
         if give.config_data:
             self._take_packed(give.config_data, address)
         if give.upstream_data:
--- a/rowanport/schema/messages.py
+++ b/rowanport/schema/messages.py
@@ -1857,6 +1857,50 @@
         )
 
 
+class LoadNote(Message):
+    """A long prompt goes to an upstream; sent to peers, not answered.
+
+    :ivar upstream: id of the upstream
+    :ivar prefix: hash of the prompt's shared part
+    :ivar tokens: prompt tokens that the upstream has to read
+    :ivar sender: peer address of the router that sent it
+    """
+
+    __slots__ = (
+        "upstream",
+        "prefix",
+        "tokens",
+        "sender",
+    )
+    KIND = 63
+
+    def __init__(self, upstream, prefix, tokens, sender):
+        self.upstream = upstream
+        self.prefix = prefix
+        self.tokens = tokens
+        self.sender = sender
+
+    def to_wire(self):
+        """Return the fields as plain values, in the schema's order."""
+        return [
+            self.upstream,
+            self.prefix,
+            self.tokens,
+            self.sender,
+        ]
+
+    @classmethod
+    def from_wire(cls, values):
+        """Build one from plain values; raise MessageError if unfit."""
+        check_length(cls, values, 4)
+        return cls(
+            as_str(values[0]),
+            as_int(values[1]),
+            as_int(values[2]),
+            as_str(values[3]),
+        )
+
+
 class ViewAsk(Message):
     """Ask a peer for what it has newer: configuration and upstreams.
 
@@ -1864,6 +1908,7 @@
     :ivar upstreams: revision of the asker's list of upstreams
     :ivar asker: peer address of the asker
     :ivar wall: wall time of the asker
+    :ivar seconds: for which last seconds notes of load are wanted, 0 for none
     """
 
     __slots__ = (
@@ -1871,14 +1916,16 @@
         "upstreams",
         "asker",
         "wall",
+        "seconds",
     )
     KIND = 61
 
-    def __init__(self, config, upstreams, asker, wall):
+    def __init__(self, config, upstreams, asker, wall, seconds):
         self.config = config
         self.upstreams = upstreams
         self.asker = asker
         self.wall = wall
+        self.seconds = seconds
 
     def to_wire(self):
         """Return the fields as plain values, in the schema's order."""
@@ -1887,17 +1934,19 @@
             self.upstreams,
             self.asker,
             self.wall,
+            self.seconds,
         ]
 
     @classmethod
     def from_wire(cls, values):
         """Build one from plain values; raise MessageError if unfit."""
-        check_length(cls, values, 4)
+        check_length(cls, values, 5)
         return cls(
             as_int(values[0]),
             as_int(values[1]),
             as_str(values[2]),
             as_float(values[3]),
+            as_float(values[4]),
         )
 
 
@@ -1909,6 +1958,7 @@
     :ivar upstreams: revision of the list of upstreams
     :ivar upstream_data: the packed list of upstreams
     :ivar wall: wall time of the peer
+    :ivar notes: long prompts that other routers sent lately
     """
 
     __slots__ = (
@@ -1917,15 +1967,19 @@
         "upstreams",
         "upstream_data",
         "wall",
+        "notes",
     )
     KIND = 62
 
-    def __init__(self, config, config_data, upstreams, upstream_data, wall):
+    def __init__(
+        self, config, config_data, upstreams, upstream_data, wall, notes
+    ):
         self.config = config
         self.config_data = config_data
         self.upstreams = upstreams
         self.upstream_data = upstream_data
         self.wall = wall
+        self.notes = notes
 
     def to_wire(self):
         """Return the fields as plain values, in the schema's order."""
@@ -1935,57 +1989,20 @@
             self.upstreams,
             self.upstream_data,
             self.wall,
+            [item.to_wire() for item in self.notes],
         ]
 
     @classmethod
     def from_wire(cls, values):
         """Build one from plain values; raise MessageError if unfit."""
-        check_length(cls, values, 5)
+        check_length(cls, values, 6)
         return cls(
             as_int(values[0]),
             as_bytes(values[1]),
             as_int(values[2]),
             as_bytes(values[3]),
             as_float(values[4]),
-        )
-
-
-class LoadNote(Message):
-    """A long prompt goes to an upstream; sent to peers, not answered.
-
-    :ivar upstream: id of the upstream
-    :ivar prefix: hash of the prompt's shared part
-    :ivar tokens: prompt tokens that the upstream has to read
-    """
-
-    __slots__ = (
-        "upstream",
-        "prefix",
-        "tokens",
-    )
-    KIND = 63
-
-    def __init__(self, upstream, prefix, tokens):
-        self.upstream = upstream
-        self.prefix = prefix
-        self.tokens = tokens
-
-    def to_wire(self):
-        """Return the fields as plain values, in the schema's order."""
-        return [
-            self.upstream,
-            self.prefix,
-            self.tokens,
-        ]
-
-    @classmethod
-    def from_wire(cls, values):
-        """Build one from plain values; raise MessageError if unfit."""
-        check_length(cls, values, 3)
-        return cls(
-            as_str(values[0]),
-            as_int(values[1]),
-            as_int(values[2]),
+            as_list(values[5], LoadNote.from_wire),
         )
 
 
@@ -2054,8 +2071,8 @@
     34: StatusAsk,
     35: StatusGive,
     60: HandOver,
+    63: LoadNote,
     61: ViewAsk,
     62: ViewGive,
-    63: LoadNote,
     64: BudgetNews,
 }
--- a/test/test_choice.py
+++ b/test/test_choice.py
@@ -21,6 +21,7 @@
 from rowanport.gateway.upstream import Upstream
 from rowanport.hashing import hash_of
 from rowanport.hashing import rendezvous
+from rowanport.incarnation import address_of
 from rowanport.peers import PeerClient
 from rowanport.routing.table import Route
 from rowanport.routing.table import RouteKind
@@ -51,16 +52,23 @@
     def tell(self, addresses, note):
         for address in addresses:
             self.told.append(note)
-            self.routers[address].notes.take(note)
+            self.routers[address].notes.hear(note)
 
 
 class FakeMembers:
-    def __init__(self, others):
+    def __init__(self, others, own):
         self._others = others
+        self._own = own
 
     def ready_others(self):
         return list(self._others)
 
+    others = ready_others
+
+    def delegates(self, kind, least, share):
+        names = [self._own, *map(address_of, self._others)]
+        return rendezvous(kind, names)[: max(least, int(share * len(names)))]
+
 
 class FakeRouter:
     """What one router knows of the engines."""
@@ -79,7 +87,12 @@
         self.prefixes = PrefixMap()
         self.choice = PrefixChoice("hall-0", self.prefixes)
         self.notes = LoadNotes(
-            self.pool, self.prefixes, peers, FakeMembers(others), clock
+            self.pool,
+            self.prefixes,
+            peers,
+            FakeMembers(others, name),
+            name,
+            clock,
         )
         peers.routers[name] = self
 
@@ -343,7 +356,7 @@
 
 
 def test_a_note_of_an_upstream_that_is_not_listed_changes_nothing(router):
-    router.notes.take(LoadNote("gone", 1, 5000))
+    router.notes.take(LoadNote("gone", 1, 5000, "peer"))
     assert all(
         router.pool.get(name).backlog.tokens(100.0) == 0 for name in ENGINES
     )
@@ -363,9 +376,9 @@
         address = f"127.0.0.1:{port}"
         peers = PeerClient("x/y/1", "secret")
         # Without a connection it is lost.
-        peers.tell([address], LoadNote("lost", 1, 1))
+        peers.tell([address], LoadNote("lost", 1, 1, "own"))
         await peers.call(address, Ack(), 5.0)
-        peers.tell([address], LoadNote("e1", 2, 3))
+        peers.tell([address], LoadNote("e1", 2, 3, "own"))
         await peers.call(address, Ack(), 5.0)
         peers.close()
         await server.close()
--- /dev/null
+++ b/test/test_load_digest.py
@@ -0,0 +1,127 @@
+"""News of long prompts in a fleet too large to tell all of them."""
+
+import asyncio
+from test.test_choice import FakeClock
+from test.test_choice import FakePeers
+from test.test_choice import FakeRouter
+from test.test_choice import make_job
+from test.test_views import FewMembers
+from test.test_views import make_views
+from test.virtual import VirtualLoop
+
+import pytest
+
+from rowanport.gateway.digest import DIGEST_LIMIT
+from rowanport.gateway.followers import followers
+from rowanport.gateway.loads import NOTE_LEAST
+from rowanport.schema.messages import LoadNote
+
+SIZE = 100
+
+
+@pytest.fixture
+def clock():
+    return FakeClock()
+
+
+class LargeFleet:
+    """A hundred routers, of which few hear a note at once."""
+
+    def __init__(self, clock):
+        self.peers = FakePeers()
+        names = [f"r{number}" for number in range(SIZE)]
+        self.routers = {}
+        for name in names:
+            others = [f"x/{other}/1" for other in names if other != name]
+            router = FakeRouter(clock, self.peers, name, others)
+            self.routers[name] = router
+        self.leading = followers(self.routers["r0"].notes._members)
+        self.others = [name for name in names if name not in self.leading]
+
+    def backlog(self, name, engine):
+        pool = self.routers[name].pool
+        return pool.get(engine).backlog.tokens(100.0)
+
+
+def send(router):
+    return router.send(make_job(shared=0, own=NOTE_LEAST))
+
+
+def test_a_router_that_asks_hears_what_others_sent(clock):
+    # Notes went to peers with an open connection: 8 to some 60 of 194 routers,
+    # and the others sent their prompts to the same engines.
+    fleet = LargeFleet(clock)
+    sender, asker = fleet.others[:2]
+    engine = send(fleet.routers[sender])
+    assert fleet.backlog(asker, engine) == 0
+    follower = fleet.routers[fleet.leading[0]]
+    for note in follower.notes.heard(0.25, asker):
+        fleet.routers[asker].notes.take(note)
+    assert fleet.backlog(asker, engine) == NOTE_LEAST
+
+
+def test_a_router_hears_nothing_of_its_own_sends_nor_twice(clock):
+    fleet = LargeFleet(clock)
+    sender, asker = fleet.others[:2]
+    send(fleet.routers[sender])
+    follower = fleet.routers[fleet.leading[0]]
+    assert not follower.notes.heard(0.25, sender)
+    asks = fleet.routers[asker].notes
+    clock.now += 0.25
+    assert 0 < asks.unheard_seconds() <= 0.25
+    clock.now += 0.25
+    assert not follower.notes.heard(asks.unheard_seconds(), asker)
+
+
+def test_those_that_hear_all_at_once_do_not_ask(clock):
+    fleet = LargeFleet(clock)
+    small = FakeRouter(clock, fleet.peers, "alone", ["x/r1/1"])
+    clock.now += 0.25
+    assert fleet.routers[fleet.leading[0]].notes.unheard_seconds() == 0
+    assert small.notes.unheard_seconds() == 0
+
+
+def test_an_answer_is_bounded_and_names_the_largest_prompts(clock):
+    fleet = LargeFleet(clock)
+    follower = fleet.routers[fleet.leading[0]].notes
+    for number in range(5 * DIGEST_LIMIT):
+        follower.hear(LoadNote("e1", number, NOTE_LEAST + number, "r"))
+    notes = follower.heard(0.25, "asker")
+    assert len(notes) == DIGEST_LIMIT
+    assert min(note.tokens for note in notes) >= NOTE_LEAST + 4 * DIGEST_LIMIT
+    clock.now += 5.0
+    follower.hear(LoadNote("e1", 1, NOTE_LEAST, "r"))
+    assert len(follower.heard(10.0, "asker")) == 1
+
+
+class Answerer:
+    """A peer that answers by the Views of another router."""
+
+    def __init__(self, views):
+        self._views = views
+
+    def last_trip(self, address):
+        return 0.0
+
+    async def call(self, address, message, timeout, repeatable):
+        copy = type(message).unpack(message.pack())
+        answer = self._views.handle(copy)
+        return type(answer).unpack(answer.pack())
+
+
+def test_notes_come_with_the_answers_to_questions_for_views(clock):
+    loop = VirtualLoop()
+    asyncio.set_event_loop(loop)
+    fleet = LargeFleet(clock)
+    sender, asker = fleet.others[:2]
+    answering = make_views(loop, FewMembers(), None)
+    answering.loads = fleet.routers[fleet.leading[0]].notes
+    asking = make_views(loop, FewMembers(), Answerer(answering))
+    asking.loads = fleet.routers[asker].notes
+    clock.now += 0.1
+    engine = send(fleet.routers[sender])
+    clock.now += 0.1
+    loop.run_until_complete(asking.ask("follower"))
+    loop.close()
+    pool = fleet.routers[asker].pool
+    assert pool.get(engine).backlog.tokens(clock.now) > 0
