Let limits follow what is used, not what is set aside

Cause: a limit on tokens covers 0.6 s and grows by 1.2 s of what is granted each second, and what a limit lets go is lost with its router. A request sets aside what it may use at most, uses half of that or less, and the rest is back seconds later, to go out again beyond the limit. So limits, and a loss of all power, took twice what the fleet uses meanwhile.

Change: what comes back, at the end of a request or from a borrower, counts as not granted. A borrower brings it to the router that lent last.

The hook of two tests follows the hand-over to its new method.

--- a/rowanport/prepaid/account.py
+++ b/rowanport/prepaid/account.py
@@ -207,14 +207,27 @@
         self.outflow += tokens
         return True
 
-    def settle(self, tokens, used, spent=0):
+    def settle(self, tokens, used, now, spent=0):
         """End a reservation of which some tokens were used.
 
         :param used: tokens that may have been used, which do not come back
+        :param now: steady time
         :param spent: tokens that surely were
         """
-        self.outflow -= max(0, tokens - used)
+        unused = max(0, tokens - used)
+        self.outflow -= unused
         self.spent += spent
+        self._granted.add(-unused, now)
+
+    def take_back(self, tokens, now):
+        """Take in tokens that a borrower did not need.
+
+        What comes back may go out again beyond a written limit, so it counts
+        as not granted: a limit that also covers what soon is back lets a loss
+        of power take twice as much as is used meanwhile.
+        """
+        self.credit(tokens)
+        self._granted.add(-tokens, now)
 
     def note_record(self, record, reported, now):
         """Take in what the store's record says after a batch.
--- a/rowanport/prepaid/handover.py
+++ b/rowanport/prepaid/handover.py
@@ -74,8 +74,9 @@
         LOG.info(
             "tokens_inherited", sender=message.sender, tokens=message.tokens
         )
+        sender = address_of(message.sender)
         for name, tokens in message.tokens.items():
-            self._keeper.credit(name, tokens)
+            self._keeper.inherit(name, tokens, sender)
         for name, tokens in message.spent.items():
             self._keeper.count_spent(name, tokens)
         return Ack()
--- a/rowanport/prepaid/keeper.py
+++ b/rowanport/prepaid/keeper.py
@@ -181,7 +181,7 @@
             self._grant_late(account, waiter)
         except asyncio.CancelledError:
             if _granted(waiter.future):
-                account.settle(tokens, 0)
+                account.settle(tokens, 0, self._clock.steady())
             raise
         finally:
             if waiter in account.waiting:
@@ -224,7 +224,7 @@
         :param spent: tokens that surely were
         """
         account = self._account(name)
-        account.settle(tokens, used, spent)
+        account.settle(tokens, used, self._clock.steady(), spent)
         self._pump(account)
 
     def _pump(self, account):
@@ -264,6 +264,19 @@
         account.dry_until = 0.0
         self._pump(account)
 
+    def inherit(self, name, tokens, sender):
+        """Take in tokens that a peer hands over.
+
+        :param sender: its peer address
+        """
+        account = self._account(name)
+        if sender in self._refill.holders(name):
+            account.credit(tokens)
+        else:
+            account.take_back(tokens, self._clock.steady())
+        account.dry_until = 0.0
+        self._pump(account)
+
     def count_spent(self, name, tokens):
         """Count tokens that a borrower surely used as this router's own."""
         self._account(name).spent += tokens
--- a/rowanport/prepaid/returns.py
+++ b/rowanport/prepaid/returns.py
@@ -62,8 +62,10 @@
             holders = self._refill.holders(account.name)
             lenders = [ready[holder] for holder in holders if holder in ready]
             if lenders:
-                share = shares.setdefault(random.choice(lenders), _Share())
-                self._move(account, share)
+                lender = ready.get(account.lender)
+                if lender not in lenders:
+                    lender = random.choice(lenders)
+                self._move(account, shares.setdefault(lender, _Share()))
         for lender, share in shares.items():
             self._hand_overs.send(lender, share.tokens, share.spent)
 
--- a/test/test_prepaid_limits.py
+++ b/test/test_prepaid_limits.py
@@ -226,3 +226,25 @@
     for kind in (BudgetRecord, HolderRecord):
         with pytest.raises(MessageError):
             kind.unpack(data)
+
+
+def test_limits_follow_what_is_used_not_what_is_set_aside():
+    # A request sets aside what it may use at most, and used half of it or
+    # less.  Limits followed what was set aside, so that a loss of power took
+    # twice what a router lets go in the meantime.
+    account = Account(BUDGET)
+    account.set_total(1000000)
+    account.credit(900000)
+    for number in range(20):
+        assert account.reserve(9000, None, number / 2)
+        account.settle(9000, 3000, number / 2 + 0.4, 3000)
+    used_a_second = 3000 * 2
+    assert account.pace(4, 10.0) < 1.6 * used_a_second
+    # Also where it was lent, and what was not needed has come back.
+    lender = Account(BUDGET)
+    lender.set_total(1000000)
+    lender.credit(900000)
+    for number in range(20):
+        lender.lend(9000, None, number / 2, draws=False)
+        lender.take_back(6000, number / 2 + 0.4)
+    assert lender.pace(4, 10.0) < 1.6 * used_a_second
--- a/test/test_prepaid_stops.py
+++ b/test/test_prepaid_stops.py
@@ -145,14 +145,14 @@
 def turn_silent_once_tokens_came(world, one, heir, fate):
     """Let a connection turn silent as the first tokens come in."""
     keeper = world.routers[heir].keeper
-    credit = keeper.credit
+    inherit = keeper.inherit
 
-    def credit_unheard(name, tokens):
+    def inherit_unheard(name, tokens, sender):
         if (one, heir) not in world.silent:
             world.silent[one, heir] = (fate, world.loop.now + 1.15)
-        credit(name, tokens)
+        inherit(name, tokens, sender)
 
-    keeper.credit = credit_unheard
+    keeper.inherit = inherit_unheard
 
 
 @pytest.mark.parametrize("fate", ("lost", "answer lost"))
