--- a/rowanport/prepaid/account.py
+++ b/rowanport/prepaid/account.py
@@ -29,8 +29,11 @@
 # Smallest draw, as a part of the budget: near exhaustion the target falls
 # with each draw, and ever smaller ones would only cost store calls.
 LEAST_DRAW = 0.01
-# Seconds of what is granted that a router borrows beyond what it lacks.
+# Seconds of what is granted that a router borrows beyond what it lacks, and
+# requests a second from which on it does: what fewer ones would use later is
+# brought back before they come.
 LOAN_SECONDS = 1.0
+LOAN_REQUESTS = 2.0
 # Seconds for which what was left in the store is believed.  Others give back
 # what they draw too much; a draw is trimmed to what is there (see trim).
 LEFT_SECONDS = 5.0
@@ -184,6 +187,8 @@
         """
         if not self.lacking:
             return 0
+        if self._requests.rate(now) < LOAN_REQUESTS:
+            return self.lacking
         return self.lacking + int(LOAN_SECONDS * self._granted.rate(now))
 
     # Requests
--- a/test/test_prepaid_fleet.py
+++ b/test/test_prepaid_fleet.py
@@ -248,3 +248,25 @@
     assert world.taken() == world.spent + world.held()
     world.check()
     world.close()
+
+
+class Waiter:
+    """A request that waits for some tokens."""
+
+    def __init__(self, tokens):
+        self.tokens = tokens
+
+
+def test_who_asks_seldom_borrows_what_is_lacking_and_no_more():
+    # What a second of demand needs was borrowed besides, after a single
+    # request of 9,000 tokens 4,500 more: idle, and soon brought back.
+    account = Account(BUDGET)
+    account.credit(9000)
+    account.note_demand(9000, 10.0)
+    assert account.reserve(9000, None, 10.0)
+    account.note_demand(8000, 11.0)
+    account.waiting.append(Waiter(8000))
+    assert account.loan(11.0) == 8000
+    for number in range(10):
+        account.note_demand(8000, 11.0 + number / 10)
+    assert account.loan(12.0) > 8000
