Draw for borrowers only, not for routers that draw themselves

Cause: a draw covers what those lacked that asked in vain. In a small fleet each router draws for itself, and asks the others: six of them drew what the seventh lacked, 26,250 tokens each in place of 3,750, and what is left of a budget near its end lay where nobody needed it.

Change: what a router lacks that draws itself is not noted. The new test fails on the code before.

--- a/rowanport/prepaid/keeper.py
+++ b/rowanport/prepaid/keeper.py
@@ -314,9 +314,10 @@
             # This is where its demand is seen.
             account.note_demand(tokens, now)
         lent = account.lend(tokens, self._room(account), now, draws)
-        if lent < tokens and self.is_holder(name):
+        if lent < tokens and not draws and self.is_holder(name):
             # The borrower asks again soon: by then there is more to draw on,
-            # and a limit that lets it go.
+            # and a limit that lets it go.  One that draws itself does so: all
+            # that it asks would draw what it lacks as well, for nobody.
             account.note_unmet(borrower, tokens - lent)
             self._wake.set()
         return lent
--- a/test/test_prepaid_news.py
+++ b/test/test_prepaid_news.py
@@ -53,3 +53,23 @@
     assert stored.total == 100000
     assert 80000 < world.spent <= 100000
     world.close()
+
+
+def test_only_the_router_that_lacks_tokens_draws_them_in_a_small_fleet():
+    # Each of six that were asked drew what the seventh lacked, and near the
+    # end of a budget what was left of it lay where nobody needed it.
+    world = start_fleet(7, 100000)
+    one = world.routers["10.0.1.0:1"]
+    held = {
+        address: router.keeper.accounts[BUDGET].inflow
+        for address, router in world.routers.items()
+        if router is not one
+    }
+    world.request("10.0.1.0:1", 30000, 30000, 0.1)
+    world.advance(0.3)
+    assert world.served == 1
+    for address, inflow in held.items():
+        account = world.routers[address].keeper.accounts[BUDGET]
+        assert account.inflow == inflow
+    world.check()
+    world.close()
