--- a/test/prepaid_world.py
+++ b/test/prepaid_world.py
@@ -504,6 +504,34 @@
     return world
 
 
+class SettledFleet:
+    """Routers that know each other and have drawn tokens.
+
+    In fleets of more than eight few of them draw.
+
+    :ivar addresses: peer addresses of all routers
+    :ivar holders: of those that draw on the budget
+    :ivar borrowers: of all others
+    """
+
+    def __init__(self, total=100000, seed=1, size=20):
+        self.world = World(seed, total)
+        self.addresses = [f"10.0.1.{number}:1" for number in range(size)]
+        for address in self.addresses:
+            self.world.start(address)
+        self.world.advance(8.0)
+        self.holders = self.keeper(self.addresses[0]).holders(BUDGET)
+        self.borrowers = [a for a in self.addresses if a not in self.holders]
+
+    def keeper(self, address):
+        """Return the BudgetKeeper of a router."""
+        return self.world.routers[address].keeper
+
+    def account(self, address):
+        """Return the budget's Account at a router."""
+        return self.keeper(address).accounts[BUDGET]
+
+
 def refusal(world, address, tokens):
     """Return the RequestError that a request for some tokens ends in."""
     keeper = world.routers[address].keeper
--- a/test/test_prepaid_fleet.py
+++ b/test/test_prepaid_fleet.py
@@ -2,6 +2,7 @@
 
 from test.prepaid_world import ADDRESSES
 from test.prepaid_world import BUDGET
+from test.prepaid_world import SettledFleet
 from test.prepaid_world import World
 from unittest import mock
 
@@ -112,13 +113,8 @@
     # requests of a lender's own callers only, so borrowers got a few dozen
     # tokens of each, which helped nobody: three of these eight requests were
     # refused while the holders had enough for all.
-    world = World(1, 100000)
-    fleet = [f"10.0.1.{number}:1" for number in range(20)]
-    for address in fleet:
-        world.start(address)
-    world.advance(8.0)
-    holders = world.routers[fleet[0]].keeper.holders(BUDGET)
-    borrowers = [address for address in fleet if address not in holders]
+    fleet = SettledFleet()
+    world, borrowers = fleet.world, fleet.borrowers
     for borrower in borrowers[:8]:
         world.request(borrower, 6000, 3000, 0.1)
         world.advance(0.25)
@@ -133,18 +129,13 @@
     # what it could: what was too much lay with the borrower, where it is lost
     # in a loss of power.  Beside 48,000 tokens that were used, 24,356 lay
     # there.
-    world = World(1, 100000)
-    fleet = [f"10.0.1.{number}:1" for number in range(20)]
-    for address in fleet:
-        world.start(address)
-    world.advance(8.0)
-    holders = world.routers[fleet[0]].keeper.holders(BUDGET)
-    borrowers = [address for address in fleet if address not in holders]
+    fleet = SettledFleet()
+    world, borrowers = fleet.world, fleet.borrowers
     for borrower in borrowers[:8]:
         world.request(borrower, 6000, 6000, 0.1)
         world.advance(0.25)
     world.advance(0.5)
-    accounts = [world.routers[a].keeper.accounts[BUDGET] for a in borrowers]
+    accounts = [fleet.account(address) for address in borrowers]
     idle = sum(account.available for account in accounts)
     assert world.served == 8
     assert idle < 0.1 * world.spent, idle
@@ -155,13 +146,9 @@
 def test_a_borrower_asks_those_that_hold_tokens_before_all_others():
     # A loan that limits held back at first came only after a dozen routers
     # that hold nothing had been asked, too late for the waiting request.
-    world = World(1, 100000)
-    fleet = [f"10.0.1.{number}:1" for number in range(20)]
-    for address in fleet:
-        world.start(address)
-    world.advance(8.0)
-    holders = world.routers[fleet[0]].keeper.holders(BUDGET)
-    borrower = next(a for a in fleet if a not in holders)
+    fleet = SettledFleet()
+    world, holders = fleet.world, fleet.holders
+    borrower = fleet.borrowers[0]
     asked = []
     ask = Lender._ask
 
@@ -231,19 +218,14 @@
     # A request sets aside what it may use at most.  What was left of that lay
     # with the routers that had borrowed it: 100,798 of the 304,030 tokens of a
     # budget at 30 of 195 routers, while its requests were refused.
-    world = World(1, 100000)
-    fleet = [f"10.0.1.{number}:1" for number in range(20)]
-    for address in fleet:
-        world.start(address)
-    world.advance(8.0)
-    holders = world.routers[fleet[0]].keeper.holders(BUDGET)
-    borrowers = [address for address in fleet if address not in holders]
+    fleet = SettledFleet()
+    world, borrowers = fleet.world, fleet.borrowers
     for borrower in borrowers * 2:
         world.request(borrower, 9000, 2500, 0.3)
         world.advance(1.0)
     assert (world.served, world.refusals) == (32, 0)
     world.advance(1.0)
-    accounts = [world.routers[a].keeper.accounts[BUDGET] for a in borrowers]
+    accounts = [fleet.account(address) for address in borrowers]
     assert sum(account.available for account in accounts) == 0
     assert world.taken() == world.spent + world.held()
     world.check()
--- a/test/test_prepaid_news.py
+++ b/test/test_prepaid_news.py
@@ -1,7 +1,7 @@
 """News of budgets' records between the routers that draw on them."""
 
 from test.prepaid_world import BUDGET
-from test.prepaid_world import World
+from test.prepaid_world import SettledFleet
 
 import pytest
 
@@ -10,20 +10,12 @@
 from rowanport.schema.messages import BudgetNews
 
 
-def start_fleet(size, total):
-    world = World(1, total)
-    for number in range(size):
-        world.start(f"10.0.1.{number}:1")
-    world.advance(8.0)
-    return world
-
-
 @pytest.mark.parametrize("size", [7, 20])
 def test_few_draws_are_refused_as_others_have_drawn(size):
     # Each draw builds on the record that its router saw last.  In turns of
     # several routers that was nearly never the newest one: of the calls that
     # drew, half were refused and made again.
-    world = start_fleet(size, 1000000)
+    world = SettledFleet(1000000, size=size).world
     before, conflicts = world.writes, world.conflicts
     for number in range(60):
         world.request(f"10.0.1.{number % size}:1", 4000, 4000, 0.1)
@@ -37,7 +29,7 @@
 
 
 def test_news_that_are_not_true_cost_one_call_and_no_token():
-    world = start_fleet(4, 100000)
+    world = SettledFleet(size=4).world
     record = BudgetRecord(taken=0, total=10**9, version=10**6)
     lies = BudgetNews(BUDGET, world.revision + 1000, record.pack())
     noise = BudgetNews(BUDGET, world.revision + 2000, b"\xc1")
@@ -58,7 +50,7 @@
 def test_only_the_router_that_lacks_tokens_draws_them_in_a_small_fleet():
     # Each of six that were asked drew what the seventh lacked, and near the
     # end of a budget what was left of it lay where nobody needed it.
-    world = start_fleet(7, 100000)
+    world = SettledFleet(size=7).world
     one = world.routers["10.0.1.0:1"]
     held = {
         address: router.keeper.accounts[BUDGET].inflow
--- a/test/test_prepaid_spent.py
+++ b/test/test_prepaid_spent.py
@@ -9,24 +9,12 @@
 
 from test.prepaid_world import BUDGET
 from test.prepaid_world import refusal
-from test.prepaid_world import World
+from test.prepaid_world import SettledFleet
 
 import pytest
 
 from rowanport.errors import ErrorKind
 
-FLEET = [f"10.0.1.{number}:1" for number in range(20)]
-
-
-def make_fleet(seed=1, total=100000):
-    world = World(seed, total)
-    for address in FLEET:
-        world.start(address)
-    world.advance(8.0)
-    holders = world.routers[FLEET[0]].keeper.holders(BUDGET)
-    borrowers = [address for address in FLEET if address not in holders]
-    return world, borrowers
-
 
 def use(world, address, tokens):
     """Let a request use some tokens, surely."""
@@ -38,7 +26,8 @@
 
 @pytest.mark.parametrize("seed", range(4))
 def test_a_spent_budget_is_called_so_by_those_that_only_borrow(seed):
-    world, borrowers = make_fleet(seed)
+    fleet = SettledFleet(seed=seed)
+    world, borrowers = fleet.world, fleet.borrowers
     for number in range(19):
         use(world, borrowers[number % len(borrowers)], 5000)
         world.advance(0.5)
@@ -59,7 +48,7 @@
 @pytest.mark.parametrize("seed", range(4))
 def test_no_more_is_called_spent_than_was(seed):
     # News of what was spent are lost, late and refused; routers stop and end.
-    world, borrowers = make_fleet(seed, total=400000)
+    world = SettledFleet(400000, seed).world
     fates = ["", "lost", "answer lost", "repeated"]
     for number in range(60):
         address = world.random.choice(sorted(world.routers))
@@ -91,12 +80,12 @@
 def test_news_of_a_record_tell_who_draws_what_was_spent():
     # A router that draws knew what the others used by its own last draw only,
     # and near the end of a budget nobody draws any more.
-    world, _borrowers = make_fleet()
-    holders = world.routers[FLEET[0]].keeper.holders(BUDGET)
-    one, other = (world.routers[address] for address in holders[:2])
-    one.keeper.settle(BUDGET, 0, 0, 7000)
+    fleet = SettledFleet()
+    world = fleet.world
+    one, other = fleet.holders[:2]
+    fleet.keeper(one).settle(BUDGET, 0, 0, 7000)
     world.spent += 7000
-    one.keeper.accounts[BUDGET].take_out(20000)
+    fleet.account(one).take_out(20000)
     world.advance(1.0)
-    assert other.keeper.accounts[BUDGET].known_spent == 7000
+    assert fleet.account(other).known_spent == 7000
     world.close()
