Let a next run report what an ended one knew to be spent

Cause: a router counts what requests used until it draws on the budget again, and near the end of a budget nobody draws. What it had counted was lost with it: after a loss of all power two budgets of a fleet of 23, used up but for 918 of 1,077,563 and 30,373 of 568,072 tokens, were called spent 10 of 404 times.

Change: a holder's record names what no budget's record counts, and the next run writes it there with what it gives back, once (its own record forgets it in the same write), also where nothing can be given back. Records without that field are read.

Ruled out: writing budgets' records more often (a call each).

--- a/rowanport/prepaid/drawer.py
+++ b/rowanport/prepaid/drawer.py
@@ -202,6 +202,8 @@
                 )
                 for name, limit in limits.items()
             },
+            # A next run reports it; this one may end before its next draw.
+            books.unreported_besides(batch.wishes),
         )
         writes.append(self._write(self._key, batch.record))
         writes.extend(self._leases.writes(_mark(batch.record)))
@@ -241,7 +243,8 @@
         """
         own = self._own_record()
         known = (self._incarnation, self._earlier_run)
-        return bool(own.holdings) and own.incarnation not in known
+        left = own.holdings or own.spent
+        return bool(left) and own.incarnation not in known
 
     def _finish(self, batch):
         self._allowances.settle_on(batch.allowance)
@@ -306,6 +309,10 @@
         unspent = {}
         if old.incarnation and old.incarnation != self._incarnation:
             unspent = await self._provably_unspent(old)
+            # Refused requests of a spent budget are told so by what is known
+            # to be spent, and near its end nobody draws: without the reports
+            # of routers that ended, 10 of 315 were (23 routers, 20 s).
+            unspent = dict.fromkeys(old.spent, 0) | unspent
         while unspent:
             names = list(unspent)[:BATCH_LIMIT]
             await self._return_unspent(old, names, unspent)
@@ -357,13 +364,16 @@
         return self._clocks.latest() - since
 
     async def _return_unspent(self, old, names, unspent):
+        """Write what an earlier run left and used into budgets' records."""
+        spent = {name: old.spent.pop(name, 0) for name in names}
         for name in names:
-            del old.holdings[name]
+            old.holdings.pop(name, None)
         for _try in range(CONFLICT_TRIES):
             writes = [self._write(self._key, old)]
             for name in names:
                 record = self.record(name).copy()
                 record.move(-unspent[name])
+                record.spent += spent[name]
                 writes.append(self._write(BUDGET_PREFIX + name, record))
             batch = Batch(0, {})
             batch.writes = writes
--- a/rowanport/prepaid/record.py
+++ b/rowanport/prepaid/record.py
@@ -36,7 +36,7 @@
 
         :param data: the bytes; empty for a budget nobody has drawn on
         """
-        return cls(*_unpack(data, 4)) if data else cls()
+        return cls(*_unpack(data, 4, 4)) if data else cls()
 
     def pack(self):
         """Return the bytes for the store."""
@@ -74,6 +74,8 @@
         showed then
     :ivar holdings: by budget, (tokens in, base, pace): the last two are a
         Limit of tokens out; all are counted from the start of that run
+    :ivar spent: by budget, tokens that it knew to be used and that no
+        budget's record counts
     """
 
     __slots__ = (
@@ -83,6 +85,7 @@
         "wall",
         "earliest",
         "holdings",
+        "spent",
     )
 
     def __init__(
@@ -93,6 +96,7 @@
         wall=0.0,
         earliest=0.0,
         holdings=None,
+        spent=None,
     ):
         self.incarnation = incarnation
         self.number = number
@@ -100,11 +104,13 @@
         self.wall = wall
         self.earliest = earliest
         self.holdings = holdings or {}
+        self.spent = spent or {}
 
     @classmethod
     def unpack(cls, data):
         """Return the record in a store value; raise MessageError if unfit."""
-        return cls(*_unpack(data, 6)) if data else cls()
+        # Those of earlier versions do not name what was spent.
+        return cls(*_unpack(data, 6, 7)) if data else cls()
 
     def pack(self):
         """Return the bytes for the store."""
@@ -116,6 +122,7 @@
                 self.wall,
                 self.earliest,
                 self.holdings,
+                self.spent,
             ]
         )
 
@@ -133,11 +140,12 @@
         return unspent
 
 
-def _unpack(data, count):
+def _unpack(data, least, most):
+    """Return the fields of a record, so many at least and at most."""
     try:
         values = msgpack.unpackb(data)
     except (ValueError, msgpack.UnpackException):
         values = None
-    if not isinstance(values, list) or len(values) != count:
+    if not isinstance(values, list) or not least <= len(values) <= most:
         raise MessageError("malformed record")
     return values
--- a/rowanport/prepaid/refill.py
+++ b/rowanport/prepaid/refill.py
@@ -393,6 +393,14 @@
         """Return how many of these the store's record does not count."""
         return self._accounts[name].unreported
 
+    def unreported_besides(self, names):
+        """Return what no record counts of the budgets that are not named."""
+        return {
+            account.name: account.unreported
+            for account in self._accounts.values()
+            if account.unreported > 0 and account.name not in names
+        }
+
     def limits(self, moves):
         """Return the Limit of tokens out by budget.
 
--- a/test/test_prepaid_recovery.py
+++ b/test/test_prepaid_recovery.py
@@ -1,11 +1,17 @@
 """Which reads a start costs, and records that a cheap one misses."""
 
 from test.prepaid_world import ADDRESSES
+from test.prepaid_world import BUDGET
 from test.prepaid_world import SettledFleet
 from test.prepaid_world import World
 
+import msgpack
 import pytest
 
+from rowanport.prepaid import BudgetRecord
+from rowanport.prepaid import HolderRecord
+from rowanport.prepaid.drawer import BUDGET_PREFIX
+
 
 def test_only_routers_with_a_record_pay_for_a_read_at_their_start():
     # Of 195 routers nine had one, and each paid for the read.
@@ -33,3 +39,40 @@
     assert world.taken() - world.held() < 0.15 * 100000
     world.check()
     world.close()
+
+
+@pytest.mark.parametrize("power", (False, True), ids=("process", "machine"))
+@pytest.mark.parametrize("down", (0.5, 8.0), ids=("recovered", "stranded"))
+def test_what_an_ended_run_knew_to_be_spent_is_counted_once(power, down):
+    # Each router counts what requests used until it draws again, and that was
+    # lost with it.  After a loss of all power two budgets that were used up
+    # but for 918 of 1,077,563 tokens were called so 10 of 404 times.
+    world = World(1, 400000)
+    for address in ADDRESSES:
+        world.start(address)
+    world.advance(3.0)
+    used = dict(zip(ADDRESSES, (3000, 4000, 5000, 6000)))
+    for address, tokens in used.items():
+        keeper = world.routers[address].keeper
+        world.loop.run_until_complete(keeper.reserve(BUDGET, tokens))
+        keeper.settle(BUDGET, tokens, tokens, tokens)
+        world.spent += tokens
+    world.advance(1.5)
+    before = BudgetRecord.unpack(world.read(BUDGET_PREFIX + BUDGET).data).spent
+    assert before < 18000
+    for _number in range(2):
+        for address in ADDRESSES:
+            world.kill(address, down, power)
+        world.advance(down + 2.0)
+        record = BudgetRecord.unpack(world.read(BUDGET_PREFIX + BUDGET).data)
+        assert record.spent == 18000
+    world.check()
+    world.close()
+
+
+def test_a_record_of_an_earlier_version_is_read():
+    record = HolderRecord("run", 1, holdings={BUDGET: (100, 10, 20.0)})
+    fields = msgpack.unpackb(record.pack())[:6]
+    old = HolderRecord.unpack(msgpack.packb(fields))
+    assert old.unspent(1.0) == {BUDGET: 70}
+    assert old.spent == {}
