--- a/rowanport/prepaid/keeper.py
+++ b/rowanport/prepaid/keeper.py
@@ -17,6 +17,7 @@
 from .account import Account
 from .exhaustion import Exhaustion
 from .handover import HandOvers
+from .holders import Holders
 from .lender import Asked
 from .lender import Lender
 from .news import RecordNews
@@ -85,19 +86,26 @@
         self._members = members
         self._clock = clock
         self._accounts = {}
+        address = address_of(incarnation)
+        self._holders = Holders(address, self._accounts, members, clock)
         self._refill = Refill(
             incarnation,
             self._accounts,
             store,
-            members,
+            self._holders,
             clock,
             clocks,
-            RecordNews(address_of(incarnation), peers),
+            RecordNews(address, peers),
         )
         self._lender = Lender(self, incarnation, peers, members, clock)
         self._hand_overs = HandOvers(self, incarnation, peers, members, clock)
         self._returns = Returns(
-            self._accounts, self._refill, self._hand_overs, members, clock
+            self._accounts,
+            self._holders,
+            self._refill,
+            self._hand_overs,
+            members,
+            clock,
         )
         self._tasks = TaskSet()
         self._askers = {}
@@ -118,11 +126,11 @@
 
     def holders(self, name):
         """Return the addresses of routers that draw on a budget."""
-        return self._refill.holders(name)
+        return self._holders.of(name)
 
     def is_holder(self, name):
         """Return whether this router draws on a budget."""
-        return self._refill.is_holder(name)
+        return self._holders.is_holder(name)
 
     # Configuration
 
@@ -270,7 +278,7 @@
         :param sender: its peer address
         """
         account = self._account(name)
-        if sender in self._refill.holders(name):
+        if sender in self._holders.of(name):
             account.credit(tokens)
         else:
             account.take_back(tokens, self._clock.steady())
@@ -304,7 +312,7 @@
         """
         account = self._account(name)
         now = self._clock.steady()
-        draws = borrower in self._refill.holders(name)
+        draws = borrower in self._holders.of(name)
         if not draws:
             # This is where its demand is seen.
             account.note_demand(tokens, now)
@@ -357,7 +365,7 @@
         if not account.waiting:
             return
         if asked is Asked.UNANSWERED:
-            self._refill.draw_alone(account.name)
+            self._holders.draw_alone(account.name)
         await self._lender.ask_all(account)
 
     # Store
@@ -411,7 +419,7 @@
         LOG.info(
             "budgets_held",
             routers=1 + len(self._members.others()),
-            holders=len(self._refill.holders("")),
+            holders=len(self._holders.of("")),
             held={
                 account.name: (account.available, account.left)
                 for account in held[:REPORT_BUDGETS]
--- a/rowanport/prepaid/refill.py
+++ b/rowanport/prepaid/refill.py
@@ -5,9 +5,7 @@
 import structlog
 
 from ..errors import StoreBusy
-from ..hashing import rendezvous
 from ..incarnation import address_of
-from ..membership.members import STORE_DUTY
 from .account import ALLOWANCE_USED
 from .allowance import Allowances
 from .allowance import Limit
@@ -22,28 +20,10 @@
 STORE_DRY_SECONDS = 2.0
 # Shortest time in seconds between two records that only widen limits.
 WIDEN_PAUSE = 0.35
-# Fleets up to which every router draws, so that each has tokens in a cut.
-SMALL_FLEET = 8
-# Routers of a larger fleet that hold tokens of one budget drawn from the
-# store; the others borrow from these.  Each writes a record 1.4 times a
-# second: with eight of them records and draws were three in five of the store
-# calls of 23 routers (498 of some 830 by price, counted by kind over 31 s).
-HOLDERS = 4
-# Part of the fleet that draws on any budget, HOLDERS routers at least: the
-# store's rates grow more slowly than the fleet.  Routers that just started
-# know few others; up to 249 routers they find the same ones all the same.
-DRAWING_SHARE = 0.02
-# Seconds after the start during which a router may not know the others yet:
-# heartbeats are 0.8 s apart, and machines that lost power together are back
-# within a second of each other.
-LEARN_SECONDS = 3.0
 # Seconds after the start before anything is drawn that no request waits for:
 # by the first a router knows whether the fleet is small, by the second most
 # routers of a fleet of a hundred.
 FIRST_DRAW_SECONDS = 0.4
-# Seconds for which a router draws that reaches no holder: by then one is back
-# after a loss of power, or others have taken its place.
-ALONE_SECONDS = 3.0
 LARGE_DRAW_SECONDS = 4.0
 
 
@@ -53,28 +33,23 @@
     :param incarnation: this router's incarnation
     :param accounts: the Accounts by budget, which it changes
     :param store: a TransactionStore
-    :param members: the Membership
+    :param holders: the Holders
     :param clock: a Clock
     :param clocks: the FleetClocks
     :param news: the RecordNews
     """
 
     def __init__(
-        self, incarnation, accounts, store, members, clock, clocks, news
+        self, incarnation, accounts, store, holders, clock, clocks, news
     ):
         self._address = address_of(incarnation)
         self._accounts = accounts
-        self._members = members
+        self._holders = holders
         self._clock = clock
         self._news = news
         self._totals = ({}, 0)
         self._dry_until = {}
         self._drawn = set()
-        # Holders by budget, and the routers among which they were chosen.
-        self._holders = {}
-        self._holders_among = None
-        # Steady times until which this router draws for want of holders.
-        self._alone_until = {}
         self._allowances = Allowances()
         self._drawer = Drawer(
             incarnation,
@@ -100,82 +75,9 @@
         """Return the event that all that is held may go out."""
         return self._released
 
-    def holders(self, name):
-        """Return the addresses of routers that draw on a budget.
-
-        Others borrow from them.  There are none while all routers stop.
-        """
-        routers = self._drawing()
-        if not self._is_large:
-            return routers
-        if routers is not self._holders_among:
-            self._holders_among = routers
-            self._holders = {}
-        holders = self._holders.get(name)
-        if holders is None:
-            holders = rendezvous(name, routers)[:HOLDERS]
-            self._holders[name] = holders
-        return holders
-
-    def is_holder(self, name):
-        """Return whether this router draws on a budget."""
-        if self._address in self.holders(name):
-            return True
-        if self._clock.steady() < self._alone_until.get(name, 0.0):
-            return True
-        account = self._accounts.get(name)
-        return account is not None and account.is_heavy(
-            HOLDERS, self._clock.steady()
-        )
-
     def is_borrower(self, name):
         """Return whether what this router holds of a budget is borrowed."""
-        return not self.is_holder(name) and name not in self._drawn
-
-    def draw_alone(self, name):
-        """Draw on a budget for a while, as no holder answers."""
-        self._alone_until[name] = self._clock.steady() + ALONE_SECONDS
-
-    def _drawing(self):
-        """Return the addresses of routers that draw on any budget."""
-        if self._is_large:
-            return self._members.delegates(STORE_DUTY, HOLDERS, DRAWING_SHARE)
-        return self._routers()
-
-    def _routers(self):
-        """Return the addresses of all routers of the cell that go on.
-
-        One that is suspected for a moment stays among them: a fleet does not
-        turn small and draw anew because of it.
-        """
-        return self._members.delegates("routers", SMALL_FLEET, 1.0)
-
-    @property
-    def _is_large(self):
-        """Return whether some routers borrow what others draw."""
-        return len(self._routers()) > SMALL_FLEET
-
-    @property
-    def _young(self):
-        """Return whether this router may not know the others yet."""
-        return self._clock.steady() < self._started + LEARN_SECONDS
-
-    def _holder_count(self, name):
-        """Return how many routers hold tokens of a budget, one at least.
-
-        While all routers stop nobody draws on it, and this one still holds
-        some.
-        """
-        return max(1, len(self.holders(name)))
-
-    def _sharer_count(self, name):
-        """Return by how many routers to share a budget when drawing on it.
-
-        One that just started may seem alone.  Drawing for the whole fleet,
-        it would leave the others nothing until it has given it back.
-        """
-        count = self._holder_count(name)
-        return max(count, SMALL_FLEET) if self._young else count
+        return not self._holders.is_holder(name) and name not in self._drawn
 
     def set_totals(self, totals, version):
         """Take over totals by budget, and their configuration's version."""
@@ -243,14 +145,14 @@
         too_early = self._is_too_early(now)
         wishes = {}
         for name, account in self._accounts.items():
-            if not self.is_holder(name):
+            if not self._holders.is_holder(name):
                 if self._is_to_give_back(account):
                     wishes[name] = -account.available
                 continue
             needed = account.lacking or account.unmet
             if not needed and too_early:
                 continue
-            wish = account.wish(self._sharer_count(name), now)
+            wish = account.wish(self._holders.sharer_count(name), now)
             if wish > 0 and now < self._dry_until.get(name, 0.0):
                 continue
             if wish or account.recalled:
@@ -263,7 +165,11 @@
         One that just started knows few others and takes itself for one of
         those that draw.
         """
-        delay = LARGE_DRAW_SECONDS if self._is_large else FIRST_DRAW_SECONDS
+        delay = (
+            LARGE_DRAW_SECONDS
+            if self._holders.is_large
+            else FIRST_DRAW_SECONDS
+        )
         return now < self._started + delay
 
     def _is_to_give_back(self, account):
@@ -271,7 +177,7 @@
 
         A router that just started may have taken the fleet for small.
         """
-        return account.name in self._drawn and not self._young
+        return account.name in self._drawn and not self._holders.young
 
     def _last_wishes(self):
         """Return what to give back at the end of a planned stop."""
@@ -288,7 +194,7 @@
         held = self.held()
         if self._stopping and not self._released.is_set():
             return True
-        if not self._drawn and self._address not in self._drawing():
+        if not self._drawn and self._address not in self._holders.drawing():
             # What was only borrowed is not written down.
             return False
         now = self._clock.steady()
@@ -325,7 +231,7 @@
         """Return the tokens that may go out at once after a record."""
         if self._stopping:
             return account.available
-        holders = self._holder_count(account.name)
+        holders = self._holders.count(account.name)
         return account.allowance(holders, self._clock.steady())
 
     def _limit(self, account, inflow):
@@ -334,7 +240,7 @@
         :param inflow: tokens that came in, and those that the batch draws
         """
         base = min(inflow, account.outflow + self._allowance(account))
-        holders = self._holder_count(account.name)
+        holders = self._holders.count(account.name)
         return Limit(base, account.pace(holders, self._clock.steady()))
 
     def _begin(self, wishes):
@@ -352,7 +258,7 @@
     # Records of budgets
 
     def _note_record(self, name, value):
-        self._news.tell(self.holders(name), name, value)
+        self._news.tell(self._holders.of(name), name, value)
 
     def hear(self, name, value):
         """Take in what a budget's record says, as a peer wrote it."""
@@ -382,7 +288,7 @@
 
         :param left: tokens left in the store
         """
-        count = self._sharer_count(name)
+        count = self._holders.sharer_count(name)
         return self._accounts[name].trim(wish, count, left)
 
     def spent(self, name):
@@ -438,7 +344,7 @@
                 account.recalled = False
             if drawn:
                 self._drawn.add(name)
-            elif not self.is_holder(name):
+            elif not self._holders.is_holder(name):
                 self._drawn.discard(name)
             if moved < asked:
                 self._dry_until[name] = now + STORE_DRY_SECONDS
--- a/rowanport/prepaid/returns.py
+++ b/rowanport/prepaid/returns.py
@@ -39,14 +39,16 @@
     """Hands over what this router borrowed and does not need.
 
     :param accounts: the Accounts by budget
-    :param refill: the Refill, which knows who draws on a budget
+    :param holders: the Holders
+    :param refill: the Refill, which knows what is borrowed
     :param hand_overs: the HandOvers
     :param members: the Membership
     :param clock: a Clock
     """
 
-    def __init__(self, accounts, refill, hand_overs, members, clock):
+    def __init__(self, accounts, holders, refill, hand_overs, members, clock):
         self._accounts = accounts
+        self._holders = holders
         self._refill = refill
         self._hand_overs = hand_overs
         self._members = members
@@ -60,7 +62,7 @@
         ready = {address_of(p): p for p in self._members.ready_others()}
         shares = {}
         for account in idle:
-            holders = self._refill.holders(account.name)
+            holders = self._holders.of(account.name)
             lenders = [ready[holder] for holder in holders if holder in ready]
             if lenders:
                 lender = ready.get(account.lender)
--- a/test/test_prepaid.py
+++ b/test/test_prepaid.py
@@ -24,7 +24,7 @@
 from rowanport.prepaid import Account
 from rowanport.prepaid import BudgetRecord
 from rowanport.prepaid import drawer
-from rowanport.prepaid import refill
+from rowanport.prepaid import holders as holders_
 from rowanport.prepaid.account import LEFT_SECONDS
 from rowanport.prepaid.allowance import Allowances
 from rowanport.prepaid.allowance import HOLD_SECONDS
@@ -341,8 +341,8 @@
 
 
 def test_no_token_is_used_twice_where_few_routers_draw():
-    small = mock.patch.object(refill, "SMALL_FLEET", 2)
-    with small, mock.patch.object(refill, "HOLDERS", 2):
+    small = mock.patch.object(holders_, "SMALL_FLEET", 2)
+    with small, mock.patch.object(holders_, "HOLDERS", 2):
         run_machine(FewHoldersMachine, 20)
         with lent_without_debit(), pytest.raises(AssertionError):
             run_machine(FewHoldersMachine, 400)
--- a/test/test_prepaid_fleet.py
+++ b/test/test_prepaid_fleet.py
@@ -8,12 +8,12 @@
 
 from rowanport.hashing import rendezvous
 from rowanport.prepaid import Account
-from rowanport.prepaid import refill
+from rowanport.prepaid import holders as holders_
 from rowanport.prepaid.account import FIRST_SHARE
+from rowanport.prepaid.holders import HOLDERS
+from rowanport.prepaid.holders import LEARN_SECONDS
+from rowanport.prepaid.holders import SMALL_FLEET
 from rowanport.prepaid.lender import Lender
-from rowanport.prepaid.refill import HOLDERS
-from rowanport.prepaid.refill import LEARN_SECONDS
-from rowanport.prepaid.refill import SMALL_FLEET
 
 
 def test_a_router_that_knows_nobody_yet_does_not_draw_for_the_whole_fleet():
@@ -87,7 +87,7 @@
     drawing = list(world.routers)[: 3 * HOLDERS]
     with (
         mock.patch.object(keeper._members, "delegates", lambda *_: drawing),
-        mock.patch.object(refill, "rendezvous", wraps=rendezvous) as order,
+        mock.patch.object(holders_, "rendezvous", wraps=rendezvous) as order,
     ):
         for _number in range(10):
             keeper.holders(BUDGET)
