--- a/rowanport/gateway/views.py
+++ b/rowanport/gateway/views.py
@@ -33,8 +33,8 @@
 LEARN_SECONDS = 5.0
 # Seconds after the start before a router follows the store if its settings
 # name seeds, which follow it at once, and nobody else is known: by then it
-# knows most of the others.  A start of each of 18 routers took 8.5 calls of the
-# store, most of them watches that returned as others started.
+# knows most of the others.  A start of each of 18 routers took 8.5 calls of
+# the store, most of them watches that returned as others started.
 SEEDED_PAUSE = 2.0
 
 
