--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup demo test lint generate fuzz bench slopes soak format
+.PHONY: setup demo test lint generate fuzz bench soak format
 
 $(VENV)/.installed: pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -38,9 +38,6 @@
 bench: setup
 	$(BIN)/python -m bench.bench $(BENCH_FLAGS)
 
-slopes: setup
-	$(BIN)/python -m bench.slopes
-
 # SOAK_FLAGS="--seed 100 --seeds 50", see docs/soak.md
 soak: setup
 	$(BIN)/python -m soak $(SOAK_FLAGS)
