Revert news of late first events: they cost what they gain at high load

Likely, not traced: engines whose slots are full are late too, and to leave them out crowds the others. The model has no such load (64 slots, 39 engines). What stays of it: patterns of large fleets in the model, tests of notes there.

--- a/rowanport/gateway/backlog.py
+++ b/rowanport/gateway/backlog.py
@@ -31,7 +31,7 @@
     shrinks at the rate at which the engine was seen to read.
     """
 
-    __slots__ = ("_tokens", "_at", "_rate", "_lag", "_lag_at", "_late_until")
+    __slots__ = ("_tokens", "_at", "_rate", "_lag", "_lag_at")
 
     def __init__(self):
         self._tokens = 0.0
@@ -39,7 +39,6 @@
         self._rate = DEFAULT_RATE
         self._lag = 0.0
         self._lag_at = 0.0
-        self._late_until = 0.0
 
     @property
     def rate(self):
@@ -62,32 +61,18 @@
         self._at = now
         return self._tokens
 
-    def late(self, now):
-        """Return by how many seconds first events are expected to be late."""
-        return max(0.0, self._late_until - now)
-
-    def note_late(self, seconds, now):
-        """Expect first events to be late for as long as one just was.
-
-        Work is placed by it.  Nothing is turned away: where all engines have
-        too much to do, each is late.
-        """
-        self._late_until = max(self._late_until, now + seconds)
-
     def note_first_event(self, tokens, seconds, now):
         """Learn from a send whose first event came.
 
         :param tokens: what was to be read with it, as :meth:`add` returned
         :param seconds: from the send to its first event
         :param now: steady time
-        :returns: seconds by which it came later than by what is known of
         """
         late = max(0.0, seconds - tokens / self._rate - USUAL_LAG)
         lag = self.lag(now)
         self._lag = lag + LAG_WEIGHT * (late - lag)
         self._lag_at = now
         self.measure(tokens, seconds)
-        return late
 
     def measure(self, tokens, seconds):
         """Learn the rate from a send whose first event came.
--- a/rowanport/gateway/choice.py
+++ b/rowanport/gateway/choice.py
@@ -35,13 +35,6 @@
 # .49 to .54 with slow engines and from .75 to .79 in a jump of users (eight
 # seeds, standard errors .02).
 SPREAD = 1.25
-# Part of all engines that may be left out, as their first events come late:
-# slow ones are few, and of too many prompts all have some.  In a model of 195
-# routers and 39 engines, five of them five times slower, what was earned of
-# what was asked for rose from .83 to .88; with 14 engines, too few for all, it
-# was .59 in place of .60, and .50 if all late ones are left out (four seeds,
-# standard errors .01).
-LATE_SHARE = 0.25
 # Requests by which a plain upstream of the own data centre may be busier.
 NEAR_BONUS = 2
 
@@ -87,7 +80,6 @@
         return overload.late_start(waits, objective, job.priority, now)
 
     def choose(self, candidates, job, now):
-        candidates = self._not_late(candidates, now)
         if job.shared < SHARED_LEAST:
             state = self._choose_short(candidates, job, now)
         else:
@@ -95,17 +87,6 @@
         state.pacing.follow(job, now)
         return state
 
-    @staticmethod
-    def _not_late(candidates, now):
-        """Leave out those whose first events come late, if they are few.
-
-        Where many are late there is too much to do for all, and to crowd upon
-        the others makes these late, too.
-        """
-        others = [s for s in candidates if not s.backlog.late(now)]
-        late = len(candidates) - len(others)
-        return others if late <= LATE_SHARE * len(candidates) else candidates
-
     def _choose_short(self, candidates, job, now):
         """Choose by load and pauses first, then by the data centre."""
         fit = self._less_loaded(self._in_time(candidates, job, now))
--- a/rowanport/gateway/digest.py
+++ b/rowanport/gateway/digest.py
@@ -4,9 +4,8 @@
 
 # Seconds for which notes are kept: routers ask four times a second.
 KEEP_SECONDS = 1.0
-# Notes in one answer, late first events and the largest prompts first: at
-# four answers a second 2 KB/s of the 5 KB/s that control may cost a router
-# that asks.
+# Notes in one answer, the largest prompts first: at four answers a second
+# 1.9 KB/s of the 5 KB/s that control may cost a router that asks.
 DIGEST_LIMIT = 16
 
 
@@ -37,5 +36,5 @@
             for heard, note in self._notes
             if heard > begin and note.sender != asker
         ]
-        notes.sort(key=lambda note: (-note.late_ms, -note.tokens))
+        notes.sort(key=lambda note: -note.tokens)
         return notes[:DIGEST_LIMIT]
--- a/rowanport/gateway/loads.py
+++ b/rowanport/gateway/loads.py
@@ -23,10 +23,6 @@
 # Prompt tokens below which a send is not told: they are read in 50 ms, one
 # twelfth of the shortest objective.
 NOTE_LEAST = 2000
-# Seconds by which a first event has to be late to be told: a quarter of an
-# objective of 0.8 s.  Each of 195 routers meets an engine once in minutes and
-# by itself never learns that it is slow.
-LATE_LEAST = 0.2
 # Notes that a router sends a second, and with that hears: all peers are told
 # in the fleets of today, a sample in larger ones.  At 33 bytes a note this is
 # half of the 5 KB/s that control may cost.
@@ -73,25 +69,10 @@
         now = self._clock.steady()
         if unread >= NOTE_LEAST:
             upstream = state.record.id
-            self._tell(LoadNote(upstream, prefix, unread, self._address, 0))
+            self._tell(LoadNote(upstream, prefix, unread, self._address))
         self._prefixes.note(prefix, state.record.id, now)
         return state.backlog.add(unread, now)
 
-    def note_first_event(self, state, ahead, seconds):
-        """Learn from a send whose first event came, and tell if it was late.
-
-        :param state: the UpstreamState that it went to
-        :param ahead: prompt tokens to be read with it, as of its send
-        :param seconds: from the send to its first event
-        """
-        now = self._clock.steady()
-        late = state.backlog.note_first_event(ahead, seconds, now)
-        if late < LATE_LEAST or not self._is_large:
-            return
-        state.backlog.note_late(late, now)
-        upstream, late_ms = state.record.id, int(1000 * late)
-        self._tell(LoadNote(upstream, 0, 0, self._address, late_ms))
-
     def _tell(self, note):
         self._peers.tell(self._listeners(self._clock.steady()), note)
         self._digest.add(note)
@@ -139,10 +120,6 @@
         """Take in a LoadNote."""
         now = self._clock.steady()
         state = self._pool.get(note.upstream)
-        if note.late_ms:
-            if state is not None:
-                state.backlog.note_late(note.late_ms / 1000, now)
-            return
         self._prefixes.note(note.prefix, note.upstream, now)
         if state is not None:
             state.backlog.add(note.tokens, now)
--- a/rowanport/gateway/sending.py
+++ b/rowanport/gateway/sending.py
@@ -164,8 +164,8 @@
         sent_at = self._clock.steady()
         answer = await self._gateway.exchange.send(self._job, state.record)
         if is_stream(answer):
-            seconds = self._clock.steady() - sent_at
-            self._gateway.loads.note_first_event(state, ahead, seconds)
+            now = self._clock.steady()
+            state.backlog.note_first_event(ahead, now - sent_at, now)
         return answer
 
     def _note_load(self, state):
--- a/rowanport/schema/messages.py
+++ b/rowanport/schema/messages.py
@@ -1863,13 +1863,12 @@
 
 
 class LoadNote(Message):
-    """A long prompt goes to an upstream, or its first event was late; sent to peers, not answered.
+    """A long prompt goes to an upstream; sent to peers, not answered.
 
     :ivar upstream: id of the upstream
     :ivar prefix: hash of the prompt's shared part
     :ivar tokens: prompt tokens that the upstream has to read
     :ivar sender: peer address of the router that sent it
-    :ivar late_ms: milliseconds by which a first event came later than by what is known of; 0 for a prompt that goes out
     """
 
     __slots__ = (
@@ -1877,16 +1876,14 @@
         "prefix",
         "tokens",
         "sender",
-        "late_ms",
     )
     KIND = 63
 
-    def __init__(self, upstream, prefix, tokens, sender, late_ms):
+    def __init__(self, upstream, prefix, tokens, sender):
         self.upstream = upstream
         self.prefix = prefix
         self.tokens = tokens
         self.sender = sender
-        self.late_ms = late_ms
 
     def to_wire(self):
         """Return the fields as plain values, in the schema's order."""
@@ -1895,19 +1892,17 @@
             self.prefix,
             self.tokens,
             self.sender,
-            self.late_ms,
         ]
 
     @classmethod
     def from_wire(cls, values):
         """Build one from plain values; raise MessageError if unfit."""
-        check_length(cls, values, 5)
+        check_length(cls, values, 4)
         return cls(
             as_str(values[0]),
             as_int(values[1]),
             as_int(values[2]),
             as_str(values[3]),
-            as_int(values[4]),
         )
 
 
--- a/test/test_choice.py
+++ b/test/test_choice.py
@@ -356,7 +356,7 @@
 
 
 def test_a_note_of_an_upstream_that_is_not_listed_changes_nothing(router):
-    router.notes.take(LoadNote("gone", 1, 5000, "peer", 0))
+    router.notes.take(LoadNote("gone", 1, 5000, "peer"))
     assert all(
         router.pool.get(name).backlog.tokens(100.0) == 0 for name in ENGINES
     )
@@ -376,9 +376,9 @@
         address = f"127.0.0.1:{port}"
         peers = PeerClient("x/y/1", "secret")
         # Without a connection it is lost.
-        peers.tell([address], LoadNote("lost", 1, 1, "own", 0))
+        peers.tell([address], LoadNote("lost", 1, 1, "own"))
         await peers.call(address, Ack(), 5.0)
-        peers.tell([address], LoadNote("e1", 2, 3, "own", 0))
+        peers.tell([address], LoadNote("e1", 2, 3, "own"))
         await peers.call(address, Ack(), 5.0)
         peers.close()
         await server.close()
--- a/test/test_engine_load.py
+++ b/test/test_engine_load.py
@@ -7,7 +7,6 @@
 import pytest
 
 from bench.engines.fleet import Fleet
-from bench.engines.load import LARGE_LONG
 from bench.engines.load import LONG
 from bench.engines.load import PATTERNS
 from bench.engines.load import SHORT
@@ -160,32 +159,9 @@
     return 0.0
 
 
-def tell_nothing(_self, state, ahead, seconds):
-    """Learn from a first event alone."""
-    state.backlog.note_first_event(ahead, seconds, _self._clock.steady())
-
-
 @pytest.mark.parametrize("pattern", ["large", "large-slow"])
 def test_a_large_fleet_serves_more_where_routers_hear_of_long_prompts(pattern):
     # 195 routers before 39 engines: each sees one prompt in two hundred, and
     # without news they meet at the same engines.
     without = play_without(pattern, LoadNotes, "unheard_seconds", hear_nothing)
     assert credit(play(pattern)) > credit(without) + 0.01
-
-
-def test_a_large_fleet_serves_more_where_routers_hear_of_slow_engines():
-    # Five of 39 take five times as long.  A router meets each once in minutes
-    # and by itself never learns which they are.
-    without = play_without(
-        "large-slow", LoadNotes, "note_first_event", tell_nothing
-    )
-    assert credit(play("large-slow")) > credit(without) + 0.03
-
-
-def test_late_first_events_turn_nobody_away_in_a_large_fleet():
-    # With engines enough; where there are too few, all of them are late.
-    assert refused(play("large-slow"), LARGE_LONG) < 0.01
-    without = play_without(
-        "large-few", LoadNotes, "note_first_event", tell_nothing
-    )
-    assert credit(play("large-few")) > credit(without) - 0.05
--- a/test/test_load_digest.py
+++ b/test/test_load_digest.py
@@ -1,7 +1,6 @@
 """News of long prompts in a fleet too large to tell all of them."""
 
 import asyncio
-from test.test_choice import ENGINES
 from test.test_choice import FakeClock
 from test.test_choice import FakePeers
 from test.test_choice import FakeRouter
@@ -86,12 +85,12 @@
     fleet = LargeFleet(clock)
     follower = fleet.routers[fleet.leading[0]].notes
     for number in range(5 * DIGEST_LIMIT):
-        follower.hear(LoadNote("e1", number, NOTE_LEAST + number, "r", 0))
+        follower.hear(LoadNote("e1", number, NOTE_LEAST + number, "r"))
     notes = follower.heard(0.25, "asker")
     assert len(notes) == DIGEST_LIMIT
     assert min(note.tokens for note in notes) >= NOTE_LEAST + 4 * DIGEST_LIMIT
     clock.now += 5.0
-    follower.hear(LoadNote("e1", 1, NOTE_LEAST, "r", 0))
+    follower.hear(LoadNote("e1", 1, NOTE_LEAST, "r"))
     assert len(follower.heard(10.0, "asker")) == 1
 
 
@@ -126,32 +125,3 @@
     loop.close()
     pool = fleet.routers[asker].pool
     assert pool.get(engine).backlog.tokens(clock.now) > 0
-
-
-def test_all_hear_of_an_engine_whose_first_events_come_late(clock):
-    # Five of 39 engines took five times as long for six seconds.  Each of 195
-    # routers met them once or twice in that time, and they got as many
-    # prompts as the others: 130 of the 223 answers that came late.
-    fleet = LargeFleet(clock)
-    sender, asker = fleet.others[:2]
-    state = fleet.routers[sender].pool.get("e1")
-    fleet.routers[sender].notes.note_first_event(state, 0, 1.1)
-    follower = fleet.routers[fleet.leading[0]]
-    for note in follower.notes.heard(0.25, asker):
-        fleet.routers[asker].notes.take(note)
-    for name in (sender, asker):
-        told = fleet.routers[name].pool.get("e1").backlog
-        assert told.late(clock.now) == pytest.approx(1.0)
-        # It is not much later than that because several say so.
-        fleet.routers[name].notes.take(LoadNote("e1", 0, 0, "r", 900))
-        assert told.late(clock.now) == pytest.approx(1.0)
-        # By then it is tried again.
-        assert told.late(clock.now + 1.1) == 0
-    # Where most are late none is left out, and nobody is turned away by it.
-    assert send(fleet.routers[asker]) != "e1"
-    for engine in ("e2", "e3"):
-        fleet.routers[asker].notes.take(LoadNote(engine, 0, 0, "r", 900))
-    assert send(fleet.routers[asker]) in ENGINES
-    assert fleet.routers[asker].pool.get("e1").delay(clock.now) < 0.5
-    fleet.routers[sender].notes.note_first_event(state, 0, 0.2)
-    assert not follower.notes.heard(0.0, asker)
