--- a/test/test_ledger.py
+++ b/test/test_ledger.py
@@ -353,7 +353,7 @@
 def test_the_machine_of_suspicion_finds(broken):
     run_machine(SuspicionMachine, 20)
     with broken(), pytest.raises(AssertionError):
-        run_machine(SuspicionMachine, 400)
+        run_machine(SuspicionMachine, 3000)
 
 
 class LateStartMachine(LedgerMachine):
