Count no more as spent than was: compare what peers say, add nothing to it

Cause, found in a last read and by a check put into all machines of prepaid budgets (720 counted of 600): a router added its own count of spent tokens to a peer's word and said the sum on, and the peer's word already held that count; it told a lender what a batch of unknown fate, or the record that its next run reports, may count as well. A budget could be called spent (402, final) while tokens were there.

Change: a peer's word is compared with the own count, never added to it. What the store may count already is not told to lenders. All machines report what requests use, and World.check asks after each step that neither the store nor any router counts more than was spent.

Ruled out: counts by router and record version (more to keep, for knowing of a spent budget a little earlier).

--- a/rowanport/prepaid/account.py
+++ b/rowanport/prepaid/account.py
@@ -65,7 +65,9 @@
     :ivar outflow: tokens that went out or are set aside
     :ivar spent: tokens that requests of this router surely used
     :ivar reported: how many of these the store's record or a peer counts
-    :ivar spent_before: tokens that others were last heard to count
+    :ivar recorded: tokens that the budget's record counts as spent, as last
+        seen
+    :ivar heard: most tokens that a peer knew to be spent
     :ivar total: tokens paid for, as the configuration says
     :ivar left: tokens left in the store when it was last seen, or None
     :ivar left_at: steady time then
@@ -83,7 +85,8 @@
         "outflow",
         "spent",
         "reported",
-        "spent_before",
+        "recorded",
+        "heard",
         "total",
         "left",
         "left_at",
@@ -105,7 +108,8 @@
         self.outflow = 0
         self.spent = 0
         self.reported = 0
-        self.spent_before = 0
+        self.recorded = 0
+        self.heard = 0
         self.total = 0
         self.left = None
         self.left_at = 0.0
@@ -135,8 +139,12 @@
 
     @property
     def known_spent(self):
-        """Return the tokens that were surely used, as far as is known."""
-        return self.spent_before + self.unreported
+        """Return the tokens that were surely used, as far as is known.
+
+        What a peer knew is not added to: it may hold what is counted here,
+        and two routers that told each other would count more and more.
+        """
+        return max(self.recorded + self.unreported, self.heard)
 
     @property
     def unreported(self):
@@ -145,7 +153,7 @@
 
     def hear_spent(self, tokens):
         """Take in how many tokens were surely used, as a peer knows."""
-        self.spent_before = max(self.spent_before, tokens)
+        self.heard = max(self.heard, tokens)
 
     @property
     def wanted(self):
@@ -244,7 +252,7 @@
         self.left = record.left
         self.left_at = now
         self.reported = reported
-        self.spent_before = record.spent
+        self.recorded = record.spent
 
     # Tokens that come and go
 
--- a/rowanport/prepaid/drawer.py
+++ b/rowanport/prepaid/drawer.py
@@ -104,6 +104,8 @@
         self._earlier_run = ""
         # What an earlier run knew to be spent and no budget's record counts.
         self._inherited_spent = {}
+        # Budgets of which the own record names tokens that this run spent.
+        self._named_spent = set()
         self.batch = None
         self.on_record = None
 
@@ -207,7 +209,7 @@
                 )
                 for name, limit in limits.items()
             },
-            self._unreported(unreported, batch),
+            self._unreported(books, unreported, batch),
         )
         writes.append(self._write(self._key, batch.record))
         writes.extend(self._leases.writes(_mark(batch.record)))
@@ -215,17 +217,27 @@
         self._allowances.add(batch.allowance)
         batch.writes = writes
 
-    def _unreported(self, own, batch):
+    def _unreported(self, books, own, batch):
         """Return what is spent by budget and not counted with a batch.
 
-        A next run reports it; this one may end before its next draw.
+        A next run reports it; this one may end before its next draw.  What was
+        spent of a borrowed budget its lenders are told.
 
         :param own: what this run counts, by budget
         """
+        drawn = {n: t for n, t in own.items() if not books.is_borrower(n)}
         spent = collections.Counter(self._inherited_spent)
-        spent.update(own)
+        spent.update(drawn)
         return {n: t for n, t in spent.items() if n not in batch.wishes}
 
+    def may_count_spent(self, name):
+        """Return whether the store may count what this run spent of a budget.
+
+        It does if a batch stands whose answer was lost, and a next run has it
+        counted if the own record names it.
+        """
+        return self.batch is not None or name in self._named_spent
+
     def _write(self, key, record):
         value = self._values.get(key)
         return Write(key, record.pack(), value.version if value else 0)
@@ -266,6 +278,7 @@
         self.batch = None
         for name in batch.wishes:
             self._inherited_spent.pop(name, None)
+        self._named_spent = set(batch.record.spent)
         return batch
 
     # Records
--- a/rowanport/prepaid/keeper.py
+++ b/rowanport/prepaid/keeper.py
@@ -291,7 +291,7 @@
 
     def hear_spent(self, name, tokens):
         """Take in how many tokens were surely used, as a peer knows."""
-        self._refill.hear_spent(self._account(name), tokens)
+        self._account(name).hear_spent(tokens)
 
     def put_back_spent(self, tokens):
         """Take back by budget what no peer counts after all."""
--- a/rowanport/prepaid/refill.py
+++ b/rowanport/prepaid/refill.py
@@ -264,17 +264,19 @@
         """Take in what a budget's record says, as a peer wrote it."""
         self._drawer.hear(name, value)
         account = self._accounts.get(name)
-        if account is not None:
-            self.hear_spent(account, self._drawer.record(name).spent)
+        if account is not None and self._drawer.batch is None:
+            # Else the record may count what this router still adds to it.
+            account.recorded = self._drawer.record(name).spent
 
-    def hear_spent(self, account, tokens):
-        """Take in how many tokens were surely used, as others know.
+    def untold(self, account):
+        """Return the tokens spent here that a lender may be told to count.
 
-        While a batch is under way they may know of it what this router still
-        counts by itself: both together would be too many.
+        What the store may count already would be counted twice, and the budget
+        be called spent too early.
         """
-        if self._drawer.batch is None:
-            account.hear_spent(tokens)
+        if self._drawer.may_count_spent(account.name):
+            return 0
+        return account.unreported
 
     # What the drawer writes down
 
--- a/rowanport/prepaid/returns.py
+++ b/rowanport/prepaid/returns.py
@@ -75,18 +75,18 @@
     def _is_idle(self, account):
         if account.waiting:
             return False
-        if account.available <= 0 and account.unreported <= 0:
+        if account.available <= 0 and self._refill.untold(account) <= 0:
             return False
         if self._clock.steady() < account.granted_at + KEEP_SECONDS:
             return False
         return self._refill.is_borrower(account.name)
 
-    @staticmethod
-    def _move(account, share):
+    def _move(self, account, share):
         if account.available > 0:
             share.tokens[account.name] = account.available
             account.take_out(account.available)
-        if account.unreported > 0:
-            share.spent[account.name] = account.unreported
+        untold = self._refill.untold(account)
+        if untold > 0:
+            share.spent[account.name] = untold
             # At once: an answer that names more would count it twice.
-            account.reported = account.spent
+            account.reported += untold
--- a/test/prepaid_world.py
+++ b/test/prepaid_world.py
@@ -427,7 +427,7 @@
         router.open.remove(tokens)
         self.spent += used
         self.served += 1
-        router.keeper.settle(BUDGET, tokens, used)
+        router.keeper.settle(BUDGET, tokens, used, used)
 
     def set_total(self, total):
         """Change what was paid, and tell the routers one by one."""
@@ -474,6 +474,15 @@
         about = used + self.held()
         taken = self.taken()
         assert about <= taken, f"{about} about, {taken} taken"
+        counted = max(self.spent_as_known())
+        assert counted <= self.spent, f"{counted} counted of {self.spent}"
+
+    def spent_as_known(self):
+        """Return what the store and each router take for surely spent."""
+        stored = self.read(BUDGET_PREFIX + BUDGET).data
+        yield BudgetRecord.unpack(stored).spent
+        for router in self.routers.values():
+            yield router.keeper.accounts[BUDGET].known_spent
 
     def note_end(self, task):
         """Note a router's task that ended by an error."""
--- a/test/test_prepaid_spent.py
+++ b/test/test_prepaid_spent.py
@@ -7,13 +7,24 @@
 with the word to come back.
 """
 
+import itertools
+from test.prepaid_world import ADDRESSES
 from test.prepaid_world import BUDGET
 from test.prepaid_world import refusal
 from test.prepaid_world import SettledFleet
+from test.prepaid_world import World
+from unittest import mock
 
 import pytest
 
 from rowanport.errors import ErrorKind
+from rowanport.errors import StoreUnavailable
+from rowanport.prepaid import BudgetRecord
+from rowanport.prepaid import HolderRecord
+from rowanport.prepaid import holders
+from rowanport.prepaid.drawer import BUDGET_PREFIX
+from rowanport.prepaid.drawer import HOLDER_PREFIX
+from rowanport.prepaid.holders import ALONE_SECONDS
 
 
 def use(world, address, tokens):
@@ -89,3 +100,93 @@
     world.advance(1.0)
     assert fleet.account(other).known_spent == 7000
     world.close()
+
+
+class LostAnswers:
+    """A store that takes one batch, whose answers are lost from then on."""
+
+    def __init__(self, store):
+        self._store = store
+        self.commits = 0
+
+    def __getattr__(self, name):
+        return getattr(self._store, name)
+
+    async def commit(self, writes):
+        if not self.commits:
+            await self._store.commit(writes)
+        self.commits += 1
+        raise StoreUnavailable("no answer")
+
+
+def test_what_an_unsure_batch_may_count_is_not_told_to_a_lender():
+    # A router drew for want of holders; the store took its batch, which counts
+    # what it had spent, and it never heard so.  A borrower again, it told a
+    # lender the same, and the budget's record counted it twice.
+    fleet = SettledFleet()
+    world = fleet.world
+    address = fleet.borrowers[0]
+    keeper = fleet.keeper(address)
+    keeper.settle(BUDGET, 0, 0, 7000)
+    world.spent += 7000
+    keeper._holders.draw_alone(BUDGET)
+    drawer = keeper._refill._drawer
+    store = LostAnswers(drawer._store)
+    with mock.patch.object(drawer, "_store", store):
+        world.advance(ALONE_SECONDS + 2.0)
+        assert drawer.unsure and store.commits > 1
+    for other in fleet.holders:
+        fleet.account(other).take_out(fleet.account(other).available)
+    world.advance(5.0)
+    record = BudgetRecord.unpack(world.read(BUDGET_PREFIX + BUDGET).data)
+    assert record.spent == 7000
+    assert fleet.account(address).known_spent <= 7000
+    world.close()
+
+
+def test_what_is_told_to_a_lender_stands_in_no_record_of_a_holder():
+    # A next run reports what the record of an ended one names.  A router that
+    # draws on one budget and borrows of another told a lender of the second
+    # what its record named, too.
+    share = mock.patch.object(holders, "DRAWING_SHARE", 0.5)
+    with share, mock.patch.object(holders, "HOLDERS", 2):
+        fleet = SettledFleet()
+        world = fleet.world
+        for address in fleet.addresses:
+            totals = {BUDGET: 100000, "other": 100000}
+            fleet.keeper(address).set_totals(totals, 2)
+        world.advance(5.0)
+        both = fleet.keeper(fleet.addresses[0]).holders("other")
+        address = next(a for a in both if a in fleet.borrowers)
+        keeper = fleet.keeper(address)
+        for _number in range(10):
+            fleet.account(address).granted_at = keeper._clock.steady()
+            keeper.settle(BUDGET, 0, 0, 700)
+            for _step in range(20):
+                world.advance(0.05)
+                stored = world.read(HOLDER_PREFIX + address)
+                record = HolderRecord.unpack(stored.data)
+                assert BUDGET not in record.spent
+        told = sum(fleet.account(a).known_spent for a in fleet.holders)
+        assert told >= 7000 - 700
+        world.close()
+
+
+def test_routers_that_tell_each_other_what_was_spent_do_not_add_it_up():
+    # What a router had heard of a peer held the peer's own count of what this
+    # one spent, and it added that again: of 600 tokens used four routers that
+    # asked each other in turn knew of 720, and called the budget spent.
+    world = World(1, 10000)
+    for address in ADDRESSES:
+        world.start(address)
+    world.advance(3.0)
+    for address in ADDRESSES:
+        keeper = world.routers[address].keeper
+        keeper.settle(BUDGET, 0, 0, 600)
+        world.spent += 600
+    keepers = [router.keeper for router in world.routers.values()]
+    for one, other in list(itertools.permutations(keepers, 2)) * 3:
+        other.hear_spent(BUDGET, one.no_loan(BUDGET).spent)
+        assert 600 <= min(keeper.no_loan(BUDGET).spent for keeper in keepers)
+        assert max(world.spent_as_known()) <= 2400
+    world.close()
