Mends of a read as a newcomer: looks, names, one call in place of two

Returns looked at all accounts each 20 ms while requests wait for tokens; a function that moved a window was named like a property; two wrappers were used once; a comment spoke of small fleets where any that ran before is meant; log lines of hand-overs did not say what was told as spent.

Change: Returns looks each 0.25 s; begin_asking; wrappers inlined; comment and log lines say it.

--- a/bench/engines/fleet.py
+++ b/bench/engines/fleet.py
@@ -173,7 +173,7 @@
         timeline = self._fleet.timeline
         if now < self._fleet.ends_at:
             timeline.schedule(now + ASK_INTERVAL, self.ask)
-        seconds = self.notes.unheard_seconds()
+        seconds = self.notes.begin_asking()
         if seconds:
             address = self._fleet.draw_one(followers(self))
             answering = self._fleet.routers[int(address)].notes
--- a/rowanport/gateway/loads.py
+++ b/rowanport/gateway/loads.py
@@ -55,7 +55,7 @@
         self._clock = clock
         self._address = address
         self._digest = LoadDigest(clock)
-        self._heard_at = clock.steady()
+        self._asked_at = clock.steady()
         self._rate = DecayingRate(RATE_HALF_LIFE, RATE_LEAST_AGE)
 
     def note_send(self, state, prefix, unread):
@@ -68,22 +68,19 @@
         """
         now = self._clock.steady()
         if unread >= NOTE_LEAST:
-            upstream = state.record.id
-            self._tell(LoadNote(upstream, prefix, unread, self._address))
+            note = LoadNote(state.record.id, prefix, unread, self._address)
+            self._peers.tell(self._listeners(now), note)
+            self._digest.add(note)
         self._prefixes.note(prefix, state.record.id, now)
         return state.backlog.add(unread, now)
 
-    def _tell(self, note):
-        self._peers.tell(self._listeners(self._clock.steady()), note)
-        self._digest.add(note)
-
     def _listeners(self, now):
-        """Return the addresses of the peers that are told of a send."""
+        """Count a note that is about to be sent; return who is told."""
+        count = self._fanout(now)
         if self._is_large:
             peers = followers(self._members)
-            return random.sample(peers, min(self._fanout(now), len(peers)))
-        peers = self._members.ready_others()[: self._fanout(now)]
-        return map(address_of, peers)
+            return random.sample(peers, min(count, len(peers)))
+        return map(address_of, self._members.ready_others()[:count])
 
     @property
     def _is_large(self):
@@ -95,14 +92,15 @@
         self._rate.add(1, now)
         return max(LEAST_FANOUT, int(NOTES_A_SECOND / self._rate.rate(now)))
 
-    def unheard_seconds(self):
+    def begin_asking(self):
         """Return for which last seconds to ask for notes, 0 for none.
 
-        What is lost with an answer is not asked for again.
+        The next question begins where this one ends: what is lost with its
+        answer is not asked for again.
         """
         now = self._clock.steady()
-        seconds = now - self._heard_at
-        self._heard_at = now
+        seconds = now - self._asked_at
+        self._asked_at = now
         if not self._is_large or self._address in followers(self._members):
             return 0.0
         return seconds
@@ -119,7 +117,7 @@
     def take(self, note):
         """Take in a LoadNote."""
         now = self._clock.steady()
-        state = self._pool.get(note.upstream)
         self._prefixes.note(note.prefix, note.upstream, now)
+        state = self._pool.get(note.upstream)
         if state is not None:
             state.backlog.add(note.tokens, now)
--- a/rowanport/gateway/views.py
+++ b/rowanport/gateway/views.py
@@ -80,8 +80,8 @@
             return True
         if self._clock.steady() < self._started + SEEDED_PAUSE:
             return False
-        leading = self._followers()
-        return not leading or self._address in leading
+        duty = followers(self._members)
+        return not duty or self._address in duty
 
     @property
     def _leads(self):
@@ -101,9 +101,6 @@
         """Return whether this router may not know the fleet yet."""
         return self._clock.steady() < self._started + LEARN_SECONDS
 
-    def _followers(self):
-        return followers(self._members)
-
     def take_config(self, data, source):
         """Take over a configuration if it is newer.
 
@@ -187,8 +184,8 @@
         They are shuffled; any will do while no follower is known.
         """
         ready = [address_of(peer) for peer in self._members.ready_others()]
-        leading = self._followers()
-        return [peer for peer in ready if peer in leading] or ready
+        duty = followers(self._members)
+        return [peer for peer in ready if peer in duty] or ready
 
     async def ask(self, address, timeout=ASK_TIMEOUT):
         """Ask the peer at an address for what it has newer.
@@ -200,7 +197,7 @@
             self.upstreams.revision,
             self._address,
             self._clock.wall(),
-            self.loads.unheard_seconds() if self.loads else 0.0,
+            self.loads.begin_asking() if self.loads else 0.0,
         )
         asked_at = self._clock.steady()
         try:
--- a/rowanport/platform/sources.py
+++ b/rowanport/platform/sources.py
@@ -24,8 +24,8 @@
 UPSTREAM_PREFIX = "servers/"
 # Seconds between two looks whether this router is to follow the store.
 DUTY_POLL = 0.5
-# The same for a router that just started: one of a small fleet that starts
-# again is to follow it as soon as it knows, and not to serve by what is old.
+# The same for a router that just started: as soon as it knows that its fleet
+# ran before it is to follow the store, and not to serve by what is old.
 YOUNG_POLL = 0.05
 # Pause in seconds after a failed call.
 FAILED_PAUSE = 0.2
--- a/rowanport/prepaid/handover.py
+++ b/rowanport/prepaid/handover.py
@@ -72,7 +72,10 @@
         if refusal is not None:
             return refusal
         LOG.info(
-            "tokens_inherited", sender=message.sender, tokens=message.tokens
+            "tokens_inherited",
+            sender=message.sender,
+            tokens=message.tokens,
+            spent=message.spent,
         )
         sender = address_of(message.sender)
         for name, tokens in message.tokens.items():
@@ -149,7 +152,9 @@
         answer = await self._send(heir, message)
         del self._unanswered[message.id]
         if isinstance(answer, Ack):
-            LOG.info("tokens_handed_over", heir=heir, tokens=tokens)
+            LOG.info(
+                "tokens_handed_over", heir=heir, tokens=tokens, spent=spent
+            )
         elif _is_refused(answer):
             LOG.info("hand_over_refused", heir=heir, tokens=tokens)
             self._keeper.put_back(tokens)
--- a/rowanport/prepaid/returns.py
+++ b/rowanport/prepaid/returns.py
@@ -15,6 +15,9 @@
 
 from ..incarnation import address_of
 
+# Seconds between two looks at all accounts: not each time that tokens are
+# drawn for somebody who waits.
+LOOK_SECONDS = 0.25
 # Seconds after the last request of a budget for which the rest is kept: a
 # caller's next request, sent when an answer has come, often meets the same
 # router.
@@ -53,9 +56,14 @@
         self._hand_overs = hand_overs
         self._members = members
         self._clock = clock
+        self._look_at = clock.steady()
 
     def send(self):
         """Send idle tokens and what was spent, each lender at once."""
+        now = self._clock.steady()
+        if now < self._look_at:
+            return
+        self._look_at = now + LOOK_SECONDS
         idle = [a for a in self._accounts.values() if self._is_idle(a)]
         if not idle:
             return
--- a/test/test_engine_load.py
+++ b/test/test_engine_load.py
@@ -163,5 +163,5 @@
 def test_a_large_fleet_serves_more_where_routers_hear_of_long_prompts(pattern):
     # 195 routers before 39 engines: each sees one prompt in two hundred, and
     # without news they meet at the same engines.
-    without = play_without(pattern, LoadNotes, "unheard_seconds", hear_nothing)
+    without = play_without(pattern, LoadNotes, "begin_asking", hear_nothing)
     assert credit(play(pattern)) > credit(without) + 0.01
--- a/test/test_load_digest.py
+++ b/test/test_load_digest.py
@@ -68,17 +68,17 @@
     assert not follower.notes.heard(0.25, sender)
     asks = fleet.routers[asker].notes
     clock.now += 0.25
-    assert 0 < asks.unheard_seconds() <= 0.25
+    assert 0 < asks.begin_asking() <= 0.25
     clock.now += 0.25
-    assert not follower.notes.heard(asks.unheard_seconds(), asker)
+    assert not follower.notes.heard(asks.begin_asking(), asker)
 
 
 def test_those_that_hear_all_at_once_do_not_ask(clock):
     fleet = LargeFleet(clock)
     small = FakeRouter(clock, fleet.peers, "alone", ["x/r1/1"])
     clock.now += 0.25
-    assert fleet.routers[fleet.leading[0]].notes.unheard_seconds() == 0
-    assert small.notes.unheard_seconds() == 0
+    assert fleet.routers[fleet.leading[0]].notes.begin_asking() == 0
+    assert small.notes.begin_asking() == 0
 
 
 def test_an_answer_is_bounded_and_names_the_largest_prompts(clock):
