Say where an ended run's tokens are: out, under way, let go, given back

What callers saw: 12 s after all routers were back from a loss of power fewer than a quarter of the requests were served, refused for want of tokens. tokens_recovered told what came back, not what did not, so hypotheses about where the rest went could not be told apart.

What was let go and under way holds the requests that engines got and no line tells of.

--- a/rowanport/prepaid/account.py
+++ b/rowanport/prepaid/account.py
@@ -63,6 +63,7 @@
 
     :ivar inflow: tokens that came in since the start
     :ivar outflow: tokens that went out or are set aside
+    :ivar under_way: tokens set aside for requests that have not ended
     :ivar spent: tokens that requests of this router surely used
     :ivar reported: how many of these the store's record or a peer counts
     :ivar recorded: tokens that the budget's record counts as spent, as last
@@ -83,6 +84,7 @@
         "name",
         "inflow",
         "outflow",
+        "under_way",
         "spent",
         "reported",
         "recorded",
@@ -106,6 +108,7 @@
         self.name = name
         self.inflow = 0
         self.outflow = 0
+        self.under_way = 0
         self.spent = 0
         self.reported = 0
         self.recorded = 0
@@ -218,6 +221,7 @@
         self._granted.add(tokens, now)
         self.granted_at = now
         self.outflow += tokens
+        self.under_way += tokens
         return True
 
     def settle(self, tokens, used, now, spent=0):
@@ -229,6 +233,7 @@
         """
         unused = max(0, tokens - used)
         self.outflow -= unused
+        self.under_way -= tokens
         self.spent += spent
         self._granted.add(-unused, now)
 
--- a/rowanport/prepaid/drawer.py
+++ b/rowanport/prepaid/drawer.py
@@ -33,6 +33,8 @@
 CONFLICT_TRIES = 8
 BUDGET_PREFIX = "rowanport/budget/"
 HOLDER_PREFIX = "rowanport/holder/"
+# Budgets in one log line about an ended run.
+LOGGED_BUDGETS = 20
 # Longest wait in seconds for peers' clocks at the start.
 CLOCKS_WAIT = 1.0
 CLOCKS_POLL = 0.02
@@ -210,6 +212,7 @@
                 for name, limit in limits.items()
             },
             self._unreported(books, unreported, batch),
+            books.out(limits),
         )
         writes.append(self._write(self._key, batch.record))
         writes.extend(self._leases.writes(_mark(batch.record)))
@@ -370,16 +373,16 @@
         age = process_age(old, self._started, self._started_wall)
         if age is None:
             age = await self._machine_age(old)
-        unspent = old.unspent(0.0 if age is None else age)
         LOG.info(
             "tokens_stranded" if age is None else "tokens_recovered",
-            tokens=unspent,
+            accounts=_largest_as_log(old.account(age)),
+            run=old.incarnation,
             age=age,
             steady_age=round(self._started - old.made_at, 3),
             wall_age=round(self._latest_start() - old.earliest, 3),
             clocks=self._clocks.heard,
         )
-        return {} if age is None else unspent
+        return {} if age is None else old.unspent(age)
 
     async def _machine_age(self, old):
         span = await self._leases.shortest(_mark(old))
@@ -424,6 +427,12 @@
         raise StoreBusy("others write the same budgets")
 
 
+def _largest_as_log(accounts):
+    """Return the RunAccounts that hold most, as they stand in a log line."""
+    largest = sorted(accounts.items(), key=lambda item: -item[1].tokens_in)
+    return {name: a.as_log() for name, a in largest[:LOGGED_BUDGETS]}
+
+
 def _mark(record):
     """Return what the keys of leases hold: the record they go with."""
     return f"{record.incarnation} {record.number}".encode()
--- a/rowanport/prepaid/record.py
+++ b/rowanport/prepaid/record.py
@@ -63,6 +63,30 @@
         return moved
 
 
+class RunAccount:
+    """Where the tokens of one budget are that an ended run had.
+
+    :ivar tokens_in: tokens that came in
+    :ivar out: of these, tokens that had gone out when it wrote its record
+    :ivar under_way: of these, tokens set aside then for requests under way
+    :ivar let_go: tokens that it may have let go since, as its limit allowed
+    :ivar unspent: the rest, which surely was never spent
+    """
+
+    __slots__ = ("tokens_in", "out", "under_way", "let_go", "unspent")
+
+    def __init__(self, tokens_in, out, under_way, let_go):
+        self.tokens_in = tokens_in
+        self.out = out
+        self.under_way = under_way
+        self.let_go = let_go
+        self.unspent = tokens_in - out - let_go
+
+    def as_log(self):
+        """Return it as it stands in a log line."""
+        return {name: getattr(self, name) for name in self.__slots__}
+
+
 class HolderRecord:
     """What a router last said about the tokens that it holds.
 
@@ -76,6 +100,8 @@
         Limit of tokens out; all are counted from the start of that run
     :ivar spent: by budget, tokens that it knew to be used and that no
         budget's record counts
+    :ivar out: by budget, tokens that had gone out, and those of them that
+        were set aside for requests under way
     """
 
     __slots__ = (
@@ -86,6 +112,7 @@
         "earliest",
         "holdings",
         "spent",
+        "out",
     )
 
     def __init__(
@@ -97,6 +124,7 @@
         earliest=0.0,
         holdings=None,
         spent=None,
+        out=None,
     ):
         self.incarnation = incarnation
         self.number = number
@@ -105,12 +133,13 @@
         self.earliest = earliest
         self.holdings = holdings or {}
         self.spent = spent or {}
+        self.out = out or {}
 
     @classmethod
     def unpack(cls, data):
         """Return the record in a store value; raise MessageError if unfit."""
-        # Those of earlier versions do not name what was spent.
-        return cls(*_unpack(data, 6, 7)) if data else cls()
+        # Those of earlier versions do not name what was spent, or is out.
+        return cls(*_unpack(data, 6, 8)) if data else cls()
 
     def pack(self):
         """Return the bytes for the store."""
@@ -123,6 +152,7 @@
                 self.earliest,
                 self.holdings,
                 self.spent,
+                self.out,
             ]
         )
 
@@ -132,12 +162,22 @@
         :param age: seconds after this record by which its writer surely had
             ended; see :mod:`rowanport.prepaid.allowance`
         """
-        unspent = {}
+        accounts = self.account(age)
+        return {n: a.unspent for n, a in accounts.items() if a.unspent > 0}
+
+    def account(self, age=None):
+        """Return the RunAccount of each budget.
+
+        :param age: as for :meth:`unspent`; None if no age is proved, and all
+            that was held may have gone out
+        """
+        accounts = {}
         for name, (tokens_in, base, pace) in self.holdings.items():
-            tokens = tokens_in - Limit(base, pace).at(age)
-            if tokens > 0:
-                unspent[name] = tokens
-        return unspent
+            out, under_way = self.out.get(name, (0, 0))
+            limit = tokens_in if age is None else Limit(base, pace).at(age)
+            let_go = min(tokens_in, limit) - out
+            accounts[name] = RunAccount(tokens_in, out, under_way, let_go)
+        return accounts
 
 
 def _unpack(data, least, most):
--- a/rowanport/prepaid/refill.py
+++ b/rowanport/prepaid/refill.py
@@ -317,6 +317,15 @@
                 limits[name] = self._limit(account, inflow)
         return limits
 
+    def out(self, names):
+        """Return what has gone out of some budgets.
+
+        :returns: by budget, tokens that went out or are set aside, and those
+            of them that are set aside for requests under way
+        """
+        accounts = {name: self._accounts[name] for name in names}
+        return {n: (a.outflow, a.under_way) for n, a in accounts.items()}
+
     def inflows(self):
         """Return the tokens that came in so far, by budget."""
         return {name: a.inflow for name, a in self._accounts.items()}
--- a/test/test_prepaid_recovery.py
+++ b/test/test_prepaid_recovery.py
@@ -2,11 +2,13 @@
 
 from test.prepaid_world import ADDRESSES
 from test.prepaid_world import BUDGET
+from test.prepaid_world import FAR
 from test.prepaid_world import SettledFleet
 from test.prepaid_world import World
 
 import msgpack
 import pytest
+from structlog.testing import capture_logs
 
 from rowanport.prepaid import BudgetRecord
 from rowanport.prepaid import HolderRecord
@@ -81,3 +83,37 @@
     old = HolderRecord.unpack(msgpack.packb(fields))
     assert old.unspent(1.0) == {BUDGET: 70}
     assert old.spent == {}
+    assert old.out == {}
+
+
+def test_a_record_tells_where_the_tokens_of_its_run_went():
+    record = HolderRecord(
+        "run", 1, holdings={BUDGET: (100, 50, 10.0)}, out={BUDGET: (40, 30)}
+    )
+    (account,) = HolderRecord.unpack(record.pack()).account(2.0).values()
+    assert account.as_log() == {
+        "tokens_in": 100,
+        "out": 40,
+        "under_way": 30,
+        "let_go": 30,
+        "unspent": 30,
+    }
+    (account,) = record.account().values()
+    assert (account.let_go, account.unspent) == (60, 0)
+
+
+def test_the_next_run_says_where_the_tokens_of_the_last_one_are():
+    world = World(1, 100000)
+    world.start(ADDRESSES[0])
+    world.advance(4.0)
+    world.request(ADDRESSES[0], 300, 300, FAR)
+    world.advance(1.0)
+    held = world.held()
+    world.kill(ADDRESSES[0], 0.5)
+    with capture_logs() as lines:
+        world.advance(1.0)
+    (line,) = [one for one in lines if one["event"] == "tokens_recovered"]
+    account = line["accounts"][BUDGET]
+    assert account["under_way"] == account["out"] == 300
+    assert account["let_go"] + account["unspent"] == held
+    world.close()
