Write a record for whoever waits for a limit, however old the last one is

What callers saw: a request for somewhat more than a limit let go was refused for want of tokens by a router that held them and reached the store.

Cause: whether a limit holds a request back was asked only in the first 0.35 s after a record; later only whether the limit was nearly used up, which counts the waiting request as part of the allowance, so that a request of up to one and a half times the limit never opened it. Mostly limits grew in time and hid it.

The test: 0 of 10 requests served before, 10 after.

--- a/rowanport/prepaid/refill.py
+++ b/rowanport/prepaid/refill.py
@@ -200,8 +200,10 @@
         now = self._clock.steady()
         if now > newest.made_at + RENEW_SECONDS:
             return True
+        if any(self._is_held_back(account) for account in held):
+            return True
         if now < newest.made_at + WIDEN_PAUSE:
-            return any(self._is_held_back(a) for a in held)
+            return False
         return any(self._is_narrow(account) for account in held)
 
     def _is_held_back(self, account):
--- a/test/test_prepaid_limits.py
+++ b/test/test_prepaid_limits.py
@@ -262,3 +262,24 @@
         lender.lend(9000, None, number / 2, draws=False)
         lender.take_back(6000, number / 2 + 0.4)
     assert lender.pace(4, 10.0) < 1.6 * used_a_second
+
+
+def test_a_record_opens_the_limit_for_a_request_that_waits():
+    # Half a second after a record a request for somewhat more than its limit
+    # let go got no new record, waited in vain and was refused, though its
+    # router held the tokens and reached the store.
+    world = make_world()
+    keeper = world.routers[ADDRESSES[0]].keeper
+    account = keeper.accounts[BUDGET]
+    world.cuts |= {frozenset((ADDRESSES[0], a)) for a in ADDRESSES[1:]}
+    for _ in range(10):
+        newest = keeper._refill._allowances.newest()
+        while not 0.4 < world.loop.now - newest.made_at < 0.6:
+            world.advance(0.01)
+            newest = keeper._refill._allowances.newest()
+        tokens = int(1.4 * keeper._room(account))
+        world.request(ADDRESSES[0], tokens, 0, 0.1)
+        world.advance(0.5)
+    assert (world.served, world.refusals) == (10, 0)
+    world.check()
+    world.close()
