Borrow for a request that a limit holds back, not only for one that lacks tokens

What callers saw: in a cut from the store a router refused its callers for its own limit while its peers might have let as much go.

Cause: a router asked others for tokens only when it held too few. Borrowed tokens may go out beyond a written limit, as no record names them, so a loan serves here as well. A router that draws waits for its next record first, which mostly opens the limit.

--- a/rowanport/prepaid/account.py
+++ b/rowanport/prepaid/account.py
@@ -190,17 +190,31 @@
         """Begin anew to note what borrowers lack."""
         self._unmet.clear()
 
-    def loan(self, now):
-        """Return the tokens to ask a peer for, 0 if none are lacking.
+    def loan(self, room, now):
+        """Return the tokens to ask a peer for, 0 if none are needed.
 
         What the next seconds need is asked for, too, as each loan is a wait
         for some request.
+
+        :param room: tokens that may go out now, None for any number; borrowed
+            ones may go out beyond it
+        :param now: steady time
         """
-        if not self.lacking:
+        free = self._free(room)
+        if self.wanted <= free:
             return 0
         if self._requests.rate(now) < LOAN_REQUESTS:
-            return self.lacking
-        return self.lacking + int(LOAN_SECONDS * self._granted.rate(now))
+            return self.wanted - free
+        return self.wanted - free + int(LOAN_SECONDS * self._granted.rate(now))
+
+    def _free(self, room):
+        """Return the tokens that are here and may go out now.
+
+        :param room: tokens that may go out now, None for any number
+        """
+        if room is None:
+            return self.available
+        return max(0, min(self.available, room))
 
     # Requests
 
@@ -215,8 +229,7 @@
         :param room: tokens that may go out now, None for any number
         :param now: steady time
         """
-        free = self.available if room is None else min(self.available, room)
-        if self.recalled or free < tokens:
+        if self.recalled or self._free(room) < tokens:
             return False
         self._granted.add(tokens, now)
         self.granted_at = now
@@ -292,7 +305,7 @@
         """
         if self.waiting or self.recalled:
             return 0
-        free = self.available if room is None else min(self.available, room)
+        free = self._free(room)
         if free <= 0:
             return 0
         lent = min(free, max(tokens, free // 2 if draws else 0))
--- a/rowanport/prepaid/keeper.py
+++ b/rowanport/prepaid/keeper.py
@@ -41,8 +41,9 @@
 ROOM_WAIT = 0.4
 # Seconds added to such a wait, so that the limit surely has grown.
 ROOM_MARGIN = 0.005
-# Seconds after which a router that draws no tokens asks again those that do:
-# by then they have drawn, and opened their limits.
+# Seconds in which a router that draws tokens has drawn, and opened its limits:
+# after these a router that draws none asks again, and one that is held back by
+# a limit asks others.
 ASK_AGAIN = 0.03
 # Seconds for which a budget is called dry after nobody had tokens.
 DRY_SECONDS = 0.25
@@ -155,7 +156,8 @@
             account = self._accounts[name] = Account(name)
         return account
 
-    def _room(self, account):
+    def room(self, account):
+        """Return the tokens of an Account that may go out, None for all."""
         return self._refill.room(account)
 
     # Requests
@@ -202,7 +204,7 @@
     def _reserve(self, account, tokens):
         """Set tokens aside if there are enough; return whether."""
         now = self._clock.steady()
-        return account.reserve(tokens, self._refill.room(account), now)
+        return account.reserve(tokens, self.room(account), now)
 
     def _room_soon_at(self, account, tokens):
         """Return the steady time soon at which a limit lets tokens go.
@@ -316,7 +318,7 @@
         if not draws:
             # This is where its demand is seen.
             account.note_demand(tokens, now)
-        lent = account.lend(tokens, self._room(account), now, draws)
+        lent = account.lend(tokens, self.room(account), now, draws)
         if lent < tokens and not draws and self.is_holder(name):
             # The borrower asks again soon: by then there is more to draw on,
             # and a limit that lets it go.  One that draws itself does so: all
@@ -342,6 +344,10 @@
 
     async def _ask(self, account):
         if self.is_holder(account.name):
+            if not account.lacking:
+                # A limit holds tokens back: mostly the next record opens it.
+                # In a cut peers may still let some go.
+                await asyncio.sleep(ASK_AGAIN)
             await self._lender.ask_all(account)
         else:
             await self._borrow(account)
@@ -488,7 +494,7 @@
         """Take out all tokens that may go out now, by budget."""
         tokens = {}
         for name, account in self._accounts.items():
-            room = self._room(account)
+            room = self.room(account)
             free = account.available - self._kept.get(name, 0)
             free = free if room is None else min(free, room)
             if free > 0:
--- a/rowanport/prepaid/lender.py
+++ b/rowanport/prepaid/lender.py
@@ -87,9 +87,12 @@
         draws = self._keeper.is_holder(account.name)
         count = ASK_FANOUT if draws else 1
         best = Asked.UNANSWERED
-        while others and account.lacking:
+        while others:
+            room = self._keeper.room(account)
+            tokens = account.loan(room, self._clock.steady())
+            if not tokens:
+                break
             wave, others = others[:count], others[count:]
-            tokens = account.loan(self._clock.steady())
             if not draws:
                 tokens = math.ceil(tokens / len(wave))
             asks = (self._ask(account, address, tokens) for address in wave)
