--- a/bench/tokens.py
+++ b/bench/tokens.py
@@ -35,9 +35,15 @@
     with open(path, encoding="utf-8", errors="replace") as lines:
         for line in lines:
             match = LINE.match(line)
-            if match:
-                time, instance, text = match.groups()
-                yield float(time), instance, json.loads(text)
+            if not match:
+                continue
+            time, instance, text = match.groups()
+            try:
+                fields = json.loads(text)
+            except json.JSONDecodeError:
+                print(f"torn line at {time} of {instance}", file=sys.stderr)
+                continue
+            yield float(time), instance, fields
 
 
 class TokenAccounts:
--- a/test/test_prepaid_losses.py
+++ b/test/test_prepaid_losses.py
@@ -5,6 +5,7 @@
 from test.prepaid_world import ADDRESSES
 from test.prepaid_world import BUDGET
 from test.prepaid_world import World
+from test.test_prepaid import machine_recovered_however_late
 from unittest import mock
 
 from hypothesis import strategies
@@ -217,12 +218,6 @@
     run_machine(30)
 
 
-@contextlib.contextmanager
-def machine_recovered_however_late():
-    with mock.patch.object(drawer, "machine_age", lambda *_: 0.0):
-        yield
-
-
 @contextlib.contextmanager
 def no_machine_recovered():
     with mock.patch.object(drawer, "machine_age", lambda *_: None):
--- a/test/test_tokens.py
+++ b/test/test_tokens.py
@@ -11,33 +11,30 @@
 
 
 ENDED = {"tokens_in": 100, "out": 40, "under_way": 30}
+RECOVERED = log_line(
+    2.0,
+    "a",
+    "tokens_recovered",
+    run="one",
+    accounts={"org": {**ENDED, "let_go": 20, "unspent": 40}},
+)
+STRANDED = log_line(
+    9.0,
+    "b",
+    "tokens_stranded",
+    run="two",
+    accounts={"org": {**ENDED, "let_go": 60, "unspent": 0}},
+)
 LINES = (
     log_line(0.1, "a", "budget_total", budget="org", total=1000),
     log_line(0.2, "a", "budget_batch", moves={"org": 100}),
     log_line(0.3, "a", "request", organisation="org", used=10),
     log_line(0.4, "a", "request", organisation="org", used=None),
     "what the bench prints is passed over",
-    log_line(
-        2.0,
-        "a",
-        "tokens_recovered",
-        run="one",
-        accounts={"org": {**ENDED, "let_go": 20, "unspent": 40}},
-    ),
-    log_line(
-        2.1,
-        "a",
-        "tokens_recovered",
-        run="one",
-        accounts={"org": {**ENDED, "let_go": 20, "unspent": 40}},
-    ),
-    log_line(
-        9.0,
-        "b",
-        "tokens_stranded",
-        run="two",
-        accounts={"org": {**ENDED, "let_go": 60, "unspent": 0}},
-    ),
+    '  1.0 a {"event": "torn {"event": "whole"}',
+    RECOVERED,
+    RECOVERED,
+    STRANDED,
     log_line(9.1, "b", "tokens_stranded", heir="three", tokens={"org": 5}),
     log_line(9.2, "a", "budgets_held", held={"org": [7, 900]}),
 )
