--- a/rowanport/prepaid/account.py
+++ b/rowanport/prepaid/account.py
@@ -38,8 +38,7 @@
 # what they draw too much; a draw is trimmed to what is there (see trim).
 LEFT_SECONDS = 5.0
 # Requests a second of one budget from which on a router of a larger fleet may
-# draw itself.  Without this, one large request of a small budget was enough:
-# 19,599 store calls on a day that has 5,925.
+# draw itself: one large request of a small budget is no reason to.
 HEAVY_REQUESTS = 5.0
 # Give back what is above this multiple of the target.
 HIGH_WATER = 2.5
@@ -172,8 +171,8 @@
     def unmet(self):
         """Return the tokens that borrowers lacked since the last record.
 
-        All of them: a limit that opened for one at a time let twenty others
-        have a dozen tokens each, which served none of them.
+        All of them: a limit that opens for one borrower at a time lets the
+        others have a few tokens each, which serves none of them.
         """
         return sum(self._unmet.values())
 
@@ -300,8 +299,8 @@
         :param now: steady time
         :param draws: whether it draws tokens itself; half of what is here is
             lent to it if that is more, so that it need not ask again soon.
-            Others get what they need: a lender that took its fleet for small
-            lent the first one all, and nineteen others were refused.
+            Others get what they need, so that a lender that takes its fleet
+            for small does not lend the first one all.
         """
         if self.waiting or self.recalled:
             return 0
--- a/rowanport/prepaid/allowance.py
+++ b/rowanport/prepaid/allowance.py
@@ -30,7 +30,7 @@
 # Seconds after which a limit is written anew.
 RENEW_SECONDS = 0.7
 # Age in seconds from which a limit grows.  A router that reaches the store has
-# long written a new record by then.  A machine that lost power for a moment is
+# written two records more by then.  A machine that lost power for a moment is
 # back and gets back all but what the limit let go at once; in a cut that much
 # has to serve so long.
 GROWTH_DELAY = 1.5
--- a/rowanport/prepaid/drawer.py
+++ b/rowanport/prepaid/drawer.py
@@ -353,9 +353,9 @@
             for name in names:
                 del unspent[name]
         # Refused requests of a spent budget are told so by what is known to be
-        # spent, and near its end few draw: without the reports of routers that
-        # ended, 10 of 315 were (23 routers, 20 s).  They wait for a draw, as
-        # seven routers that start together hold each other up with each write.
+        # spent, and near its end few draw, so that reports of routers that
+        # ended are needed.  They wait for a draw, as routers that start
+        # together hold each other up with each write.
         if old.incarnation != self._incarnation:
             self._inherited_spent = dict(old.spent)
         self._recovered = True
--- a/rowanport/prepaid/holders.py
+++ b/rowanport/prepaid/holders.py
@@ -6,9 +6,8 @@
 # Fleets up to which every router draws, so that each has tokens in a cut.
 SMALL_FLEET = 8
 # Routers of a larger fleet that hold tokens of one budget drawn from the
-# store; the others borrow from these.  Each writes a record 1.4 times a
-# second: with eight of them records and draws were three in five of the store
-# calls of 23 routers (498 of some 830 by price, counted by kind over 31 s).
+# store; the others borrow from these.  Each writes a record or more a second,
+# and with many of them records are most of a fleet's calls of the store.
 HOLDERS = 4
 # Part of the fleet that draws on any budget, HOLDERS routers at least: the
 # store's rates grow more slowly than the fleet.  Routers that just started
--- a/rowanport/prepaid/returns.py
+++ b/rowanport/prepaid/returns.py
@@ -2,13 +2,10 @@
 
 A request sets aside what it may use at most, and what it leaves unused stayed
 with its router, where nobody asked for it and where it was lost with the
-machine.  With what was borrowed beyond need that was a third of many small
-budgets of a fleet of 195 routers (100,798 of 304,030 tokens at 30 routers),
-whose requests were refused.
+machine.  In a large fleet that is a good part of a small budget.
 
-Lenders hear what was used, too: who draws tells others that a budget is spent.
-Without it the callers of two budgets that were used up were told to come back
-419 times in 20 s (23 routers).
+Lenders hear what was used, too: who draws tells others that a budget is spent,
+so that callers are not told to come back in vain.
 """
 
 import random
