Fewer leases and records where few routers draw

Change: four leases of 1.5 to 6 s; what may go out at once is .018 of the whole budget again, not .021 of what is unspent. How fast it grows stays a part of what is unspent.

Left: a lender still opens its limit in steps.

--- a/rowanport/prepaid/account.py
+++ b/rowanport/prepaid/account.py
@@ -43,11 +43,11 @@
 # Give back what is above this multiple of the target.
 HIGH_WATER = 2.5
 # Tokens that may go out at once after a record, in seconds of what is granted
-# and as a part of what is unspent for budgets that are asked rarely and then
+# and as a part of the whole budget for those that are asked rarely and then
 # for much at once.  What is asked is no measure: callers of a dry budget ask
 # again and again, and all that a limit lets go may be lost with its router.
 ALLOWANCE_SECONDS = 0.6
-ALLOWANCE_SHARE = 0.021
+ALLOWANCE_SHARE = 0.018
 # How fast that limit grows while no new record is made, as a multiple of what
 # is granted and as a part of what is unspent a second: what a cut from the
 # store must bear.
@@ -326,7 +326,7 @@
         """Return the tokens that may go out at once after a record."""
         wanted = max(
             ALLOWANCE_SECONDS * self._granted.rate(now),
-            ALLOWANCE_SHARE * self.unspent / holders,
+            ALLOWANCE_SHARE * self.total / holders,
         )
         return int(wanted) + self.wanted + self.unmet
 
--- a/rowanport/prepaid/allowance.py
+++ b/rowanport/prepaid/allowance.py
@@ -26,7 +26,7 @@
 HOLD_SECONDS = 6.0
 # Spans in seconds of the leases that go with a record.  An age is proved up to
 # the shortest one that is left, so they tell a short absence from a long one.
-LEASE_SPANS = (1.5, 2.0, 3.0, 4.5, HOLD_SECONDS)
+LEASE_SPANS = (1.5, 2.0, 3.5, HOLD_SECONDS)
 # Seconds after which a limit is written anew.
 RENEW_SECONDS = 0.7
 # Age in seconds from which a limit grows.  A router that reaches the store has
