--- a/rowanport/gateway/backlog.py
+++ b/rowanport/gateway/backlog.py
@@ -1,11 +1,9 @@
 """What an engine still has to read, as one router estimates it."""
 
-# Prompt tokens that an engine reads a second before any was measured: 50.7 a
-# millisecond by the users' sheets.
+# Prompt tokens that an engine reads a second, before its rate is known.
 DEFAULT_RATE = 50000.0
-# Bounds of a measured rate as multiples of the default: slow upstreams are
-# three to five times slower on the users' days, and a cached prompt seems to
-# be read faster than any engine reads.
+# Bounds of an engine's rate as multiples of the default: some are several
+# times slower, and a cached prompt seems to be read faster than any reads.
 LEAST_RATE = DEFAULT_RATE / 8
 MOST_RATE = DEFAULT_RATE * 1.5
 # Weight of a new measurement of the rate.
--- a/rowanport/prepaid/account.py
+++ b/rowanport/prepaid/account.py
@@ -12,7 +12,7 @@
 # Seconds of demand to hold: the longest outage of the store that the users
 # describe is about 9 s, and draws are some tenths of a second apart.
 HORIZON = 10.0
-# Half life of the measured demand in seconds: short against a burst of 6 s.
+# Half life of the demand in seconds: short against a burst of traffic.
 DEMAND_HALF_LIFE = 4.0
 # Seconds over which the first requests are spread, so that a single one is
 # not taken for a rate.
--- a/rowanport/store/reach.py
+++ b/rowanport/store/reach.py
@@ -24,8 +24,8 @@
 
 LOG = structlog.get_logger(__name__)
 
-# Seconds for the first answer to a probe after a call failed; a store that
-# is slow answers in some 240 ms on the users' days.
+# Seconds for the first answer to a probe after a call failed: a store that is
+# only slow answers by then.
 FIRST_TIMEOUT = 0.5
 # Seconds after which a first probe that is not answered is followed by one on
 # a new connection.
