Name the fingerprint of each request in the log, and whether its connection ended

The logs could not tell whether two arrivals were the same request, nor an upstream that ended from one that sent something wrong. Ruled out: request ids, which are new with each arrival.

--- a/rowanport/errors.py
+++ b/rowanport/errors.py
@@ -195,5 +195,9 @@
         self.started = started
 
 
+class ConnectionEnded(UpstreamError):
+    """The upstream closed or reset a connection with an answer due on it."""
+
+
 class ConnectionSilent(UpstreamError):
     """The kernel found that nobody is at the other end of a connection."""
--- a/rowanport/gateway/daemon.py
+++ b/rowanport/gateway/daemon.py
@@ -27,6 +27,7 @@
 from .choice import PrefixChoice
 from .congestion import Congestion
 from .exchange import Exchange
+from .fingerprint import Fingerprints
 from .forwarder import Forwarder
 from .health import HealthFront
 from .job import Admission
@@ -143,7 +144,8 @@
         self._peers.on_silence = self.client.doubt
         self.exchange = Exchange(self.client, self.dialect, self.clock)
         self.pool = UpstreamPool()
-        self.admission = Admission(self.dialect)
+        fingerprints = Fingerprints(settings.secret)
+        self.admission = Admission(self.dialect, fingerprints)
         self.refusals = Refusals(self.clock)
         self.stopping = Stopping(self.members, self.clock)
         self.forwarder = Forwarder(self)
--- a/rowanport/gateway/decisions.py
+++ b/rowanport/gateway/decisions.py
@@ -2,6 +2,9 @@
 
 import structlog
 
+from ..errors import ConnectionEnded
+from .fingerprint import fingerprint_text
+
 LOG = structlog.get_logger(__name__)
 
 
@@ -25,9 +28,11 @@
         LOG.info(
             "send",
             request=job.id,
+            fingerprint=fingerprint_text(job.fingerprint),
             upstream=state.record.id,
             outcome=outcome,
             why=str(error),
+            ended=isinstance(error, ConnectionEnded),
             sends=job.sends,
             runs=job.runs,
             failures=state.failures,
@@ -53,6 +58,7 @@
         LOG.info(
             "request",
             request=job.id,
+            fingerprint=fingerprint_text(job.fingerprint),
             outcome=outcome,
             why=why,
             route=job.route.name,
--- a/rowanport/gateway/job.py
+++ b/rowanport/gateway/job.py
@@ -33,6 +33,7 @@
     :ivar id: the caller's id of it
     :ivar route: the Route in force when it was read
     :ivar service: name of the service that it goes to
+    :ivar fingerprint: what it shares with the same request sent again
     :ivar organisation: the Organisation, or None on a public route
     :ivar tokens: its Tokens, or None if it uses none
     :ivar affinity: what it should be near, "" for nothing
@@ -63,6 +64,7 @@
         "route",
         "service",
         "organisation",
+        "fingerprint",
         "tokens",
         "affinity",
         "prefix",
@@ -94,6 +96,7 @@
         self.service = service
         self.arrived = arrived
         self.organisation = None
+        self.fingerprint = 0
         self.tokens = None
         self.affinity = ""
         self.prefix = 0
@@ -177,10 +180,12 @@
     """Turns requests into Jobs by the configuration in force.
 
     :param dialect: a Dialect
+    :param fingerprints: the Fingerprints
     """
 
-    def __init__(self, dialect):
+    def __init__(self, dialect, fingerprints):
         self._dialect = dialect
+        self._fingerprints = fingerprints
 
     def admit(self, request, table, now):
         """Return the Job of a request.
@@ -198,6 +203,8 @@
         job = Job(request, name, route, route.service_for(name), now)
         job.config = table.version
         self._identify(job, table)
+        organisation = job.organisation.name if job.organisation else ""
+        job.fingerprint = self._fingerprints.of(request, organisation)
         self._read_deadline(job, now)
         self._read_tokens(job, table)
         self._read_affinity(job)
--- a/rowanport/web/client.py
+++ b/rowanport/web/client.py
@@ -8,6 +8,7 @@
 import h11
 
 from . import stream
+from ..errors import ConnectionEnded
 from ..errors import ConnectionSilent
 from ..errors import UpstreamError
 from .patience import NO_PATIENCE
@@ -149,11 +150,12 @@
         try:
             event = await next_event(self._connection)
         except (OSError, h11.ProtocolError) as error:
-            raise UpstreamError(f"the answer broke off: {error}") from None
+            message = f"the answer broke off: {error}"
+            raise _broken(self._connection, message, error) from None
         if isinstance(event, h11.EndOfMessage):
             return None
         if not isinstance(event, h11.Data):
-            raise UpstreamError("the answer was cut short")
+            raise _broken(self._connection, "the answer was cut short")
         return bytes(event.data)
 
     async def pieces(self):
@@ -242,8 +244,9 @@
                 raise ConnectionSilent(message) from None
             raise UpstreamError(f"{address} did not answer") from None
         except (OSError, h11.ProtocolError) as error:
+            broken = _broken(connection, f"{address}: {error}", error)
             connection.writer.close()
-            raise UpstreamError(f"{address}: {error}") from None
+            raise broken from None
         except BaseException:
             connection.writer.transport.abort()
             raise
@@ -349,7 +352,7 @@
             while isinstance(event, h11.InformationalResponse):
                 event = await next_event(connection)
             if not isinstance(event, h11.Response):
-                raise UpstreamError(f"{address} closed the connection")
+                raise ConnectionEnded(f"{address} closed the connection")
             if owner is None or _is_own(event, owner):
                 return event
             await self._read_past(connection, address)
@@ -361,7 +364,7 @@
         while not isinstance(event, h11.EndOfMessage):
             event = await next_event(connection)
             if isinstance(event, h11.ConnectionClosed):
-                raise UpstreamError(f"{address} closed the connection")
+                raise ConnectionEnded(f"{address} closed the connection")
         if connection.state.their_state is not h11.DONE:
             raise UpstreamError(f"{address} closed the connection")
         request = connection.request
@@ -374,6 +377,19 @@
         connection.state.send(h11.EndOfMessage())
 
 
+def _broken(connection, message, cause=None):
+    """Return the error of an answer that is not whole.
+
+    An upstream that fell silent, or sent bytes that are no answer, has not
+    ended the connection.
+
+    :param cause: the exception that showed it, or None
+    """
+    if connection.reader.ended and not isinstance(cause, TimeoutError):
+        return ConnectionEnded(message)
+    return UpstreamError(message)
+
+
 def _is_own(response, owner):
     name, value = owner
     values = [v.decode("latin-1") for n, v in response.headers if n == name]
