--- a/rowanport/standins/upstream.py
+++ b/rowanport/standins/upstream.py
@@ -11,8 +11,6 @@
 READ_LIMIT = 65536
 BACKLOG = 100
 STAMP_HEADER = "x-rowanport-server-stamp"
-READ_LIMIT = 65536
-BACKLOG = 100
 # More than a gateway holds back of an answer.
 LARGE = bytes(range(256)) * 12000
 
@@ -22,6 +20,8 @@
 
     :ivar script: names of behaviours to come; "ok" when it is used up
     :ivar heads: headers of the requests that it ran
+    :ivar lethal: bodies of the requests that crash it as they begin to run
+    :ivar on_crash: function that is told of each crash, or None
     """
 
     def __init__(self, name, events=6):
@@ -29,11 +29,14 @@
         self.events = events
         self.pause = 0.01
         self.script = []
+        self.lethal = frozenset()
+        self.on_crash = None
         self.heads = []
         self.cut = 0
         self.connections = 0
         self.address = None
         self._server = None
+        self._writers = set()
 
     async def start(self, port):
         await self.start_at("127.0.0.1", port)
@@ -47,6 +50,14 @@
     async def close(self):
         self._server.close()
 
+    def crash(self):
+        """Drop all connections at once, and take no new ones."""
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+        if self.on_crash is not None:
+            self.on_crash(self)
+
     def entry(self, service="feed", state="ready"):
         """Return its entry in the directory."""
         return {
@@ -62,6 +73,7 @@
 
     async def _serve(self, reader, writer):
         self.connections += 1
+        self._writers.add(writer)
         connection = h11.Connection(h11.SERVER)
         wrapped = _Wrapped(connection, reader)
         try:
@@ -86,6 +98,7 @@
         except (OSError, h11.ProtocolError):
             self.cut += 1
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _answer_early(self, connection, writer, request):
@@ -100,6 +113,8 @@
     async def _answer(self, connection, writer, request, body):
         names = {n.decode(): v.decode() for n, v in request.headers}
         behaviour = self._next_behaviour(names)
+        if body in self.lethal:
+            behaviour = "crash"
         await getattr(self, f"_do_{behaviour}")(
             connection, writer, names, body
         )
@@ -187,6 +202,11 @@
         self._note_run(connection, names)
         writer.transport.abort()
 
+    async def _do_crash(self, connection, writer, names, body):
+        self._note_run(connection, names)
+        await asyncio.sleep(self.pause)
+        self.crash()
+
     async def _do_error(self, connection, writer, names, body):
         self._note_run(connection, names)
         self._send(connection, writer, 500, self._head(names), b"error")
--- a/soak/upstream.py
+++ b/soak/upstream.py
@@ -80,12 +80,6 @@
         """Return its entry in the directory."""
         return {**super().entry(service, state), "slots": self.slots}
 
-    def crash(self):
-        """Drop everything at once."""
-        self._server.close()
-        for writer in list(self._readers):
-            writer.transport.abort()
-
     def stall(self, what):
         """Fall silent, as when its process is stopped or memory ran out.
 
--- /dev/null
+++ b/test/crash_world.py
@@ -0,0 +1,245 @@
+"""A fleet whose upstreams crash, on a VirtualNet."""
+
+import asyncio
+import collections
+import random
+from test.platform_world import config
+from test.platform_world import HOST as NAME
+from test.platform_world import ID_HEADER
+from test.platform_world import KEY
+from test.platform_world import route
+from test.test_silence import run_on_net
+from test.test_silence import settings
+from test.test_silence import STORE
+from test.virtual import LoopClock
+from test.virtual_net import HOST
+
+from rowanport.errors import UpstreamError
+from rowanport.platform.__main__ import build
+from rowanport.standins.kvstore import StoreStandin
+from rowanport.standins.upstream import UpstreamStandin
+from rowanport.web import HttpClient
+
+LETHAL = b"crashes whatever runs it"
+# Seconds after a crash until the entry goes, and until another run is back.
+LAPSE_SECONDS = 1.5
+BACK_SECONDS = 3.0
+DEADLINE_SECONDS = 4.0
+
+
+class CrashingUpstream(UpstreamStandin):
+    """An upstream that a lethal request crashes.
+
+    :param lethal: bodies of requests that crash it
+    :ivar runs: bodies of the requests that it began to run
+    """
+
+    def __init__(self, name, lethal):
+        super().__init__(name, events=8)
+        self.pause = 0.1
+        self.lethal = lethal
+        self.runs = []
+
+    async def _answer(self, connection, writer, request, body):
+        self.runs.append((asyncio.get_running_loop().time(), body))
+        await super()._answer(connection, writer, request, body)
+
+
+class Crash:
+    """One crash.
+
+    :ivar at: the loop's time
+    :ivar upstream: the CrashingUpstream
+    """
+
+    __slots__ = ("at", "upstream")
+
+    def __init__(self, at, upstream):
+        self.at = at
+        self.upstream = upstream
+
+
+class CrashWorld:
+    """Routers, a store, and upstreams that come back after a crash.
+
+    :ivar lethal: bodies of requests that crash what runs them
+    :ivar crashes: all Crashes so far
+    :ivar outcomes: what became of callers' requests, by outcome
+    """
+
+    def __init__(self, loop, net, routers=4, upstreams=6):
+        self.net = net
+        self.store = StoreStandin()
+        self.lethal = {LETHAL}
+        self.crashes = []
+        self.outcomes = collections.Counter()
+        self.upstreams = {}
+        self.gateways = {}
+        self.hosts = [f"10.0.0.{n}" for n in range(1, routers + 1)]
+        self.random = random.Random(5)
+        self._loop = loop
+        self._clock = LoopClock(loop)
+        self._seats = [f"10.9.0.{n}" for n in range(1, upstreams + 1)]
+        self._boots = 0
+        self._gone = []
+        self._tasks = set()
+
+    @property
+    def now(self):
+        """Return the loop's time."""
+        return self._loop.time()
+
+    @property
+    def runs(self):
+        """Return the times at which lethal requests reached upstreams."""
+        everyone = [*self._gone, *self.upstreams.values()]
+        return sorted(
+            at for one in everyone for at, body in one.runs if body == LETHAL
+        )
+
+    async def start(self):
+        """Start all, and wait until the routers serve."""
+        HOST.set(STORE)
+        await self.store.start_at(STORE, 80)
+        await self.store.put("op/config", _config())
+        for seat in self._seats:
+            await self._boot(seat)
+        for host in self.hosts:
+            await self.start_router(host)
+        HOST.set("caller")
+        await asyncio.sleep(8.0)
+        assert all(gateway.ready for gateway in self.gateways.values())
+
+    async def start_router(self, host):
+        """Start the router of a host."""
+        HOST.set(host)
+        gateway = build(settings(host, self.hosts), self._clock)
+        self.gateways[host] = gateway
+        await gateway.start()
+        HOST.set("caller")
+
+    async def kill_router(self, host):
+        """End the router of a host without a word."""
+        await self.gateways.pop(host).close()
+
+    async def close(self):
+        """End everything."""
+        for task in self._tasks:
+            task.cancel()
+        for host in list(self.gateways):
+            await self.kill_router(host)
+        await self.store.close()
+
+    # Upstreams
+
+    async def _boot(self, seat):
+        self._boots += 1
+        HOST.set(seat)
+        upstream = CrashingUpstream(f"u{self._boots}", self.lethal)
+        upstream.on_crash = lambda one: self._note_crash(seat, one)
+        await upstream.start_at(seat, 80)
+        self.upstreams[seat] = upstream
+        await self.store.put(f"servers/{upstream.name}", upstream.entry())
+        HOST.set("caller")
+
+    def _note_crash(self, seat, upstream):
+        if self.upstreams.get(seat) is upstream:
+            self.crashes.append(Crash(self.now, upstream))
+            self._gone.append(self.upstreams.pop(seat))
+            self.spawn(self._come_back(seat, upstream))
+
+    async def _come_back(self, seat, upstream):
+        await asyncio.sleep(LAPSE_SECONDS)
+        await self.store.remove(f"servers/{upstream.name}")
+        await asyncio.sleep(BACK_SECONDS - LAPSE_SECONDS)
+        await self._boot(seat)
+
+    def crash_busiest(self):
+        """Crash the upstream with the most requests by itself."""
+        self.busiest().crash()
+
+    def busiest(self):
+        """Return the upstream that has got the most requests."""
+        return max(self.upstreams.values(), key=lambda u: len(u.runs))
+
+    # Callers
+
+    def spawn(self, coroutine):
+        """Start a task; return it."""
+        task = self._loop.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def ask(self, name, body, path="/stream/", host=None):
+        """Send a request once; return its status, or "cut"."""
+        host = host or self.random.choice(list(self.gateways))
+        fields = [
+            ("host", NAME),
+            (ID_HEADER, name),
+            ("api-key", KEY),
+            ("x-rowanport-deadline-ms", str(int(DEADLINE_SECONDS * 1000))),
+        ]
+        if path == "/stream/":
+            fields += [
+                ("x-rowanport-token-count", "100,30"),
+                ("x-rowanport-prompt-prefix", f"{name}:100"),
+                ("x-rowanport-model", "m"),
+            ]
+        client = HttpClient()
+        try:
+            answer = await client.request(
+                f"{host}:80", "POST", path, body, fields
+            )
+            await answer.read()
+            return answer.status
+        except UpstreamError:
+            return "cut"
+        finally:
+            client.close()
+
+    async def ask_many(self, count, pause, kind="other", **options):
+        """Send requests one after the other, each for itself.
+
+        :returns: tasks that end with them
+        """
+        tasks = []
+        for number in range(count):
+            name = f"{kind}{number}"
+            tasks.append(self.spawn(self._count(kind, name, **options)))
+            await asyncio.sleep(pause)
+        return tasks
+
+    async def _count(self, kind, name, body=None, **options):
+        outcome = await self.ask(name, body or name.encode(), **options)
+        self.outcomes[kind, outcome] += 1
+        return outcome
+
+
+def _config():
+    long = {"timeout_ms": 15000, "gap_aim_ms": 400}
+    routes = [
+        route("/stream/", "streaming", stream_resume=True, **long),
+        route("/safe/", "idempotent", timeout_ms=4000),
+        route("/once/", "non_idempotent", timeout_ms=4000, max_attempts=1),
+    ]
+    return config(1, 10_000_000, routes=routes)
+
+
+def crash_test(**options):
+    """Return a decorator of tests that are given a started CrashWorld."""
+
+    def decorate(body):
+        def test():
+            async def run(loop, net):
+                world = CrashWorld(loop, net, **options)
+                await world.start()
+                await body(world)
+                await world.close()
+
+            run_on_net(run)
+
+        test.__name__ = body.__name__
+        return test
+
+    return decorate
