Refuse nothing while upstreams crash whatever they run; clear what ran beside

Where a service's upstreams crash in a loop by themselves, each request would soon have three crashes and be refused for an hour, also after the upstreams are mended. Ten such requests within a minute are the upstreams' fault: they go on as suspects. And what ran beside a refused request is cleared of the crashes that this one explains, so that the next lethal request does not take it along. A probe whose connections end twice is no longer taken for a refused one: an upstream resets connections beyond its limit.

--- a/rowanport/gateway/blocklist.py
+++ b/rowanport/gateway/blocklist.py
@@ -66,6 +66,7 @@
         """Keep the record until cancelled."""
         while True:
             beat()
+            self._crashes.settle()
             try:
                 await self._look()
                 self._failing = False
--- a/rowanport/gateway/crashes.py
+++ b/rowanport/gateway/crashes.py
@@ -181,7 +181,8 @@
         recognise it.
         """
         running = self._runs.count(fingerprint, self._clock.steady())
-        return running < BLOCK_CRASHES - self._against(fingerprint)
+        missing = BLOCK_CRASHES - self._against(fingerprint)
+        return running < max(1, missing)
 
     def _lives(self, run):
         """Return whether an upstream's run is to take requests."""
@@ -243,24 +244,31 @@
 
     def _take_changes(self, suspects):
         """Act on what is new of some Suspects."""
-        verdict = False
         for suspect in suspects:
             for flight in self._flights.of(suspect.fingerprint):
                 if suspect.open_crashes:
                     self._tell_run(flight)
-            if suspect.blocked != (suspect.fingerprint in self._blocked):
-                self._change_verdict(suspect)
-                verdict = True
-        if verdict:
-            self._metrics.blocked_requests.set({}, len(self._blocked))
-            self.on_verdict()
+        blocked = self.table.blocked
+        if blocked != self._blocked:
+            self._change_verdicts(blocked)
         self._wake()
 
-    def _change_verdict(self, suspect):
-        if not suspect.blocked:
-            self._blocked.discard(suspect.fingerprint)
-            return
-        self._blocked.add(suspect.fingerprint)
+    def _change_verdicts(self, blocked):
+        """Act on what is refused from now on, or no more.
+
+        :param blocked: fingerprints of all that is refused
+        """
+        for fingerprint in self._blocked - blocked:
+            text = fingerprint_text(fingerprint)
+            LOG.warning("request_unblocked", fingerprint=text)
+        new = blocked - self._blocked
+        self._blocked = blocked
+        self._metrics.blocked_requests.set({}, len(blocked))
+        for fingerprint in new:
+            self._block(self.table.get(fingerprint))
+        self.on_verdict()
+
+    def _block(self, suspect):
         LOG.warning(
             "request_blocked",
             fingerprint=fingerprint_text(suspect.fingerprint),
@@ -317,7 +325,6 @@
             self._runs.begin(*key, now + seconds)
         else:
             self._runs.end(*key)
-        self._runs.forget(now)
         self._wake()
 
     def hear(self, news):
@@ -338,8 +345,13 @@
                 fingerprints=_texts(changed),
             )
             self._take_changes(changed)
-        for suspect in self.table.forget(now):
-            self._blocked.discard(suspect.fingerprint)
+
+    def settle(self):
+        """Do what is due as time passes; called now and then."""
+        now = self._clock.steady()
+        self.table.forget(now)
+        self._runs.forget(now)
+        self._take_changes(self.table.settle(now))
 
     def ask_news(self):
         """Return the SuspectNews that go along with a question to a peer."""
--- a/rowanport/suspects/table.py
+++ b/rowanport/suspects/table.py
@@ -6,6 +6,7 @@
 order in which news arrives, and how often, does not matter.
 """
 
+import bisect
 import collections
 import itertools
 
@@ -15,6 +16,12 @@
 
 # Upstreams that have crashed under a request when it is refused everywhere.
 BLOCK_CRASHES = 3
+# Requests that would be refused for crashes within some seconds from which on
+# none of them is: then the upstreams crash by themselves, whatever they run.
+STORM_REQUESTS = 10
+STORM_SECONDS = 60.0
+# Seconds after which all that ran beside a refused request is known.
+SETTLE_SECONDS = 2.0
 # Seconds after the last crash until a request is forgotten, one that is
 # refused and one that is not.
 KEEP_SECONDS = 3600.0
@@ -35,6 +42,7 @@
 
     :ivar crashes: steady time of the crash by name of the upstream's run
     :ivar cleared: names of runs after whose crash it was answered whole
+    :ivar blocked: whether it is refused, as the table judges
     :ivar source: peer address of the router that saw the last of these
     :ivar stored: whether the store holds that it is blocked
     :ivar changed_at: steady time at which it was last changed here
@@ -45,6 +53,7 @@
         "fingerprint",
         "crashes",
         "cleared",
+        "blocked",
         "source",
         "stored",
         "changed_at",
@@ -56,6 +65,7 @@
         self.fingerprint = fingerprint
         self.crashes = {}
         self.cleared = set()
+        self.blocked = False
         self.source = ""
         self.stored = False
         self.changed_at = 0.0
@@ -68,9 +78,12 @@
         return [run for run in self.crashes if run not in self.cleared]
 
     @property
-    def blocked(self):
-        """Return whether it is refused."""
-        return len(self.open_crashes) >= BLOCK_CRASHES
+    def convicted_at(self):
+        """Return the steady time of the crash that decided, None if none."""
+        times = sorted(self.crashes[run] for run in self.open_crashes)
+        if len(times) < BLOCK_CRASHES:
+            return None
+        return times[BLOCK_CRASHES - 1]
 
     @property
     def digest(self):
@@ -92,7 +105,8 @@
     def _forget_at(self, now):
         if not self.open_crashes:
             return now + CLEARED_SECONDS
-        keep = KEEP_SECONDS if self.blocked else SUSPECT_SECONDS
+        convicted = self.convicted_at is not None
+        keep = KEEP_SECONDS if convicted else SUSPECT_SECONDS
         return max(self.crashes.values()) + keep
 
 
@@ -107,6 +121,7 @@
         self._suspects = collections.OrderedDict()
         self._digest = 0
         self._turn = 0
+        self._convicted = {}
 
     def __len__(self):
         return len(self._suspects)
@@ -116,6 +131,11 @@
         """Return a number that is the same where the same is known."""
         return self._digest
 
+    @property
+    def blocked(self):
+        """Return the fingerprints of the requests that are refused."""
+        return {s.fingerprint for s in self._convicted.values() if s.blocked}
+
     @property
     def suspects(self):
         """Return all Suspects, those changed last at the end."""
@@ -132,7 +152,8 @@
 
     def is_blocked(self, fingerprint):
         """Return whether a request is refused."""
-        return self.crashes(fingerprint) >= BLOCK_CRASHES
+        suspect = self._suspects.get(fingerprint)
+        return suspect is not None and suspect.blocked
 
     # What this router saw
 
@@ -253,9 +274,51 @@
         self._digest ^= suspect.digest
         self._suspects[suspect.fingerprint] = suspect
         self._suspects.move_to_end(suspect.fingerprint)
+        self._judge(suspect)
         if len(self._suspects) > TABLE_LIMIT:
             self._drop(self._least_useful())
 
+    def _judge(self, suspect):
+        """Decide what is refused, after a change of one Suspect."""
+        known = suspect.fingerprint in self._convicted
+        if known == (suspect.convicted_at is not None):
+            return
+        if known:
+            del self._convicted[suspect.fingerprint]
+            suspect.blocked = False
+        else:
+            self._convicted[suspect.fingerprint] = suspect
+        times = sorted(one.convicted_at for one in self._convicted.values())
+        for one in self._convicted.values():
+            at = one.convicted_at
+            first = bisect.bisect_left(times, at - STORM_SECONDS)
+            last = bisect.bisect_right(times, at + STORM_SECONDS)
+            one.blocked = last - first < STORM_REQUESTS
+
+    # Those that ran beside
+
+    def settle(self, now):
+        """Clear others of the crashes that a refused request explains.
+
+        :returns: the Suspects that this changes
+        """
+        explained = set()
+        for suspect in self._convicted.values():
+            if suspect.blocked and suspect.convicted_at < now - SETTLE_SECONDS:
+                explained.update(suspect.crashes)
+        changed = []
+        if not explained:
+            return changed
+        for suspect in self.suspects:
+            if suspect.fingerprint in self._convicted:
+                continue
+            beside = explained.intersection(suspect.open_crashes)
+            if beside:
+                suspect.cleared |= beside
+                self._put(suspect, now)
+                changed.append(suspect)
+        return changed
+
     def _least_useful(self):
         """Return the oldest Suspect that is not blocked, else the oldest."""
         for suspect in self._suspects.values():
@@ -264,5 +327,6 @@
         return next(iter(self._suspects.values()))
 
     def _drop(self, suspect):
+        self._convicted.pop(suspect.fingerprint, None)
         self._digest ^= suspect.digest
         del self._suspects[suspect.fingerprint]
--- a/rowanport/web/client.py
+++ b/rowanport/web/client.py
@@ -323,7 +323,8 @@
         """Return whether nobody listens at an address.
 
         The connection is kept for the next request if somebody does.  One
-        that ends at once was accepted by a process that was about to end.
+        that ends at once may have been accepted by a process that was about
+        to end, or by one that takes no more.
         """
         for _attempt in range(REFUSED_ATTEMPTS):
             try:
@@ -337,7 +338,7 @@
                 self._keep(address, connection)
                 return False
             connection.writer.close()
-        return True
+        return False
 
     def _doubt_older(self):
         """Drop what was last heard of before a silence that was found now."""
--- /dev/null
+++ b/test/test_suspects.py
@@ -0,0 +1,381 @@
+"""What routers together know of requests that crash upstreams."""
+
+import random
+
+import pytest
+
+from rowanport.errors import MessageError
+from rowanport.gateway.pool import UpstreamState
+from rowanport.gateway.upstream import Upstream
+from rowanport.schema.messages import CrashSeen
+from rowanport.schema.messages import SuspectRow
+from rowanport.suspects import Flights
+from rowanport.suspects import pack_blocked
+from rowanport.suspects import place
+from rowanport.suspects import SuspectRuns
+from rowanport.suspects import SuspectTable
+from rowanport.suspects import unpack_blocked
+from rowanport.suspects.archive import RECORD_LIMIT
+from rowanport.suspects.table import CLEARED_SECONDS
+from rowanport.suspects.table import CRASH_LIMIT
+from rowanport.suspects.table import KEEP_SECONDS
+from rowanport.suspects.table import NEWEST_LIMIT
+from rowanport.suspects.table import SETTLE_SECONDS
+from rowanport.suspects.table import STORM_REQUESTS
+from rowanport.suspects.table import STORM_SECONDS
+from rowanport.suspects.table import SUSPECT_SECONDS
+from rowanport.suspects.table import TABLE_LIMIT
+
+PRINT = 2**64 - 1
+NOW = 100.0
+
+
+@pytest.fixture
+def table():
+    return SuspectTable("here")
+
+
+def crash(table, *runs, fingerprint=PRINT, now=NOW):
+    """Let upstreams crash under a request."""
+    for run in runs:
+        table.note_crash(fingerprint, run, now)
+
+
+def rows_of(table, now=NOW):
+    return [table.row(suspect, now) for suspect in table.suspects]
+
+
+# Evidence
+
+
+def test_three_crashes_block_a_request(table):
+    crash(table, "a", "b")
+    assert not table.is_blocked(PRINT)
+    crash(table, "c")
+    assert table.is_blocked(PRINT)
+
+
+def test_a_crash_counts_once_however_often_it_is_seen(table):
+    crash(table, "a", "a")
+    assert table.crashes(PRINT) == 1
+    assert table.note_crash(PRINT, "a", NOW) is None
+
+
+def test_a_whole_answer_clears_a_request(table):
+    crash(table, "a", "b")
+    assert table.note_whole(PRINT, NOW)
+    crash(table, "c")
+    assert table.crashes(PRINT) == 1
+    assert table.note_whole(2, NOW) is None
+
+
+def test_a_crash_after_a_whole_answer_counts_again(table):
+    crash(table, "a")
+    table.note_whole(PRINT, NOW)
+    crash(table, "b", "c", "d")
+    assert table.is_blocked(PRINT)
+
+
+def test_a_refused_request_explains_the_crashes_of_others(table):
+    crash(table, "a", "b", "c", fingerprint=1)
+    crash(table, "a", "b", fingerprint=2)
+    crash(table, "c", "d", fingerprint=3)
+    assert not table.settle(NOW + SETTLE_SECONDS)
+    changed = table.settle(NOW + SETTLE_SECONDS + 0.1)
+    assert [suspect.fingerprint for suspect in changed] == [2, 3]
+    assert table.crashes(1) == 3
+    assert table.crashes(2) == 0
+    assert table.crashes(3) == 1
+    assert not table.settle(NOW + SETTLE_SECONDS + 0.2)
+
+
+def test_upstreams_that_crash_whatever_they_run_block_nothing(table):
+    for number in range(STORM_REQUESTS):
+        crash(table, "a", "b", "c", fingerprint=number, now=NOW + number)
+    assert not table.blocked
+    assert table.crashes(1) == 3
+    assert not table.settle(NOW + 30)
+    # One alone, later, is to blame again.
+    late = NOW + STORM_SECONDS + STORM_REQUESTS
+    crash(table, "e", "f", "g", fingerprint=1000, now=late)
+    assert table.blocked == {1000}
+
+
+def test_a_storm_ends_as_its_requests_are_answered(table):
+    for number in range(STORM_REQUESTS):
+        crash(table, "a", "b", "c", fingerprint=number)
+    for number in range(1, STORM_REQUESTS):
+        table.note_whole(number, NOW)
+    assert table.blocked == {0}
+
+
+# Merging
+
+
+class Forgetful(SuspectTable):
+    """Takes an earlier crash again after it was cleared of it."""
+
+    def merge(self, row, now):
+        suspect = super().merge(row, now)
+        if suspect is not None:
+            suspect.cleared &= set(row.cleared)
+            suspect.refresh(now)
+        return suspect
+
+
+def merge_at_random(make, seed):
+    """Let three tables see and tell in a random order; return them."""
+    draw = random.Random(seed)
+    tables = [make(f"r{n}") for n in range(3)]
+    messages = []
+    for _step in range(30):
+        table = draw.choice(tables)
+        kind = draw.random()
+        if kind < 0.4:
+            crash(table, draw.choice("abcde"), fingerprint=draw.randint(1, 2))
+        elif kind < 0.55:
+            table.note_whole(draw.randint(1, 2), NOW)
+        else:
+            messages += rows_of(table)
+        if messages and draw.random() < 0.7:
+            # Old ones come again, and some never.
+            draw.choice(tables).merge(draw.choice(messages), NOW)
+    for _round in range(2):
+        for table in tables:
+            for other in tables:
+                for row in rows_of(other):
+                    table.merge(row, NOW)
+    return tables
+
+
+def differ(tables):
+    known = [
+        sorted(
+            (s.fingerprint, sorted(s.crashes), sorted(s.cleared))
+            for s in table.suspects
+        )
+        for table in tables
+    ]
+    return known[1:] != known[:-1] or len({t.digest for t in tables}) > 1
+
+
+def test_routers_come_to_know_the_same_in_whatever_order_news_come():
+    for seed in range(300):
+        assert not differ(merge_at_random(SuspectTable, seed)), seed
+
+
+def test_a_table_that_forgets_what_was_cleared_is_found():
+    assert any(differ(merge_at_random(Forgetful, s)) for s in range(300))
+
+
+def test_ages_do_not_grow_younger_by_being_passed_on(table):
+    crash(table, "a")
+    other = SuspectTable("there")
+    row = table.row(table.get(PRINT), NOW + 50)
+    other.merge(row, NOW + 60)
+    assert other.get(PRINT).crashes == {"a": NOW + 10}
+    # What comes back is known already.
+    assert table.merge(other.row(other.get(PRINT), NOW + 60), NOW + 60) is None
+
+
+def test_a_router_knows_who_saw_a_crash(table):
+    crash(table, "a")
+    other = SuspectTable("there")
+    other.merge(table.row(table.get(PRINT), NOW), NOW)
+    assert other.get(PRINT).source == "here"
+
+
+def test_absurd_rows_change_nothing(table):
+    old = SuspectRow(1, [CrashSeen("a", KEEP_SECONDS)], [], "x", True)
+    assert table.merge(old, NOW) is None
+    assert table.merge(SuspectRow(1, [], ["a"], "x", True), NOW) is None
+    young = SuspectRow(1, [CrashSeen("a", -1e9)], [], "x", False)
+    assert table.merge(young, NOW).crashes == {"a": NOW}
+    many = [CrashSeen(str(n), 0.0) for n in range(1000)]
+    table.merge(SuspectRow(2, many, [], "x", False), NOW)
+    assert len(table.get(2).crashes) == CRASH_LIMIT
+
+
+# Bounds
+
+
+def test_what_is_old_is_forgotten(table):
+    crash(table, "a", fingerprint=1)
+    crash(table, "a", "b", "c", fingerprint=2)
+    crash(table, "a", fingerprint=3)
+    table.note_whole(3, NOW)
+    table.forget(NOW + CLEARED_SECONDS)
+    assert [s.fingerprint for s in table.suspects] == [1, 2]
+    table.forget(NOW + SUSPECT_SECONDS)
+    assert [s.fingerprint for s in table.suspects] == [2]
+    assert [s.fingerprint for s in table.forget(NOW + KEEP_SECONDS)] == [2]
+    assert table.digest == 0
+
+
+def test_a_full_table_keeps_what_is_blocked(table):
+    crash(table, "a", "b", "c", fingerprint=1)
+    for number in range(2, TABLE_LIMIT + 10):
+        crash(table, "a", fingerprint=number)
+    assert len(table) == TABLE_LIMIT
+    assert table.is_blocked(1)
+    assert not table.crashes(2)
+
+
+def test_a_router_that_starts_is_told_all_in_time(table):
+    for number in range(200):
+        crash(table, "a", fingerprint=number)
+    other = SuspectTable("there")
+    for _question in range(20):
+        rows = table.some_rows(NOW)
+        assert len(rows) <= 2 * NEWEST_LIMIT
+        for row in rows:
+            other.merge(row, NOW)
+    assert other.digest == table.digest
+
+
+def test_only_what_is_new_is_told_again(table):
+    crash(table, "a", fingerprint=1)
+    crash(table, "a", fingerprint=2, now=NOW + 5)
+    (row,) = table.rows_since(NOW, NOW + 5)
+    assert row.fingerprint == 2
+
+
+# Placing
+
+
+def state(name):
+    record = Upstream(name, "feed", "10.0.0.1:80", "hall-a", 8, False)
+    return UpstreamState(record)
+
+
+def placed(table, runs, states, fingerprint=PRINT):
+    chosen = place(states, fingerprint, table.crashes, runs, NOW)
+    return [one.record.id for one in chosen]
+
+
+def test_suspects_run_apart_from_each_other(table):
+    runs = SuspectRuns()
+    states = [state("u1"), state("u2"), state("u3")]
+    crash(table, "a", fingerprint=1)
+    crash(table, "a", "b", fingerprint=2)
+    crash(table, "a")
+    runs.begin(1, "u1", "there", NOW + 5)
+    runs.begin(2, "u2", "there", NOW + 5)
+    assert placed(table, runs, states) == ["u3"]
+    # Beside the one that less speaks against, if it must be.
+    assert placed(table, runs, states[:2]) == ["u1"]
+
+
+def test_a_suspect_is_not_sent_where_the_same_request_runs(table):
+    runs = SuspectRuns()
+    crash(table, "a")
+    crash(table, "a", "b", fingerprint=2)
+    runs.begin(PRINT, "u1", "there", NOW + 5)
+    runs.begin(2, "u2", "there", NOW + 5)
+    assert placed(table, runs, [state("u1"), state("u2")]) == ["u2"]
+
+
+def test_what_likely_crashes_an_upstream_goes_where_the_fewest_run(table):
+    states = [state("u1"), state("u2")]
+    states[0].outstanding = 3
+    crash(table, "a")
+    assert placed(table, SuspectRuns(), states) == ["u1", "u2"]
+    crash(table, "b")
+    assert placed(table, SuspectRuns(), states) == ["u2"]
+
+
+def test_others_stay_away_from_what_likely_crashes_an_upstream(table):
+    runs = SuspectRuns()
+    states = [state("u1"), state("u2")]
+    crash(table, "a", "b", fingerprint=2)
+    runs.begin(2, "u1", "there", NOW + 5)
+    assert placed(table, runs, states) == ["u2"]
+    assert placed(table, runs, states[:1]) == ["u1"]
+
+
+def test_a_run_whose_end_was_not_heard_counts_until_its_deadline():
+    runs = SuspectRuns()
+    runs.begin(1, "u1", "there", NOW + 5)
+    runs.begin(1, "u2", "here", NOW + 9)
+    assert runs.count(1, NOW) == 2
+    assert runs.end(1, "u2", "here")
+    assert not runs.end(1, "u2", "here")
+    assert runs.at("u1", NOW) == [1]
+    assert runs.count(1, NOW + 5) == 0
+    runs.forget(NOW + 5)
+    assert not len(runs)
+
+
+# Flights
+
+
+class Job:
+    """What counts of a job here."""
+
+    def __init__(self, fingerprint):
+        self.fingerprint = fingerprint
+
+
+def test_what_runs_at_an_upstream_is_known_until_it_ends():
+    flights = Flights()
+    run = state("u1").record.run
+    first = flights.begin(Job(1), run, NOW)
+    second = flights.begin(Job(2), run, NOW)
+    third = flights.begin(Job(3), run, NOW)
+    flights.finish(first)
+    flights.finish(first)
+    flights.end(second, NOW + 1)
+    assert flights.first_end("u1") == NOW + 1
+    assert flights.ended_runs(2) == ["u1"]
+    assert flights.of(3) == [third]
+    assert flights.take_all("u1") == [second, third]
+    assert not flights.ended_runs(2)
+
+
+def test_what_ended_long_ago_says_nothing_of_a_crash():
+    flights = Flights()
+    run = state("u1").record.run
+    flights.end(flights.begin(Job(1), run, NOW), NOW)
+    flights.end(flights.begin(Job(2), run, NOW), NOW + 10)
+    assert [f.job.fingerprint for f in flights.take_all("u1")] == [2]
+
+
+# The record
+
+
+def test_the_record_brings_back_what_was_blocked(table):
+    crash(table, "a", "b", "c")
+    data = pack_blocked(rows_of(table), 5000.0)
+    (row,) = unpack_blocked(data, 5010.0)
+    other = SuspectTable("there")
+    other.merge(row, NOW)
+    assert other.is_blocked(PRINT)
+    assert other.get(PRINT).stored
+    assert other.get(PRINT).crashes["a"] == NOW - 10.0
+    assert unpack_blocked(data, 5000.0 + KEEP_SECONDS) == []
+
+
+def test_a_wall_clock_that_went_back_loses_nothing(table):
+    crash(table, "a", "b", "c")
+    (row,) = unpack_blocked(pack_blocked(rows_of(table), 5000.0), 4000.0)
+    assert [crash.age for crash in row.crashes] == [0.0] * 3
+
+
+def test_the_record_is_bounded(table):
+    for number in range(RECORD_LIMIT + 5):
+        crash(table, "a", "b", "c", fingerprint=number)
+    rows = unpack_blocked(pack_blocked(rows_of(table), 0.0), 0.0)
+    assert len(rows) == RECORD_LIMIT
+    assert rows[-1].fingerprint == RECORD_LIMIT + 4
+
+
+@pytest.mark.parametrize(
+    "data", [b"\xc1", b"\x01", b"\x91\x01", b"\x91\x92\x01\x91\x01", b"text"]
+)
+def test_bytes_that_are_no_record_are_an_error(data):
+    with pytest.raises(MessageError):
+        unpack_blocked(data, 0.0)
+
+
+def test_no_record_blocks_nothing():
+    assert unpack_blocked(b"", 0.0) == []
