Tell a crash behind a proxy; stand-ins and a soak theme for lethal requests

The soak's relays listen on for upstreams that are gone, as a proxy does: a probe that is hung up on, with nothing else open there, is a crash as well. What a router sends to an upstream that others know to have crashed is not blamed for it: a soak run had refused a request that only met dead upstreams. A crashed upstream is left out until its entry is gone.

--- a/rowanport/gateway/crashes.py
+++ b/rowanport/gateway/crashes.py
@@ -21,6 +21,7 @@
 from ..suspects import SuspectRuns
 from ..suspects import SuspectTable
 from ..tasks import TaskSet
+from ..web.client import Listening
 from .fingerprint import fingerprint_text
 from .followers import followers
 from .loads import DIRECT_FLEET
@@ -139,16 +140,19 @@
             self._end_run(flight)
             return
         self._flights.end(flight, self._clock.steady())
-        crashed_at = self._crashed.get(run.name)
-        if crashed_at is not None:
-            self._take_crash(run.name, crashed_at)
+        if run.name in self._crashed:
+            self._take_crash(run.name)
         elif run.name not in self._probes:
             address = self._pool.get(run.id).record.address
             probe = self._tasks.spawn(self._probe(run, address))
             self._probes[run.name] = probe
 
-    def note_whole(self, job):
-        """Note that an upstream answered a job whole."""
+    def note_whole(self, job, run):
+        """Note that an upstream answered a job whole.
+
+        :param run: the UpstreamRun
+        """
+        self._crashed.pop(run.name, None)
         suspect = self.table.note_whole(job.fingerprint, self._clock.steady())
         if suspect is None:
             return
@@ -194,19 +198,34 @@
     async def _probe(self, run, address):
         """Find out whether an upstream that ended connections crashed."""
         try:
-            if await self._client.is_refused(address):
+            if await self._is_gone(run.name, address):
                 now = self._clock.steady()
-                crashed_at = self._flights.first_end(run.name)
-                self._note_gone(run.name, now)
-                self._take_crash(run.name, crashed_at or now)
+                crashed_at = self._flights.first_end(run.name) or now
+                self._metrics.crashes.inc({})
+                self._note_crashed(run.name, crashed_at)
+                self._take_crash(run.name)
             else:
                 self._end_runs(self._flights.take_ended(run.name))
         finally:
             self._probes.pop(run.name, None)
             self._wake()
 
-    def _take_crash(self, name, at):
+    async def _is_gone(self, name, address):
+        """Return whether an upstream that ended a connection has crashed.
+
+        Behind a proxy it still has a listener, which hangs up.  So does one
+        that takes no more connections, but that keeps those it has.
+        """
+        listening = await self._client.probe(address)
+        if listening is not Listening.HANGS_UP:
+            return listening is Listening.REFUSES
+        return not self._flights.open_at(name) and (
+            not self._client.has_idle(address)
+        )
+
+    def _take_crash(self, name):
         """Take in that an upstream's run crashed under own requests."""
+        at = self._crashed[name]
         flights = self._flights.take_all(name)
         now = self._clock.steady()
         news = []
@@ -216,8 +235,6 @@
                 fingerprint = flight.job.fingerprint
                 news.append(self.table.note_crash(fingerprint, name, now))
         news = [suspect for suspect in news if suspect is not None]
-        if name not in self._crashed:
-            self._note_crashed(name, at)
         if news:
             LOG.info(
                 "upstream_crashed",
@@ -231,13 +248,16 @@
         self._end_runs(flights)
 
     def _note_crashed(self, name, at):
+        """Note that an upstream's run crashed, seen here or at a peer.
+
+        It gets nothing for a while, and what it gets later, as long as it is
+        listed, is not to blame.
+        """
+        if name in self._crashed:
+            return
         self._crashed[name] = at
-        self._metrics.crashes.inc({})
         if len(self._crashed) > CRASHED_LIMIT:
             del self._crashed[next(iter(self._crashed))]
-
-    def _note_gone(self, name, at):
-        """Send nothing to a crashed upstream for a while."""
         state = self._pool.get(name.partition("@")[0])
         if state is not None and state.record.run.name == name:
             state.note_crash(at)
@@ -337,7 +357,7 @@
                 continue
             changed.append(suspect)
             for name, at in suspect.crashes.items():
-                self._note_gone(name, at)
+                self._note_crashed(name, at)
         if changed:
             LOG.info(
                 "suspects_heard",
--- a/rowanport/gateway/pool.py
+++ b/rowanport/gateway/pool.py
@@ -7,6 +7,8 @@
 # seconds; a failed connection counts as that many.
 EJECT_AFTER = 2
 EJECT_SECONDS = 2.0
+# Seconds for which one that crashed is left out: by then its entry is gone.
+CRASH_SECONDS = 5.0
 # Seconds that one running request adds to the wait: 500 prompt tokens' time.
 RUNNING_SECONDS = 0.01
 
@@ -68,7 +70,7 @@
 
     def note_crash(self, at):
         """Note that it crashed: for a while nobody listens there."""
-        self.crashed_until = max(self.crashed_until, at + EJECT_SECONDS)
+        self.crashed_until = max(self.crashed_until, at + CRASH_SECONDS)
 
 
 class UpstreamPool:
--- a/rowanport/gateway/sending.py
+++ b/rowanport/gateway/sending.py
@@ -57,7 +57,8 @@
             while not self._job.whole:
                 attempt = await self._step(attempt)
             attempt.state.note_success()
-            self._crashes.note_whole(self._job)
+            run = attempt.state.record.run
+            self._crashes.note_whole(self._job, run)
             self._log.note_answered()
         finally:
             for attempt in self._attempts:
--- a/rowanport/standins/engine.py
+++ b/rowanport/standins/engine.py
@@ -12,6 +12,7 @@
 import time
 
 from ..hashing import new_id
+from ..tasks import TaskSet
 from ..web import HttpServer
 from ..web.server import HttpLimits
 from .faults import Faults
@@ -21,6 +22,8 @@
 MESSAGE_TOKENS = 4
 PREFIX_BYTES = 256
 KEEP_FINISHED = 20000
+# Seconds for which a crashed engine is away.
+CRASH_SECONDS = 3.0
 
 
 def count_prompt(chat):
@@ -42,6 +45,7 @@
         self.number = number
         self.prompt = prompt
         self.prefix = prefix
+        self.lethal = False
         self.limit = limit
         self.priority = priority
         self.budget = budget
@@ -105,24 +109,44 @@
         self._hits = 0
         self._boot = new_id()
         self._leaving = False
-        self._server = HttpServer(
-            self._handle, limits=HttpLimits(body=64 * 1024 * 1024)
-        )
+        self._server = None
+        self._listens = None
         self._tasks = []
+        self._crashes = TaskSet()
 
     async def start(self, address, port):
         """Listen on an address and start generating."""
-        await self._server.start(address, port)
+        self._listens = (address, port)
+        await self._listen()
         self._tasks = [
             asyncio.ensure_future(self._generate()),
             asyncio.ensure_future(self._report()),
         ]
 
+    async def _listen(self):
+        self._server = HttpServer(
+            self._handle, limits=HttpLimits(body=64 * 1024 * 1024)
+        )
+        await self._server.start(*self._listens)
+
     async def close(self):
         """Stop at once."""
         for task in self._tasks:
             task.cancel()
+        self._crashes.cancel()
+        await self._server.close()
+
+    async def _crash(self):
+        """End all runs at once, and come back as another process."""
+        for run in self._running + [item[2] for item in self._waiting]:
+            self._runs.pop(run.request, None)
+        self._running.clear()
+        self._waiting.clear()
+        self._prefixes.clear()
+        self._boot = new_id()
         await self._server.close()
+        await asyncio.sleep(CRASH_SECONDS)
+        await self._listen()
 
     # Requests
 
@@ -175,6 +199,8 @@
             int(body.get("priority", 0)),
             budget,
         )
+        lethal = self._faults.lethal
+        run.lethal = bool(lethal) and lethal.encode() in text
         self._runs[name] = run
         self._starts[name] += 1
         self._waiting.append((run.priority, next(self._order), run))
@@ -255,6 +281,8 @@
             run.prefill_until = now + work
             self._tokens[run.budget] += run.prompt
             self._running.append(run)
+            if run.lethal:
+                self._crashes.spawn(self._crash())
 
     def _add_word(self, run):
         # Each word names its request, so that a reader sees a mix-up.
--- a/rowanport/standins/faults.py
+++ b/rowanport/standins/faults.py
@@ -11,20 +11,23 @@
     :ivar slow: seconds added to each call
     :ivar lose: share of answers that are lost after the call took effect
     :ivar cut: names of instances whose calls get no answer
+    :ivar lethal: text that a request holds which crashes what runs it, "" for
+        none
     """
 
-    __slots__ = ("down", "slow", "lose", "cut", "_random")
+    __slots__ = ("down", "slow", "lose", "cut", "lethal", "_random")
 
     def __init__(self, seed=1):
         self.down = False
         self.slow = 0.0
         self.lose = 0.0
         self.cut = ()
+        self.lethal = ""
         self._random = random.Random(seed)
 
     def set(self, values):
         """Take over the named faults from parsed JSON."""
-        for name in ("down", "slow", "lose", "cut"):
+        for name in ("down", "slow", "lose", "cut", "lethal"):
             if name in values:
                 setattr(self, name, values[name])
 
--- a/rowanport/suspects/flights.py
+++ b/rowanport/suspects/flights.py
@@ -77,9 +77,13 @@
         ended = self._ended.get(name, ())
         return min((flight.ended for flight in ended), default=None)
 
+    def open_at(self, name):
+        """Return the Flights under way at an upstream's run."""
+        return list(self._open.get(name, ()))
+
     def take_all(self, name):
         """Return the Flights at an upstream that crashed."""
-        return [*self.take_ended(name), *self._open.get(name, ())]
+        return [*self.take_ended(name), *self.open_at(name)]
 
     def take_ended(self, name):
         """Return the Flights that ended at an upstream that goes on."""
--- a/rowanport/ui/explain.py
+++ b/rowanport/ui/explain.py
@@ -16,18 +16,29 @@
     "budgets_held",
     "tokens_stranded",
 )
+# Events of upstreams that crash under requests, which name fingerprints.
+CRASHES = (
+    "upstream_crashed",
+    "suspects_heard",
+    "request_blocked",
+    "request_unblocked",
+    "request_cleared",
+)
 
 
 class Explanation:
     """A request's lines, and what its routers believed before each.
 
     :ivar lines: (line, beliefs by event) pairs in the order of the logs
+    :ivar crashes: the same of lines on upstreams that crashed under it, also
+        as it was sent under other ids
     """
 
-    __slots__ = ("lines",)
+    __slots__ = ("lines", "crashes")
 
     def __init__(self):
         self.lines = []
+        self.crashes = []
 
 
 def explain(request, source):
@@ -38,6 +49,8 @@
     """
     beliefs = collections.defaultdict(dict)
     explanation = Explanation()
+    fingerprints = set()
+    crashes = []
     for text in source:
         line = _read_line(text)
         if line is None:
@@ -48,9 +61,22 @@
             known[event] = line
         if line.get("request") == request:
             explanation.lines.append((line, dict(known)))
+            fingerprints.add(line.get("fingerprint"))
+        elif event in CRASHES:
+            crashes.append((line, {}))
+    explanation.crashes = [
+        row for row in crashes if _fingerprints(row[0]) & fingerprints
+    ]
     return explanation
 
 
+def _fingerprints(line):
+    """Return the fingerprints that a line is about."""
+    several = line.get("fingerprints")
+    several = several if isinstance(several, list) else []
+    return {line.get("fingerprint"), *several} - {None}
+
+
 def _read_line(text):
     start = text.find("{")
     if start < 0:
@@ -67,7 +93,7 @@
     explanation = explain(request, sys.stdin)
     if not explanation.lines:
         raise UserError(f"no line about {request}")
-    for line, beliefs in explanation.lines:
+    for line, beliefs in explanation.crashes + explanation.lines:
         typer.echo(json.dumps(line))
         for belief in beliefs.values():
             typer.echo("    believed: " + json.dumps(belief))
--- a/rowanport/web/client.py
+++ b/rowanport/web/client.py
@@ -1,6 +1,7 @@
 """An HTTP client with kept connections."""
 
 import asyncio
+import enum
 import errno
 import json
 import socket
@@ -21,9 +22,9 @@
 HEAD_LIMIT = 65536
 # Answers to other requests that are read past before one is given up.
 STRAY_LIMIT = 3
-# Connections that are opened to find out whether anybody listens, and seconds
-# after which one that is open was not accepted by a process that ends.
-REFUSED_ATTEMPTS = 2
+# Connections that are opened to find out who listens, and seconds after which
+# one that is open was not accepted by a process that ends.
+PROBE_ATTEMPTS = 2
 SETTLE_SECONDS = 0.02
 
 
@@ -58,6 +59,15 @@
         sock.setsockopt(level, socket.TCP_USER_TIMEOUT, longest)
 
 
+class Listening(enum.Enum):
+    """What became of connections that were opened to an address."""
+
+    LISTENS = "listens"
+    REFUSES = "refuses"
+    HANGS_UP = "hangs up"
+    UNKNOWN = "unknown"
+
+
 class _Connection:
     """One open connection and its protocol state."""
 
@@ -319,26 +329,29 @@
             dropped += len(doubted)
         return dropped
 
-    async def is_refused(self, address):
-        """Return whether nobody listens at an address.
+    async def probe(self, address):
+        """Open a connection to find out who listens; return a Listening.
 
-        The connection is kept for the next request if somebody does.  One
-        that ends at once may have been accepted by a process that was about
-        to end, or by one that takes no more.
+        It is kept for the next request if it stays open.
         """
-        for _attempt in range(REFUSED_ATTEMPTS):
+        for _attempt in range(PROBE_ATTEMPTS):
             try:
                 connection = await self._connect(address, fresh=True)
             except ConnectionRefused:
-                return True
+                return Listening.REFUSES
             except UpstreamError:
-                return False
+                return Listening.UNKNOWN
             await asyncio.sleep(SETTLE_SECONDS)
             if not connection.reader.ended:
                 self._keep(address, connection)
-                return False
+                return Listening.LISTENS
             connection.writer.close()
-        return False
+        return Listening.HANGS_UP
+
+    def has_idle(self, address):
+        """Return whether a kept connection to an address is open."""
+        idle = self._idle.get(address, ())
+        return any(not connection.reader.ended for connection in idle)
 
     def _doubt_older(self):
         """Drop what was last heard of before a silence that was found now."""
--- a/soak/broken.py
+++ b/soak/broken.py
@@ -283,6 +283,36 @@
         Admission.admit = refuse
 
 
+class ForgetsCrashes(Variant):
+    """Sends a request on whatever crashed under it."""
+
+    promise = "lethal"
+    theme = "lethal"
+
+    def apply(self):
+        from rowanport.suspects import SuspectTable
+
+        SuspectTable.note_crash = lambda *_arguments: None
+
+
+class BlamesAll(Variant):
+    """Takes a broken answer for a crash, and refuses the request at once."""
+
+    promise = "blamed"
+    theme = "lethal"
+
+    def apply(self):
+        from rowanport.gateway.crashes import CrashGuard
+        from rowanport.suspects import table
+
+        async def is_gone(self, name, address):
+            return True
+
+        CrashGuard._is_gone = is_gone
+        table.BLOCK_CRASHES = 1
+        table.STORM_REQUESTS = 1000
+
+
 class Ends(Variant):
     """Ends by itself after some seconds."""
 
@@ -314,6 +344,8 @@
         StaysReady,
         Drops,
         StopsServing,
+        ForgetsCrashes,
+        BlamesAll,
         Ends,
     )
 }
--- a/soak/caller.py
+++ b/soak/caller.py
@@ -106,7 +106,8 @@
     def _request(self, ask, until):
         self._count += 1
         id_ = f"{self._name}-{self._count}"
-        request = Request(id_, ask.path + id_, repeatable=ask.repeatable)
+        own = self._name if ask.alike else id_
+        request = Request(id_, ask.path + own, repeatable=ask.repeatable)
         if ask.keyed:
             request.organisation = self._organisation
         if ask.streamed:
@@ -213,6 +214,8 @@
             return b""
         # What is sent ahead is small: a router that closes behind the answer
         # before it would reset the connection, answer and all.
+        if ask.alike:
+            return b""
         sizes = (0,) if ahead else self._shape.bodies
         size = random.Random(request.id).choice(sizes)
         return f"ask {request.id}".encode().ljust(size)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -5,11 +5,14 @@
 
 from .history import NEVER
 from .history import STORE
+from .lethal import LethalCaller
 from .relay import DOWN
 from .relay import UP
 from .router import now
 
 DELAY = 0.4
+# Different requests that crash upstreams.
+LETHAL_REQUESTS = 2
 # Seconds by which the store is slow, and shares of calls that it loses or
 # carries out late.
 STORE_FAULTS = {"slow": 0.24, "lossy": 0.3, "late": 0.5}
@@ -223,5 +226,10 @@
         await asyncio.sleep(step.seconds)
         upstream.resume(stall)
 
+    async def _do_lethal(self, step):
+        """Let a request that crashes upstreams come again and again."""
+        caller = LethalCaller(self._world, step.target % LETHAL_REQUESTS)
+        self._world.spawn(caller.run(now() + step.seconds))
+
     async def _do_crash(self, step):
         self._world.spawn(self._world.operator.crash(self._seat(step)))
--- a/soak/history.py
+++ b/soak/history.py
@@ -96,6 +96,7 @@
     :ivar ended_at: when it ended
     :ivar tokens: tokens handed out, by number of the event
     :ivar broke_off: whether the upstream itself broke the answer off
+    :ivar crashed: whether it crashed the upstream
     """
 
     __slots__ = (
@@ -107,6 +108,7 @@
         "ended_at",
         "tokens",
         "broke_off",
+        "crashed",
     )
 
     def __init__(self, request, upstream, arrived_at, path, organisation=""):
@@ -114,6 +116,7 @@
         self.ended_at = NEVER
         self.tokens = {}
         self.broke_off = False
+        self.crashed = False
 
 
 class Version(Record):
--- /dev/null
+++ b/soak/lethal.py
@@ -0,0 +1,58 @@
+"""A caller whose request crashes whatever runs it."""
+
+import asyncio
+
+from .caller import Caller
+from .router import now
+from .shapes import Ask
+from .shapes import USUAL
+from .upstream import LETHAL
+
+ORGANISATION = "ample"
+# Mean seconds between two of its requests, and for which it waits for one.
+PAUSE = 0.3
+PATIENCE = 2.0
+
+
+class LethalCaller(Caller):
+    """Sends one request again and again, at any router.
+
+    :param world: the World
+    :param number: tells its request from others
+    """
+
+    def __init__(self, world, number):
+        super().__init__(
+            world.history,
+            world.balance,
+            f"lethal{number}-{len(world.history.requests)}",
+            ORGANISATION,
+            f"key-of-{ORGANISATION}",
+            PAUSE,
+            USUAL,
+            world.seed,
+        )
+        self._path = f"/safe/{LETHAL}-{number}"
+        self._keeps = False
+
+    async def run(self, until):
+        """Ask until a steady time."""
+        while now() < until:
+            ask = Ask("/safe/", True, False, True, PATIENCE)
+            await self._attempt(ask, now() + PATIENCE)
+            self._drop()
+            await asyncio.sleep(self._random.expovariate(1 / self._pause))
+
+    def _request(self, ask, until):
+        request = super()._request(ask, until)
+        request.path = self._path
+        return request
+
+    def _body(self, ask, request, ahead):
+        return b"the same each time"
+
+    def _comes_back(self, ask, request, retry_after, left):
+        return False
+
+    def _compare(self, ask, request, headers, answer, body):
+        """Expect nothing: it is never answered by an upstream."""
--- a/soak/operator.py
+++ b/soak/operator.py
@@ -151,6 +151,9 @@
         if seat.service == PROBE:
             upstream.slots = PROBE_SLOTS
         upstream.pause = self._random.choice(self._shape.pauses)
+        upstream.on_crash = lambda _upstream: self._world.spawn(
+            self.crash(seat)
+        )
         await upstream.start(seat.port)
         upstream.address = seat.address
         seat.occupant = upstream
@@ -190,12 +193,14 @@
             return
         upstream.leaving = True
         self._world.note("crash", [upstream.name], now(), NEVER)
+        upstream.on_crash = None
         upstream.crash()
         await asyncio.sleep(LAPSE_AFTER)
         await self._list(seat, "")
         await self._vacate(seat)
 
     async def _vacate(self, seat):
+        seat.occupant.on_crash = None
         seat.occupant.crash()
         seat.occupant = None
         await asyncio.sleep(REUSE_PAUSE)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -45,6 +45,17 @@
     "config": 2,
     "leave": 1,
 }
+# Requests that crash upstreams, while what routers know of them is at risk.
+LETHAL = {
+    "lethal": 6,
+    "crash": 1,
+    "kill": 1,
+    "freeze": 2,
+    "term": 1,
+    "reset": 1,
+    "store_down": 1,
+    "config": 3,
+}
 THEMES["all"] = {
     kind: max(theme.get(kind, 0) for theme in THEMES.values())
     for kind in sorted({kind for theme in THEMES.values() for kind in theme})
@@ -61,6 +72,7 @@
     "store_late": (1.0, 6.0),
     "store_away": (1.0, 8.0),
     "pause": (0.3, 4.0),
+    "lethal": (8.0, 20.0),
 }
 # Kinds that strike all routers: in a large fleet there are more steps, but not
 # more of these, or nobody would ever be in touch.
@@ -76,7 +88,7 @@
     "store_late",
 )
 SMALL_FLEET = 10
-UPSTREAM_KINDS = ("leave", "crash", "pause")
+UPSTREAM_KINDS = ("leave", "crash", "pause", "lethal")
 # Variants of a kind: which links, in which direction, how a store is down.
 VARIANTS = {
     "delay": ("store", "upstreams", "peers", "all"),
@@ -125,6 +137,7 @@
 THEMES["streams"] = PAUSES
 THEMES["breaks"] = THEMES["changes"]
 THEMES["callers"] = CALLERS
+THEMES["lethal"] = LETHAL
 
 
 def choose_theme(seed):
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -9,6 +9,7 @@
 from .history import RELOAD
 from .history import STOP
 from .history import STORE
+from .upstream import LETHAL
 
 NOT_RUN = (408, 421, 429, 503)
 # A kept connection that closes without an answer may cross the request.
@@ -29,6 +30,9 @@
 RECOVERY = 12.0
 SERVED_SHARE = 0.25
 FEWEST_REQUESTS = 8
+# Crashes under a request after which it is to be known, and runs of it later.
+MOST_CRASHES = 3
+MOST_LATE_RUNS = 3
 
 
 class Finding(Record):
@@ -384,6 +388,42 @@
         yield Finding("recovery", begun, evidence)
 
 
+def check_lethal(history):
+    """A request that crashes upstreams is soon sent to none."""
+    runs = {}
+    for run in history.runs:
+        if LETHAL in run.path:
+            runs.setdefault(run.path, []).append(run)
+    for path, same in runs.items():
+        crashes = sorted(run.ended_at for run in same if run.crashed)
+        if len(crashes) < MOST_CRASHES:
+            continue
+        known_at = crashes[MOST_CRASHES - 1] + history.bounds.contact
+        late = [
+            run
+            for run in same
+            if run.arrived_at > known_at
+            and history.in_touch(
+                history.requests[run.request].router, run.arrived_at
+            )
+        ]
+        if len(late) > MOST_LATE_RUNS:
+            evidence = (
+                f"{path} was sent to upstreams {len(late)} times more; "
+                f"{len(crashes)} crashed in all"
+            )
+            yield Finding("lethal", late[MOST_LATE_RUNS].arrived_at, evidence)
+
+
+def check_blamed(history):
+    """No request is refused for good that crashes nothing."""
+    for request in history.requests.values():
+        refused = request.status == 400 and not request.signed
+        if refused and LETHAL not in request.path:
+            evidence = f"{request.id} {request.path} got 400"
+            yield Finding("blamed", request.ended_at, evidence)
+
+
 PROMISES = (
     check_budgets,
     check_answers,
@@ -398,6 +438,8 @@
     check_readiness,
     check_own_ends,
     check_recovery,
+    check_lethal,
+    check_blamed,
 )
 
 
--- a/soak/shapes.py
+++ b/soak/shapes.py
@@ -22,6 +22,7 @@
     :ivar sends: how many upstreams it may be sent to
     :ivar objective: seconds to the answer, or to a stream's first event
     :ivar pause: longest pause in seconds between events in time
+    :ivar alike: whether all requests of a caller have one path and body
     """
 
     __slots__ = (
@@ -33,9 +34,10 @@
         "sends",
         "objective",
         "pause",
+        "alike",
     )
 
-    defaults = {"sends": 1, "objective": 0.5, "pause": 0.0}
+    defaults = {"sends": 1, "objective": 0.5, "pause": 0.0, "alike": False}
 
     @property
     def streamed(self):
@@ -136,6 +138,15 @@
     ),
     # Every upstream breaks answers off, and all callers can pay.
     "breaks": Shape(faulty=1, paid=1500),
+    # Requests that come again, and upstreams enough to go on with.
+    "lethal": Shape(
+        asks={
+            **USUAL.asks,
+            Ask("/poll/", True, False, True, 3.0, 3, alike=True): 3,
+        },
+        upstreams=8,
+        paid=1500,
+    ),
     "callers": Shape(
         **LONG_STREAMS,
         manners={PLAIN: 5, SLOW: 4, PIPELINED: 4, EARLY: 4, HALF: 1},
--- a/soak/upstream.py
+++ b/soak/upstream.py
@@ -27,6 +27,8 @@
 BREAKING = ("reset", "short", "unsigned", "stray")
 # The same, after some events of a stream.
 STREAM_ONLY = ("break", "tear")
+# Part of the paths of requests that crash what runs them.
+LETHAL = "lethal"
 # Seconds between two looks whether a silent upstream goes on.
 STALL_POLL = 0.02
 
@@ -157,6 +159,8 @@
             run.ended_at = time.monotonic()
 
     def _next_behaviour(self, names):
+        if LETHAL in names["path"]:
+            return "crash"
         if not self._faulty:
             return "ok"
         drawn = self._random.random()
@@ -177,6 +181,7 @@
             names.get("x-rowanport-tenant", ""),
         )
         run.broke_off = names["behaviour"] in BREAKING
+        run.crashed = names["behaviour"] == "crash"
         self._runs[connection] = run
         self._history.runs.append(run)
 
--- a/test/test_explain.py
+++ b/test/test_explain.py
@@ -39,3 +39,16 @@
     assert found.output.count("believed") == 4
     missing = CliRunner().invoke(app, ["explain", "nobody"], input=logs)
     assert missing.exit_code != 0
+
+
+def test_crashes_under_the_same_request_are_shown_whatever_its_id():
+    logs = [
+        line("upstream_crashed", upstream="u1", fingerprints=["f1", "f2"]),
+        line("upstream_crashed", upstream="u2", fingerprints=["f3"]),
+        line("request_blocked", "r2", fingerprint="f1", upstreams=["u1"]),
+        line("request", request="abc", fingerprint="f1", outcome="x"),
+    ]
+    events = [row["event"] for row, _ in explain("abc", logs).crashes]
+    assert events == ["upstream_crashed", "request_blocked"]
+    found = CliRunner().invoke(app, ["explain", "abc"], input="\n".join(logs))
+    assert found.output.count("request_blocked") == 1
