Postmortem of the request that took down every upstream; its cost

The record is read by the routers that follow the store only, half a second after their start: read by each router that starts, it would have doubled the calls of a start in a large fleet.

--- a/rowanport/gateway/blocklist.py
+++ b/rowanport/gateway/blocklist.py
@@ -16,12 +16,16 @@
 from ..suspects import pack_blocked
 from ..suspects import unpack_blocked
 from .fingerprint import fingerprint_text
+from .followers import followers
 
 LOG = structlog.get_logger(__name__)
 
 BLOCKED_KEY = "rowanport/blocked"
 # Seconds between two looks whether something is to be read or written.
 LOOK_SECONDS = 0.5
+# Seconds after the start until the record is read: by then a router knows
+# whether it is one of those that call the store for a large fleet.
+LOAD_PAUSE = 0.5
 # Seconds after which another router writes what the one before it in order
 # has not.
 TURN_SECONDS = 2.0
@@ -34,21 +38,20 @@
 
     :param store: a TransactionStore
     :param crashes: the CrashGuard
-    :param views: the Views, which tell whether to call the store
     :param members: the Membership
     :param address: this router's peer address
     :param clock: a Clock
     """
 
-    def __init__(self, store, crashes, views, members, address, clock):
+    def __init__(self, store, crashes, members, address, clock):
         self._store = store
         self._crashes = crashes
-        self._views = views
         self._members = members
         self._address = address
         self._clock = clock
         self._value = Value(b"", 0)
         self._loaded = False
+        self._load_at = clock.steady() + LOAD_PAUSE
         self._failing = False
         self._outdated = False
         self._changed = asyncio.Event()
@@ -91,8 +94,15 @@
             self._failing = True
             LOG.info("blocklist_store_failed", error=str(error))
 
+    @property
+    def _must_load(self):
+        """Return whether to read the record; the others hear of it."""
+        if self._loaded or self._clock.steady() < self._load_at:
+            return False
+        return self._address in followers(self._members)
+
     async def _look(self):
-        if not self._loaded and self._views.on_duty:
+        if self._must_load:
             self._value = await self._store.get_value(BLOCKED_KEY)
             self._loaded = True
             rows = unpack_blocked(self._value.data, self._clock.wall())
--- a/rowanport/gateway/daemon.py
+++ b/rowanport/gateway/daemon.py
@@ -161,7 +161,6 @@
         self._blocklist = Blocklist(
             self._store,
             self.crashes,
-            self._views,
             self.members,
             settings.peers,
             self.clock,
