--- a/rowanport/gateway/daemon.py
+++ b/rowanport/gateway/daemon.py
@@ -33,6 +33,7 @@
 from .forwarder import Forwarder
 from .health import HealthFront
 from .job import Admission
+from .limits import RateLimits
 from .loads import LoadNotes
 from .metrics import GatewayMetrics
 from .pool import UpstreamPool
@@ -145,7 +146,10 @@
         # What silenced a connection to a peer may have silenced those to
         # upstreams: a request on one would wait for its time-out.
         self._peers.on_silence = self.client.doubt
-        self.exchange = Exchange(self.client, self.dialect, self.clock)
+        self.limits = RateLimits(self.clock)
+        self.exchange = Exchange(
+            self.client, self.dialect, self.clock, self.limits
+        )
         self.pool = UpstreamPool()
         fingerprints = Fingerprints(settings.secret)
         self.admission = Admission(self.dialect, fingerprints)
@@ -248,6 +252,8 @@
         for name in self.pool.update(upstreams.upstreams):
             self._prefixes.forget(name)
             LOG.info("upstream_restarted", upstream=name)
+        listed = upstreams.upstreams.values()
+        self.limits.keep({upstream.run.name for upstream in listed})
 
     # Peers
 
--- a/rowanport/gateway/dialect.py
+++ b/rowanport/gateway/dialect.py
@@ -11,6 +11,8 @@
     :ivar expected_instance: id of the only upstream that may run it
     :ivar not_executed: an upstream's word that it did not run the request
     :ivar signature: an upstream's proof that the answer is its own
+    :ivar rate_limit: requests a second that an upstream takes from all routers
+        together, for as long as its answers name it
     :ivar tokens: tokens of the prompt and most tokens of the answer
     :ivar prefix: parts of the prompt as ID:TOKENS
     :ivar priority: rank for the upstream, 0 the first
@@ -28,6 +30,7 @@
         "expected_instance",
         "not_executed",
         "signature",
+        "rate_limit",
         "tokens",
         "prefix",
         "priority",
--- a/rowanport/gateway/exchange.py
+++ b/rowanport/gateway/exchange.py
@@ -29,9 +29,11 @@
     :param client: an HttpClient
     :param dialect: a Dialect
     :param clock: a Clock
+    :param limits: the RateLimits, which hear what answers say
     """
 
-    def __init__(self, client, dialect, clock):
+    def __init__(self, client, dialect, clock, limits):
+        self._limits = limits
         self._client = client
         self._dialect = dialect
         self._clock = clock
@@ -55,6 +57,7 @@
             None,
             owner if job.id else None,
         )
+        self._note_limit(upstream, answer)
         try:
             self._check(job, answer)
         except UpstreamError:
@@ -62,6 +65,16 @@
             raise
         return answer
 
+    def _note_limit(self, upstream, answer):
+        """Take in the rate limit that an upstream's own answer names."""
+        names = self._dialect
+        if answer.status == MISDIRECTED:
+            return
+        own = names.signature in answer.headers
+        if own or names.not_executed in answer.headers:
+            text = answer.headers.get(names.rate_limit)
+            self._limits.note_answer(upstream.run, text)
+
     def _headers(self, job, upstream):
         names = self._dialect
         headers = self._filter.request_fields(job.request.fields)
--- a/rowanport/platform/words.py
+++ b/rowanport/platform/words.py
@@ -10,6 +10,7 @@
     expected_instance="x-rowanport-expect-instance",
     not_executed="x-rowanport-not-executed",
     signature="x-rowanport-server-stamp",
+    rate_limit="server-limit",
     tokens="x-rowanport-token-count",
     prefix="x-rowanport-prompt-prefix",
     priority="priority",
--- a/rowanport/standins/upstream.py
+++ b/rowanport/standins/upstream.py
@@ -11,6 +11,7 @@
 READ_LIMIT = 65536
 BACKLOG = 100
 STAMP_HEADER = "x-rowanport-server-stamp"
+LIMIT_HEADER = "server-limit"
 # More than a gateway holds back of an answer.
 LARGE = bytes(range(256)) * 12000
 
@@ -20,6 +21,7 @@
 
     :ivar script: names of behaviours to come; "ok" when it is used up
     :ivar heads: headers of the requests that it ran
+    :ivar limit: text of the rate limit that its answers name, None for none
     :ivar lethal: bodies of the requests that crash it as they begin to run
     :ivar on_crash: function that is told of each crash, or None
     """
@@ -29,6 +31,7 @@
         self.events = events
         self.pause = 0.01
         self.script = []
+        self.limit = None
         self.lethal = frozenset()
         self.on_crash = None
         self.heads = []
@@ -147,6 +150,8 @@
             (ID_HEADER, names.get(ID_HEADER, "")),
             (STAMP_HEADER, f"stamp-{self.name}"),
         ]
+        if self.limit is not None:
+            head.append((LIMIT_HEADER, self.limit))
         return head + [(k.replace("_", "-"), v) for k, v in more.items()]
 
     async def _do_ok(self, connection, writer, names, body):
--- a/rowanport/ui/explain.py
+++ b/rowanport/ui/explain.py
@@ -12,6 +12,7 @@
 BELIEFS = (
     "config_in_force",
     "upstreams_in_force",
+    "upstream_limit",
     "budget_store",
     "budgets_held",
     "tokens_stranded",
--- a/test/test_headers.py
+++ b/test/test_headers.py
@@ -25,6 +25,7 @@
 from rowanport.gateway.exchange import NotExecuted
 from rowanport.gateway.headers import HeaderFilter
 from rowanport.gateway.job import Job
+from rowanport.gateway.limits import RateLimits
 from rowanport.platform.words import DIALECT
 from rowanport.web.server import HttpRequest
 
@@ -245,9 +246,11 @@
     request = HttpRequest("POST", "/once/", {}, b"")
     route = types.SimpleNamespace(timeout=1.0)
     job = Job(request, "r1", route, "feed", 0.0)
-    upstream = types.SimpleNamespace(id="one", address="127.0.0.1:1")
+    run = types.SimpleNamespace(name="one")
+    upstream = types.SimpleNamespace(id="one", address="127.0.0.1:1", run=run)
     clock = types.SimpleNamespace(steady=lambda: 0.0)
-    return asyncio.run(Exchange(client, DIALECT, clock).send(job, upstream))
+    exchange = Exchange(client, DIALECT, clock, RateLimits(clock))
+    return asyncio.run(exchange.send(job, upstream))
 
 
 # Found by reading: an upstream's 408, 429 or 503 that lacks its mark of "not
