Keep the rate limit that an upstream names, over all routers together

Callers met an upstream in need that got two to four times what it can take.

Class: what one router learns of an upstream, the others do not know; and a limit of all needs one place that counts.

Change: the last answer of an upstream decides, whichever router got it; routers tell each other at once and with the questions that they ask anyway. For each upstream that names a limit one router, the first in rendezvous order, grants permits to all from a bucket: a fixed share would leave most of a low limit unused. A router that is denied one looks elsewhere until the next may be there; if no upstream takes more, the request is refused at once with that time. Nothing is sent beside a silent one to an upstream that names a limit. A limit of 0 is tried once in ten seconds, so that its end is noticed. What is no decimal number changes nothing. A new run begins without a limit.

Tests for its end at all routers, routers that are killed and start, lost messages, a limit of none, all upstreams limited. Found by a test: a limit that falls was met with what a higher one had saved.

--- a/rowanport/gateway/crashes.py
+++ b/rowanport/gateway/crashes.py
@@ -12,7 +12,6 @@
 from ..errors import ConnectionEnded
 from ..errors import ErrorKind
 from ..errors import RequestError
-from ..incarnation import address_of
 from ..schema.messages import SuspectNews
 from ..schema.messages import SuspectRun
 from ..suspects import BLOCK_CRASHES
@@ -23,8 +22,6 @@
 from ..tasks import TaskSet
 from ..web.client import Listening
 from .fingerprint import fingerprint_text
-from .followers import followers
-from .loads import DIRECT_FLEET
 
 LOG = structlog.get_logger(__name__)
 
@@ -48,7 +45,8 @@
     :param pool: the UpstreamPool
     :param client: the HttpClient of the upstreams
     :param peers: a PeerClient
-    :param members: the Membership
+    :param listeners: function that returns the addresses of the peers that
+        are told news at once
     :param address: this router's peer address
     :param clock: a Clock
     :param metrics: the GatewayMetrics
@@ -59,11 +57,13 @@
         whole here that the store holds as blocked
     """
 
-    def __init__(self, pool, client, peers, members, address, clock, metrics):
+    def __init__(
+        self, pool, client, peers, listeners, address, clock, metrics
+    ):
         self._pool = pool
         self._client = client
         self._peers = peers
-        self._members = members
+        self._listeners = listeners
         self._address = address
         self._clock = clock
         self._metrics = metrics
@@ -300,20 +300,14 @@
 
     # Peers
 
-    @property
-    def _listeners(self):
-        """Return the addresses of the peers that are told at once."""
-        others = self._members.others()
-        if len(others) > DIRECT_FLEET:
-            return [p for p in followers(self._members) if p != self._address]
-        return [address_of(other) for other in others]
-
     def _tell(self, suspects):
         if not suspects:
             return
         now = self._clock.steady()
         rows = [self.table.row(suspect, now) for suspect in suspects]
-        self._peers.tell(self._listeners, SuspectNews(self.table.digest, rows))
+        self._peers.tell(
+            self._listeners(), SuspectNews(self.table.digest, rows)
+        )
 
     def _tell_run(self, flight):
         """Count a suspect's run, and tell peers of it."""
@@ -322,7 +316,7 @@
         seconds = max(0.0, min(RUN_SECONDS, job.deadline - now))
         self._runs.begin(job.fingerprint, run, self._address, now + seconds)
         self._peers.tell(
-            self._listeners,
+            self._listeners(),
             SuspectRun(job.fingerprint, run, self._address, seconds),
         )
 
@@ -334,7 +328,7 @@
         """Count a suspect's run no more, and tell peers."""
         key = flight.job.fingerprint, flight.run.name, self._address
         if self._runs.end(*key):
-            self._peers.tell(self._listeners, SuspectRun(*key, 0.0))
+            self._peers.tell(self._listeners(), SuspectRun(*key, 0.0))
 
     def hear_run(self, message):
         """Take in a SuspectRun."""
--- a/rowanport/gateway/daemon.py
+++ b/rowanport/gateway/daemon.py
@@ -30,6 +30,7 @@
 from .crashes import CrashGuard
 from .exchange import Exchange
 from .fingerprint import Fingerprints
+from .followers import listeners
 from .forwarder import Forwarder
 from .health import HealthFront
 from .job import Admission
@@ -146,7 +147,15 @@
         # What silenced a connection to a peer may have silenced those to
         # upstreams: a request on one would wait for its time-out.
         self._peers.on_silence = self.client.doubt
-        self.limits = RateLimits(self.clock)
+        told = functools.partial(listeners, self.members, settings.peers)
+        self.limits = self._views.limits = RateLimits(
+            self._peers,
+            self.members,
+            told,
+            settings.peers,
+            self.clock,
+            self.metrics,
+        )
         self.exchange = Exchange(
             self.client, self.dialect, self.clock, self.limits
         )
@@ -157,7 +166,7 @@
             self.pool,
             self.client,
             self._peers,
-            self.members,
+            told,
             settings.peers,
             self.clock,
             self.metrics,
@@ -268,6 +277,10 @@
             return self.crashes.hear(message)
         if isinstance(message, messages.SuspectRun):
             return self.crashes.hear_run(message)
+        if isinstance(message, messages.LimitNews):
+            return self.limits.hear(message.rows, None)
+        if isinstance(message, messages.PermitAsk):
+            return self.limits.grant(message)
         return self.budgets.handle(message)
 
     # Callers
--- a/rowanport/gateway/followers.py
+++ b/rowanport/gateway/followers.py
@@ -1,7 +1,10 @@
 """The routers that follow the store for all, and hear of what all send."""
 
+from ..incarnation import address_of
 from ..membership.members import STORE_DUTY
 
+# Other routers up to which all are told news: each pair soon has a connection.
+DIRECT_FLEET = 32
 # Routers that follow the store, and the part of a larger fleet that does; the
 # others ask these.  Each change costs each of them a call.
 FOLLOWERS = 8
@@ -14,3 +17,17 @@
     :param members: the Membership
     """
     return members.delegates(STORE_DUTY, FOLLOWERS, FOLLOWER_SHARE)
+
+
+def listeners(members, address):
+    """Return the addresses of the peers that are told news at once.
+
+    In a larger fleet these are the followers, whom all others ask.
+
+    :param members: the Membership
+    :param address: this router's peer address
+    """
+    others = members.others()
+    if len(others) > DIRECT_FLEET:
+        return [peer for peer in followers(members) if peer != address]
+    return [address_of(other) for other in others]
--- a/rowanport/gateway/loads.py
+++ b/rowanport/gateway/loads.py
@@ -18,6 +18,7 @@
 from ..rates import DecayingRate
 from ..schema.messages import LoadNote
 from .digest import LoadDigest
+from .followers import DIRECT_FLEET
 from .followers import followers
 
 # Prompt tokens below which a send is not told: they are read in 50 ms, one
@@ -27,8 +28,6 @@
 # in the fleets of today, a sample in larger ones.  At 33 bytes a note this is
 # half of the 5 KB/s that control may cost.
 NOTES_A_SECOND = 75
-# Other routers up to which all are told: each pair soon has a connection.
-DIRECT_FLEET = 32
 # Peers that are told at least.
 LEAST_FANOUT = 8
 # Half life in seconds of the rate of sends by which the sample is sized.
--- a/rowanport/gateway/metrics.py
+++ b/rowanport/gateway/metrics.py
@@ -16,6 +16,12 @@
         self.blocked_requests = self._gauge(
             "blocked_requests", "Requests refused as they crash upstreams"
         )
+        self.limited_upstreams = self._gauge(
+            "limited_upstreams", "Upstreams that name a rate limit"
+        )
+        self.permits = self._counter(
+            "permits", "Permits to send to these, by outcome"
+        )
         self.loop_restarts = self._counter(
             "loop_restarts", "Loops started again after they ended"
         )
--- a/rowanport/gateway/repeats.py
+++ b/rowanport/gateway/repeats.py
@@ -61,7 +61,8 @@
             raise RepeatRefused("rejected too often")
         if not gateway.stopping.may_send(job):
             raise RepeatRefused("too late for a send")
-        if not gateway.pool.candidates(job.service, job.tried, now):
+        candidates = gateway.pool.candidates(job.service, job.tried, now)
+        if not gateway.limits.unlimited(candidates):
             raise RepeatRefused("no upstream is left")
         if not self._window(job).allows(self._routers, now):
             raise RepeatRefused("no allowance for a repeat")
--- a/rowanport/gateway/sending.py
+++ b/rowanport/gateway/sending.py
@@ -119,15 +119,14 @@
         """
         self._gateway.stopping.check_send(self._job)
         await self._crashes.admit(self._job)
-        return self._begin()
+        while True:
+            state = self._choose()
+            if await self._gateway.limits.take(state):
+                return self._begin(state)
 
-    def _begin(self):
-        """Send the job to one more upstream; return the Attempt.
-
-        :raises RequestError: no upstream is left
-        """
+    def _begin(self, state):
+        """Send the job to an upstream; return the Attempt."""
         job = self._job
-        state = self._choose()
         job.sends += 1
         job.runs += 1
         # Counted at once, so that others of this moment go elsewhere.
@@ -141,9 +140,26 @@
         return attempt
 
     def _choose(self):
+        """Return the UpstreamState to which the job goes next.
+
+        :raises RequestError: no upstream is left
+        """
         gateway, job = self._gateway, self._job
         now = self._clock.steady()
         candidates = gateway.pool.candidates(job.service, job.tried, now)
+        return self._choose_among(self._taking(candidates, now), now)
+
+    def _taking(self, candidates, now):
+        """Return the candidates that take requests now."""
+        try:
+            return self._gateway.limits.open(candidates, now)
+        except RequestError as error:
+            if self._job.runs:
+                raise give_up(self._job, UpstreamError(error.detail))
+            raise
+
+    def _choose_among(self, candidates, now):
+        gateway, job = self._gateway, self._job
         if not candidates:
             raise give_up(job, UpstreamError("no upstream is left"))
         choice = gateway.choice(job.tokens is not None)
@@ -296,12 +312,22 @@
             self._note_silence(silent, str(refusal))
             silent.silent_at = self._clock.steady() + ASK_AGAIN
             return None
-        other = self._begin()
+        other = self._begin(self._choose_beside())
         other.tokens = tokens
         name = other.state.record.id
         self._note_silence(silent, f"{name} is asked as well")
         return other
 
+    def _choose_beside(self):
+        """Return the UpstreamState for a run beside a silent one.
+
+        None that names a rate limit: it gets what nobody else takes only.
+        """
+        gateway, job = self._gateway, self._job
+        now = self._clock.steady()
+        candidates = gateway.pool.candidates(job.service, job.tried, now)
+        return self._choose_among(gateway.limits.unlimited(candidates), now)
+
     def _note_silence(self, attempt, why):
         """Count a silence against its upstream; log what it leads to."""
         if attempt.silence_note is None:
--- a/rowanport/gateway/views.py
+++ b/rowanport/gateway/views.py
@@ -50,6 +50,7 @@
     :param congestion: the Congestion, which does, too
     :ivar loads: the LoadNotes that ask and answer along with it, or None
     :ivar crashes: the CrashGuard that does, too, or None
+    :ivar limits: the RateLimits that do, too, or None
     """
 
     def __init__(
@@ -72,6 +73,7 @@
         self.on_upstreams = None
         self.loads = None
         self.crashes = None
+        self.limits = None
 
     @property
     def on_duty(self):
@@ -148,11 +150,14 @@
         """Answer a ViewAsk."""
         self._clocks.hear(message.asker, message.wall)
         suspects = SuspectNews(0, [])
-        give = ViewGive(0, b"", 0, b"", self._clock.wall(), [], suspects)
+        give = ViewGive(0, b"", 0, b"", self._clock.wall(), [], suspects, [])
         if self.loads is not None:
             give.notes = self.loads.heard(message.seconds, message.asker)
         if self.crashes is not None:
             give.suspects = self.crashes.answer_news(message.suspects)
+        if self.limits is not None:
+            self.limits.hear(message.limits, message.asker)
+            give.limits = self.limits.rows()
         if message.config < self._version:
             give.config = self._version
             give.config_data = self._pack_config()
@@ -205,6 +210,7 @@
             self._clock.wall(),
             self.loads.begin_asking() if self.loads else 0.0,
             self.crashes.ask_news() if self.crashes else SuspectNews(0, []),
+            self.limits.rows() if self.limits else [],
         )
         asked_at = self._clock.steady()
         try:
@@ -224,6 +230,8 @@
             self.loads.take(note)
         if self.crashes is not None:
             self.crashes.take_answer(give.suspects)
+        if self.limits is not None:
+            self.limits.hear(give.limits, address)
         if give.config_data:
             self._take_packed(give.config_data, address)
         if give.upstream_data:
--- a/rowanport/ratelimits/named.py
+++ b/rowanport/ratelimits/named.py
@@ -3,9 +3,19 @@
 import re
 
 from ..errors import MessageError
-
+from ..schema.messages import LimitRow
+
+# Seconds without a word of a limit after which a peer's word that it has ended
+# is taken: older news may arrive after newer ones.
+END_SECONDS = 1.0
+# Seconds for which peers are told that a limit has ended.
+TELL_END_SECONDS = 30.0
+# Limits in one message; where there are more, they are told in turn.
+ROWS_LIMIT = 16
 # Largest limit in requests a second that is taken for one.
 LARGEST = 1e6
+# What a LimitRow says where no limit is named.
+NO_RATE = -1.0
 _DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?")
 
 
@@ -43,13 +53,12 @@
 
     def __init__(self):
         self._limits = {}
+        self._turn = 0
 
-    def __len__(self):
-        return len(self._limits)
-
-    def items(self):
-        """Return (name, NamedLimit) pairs."""
-        return list(self._limits.items())
+    @property
+    def count(self):
+        """Return how many upstreams name a limit."""
+        return sum(limit.rate is not None for limit in self._limits.values())
 
     def rate(self, name):
         """Return the requests a second of an upstream's run, None if any."""
@@ -78,6 +87,40 @@
         limit.changed_at = now
         return True
 
+    # What peers know
+
+    def row(self, name, now):
+        """Return the LimitRow of a run."""
+        limit = self._limits[name]
+        rate = NO_RATE if limit.rate is None else limit.rate
+        return LimitRow(name, rate, max(0.0, now - limit.heard_at))
+
+    def some_rows(self, now):
+        """Return some LimitRows; asked again and again, all of them."""
+        names = [
+            name
+            for name, limit in self._limits.items()
+            if limit.rate is not None
+            or limit.changed_at > now - TELL_END_SECONDS
+        ]
+        if self._turn >= len(names):
+            self._turn = 0
+        some = names[self._turn : self._turn + ROWS_LIMIT]
+        self._turn += ROWS_LIMIT
+        return [self.row(name, now) for name in some]
+
+    def merge(self, row, now):
+        """Take in a LimitRow; return whether this changes a limit."""
+        heard_at = now - max(0.0, row.age)
+        if not row.rate <= LARGEST:
+            return False
+        if row.rate >= 0:
+            return self.note(row.upstream, row.rate, heard_at, now)
+        limit = self._limits.get(row.upstream)
+        if limit is None or heard_at < limit.heard_at + END_SECONDS:
+            return False
+        return self.note(row.upstream, None, heard_at, now)
+
     def keep(self, names):
         """Forget all runs but some."""
         self._limits = {k: v for k, v in self._limits.items() if k in names}
--- a/rowanport/schema/messages.py
+++ b/rowanport/schema/messages.py
@@ -2067,6 +2067,145 @@
         )
 
 
+class LimitRow(Message):
+    """What an upstream's run last said of its rate limit.
+
+    :ivar upstream: name of the upstream's run
+    :ivar rate: requests a second, -1 if it named none
+    :ivar age: seconds since that answer
+    """
+
+    __slots__ = (
+        "upstream",
+        "rate",
+        "age",
+    )
+    KIND = 0
+
+    def __init__(self, upstream, rate, age):
+        self.upstream = upstream
+        self.rate = rate
+        self.age = age
+
+    def to_wire(self):
+        """Return the fields as plain values, in the schema's order."""
+        return [
+            self.upstream,
+            self.rate,
+            self.age,
+        ]
+
+    @classmethod
+    def from_wire(cls, values):
+        """Build one from plain values; raise MessageError if unfit."""
+        check_length(cls, values, 3)
+        return cls(
+            as_str(values[0]),
+            as_float(values[1]),
+            as_float(values[2]),
+        )
+
+
+class LimitNews(Message):
+    """What upstreams said of their rate limits; sent to peers, not answered.
+
+    :ivar rows: rows
+    """
+
+    __slots__ = ("rows",)
+    KIND = 68
+
+    def __init__(self, rows):
+        self.rows = rows
+
+    def to_wire(self):
+        """Return the fields as plain values, in the schema's order."""
+        return [
+            [item.to_wire() for item in self.rows],
+        ]
+
+    @classmethod
+    def from_wire(cls, values):
+        """Build one from plain values; raise MessageError if unfit."""
+        check_length(cls, values, 1)
+        return cls(
+            as_list(values[0], LimitRow.from_wire),
+        )
+
+
+class PermitAsk(Message):
+    """Ask for permits to send to an upstream that names a rate limit.
+
+    :ivar upstream: name of the upstream's run
+    :ivar rate: its limit in requests a second, as the asker knows it
+    :ivar wanted: permits
+    """
+
+    __slots__ = (
+        "upstream",
+        "rate",
+        "wanted",
+    )
+    KIND = 69
+
+    def __init__(self, upstream, rate, wanted):
+        self.upstream = upstream
+        self.rate = rate
+        self.wanted = wanted
+
+    def to_wire(self):
+        """Return the fields as plain values, in the schema's order."""
+        return [
+            self.upstream,
+            self.rate,
+            self.wanted,
+        ]
+
+    @classmethod
+    def from_wire(cls, values):
+        """Build one from plain values; raise MessageError if unfit."""
+        check_length(cls, values, 3)
+        return cls(
+            as_str(values[0]),
+            as_float(values[1]),
+            as_int(values[2]),
+        )
+
+
+class Permits(Message):
+    """Permits that are granted.
+
+    :ivar count: how many, 0 for none
+    :ivar wait: seconds until there may be more
+    """
+
+    __slots__ = (
+        "count",
+        "wait",
+    )
+    KIND = 70
+
+    def __init__(self, count, wait):
+        self.count = count
+        self.wait = wait
+
+    def to_wire(self):
+        """Return the fields as plain values, in the schema's order."""
+        return [
+            self.count,
+            self.wait,
+        ]
+
+    @classmethod
+    def from_wire(cls, values):
+        """Build one from plain values; raise MessageError if unfit."""
+        check_length(cls, values, 2)
+        return cls(
+            as_int(values[0]),
+            as_float(values[1]),
+        )
+
+
 class ViewAsk(Message):
     """Ask a peer for what it has newer: configuration and upstreams.
 
@@ -2076,6 +2215,7 @@
     :ivar wall: wall time of the asker
     :ivar seconds: for which last seconds notes of load are wanted, 0 for none
     :ivar suspects: what the asker learned of suspects lately
+    :ivar limits: rate limits that the asker knows of
     """
 
     __slots__ = (
@@ -2085,16 +2225,20 @@
         "wall",
         "seconds",
         "suspects",
+        "limits",
     )
     KIND = 61
 
-    def __init__(self, config, upstreams, asker, wall, seconds, suspects):
+    def __init__(
+        self, config, upstreams, asker, wall, seconds, suspects, limits
+    ):
         self.config = config
         self.upstreams = upstreams
         self.asker = asker
         self.wall = wall
         self.seconds = seconds
         self.suspects = suspects
+        self.limits = limits
 
     def to_wire(self):
         """Return the fields as plain values, in the schema's order."""
@@ -2105,12 +2249,13 @@
             self.wall,
             self.seconds,
             self.suspects.to_wire(),
+            [item.to_wire() for item in self.limits],
         ]
 
     @classmethod
     def from_wire(cls, values):
         """Build one from plain values; raise MessageError if unfit."""
-        check_length(cls, values, 6)
+        check_length(cls, values, 7)
         return cls(
             as_int(values[0]),
             as_int(values[1]),
@@ -2118,6 +2263,7 @@
             as_float(values[3]),
             as_float(values[4]),
             SuspectNews.from_wire(values[5]),
+            as_list(values[6], LimitRow.from_wire),
         )
 
 
@@ -2131,6 +2277,7 @@
     :ivar wall: wall time of the peer
     :ivar notes: long prompts that other routers sent lately
     :ivar suspects: what the asker may not know of suspects
+    :ivar limits: rate limits that the peer knows of
     """
 
     __slots__ = (
@@ -2141,6 +2288,7 @@
         "wall",
         "notes",
         "suspects",
+        "limits",
     )
     KIND = 62
 
@@ -2153,6 +2301,7 @@
         wall,
         notes,
         suspects,
+        limits,
     ):
         self.config = config
         self.config_data = config_data
@@ -2161,6 +2310,7 @@
         self.wall = wall
         self.notes = notes
         self.suspects = suspects
+        self.limits = limits
 
     def to_wire(self):
         """Return the fields as plain values, in the schema's order."""
@@ -2172,12 +2322,13 @@
             self.wall,
             [item.to_wire() for item in self.notes],
             self.suspects.to_wire(),
+            [item.to_wire() for item in self.limits],
         ]
 
     @classmethod
     def from_wire(cls, values):
         """Build one from plain values; raise MessageError if unfit."""
-        check_length(cls, values, 7)
+        check_length(cls, values, 8)
         return cls(
             as_int(values[0]),
             as_bytes(values[1]),
@@ -2186,6 +2337,7 @@
             as_float(values[4]),
             as_list(values[5], LoadNote.from_wire),
             SuspectNews.from_wire(values[6]),
+            as_list(values[7], LimitRow.from_wire),
         )
 
 
@@ -2296,6 +2448,9 @@
     63: LoadNote,
     66: SuspectNews,
     67: SuspectRun,
+    68: LimitNews,
+    69: PermitAsk,
+    70: Permits,
     61: ViewAsk,
     62: ViewGive,
     65: NoLoan,
--- a/test/test_headers.py
+++ b/test/test_headers.py
@@ -25,7 +25,6 @@
 from rowanport.gateway.exchange import NotExecuted
 from rowanport.gateway.headers import HeaderFilter
 from rowanport.gateway.job import Job
-from rowanport.gateway.limits import RateLimits
 from rowanport.platform.words import DIALECT
 from rowanport.web.server import HttpRequest
 
@@ -249,7 +248,8 @@
     run = types.SimpleNamespace(name="one")
     upstream = types.SimpleNamespace(id="one", address="127.0.0.1:1", run=run)
     clock = types.SimpleNamespace(steady=lambda: 0.0)
-    exchange = Exchange(client, DIALECT, clock, RateLimits(clock))
+    limits = types.SimpleNamespace(note_answer=lambda run, text: None)
+    exchange = Exchange(client, DIALECT, clock, limits)
     return asyncio.run(exchange.send(job, upstream))
 
 
--- a/test/test_named_limits.py
+++ b/test/test_named_limits.py
@@ -42,3 +42,106 @@
     assert most_in_window(upstream, since) <= allowed(1.0)
     assert len(upstream.runs) >= 50
     assert set(world.answers.values()) == {200}
+
+
+@crash_test()
+async def test_few_requests_of_many_routers_use_a_limit(world):
+    upstream = world.busiest()
+    since = await ask_while_limited(world, upstream, "1.0", 60.0, rate=15)
+    assert most_in_window(upstream, since) <= allowed(1.0)
+    assert len(upstream.runs) >= 50
+    assert set(world.answers.values()) == {200}
+
+
+@crash_test()
+async def test_a_limit_ends_at_all_routers_when_it_is_named_no_more(world):
+    upstream = world.busiest()
+    await ask_while_limited(world, upstream, "0.5", 10.0)
+    upstream.limit = None
+    tasks = await world.ask_many(600, 1 / 60, "after", path="/safe/")
+    await asyncio.gather(*tasks)
+    recent = [at for at, _ in upstream.runs if at > world.now - 5.0]
+    # A sixth of all is its usual part.
+    assert len(recent) >= 300 / 6 / 2
+
+
+@crash_test()
+async def test_a_limit_of_none_is_kept_and_its_end_is_noticed(world):
+    upstream = world.busiest()
+    since = await ask_while_limited(world, upstream, "0", 20.0)
+    assert most_in_window(upstream, since) <= allowed(0)
+    upstream.limit = None
+    tasks = await world.ask_many(1200, 1 / 60, "after", path="/safe/")
+    await asyncio.gather(*tasks)
+    recent = [at for at, _ in upstream.runs if at > world.now - 5.0]
+    assert len(recent) >= 300 / 6 / 2
+
+
+@crash_test()
+async def test_a_limit_is_kept_while_routers_end_and_start(world):
+    upstream = world.busiest()
+    asking = world.spawn(ask_while_limited(world, upstream, "1.0", 30.0))
+    for host in world.hosts:
+        await asyncio.sleep(5.0)
+        await world.kill_router(host)
+        await asyncio.sleep(1.0)
+        await world.start_router(host)
+    since = await asking
+    assert most_in_window(upstream, since) <= allowed(1.0)
+
+
+@crash_test()
+async def test_a_limit_is_kept_while_messages_are_lost(world):
+    for gateway in world.gateways.values():
+        gateway._peers.tell = lambda *_args: None
+    upstream = world.busiest()
+    since = await ask_while_limited(world, upstream, "1.0", 20.0)
+    assert most_in_window(upstream, since) <= allowed(1.0)
+
+
+@crash_test()
+async def test_what_is_no_limit_changes_nothing(world):
+    upstream = world.busiest()
+    texts = ["fast", "-1", "nan", "inf", "1e3", "", "1,5", "9" * 40, "2 2"]
+    for text in texts:
+        upstream.limit = text
+        tasks = await world.ask_many(60, 1 / 60, text or "no", path="/safe/")
+        await asyncio.gather(*tasks)
+    # A sixth of all is its usual part.
+    assert len(upstream.runs) >= 60 * len(texts) / 6 / 2
+    assert set(world.answers.values()) == {200}
+
+
+@crash_test()
+async def test_another_run_of_an_upstream_begins_without_a_limit(world):
+    upstream = world.busiest()
+    await ask_while_limited(world, upstream, "0.5", 5.0)
+    seat = next(s for s, u in world.upstreams.items() if u is upstream)
+    upstream.crash()
+    await asyncio.sleep(5.0)
+    tasks = await world.ask_many(600, 1 / 60, "after", path="/safe/")
+    await asyncio.gather(*tasks)
+    assert len(world.upstreams[seat].runs) >= 600 / 6 / 2
+
+
+@crash_test(upstreams=2)
+async def test_what_no_upstream_takes_is_refused_at_once(world):
+    for upstream in world.upstreams.values():
+        upstream.limit = "1.0"
+    await ask_while_limited(world, upstream, "1.0", 2.0)
+    begun = world.now
+    status = {await world.ask(f"x{n}", b"x", "/safe/") for n in range(20)}
+    assert 503 in status
+    assert world.now - begun < 1.0
+
+
+@crash_test(upstreams=2)
+async def test_a_silent_answer_is_not_asked_for_at_a_limited_one(world):
+    first, second = world.upstreams.values()
+    second.limit = "0"
+    await ask_while_limited(world, second, "0", 2.0)
+    asked = len(second.runs)
+    first.script = ["hang"] * 3
+    asking = [world.ask(f"s{n}", b"s", "/safe/") for n in range(3)]
+    await asyncio.gather(*asking)
+    assert len(second.runs) <= asked + 1
--- /dev/null
+++ b/test/test_ratelimits.py
@@ -0,0 +1,181 @@
+"""Rate limits that upstreams name: reading, merging, permits."""
+
+import pytest
+
+from rowanport.errors import MessageError
+from rowanport.ratelimits import chunk
+from rowanport.ratelimits import NamedLimits
+from rowanport.ratelimits import PermitBook
+from rowanport.ratelimits import Purse
+from rowanport.ratelimits import read_limit
+from rowanport.ratelimits.named import END_SECONDS
+from rowanport.ratelimits.named import LARGEST
+from rowanport.ratelimits.named import ROWS_LIMIT
+from rowanport.ratelimits.named import TELL_END_SECONDS
+from rowanport.ratelimits.permits import BURST_SECONDS
+from rowanport.ratelimits.permits import CHUNK_LIMIT
+from rowanport.ratelimits.permits import HOLD_SECONDS
+from rowanport.ratelimits.permits import LEAST_RATE
+from rowanport.schema.messages import LimitRow
+
+NOW = 100.0
+
+
+@pytest.mark.parametrize(
+    "text, rate", [("1", 1.0), ("0", 0.0), ("2.50", 2.5), ("1000000", 1e6)]
+)
+def test_decimal_numbers_are_limits(text, rate):
+    assert read_limit(text) == rate
+
+
+@pytest.mark.parametrize(
+    "text",
+    ["", "-1", "+1", "nan", "inf", "1e3", "1,5", ".5", "1.", "1000001"]
+    + ["1 ", "9" * 100, "1_0", "\u0661"],
+)
+def test_other_texts_are_none(text):
+    with pytest.raises(MessageError):
+        read_limit(text)
+
+
+# What was said last
+
+
+def test_the_last_answer_decides():
+    named = NamedLimits()
+    assert not named.note("u", None, NOW, NOW)
+    assert named.note("u", 1.0, NOW, NOW)
+    assert not named.note("u", 1.0, NOW + 1, NOW + 1)
+    assert not named.note("u", 5.0, NOW, NOW + 2)
+    assert named.rate("u") == 1.0
+    assert named.note("u", None, NOW + 2, NOW + 2)
+    assert named.rate("u") is None
+    assert named.count == 0
+
+
+def test_peers_learn_a_limit_and_its_end():
+    here, there = NamedLimits(), NamedLimits()
+    here.note("u", 1.0, NOW, NOW)
+    (row,) = here.some_rows(NOW)
+    assert there.merge(row, NOW)
+    assert there.rate("u") == 1.0
+    here.note("u", None, NOW + END_SECONDS, NOW + END_SECONDS)
+    (row,) = here.some_rows(NOW + END_SECONDS)
+    assert there.merge(row, NOW + END_SECONDS)
+    assert there.rate("u") is None
+    assert not here.some_rows(NOW + END_SECONDS + TELL_END_SECONDS)
+
+
+def test_news_that_come_late_do_not_end_a_limit():
+    here = NamedLimits()
+    here.note("u", 1.0, NOW, NOW)
+    assert not here.merge(LimitRow("u", -1.0, 0.0), NOW + 0.5)
+    assert not here.merge(LimitRow("u", 7.0, 2.0), NOW + 0.5)
+    assert here.rate("u") == 1.0
+
+
+@pytest.mark.parametrize("rate", [float("nan"), float("inf"), 2 * LARGEST])
+def test_absurd_news_change_nothing(rate):
+    here = NamedLimits()
+    assert not here.merge(LimitRow("u", rate, 0.0), NOW)
+    assert not here.merge(LimitRow("u", -1.0, 0.0), NOW)
+    assert here.rate("u") is None
+
+
+def test_many_limits_are_told_in_turn():
+    here, there = NamedLimits(), NamedLimits()
+    for number in range(3 * ROWS_LIMIT):
+        here.note(f"u{number}", 1.0, NOW, NOW)
+    for _question in range(4):
+        rows = here.some_rows(NOW)
+        assert len(rows) <= ROWS_LIMIT
+        for row in rows:
+            there.merge(row, NOW)
+    assert there.count == 3 * ROWS_LIMIT
+
+
+def test_upstreams_that_are_gone_are_forgotten():
+    named, book, purse = NamedLimits(), PermitBook(), Purse()
+    named.note("u", 1.0, NOW, NOW)
+    purse.add("u", 1, NOW, NOW)
+    book.grant("u", 1.0, 1, NOW)
+    for part in (named, book, purse):
+        part.keep({"other"})
+    assert named.rate("u") is None
+    assert not purse.take("u", NOW)
+
+
+# Permits
+
+
+def granted(rate, pause, seconds, wanted=1):
+    """Return the steady times of permits that are asked for all the time."""
+    book = PermitBook()
+    times = []
+    now = NOW
+    while now < NOW + seconds:
+        count, _next_at = book.grant("u", rate, wanted, now)
+        times += [now] * count
+        now += pause
+    return times
+
+
+@pytest.mark.parametrize("rate", [0.5, 1.0, 3.7, 20.0])
+def test_permits_come_at_the_rate_that_is_named(rate):
+    times = granted(rate, 0.01, 60.0)
+    assert abs(len(times) - 60 * rate) <= 2 + BURST_SECONDS * rate
+    most = max(sum(t <= at < t + 4 for at in times) for t in times)
+    assert most <= 4 * rate + 1 + BURST_SECONDS * rate
+
+
+def test_a_pause_saves_few_permits():
+    book = PermitBook()
+    book.grant("u", 10.0, 1, NOW)
+    count, _next_at = book.grant("u", 10.0, 100, NOW + 1000)
+    assert count <= 1 + BURST_SECONDS * 10.0
+
+
+def test_what_takes_none_is_asked_now_and_then():
+    assert 1 <= len(granted(0.0, 0.1, 60.0)) <= 2 + 60 * LEAST_RATE
+
+
+def test_who_is_denied_hears_when_to_ask_again():
+    book = PermitBook()
+    assert book.grant("u", 2.0, 1, NOW)[0] == 1
+    count, next_at = book.grant("u", 2.0, 1, NOW)
+    assert count == 0
+    assert next_at == NOW + 0.5
+    assert book.grant("u", 2.0, 1, next_at)[0] == 1
+
+
+def test_a_limit_that_changes_holds_from_then_on():
+    book = PermitBook()
+    book.grant("u", 100.0, 1, NOW)
+    assert book.grant("u", 1.0, 50, NOW + 1)[0] == 1
+    count, next_at = book.grant("u", 1.0, 50, NOW + 1.01)
+    assert (count, next_at > NOW + 1.4) == (0, True)
+
+
+def test_permits_in_hand_lapse():
+    purse = Purse()
+    purse.add("u", 2, NOW, NOW)
+    assert purse.take("u", NOW)
+    assert not purse.take("u", NOW + HOLD_SECONDS)
+    purse.add("u", 1, NOW, NOW + HOLD_SECONDS)
+    assert purse.take("u", NOW + HOLD_SECONDS)
+    assert not purse.take("u", NOW + HOLD_SECONDS)
+
+
+def test_who_was_denied_waits_until_there_may_be_one():
+    purse = Purse()
+    assert purse.open_at("u", NOW) == NOW
+    purse.add("u", 0, NOW + 0.4, NOW)
+    assert purse.open_at("u", NOW) == NOW + 0.4
+    assert purse.open_at("u", NOW + 1) == NOW + 1
+
+
+def test_high_limits_are_granted_by_chunks():
+    assert chunk(1.0, 7) == 1
+    assert chunk(280.0, 7) == 10
+    assert chunk(LARGEST, 1) == CHUNK_LIMIT
+    assert chunk(0.0, 0) == 1
