Let no router that stops grant permits

It took itself for the one that grants, while the others had turned to the next one already: both granted the whole of a limit for as long as the stop lasted.

--- a/rowanport/gateway/limits.py
+++ b/rowanport/gateway/limits.py
@@ -8,6 +8,7 @@
 from ..errors import RequestError
 from ..hashing import rendezvous
 from ..incarnation import address_of
+from ..membership.members import LEAVING
 from ..ratelimits import chunk
 from ..ratelimits import NamedLimits
 from ..ratelimits import PermitBook
@@ -192,6 +193,9 @@
         }
         ready = map(address_of, self._members.ready_others())
         others = [peer for peer in ready if peer not in self._away_until]
+        if others and self._members.own.state == LEAVING:
+            # No other router takes it for one that grants any more.
+            return others
         return [self._address, *others]
 
     def grant(self, ask):
--- a/test/test_named_limits.py
+++ b/test/test_named_limits.py
@@ -90,6 +90,19 @@
     assert most_in_window(upstream, since) <= allowed(1.0)
 
 
+@crash_test()
+async def test_a_limit_is_kept_while_routers_stop_as_planned(world):
+    upstream = world.busiest()
+    asking = world.spawn(ask_while_limited(world, upstream, "10.0", 30.0))
+    for host in world.hosts:
+        await asyncio.sleep(5.0)
+        world.spawn(world.gateways.pop(host).stop())
+        await asyncio.sleep(1.0)
+        await world.start_router(host)
+    since = await asking
+    assert most_in_window(upstream, since) <= allowed(10.0)
+
+
 @crash_test()
 async def test_a_limit_is_kept_while_messages_are_lost(world):
     for gateway in world.gateways.values():
