--- a/test/test_loop_heartbeats.py
+++ b/test/test_loop_heartbeats.py
@@ -141,6 +141,7 @@
         "heartbeats": (gateway._membership, "_tell"),
         "router_list": (gateway._membership, "_read_list"),
         "budgets": (gateway.budgets._refill, "sync"),
+        "blocklist": (gateway._blocklist, "_look"),
     }[name]
     return mock.patch.object(owner, method, hang)
 
@@ -162,6 +163,7 @@
     "router_list",
     "views",
     "budgets",
+    "blocklist",
 )
 
 
