--- a/rowanport/standins/engine.py
+++ b/rowanport/standins/engine.py
@@ -16,6 +16,7 @@
 from ..web import HttpServer
 from ..web.server import HttpLimits
 from .faults import Faults
+from .upstream import LIMIT_HEADER
 
 REQUEST_HEADER = "x-request-id"
 BYTES_PER_TOKEN = 4
@@ -224,13 +225,13 @@
         return await responder.reply_json(200, status)
 
     async def _stream(self, run, responder):
-        await responder.start(
-            200,
-            [
-                ("content-type", "text/event-stream"),
-                (REQUEST_HEADER, run.request),
-            ],
-        )
+        head = [
+            ("content-type", "text/event-stream"),
+            (REQUEST_HEADER, run.request),
+        ]
+        if self._faults.limit:
+            head.append((LIMIT_HEADER, self._faults.limit))
+        await responder.start(200, head)
         sent = 0
         while True:
             changed = run.changed
--- a/rowanport/standins/faults.py
+++ b/rowanport/standins/faults.py
@@ -13,9 +13,10 @@
     :ivar cut: names of instances whose calls get no answer
     :ivar lethal: text that a request holds which crashes what runs it, "" for
         none
+    :ivar limit: text of the rate limit that answers name, "" for none
     """
 
-    __slots__ = ("down", "slow", "lose", "cut", "lethal", "_random")
+    __slots__ = ("down", "slow", "lose", "cut", "lethal", "limit", "_random")
 
     def __init__(self, seed=1):
         self.down = False
@@ -23,11 +24,12 @@
         self.lose = 0.0
         self.cut = ()
         self.lethal = ""
+        self.limit = ""
         self._random = random.Random(seed)
 
     def set(self, values):
         """Take over the named faults from parsed JSON."""
-        for name in ("down", "slow", "lose", "cut", "lethal"):
+        for name in ("down", "slow", "lose", "cut", "lethal", "limit"):
             if name in values:
                 setattr(self, name, values[name])
 
--- a/soak/broken.py
+++ b/soak/broken.py
@@ -313,6 +313,18 @@
         table.STORM_REQUESTS = 1000
 
 
+class IgnoresLimits(Variant):
+    """Sends what it likes to an upstream that names a rate limit."""
+
+    promise = "limit"
+    theme = "limits"
+
+    def apply(self):
+        from rowanport.gateway.limits import RateLimits
+
+        RateLimits.note_answer = lambda *_arguments: None
+
+
 class Ends(Variant):
     """Ends by itself after some seconds."""
 
@@ -346,6 +358,7 @@
         StopsServing,
         ForgetsCrashes,
         BlamesAll,
+        IgnoresLimits,
         Ends,
     )
 }
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,6 +6,7 @@
 from .history import NEVER
 from .history import STORE
 from .lethal import LethalCaller
+from .plan import LIMITS
 from .relay import DOWN
 from .relay import UP
 from .router import now
@@ -226,6 +227,14 @@
         await asyncio.sleep(step.seconds)
         upstream.resume(stall)
 
+    async def _do_limit(self, step):
+        upstream = self._seat(step).occupant
+        if upstream is None or upstream.limit is not None:
+            return
+        named = upstream.name_limit(step.variant, LIMITS[step.variant])
+        await asyncio.sleep(step.seconds)
+        upstream.end_limit(named)
+
     async def _do_lethal(self, step):
         """Let a request that crashes upstreams come again and again."""
         caller = LethalCaller(self._world, step.target % LETHAL_REQUESTS)
--- a/soak/history.py
+++ b/soak/history.py
@@ -164,6 +164,25 @@
         return name in self.targets
 
 
+class Arrival(Record):
+    """A request that reached an upstream, run or not."""
+
+    __slots__ = ("upstream", "request", "at")
+
+
+class Limit(Record):
+    """A rate limit that an upstream named.
+
+    :ivar rate: requests a second
+    :ivar named_at: when an answer first named it, None before that
+    :ivar ended: from when on no answer does
+    """
+
+    __slots__ = ("upstream", "rate", "named_at", "ended")
+
+    defaults = {"named_at": None, "ended": NEVER}
+
+
 class Leave(Record):
     """An upstream that leaves, as the store confirmed it."""
 
@@ -211,6 +230,8 @@
         self.probes = []
         self.faults = []
         self.leaves = []
+        self.arrivals = []
+        self.limits = []
         self.readiness = []
         self.own_ends = []
         self.failed_tasks = []
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -56,6 +56,18 @@
     "store_down": 1,
     "config": 3,
 }
+# Rate limits that upstreams name, by text, and texts that are none.
+LIMITS = {"1.0": 1.0, "2.5": 2.5, "6": 6.0, "0": 0.0, "fast": None, "-3": None}
+# Upstreams that name limits, while who counts for all routers changes.
+LIMITED = {
+    "limit": 6,
+    "crash": 1,
+    "kill": 1,
+    "freeze": 1,
+    "term": 2,
+    "pause": 1,
+    "config": 2,
+}
 THEMES["all"] = {
     kind: max(theme.get(kind, 0) for theme in THEMES.values())
     for kind in sorted({kind for theme in THEMES.values() for kind in theme})
@@ -73,6 +85,7 @@
     "store_away": (1.0, 8.0),
     "pause": (0.3, 4.0),
     "lethal": (8.0, 20.0),
+    "limit": (5.0, 15.0),
 }
 # Kinds that strike all routers: in a large fleet there are more steps, but not
 # more of these, or nobody would ever be in touch.
@@ -88,7 +101,7 @@
     "store_late",
 )
 SMALL_FLEET = 10
-UPSTREAM_KINDS = ("leave", "crash", "pause", "lethal")
+UPSTREAM_KINDS = ("leave", "crash", "pause", "lethal", "limit")
 # Variants of a kind: which links, in which direction, how a store is down.
 VARIANTS = {
     "delay": ("store", "upstreams", "peers", "all"),
@@ -101,6 +114,7 @@
     "config": ("route", "route", "top_up"),
     "leave": ("draining", "draining", "gone"),
     "pause": ("all", "streams", "newest"),
+    "limit": tuple(LIMITS),
 }
 CLOCK_JUMPS = (-30.0, -5.0, -2.0, 2.0, 5.0, 30.0)
 # Seconds between the stops of a series over the whole fleet.
@@ -138,6 +152,7 @@
 THEMES["breaks"] = THEMES["changes"]
 THEMES["callers"] = CALLERS
 THEMES["lethal"] = LETHAL
+THEMES["limits"] = LIMITED
 
 
 def choose_theme(seed):
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -5,6 +5,8 @@
 is, undisturbed, with an undisturbed store, for ``contact`` seconds.
 """
 
+import bisect
+
 from .history import Record
 from .history import RELOAD
 from .history import STOP
@@ -30,6 +32,11 @@
 RECOVERY = 12.0
 SERVED_SHARE = 0.25
 FEWEST_REQUESTS = 8
+# What an upstream may get in a window, in seconds, beyond the limit that it
+# names: this many times as much, and some requests.
+LIMIT_WINDOW = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5
 # Crashes under a request after which it is to be known, and runs of it later.
 MOST_CRASHES = 3
 MOST_LATE_RUNS = 3
@@ -415,6 +422,34 @@
             yield Finding("lethal", late[MOST_LATE_RUNS].arrived_at, evidence)
 
 
+def check_limits(history):
+    """An upstream gets no more than the rate limit that it names."""
+    arrivals = {}
+    for arrival in history.arrivals:
+        request = history.requests.get(arrival.request)
+        if request and history.in_touch(request.router, arrival.at):
+            arrivals.setdefault(arrival.upstream, []).append(arrival.at)
+    for limit in history.limits:
+        if limit.named_at is None:
+            continue
+        since = limit.named_at + history.bounds.contact
+        times = [
+            at
+            for at in arrivals.get(limit.upstream, ())
+            if since <= at <= limit.ended
+        ]
+        allowed = LIMIT_FACTOR * limit.rate * LIMIT_WINDOW + LIMIT_SLACK
+        for number, at in enumerate(times):
+            count = bisect.bisect_left(times, at + LIMIT_WINDOW) - number
+            if count > allowed:
+                evidence = (
+                    f"{limit.upstream} named {limit.rate} a second and got "
+                    f"{count} in {LIMIT_WINDOW} s, allowed {allowed}"
+                )
+                yield Finding("limit", at, evidence)
+                break
+
+
 def check_blamed(history):
     """No request is refused for good that crashes nothing."""
     for request in history.requests.values():
@@ -440,6 +475,7 @@
     check_recovery,
     check_lethal,
     check_blamed,
+    check_limits,
 )
 
 
--- a/soak/shapes.py
+++ b/soak/shapes.py
@@ -147,6 +147,7 @@
         upstreams=8,
         paid=1500,
     ),
+    "limits": Shape(upstreams=6, paid=1500),
     "callers": Shape(
         **LONG_STREAMS,
         manners={PLAIN: 5, SLOW: 4, PIPELINED: 4, EARLY: 4, HALF: 1},
--- a/soak/upstream.py
+++ b/soak/upstream.py
@@ -7,6 +7,8 @@
 from rowanport.standins.upstream import ID_HEADER
 from rowanport.standins.upstream import UpstreamStandin
 
+from .history import Arrival
+from .history import Limit
 from .history import Run
 
 # Tokens that one event holds, the last one fewer.
@@ -77,6 +79,7 @@
         self._runs = {}
         self._readers = {}
         self._stalls = []
+        self._named = None
 
     def entry(self, service="feed", state="ready"):
         """Return its entry in the directory."""
@@ -131,6 +134,9 @@
         if expected != self.name:
             await self._do_misdirect(connection, writer, names, body)
             return
+        request_id = names.get(ID_HEADER, "")
+        arrival = Arrival(self.name, request_id, time.monotonic())
+        self._history.arrivals.append(arrival)
         if self.active >= self.slots:
             await self._do_full(connection, writer, names, body)
             return
@@ -158,6 +164,28 @@
         if isinstance(run, Run):
             run.ended_at = time.monotonic()
 
+    def name_limit(self, text, rate):
+        """Name a rate limit in all answers; return its Limit.
+
+        :param rate: what the text says, None if it says nothing
+        """
+        self.limit = text
+        self._named = Limit(self.name, rate)
+        if rate is not None:
+            self._history.limits.append(self._named)
+        return self._named
+
+    def end_limit(self, named):
+        """Name a Limit no more, unless another one took its place."""
+        named.ended = min(named.ended, time.monotonic())
+        if self._named is named:
+            self.limit = None
+
+    def _head(self, names, **more):
+        if self.limit is not None and self._named.named_at is None:
+            self._named.named_at = time.monotonic()
+        return super()._head(names, **more)
+
     def _next_behaviour(self, names):
         if LETHAL in names["path"]:
             return "crash"
