Tests: routers that were suspended, and the soak's new promises

A steady clock that jumps while timers do not run: what is refused stays so, no stream is sent again, limits are kept.

--- a/test/crash_world.py
+++ b/test/crash_world.py
@@ -61,6 +61,21 @@
         self.upstream = upstream
 
 
+class SuspendedClock(LoopClock):
+    """The clock of a machine that was suspended; its timers did not run.
+
+    :ivar slept: seconds for which it was
+    """
+
+    slept = 0.0
+
+    def steady(self):
+        return super().steady() + self.slept
+
+    def wall(self):
+        return super().wall() + self.slept
+
+
 class CrashWorld:
     """Routers, a store, and upstreams that come back after a crash.
 
@@ -82,7 +97,7 @@
         self.hosts = [f"10.0.0.{n}" for n in range(1, routers + 1)]
         self.random = random.Random(5)
         self._loop = loop
-        self._clock = LoopClock(loop)
+        self.clocks = {host: SuspendedClock(loop) for host in self.hosts}
         self._seats = [f"10.9.0.{n}" for n in range(1, upstreams + 1)]
         self._boots = 0
         self._gone = []
@@ -119,7 +134,7 @@
         HOST.set(host)
         platform = settings(host, self.hosts)
         platform.gateway.retry_slack = RETRY_SLACK
-        gateway = build(platform, self._clock)
+        gateway = build(platform, self.clocks[host])
         self.gateways[host] = gateway
         await gateway.start()
         HOST.set("caller")
--- a/test/test_crashing_requests.py
+++ b/test/test_crashing_requests.py
@@ -164,3 +164,29 @@
     cut = {name for name, status in world.answers.items() if status == "cut"}
     assert cut <= caught
     assert set(world.answers.values()) <= {200, 400, 502, "cut"}
+
+
+# A machine that was suspended
+
+
+@crash_test()
+async def test_a_router_that_was_suspended_knows_what_to_refuse(world):
+    await learn(world)
+    crashed = len(world.crashes)
+    world.clocks[world.hosts[0]].slept = 6.0
+    assert await statuses(world) == {400}
+    await asyncio.sleep(2.0)
+    assert await statuses(world) == {400}
+    assert len(world.crashes) == crashed
+
+
+@crash_test()
+async def test_a_router_that_was_suspended_sends_nothing_again(world):
+    host = world.hosts[0]
+    asking = [world.ask(f"s{n}", b"s%d" % n, host=host) for n in range(12)]
+    tasks = [world.spawn(one) for one in asking]
+    await asyncio.sleep(0.4)
+    # Shorter than callers wait, longer than a stream may be silent.
+    world.clocks[host].slept = 2.5
+    assert await asyncio.gather(*tasks) == [200] * 12
+    assert sum(len(u.heads) for u in world.upstreams.values()) == 12
--- a/test/test_named_limits.py
+++ b/test/test_named_limits.py
@@ -158,3 +158,15 @@
     asking = [world.ask(f"s{n}", b"s", "/safe/") for n in range(3)]
     await asyncio.gather(*asking)
     assert len(second.runs) <= asked + 1
+
+
+@crash_test()
+async def test_a_limit_is_kept_while_a_router_was_suspended(world):
+    upstream = world.busiest()
+    asking = world.spawn(ask_while_limited(world, upstream, "5.0", 20.0))
+    await asyncio.sleep(8.0)
+    for host in world.hosts[:2]:
+        world.clocks[host].slept = 6.0
+        await asyncio.sleep(4.0)
+    since = await asking
+    assert most_in_window(upstream, since) <= allowed(5.0)
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -19,9 +19,11 @@
 from soak import promises
 from soak.broken import VARIANTS
 from soak.caller import Caller
+from soak.history import Arrival
 from soak.history import Fault
 from soak.history import History
 from soak.history import Leave
+from soak.history import Limit
 from soak.history import OwnEnd
 from soak.history import Probe
 from soak.history import Readiness
@@ -773,6 +775,71 @@
     loop.run_until_complete(with_relay(check))
 
 
+# Requests that crash upstreams, and named limits
+
+
+def add_lethal(history, crashes, late, router="r0"):
+    """Add runs of a lethal request: some that crash, and some later ones."""
+    times = [100.0 + n for n in range(crashes)]
+    times += [110.0 + n for n in range(late)]
+    for number, at in enumerate(times):
+        id_ = f"l{number}"
+        add_request(history, id_, router=router, path="/safe/lethal-0")
+        run = Run(id_, f"u{number}", at, "/safe/lethal-0", "org")
+        run.ended_at = at + 0.1
+        run.crashed = True
+        history.runs.append(run)
+        history.requests[id_].path = "/safe/lethal-0"
+
+
+@pytest.mark.parametrize("late, expected", [(3, 0), (4, 1)])
+def test_a_lethal_request_is_soon_sent_to_no_upstream(late, expected):
+    history = History()
+    add_lethal(history, 3, late)
+    assert found(history).count("lethal") == expected
+
+
+def test_two_crashes_of_a_lethal_request_bind_nobody():
+    history = History()
+    add_lethal(history, 2, 0)
+    add_lethal(history, 2, 0)
+    assert "lethal" not in found(history)
+
+
+def test_a_frozen_router_may_send_a_lethal_request_late():
+    history = History()
+    add_lethal(history, 3, 9)
+    history.faults.append(Fault("freeze", frozenset(["r0"]), 109.0, 119.0))
+    assert "lethal" not in found(history)
+
+
+def test_a_request_that_crashes_nothing_is_not_refused_for_good():
+    history = History()
+    add_request(history, "c1", status=400, signed=False)
+    add_request(history, "c2", status=400, signed=True)
+    assert found(history).count("blamed") == 1
+
+
+@pytest.mark.parametrize("count, expected", [(11, 0), (12, 1)])
+def test_an_upstream_gets_no_more_than_it_names(count, expected):
+    history = History()
+    history.limits.append(Limit("u0", 1.0, 90.0, 130.0))
+    for number in range(count):
+        add_request(history, f"c{number}")
+        at = 100.0 + 0.3 * number
+        history.arrivals.append(Arrival("u0", f"c{number}", at))
+    assert found(history).count("limit") == expected
+
+
+def test_a_limit_binds_nobody_before_all_can_know_it():
+    history = History()
+    history.limits.append(Limit("u0", 1.0, 98.0, 130.0))
+    for number in range(30):
+        add_request(history, f"c{number}")
+        history.arrivals.append(Arrival("u0", f"c{number}", 100.0))
+    assert "limit" not in found(history)
+
+
 # Real routers
 
 
