--- a/rowanport/ratelimits/permits.py
+++ b/rowanport/ratelimits/permits.py
@@ -5,6 +5,8 @@
 elsewhere until the next permit may be there.
 """
 
+from ..rates import DecayingRate
+
 # Seconds of a limit that may be granted at once after a pause; what the
 # routers' views of each other lack for a moment comes on top.
 BURST_SECONDS = 0.5
@@ -19,6 +21,14 @@
 CHUNK_LIMIT = 64
 # Shortest time in seconds until a denied permit is asked for again.
 LEAST_WAIT = 0.01
+# Questions a second to which all askers together are held, beyond those that
+# the limit needs: in a large fleet all would come back for the same permit.
+ASKS_A_SECOND = 20.0
+ASKS_FOR_EACH = 2.0
+# Seconds that a denied asker waits longer where there are twice as many.
+SPREAD_SECONDS = 4.0
+# Half life in seconds of the rate of questions.
+ASKS_HALF_LIFE = 0.5
 
 
 def chunk(rate, routers):
@@ -38,9 +48,10 @@
     :param now: steady time
     """
 
-    __slots__ = ("_rate", "_permits", "_at")
+    __slots__ = ("_rate", "_permits", "_at", "_asks")
 
     def __init__(self, rate, now):
+        self._asks = DecayingRate(ASKS_HALF_LIFE)
         self._rate = max(LEAST_RATE, rate)
         # Another router may have granted the burst a moment ago.
         self._permits = 1.0
@@ -52,6 +63,7 @@
         :param rate: permits a second from now on
         """
         self._fill(now)
+        self._asks.add(1, now)
         self._rate = max(LEAST_RATE, rate)
         self._permits = min(self._most, self._permits)
         count = min(wanted, int(self._permits))
@@ -59,9 +71,12 @@
         return count
 
     def next_at(self):
-        """Return the steady time of the next permit."""
+        """Return the steady time at which one who is denied may ask again."""
         missing = max(0.0, 1.0 - self._permits)
-        return self._at + missing / self._rate
+        allowed = ASKS_A_SECOND + ASKS_FOR_EACH * self._rate
+        excess = self._asks.rate(self._at) / allowed - 1.0
+        wait = max(missing / self._rate, SPREAD_SECONDS * excess)
+        return self._at + max(LEAST_WAIT, wait)
 
     def _fill(self, now):
         new = max(0.0, now - self._at) * self._rate
@@ -90,7 +105,7 @@
         if bucket is None:
             bucket = self._buckets[name] = TokenBucket(rate, now)
         count = bucket.take(wanted, rate, now)
-        return count, max(now + LEAST_WAIT, bucket.next_at())
+        return count, bucket.next_at()
 
     def keep(self, names):
         """Forget all runs but some."""
--- a/test/test_ratelimits.py
+++ b/test/test_ratelimits.py
@@ -19,6 +19,10 @@
 from rowanport.schema.messages import LimitRow
 
 NOW = 100.0
+# Bytes of a question for a permit and its answer, and those a second that a
+# router may spend on control.
+ASK_BYTES = 49
+CONTROL_BYTES = 5000
 
 
 @pytest.mark.parametrize(
@@ -174,6 +178,24 @@
     assert purse.open_at("u", NOW + 1) == NOW + 1
 
 
+@pytest.mark.parametrize("rate", [1.0, 20.0])
+def test_a_large_fleet_does_not_come_back_for_the_same_permit(rate):
+    book = PermitBook()
+    back_at = {router: NOW for router in range(195)}
+    asks = grants = 0
+    for tick in range(6000):
+        now = NOW + tick / 200
+        for router, at in back_at.items():
+            if at > now:
+                continue
+            count, next_at = book.grant("u", rate, 1, now)
+            back_at[router] = now if count else next_at
+            asks += 1
+            grants += count
+    assert asks / 30 * ASK_BYTES <= CONTROL_BYTES
+    assert grants >= 0.8 * 30 * rate
+
+
 def test_high_limits_are_granted_by_chunks():
     assert chunk(1.0, 7) == 1
     assert chunk(280.0, 7) == 10
