--- a/rowanport/gateway/limits.py
+++ b/rowanport/gateway/limits.py
@@ -73,7 +73,8 @@
         now = self._clock.steady()
         if self._named.note(run.name, rate, now, now):
             self._note_change(run.name, rate, None)
-            news = LimitNews([self._named.row(run.name, now)])
+            row = self._named.row(run.name, now)
+            news = LimitNews([row], self._address)
             self._peers.tell(self._listeners(), news)
 
     def _note_unreadable(self, run, text, error):
@@ -214,6 +215,10 @@
         """Return LimitRows for a peer."""
         return self._named.some_rows(self._clock.steady())
 
+    def hear_news(self, news):
+        """Take in LimitNews."""
+        self.hear(news.rows, news.sender)
+
     def hear(self, rows, peer):
         """Take in LimitRows of a peer."""
         now = self._clock.steady()
--- a/rowanport/schema/messages.py
+++ b/rowanport/schema/messages.py
@@ -2110,26 +2110,33 @@
     """What upstreams said of their rate limits; sent to peers, not answered.
 
     :ivar rows: rows
+    :ivar sender: peer address of the router that heard it
     """
 
-    __slots__ = ("rows",)
+    __slots__ = (
+        "rows",
+        "sender",
+    )
     KIND = 68
 
-    def __init__(self, rows):
+    def __init__(self, rows, sender):
         self.rows = rows
+        self.sender = sender
 
     def to_wire(self):
         """Return the fields as plain values, in the schema's order."""
         return [
             [item.to_wire() for item in self.rows],
+            self.sender,
         ]
 
     @classmethod
     def from_wire(cls, values):
         """Build one from plain values; raise MessageError if unfit."""
-        check_length(cls, values, 1)
+        check_length(cls, values, 2)
         return cls(
             as_list(values[0], LimitRow.from_wire),
+            as_str(values[1]),
         )
 
 
