Part what routers tell each other of suspects from what decides on them

gateway/crashes.py had grown to 416 lines with two jobs; messages of peers are handed on by their type.

--- a/rowanport/gateway/blocklist.py
+++ b/rowanport/gateway/blocklist.py
@@ -106,7 +106,7 @@
             self._value = await self._store.get_value(BLOCKED_KEY)
             self._loaded = True
             rows = unpack_blocked(self._value.data, self._clock.wall())
-            self._crashes.hear(SuspectNews(0, rows))
+            self._crashes.news.hear(SuspectNews(0, rows))
         if self._due():
             await self._save()
 
--- /dev/null
+++ b/rowanport/gateway/crash_news.py
@@ -0,0 +1,128 @@
+"""Tells peers of requests under which upstreams crash, and hears them.
+
+What is new is told at once.  As such a message may be lost, each question to
+a peer and its answer carry what is recent as well, and all the rest in turn
+while the two know different things.
+"""
+
+import structlog
+
+from ..schema.messages import SuspectNews
+from ..schema.messages import SuspectRun
+from .fingerprint import fingerprint_text
+
+LOG = structlog.get_logger(__name__)
+
+# Seconds for which a peer counts a suspect's run whose end it did not hear.
+RUN_SECONDS = 10.0
+# Seconds for which news are told with each question to a peer.
+RECENT_SECONDS = 2.0
+# Fingerprints that one log line names.
+LOG_LIMIT = 20
+
+
+class CrashNews:
+    """What routers tell each other of suspects.
+
+    :param table: the SuspectTable
+    :param runs: the SuspectRuns
+    :param peers: a PeerClient
+    :param listeners: function that returns the addresses of the peers that
+        are told news at once
+    :param address: this router's peer address
+    :param clock: a Clock
+    :ivar on_changes: function of the Suspects that a peer's news changed
+    :ivar on_runs: function that is called when a peer told of a run
+    """
+
+    def __init__(self, table, runs, peers, listeners, address, clock):
+        self._table = table
+        self._runs = runs
+        self._peers = peers
+        self._listeners = listeners
+        self._address = address
+        self._clock = clock
+        self._push_until = 0.0
+        self.on_changes = None
+        self.on_runs = None
+
+    # At once
+
+    def tell(self, suspects):
+        """Tell peers what is known of some Suspects."""
+        if not suspects:
+            return
+        now = self._clock.steady()
+        rows = [self._table.row(suspect, now) for suspect in suspects]
+        news = SuspectNews(self._table.digest, rows)
+        self._peers.tell(self._listeners(), news)
+
+    def tell_run(self, flight):
+        """Count a suspect's run, and tell peers of it."""
+        now = self._clock.steady()
+        job, run = flight.job, flight.run.name
+        seconds = max(0.0, min(RUN_SECONDS, job.deadline - now))
+        self._runs.begin(job.fingerprint, run, self._address, now + seconds)
+        message = SuspectRun(job.fingerprint, run, self._address, seconds)
+        self._peers.tell(self._listeners(), message)
+
+    def end_runs(self, flights):
+        """Count the runs of some Flights no more, and tell peers."""
+        for flight in flights:
+            key = flight.job.fingerprint, flight.run.name, self._address
+            if self._runs.end(*key):
+                self._peers.tell(self._listeners(), SuspectRun(*key, 0.0))
+
+    def hear_run(self, message):
+        """Take in a SuspectRun."""
+        key = message.fingerprint, message.upstream, message.router
+        if message.seconds > 0:
+            seconds = min(RUN_SECONDS, message.seconds)
+            self._runs.begin(*key, self._clock.steady() + seconds)
+        else:
+            self._runs.end(*key)
+        self.on_runs()
+
+    def hear(self, news):
+        """Take in SuspectNews."""
+        now = self._clock.steady()
+        merged = [self._table.merge(row, now) for row in news.rows]
+        changed = [suspect for suspect in merged if suspect is not None]
+        if not changed:
+            return
+        LOG.info(
+            "suspects_heard",
+            heard_from=changed[0].source,
+            fingerprints=texts_of(changed),
+        )
+        self.on_changes(changed)
+
+    # With questions
+
+    def ask_news(self):
+        """Return the SuspectNews that go along with a question to a peer."""
+        now = self._clock.steady()
+        if now < self._push_until:
+            rows = self._table.some_rows(now)
+        else:
+            rows = self._table.rows_since(now - RECENT_SECONDS, now)
+        return SuspectNews(self._table.digest, rows)
+
+    def answer_news(self, news):
+        """Take in an asker's SuspectNews; return what it may not know."""
+        self.hear(news)
+        rows = []
+        if news.digest != self._table.digest:
+            rows = self._table.some_rows(self._clock.steady())
+        return SuspectNews(self._table.digest, rows)
+
+    def take_answer(self, news):
+        """Take in the SuspectNews that a peer answered with."""
+        self.hear(news)
+        if news.digest != self._table.digest:
+            self._push_until = self._clock.steady() + RECENT_SECONDS
+
+
+def texts_of(suspects):
+    """Return the fingerprints of some Suspects as logs show them."""
+    return [fingerprint_text(s.fingerprint) for s in suspects][:LOG_LIMIT]
--- a/rowanport/gateway/crashes.py
+++ b/rowanport/gateway/crashes.py
@@ -12,8 +12,6 @@
 from ..errors import ConnectionEnded
 from ..errors import ErrorKind
 from ..errors import RequestError
-from ..schema.messages import SuspectNews
-from ..schema.messages import SuspectRun
 from ..suspects import BLOCK_CRASHES
 from ..suspects import Flights
 from ..suspects import place
@@ -21,6 +19,8 @@
 from ..suspects import SuspectTable
 from ..tasks import TaskSet
 from ..web.client import Listening
+from .crash_news import CrashNews
+from .crash_news import texts_of
 from .fingerprint import fingerprint_text
 
 LOG = structlog.get_logger(__name__)
@@ -28,11 +28,6 @@
 # Seconds for which a suspect waits until the runs of the same request have
 # ended: one that is sound is mostly answered by then.
 ADMIT_SECONDS = 0.3
-# Seconds for which a peer counts a suspect's run whose end it did not hear.
-RUN_SECONDS = 10.0
-# Seconds for which news are told with each question to a peer, in case that
-# the message that told them at once was lost.
-RECENT_SECONDS = 2.0
 # Requests that one log line names.
 LOG_LIMIT = 20
 # Crashed runs that are remembered.
@@ -50,6 +45,8 @@
     :param address: this router's peer address
     :param clock: a Clock
     :param metrics: the GatewayMetrics
+    :ivar table: the SuspectTable
+    :ivar news: the CrashNews, which tells peers
     :ivar on_blocked: function of a Job under way whose request was blocked
     :ivar on_verdict: function that is called when requests were blocked, or
         are no more
@@ -62,9 +59,6 @@
     ):
         self._pool = pool
         self._client = client
-        self._peers = peers
-        self._listeners = listeners
-        self._address = address
         self._clock = clock
         self._metrics = metrics
         self._flights = Flights()
@@ -73,9 +67,13 @@
         self._crashed = {}
         self._blocked = set()
         self._changed = asyncio.Event()
-        self._push_until = 0.0
         self._tasks = TaskSet()
         self.table = SuspectTable(address)
+        self.news = CrashNews(
+            self.table, self._runs, peers, listeners, address, clock
+        )
+        self.news.on_changes = self._hear_changes
+        self.news.on_runs = self._wake
         self.on_blocked = None
         self.on_verdict = None
         self.on_answered = None
@@ -126,7 +124,7 @@
         now = self._clock.steady()
         flight = self._flights.begin(job, state.record.run, now)
         if self.is_suspect(job):
-            self._tell_run(flight)
+            self.news.tell_run(flight)
         return flight
 
     def finish(self, flight, error=None):
@@ -137,7 +135,7 @@
         run = flight.run
         if not isinstance(error, ConnectionEnded) or not self._lives(run):
             self._flights.finish(flight)
-            self._end_run(flight)
+            self.news.end_runs([flight])
             return
         self._flights.end(flight, self._clock.steady())
         if run.name in self._crashed:
@@ -163,7 +161,7 @@
             crashes=list(suspect.crashes),
         )
         self._take_changes([suspect])
-        self._tell([suspect])
+        self.news.tell([suspect])
         if suspect.stored:
             self.on_answered()
 
@@ -205,7 +203,7 @@
                 self._note_crashed(run.name, crashed_at)
                 self._take_crash(run.name)
             else:
-                self._end_runs(self._flights.take_ended(run.name))
+                self.news.end_runs(self._flights.take_ended(run.name))
         finally:
             self._probes.pop(run.name, None)
             self._wake()
@@ -240,12 +238,12 @@
                 "upstream_crashed",
                 upstream=name,
                 requests=[f.job.id for f in flights][:LOG_LIMIT],
-                fingerprints=_texts(news),
+                fingerprints=texts_of(news),
             )
         self._take_changes(news)
-        self._tell(news)
+        self.news.tell(news)
         # Not before the crash is told: until then they count as running.
-        self._end_runs(flights)
+        self.news.end_runs(flights)
 
     def _note_crashed(self, name, at):
         """Note that an upstream's run crashed, seen here or at a peer.
@@ -267,7 +265,7 @@
         for suspect in suspects:
             for flight in self._flights.of(suspect.fingerprint):
                 if suspect.open_crashes:
-                    self._tell_run(flight)
+                    self.news.tell_run(flight)
         blocked = self.table.blocked
         if blocked != self._blocked:
             self._change_verdicts(blocked)
@@ -298,67 +296,12 @@
         for flight in self._flights.of(suspect.fingerprint):
             self.on_blocked(flight.job)
 
-    # Peers
-
-    def _tell(self, suspects):
-        if not suspects:
-            return
-        now = self._clock.steady()
-        rows = [self.table.row(suspect, now) for suspect in suspects]
-        self._peers.tell(
-            self._listeners(), SuspectNews(self.table.digest, rows)
-        )
-
-    def _tell_run(self, flight):
-        """Count a suspect's run, and tell peers of it."""
-        now = self._clock.steady()
-        job, run = flight.job, flight.run.name
-        seconds = max(0.0, min(RUN_SECONDS, job.deadline - now))
-        self._runs.begin(job.fingerprint, run, self._address, now + seconds)
-        self._peers.tell(
-            self._listeners(),
-            SuspectRun(job.fingerprint, run, self._address, seconds),
-        )
-
-    def _end_runs(self, flights):
-        for flight in flights:
-            self._end_run(flight)
-
-    def _end_run(self, flight):
-        """Count a suspect's run no more, and tell peers."""
-        key = flight.job.fingerprint, flight.run.name, self._address
-        if self._runs.end(*key):
-            self._peers.tell(self._listeners(), SuspectRun(*key, 0.0))
-
-    def hear_run(self, message):
-        """Take in a SuspectRun."""
-        now = self._clock.steady()
-        key = message.fingerprint, message.upstream, message.router
-        if message.seconds > 0:
-            seconds = min(RUN_SECONDS, message.seconds)
-            self._runs.begin(*key, now + seconds)
-        else:
-            self._runs.end(*key)
-        self._wake()
-
-    def hear(self, news):
-        """Take in SuspectNews."""
-        now = self._clock.steady()
-        changed = []
-        for row in news.rows:
-            suspect = self.table.merge(row, now)
-            if suspect is None:
-                continue
-            changed.append(suspect)
+    def _hear_changes(self, suspects):
+        """Act on what a peer told of some Suspects."""
+        for suspect in suspects:
             for name, at in suspect.crashes.items():
                 self._note_crashed(name, at)
-        if changed:
-            LOG.info(
-                "suspects_heard",
-                heard_from=changed[0].source,
-                fingerprints=_texts(changed),
-            )
-            self._take_changes(changed)
+        self._take_changes(suspects)
 
     def settle(self):
         """Do what is due as time passes; called now and then."""
@@ -367,29 +310,6 @@
         self._runs.forget(now)
         self._take_changes(self.table.settle(now))
 
-    def ask_news(self):
-        """Return the SuspectNews that go along with a question to a peer."""
-        now = self._clock.steady()
-        if now < self._push_until:
-            rows = self.table.some_rows(now)
-        else:
-            rows = self.table.rows_since(now - RECENT_SECONDS, now)
-        return SuspectNews(self.table.digest, rows)
-
-    def answer_news(self, news):
-        """Take in an asker's SuspectNews; return what it may not know."""
-        self.hear(news)
-        rows = []
-        if news.digest != self.table.digest:
-            rows = self.table.some_rows(self._clock.steady())
-        return SuspectNews(self.table.digest, rows)
-
-    def take_answer(self, news):
-        """Take in the SuspectNews that a peer answered with."""
-        self.hear(news)
-        if news.digest != self.table.digest:
-            self._push_until = self._clock.steady() + RECENT_SECONDS
-
     # Waiting
 
     def _wake(self):
@@ -410,7 +330,3 @@
     if job.runs:
         return RequestError(ErrorKind.UPSTREAM_FAILED, why)
     return RequestError(ErrorKind.CRASH_SUSPECTED, why)
-
-
-def _texts(suspects):
-    return [fingerprint_text(s.fingerprint) for s in suspects][:LOG_LIMIT]
--- a/rowanport/gateway/daemon.py
+++ b/rowanport/gateway/daemon.py
@@ -162,7 +162,7 @@
         self.pool = UpstreamPool()
         fingerprints = Fingerprints(settings.secret)
         self.admission = Admission(self.dialect, fingerprints)
-        self.crashes = self._views.crashes = CrashGuard(
+        self.crashes = CrashGuard(
             self.pool,
             self.client,
             self._peers,
@@ -171,6 +171,7 @@
             self.clock,
             self.metrics,
         )
+        self._views.crashes = self.crashes.news
         self._blocklist = Blocklist(
             self._store,
             self.crashes,
@@ -266,22 +267,22 @@
 
     # Peers
 
+    @functools.cached_property
+    def _handlers(self):
+        """Return what answers a peer's message, by its type."""
+        return {
+            messages.Gossip: self.members.receive,
+            messages.ViewAsk: self._views.handle,
+            messages.LoadNote: self.loads.hear,
+            messages.SuspectNews: self.crashes.news.hear,
+            messages.SuspectRun: self.crashes.news.hear_run,
+            messages.LimitNews: self.limits.hear_news,
+            messages.PermitAsk: self.limits.grant,
+        }
+
     async def _answer_peer(self, message):
-        if isinstance(message, messages.Gossip):
-            return self.members.receive(message)
-        if isinstance(message, messages.ViewAsk):
-            return self._views.handle(message)
-        if isinstance(message, messages.LoadNote):
-            return self.loads.hear(message)
-        if isinstance(message, messages.SuspectNews):
-            return self.crashes.hear(message)
-        if isinstance(message, messages.SuspectRun):
-            return self.crashes.hear_run(message)
-        if isinstance(message, messages.LimitNews):
-            return self.limits.hear(message.rows, None)
-        if isinstance(message, messages.PermitAsk):
-            return self.limits.grant(message)
-        return self.budgets.handle(message)
+        handle = self._handlers.get(type(message), self.budgets.handle)
+        return handle(message)
 
     # Callers
 
--- a/rowanport/gateway/forwarder.py
+++ b/rowanport/gateway/forwarder.py
@@ -25,7 +25,7 @@
         self._stopping = gateway.stopping
         self._crashes = gateway.crashes
         # The time limit of each job under way.
-        self._limits = {}
+        self._time_limits = {}
 
     async def handle(self, request, responder):
         """Answer one HttpRequest, whatever becomes of it."""
@@ -60,7 +60,7 @@
 
     def end(self, job):
         """End a job under way, whose request is refused from now on."""
-        limit = self._limits.get(job)
+        limit = self._time_limits.get(job)
         if limit is not None and not limit.expired():
             limit.reschedule(asyncio.get_running_loop().time())
 
@@ -73,18 +73,18 @@
         loop = asyncio.get_running_loop()
         left = self._stopping.cut_at - self._clock.steady()
         cut = loop.time() + left
-        for limit in self._limits.values():
+        for limit in self._time_limits.values():
             if not limit.expired():
                 limit.reschedule(min(limit.when(), cut))
 
     async def _serve_in_time(self, job, responder):
         left = self._stopping.end_of(job) - self._clock.steady()
         async with asyncio.timeout(left) as limit:
-            self._limits[job] = limit
+            self._time_limits[job] = limit
             try:
                 await self._serve(job, responder)
             finally:
-                del self._limits[job]
+                del self._time_limits[job]
 
     async def _serve(self, job, responder):
         gateway = self._gateway
--- a/rowanport/gateway/sending.py
+++ b/rowanport/gateway/sending.py
@@ -321,7 +321,7 @@
     def _choose_beside(self):
         """Return the UpstreamState for a run beside a silent one.
 
-        None that names a rate limit: it gets what nobody else takes only.
+        Upstreams that name a rate limit are left to first sends.
         """
         gateway, job = self._gateway, self._job
         now = self._clock.steady()
--- a/rowanport/gateway/views.py
+++ b/rowanport/gateway/views.py
@@ -49,7 +49,7 @@
     :param clocks: the FleetClocks, which learn from each exchange
     :param congestion: the Congestion, which does, too
     :ivar loads: the LoadNotes that ask and answer along with it, or None
-    :ivar crashes: the CrashGuard that does, too, or None
+    :ivar crashes: the CrashNews that do, too, or None
     :ivar limits: the RateLimits that do, too, or None
     """
 
