--- a/rowanport/gateway/choice.py
+++ b/rowanport/gateway/choice.py
@@ -25,15 +25,12 @@
 # bytes between data centres: 1,000 are read in 20 ms.
 SHARED_LEAST = 1000
 # Levels of how unevenly streams come that are told apart; a better level
-# outweighs the bytes between data centres.  Of 8,579 short prompts on six days
-# of seven routers, 821 came late in place of 1,497 (paired plays).
+# outweighs the bytes between data centres.
 UNEVEN_LEVELS = 4
 # Streams that this router may have at an engine against the mean of those
 # that it could be sent to; beyond it the next one in order is taken (bounded
 # loads, Mirrokni et al., 2016).  Routers agree on the order, so that else one
-# engine gets most: in a model, what was earned of what was asked for rose from
-# .49 to .54 with slow engines and from .75 to .79 in a jump of users (eight
-# seeds, standard errors .02).
+# engine gets most.
 SPREAD = 1.25
 # Requests by which a plain upstream of the own data centre may be busier.
 NEAR_BONUS = 2
--- a/rowanport/gateway/loads.py
+++ b/rowanport/gateway/loads.py
@@ -7,9 +7,7 @@
 
 Notes go out on connections that are open.  In a larger fleet these are few, so
 notes go to the routers that follow the store; the others hear them from these
-with the answers to the questions that they ask anyway.  In a model of 195
-routers and 39 engines that earned .92 of what was asked for, as if all heard
-all at once; .90 if three in ten routers hear a note (three seeds).
+with the answers to the questions that they ask anyway.
 """
 
 import random
--- a/rowanport/gateway/sending.py
+++ b/rowanport/gateway/sending.py
@@ -273,9 +273,7 @@
         """Ask another upstream beside a silent one, if that is allowed.
 
         The silent one may work on, so it is let go only once the other one
-        goes on.  Given up at once, it cut 9 of 12 streams (given time, pauses
-        of 1.8 and 2.2 s, during a stop and with three repeats allowed); now
-        all come whole.
+        goes on: given up at once, its stream is cut where none may follow.
 
         :returns: the Attempt to go on with
         """
--- a/rowanport/gateway/views.py
+++ b/rowanport/gateway/views.py
@@ -34,8 +34,7 @@
 LEARN_SECONDS = 5.0
 # Seconds after the start before a router follows the store if its fleet starts
 # for the first time and its settings name seeds, which follow it at once: by
-# then it knows most of the others.  A start of each of 18 routers took 8.5
-# calls of the store, most of them watches that returned as others started.
+# then it knows most of the others, and their starts end no watch of its own.
 SEEDED_PAUSE = 2.0
 
 
@@ -94,7 +93,7 @@
 
         Where a fleet starts for the first time its seeds are the first to be
         asked.  Else each does for itself: those that it could ask may be cut
-        off from the store, and were for 9 s while it was not.
+        off from the store while it is not.
         """
         if self._members.listed:
             return True
@@ -169,8 +168,7 @@
     def _pack_config(self):
         """Return the configuration compressed.
 
-        Like routes repeat: on links of 10 Mbit/s 86 routers have a change
-        0.5 s after the store in place of 5 s (read off their logs).
+        Like routes repeat, and slow links are full for as long as it passes.
         """
         if not self._config_packed:
             self._config_packed = zlib.compress(self._config_data)
