Name the third crash plainly; say in one place who may run beside a silent one

Cause: read as a newcomer, the table of suspects spoke of convictions, the choice of an upstream beside a silent one stood in Repeats and again in Sending, and the number of requests that a log line names was set twice.

Change: limit_at for convicted_at; Repeats.candidates_beside, used by both; one LOG_LIMIT. No change of behaviour.

Result: 116 tests of suspects, crashing requests, silent upstreams, races and named limits pass as they are.

--- a/rowanport/gateway/crash_news.py
+++ b/rowanport/gateway/crash_news.py
@@ -17,7 +17,7 @@
 RUN_SECONDS = 10.0
 # Seconds for which news are told with each question to a peer.
 RECENT_SECONDS = 2.0
-# Fingerprints that one log line names.
+# Requests that one log line names.
 LOG_LIMIT = 20
 
 
--- a/rowanport/gateway/crashes.py
+++ b/rowanport/gateway/crashes.py
@@ -20,6 +20,7 @@
 from ..tasks import TaskSet
 from ..web.client import Listening
 from .crash_news import CrashNews
+from .crash_news import LOG_LIMIT
 from .crash_news import texts_of
 from .fingerprint import fingerprint_text
 
@@ -28,8 +29,6 @@
 # Seconds for which a suspect waits until the runs of the same request have
 # ended: one that is sound is mostly answered by then.
 ADMIT_SECONDS = 0.3
-# Requests that one log line names.
-LOG_LIMIT = 20
 # Crashed runs that are remembered.
 CRASHED_LIMIT = 256
 
--- a/rowanport/gateway/repeats.py
+++ b/rowanport/gateway/repeats.py
@@ -61,12 +61,21 @@
             raise RepeatRefused("rejected too often")
         if not gateway.stopping.may_send(job):
             raise RepeatRefused("too late for a send")
-        candidates = gateway.pool.candidates(job.service, job.tried, now)
-        if not gateway.limits.unlimited(candidates):
+        if not self.candidates_beside(job):
             raise RepeatRefused("no upstream is left")
         if not self._window(job).allows(self._routers, now):
             raise RepeatRefused("no allowance for a repeat")
 
+    def candidates_beside(self, job):
+        """Return the UpstreamStates that may run a job beside a silent one.
+
+        Upstreams that name a rate limit are left to first sends.
+        """
+        gateway = self._gateway
+        now = gateway.clock.steady()
+        candidates = gateway.pool.candidates(job.service, job.tried, now)
+        return gateway.limits.unlimited(candidates)
+
     def give_back(self, job, tokens):
         """Give back what was set aside for a run that was none."""
         if tokens:
--- a/rowanport/gateway/sending.py
+++ b/rowanport/gateway/sending.py
@@ -147,7 +147,7 @@
         gateway, job = self._gateway, self._job
         now = self._clock.steady()
         candidates = gateway.pool.candidates(job.service, job.tried, now)
-        return self._choose_among(self._taking(candidates, now), now)
+        return self._choose_among(self._taking(candidates, now))
 
     def _taking(self, candidates, now):
         """Return the candidates that take requests now."""
@@ -158,8 +158,9 @@
                 raise give_up(self._job, UpstreamError(error.detail))
             raise
 
-    def _choose_among(self, candidates, now):
+    def _choose_among(self, candidates):
         gateway, job = self._gateway, self._job
+        now = self._clock.steady()
         if not candidates:
             raise give_up(job, UpstreamError("no upstream is left"))
         choice = gateway.choice(job.tokens is not None)
@@ -310,22 +311,13 @@
             self._note_silence(silent, str(refusal))
             silent.silent_at = self._clock.steady() + ASK_AGAIN
             return None
-        other = self._begin(self._choose_beside())
+        state = self._choose_among(self._repeats.candidates_beside(job))
+        other = self._begin(state)
         other.tokens = tokens
         name = other.state.record.id
         self._note_silence(silent, f"{name} is asked as well")
         return other
 
-    def _choose_beside(self):
-        """Return the UpstreamState for a run beside a silent one.
-
-        Upstreams that name a rate limit are left to first sends.
-        """
-        gateway, job = self._gateway, self._job
-        now = self._clock.steady()
-        candidates = gateway.pool.candidates(job.service, job.tried, now)
-        return self._choose_among(gateway.limits.unlimited(candidates), now)
-
     def _note_silence(self, attempt, why):
         """Count a silence against its upstream; log what it leads to."""
         if attempt.silence_note is None:
--- a/rowanport/suspects/table.py
+++ b/rowanport/suspects/table.py
@@ -78,8 +78,8 @@
         return [run for run in self.crashes if run not in self.cleared]
 
     @property
-    def convicted_at(self):
-        """Return the steady time of the crash that decided, None if none."""
+    def limit_at(self):
+        """Return the steady time of its third open crash, None before it."""
         times = sorted(self.crashes[run] for run in self.open_crashes)
         if len(times) < BLOCK_CRASHES:
             return None
@@ -105,8 +105,7 @@
     def _forget_at(self, now):
         if not self.open_crashes:
             return now + CLEARED_SECONDS
-        convicted = self.convicted_at is not None
-        keep = KEEP_SECONDS if convicted else SUSPECT_SECONDS
+        keep = SUSPECT_SECONDS if self.limit_at is None else KEEP_SECONDS
         return max(self.crashes.values()) + keep
 
 
@@ -121,7 +120,7 @@
         self._suspects = collections.OrderedDict()
         self._digest = 0
         self._turn = 0
-        self._convicted = {}
+        self._at_limit = {}
 
     def __len__(self):
         return len(self._suspects)
@@ -134,7 +133,7 @@
     @property
     def blocked(self):
         """Return the fingerprints of the requests that are refused."""
-        return {s.fingerprint for s in self._convicted.values() if s.blocked}
+        return {s.fingerprint for s in self._at_limit.values() if s.blocked}
 
     @property
     def suspects(self):
@@ -280,17 +279,17 @@
 
     def _judge(self, suspect):
         """Decide what is refused, after a change of one Suspect."""
-        known = suspect.fingerprint in self._convicted
-        if known == (suspect.convicted_at is not None):
+        known = suspect.fingerprint in self._at_limit
+        if known == (suspect.limit_at is not None):
             return
         if known:
-            del self._convicted[suspect.fingerprint]
+            del self._at_limit[suspect.fingerprint]
             suspect.blocked = False
         else:
-            self._convicted[suspect.fingerprint] = suspect
-        times = sorted(one.convicted_at for one in self._convicted.values())
-        for one in self._convicted.values():
-            at = one.convicted_at
+            self._at_limit[suspect.fingerprint] = suspect
+        times = sorted(one.limit_at for one in self._at_limit.values())
+        for one in self._at_limit.values():
+            at = one.limit_at
             first = bisect.bisect_left(times, at - STORM_SECONDS)
             last = bisect.bisect_right(times, at + STORM_SECONDS)
             one.blocked = last - first < STORM_REQUESTS
@@ -303,14 +302,14 @@
         :returns: the Suspects that this changes
         """
         explained = set()
-        for suspect in self._convicted.values():
-            if suspect.blocked and suspect.convicted_at < now - SETTLE_SECONDS:
+        for suspect in self._at_limit.values():
+            if suspect.blocked and suspect.limit_at < now - SETTLE_SECONDS:
                 explained.update(suspect.crashes)
         changed = []
         if not explained:
             return changed
         for suspect in self.suspects:
-            if suspect.fingerprint in self._convicted:
+            if suspect.fingerprint in self._at_limit:
                 continue
             beside = explained.intersection(suspect.open_crashes)
             if beside:
@@ -327,6 +326,6 @@
         return next(iter(self._suspects.values()))
 
     def _drop(self, suspect):
-        self._convicted.pop(suspect.fingerprint, None)
+        self._at_limit.pop(suspect.fingerprint, None)
         self._digest ^= suspect.digest
         del self._suspects[suspect.fingerprint]
