Bound the crashes that are kept of a request, alike at all routers

Cause: a router kept eight crashes of its own of one request, but every row of a peer could add eight others: no bound, and where two kept different ones they would have told each other all rows with each question.

Change: of the union all routers keep the first eight by name, so that merging stays independent of order.

Result: five routers with eight crashes each kept 40 before (the new test fails on that code) and the same eight after; 45 tests of suspects and crashing requests pass.

--- a/rowanport/suspects/table.py
+++ b/rowanport/suspects/table.py
@@ -90,6 +90,20 @@
         """Return a number that only its content decides, 0 if cleared."""
         return self._digest
 
+    def add_crashes(self, crashes):
+        """Take in crashes; return whether this changes those that are kept.
+
+        Where there are too many, all routers keep the same ones.
+
+        :param crashes: steady time by name of the upstream's run
+        """
+        known = set(self.crashes)
+        self.crashes = {**crashes, **self.crashes}
+        for run in sorted(self.crashes)[CRASH_LIMIT:]:
+            del self.crashes[run]
+            self.cleared.discard(run)
+        return known != set(self.crashes)
+
     def refresh(self, now):
         """Note that it was changed."""
         self.changed_at = now
@@ -162,9 +176,8 @@
         :returns: the Suspect if that is news, else None
         """
         suspect = self._suspects.get(fingerprint) or Suspect(fingerprint)
-        if run in suspect.crashes or len(suspect.crashes) >= CRASH_LIMIT:
+        if not suspect.add_crashes({run: now}):
             return None
-        suspect.crashes[run] = now
         suspect.source = self._address
         self._put(suspect, now)
         return suspect
@@ -235,15 +248,14 @@
         """
         known = self._suspects.get(row.fingerprint)
         suspect = known or Suspect(row.fingerprint)
-        news = False
-        for crash in row.crashes[:CRASH_LIMIT]:
-            # Ages count from the crash on, so that nothing is kept alive by
-            # being passed around.
-            if crash.age < KEEP_SECONDS and crash.upstream not in (
-                suspect.crashes
-            ):
-                suspect.crashes[crash.upstream] = now - max(0.0, crash.age)
-                news = True
+        # Ages count from the crash on, so that nothing is kept alive by being
+        # passed around.
+        crashes = {
+            crash.upstream: now - max(0.0, crash.age)
+            for crash in row.crashes
+            if crash.age < KEEP_SECONDS
+        }
+        news = suspect.add_crashes(crashes)
         cleared = {run for run in row.cleared if run in suspect.crashes}
         if not cleared <= suspect.cleared:
             suspect.cleared |= cleared
--- a/test/test_suspects.py
+++ b/test/test_suspects.py
@@ -196,6 +196,19 @@
     assert len(table.get(2).crashes) == CRASH_LIMIT
 
 
+def test_routers_that_saw_many_crashes_keep_the_same_few():
+    tables = [SuspectTable(f"r{n}") for n in range(5)]
+    for number, table in enumerate(tables):
+        crash(table, *[f"u{number}-{n}" for n in range(CRASH_LIMIT)])
+    for _round in range(2):
+        for table in tables:
+            for other in tables:
+                for row in rows_of(other):
+                    table.merge(row, NOW)
+    assert len(tables[0].get(PRINT).crashes) == CRASH_LIMIT
+    assert not differ(tables)
+
+
 # Bounds
 
 
