Let what is due for suspects have a loop of its own

Cause: forgetting old suspects and clearing what ran beside a refused one was done by the loop that keeps the record in the store, so that a hang of the store's call would have held it up, and its name did not say so.

Change: CrashGuard.run, watched and started again as all loops are.

Result: both tests that name all loops name this one and let it hang and fail; 76 tests of loops, supervision, suspects and crashing requests pass. No figure was measured: the same work is done as often.

--- a/rowanport/gateway/blocklist.py
+++ b/rowanport/gateway/blocklist.py
@@ -69,7 +69,6 @@
         """Keep the record until cancelled."""
         while True:
             beat()
-            self._crashes.settle()
             try:
                 await self._look()
                 self._failing = False
--- a/rowanport/gateway/crashes.py
+++ b/rowanport/gateway/crashes.py
@@ -12,6 +12,7 @@
 from ..errors import ConnectionEnded
 from ..errors import ErrorKind
 from ..errors import RequestError
+from ..supervision import beat
 from ..suspects import BLOCK_CRASHES
 from ..suspects import Flights
 from ..suspects import place
@@ -29,6 +30,8 @@
 # Seconds for which a suspect waits until the runs of the same request have
 # ended: one that is sound is mostly answered by then.
 ADMIT_SECONDS = 0.3
+# Seconds between two looks at what is due as time passes.
+SETTLE_PAUSE = 0.5
 # Crashed runs that are remembered.
 CRASHED_LIMIT = 256
 
@@ -302,8 +305,15 @@
                 self._note_crashed(name, at)
         self._take_changes(suspects)
 
-    def settle(self):
-        """Do what is due as time passes; called now and then."""
+    async def run(self):
+        """Do what is due as time passes, until cancelled."""
+        while True:
+            beat()
+            self._settle()
+            await asyncio.sleep(SETTLE_PAUSE)
+
+    def _settle(self):
+        """Forget what is old, and clear what ran beside a refused request."""
         now = self._clock.steady()
         self.table.forget(now)
         self._runs.forget(now)
--- a/rowanport/gateway/daemon.py
+++ b/rowanport/gateway/daemon.py
@@ -316,6 +316,7 @@
         self._loops.start("router_list", run, LONGEST_STORE_ROUND)
         self._loops.start("views", self._views.run, LONGEST_ROUND)
         self._loops.start("budgets", self.budgets.run, LONGEST_ROUND)
+        self._loops.start("suspects", self.crashes.run, LONGEST_ROUND)
         self._loops.start("blocklist", self._blocklist.run, LONGEST_ROUND)
 
     def _note_restart(self, loop):
--- a/test/test_loop_heartbeats.py
+++ b/test/test_loop_heartbeats.py
@@ -16,6 +16,7 @@
 from structlog.testing import capture_logs
 
 from rowanport import supervision
+from rowanport.gateway import crashes
 from rowanport.gateway import views
 from rowanport.platform import directory
 from rowanport.supervision import beat
@@ -131,9 +132,13 @@
     """Return a context in which a loop of a gateway hangs."""
     config, upstreams, _directory = gateway._sources
     # What each waits for in every round; these two only sleep.
-    modules = {"views": views, "RouterDirectory": directory}
+    modules = {
+        "views": views,
+        "RouterDirectory": directory,
+        "suspects": crashes,
+    }
     if name in modules:
-        asleep = types.SimpleNamespace(sleep=hang)
+        asleep = types.SimpleNamespace(sleep=hang, Event=asyncio.Event)
         return mock.patch.object(modules[name], "asyncio", asleep)
     owner, method = {
         "ConfigSource": (config, "_follow"),
@@ -163,6 +168,7 @@
     "router_list",
     "views",
     "budgets",
+    "suspects",
     "blocklist",
 )
 
--- a/test/test_supervision.py
+++ b/test/test_supervision.py
@@ -169,6 +169,7 @@
         "router_list": (gateway._membership._directory, "instances"),
         "views": (gateway._views, "_sources"),
         "budgets": (gateway.budgets._refill, "sync"),
+        "suspects": (gateway.crashes, "_settle"),
         "blocklist": (gateway._blocklist, "_look"),
     }
 
@@ -221,7 +222,7 @@
 @scenario
 async def test_each_loop_of_a_gateway_is_started_again(platform):
     gateway = platform.gateway
-    for name in ("heartbeats", "views", "budgets", "blocklist"):
+    for name in ("heartbeats", "views", "budgets", "suspects", "blocklist"):
         with failing(gateway, name):
             await platform.wait(lambda: restarts(gateway, name) > 0)
     names = [loop.name for loop in gateway._loops._loops]
