Say once in tests how a limit is used, how it ends, and what a return must know

Cause: pairs of tests of named limits and of crashing requests repeated the same ten lines, which a newcomer has to compare.

Change: check_use, check_end, lose_power, check_known. Every check and bound stands as it was; the test with the store out now waits one second between the end of all routers and their start, as the one beside it did.

--- a/test/test_crashing_requests.py
+++ b/test/test_crashing_requests.py
@@ -40,6 +40,25 @@
     assert await statuses(world) == {400}
 
 
+async def lose_power(world):
+    """Let all routers end without a word, and start again."""
+    for host in world.hosts:
+        await world.kill_router(host)
+    await asyncio.sleep(1.0)
+    for host in world.hosts:
+        await world.start_router(host)
+
+
+async def check_known(world, crashed):
+    """Check that all routers refuse the request, and no upstream crashed.
+
+    :param crashed: number of crashes before
+    """
+    await asyncio.sleep(2.0)
+    assert await statuses(world) == {400}
+    assert len(world.crashes) == crashed
+
+
 async def statuses(world):
     """Return the statuses that a lethal request gets, over all routers."""
     return {await world.ask("x", LETHAL, host=h) for h in list(world.gateways)}
@@ -52,9 +71,7 @@
     host = world.hosts[1]
     await world.kill_router(host)
     await world.start_router(host)
-    await asyncio.sleep(2.0)
-    assert await statuses(world) == {400}
-    assert len(world.crashes) == crashed
+    await check_known(world, crashed)
 
 
 @crash_test()
@@ -62,14 +79,8 @@
     await learn(world)
     await asyncio.sleep(1.0)
     crashed = len(world.crashes)
-    for host in world.hosts:
-        await world.kill_router(host)
-    await asyncio.sleep(1.0)
-    for host in world.hosts:
-        await world.start_router(host)
-    await asyncio.sleep(2.0)
-    assert await statuses(world) == {400}
-    assert len(world.crashes) == crashed
+    await lose_power(world)
+    await check_known(world, crashed)
 
 
 @crash_test()
@@ -79,13 +90,8 @@
     crashed = len(world.crashes)
     world.store.fault = ""
     await asyncio.sleep(5.0)
-    for host in world.hosts:
-        await world.kill_router(host)
-    for host in world.hosts:
-        await world.start_router(host)
-    await asyncio.sleep(2.0)
-    assert await statuses(world) == {400}
-    assert len(world.crashes) == crashed
+    await lose_power(world)
+    await check_known(world, crashed)
 
 
 @crash_test()
@@ -175,9 +181,7 @@
     crashed = len(world.crashes)
     world.clocks[world.hosts[0]].slept = 6.0
     assert await statuses(world) == {400}
-    await asyncio.sleep(2.0)
-    assert await statuses(world) == {400}
-    assert len(world.crashes) == crashed
+    await check_known(world, crashed)
 
 
 @crash_test()
--- a/test/test_named_limits.py
+++ b/test/test_named_limits.py
@@ -35,34 +35,41 @@
     return begun + CONTACT_SECONDS
 
 
-@crash_test()
-async def test_a_named_limit_is_kept_by_all_routers_together(world):
+async def check_use(world, rate):
+    """Check that a limit is kept, and used, at a rate of requests."""
     upstream = world.busiest()
-    since = await ask_while_limited(world, upstream, "1.0", 60.0)
+    since = await ask_while_limited(world, upstream, "1.0", 60.0, rate)
     assert most_in_window(upstream, since) <= allowed(1.0)
     assert len(upstream.runs) >= 50
     assert set(world.answers.values()) == {200}
 
 
+async def check_end(world, upstream, seconds):
+    """Check that an upstream that names no limit any more gets its part."""
+    upstream.limit = None
+    count = int(60 * seconds)
+    tasks = await world.ask_many(count, 1 / 60, "after", path="/safe/")
+    await asyncio.gather(*tasks)
+    recent = [at for at, _ in upstream.runs if at > world.now - 5.0]
+    # A sixth of all is its usual part.
+    assert len(recent) >= 300 / 6 / 2
+
+
+@crash_test()
+async def test_a_named_limit_is_kept_by_all_routers_together(world):
+    await check_use(world, rate=60)
+
+
 @crash_test()
 async def test_few_requests_of_many_routers_use_a_limit(world):
-    upstream = world.busiest()
-    since = await ask_while_limited(world, upstream, "1.0", 60.0, rate=15)
-    assert most_in_window(upstream, since) <= allowed(1.0)
-    assert len(upstream.runs) >= 50
-    assert set(world.answers.values()) == {200}
+    await check_use(world, rate=15)
 
 
 @crash_test()
 async def test_a_limit_ends_at_all_routers_when_it_is_named_no_more(world):
     upstream = world.busiest()
     await ask_while_limited(world, upstream, "0.5", 10.0)
-    upstream.limit = None
-    tasks = await world.ask_many(600, 1 / 60, "after", path="/safe/")
-    await asyncio.gather(*tasks)
-    recent = [at for at, _ in upstream.runs if at > world.now - 5.0]
-    # A sixth of all is its usual part.
-    assert len(recent) >= 300 / 6 / 2
+    await check_end(world, upstream, 10.0)
 
 
 @crash_test()
@@ -70,11 +77,7 @@
     upstream = world.busiest()
     since = await ask_while_limited(world, upstream, "0", 20.0)
     assert most_in_window(upstream, since) <= allowed(0)
-    upstream.limit = None
-    tasks = await world.ask_many(1200, 1 / 60, "after", path="/safe/")
-    await asyncio.gather(*tasks)
-    recent = [at for at, _ in upstream.runs if at > world.now - 5.0]
-    assert len(recent) >= 300 / 6 / 2
+    await check_end(world, upstream, 20.0)
 
 
 @crash_test()
