Fail: an entry that went comes back, and routers send by views of any age

The network in memory can now delay what a host sends and gets, and let a host reset all connections of another one.

--- /dev/null
+++ b/test/test_returned_entries.py
@@ -0,0 +1,104 @@
+"""An upstream whose entry went, and which a list names once more.
+
+What happened: requests reached an upstream 3.6 s after its entry was removed,
+from routers that had dropped it at once.
+
+Sequence: the store turned away two of the routers that follow it for all, and
+none of the others, for 7 s.  Back again, these two kept what had gone
+meanwhile, as entries may lapse in an outage, and told other routers so by a
+list of a newer revision.  Those took the entry over as the store's word, and
+nothing ever took it from them again.
+
+Cause: a guess was handed on as knowledge; and one router's outage was taken
+for an outage of the store.
+
+What settled it: lists of one revision with 75, 76 and 80 upstreams.
+"""
+
+import asyncio
+from test.test_silence import fleet_test
+from test.test_silence import STORE
+from test.test_silence import UPSTREAM
+
+# Seconds after the store's word within which no router may send work to an
+# upstream that left; on a clear link it takes no time.
+DRAIN_SECONDS = 3.0
+# Seconds for which the store turns a router away.
+AWAY_SECONDS = 7.0
+# More routers than those that follow the store for all.
+FLEET_SIZE = 10
+
+
+def followers(fleet):
+    """Return the hosts of the routers that follow the store."""
+    return [h for h in fleet.hosts if fleet.gateways[h]._views.on_duty]
+
+
+def who_lists(fleet, name):
+    """Return the hosts of the routers that send work to an upstream."""
+    return [
+        host
+        for host, gateway in fleet.gateways.items()
+        if name in gateway.upstreams.upstreams
+    ]
+
+
+async def change_others(fleet, seconds):
+    """Change other entries meanwhile, as upstreams that start do."""
+    for number in range(int(seconds / 0.1)):
+        await fleet.store.put(f"servers/new-{number % 3}", _entry(number))
+        await asyncio.sleep(0.1)
+
+
+def _entry(number):
+    return {**UPSTREAM, "address": f"10.9.1.{number % 200 + 1}:80"}
+
+
+@fleet_test(FLEET_SIZE)
+async def test_an_entry_that_went_is_not_brought_back_by_who_was_away(fleet):
+    for number in range(6):
+        name = f"leaver-{number}"
+        await fleet.store.put(f"servers/{name}", UPSTREAM)
+        away = followers(fleet)[:2]
+        for host in away:
+            fleet.net.cut(host, STORE)
+        await change_others(fleet, AWAY_SECONDS)
+        for host in away:
+            fleet.net.join(host, STORE)
+        # At another moment of the routers' return each time.
+        await change_others(fleet, 0.2 * number)
+        await fleet.store.remove(f"servers/{name}")
+        await change_others(fleet, DRAIN_SECONDS)
+        assert who_lists(fleet, name) == []
+
+
+@fleet_test(FLEET_SIZE)
+async def test_entries_that_lapse_for_all_are_kept_by_all(fleet):
+    for length in (2.5, 4.0, 8.0):
+        await fleet.store.put("servers/lapser", UPSTREAM)
+        await asyncio.sleep(5.0)
+        fleet.store.fault = "silent"
+        await asyncio.sleep(length)
+        await fleet.store.remove("servers/lapser")
+        fleet.store.fault = ""
+        for _look in range(90):
+            await asyncio.sleep(0.02)
+            assert who_lists(fleet, "lapser") == fleet.hosts, length
+        await fleet.store.put("servers/lapser", UPSTREAM)
+        await asyncio.sleep(5.0)
+        assert who_lists(fleet, "lapser") == fleet.hosts
+        await fleet.store.remove("servers/lapser")
+        await asyncio.sleep(DRAIN_SECONDS)
+        assert who_lists(fleet, "lapser") == []
+
+
+@fleet_test(FLEET_SIZE)
+async def test_entries_that_stay_missing_after_an_outage_go_everywhere(fleet):
+    await fleet.store.put("servers/lapser", UPSTREAM)
+    await asyncio.sleep(5.0)
+    fleet.store.fault = "silent"
+    await asyncio.sleep(4.0)
+    await fleet.store.remove("servers/lapser")
+    fleet.store.fault = ""
+    await change_others(fleet, 5.0)
+    assert who_lists(fleet, "lapser") == []
--- a/test/virtual_net.py
+++ b/test/virtual_net.py
@@ -115,7 +115,7 @@
         # Timers of one moment come in any order, the bytes of one connection
         # do not.
         self._sent.append((deliver, args))
-        self._loop.call_later(DELAY, self._arrive)
+        self._loop.call_later(self._link.delay(self), self._arrive)
 
     def _arrive(self):
         deliver, args = self._sent.popleft()
@@ -156,13 +156,21 @@
 class Link:
     """One connection between two ends."""
 
-    def __init__(self, loop, client, server):
+    def __init__(self, net, loop, client, server):
         self.silent = False
         self.names = (client, server)
+        self._net = net
         self.ends = (End(self, loop), End(self, loop))
         first, second = self.ends
         first.other, second.other = second, first
 
+    def delay(self, end):
+        """Return the seconds that bytes sent at one of its ends take."""
+        own, other = self.names
+        if end is not self.ends[0]:
+            own, other = other, own
+        return self._net.delay(own, other)
+
     def silence(self):
         """Deliver nothing any more, and tell nobody."""
         if not self.silent:
@@ -188,6 +196,8 @@
         self._loop = loop
         self._servers = {}
         self._links = []
+        self._waits = {}
+        self._cut = set()
         self._tasks = set()
 
     async def listen(self, handle, host, port, limit, backlog):
@@ -197,11 +207,14 @@
 
     async def connect(self, host, port, local_addr=None):
         """Open a connection, as ``stream.connect`` does."""
-        await asyncio.sleep(2 * DELAY)
+        own = HOST.get()
+        await asyncio.sleep(self.delay(own, host) + self.delay(host, own))
+        if (own, host) in self._cut:
+            raise ConnectionResetError(errno.ECONNRESET, "reset by peer")
         if (host, port) not in self._servers:
             raise ConnectionRefusedError(errno.ECONNREFUSED, "refused")
         handle, context = self._servers[host, port]
-        link = Link(self._loop, HOST.get(), host)
+        link = Link(self, self._loop, own, host)
         self._links.append(link)
         first, second = link.ends
         task = self._loop.create_task(
@@ -211,6 +224,32 @@
         task.add_done_callback(self._tasks.discard)
         return first.reader, first
 
+    def fill(self, host, inward=0.0, outward=0.0):
+        """Let bytes wait on a host's link, as behind others on a full one.
+
+        :param inward: seconds that those to the host wait
+        :param outward: the same for those from it
+        """
+        self._waits[host] = (inward, outward)
+
+    def cut(self, source, target):
+        """Let a host reset all connections of another one."""
+        self._cut.add((source, target))
+        for link in self._links:
+            if link.names == (source, target):
+                for end in link.ends:
+                    end.abort()
+
+    def join(self, source, target):
+        """Let a host take the connections of another one again."""
+        self._cut.discard((source, target))
+
+    def delay(self, source, target):
+        """Return the seconds that bytes take from one host to another."""
+        _inward, outward = self._waits.get(source, (0.0, 0.0))
+        inward, _outward = self._waits.get(target, (0.0, 0.0))
+        return DELAY + outward + inward
+
     def silence(self, choose):
         """Let open connections go silent for good; new ones work.
 
