Say in logs how old a router's view of the fleet is, and who confirmed it

Cause: no log could tell a router that hears late from one that hears a wrong list; "nothing newer" and no answer looked alike.

Change: an answer to a question for views says how old the answering router's own view is; the time of the question less that age is up to when the asker's view is known to hold (gateway/freshness.py, no I/O). A follower of the store knows as much as its watch, which it may trust up to the newest call that anybody answered after the watch was sent. Logged: view_ms with each request (the age as it was sent), views_standing when it changes whether a view may be trusted; metric view_age_seconds. Nothing decides by it yet.

Ruled out: ages by wall clocks, which may be wrong; an age from the answer's arrival, which a full link makes look young.

--- a/rowanport/gateway/daemon.py
+++ b/rowanport/gateway/daemon.py
@@ -204,6 +204,11 @@
 
     # Views
 
+    @property
+    def views(self):
+        """Return the Views."""
+        return self._views
+
     @property
     def table(self):
         """Return the RoutingTable in force, or None."""
--- a/rowanport/gateway/decisions.py
+++ b/rowanport/gateway/decisions.py
@@ -74,6 +74,7 @@
             events=job.events,
             first_ms=self._first_ms(job),
             pause_ms=round(job.longest_pause * 1000),
+            view_ms=job.view_age and round(job.view_age * 1000),
             ms=round(seconds * 1000),
         )
 
--- a/rowanport/gateway/job.py
+++ b/rowanport/gateway/job.py
@@ -56,6 +56,8 @@
     :ivar last_event_at: steady time of the last event, or None
     :ivar longest_pause: longest time in seconds between two events
     :ivar whole: whether the answer was passed on whole
+    :ivar view_age: seconds since the list of upstreams was known to hold, as
+        the last send went out, or None
     """
 
     __slots__ = (
@@ -87,6 +89,7 @@
         "longest_pause",
         "whole",
         "config",
+        "view_age",
     )
 
     def __init__(self, request, id_, route, service, arrived):
@@ -118,6 +121,7 @@
         self.longest_pause = 0.0
         self.whole = False
         self.config = 0
+        self.view_age = None
 
     @property
     def budget(self):
--- a/rowanport/gateway/metrics.py
+++ b/rowanport/gateway/metrics.py
@@ -37,4 +37,7 @@
         self.tokens_held = self._gauge("tokens_held", "Tokens by budget")
         self.logs_dropped = self._gauge("logs_dropped", "Log lines dropped")
         self.config_version = self._gauge("config_version", "Version")
+        self.view_age = self._gauge(
+            "view_age_seconds", "Age of what is known of the fleet"
+        )
         self.live_routers = self._gauge("live_routers", "Routers alive")
--- a/rowanport/gateway/sending.py
+++ b/rowanport/gateway/sending.py
@@ -127,6 +127,7 @@
     def _begin(self, state):
         """Send the job to an upstream; return the Attempt."""
         job = self._job
+        job.view_age = self._gateway.views.age
         job.sends += 1
         job.runs += 1
         # Counted at once, so that others of this moment go elsewhere.
--- a/rowanport/gateway/views.py
+++ b/rowanport/gateway/views.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 import zlib
 
 import structlog
@@ -18,6 +19,8 @@
 from ..supervision import beat
 from ..tasks import TaskSet
 from .followers import followers
+from .freshness import Standing
+from .freshness import ViewAge
 from .upstream import UpstreamList
 
 LOG = structlog.get_logger(__name__)
@@ -63,6 +66,9 @@
         self._clocks = clocks
         self._congestion = congestion
         self._asks = TaskSet()
+        self._age = ViewAge()
+        self._watches = {}
+        self._standing = Standing.CONFIRMED
         self._started = clock.steady()
         self._config_data = b""
         self._config_packed = b""
@@ -105,6 +111,53 @@
         """Return whether this router may not know the fleet yet."""
         return self._clock.steady() < self._started + LEARN_SECONDS
 
+    # Age
+
+    def note_watch(self, name, age):
+        """Take the WatchAge of a watch of the store into account."""
+        self._watches[name] = age
+
+    @property
+    def contact_at(self):
+        """Return when the newest call was sent that somebody answered."""
+        return self._age.contact_at
+
+    @property
+    def age(self):
+        """Return the seconds since the views were known to hold."""
+        self._confirm_own()
+        return self._age.age(self._clock.steady())
+
+    @property
+    def confirmed_by(self):
+        """Return the address of who confirmed the views last."""
+        return self._age.source
+
+    def _confirm_own(self):
+        """Take into account what this router's own watches tell."""
+        contact = self._age.contact_at
+        known = [age.known_until(contact) for age in self._watches.values()]
+        self._age.confirm(min(known, default=-math.inf), "store")
+
+    def _note_standing(self):
+        """Log whether the views may be trusted, when that changes."""
+        self._confirm_own()
+        now = self._clock.steady()
+        standing = self._age.standing(now)
+        if standing is self._standing:
+            return
+        self._standing = standing
+        LOG.info(
+            "views_standing",
+            standing=standing.value,
+            age=round(self._age.age(now), 3),
+            contact=round(now - self._age.contact_at, 3),
+            confirmed_by=self._age.source,
+            asking=len(self._asks),
+        )
+
+    # What is known
+
     def take_config(self, data, source):
         """Take over a configuration if it is newer.
 
@@ -149,7 +202,9 @@
         """Answer a ViewAsk."""
         self._clocks.hear(message.asker, message.wall)
         suspects = SuspectNews(0, [])
-        give = ViewGive(0, b"", 0, b"", self._clock.wall(), [], suspects, [])
+        age = round(1000 * self.age)
+        wall = self._clock.wall()
+        give = ViewGive(0, b"", 0, b"", wall, [], suspects, [], age)
         if self.loads is not None:
             give.notes = self.loads.heard(message.seconds, message.asker)
         if self.crashes is not None:
@@ -179,6 +234,7 @@
         try:
             while True:
                 beat()
+                self._note_standing()
                 for address in self._sources()[:1]:
                     # Not awaited: one that is cut off would hold up the next.
                     if len(self._asks) < ASKS_AT_ONCE:
@@ -221,6 +277,7 @@
             return
         if not isinstance(give, ViewGive):
             return
+        self._age.note_contact(asked_at)
         # Without the time in which a silent connection was found out.
         self._congestion.note_round_trip(self._peers.last_trip(address))
         self._clocks.hear(address, give.wall)
@@ -233,12 +290,23 @@
         if give.config_data:
             self._take_packed(give.config_data, address)
         if give.upstream_data:
-            try:
-                upstreams = UpstreamList.unpack(give.upstream_data)
-            except MessageError as error:
-                LOG.error("upstreams_unreadable", error=str(error))
-                return
-            self.take_upstreams(upstreams, address)
+            self._take_list(give.upstream_data, address)
+        if self._has(give):
+            self._age.confirm(asked_at - give.age / 1000, address)
+
+    def _has(self, give):
+        """Return whether all that a peer knew is known here."""
+        upstreams = self.upstreams.revision
+        return give.config <= self._version and give.upstreams <= upstreams
+
+    def _take_list(self, packed, address):
+        """Take over a list of upstreams that a peer handed on."""
+        try:
+            upstreams = UpstreamList.unpack(packed)
+        except MessageError as error:
+            LOG.error("upstreams_unreadable", error=str(error))
+            return
+        self.take_upstreams(upstreams, address)
 
     def _take_packed(self, packed, address):
         """Take over a configuration that a peer handed on."""
--- a/rowanport/platform/sources.py
+++ b/rowanport/platform/sources.py
@@ -10,6 +10,7 @@
 from ..errors import StoreBusy
 from ..errors import StoreError
 from ..errors import StoreSilent
+from ..gateway.freshness import WatchAge
 from ..gateway.upstream import UpstreamList
 from ..supervision import beat
 from .entries import decode_entry
@@ -60,6 +61,7 @@
         self._revision = None
         self._failing = False
         self._silent = False
+        self._age = WatchAge()
 
     @abc.abstractmethod
     async def load(self, views):
@@ -79,6 +81,7 @@
 
     async def run(self, views):
         """Feed the Views until cancelled."""
+        views.note_watch(self.prefix, self._age)
         while True:
             beat()
             try:
@@ -103,6 +106,7 @@
             # What happens meanwhile comes from peers, also what is newer than
             # an old answer, which costs a tenth of a new one.
             self._revision = None
+            self._age.reset()
             beat()
             if not self.is_known(views):
                 await self.load_old(views)
@@ -111,16 +115,18 @@
 
     async def _follow(self, views):
         if self._revision is None:
+            sent_at = self._clock.steady()
             self._revision = await self.load(views)
+            self._age.note_read(sent_at)
             self._note_success()
-        listing = await self._watch()
+        listing = await self._watch(views)
         self._note_success()
         self._revision = max(self._revision, listing.revision)
         if listing.items:
             self.change(views, listing)
             await asyncio.sleep(YOUNG_PAUSE if views.young else BATCH_PAUSE)
 
-    async def _watch(self):
+    async def _watch(self, views):
         """Wait for changes, no longer than the store can be reached.
 
         :raises StoreError: it cannot, or there was no answer
@@ -131,6 +137,7 @@
             self._store.watch(self.prefix, self._revision, self._silent)
         )
         self._silent = False
+        self._age.begin(self._clock.steady())
         down = asyncio.ensure_future(self._store.reach.wait_down())
         silence = asyncio.ensure_future(self._store.reach.wait_silence())
         try:
@@ -138,11 +145,14 @@
                 (watch, down, silence), return_when=asyncio.FIRST_COMPLETED
             )
             if watch.done():
-                return watch.result()
+                listing = watch.result()
+                self._age.end(views.contact_at)
+                return listing
             if down.done():
                 raise StoreBusy("the store is away")
             raise StoreSilent("kept connections turned out silent")
         finally:
+            self._age.lose(views.contact_at)
             watch.cancel()
             down.cancel()
             silence.cancel()
--- a/rowanport/schema/messages.py
+++ b/rowanport/schema/messages.py
@@ -2285,6 +2285,7 @@
     :ivar notes: long prompts that other routers sent lately
     :ivar suspects: what the asker may not know of suspects
     :ivar limits: rate limits that the peer knows of
+    :ivar age: milliseconds since the peer's own view was known to hold
     """
 
     __slots__ = (
@@ -2296,6 +2297,7 @@
         "notes",
         "suspects",
         "limits",
+        "age",
     )
     KIND = 62
 
@@ -2309,6 +2311,7 @@
         notes,
         suspects,
         limits,
+        age,
     ):
         self.config = config
         self.config_data = config_data
@@ -2318,6 +2321,7 @@
         self.notes = notes
         self.suspects = suspects
         self.limits = limits
+        self.age = age
 
     def to_wire(self):
         """Return the fields as plain values, in the schema's order."""
@@ -2330,12 +2334,13 @@
             [item.to_wire() for item in self.notes],
             self.suspects.to_wire(),
             [item.to_wire() for item in self.limits],
+            self.age,
         ]
 
     @classmethod
     def from_wire(cls, values):
         """Build one from plain values; raise MessageError if unfit."""
-        check_length(cls, values, 8)
+        check_length(cls, values, 9)
         return cls(
             as_int(values[0]),
             as_bytes(values[1]),
@@ -2345,6 +2350,7 @@
             as_list(values[5], LoadNote.from_wire),
             SuspectNews.from_wire(values[6]),
             as_list(values[7], LimitRow.from_wire),
+            as_int(values[8]),
         )
 
 
--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -608,8 +608,12 @@
         self.table = table
         self.on_duty = False
         self.young = False
+        self.contact_at = 0.0
         self.configs = []
 
+    def note_watch(self, name, age):
+        """Nobody asks this router how old its view is."""
+
     def take_config(self, data, source):
         self.configs.append(json.loads(data)["version"])
 
--- a/test/test_sources.py
+++ b/test/test_sources.py
@@ -53,6 +53,10 @@
         self.on_duty = True
         self.young = False
         self.upstreams = UpstreamList()
+        self.contact_at = 0.0
+
+    def note_watch(self, name, age):
+        """Nobody asks this router how old its view is."""
 
     def take_upstreams(self, upstreams, source):
         self.upstreams = upstreams
--- a/test/test_views.py
+++ b/test/test_views.py
@@ -35,7 +35,9 @@
         await asyncio.sleep(timeout if late else self.delay)
         if late:
             raise PeerError("no answer")
-        return ViewGive(7, zlib.compress(b"7"), 0, b"", 0.0, [], NO_NEWS, [])
+        return ViewGive(
+            7, zlib.compress(b"7"), 0, b"", 0.0, [], NO_NEWS, [], 0
+        )
 
 
 class FewMembers:
@@ -159,7 +161,7 @@
         return 0.0
 
     async def call(self, address, message, timeout, repeatable):
-        return ViewGive(9, b"{}", 0, b"", 0.0, [], NO_NEWS, [])
+        return ViewGive(9, b"{}", 0, b"", 0.0, [], NO_NEWS, [], 0)
 
 
 def test_bytes_that_cannot_be_read_change_nothing():
