Send nothing by a view of the fleet whose age is not known to be small

What callers saw: requests taken by routers that could not know that the upstream left.

Change: past 1.5 s without confirmation a router refuses with a promise and "Connection: close", is not ready, and calls no route or key unknown; from 0.6 s on it asks four peers at once, one question to each if it can. A follower of the store that no peer answers asks the store itself. An outage of the store is told apart by peers that answer at once though they know nothing newer: then all serve on. A router that just started cuts its pause after a change of the store short where nobody else confirms the view.

The limit is half of the drain bound, as a request may wait on the same link for as long as a question and its answer; test_freshness.py computes that for round trips from 0.1 to 4 s.

Ruled out: taking any answer of a peer for a sign of an outage (slow answers that say "nothing newer" would let a full link pass for one).

FewMembers of test_views.py has one attribute more.

--- a/rowanport/gateway/daemon.py
+++ b/rowanport/gateway/daemon.py
@@ -225,7 +225,9 @@
 
         Without one of its loops a router serves by what gets ever older.
         """
-        return self.members.own.state == READY and not self._loops.failing
+        if self._loops.failing or self._views.old:
+            return False
+        return self.members.own.state == READY
 
     def loop_silences(self):
         """Return by loop the seconds since it was last heard of."""
--- a/rowanport/gateway/forwarder.py
+++ b/rowanport/gateway/forwarder.py
@@ -29,11 +29,10 @@
 
     async def handle(self, request, responder):
         """Answer one HttpRequest, whatever becomes of it."""
-        gateway = self._gateway
         arrived = self._clock.steady()
         job = None
         try:
-            job = gateway.admission.admit(request, gateway.table, arrived)
+            job = self._admit(request, arrived)
             self._stopping.take(job)
             await self._serve_in_time(job, responder)
             self._stopping.note_whole(job)
@@ -50,6 +49,16 @@
         finally:
             self._stopping.leave(job)
 
+    def _admit(self, request, arrived):
+        """Return the Job of a request; raise RequestError if there is none."""
+        gateway = self._gateway
+        try:
+            return gateway.admission.admit(request, gateway.table, arrived)
+        except RequestError:
+            # A configuration that is not known here may allow it.
+            gateway.views.check()
+            raise
+
     def _error_at_end(self, job):
         """Return the RequestError of a job whose time limit ended it."""
         try:
@@ -89,6 +98,7 @@
     async def _serve(self, job, responder):
         gateway = self._gateway
         now = self._clock.steady()
+        gateway.views.check()
         self._crashes.check(job)
         gateway.retries(job.service).note_request(now)
         if gateway.congestion.refuses(job.request):
@@ -118,6 +128,9 @@
             # Closing it in the middle is all that is left, so that it
             # cannot look whole.
             return
+        if error.kind is ErrorKind.NOT_READY:
+            # The caller's next request goes to a router that is.
+            responder.closing = True
         name = self._gateway.dialect.request_id
         own = request.header(name)
         headers = [(name, own)] if own else []
--- a/rowanport/gateway/sending.py
+++ b/rowanport/gateway/sending.py
@@ -151,8 +151,9 @@
         return self._choose_among(self._taking(candidates, now))
 
     def _taking(self, candidates, now):
-        """Return the candidates that take requests now."""
+        """Return the candidates that surely take requests now."""
         try:
+            self._gateway.views.check()
             return self._gateway.limits.open(candidates, now)
         except RequestError as error:
             if self._job.runs:
--- a/rowanport/gateway/views.py
+++ b/rowanport/gateway/views.py
@@ -5,13 +5,16 @@
 """
 
 import asyncio
+import collections
 import math
 import zlib
 
 import structlog
 
+from ..errors import ErrorKind
 from ..errors import MessageError
 from ..errors import PeerError
+from ..errors import RequestError
 from ..incarnation import address_of
 from ..schema.messages import SuspectNews
 from ..schema.messages import ViewAsk
@@ -36,6 +39,8 @@
 ASK_TIMEOUT = 3.0
 # Questions under way at once: one each interval, as long as answers take.
 ASKS_AT_ONCE = 12
+# Peers that are asked at once while nobody confirms the views.
+ASKS_WHEN_AGING = 4
 # Seconds after the start during which a router may not know the fleet yet.
 LEARN_SECONDS = 5.0
 # Seconds after the start before a router follows the store if its fleet starts
@@ -69,6 +74,7 @@
         self._clocks = clocks
         self._congestion = congestion
         self._asks = TaskSet()
+        self._asked = collections.Counter()
         self._age = ViewAge()
         self._watches = {}
         self._store_contact = StoreContact()
@@ -148,9 +154,36 @@
         return self._age.age(self._clock.steady())
 
     @property
-    def confirmed_by(self):
-        """Return the address of who confirmed the views last."""
-        return self._age.source
+    def aging(self):
+        """Return whether it is time to look for who confirms the views."""
+        self._confirm_own()
+        return self._age.is_aging(self._clock.steady())
+
+    @property
+    def standing(self):
+        """Return the Standing of the views."""
+        if not self._members.knows_others:
+            # There is nobody who could know anything newer.
+            return Standing.NEWEST
+        self._confirm_own()
+        return self._age.standing(self._clock.steady())
+
+    @property
+    def old(self):
+        """Return whether the views are too old to send requests by."""
+        return self.standing is Standing.OLD
+
+    def check(self):
+        """Raise RequestError if the views are too old to send requests by."""
+        if self.old:
+            raise RequestError(
+                ErrorKind.NOT_READY,
+                f"what is known of the fleet is {self.age:.1f} s old",
+            )
+
+    def note_contact(self, sent_at):
+        """Note that the store answered what was sent at a time."""
+        self._age.note_contact(sent_at)
 
     def _confirm_own(self):
         """Take into account what this router's own watches tell."""
@@ -160,12 +193,11 @@
 
     def _note_standing(self):
         """Log whether the views may be trusted, when that changes."""
-        self._confirm_own()
-        now = self._clock.steady()
-        standing = self._age.standing(now)
+        standing = self.standing
         if standing is self._standing:
             return
         self._standing = standing
+        now = self._clock.steady()
         LOG.info(
             "views_standing",
             standing=standing.value,
@@ -279,7 +311,7 @@
                 beat()
                 self._note_standing()
                 self._drop_lapsed()
-                for address in self._sources()[:1]:
+                for address in self._next_sources():
                     # Not awaited: one that is cut off would hold up the next.
                     if len(self._asks) < ASKS_AT_ONCE:
                         self._asks.spawn(self.ask(address))
@@ -287,14 +319,28 @@
         finally:
             self._asks.cancel()
 
+    def _next_sources(self):
+        """Return the addresses of the peers that are asked next.
+
+        One that has a question to answer is asked again only if there is no
+        other.
+        """
+        sources = self._sources()
+        free = [peer for peer in sources if not self._asked[peer]]
+        count = ASKS_WHEN_AGING if self.aging else 1
+        return (free or sources)[:count]
+
     def _sources(self):
-        """Return the addresses of ready peers that may know something new.
+        """Return the addresses of peers that may know something new.
 
         They are shuffled; any will do while no follower is known.
         """
         ready = [address_of(peer) for peer in self._members.ready_others()]
         duty = followers(self._members)
-        return [peer for peer in ready if peer in duty] or ready
+        follow = [peer for peer in ready if peer in duty]
+        if follow and not self.aging:
+            return follow
+        return follow + [peer for peer in ready if peer not in duty]
 
     async def ask(self, address, timeout=ASK_TIMEOUT):
         """Ask the peer at an address for what it has newer.
@@ -312,6 +358,7 @@
             self.upstreams.step,
         )
         asked_at = self._clock.steady()
+        self._asked[address] += 1
         try:
             give = await self._peers.call(
                 address, ask, timeout, repeatable=True
@@ -320,6 +367,8 @@
             LOG.debug("views_unread", peer=address, error=str(error))
             self._congestion.note_unanswered(self._clock.steady() - asked_at)
             return
+        finally:
+            self._asked[address] -= 1
         if not isinstance(give, ViewGive):
             return
         self._age.note_contact(asked_at)
--- a/rowanport/membership/members.py
+++ b/rowanport/membership/members.py
@@ -316,6 +316,11 @@
             if member.address == address:
                 self.suspect(name)
 
+    @property
+    def knows_others(self):
+        """Return whether another router of the cell is remembered."""
+        return any(member.near for member in self._members.values())
+
     def entries(self):
         """Return the incarnations of the cell that may ask for tokens."""
         others = self.others()
--- a/rowanport/platform/sources.py
+++ b/rowanport/platform/sources.py
@@ -38,6 +38,12 @@
 # then, and where upstreams start too there are changes all the time.  It hears
 # of them from its peers meanwhile, as any router does.
 YOUNG_PAUSE = 2.0
+# Age in seconds of its views from which on it does not wait that long: nobody
+# else follows the store.
+YOUNG_AGE = 0.9
+# Seconds between two calls of the store by a router that follows it, while no
+# peer confirms that its link passes what the store tells.
+CONFIRM_PAUSE = 0.5
 # Part of all entries that have to go together to be taken for lapsed though
 # no outage was seen.
 LAPSE_SHARE = 0.5
@@ -121,7 +127,16 @@
         self._revision = max(self._revision, listing.revision)
         if listing.items:
             self.change(views, listing)
-            await asyncio.sleep(YOUNG_PAUSE if views.young else BATCH_PAUSE)
+            await self._pause(views)
+
+    async def _pause(self, views):
+        """Wait while changes gather that one call tells all of."""
+        until = self._clock.steady() + YOUNG_PAUSE
+        await asyncio.sleep(BATCH_PAUSE)
+        while views.young and views.age < YOUNG_AGE:
+            if self._clock.steady() >= until:
+                break
+            await asyncio.sleep(BATCH_PAUSE)
 
     async def _watch(self, views):
         """Wait for changes, no longer than the store can be reached.
@@ -211,6 +226,7 @@
             group.create_task(super().run(views))
             group.create_task(self._run_settling(views))
             group.create_task(self._run_probes(views))
+            group.create_task(self._run_confirms(views))
 
     async def load(self, views):
         listing = await self._store.list(self.prefix)
@@ -339,6 +355,15 @@
             else:
                 await asyncio.sleep(DUTY_POLL)
 
+    async def _run_confirms(self, views):
+        """Ask the store for an answer while no peer gives one."""
+        reach = self._store.reach
+        while True:
+            await asyncio.sleep(CONFIRM_PAUSE)
+            if views.on_duty and views.aging:
+                await reach.confirm()
+                views.note_contact(reach.heard_at)
+
     async def _run_settling(self, views):
         """Drop what stays missing, and take in what nobody objected to."""
         while True:
--- a/rowanport/store/reach.py
+++ b/rowanport/store/reach.py
@@ -117,6 +117,11 @@
         # It goes on for others if this wait is cancelled.
         await asyncio.wait({self._prober})
 
+    async def confirm(self):
+        """Call the store once; whatever comes of it, it is not given up."""
+        if self.up:
+            await self._try(TIMEOUT)
+
     def _begin_probing(self, fresh_after):
         if not self.in_doubt:
             self._prober = self._tasks.spawn(self._watch(fresh_after))
--- /dev/null
+++ b/test/test_freshness.py
@@ -0,0 +1,127 @@
+"""How old a router's view of the fleet may be."""
+
+import math
+
+from rowanport.gateway.freshness import AGE_LIMIT
+from rowanport.gateway.freshness import AGING
+from rowanport.gateway.freshness import CONTACT_LIMIT
+from rowanport.gateway.freshness import Standing
+from rowanport.gateway.freshness import ViewAge
+from rowanport.gateway.freshness import WatchAge
+
+# Seconds after the store's word from which on no new work may reach an
+# upstream that leaves.
+DRAIN_SECONDS = 3.0
+
+
+def asked(round_trip, seconds, peer_age=lambda now: 0.2, pause=0.25):
+    """Return a ViewAge after questions that were answered for some time.
+
+    :param round_trip: seconds from each question to its answer
+    :param peer_age: function from a time to the age of the peers' own views
+    """
+    age = ViewAge()
+    number = 0
+    while (sent_at := pause * number) + round_trip <= seconds:
+        number += 1
+        age.note_contact(sent_at)
+        arrives = sent_at + round_trip
+        age.confirm(sent_at - peer_age(arrives), "peer")
+    return age
+
+
+def test_a_view_is_as_old_as_the_question_and_the_peers_own_view():
+    age = ViewAge()
+    age.confirm(10.0 - 0.3, "peer")
+    assert math.isclose(age.age(10.5), 0.8)
+    assert age.source == "peer"
+
+
+def test_an_older_answer_that_comes_later_makes_nothing_younger():
+    age = ViewAge()
+    age.confirm(10.0, "fast")
+    age.confirm(9.0, "slow")
+    assert (age.known_until, age.source) == (10.0, "fast")
+
+
+def test_a_view_that_nobody_ever_confirmed_is_old():
+    assert ViewAge().standing(1000.0) is Standing.OLD
+
+
+def test_a_router_with_quick_answers_is_confirmed_all_the_time():
+    age = asked(0.01, 20.0)
+    assert age.standing(20.0) is Standing.CONFIRMED
+    assert not age.is_aging(20.0)
+
+
+def test_no_answer_and_nothing_newer_are_told_apart():
+    age = asked(0.01, 20.0)
+    assert age.is_aging(20.0 + AGING)
+    assert age.standing(20.0 + AGE_LIMIT) is Standing.OLD
+    lost_at = 10.0
+    age = asked(0.01, 20.0, lambda now: max(0.2, now - lost_at))
+    assert age.age(20.0) > DRAIN_SECONDS
+    assert age.standing(20.0) is Standing.NEWEST
+
+
+def test_late_answers_are_not_taken_for_an_outage_of_the_store():
+    # Nothing newer, says each, but each says what was so seconds ago.
+    for tenths in range(11, 40):
+        round_trip = tenths / 10
+        age = asked(round_trip, 60.0)
+        assert age.standing(60.0) is not Standing.NEWEST, round_trip
+        if round_trip > AGE_LIMIT:
+            assert age.standing(60.0) is Standing.OLD, round_trip
+
+
+def test_a_request_gets_there_in_time_however_slow_the_link_is():
+    # It may be on its way for as long as a question and its answer.
+    for tenths in range(1, 40):
+        round_trip = tenths / 10
+        age = asked(round_trip, 60.0)
+        for moment in range(25):
+            now = 60.0 + moment / 10
+            if age.standing(now) is Standing.CONFIRMED:
+                arrives = now + round_trip - age.known_until
+                assert arrives <= DRAIN_SECONDS, (round_trip, now)
+
+
+def test_prompt_answers_count_for_a_while_only():
+    age = asked(0.01, 20.0, lambda now: now)
+    last = age.contact_at
+    assert age.standing(last + CONTACT_LIMIT) is Standing.NEWEST
+    assert age.standing(last + CONTACT_LIMIT + 0.01) is Standing.OLD
+
+
+def test_a_watch_tells_nothing_before_anything_else_was_answered():
+    watch = WatchAge()
+    watch.note_read(10.0)
+    watch.begin(11.0)
+    assert watch.known_until(10.9) == 10.0
+    assert watch.known_until(11.5) == 11.5
+
+
+def test_a_watch_that_was_answered_tells_nothing_until_the_next_one():
+    watch = WatchAge()
+    watch.note_read(10.0)
+    watch.begin(11.0)
+    watch.end(contact_at=12.0)
+    assert watch.known_until(15.0) == 12.0
+    watch.begin(16.0)
+    watch.lose(contact_at=13.0)
+    assert watch.known_until(99.0) == 12.0
+
+
+def test_an_answer_to_a_watch_tells_at_least_what_was_when_it_was_sent():
+    watch = WatchAge()
+    watch.begin(11.0)
+    watch.end(contact_at=3.0)
+    assert watch.known_until(3.0) == 11.0
+
+
+def test_a_router_that_follows_no_more_knows_nothing_of_its_own():
+    watch = WatchAge()
+    watch.note_read(10.0)
+    watch.begin(11.0)
+    watch.reset()
+    assert watch.known_until(20.0) == -math.inf
--- a/test/test_old_views.py
+++ b/test/test_old_views.py
@@ -84,7 +84,7 @@
         await self.fleet.store.put(f"servers/{upstream.name}", entry)
         return asyncio.get_running_loop().time()
 
-    async def ask(self, host):
+    async def ask(self, host, path="/open/"):
         """Send a request to a router; note and return its status."""
         headers = [
             ("host", HOST_NAME),
@@ -93,7 +93,7 @@
         ]
         try:
             answer = await self._client.request(
-                f"{host}:80", "POST", "/open/", b"question", headers
+                f"{host}:80", "POST", path, b"question", headers
             )
             await answer.read()
             status = answer.status
@@ -229,3 +229,20 @@
 
 def _is_leaving(gateway):
     return gateway.upstreams.upstreams["up-0"].leaving
+
+
+@service_test
+async def test_a_router_with_an_old_view_calls_no_route_unknown(
+    fleet, service
+):
+    _duty, others = followers_and_others(fleet)
+    gateway = fleet.gateways[others[0]]
+    assert await service.ask(others[0], "/nowhere/") == 404
+    fleet.net.fill(others[0], inward=30.0)
+    await asyncio.sleep(3.0)
+    assert gateway.views.old
+    fleet.net.fill(others[0])
+    # The first answers take a while; what was asked is as old as before.
+    assert await service.ask(others[0], "/nowhere/") == 503
+    await asyncio.sleep(5.0)
+    assert await service.ask(others[0], "/nowhere/") == 404
--- a/test/test_sources.py
+++ b/test/test_sources.py
@@ -55,6 +55,7 @@
         self.young = False
         self.upstreams = UpstreamList()
         self.contact_at = 0.0
+        self.aging = False
         # No other router tells of the store.
         self.store_contact = StoreContact()
 
--- a/test/test_views.py
+++ b/test/test_views.py
@@ -43,6 +43,8 @@
 class FewMembers:
     """Two ready peers, the one that is asked first before the other."""
 
+    knows_others = True
+
     def __init__(self):
         self._turn = 0
         self.version = 0
