Check before the first byte that the upstream still takes the request

What callers saw: nothing that could be told apart from an old list; a request that waits between its choice and its send may meet an upstream that left meanwhile.

Change: HttpClient.request calls a check once the connection is there; the gateway's looks into the list in force and at its age. Who left gets no byte, the connection is kept, the request goes on to another upstream, and nothing counts against the one that left or against the caller.

Ruled out: a check after the permit only, as opening takes longer.

test_headers.py passes the new argument; its checks are unchanged.

--- a/rowanport/errors.py
+++ b/rowanport/errors.py
@@ -210,5 +210,12 @@
         super().__init__(detail, started=False)
 
 
+class UpstreamLeft(UpstreamError):
+    """The upstream takes no new work: nothing was sent to it."""
+
+    def __init__(self, detail):
+        super().__init__(detail, started=False)
+
+
 class ConnectionSilent(UpstreamError):
     """The kernel found that nobody is at the other end of a connection."""
--- a/rowanport/gateway/exchange.py
+++ b/rowanport/gateway/exchange.py
@@ -39,11 +39,14 @@
         self._clock = clock
         self._filter = HeaderFilter(dialect)
 
-    async def send(self, job, upstream):
+    async def send(self, job, upstream, check):
         """Send a job and return the HttpAnswer that belongs to it.
 
         It waits as long as the job may.
 
+        :param check: function that is called before the first byte goes out;
+            it may raise UpstreamLeft
+
         :raises NotExecuted: the upstream surely did not run it
         :raises UpstreamError: ``started`` says whether it may have run
         """
@@ -56,6 +59,7 @@
             self._headers(job, upstream),
             None,
             owner if job.id else None,
+            check=check,
         )
         self._note_limit(upstream, answer)
         try:
--- a/rowanport/gateway/sending.py
+++ b/rowanport/gateway/sending.py
@@ -1,10 +1,12 @@
 """Sends one request to upstreams until it is answered."""
 
 import asyncio
+import functools
 
 from ..errors import ErrorKind
 from ..errors import RequestError
 from ..errors import UpstreamError
+from ..errors import UpstreamLeft
 from .attempt import Attempt
 from .exchange import NotExecuted
 from .race import Race
@@ -127,7 +129,6 @@
     def _begin(self, state):
         """Send the job to an upstream; return the Attempt."""
         job = self._job
-        job.view_age = self._gateway.views.age
         job.sends += 1
         job.runs += 1
         # Counted at once, so that others of this moment go elsewhere.
@@ -194,12 +195,27 @@
         :param ahead: prompt tokens that the engine has to read before it
         """
         sent_at = self._clock.steady()
-        answer = await self._gateway.exchange.send(self._job, state.record)
+        check = functools.partial(self._check_last, state)
+        answer = await self._gateway.exchange.send(
+            self._job, state.record, check
+        )
         if is_stream(answer):
             now = self._clock.steady()
             state.backlog.note_first_event(ahead, now - sent_at, now)
         return answer
 
+    def _check_last(self, state):
+        """Raise UpstreamLeft if it does not take the job any more.
+
+        It may have left while the job waited for a permit or a connection.
+        """
+        gateway, record = self._gateway, state.record
+        if gateway.pool.get(record.id) is not state or record.leaving:
+            raise UpstreamLeft("it left meanwhile")
+        if gateway.views.old:
+            raise UpstreamLeft("whether it left is not known any more")
+        self._job.view_age = gateway.views.age
+
     def _note_load(self, state):
         """Count a job's prompt; return what the engine has to read with it."""
         job, gateway = self._job, self._gateway
@@ -221,7 +237,10 @@
         if not error.started:
             job.runs -= 1
             self._repeats.give_back(job, attempt.tokens)
-        if isinstance(error, NotExecuted):
+        if isinstance(error, UpstreamLeft):
+            job.sends -= 1
+            self._log.note_send(job, state, "left", error)
+        elif isinstance(error, NotExecuted):
             self._note_rejection(state, error)
         else:
             self._note_failure(state, error)
--- a/rowanport/web/client.py
+++ b/rowanport/web/client.py
@@ -234,6 +234,7 @@
         owner=None,
         fresh=False,
         patience=NO_PATIENCE,
+        check=None,
     ):
         """Send a request and return its HttpAnswer once the head is here.
 
@@ -243,10 +244,14 @@
             read past
         :param fresh: whether no kept connection is to be used
         :param patience: the Patience asked after each such silence
+        :param check: function that is called before the first byte is sent;
+            the UpstreamError that it may raise is passed on
         :raises ConnectionSilent: the kernel gave the connection up
         :raises UpstreamError: ``started`` says whether work may have begun
         """
         connection = await self._connect(address, fresh)
+        if check is not None:
+            self._check(check, address, connection)
         try:
             self._send(connection, address, method, path, body, headers)
             reading = self._read_head(connection, address, owner)
@@ -269,6 +274,14 @@
             self, address, connection, response, timeout, patience
         )
 
+    def _check(self, check, address, connection):
+        """Call a check; keep the connection if it raises UpstreamError."""
+        try:
+            check()
+        except UpstreamError:
+            self._keep(address, connection)
+            raise
+
     async def request_json(self, address, method, path, value=None, **options):
         """Send JSON and return status and JSON answer."""
         body = b"" if value is None else json.dumps(value).encode()
--- a/test/test_headers.py
+++ b/test/test_headers.py
@@ -224,7 +224,7 @@
         self._status = status
         self._marks = marks
 
-    async def request(self, *_request):
+    async def request(self, *_request, check):
         answer = types.SimpleNamespace(
             status=self._status,
             headers={
@@ -250,7 +250,7 @@
     clock = types.SimpleNamespace(steady=lambda: 0.0)
     limits = types.SimpleNamespace(note_answer=lambda run, text: None)
     exchange = Exchange(client, DIALECT, clock, limits)
-    return asyncio.run(exchange.send(job, upstream))
+    return asyncio.run(exchange.send(job, upstream, None))
 
 
 # Found by reading: an upstream's 408, 429 or 503 that lacks its mark of "not
