Reach peers through a full link, and ask them though none seems alive

What callers saw: nothing of its own; a router with a full link heard of nothing for up to 60 s.

Cause: opening a connection was given up after 0.8 s whatever the own link takes, and it needs two round trips; so with round trips of 1.2 s a router reached only peers that it had a connection to. Once all had been silent for 3 s it asked nobody, until they were forgotten after a minute.

Change: patience with a peer covers the round trips of the link, too, that is the least of the last three to any peers; and who takes all for dead asks the followers, the seeds and the listed routers.

Ruled out: longer patience after each failed opening (a peer that lost power would be reached up to 6 s late on its return).

Open: a router that starts on a full link still reaches nobody, as no answer tells it of its link.

--- a/rowanport/gateway/views.py
+++ b/rowanport/gateway/views.py
@@ -7,6 +7,7 @@
 import asyncio
 import collections
 import math
+import random
 import zlib
 
 import structlog
@@ -340,7 +341,17 @@
         follow = [peer for peer in ready if peer in duty]
         if follow and not self.aging:
             return follow
-        return follow + [peer for peer in ready if peer not in duty]
+        sources = follow + [peer for peer in ready if peer not in duty]
+        return sources or self._silent_sources(duty)
+
+    def _silent_sources(self, duty):
+        """Return the addresses of peers though none seems alive.
+
+        It may be the own link that was silent, and nobody else asks for it.
+        """
+        known = {*duty, *self._members.seeds, *self._members.listed}
+        known.discard(self._address)
+        return random.sample(sorted(known), len(known))
 
     async def ask(self, address, timeout=ASK_TIMEOUT):
         """Ask the peer at an address for what it has newer.
--- a/rowanport/peers.py
+++ b/rowanport/peers.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import collections
 
 import structlog
 
@@ -30,6 +31,8 @@
 # The same for a peer whose answers take long, in round trips, and at most:
 # on a congested link a new connection would wait as long.
 SILENT_TRIPS = 3.0
+# Last answers of any peers that must all be slow for the own link to be.
+LINK_TRIPS = 3
 LONGEST_SILENCE = 3.0
 # Seconds by which a timer may fire too early.
 RESOLUTION = 0.001
@@ -158,6 +161,24 @@
         future.set_result(message)
 
 
+class _Link:
+    """How fast any peers answer, as far as that is up to the own link."""
+
+    def __init__(self):
+        self._trips = collections.deque(maxlen=LINK_TRIPS)
+
+    @property
+    def trip(self):
+        """Return the seconds that an answer of any peer takes at least."""
+        if len(self._trips) < LINK_TRIPS:
+            return 0.0
+        return min(self._trips)
+
+    def note_trip(self, seconds):
+        """Note how long an answer took."""
+        self._trips.append(seconds)
+
+
 class _Peer:
     """One peer's address, the connection to it and how fast it answers.
 
@@ -166,9 +187,10 @@
     :ivar last_trip: seconds that its last answer took
     """
 
-    __slots__ = ("connection", "opening", "last_trip", "_slow_trip")
+    __slots__ = ("connection", "opening", "last_trip", "_slow_trip", "_link")
 
-    def __init__(self):
+    def __init__(self, link):
+        self._link = link
         self.connection = None
         self.opening = None
         self.last_trip = 0.0
@@ -185,12 +207,13 @@
     @property
     def patience(self):
         """Return the seconds of silence that mean something here."""
-        wanted = max(SILENCE, SILENT_TRIPS * self._slow_trip)
-        return min(LONGEST_SILENCE, wanted)
+        trip = max(self._slow_trip, self._link.trip)
+        return min(LONGEST_SILENCE, max(SILENCE, SILENT_TRIPS * trip))
 
     def note_trip(self, seconds):
         """Note how long an answer took; a slow one counts for a while."""
         self.last_trip = seconds
+        self._link.note_trip(seconds)
         self._slow_trip = max(seconds, self._slow_trip / 2)
 
 
@@ -212,6 +235,7 @@
         self._secret = secret
         self._traffic = traffic or Traffic()
         self._known = {}
+        self._link = _Link()
         self._tasks = TaskSet()
         self.on_silence = None
 
@@ -263,7 +287,10 @@
         self._known.clear()
 
     def _peer(self, address):
-        return self._known.setdefault(address, _Peer())
+        peer = self._known.get(address)
+        if peer is None:
+            peer = self._known[address] = _Peer(self._link)
+        return peer
 
     async def _call_twice(self, address, message):
         """Call, and again on another connection if the first is silent."""
--- a/test/test_peer_connections.py
+++ b/test/test_peer_connections.py
@@ -11,6 +11,7 @@
 from test.test_silence import Fleet
 from test.test_silence import STORE
 from test.test_silence import UPSTREAM
+from test.test_views import make_views
 from test.virtual import LoopClock
 from test.virtual import VirtualLoop
 from test.virtual_net import HOST
@@ -380,3 +381,61 @@
             end_tasks(loop)
     print("congested for", congested)
     assert congested == 0.0
+
+
+@on_net
+async def test_a_new_peer_is_reached_through_a_full_link(loop, net):
+    # What happened: a router whose answers took 1.2 s could open connections
+    # to no peer that it had none to, as that was given up after 0.8 s; once
+    # all seemed dead it asked nobody for a minute.
+    hosts = ["b", "c", "d", "e"]
+    for host in hosts:
+        HOST.set(host)
+        await PeerServer(at_once, "secret").start(host, 1)
+    HOST.set("a")
+    client = PeerClient("cell/a:1/x", "secret")
+    for host in hosts[:3]:
+        await client.call(f"{host}:1", Ack(), 3.0)
+    net.fill("a", inward=0.6, outward=0.6)
+    for host in hosts[:3]:
+        await client.call(f"{host}:1", Ack(), 3.0, repeatable=True)
+    assert await client.call("e:1", Ack(), 6.0) == Ack()
+
+
+class SilentMembers:
+    """Members of which none seems alive."""
+
+    knows_others = True
+    seeds = ["seed"]
+    listed = ["listed", "own"]
+
+    def ready_others(self):
+        return []
+
+    def delegates(self, kind, least, share):
+        return ["own", "follower"]
+
+
+def test_who_takes_all_for_dead_goes_on_asking():
+    loop = VirtualLoop()
+    asyncio.set_event_loop(loop)
+    peers = SilentPeers()
+    views = make_views(loop, SilentMembers(), peers)
+    run = loop.create_task(views.run())
+    loop.run_until_complete(asyncio.sleep(2.0))
+    run.cancel()
+    loop.run_until_complete(asyncio.sleep(0))
+    loop.close()
+    assert peers.asked == {"seed", "listed", "follower"}
+
+
+class SilentPeers:
+    """Peers of which none answers."""
+
+    def __init__(self):
+        self.asked = set()
+
+    async def call(self, address, message, timeout, repeatable):
+        self.asked.add(address)
+        await asyncio.sleep(timeout)
+        raise PeerError("no answer")
