Tell what changed in the list of upstreams, at once, and once to each router

Cause: news were asked for only, each answer carried the whole list again, not compressed, and up to twelve answers with the same list were under way on the link that was full.

Change: routers pass on what changed since the version that the asker named (gateway/changes.py), with a checksum of the list that it leads to; a piece that starts later than the list in force is not taken, and a list that differs is asked for whole. A router that is asked tells those that asked in the last 0.6 s at once, on the connections that they have open (PeerServer.tell); those that follow the store hear of it themselves. What is on its way to a router is not told it again for a second (gateway/askers.py), configurations included.

Ruled out: one checksum with each answer (five bytes at rest, and nobody can tell who is right where two routers conclude different things from the same revision).

Tests: test_changes.py, with pieces that are lost, late and repeated. The round trip of a list in test_entries.py and test_lapses.py goes by the new form.

--- a/rowanport/gateway/daemon.py
+++ b/rowanport/gateway/daemon.py
@@ -133,6 +133,8 @@
         )
         self._views.on_table = self._take_table
         self._views.on_upstreams = self._take_upstreams
+        self._views.tell = self._peer_server.tell
+        self._peers.on_told = self._hear_told
         self.budgets = BudgetKeeper(
             incarnation,
             store,
@@ -280,6 +282,7 @@
         return {
             messages.Gossip: self.members.receive,
             messages.ViewAsk: self._views.handle,
+            messages.UpstreamNews: self._views.hear_news,
             messages.LoadNote: self.loads.hear,
             messages.SuspectNews: self.crashes.news.hear,
             messages.SuspectRun: self.crashes.news.hear_run,
@@ -291,6 +294,14 @@
         handle = self._handlers.get(type(message), self.budgets.handle)
         return handle(message)
 
+    def _hear_told(self, message):
+        """Take in what a peer that this router asks told by itself."""
+        handle = self._handlers.get(type(message))
+        if handle is None:
+            LOG.error("peer_told_unknown", kind=type(message).__name__)
+            return
+        handle(message)
+
     # Callers
 
     async def _refuse(self, responder, error):
--- a/rowanport/gateway/upstream.py
+++ b/rowanport/gateway/upstream.py
@@ -1,9 +1,5 @@
 """Upstreams as the directory lists them, and the list as a whole."""
 
-import msgpack
-
-from ..errors import MessageError
-
 
 class UpstreamRun:
     """What tells two runs of upstreams apart.
@@ -91,6 +87,8 @@
         return upstream
 
     def __eq__(self, other):
+        if not isinstance(other, Upstream):
+            return NotImplemented
         return self.fields() == other.fields()
 
 
@@ -114,17 +112,3 @@
     def version(self):
         """Return what is greater for a newer list."""
         return (self.revision, self.step)
-
-    def pack(self):
-        """Return the bytes for a peer."""
-        rows = [upstream.fields() for upstream in self.upstreams.values()]
-        return msgpack.packb([self.revision, self.step, rows])
-
-    @classmethod
-    def unpack(cls, data):
-        """Return the list in a peer's bytes; raise MessageError if unfit."""
-        try:
-            revision, step, rows = msgpack.unpackb(data)
-            return cls(revision, [Upstream(*row) for row in rows], step)
-        except (ValueError, TypeError, msgpack.UnpackException):
-            raise MessageError("malformed list of upstreams") from None
--- a/rowanport/gateway/views.py
+++ b/rowanport/gateway/views.py
@@ -18,10 +18,16 @@
 from ..errors import RequestError
 from ..incarnation import address_of
 from ..schema.messages import SuspectNews
+from ..schema.messages import UpstreamNews
 from ..schema.messages import ViewAsk
 from ..schema.messages import ViewGive
 from ..supervision import beat
 from ..tasks import TaskSet
+from .askers import Askers
+from .changes import ChangeLog
+from .changes import digest
+from .changes import NO_LIST
+from .changes import UpstreamDelta
 from .followers import followers
 from .freshness import Standing
 from .freshness import UNKNOWN_AGE
@@ -59,6 +65,8 @@
     :param clock: a Clock
     :param clocks: the FleetClocks, which learn from each exchange
     :param congestion: the Congestion, which does, too
+    :ivar tell: function of a peer's address and a message that sends the
+        message on a connection that the peer has open
     :ivar loads: the LoadNotes that ask and answer along with it, or None
     :ivar crashes: the CrashNews that do, too, or None
     :ivar limits: the RateLimits that do, too, or None
@@ -76,6 +84,9 @@
         self._congestion = congestion
         self._asks = TaskSet()
         self._asked = collections.Counter()
+        self._askers = Askers()
+        self._changes = ChangeLog()
+        self._list_wanted = False
         self._age = ViewAge()
         self._watches = {}
         self._store_contact = StoreContact()
@@ -88,6 +99,7 @@
         self.table = None
         self.upstreams = UpstreamList()
         self.on_table = None
+        self.tell = None
         self.on_upstreams = None
         self.loads = None
         self.crashes = None
@@ -232,8 +244,10 @@
 
     def take_upstreams(self, upstreams, source):
         """Take over an UpstreamList if it is newer."""
-        if upstreams.version <= self.upstreams.version:
-            return
+        if upstreams.version > self.upstreams.version:
+            self._take_list(upstreams, source)
+
+    def _take_list(self, upstreams, source):
         upstreams.upstreams = self._lapses.take(
             upstreams.upstreams,
             self.upstreams.upstreams,
@@ -242,6 +256,7 @@
         self._put_in_force(upstreams, source)
 
     def _put_in_force(self, upstreams, source):
+        self._changes.note(self.upstreams, upstreams)
         self.upstreams = upstreams
         records = upstreams.upstreams.values()
         LOG.info(
@@ -254,6 +269,7 @@
             count=len(records),
         )
         self.on_upstreams(upstreams)
+        self._tell_askers()
 
     def _drop_lapsed(self):
         """Drop upstreams that were kept without an entry for too long."""
@@ -282,19 +298,56 @@
         away = round(1000 * min(UNKNOWN_AGE, away))
         give = ViewGive(0, b"", 0, b"", wall, [], suspects, [], age, away, 0)
         if self.loads is not None:
-            give.notes = self.loads.heard(message.seconds, message.asker)
+            seconds = message.recent / 1000
+            give.notes = self.loads.heard(seconds, message.asker)
         if self.crashes is not None:
             give.suspects = self.crashes.answer_news(message.suspects)
         if self.limits is not None:
             self.limits.hear(message.limits, message.asker)
             give.limits = self.limits.rows()
-        if message.config < self._version:
+        self._give_news(message, give)
+        return give
+
+    def _give_news(self, ask, give):
+        """Add what the asker of a ViewAsk does not know.
+
+        What is on its way to it already is named only.
+        """
+        now = self._clock.steady()
+        has = (ask.upstreams, ask.step)
+        asker = self._askers.hear(ask.asker, ask.config, has, now)
+        if ask.config < self._version:
             give.config = self._version
-            give.config_data = self._pack_config()
-        if (message.upstreams, message.step) < self.upstreams.version:
+            if asker.take_config(self._version, now):
+                give.config_data = self._pack_config()
+        if has < self.upstreams.version:
             give.upstreams, give.step = self.upstreams.version
-            give.upstream_data = self.upstreams.pack()
-        return give
+            if asker.take_upstreams(self.upstreams.version, now):
+                give.upstream_data = self._pack_changes(has)
+
+    def _pack_changes(self, base):
+        return self._changes.delta(base, self.upstreams).pack()
+
+    def _tell_askers(self):
+        """Tell routers that asked lately what changed.
+
+        Those that follow the store hear of it themselves.
+        """
+        now = self._clock.steady()
+        version = self.upstreams.version
+        packed = {}
+        for address, asker in self._askers.recent(now):
+            if address in followers(self._members):
+                continue
+            if asker.take_upstreams(version, now):
+                base = asker.upstreams
+                if base not in packed:
+                    packed[base] = self._pack_changes(base)
+                self.tell(address, UpstreamNews(self._address, packed[base]))
+
+    def hear_news(self, news):
+        """Take in UpstreamNews."""
+        self._take_packed_list(news.data, news.sender)
 
     def _pack_config(self):
         """Return the configuration compressed.
@@ -358,15 +411,17 @@
 
         :param timeout: longest wait in seconds
         """
+        has = NO_LIST if self._list_wanted else self.upstreams.version
+        seconds = self.loads.begin_asking() if self.loads else 0.0
         ask = ViewAsk(
             self._version,
-            self.upstreams.revision,
+            has[0],
             self._address,
             self._clock.wall(),
-            self.loads.begin_asking() if self.loads else 0.0,
+            round(1000 * seconds),
             self.crashes.ask_news() if self.crashes else SuspectNews(0, []),
             self.limits.rows() if self.limits else [],
-            self.upstreams.step,
+            has[1],
         )
         asked_at = self._clock.steady()
         self._asked[address] += 1
@@ -398,7 +453,7 @@
         if give.config_data:
             self._take_packed(give.config_data, address)
         if give.upstream_data:
-            self._take_list(give.upstream_data, address)
+            self._take_packed_list(give.upstream_data, address)
         if self._has(give):
             self._age.confirm(asked_at - give.age / 1000, address)
 
@@ -406,16 +461,29 @@
         """Return whether all that a peer knew is known here."""
         upstreams = (give.upstreams, give.step)
         newest = upstreams <= self.upstreams.version
-        return newest and give.config <= self._version
+        config = give.config <= self._version
+        return newest and config and not self._list_wanted
 
-    def _take_list(self, packed, address):
-        """Take over a list of upstreams that a peer handed on."""
+    def _take_packed_list(self, packed, address):
+        """Take over what a peer says has changed."""
         try:
-            upstreams = UpstreamList.unpack(packed)
+            delta = UpstreamDelta.unpack(packed)
         except MessageError as error:
             LOG.error("upstreams_unreadable", error=str(error))
             return
-        self.take_upstreams(upstreams, address)
+        whole = delta.base == NO_LIST and self._list_wanted
+        if delta.version < self.upstreams.version:
+            return
+        if delta.version == self.upstreams.version and not whole:
+            return
+        upstreams = delta.apply(self.upstreams)
+        if upstreams is None:
+            return
+        # Peers may have concluded different things from the same revision.
+        self._list_wanted = digest(upstreams.upstreams) != delta.digest
+        if self._list_wanted:
+            LOG.info("upstreams_differ", version=delta.version, peer=address)
+        self._take_list(upstreams, address)
 
     def _take_packed(self, packed, address):
         """Take over a configuration that a peer handed on."""
--- a/rowanport/peers.py
+++ b/rowanport/peers.py
@@ -19,6 +19,7 @@
 from .wire import pack_frame
 from .wire import read_frame
 from .wire import sign
+from .wire import TELL_LIMIT
 from .wire import Traffic
 from .wire import UNANSWERED
 from .wire import UNUSED_LIMIT
@@ -45,22 +46,21 @@
 # Seconds without a call after which a connection is not used again, well
 # before the peer drops it.
 UNUSED_SECONDS = UNUSED_LIMIT / 2
-# Bytes that may wait on a connection before messages that nobody answers are
-# dropped: its peer is frozen, cut off or far too busy.
-TELL_LIMIT = 64 * 1024
 
 
 class _Connection:
     """One open connection to a peer.
 
     :param on_trip: called with the seconds that an answer took
+    :param on_told: called with each message that answers no call
     """
 
-    def __init__(self, reader, writer, traffic, on_trip):
+    def __init__(self, reader, writer, traffic, on_trip, on_told):
         self._reader = reader
         self._writer = writer
         self._traffic = traffic
         self._on_trip = on_trip
+        self._on_told = on_told
         self._loop = asyncio.get_running_loop()
         self._waiting = {}
         self._last_call = 0
@@ -148,6 +148,8 @@
             self._waiting.clear()
 
     def _take(self, call, message):
+        if call == UNANSWERED:
+            return self._on_told(message)
         now = self._loop.time()
         future, sent_at, _ = self._waiting.pop(call, (None, now, False))
         waits = any(prompt for _, _, prompt in self._waiting.values())
@@ -227,6 +229,8 @@
     :ivar on_silence: function that is told when a connection was silent
         though its peer takes new ones: the event loop's time since which
         nothing has arrived on it
+    :ivar on_told: function that is told of each message that a peer sent
+        though it was not called
     """
 
     def __init__(self, incarnation, secret, traffic=None, source=None):
@@ -238,6 +242,7 @@
         self._link = _Link()
         self._tasks = TaskSet()
         self.on_silence = None
+        self.on_told = None
 
     async def call(self, address, message, timeout, repeatable=False):
         """Send a message and return the answer.
@@ -364,7 +369,13 @@
         signature = sign(self._secret, challenge.nonce, self._incarnation)
         proof = messages.Proof(self._incarnation, signature)
         writer.write(pack_frame(0, proof))
-        return _Connection(reader, writer, self._traffic, peer.note_trip)
+        return _Connection(
+            reader, writer, self._traffic, peer.note_trip, self._hear
+        )
+
+    def _hear(self, message):
+        if self.on_told is not None:
+            self.on_told(message)
 
 
 async def _turns_out_silent(peer, connection, calls):
--- a/rowanport/schema/messages.py
+++ b/rowanport/schema/messages.py
@@ -2220,7 +2220,7 @@
     :ivar upstreams: revision of the asker's list of upstreams
     :ivar asker: peer address of the asker
     :ivar wall: wall time of the asker
-    :ivar seconds: for which last seconds notes of load are wanted, 0 for none
+    :ivar recent: for how many last milliseconds notes of load are wanted, 0 for none
     :ivar suspects: what the asker learned of suspects lately
     :ivar limits: rate limits that the asker knows of
     :ivar step: step of the asker's list of upstreams
@@ -2231,7 +2231,7 @@
         "upstreams",
         "asker",
         "wall",
-        "seconds",
+        "recent",
         "suspects",
         "limits",
         "step",
@@ -2239,13 +2239,13 @@
     KIND = 61
 
     def __init__(
-        self, config, upstreams, asker, wall, seconds, suspects, limits, step
+        self, config, upstreams, asker, wall, recent, suspects, limits, step
     ):
         self.config = config
         self.upstreams = upstreams
         self.asker = asker
         self.wall = wall
-        self.seconds = seconds
+        self.recent = recent
         self.suspects = suspects
         self.limits = limits
         self.step = step
@@ -2257,7 +2257,7 @@
             self.upstreams,
             self.asker,
             self.wall,
-            self.seconds,
+            self.recent,
             self.suspects.to_wire(),
             [item.to_wire() for item in self.limits],
             self.step,
@@ -2272,7 +2272,7 @@
             as_int(values[1]),
             as_str(values[2]),
             as_float(values[3]),
-            as_float(values[4]),
+            as_int(values[4]),
             SuspectNews.from_wire(values[5]),
             as_list(values[6], LimitRow.from_wire),
             as_int(values[7]),
@@ -2285,7 +2285,7 @@
     :ivar config: version of the configuration
     :ivar config_data: the configuration of the store, compressed by zlib
     :ivar upstreams: revision of the list of upstreams
-    :ivar upstream_data: the packed list of upstreams
+    :ivar upstream_data: what changed in the list of upstreams, packed
     :ivar wall: wall time of the peer
     :ivar notes: long prompts that other routers sent lately
     :ivar suspects: what the asker may not know of suspects
@@ -2371,6 +2371,40 @@
         )
 
 
+class UpstreamNews(Message):
+    """Tell a router that asked lately what changed in the list of upstreams.
+
+    :ivar sender: peer address of the sender
+    :ivar data: what changed, packed
+    """
+
+    __slots__ = (
+        "sender",
+        "data",
+    )
+    KIND = 71
+
+    def __init__(self, sender, data):
+        self.sender = sender
+        self.data = data
+
+    def to_wire(self):
+        """Return the fields as plain values, in the schema's order."""
+        return [
+            self.sender,
+            self.data,
+        ]
+
+    @classmethod
+    def from_wire(cls, values):
+        """Build one from plain values; raise MessageError if unfit."""
+        check_length(cls, values, 2)
+        return cls(
+            as_str(values[0]),
+            as_bytes(values[1]),
+        )
+
+
 class NoLoan(Message):
     """Answer an ask for tokens: there are none to lend now.
 
@@ -2483,6 +2517,7 @@
     70: Permits,
     61: ViewAsk,
     62: ViewGive,
+    71: UpstreamNews,
     65: NoLoan,
     64: BudgetNews,
 }
--- a/rowanport/wire.py
+++ b/rowanport/wire.py
@@ -16,6 +16,7 @@
 import structlog
 
 from .errors import MessageError
+from .incarnation import address_of
 from .schema import messages
 from .tasks import TaskSet
 from .web import stream
@@ -35,6 +36,9 @@
 UNUSED_LIMIT = 900.0
 # Call number of messages that nobody answers.
 UNANSWERED = 0
+# Bytes that may wait on a connection before messages that nobody answers are
+# dropped: its peer is frozen, cut off or far too busy.
+TELL_LIMIT = 64 * 1024
 _LENGTH = struct.Struct(">I")
 
 
@@ -102,6 +106,7 @@
         self._traffic = traffic or Traffic()
         self._server = None
         self._writers = set()
+        self._callers = {}
         self._tasks = TaskSet()
 
     @property
@@ -122,12 +127,29 @@
             writer.close()
         self._tasks.cancel()
 
+    def tell(self, address, message):
+        """Send a message to a peer that needs no answer and may be lost.
+
+        It goes out on the newest connection that the peer has open to here.
+
+        :param address: IP and port of the peer
+        """
+        writer = self._callers.get(address)
+        if writer is None or writer.is_closing():
+            return
+        if writer.transport.get_write_buffer_size() <= TELL_LIMIT:
+            frame = pack_frame(UNANSWERED, message)
+            self._traffic.sent += len(frame)
+            writer.write(frame)
+
     async def _serve(self, reader, writer):
         self._writers.add(writer)
+        caller = None
         try:
-            await asyncio.wait_for(
+            caller = await asyncio.wait_for(
                 self._authenticate(reader, writer), HANDSHAKE_TIMEOUT
             )
+            self._callers[caller] = writer
             while True:
                 # A peer that went silent for good never says goodbye.
                 async with asyncio.timeout(UNUSED_LIMIT):
@@ -143,9 +165,12 @@
             pass
         finally:
             self._writers.discard(writer)
+            if self._callers.get(caller) is writer:
+                del self._callers[caller]
             writer.close()
 
     async def _authenticate(self, reader, writer):
+        """Return the address of the peer; raise MessageError if it is none."""
         nonce = os.urandom(NONCE_BYTES)
         writer.write(pack_frame(0, messages.Challenge(nonce)))
         _call, proof = await read_frame(reader)
@@ -154,6 +179,7 @@
         expected = sign(self._secret, nonce, proof.incarnation)
         if not hmac.compare_digest(expected, proof.signature):
             raise MessageError("wrong proof")
+        return address_of(proof.incarnation)
 
     async def _answer(self, writer, call, message):
         try:
--- /dev/null
+++ b/test/test_changes.py
@@ -0,0 +1,179 @@
+"""What routers tell each other of changes in the list of upstreams."""
+
+import random
+
+import pytest
+
+from rowanport.errors import MessageError
+from rowanport.gateway import changes
+from rowanport.gateway.askers import Askers
+from rowanport.gateway.askers import TELL_AGAIN
+from rowanport.gateway.askers import TELL_SECONDS
+from rowanport.gateway.changes import ChangeLog
+from rowanport.gateway.changes import digest
+from rowanport.gateway.changes import NO_LIST
+from rowanport.gateway.changes import UpstreamDelta
+from rowanport.gateway.upstream import Upstream
+from rowanport.gateway.upstream import UpstreamList
+
+NAMES = [f"i-{number:010x}" for number in range(70)]
+
+
+def upstream(name, leaving=False, lapsing=False):
+    address = f"10.1.64.{NAMES.index(name) + 1}:8302"
+    return Upstream(name, "llm", address, "hall-a", 24, leaving, 0, lapsing)
+
+
+def full_list(revision=1):
+    return UpstreamList(revision, [upstream(name) for name in NAMES])
+
+
+class Giver:
+    """A router that knows each list as soon as it is new."""
+
+    def __init__(self):
+        self.known = UpstreamList()
+        self.log = ChangeLog()
+
+    def put(self, revision, upstreams, step=0):
+        new = UpstreamList(revision, upstreams, step)
+        self.log.note(self.known, new)
+        self.known = new
+
+    def tell(self, base):
+        return UpstreamDelta.unpack(self.log.delta(base, self.known).pack())
+
+
+def change_at_random(draw, upstreams):
+    """Return a list in which a few upstreams came, left or went."""
+    changed = dict(upstreams)
+    for _number in range(draw.randint(0, 4)):
+        name = draw.choice(NAMES)
+        if name not in changed:
+            changed[name] = upstream(name)
+        elif changed[name].leaving:
+            del changed[name]
+        else:
+            changed[name] = upstream(name, leaving=True)
+    return changed
+
+
+def test_what_changed_is_a_fraction_of_the_list():
+    giver = Giver()
+    giver.put(1, full_list().upstreams.values())
+    left = dict(giver.known.upstreams)
+    for name in NAMES[:4]:
+        left[name] = upstream(name, leaving=True)
+    giver.put(2, left.values())
+    whole = len(giver.log.delta(NO_LIST, giver.known).pack())
+    part = len(giver.log.delta((1, 0), giver.known).pack())
+    assert part < 200
+    assert part * 4 < whole
+
+
+def test_lost_late_and_repeated_pieces_leave_no_hole():
+    for seed in range(60):
+        draw = random.Random(seed)
+        giver, pieces = Giver(), []
+        giver.put(1, full_list().upstreams.values())
+        known = giver.tell(NO_LIST).apply(UpstreamList())
+        for revision in range(2, 40):
+            changed = change_at_random(draw, giver.known.upstreams)
+            giver.put(revision, changed.values(), draw.randint(0, 2))
+            pieces.append(giver.tell(known.version))
+            if draw.random() < 0.3:
+                pieces.append(giver.tell(draw.choice([NO_LIST, (1, 0)])))
+            while pieces and draw.random() < 0.6:
+                piece = draw.choice(pieces)
+                if draw.random() < 0.5:
+                    pieces.remove(piece)
+                if piece.version <= known.version:
+                    continue
+                taken = piece.apply(known)
+                if taken is not None:
+                    known = taken
+                    assert digest(known.upstreams) == piece.digest, seed
+        last = giver.tell(known.version)
+        if known.version < giver.known.version:
+            known = last.apply(known)
+        assert known.upstreams == giver.known.upstreams
+
+
+def test_a_piece_that_starts_later_is_not_taken():
+    giver = Giver()
+    for revision in (1, 2, 3):
+        giver.put(revision, [upstream(name) for name in NAMES[:revision]])
+    piece = giver.tell((2, 0))
+    assert piece.apply(UpstreamList(1, [])) is None
+
+
+def test_who_missed_more_than_is_remembered_is_told_all(monkeypatch):
+    monkeypatch.setattr(changes, "CHANGES_KEPT", 3)
+    giver = Giver()
+    giver.put(1, full_list().upstreams.values())
+    for revision in range(2, 12):
+        name = NAMES[revision]
+        listed = dict(giver.known.upstreams)
+        listed[name] = upstream(name, leaving=True)
+        giver.put(revision, listed.values())
+    assert giver.tell((1, 0)).base == NO_LIST
+    piece = giver.tell((10, 0))
+    assert piece.base == (10, 0)
+    assert [changed.id for changed in piece.changed] == [NAMES[11]]
+
+
+def test_what_is_kept_as_a_guess_does_not_make_lists_differ():
+    known = {name: upstream(name) for name in NAMES[:3]}
+    guess = {**known, NAMES[5]: upstream(NAMES[5], lapsing=True)}
+    assert digest(known) == digest(guess)
+    assert digest(known) != digest({**guess, NAMES[6]: upstream(NAMES[6])})
+
+
+def test_the_order_of_upstreams_does_not_make_lists_differ():
+    names = NAMES[:5]
+    one = {name: upstream(name) for name in names}
+    other = {name: upstream(name) for name in reversed(names)}
+    assert digest(one) == digest(other)
+
+
+@pytest.mark.parametrize("data", (b"", b"{}", b"\x00" * 20))
+def test_bytes_that_are_no_change_are_told_as_such(data):
+    with pytest.raises(MessageError):
+        UpstreamDelta.unpack(data)
+
+
+def test_the_same_is_not_told_twice_while_it_is_on_its_way():
+    askers = Askers()
+    asker = askers.hear("peer", 5, (100, 0), 10.0)
+    assert asker.take_upstreams((101, 0), 10.0)
+    asker = askers.hear("peer", 5, (100, 0), 10.25)
+    assert not asker.take_upstreams((101, 0), 10.25)
+    assert asker.take_upstreams((101, 1), 10.3)
+    again = 10.3 + TELL_AGAIN + 0.1
+    assert askers.hear("peer", 5, (100, 0), again).take_upstreams(
+        (101, 1), again
+    )
+
+
+def test_what_an_asker_knows_is_not_told():
+    asker = Askers().hear("peer", 5, (100, 1), 10.0)
+    assert not asker.take_upstreams((100, 1), 10.0)
+    assert not asker.take_upstreams((99, 9), 10.0)
+    assert not asker.take_config(5, 10.0)
+    assert asker.take_config(6, 10.0)
+    assert not asker.take_config(6, 10.1)
+
+
+def test_who_starts_again_is_told_at_once():
+    askers = Askers()
+    askers.hear("peer", 5, (100, 0), 10.0).take_upstreams((101, 0), 10.0)
+    asker = askers.hear("peer", 0, NO_LIST, 10.2)
+    assert asker.take_upstreams((101, 0), 10.2)
+
+
+def test_news_go_to_those_that_asked_lately():
+    askers = Askers()
+    for number in range(4):
+        askers.hear(f"peer-{number}", 1, (1, 0), 10.0 + number)
+    now = 13.0 + TELL_SECONDS
+    assert [address for address, _asker in askers.recent(now)] == ["peer-3"]
--- a/test/test_entries.py
+++ b/test/test_entries.py
@@ -13,6 +13,9 @@
 import pytest
 
 from rowanport.errors import MessageError
+from rowanport.gateway.changes import ChangeLog
+from rowanport.gateway.changes import NO_LIST
+from rowanport.gateway.changes import UpstreamDelta
 from rowanport.gateway.upstream import Upstream
 from rowanport.gateway.upstream import UpstreamList
 from rowanport.platform.entries import decode_entry
@@ -96,7 +99,7 @@
 
 def test_a_list_of_an_older_router_still_unpacks():
     old = UpstreamList(3, [Upstream("one", "s", "a:1", "z", 1, False)])
-    assert UpstreamList.unpack(old.pack()).upstreams == old.upstreams
+    assert _passed_on(old).upstreams == old.upstreams
 
 
 # Which run is in force
@@ -292,3 +295,9 @@
     restart(router, "e2", born=7)
     (state,) = router.pool.candidates("llm", tried, 0.0)
     assert state.record.id == "e2"
+
+
+def _passed_on(upstreams):
+    """Return an UpstreamList as a peer reads it."""
+    packed = ChangeLog().delta(NO_LIST, upstreams).pack()
+    return UpstreamDelta.unpack(packed).apply(UpstreamList())
--- a/test/test_lapses.py
+++ b/test/test_lapses.py
@@ -1,5 +1,8 @@
 """Which upstreams are kept though their entries are gone."""
 
+from rowanport.gateway.changes import ChangeLog
+from rowanport.gateway.changes import NO_LIST
+from rowanport.gateway.changes import UpstreamDelta
 from rowanport.gateway.lapses import LAPSE_GRACE
 from rowanport.gateway.lapses import Lapses
 from rowanport.gateway.lapses import OUTAGE_LEAST
@@ -98,6 +101,7 @@
     concluded = UpstreamList(100, [upstream("one")], step=1)
     assert UpstreamList(100).version < concluded.version
     assert concluded.version < UpstreamList(101).version
-    read = UpstreamList.unpack(concluded.pack())
+    packed = ChangeLog().delta(NO_LIST, concluded).pack()
+    read = UpstreamDelta.unpack(packed).apply(UpstreamList())
     assert read.version == concluded.version
     assert read.upstreams == concluded.upstreams
--- a/test/test_views.py
+++ b/test/test_views.py
@@ -138,7 +138,7 @@
     data = large_config()
     giver = make_views(loop, FewMembers(), None, decode_config)
     giver.take_config(data, "store")
-    give = giver.handle(ViewAsk(0, 0, "asker", 0.0, 0.0, NO_NEWS, [], 0))
+    give = giver.handle(ViewAsk(0, 0, "asker", 0.0, 0, NO_NEWS, [], 0))
     assert len(give.config_data) * 10 < len(data)
     loop.close()
 
