Soak: links of one router that are full while upstreams leave

A theme of its own, links: pieces wait 0.3 to 3 s each way on all links of a router, while upstreams leave and the store turns routers away. Such a link excuses late answers, and no work for an upstream that left.

--- a/soak/broken.py
+++ b/soak/broken.py
@@ -121,6 +121,18 @@
         Gateway._take_upstreams = take_first
 
 
+class TrustsOldViews(Variant):
+    """Sends requests by what is known of the fleet, however old it is."""
+
+    promise = "leaving"
+    theme = "links"
+
+    def apply(self):
+        from rowanport.gateway.views import Views
+
+        Views.old = False
+
+
 class StopsAtOnce(Variant):
     """Drops what it has in hand when it is told to stop."""
 
@@ -348,6 +360,7 @@
         RunsAgain,
         ForgetsKey,
         IgnoresLeaving,
+        TrustsOldViews,
         StopsAtOnce,
         GivesUpOnSilence,
         CutsAtChange,
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -139,6 +139,9 @@
     async def _do_delay(self, step):
         await self._harm(step, step.variant, delay=DELAY)
 
+    async def _do_full(self, step):
+        await self._harm(step, "all", delay=float(step.variant))
+
     async def _do_cut(self, step):
         links, _, direction = step.variant.partition(" ")
         await self._harm(step, links, held=DIRECTIONS[direction])
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -68,6 +68,8 @@
     "pause": 1,
     "config": 2,
 }
+# Links that are full, of routers that hear of upstreams that leave.
+LINKS = {"full": 5, "leave": 8, "config": 1, "store_away": 2, "term": 1}
 THEMES["all"] = {
     kind: max(theme.get(kind, 0) for theme in THEMES.values())
     for kind in sorted({kind for theme in THEMES.values() for kind in theme})
@@ -76,6 +78,7 @@
 SPANS = {
     "freeze": (0.2, 6.0),
     "delay": (1.0, 6.0),
+    "full": (4.0, 10.0),
     "cut": (0.5, 8.0),
     "clock": (1.0, 8.0),
     "store_down": (0.5, 8.0),
@@ -112,6 +115,8 @@
     "store_down": ("silent", "reset", "busy", "silent lapse"),
     "store_away": ("silent", "reset", "busy", "limited"),
     "config": ("route", "route", "top_up"),
+    # Seconds that bytes wait, each way.
+    "full": ("0.3", "0.7", "1.5", "3.0"),
     "leave": ("draining", "draining", "gone"),
     "pause": ("all", "streams", "newest"),
     "limit": tuple(LIMITS),
@@ -153,6 +158,7 @@
 THEMES["callers"] = CALLERS
 THEMES["lethal"] = LETHAL
 THEMES["limits"] = LIMITED
+THEMES["links"] = LINKS
 
 
 def choose_theme(seed):
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -7,6 +7,7 @@
 
 import bisect
 
+from .history import FULL
 from .history import Record
 from .history import RELOAD
 from .history import STOP
@@ -139,7 +140,7 @@
             if request is None:
                 continue
             if history.in_touch(
-                request.router, request.sent_at, run.arrived_at
+                request.router, request.sent_at, run.arrived_at, (FULL,)
             ):
                 evidence = (
                     f"{run.request} from {request.router} reached "
--- a/soak/shapes.py
+++ b/soak/shapes.py
@@ -148,6 +148,8 @@
         paid=1500,
     ),
     "limits": Shape(upstreams=6, paid=1500),
+    # Callers wait long enough to be served through a full link.
+    "links": Shape(upstreams=6, paid=1500, patience=(5.0, 8.0)),
     "callers": Shape(
         **LONG_STREAMS,
         manners={PLAIN: 5, SLOW: 4, PIPELINED: 4, EARLY: 4, HALF: 1},
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -54,6 +54,7 @@
     "pauses": ("--theme", "pauses", *SHORT, "--seed", "700"),
     "lethal": ("--theme", "lethal", *SHORT, "--seed", "900"),
     "limits": ("--theme", "limits", *SHORT, "--seed", "950"),
+    "links": ("--theme", "links", *SHORT, "--seed", "1000"),
 }
 BROKEN = ("--calm", "15.5", "--seed", "1")
 # Seconds of faults that a variant is given to be found in.  Four requests cut
@@ -65,6 +66,7 @@
     ForgetsCrashes=30,
     BlamesAll=30,
     IgnoresLimits=30,
+    TrustsOldViews=30,
 )
 
 
