Refuse a blocked request as such by an old view, too

test_a_router_that_was_suspended_knows_what_to_refuse failed on (503 for 400): a verdict on a request does not age, so it is looked at before the age of the views. Both tests of suspended routers pass.

--- a/rowanport/gateway/forwarder.py
+++ b/rowanport/gateway/forwarder.py
@@ -98,8 +98,9 @@
     async def _serve(self, job, responder):
         gateway = self._gateway
         now = self._clock.steady()
-        gateway.views.check()
+        # What is blocked stays so, whatever else is known meanwhile.
         self._crashes.check(job)
+        gateway.views.check()
         gateway.retries(job.service).note_request(now)
         if gateway.congestion.refuses(job.request):
             raise RequestError(
