Part what tells the age of the views from the views themselves

Two stand-ins of tests use the real ViewStanding in place of attributes of their own. With that they showed a fault of: a router alone in its fleet cut its pause after a change short though nobody else could confirm its views, and asked the store twice a second (test_platform.py, 5 calls where 4.4 are allowed). Both are done now only where others are known.

--- a/rowanport/gateway/sending.py
+++ b/rowanport/gateway/sending.py
@@ -154,7 +154,7 @@
     def _taking(self, candidates, now):
         """Return the candidates that surely take requests now."""
         try:
-            self._gateway.views.check()
+            self._gateway.views.standing.check()
             return self._gateway.limits.open(candidates, now)
         except RequestError as error:
             if self._job.runs:
@@ -212,9 +212,9 @@
         gateway, record = self._gateway, state.record
         if gateway.pool.get(record.id) is not state or record.leaving:
             raise UpstreamLeft("it left meanwhile")
-        if gateway.views.old:
+        if gateway.views.standing.old:
             raise UpstreamLeft("whether it left is not known any more")
-        self._job.view_age = gateway.views.age
+        self._job.view_age = gateway.views.standing.age
 
     def _note_load(self, state):
         """Count a job's prompt; return what the engine has to read with it."""
--- /dev/null
+++ b/rowanport/gateway/standing.py
@@ -0,0 +1,134 @@
+"""How far a router's views of the fleet may be trusted right now."""
+
+import math
+
+import structlog
+
+from ..errors import ErrorKind
+from ..errors import RequestError
+from .freshness import Standing
+from .freshness import UNKNOWN_AGE
+from .freshness import ViewAge
+from .lapses import StoreContact
+
+LOG = structlog.get_logger(__name__)
+
+
+class ViewStanding:
+    """Gathers what peers and the store tell of the age of the views.
+
+    :param members: the Membership
+    :param clock: a Clock
+    """
+
+    def __init__(self, members, clock):
+        self._members = members
+        self._clock = clock
+        self._age = ViewAge()
+        self._watches = {}
+        self._reach = None
+        self._store_contact = StoreContact()
+        self._logged = Standing.CONFIRMED
+
+    @property
+    def store_contact(self):
+        """Return the StoreContact, as far as it is known here."""
+        if self._reach is not None:
+            now = self._clock.steady()
+            self._store_contact.note(self._reach.heard_at, now)
+        return self._store_contact
+
+    @property
+    def store_age(self):
+        """Return the seconds since the store answered any router."""
+        age = self._clock.steady() - self.store_contact.heard_at
+        return min(UNKNOWN_AGE, age)
+
+    @property
+    def contact_at(self):
+        """Return when the newest call was sent that somebody answered."""
+        return self._age.contact_at
+
+    @property
+    def age(self):
+        """Return the seconds since the views were known to hold."""
+        self._confirm_own()
+        return self._age.age(self._clock.steady())
+
+    @property
+    def aging(self):
+        """Return whether it is time to look for who confirms the views."""
+        if not self._members.knows_others:
+            return False
+        self._confirm_own()
+        return self._age.is_aging(self._clock.steady())
+
+    @property
+    def value(self):
+        """Return the Standing of the views."""
+        if not self._members.knows_others:
+            # There is nobody who could know anything newer.
+            return Standing.NEWEST
+        self._confirm_own()
+        return self._age.standing(self._clock.steady())
+
+    @property
+    def old(self):
+        """Return whether the views are too old to send requests by."""
+        return self.value is Standing.OLD
+
+    def check(self):
+        """Raise RequestError if the views are too old to send requests by."""
+        if self.old:
+            raise RequestError(
+                ErrorKind.NOT_READY,
+                f"what is known of the fleet is {self.age:.1f} s old",
+            )
+
+    def note_watch(self, name, age, reach):
+        """Take a watch of the store into account.
+
+        :param age: its WatchAge
+        :param reach: the Reach of the store
+        """
+        self._watches[name] = age
+        self._reach = reach
+
+    def note_contact(self, sent_at):
+        """Note that the store answered what was sent at a time."""
+        self._age.note_contact(sent_at)
+
+    def note_answer(self, asked_at, store_age):
+        """Note that a peer answered a question.
+
+        :param asked_at: when it was asked
+        :param store_age: seconds since the store answered any router, as far
+            as the peer knew
+        """
+        self._age.note_contact(asked_at)
+        self._store_contact.note(asked_at - store_age, self._clock.steady())
+
+    def confirm(self, until, source):
+        """Note who says that nothing is newer up to a time."""
+        self._age.confirm(until, source)
+
+    def _confirm_own(self):
+        """Take into account what this router's own watches tell."""
+        contact = self._age.contact_at
+        known = [age.known_until(contact) for age in self._watches.values()]
+        self._age.confirm(min(known, default=-math.inf), "store")
+
+    def note_change(self):
+        """Log whether the views may be trusted, when that changes."""
+        standing = self.value
+        if standing is self._logged:
+            return
+        self._logged = standing
+        now = self._clock.steady()
+        LOG.info(
+            "views_standing",
+            standing=standing.value,
+            age=round(self._age.age(now), 3),
+            contact=round(now - self._age.contact_at, 3),
+            confirmed_by=self._age.source,
+        )
--- a/rowanport/gateway/views.py
+++ b/rowanport/gateway/views.py
@@ -6,16 +6,13 @@
 
 import asyncio
 import collections
-import math
 import random
 import zlib
 
 import structlog
 
-from ..errors import ErrorKind
 from ..errors import MessageError
 from ..errors import PeerError
-from ..errors import RequestError
 from ..incarnation import address_of
 from ..schema.messages import SuspectNews
 from ..schema.messages import UpstreamNews
@@ -29,11 +26,8 @@
 from .changes import NO_LIST
 from .changes import UpstreamDelta
 from .followers import followers
-from .freshness import Standing
-from .freshness import UNKNOWN_AGE
-from .freshness import ViewAge
 from .lapses import Lapses
-from .lapses import StoreContact
+from .standing import ViewStanding
 from .upstream import UpstreamList
 
 LOG = structlog.get_logger(__name__)
@@ -65,6 +59,7 @@
     :param clock: a Clock
     :param clocks: the FleetClocks, which learn from each exchange
     :param congestion: the Congestion, which does, too
+    :ivar standing: the ViewStanding, which tells how far they may be trusted
     :ivar tell: function of a peer's address and a message that sends the
         message on a connection that the peer has open
     :ivar loads: the LoadNotes that ask and answer along with it, or None
@@ -87,15 +82,11 @@
         self._askers = Askers()
         self._changes = ChangeLog()
         self._list_wanted = False
-        self._age = ViewAge()
-        self._watches = {}
-        self._store_contact = StoreContact()
         self._lapses = Lapses()
-        self._reach = None
-        self._standing = Standing.CONFIRMED
         self._started = clock.steady()
         self._config_data = b""
         self._config_packed = b""
+        self.standing = ViewStanding(members, clock)
         self.table = None
         self.upstreams = UpstreamList()
         self.on_table = None
@@ -136,90 +127,6 @@
         """Return whether this router may not know the fleet yet."""
         return self._clock.steady() < self._started + LEARN_SECONDS
 
-    # Age
-
-    def note_watch(self, name, age, reach):
-        """Take a watch of the store into account.
-
-        :param age: its WatchAge
-        :param reach: the Reach of the store
-        """
-        self._watches[name] = age
-        self._reach = reach
-
-    @property
-    def store_contact(self):
-        """Return the StoreContact, as far as it is known here."""
-        if self._reach is not None:
-            now = self._clock.steady()
-            self._store_contact.note(self._reach.heard_at, now)
-        return self._store_contact
-
-    @property
-    def contact_at(self):
-        """Return when the newest call was sent that somebody answered."""
-        return self._age.contact_at
-
-    @property
-    def age(self):
-        """Return the seconds since the views were known to hold."""
-        self._confirm_own()
-        return self._age.age(self._clock.steady())
-
-    @property
-    def aging(self):
-        """Return whether it is time to look for who confirms the views."""
-        self._confirm_own()
-        return self._age.is_aging(self._clock.steady())
-
-    @property
-    def standing(self):
-        """Return the Standing of the views."""
-        if not self._members.knows_others:
-            # There is nobody who could know anything newer.
-            return Standing.NEWEST
-        self._confirm_own()
-        return self._age.standing(self._clock.steady())
-
-    @property
-    def old(self):
-        """Return whether the views are too old to send requests by."""
-        return self.standing is Standing.OLD
-
-    def check(self):
-        """Raise RequestError if the views are too old to send requests by."""
-        if self.old:
-            raise RequestError(
-                ErrorKind.NOT_READY,
-                f"what is known of the fleet is {self.age:.1f} s old",
-            )
-
-    def note_contact(self, sent_at):
-        """Note that the store answered what was sent at a time."""
-        self._age.note_contact(sent_at)
-
-    def _confirm_own(self):
-        """Take into account what this router's own watches tell."""
-        contact = self._age.contact_at
-        known = [age.known_until(contact) for age in self._watches.values()]
-        self._age.confirm(min(known, default=-math.inf), "store")
-
-    def _note_standing(self):
-        """Log whether the views may be trusted, when that changes."""
-        standing = self.standing
-        if standing is self._standing:
-            return
-        self._standing = standing
-        now = self._clock.steady()
-        LOG.info(
-            "views_standing",
-            standing=standing.value,
-            age=round(self._age.age(now), 3),
-            contact=round(now - self._age.contact_at, 3),
-            confirmed_by=self._age.source,
-            asking=len(self._asks),
-        )
-
     # What is known
 
     def take_config(self, data, source):
@@ -292,10 +199,9 @@
         """Answer a ViewAsk."""
         self._clocks.hear(message.asker, message.wall)
         suspects = SuspectNews(0, [])
-        age = round(1000 * self.age)
+        age = round(1000 * self.standing.age)
+        away = round(1000 * self.standing.store_age)
         wall = self._clock.wall()
-        away = self._clock.steady() - self.store_contact.heard_at
-        away = round(1000 * min(UNKNOWN_AGE, away))
         give = ViewGive(0, b"", 0, b"", wall, [], suspects, [], age, away, 0)
         if self.loads is not None:
             seconds = message.recent / 1000
@@ -363,7 +269,7 @@
         try:
             while True:
                 beat()
-                self._note_standing()
+                self.standing.note_change()
                 self._drop_lapsed()
                 for address in self._next_sources():
                     # Not awaited: one that is cut off would hold up the next.
@@ -381,7 +287,7 @@
         """
         sources = self._sources()
         free = [peer for peer in sources if not self._asked[peer]]
-        count = ASKS_WHEN_AGING if self.aging else 1
+        count = ASKS_WHEN_AGING if self.standing.aging else 1
         return (free or sources)[:count]
 
     def _sources(self):
@@ -392,7 +298,7 @@
         ready = [address_of(peer) for peer in self._members.ready_others()]
         duty = followers(self._members)
         follow = [peer for peer in ready if peer in duty]
-        if follow and not self.aging:
+        if follow and not self.standing.aging:
             return follow
         sources = follow + [peer for peer in ready if peer not in duty]
         return sources or self._silent_sources(duty)
@@ -437,10 +343,7 @@
             self._asked[address] -= 1
         if not isinstance(give, ViewGive):
             return
-        self._age.note_contact(asked_at)
-        self._store_contact.note(
-            asked_at - give.store_age / 1000, self._clock.steady()
-        )
+        self.standing.note_answer(asked_at, give.store_age / 1000)
         # Without the time in which a silent connection was found out.
         self._congestion.note_round_trip(self._peers.last_trip(address))
         self._clocks.hear(address, give.wall)
@@ -455,7 +358,7 @@
         if give.upstream_data:
             self._take_packed_list(give.upstream_data, address)
         if self._has(give):
-            self._age.confirm(asked_at - give.age / 1000, address)
+            self.standing.confirm(asked_at - give.age / 1000, address)
 
     def _has(self, give):
         """Return whether all that a peer knew is known here."""
--- a/rowanport/platform/sources.py
+++ b/rowanport/platform/sources.py
@@ -84,7 +84,7 @@
 
     async def run(self, views):
         """Feed the Views until cancelled."""
-        views.note_watch(self.prefix, self._age, self._store.reach)
+        views.standing.note_watch(self.prefix, self._age, self._store.reach)
         while True:
             beat()
             try:
@@ -133,8 +133,9 @@
         """Wait while changes gather that one call tells all of."""
         until = self._clock.steady() + YOUNG_PAUSE
         await asyncio.sleep(BATCH_PAUSE)
-        while views.young and views.age < YOUNG_AGE:
-            if self._clock.steady() >= until:
+        while views.young and self._clock.steady() < until:
+            standing = views.standing
+            if standing.aging and standing.age > YOUNG_AGE:
                 break
             await asyncio.sleep(BATCH_PAUSE)
 
@@ -158,13 +159,13 @@
             )
             if watch.done():
                 listing = watch.result()
-                self._age.end(views.contact_at)
+                self._age.end(views.standing.contact_at)
                 return listing
             if down.done():
                 raise StoreBusy("the store is away")
             raise StoreSilent("kept connections turned out silent")
         finally:
-            self._age.lose(views.contact_at)
+            self._age.lose(views.standing.contact_at)
             watch.cancel()
             down.cancel()
             silence.cancel()
@@ -318,7 +319,7 @@
         # beyond what its bound allows.
         reach = self._store.reach
         now = self._clock.steady()
-        if not views.store_contact.may_have_lapsed(now):
+        if not views.standing.store_contact.may_have_lapsed(now):
             return self._mass_grace_until
         if reach.in_doubt:
             return math.inf
@@ -360,9 +361,9 @@
         reach = self._store.reach
         while True:
             await asyncio.sleep(CONFIRM_PAUSE)
-            if views.on_duty and views.aging:
+            if views.on_duty and views.standing.aging:
                 await reach.confirm()
-                views.note_contact(reach.heard_at)
+                views.standing.note_contact(reach.heard_at)
 
     async def _run_settling(self, views):
         """Drop what stays missing, and take in what nobody objected to."""
--- a/soak/broken.py
+++ b/soak/broken.py
@@ -128,9 +128,9 @@
     theme = "links"
 
     def apply(self):
-        from rowanport.gateway.views import Views
+        from rowanport.gateway.standing import ViewStanding
 
-        Views.old = False
+        ViewStanding.old = False
 
 
 class StopsAtOnce(Variant):
--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -11,6 +11,7 @@
 from test.platform_world import Platform
 from test.platform_world import STAMP_HEADER
 from test.platform_world import StoreStandin
+from test.test_sources import Alone
 
 import pytest
 
@@ -22,6 +23,7 @@
 from rowanport.errors import StoreConflict
 from rowanport.errors import StoreUnavailable
 from rowanport.errors import UpstreamError
+from rowanport.gateway.standing import ViewStanding
 from rowanport.platform import settings as platform_settings
 from rowanport.platform.config import decode_config
 from rowanport.platform.sources import ConfigSource
@@ -608,11 +610,8 @@
         self.table = table
         self.on_duty = False
         self.young = False
-        self.contact_at = 0.0
         self.configs = []
-
-    def note_watch(self, name, age, reach):
-        """Nobody asks this router how old its view is."""
+        self.standing = ViewStanding(Alone(), SystemClock())
 
     def take_config(self, data, source):
         self.configs.append(json.loads(data)["version"])
--- a/test/test_sources.py
+++ b/test/test_sources.py
@@ -27,7 +27,7 @@
 from test.virtual_net import HOST
 
 from rowanport.gateway.lapses import LAPSE_GRACE
-from rowanport.gateway.lapses import StoreContact
+from rowanport.gateway.standing import ViewStanding
 from rowanport.gateway.upstream import UpstreamList
 from rowanport.platform.__main__ import STORE_CONNECT_TIMEOUT
 from rowanport.platform.__main__ import STORE_KEEPALIVE
@@ -47,20 +47,20 @@
 NAMES = ("one", "two", "three", "four")
 
 
+class Alone:
+    """Members of a fleet of one router."""
+
+    knows_others = False
+
+
 class ListViews:
     """Views of a router that follows the store and knows upstreams only."""
 
-    def __init__(self):
+    def __init__(self, clock):
         self.on_duty = True
         self.young = False
         self.upstreams = UpstreamList()
-        self.contact_at = 0.0
-        self.aging = False
-        # No other router tells of the store.
-        self.store_contact = StoreContact()
-
-    def note_watch(self, name, age, reach):
-        """Nobody asks this router how old its view is."""
+        self.standing = ViewStanding(Alone(), clock)
 
     def take_upstreams(self, upstreams, source):
         self.upstreams = upstreams
@@ -74,7 +74,7 @@
 
     def __init__(self, loop):
         self.standin = StoreStandin()
-        self.views = ListViews()
+        self.views = ListViews(LoopClock(loop))
         client = HttpClient(STORE_CONNECT_TIMEOUT, STORE_KEEPALIVE)
         clock = LoopClock(loop)
         self.store = PlatformStore(client, f"{STORE}:80", clock)
