--- a/test/test_old_views.py
+++ b/test/test_old_views.py
@@ -18,8 +18,10 @@
 from test.platform_world import route
 from test.test_silence import fleet_test
 from test.virtual_net import HOST
+from unittest import mock
 
 from rowanport.errors import UpstreamError
+from rowanport.gateway.views import Views
 from rowanport.standins.upstream import UpstreamStandin
 from rowanport.web import HttpClient
 
@@ -231,6 +233,16 @@
     return gateway.upstreams.upstreams["up-0"].leaving
 
 
+@service_test
+async def test_who_asked_lately_is_told_without_asking_again(fleet, service):
+    _duty, others = followers_and_others(fleet)
+    gateways = [fleet.gateways[host] for host in others]
+    with mock.patch.object(Views, "_next_sources", lambda views: []):
+        await service.write(service.upstreams[0], "draining")
+        await asyncio.sleep(0.1)
+        assert all(_is_leaving(gateway) for gateway in gateways)
+
+
 @service_test
 async def test_a_router_with_an_old_view_calls_no_route_unknown(
     fleet, service
