Tell an outage of the store from a router that heard of nobody

A router that follows the store, on a link that was full, heard of neither the store nor a peer for 6 s and took that for an outage for all; back again it kept what had been removed and sent work there, and told a peer that had the same gap.

Change: routers tell for how long the store has answered without an outage (StoreContact is a span now); a span of a peer closes the own gap, and what was kept is dropped with that answer. Until a peer has answered, what is kept gets no work. Idle followers probe the store after 1.1 s in place of 1.5, so that one alone leaves no gap that counts; where no other router is known the rule is the one from before.

Ruled out: dropping what goes while a router is deaf (its newer list would take lapsed entries from all others in a true outage).

--- a/rowanport/gateway/lapses.py
+++ b/rowanport/gateway/lapses.py
@@ -11,37 +11,46 @@
 # still missing then is gone, and is sent no more work.
 LAPSE_GRACE = 2.3
 # Seconds without an answer of the store to any router that make an outage:
-# half of the shortest one in which an entry lapses.
+# half of the shortest one in which an entry lapses, and longer than an idle
+# store is left in peace by those that follow it.
 OUTAGE_LEAST = 1.2
+# Longest time in seconds of a call that was sent in an outage and is answered
+# at its end.
+LONGEST_CALL = 1.0
 
 
 class StoreContact:
-    """When the store last answered any router.
+    """For how long the store has answered routers without an outage.
 
     An outage of the store is one for all.  What went while it answered others
-    was removed, also where one router could not reach it.
+    was removed, also where one router could not reach it or heard of nobody.
+
+    :ivar since: from then on it answered some router all the time
+    :ivar until: up to then
     """
 
-    __slots__ = ("heard_at", "_outage_ended_at")
+    __slots__ = ("since", "until")
 
     def __init__(self):
-        self.heard_at = -math.inf
-        self._outage_ended_at = -math.inf
+        self.since = self.until = -math.inf
 
-    def note(self, sent_at, now):
+    def note(self, sent_at):
         """Note that the store answered a call that was sent at a time."""
-        if sent_at <= self.heard_at:
-            return
-        silence = sent_at - self.heard_at
-        if OUTAGE_LEAST <= silence < math.inf:
-            self._outage_ended_at = now
-        self.heard_at = sent_at
+        self.hear(sent_at, sent_at)
+
+    def hear(self, since, until):
+        """Take in a span in which the store answered some router."""
+        if since >= self.until + OUTAGE_LEAST:
+            self.since, self.until = since, until
+        elif until > self.since - OUTAGE_LEAST:
+            self.since = min(self.since, since)
+            self.until = max(self.until, until)
 
     def may_have_lapsed(self, now):
         """Return whether an entry that goes now may have lapsed."""
-        if now - self.heard_at >= OUTAGE_LEAST:
+        if now >= self.until + OUTAGE_LEAST:
             return True
-        return now < self._outage_ended_at + LAPSE_GRACE
+        return now < self.since + LONGEST_CALL + LAPSE_GRACE
 
 
 class Lapses:
--- a/rowanport/gateway/sending.py
+++ b/rowanport/gateway/sending.py
@@ -212,9 +212,12 @@
         gateway, record = self._gateway, state.record
         if gateway.pool.get(record.id) is not state or record.leaving:
             raise UpstreamLeft("it left meanwhile")
-        if gateway.views.standing.old:
+        standing = gateway.views.standing
+        if record.lapsing and not standing.hears_peers:
+            raise UpstreamLeft("its entry is gone, and nobody says why")
+        if standing.old:
             raise UpstreamLeft("whether it left is not known any more")
-        self._job.view_age = gateway.views.standing.age
+        self._job.view_age = standing.age
 
     def _note_load(self, state):
         """Count a job's prompt; return what the engine has to read with it."""
--- a/rowanport/gateway/standing.py
+++ b/rowanport/gateway/standing.py
@@ -6,6 +6,7 @@
 
 from ..errors import ErrorKind
 from ..errors import RequestError
+from .freshness import CONTACT_LIMIT
 from .freshness import Standing
 from .freshness import UNKNOWN_AGE
 from .freshness import ViewAge
@@ -13,6 +14,9 @@
 
 LOG = structlog.get_logger(__name__)
 
+# Longest span in seconds that peers are told for which the store has answered.
+LONGEST_STEADY = 100
+
 
 class ViewStanding:
     """Gathers what peers and the store tell of the age of the views.
@@ -28,22 +32,47 @@
         self._watches = {}
         self._reach = None
         self._store_contact = StoreContact()
+        self._peers_at = -math.inf
         self._logged = Standing.CONFIRMED
 
     @property
     def store_contact(self):
         """Return the StoreContact, as far as it is known here."""
         if self._reach is not None:
-            now = self._clock.steady()
-            self._store_contact.note(self._reach.heard_at, now)
+            self._store_contact.note(self._reach.heard_at)
         return self._store_contact
 
     @property
     def store_age(self):
         """Return the seconds since the store answered any router."""
-        age = self._clock.steady() - self.store_contact.heard_at
+        age = self._clock.steady() - self.store_contact.until
         return min(UNKNOWN_AGE, age)
 
+    @property
+    def store_steady(self):
+        """Return for how many whole seconds it had answered without one."""
+        contact = self.store_contact
+        if contact.since == -math.inf:
+            return 0
+        return int(min(LONGEST_STEADY, contact.until - contact.since))
+
+    @property
+    def may_have_lapsed(self):
+        """Return whether an entry that goes now may have lapsed.
+
+        Only other routers can tell an outage of the store from one's own.
+        """
+        if not self._members.knows_others:
+            return True
+        return self.store_contact.may_have_lapsed(self._clock.steady())
+
+    @property
+    def hears_peers(self):
+        """Return whether peers answer at once, if others are known."""
+        if not self._members.knows_others:
+            return True
+        return self._clock.steady() <= self._peers_at + CONTACT_LIMIT
+
     @property
     def contact_at(self):
         """Return when the newest call was sent that somebody answered."""
@@ -98,15 +127,18 @@
         """Note that the store answered what was sent at a time."""
         self._age.note_contact(sent_at)
 
-    def note_answer(self, asked_at, store_age):
+    def note_answer(self, asked_at, store_age, store_steady):
         """Note that a peer answered a question.
 
         :param asked_at: when it was asked
         :param store_age: seconds since the store answered any router, as far
             as the peer knew
+        :param store_steady: seconds for which it had done so all the time
         """
         self._age.note_contact(asked_at)
-        self._store_contact.note(asked_at - store_age, self._clock.steady())
+        self._peers_at = max(self._peers_at, asked_at)
+        until = asked_at - store_age
+        self._store_contact.hear(until - store_steady, until)
 
     def confirm(self, until, source):
         """Note who says that nothing is newer up to a time."""
--- a/rowanport/gateway/views.py
+++ b/rowanport/gateway/views.py
@@ -60,6 +60,8 @@
     :param clocks: the FleetClocks, which learn from each exchange
     :param congestion: the Congestion, which does, too
     :ivar standing: the ViewStanding, which tells how far they may be trusted
+    :ivar on_answer: function that is called after each answer of a peer, or
+        None
     :ivar tell: function of a peer's address and a message that sends the
         message on a connection that the peer has open
     :ivar loads: the LoadNotes that ask and answer along with it, or None
@@ -90,6 +92,7 @@
         self.table = None
         self.upstreams = UpstreamList()
         self.on_table = None
+        self.on_answer = None
         self.tell = None
         self.on_upstreams = None
         self.loads = None
@@ -202,7 +205,10 @@
         age = round(1000 * self.standing.age)
         away = round(1000 * self.standing.store_age)
         wall = self._clock.wall()
-        give = ViewGive(0, b"", 0, b"", wall, [], suspects, [], age, away, 0)
+        steady = self.standing.store_steady
+        give = ViewGive(
+            0, b"", 0, b"", wall, [], suspects, [], age, away, 0, steady
+        )
         if self.loads is not None:
             seconds = message.recent / 1000
             give.notes = self.loads.heard(seconds, message.asker)
@@ -343,7 +349,7 @@
             self._asked[address] -= 1
         if not isinstance(give, ViewGive):
             return
-        self.standing.note_answer(asked_at, give.store_age / 1000)
+        self.standing.note_answer(asked_at, give.store_age / 1000, give.steady)
         # Without the time in which a silent connection was found out.
         self._congestion.note_round_trip(self._peers.last_trip(address))
         self._clocks.hear(address, give.wall)
@@ -357,6 +363,8 @@
             self._take_packed(give.config_data, address)
         if give.upstream_data:
             self._take_packed_list(give.upstream_data, address)
+        if self.on_answer is not None:
+            self.on_answer()
         if self._has(give):
             self.standing.confirm(asked_at - give.age / 1000, address)
 
--- a/rowanport/platform/sources.py
+++ b/rowanport/platform/sources.py
@@ -2,6 +2,7 @@
 
 import abc
 import asyncio
+import functools
 import math
 
 import structlog
@@ -222,6 +223,8 @@
 
     async def run(self, views):
         """Feed the Views until cancelled, and drop what stays missing."""
+        # A peer may know that the store was not away.
+        views.on_answer = functools.partial(self._settle, views)
         # Both end if one fails, so that what starts them again doubles none.
         async with asyncio.TaskGroup() as group:
             group.create_task(super().run(views))
@@ -318,8 +321,7 @@
         # an outage of this router alone, would keep a removed upstream in use
         # beyond what its bound allows.
         reach = self._store.reach
-        now = self._clock.steady()
-        if not views.standing.store_contact.may_have_lapsed(now):
+        if not views.standing.may_have_lapsed:
             return self._mass_grace_until
         if reach.in_doubt:
             return math.inf
@@ -369,16 +371,19 @@
         """Drop what stays missing, and take in what nobody objected to."""
         while True:
             await asyncio.sleep(BATCH_PAUSE)
-            gone = self._end_grace(views)
-            settled = self._book.settle(self._clock.steady())
-            if not gone and not settled:
-                continue
-            upstreams = dict(views.upstreams.upstreams)
-            for name in gone:
-                upstreams.pop(name, None)
-            for entry in settled:
-                upstreams[entry.upstream.id] = entry.upstream
-            self._hand_on(views, upstreams, 0)
+            self._settle(views)
+
+    def _settle(self, views):
+        gone = self._end_grace(views)
+        settled = self._book.settle(self._clock.steady())
+        if not gone and not settled:
+            return
+        upstreams = dict(views.upstreams.upstreams)
+        for name in gone:
+            upstreams.pop(name, None)
+        for entry in settled:
+            upstreams[entry.upstream.id] = entry.upstream
+        self._hand_on(views, upstreams, 0)
 
     def _end_grace(self, views):
         """Return the ids of upstreams that were missing for too long."""
--- a/rowanport/schema/messages.py
+++ b/rowanport/schema/messages.py
@@ -2293,6 +2293,7 @@
     :ivar age: milliseconds since the peer's own view was known to hold
     :ivar store_age: milliseconds since the store answered any router, as far as the peer knows
     :ivar step: step of the list of upstreams
+    :ivar steady: for how many seconds the store had answered some router all the time then
     """
 
     __slots__ = (
@@ -2307,6 +2308,7 @@
         "age",
         "store_age",
         "step",
+        "steady",
     )
     KIND = 62
 
@@ -2323,6 +2325,7 @@
         age,
         store_age,
         step,
+        steady,
     ):
         self.config = config
         self.config_data = config_data
@@ -2335,6 +2338,7 @@
         self.age = age
         self.store_age = store_age
         self.step = step
+        self.steady = steady
 
     def to_wire(self):
         """Return the fields as plain values, in the schema's order."""
@@ -2350,12 +2354,13 @@
             self.age,
             self.store_age,
             self.step,
+            self.steady,
         ]
 
     @classmethod
     def from_wire(cls, values):
         """Build one from plain values; raise MessageError if unfit."""
-        check_length(cls, values, 11)
+        check_length(cls, values, 12)
         return cls(
             as_int(values[0]),
             as_bytes(values[1]),
@@ -2368,6 +2373,7 @@
             as_int(values[8]),
             as_int(values[9]),
             as_int(values[10]),
+            as_int(values[11]),
         )
 
 
--- a/rowanport/store/reach.py
+++ b/rowanport/store/reach.py
@@ -32,8 +32,8 @@
 FRESH_AFTER = 0.1
 # Seconds without an answer after which the store is probed for one who has to
 # know of each outage.  Entries of upstreams lapse 2.4 s after its begin at the
-# earliest (two heartbeats of 1.2 s); it is known 2.2 s after it at the latest.
-IDLE_LIMIT = 1.5
+# earliest (two heartbeats of 1.2 s); it is known 1.8 s after it at the latest.
+IDLE_LIMIT = 1.1
 # The same as FRESH_AFTER where no call has failed: a store that is only slow
 # is not to be asked twice, nor its kept connections taken for silent.
 IDLE_FRESH_AFTER = 0.3
--- a/test/test_returned_entries.py
+++ b/test/test_returned_entries.py
@@ -102,3 +102,47 @@
     fleet.store.fault = ""
     await change_others(fleet, 5.0)
     assert who_lists(fleet, "lapser") == []
+
+
+@fleet_test(FLEET_SIZE)
+async def test_who_heard_of_nobody_keeps_nothing_that_was_removed(fleet):
+    # What happened: a router that follows the store, on a full link, took the
+    # store for lost and heard of no peer; back again it kept what had been
+    # removed 4 s before, and sent work there.
+    for number in range(4):
+        name = f"leaver-{number}"
+        await fleet.store.put(f"servers/{name}", UPSTREAM)
+        host = followers(fleet)[number % 3]
+        others = [other for other in fleet.hosts if other != host]
+        await change_others(fleet, 2.0)
+        fleet.net.cut(host, STORE)
+        for other in others:
+            fleet.net.cut(host, other)
+            fleet.net.cut(other, host)
+        await change_others(fleet, 2.5)
+        await fleet.store.remove(f"servers/{name}")
+        await change_others(fleet, DRAIN_SECONDS + 0.1 * number)
+        # Its peers hear of it later than the store.
+        fleet.net.join(host, STORE)
+        gateway = fleet.gateways[host]
+        for look in range(60):
+            await asyncio.sleep(0.05)
+            assert name not in usable(gateway), number
+            if look == 20 + number:
+                for other in others:
+                    fleet.net.join(host, other)
+                    fleet.net.join(other, host)
+        assert gateway.ready
+        await change_others(fleet, 5.0)
+
+
+def usable(gateway):
+    """Return the ids of the upstreams that a router may send work to."""
+    standing = gateway.views.standing
+    if standing.old:
+        return set()
+    return {
+        name
+        for name, upstream in gateway.upstreams.upstreams.items()
+        if not upstream.lapsing or standing.hears_peers
+    }
