Send by views up to 1.1 s old, as links that fill up outrun their answers

Cause: the limit of 1.5 s took a request's way for no longer than the last question and its answer. On a link that is filling up it is longer: with bytes that wait a second longer each second a request would have arrived 3.05 s after an upstream left, and 3.2 s with a limit of 1.2 (test_freshness.py, both ways and outward only).

Change: 1.1 s, and 0.9 s for what counts as a prompt answer.

--- a/rowanport/gateway/freshness.py
+++ b/rowanport/gateway/freshness.py
@@ -8,15 +8,15 @@
 import enum
 import math
 
-# Age in seconds up to which requests are sent by a view: half of the three
-# after which an upstream that leaves gets no new work, as on a full link a
-# request may be on its way for as long as an answer.
-AGE_LIMIT = 1.5
+# Age in seconds up to which requests are sent by a view.  An upstream that
+# leaves gets no new work after three, and on a link that is filling up a
+# request is on its way for longer than the last answer.
+AGE_LIMIT = 1.1
 # Age from which on several peers are asked at once.
 AGING = 0.6
 # Age in seconds of the newest question that was answered, up to which the own
 # link surely passes what peers know.
-CONTACT_LIMIT = 1.0
+CONTACT_LIMIT = 0.9
 # Age in seconds of a view that was never confirmed.
 UNKNOWN_AGE = 10000.0
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -12,6 +12,8 @@
 from .router import now
 
 DELAY = 0.4
+# Seconds between two looks at a link that fills up.
+FILL_PAUSE = 0.1
 # Different requests that crash upstreams.
 LETHAL_REQUESTS = 2
 # Seconds by which the store is slow, and shares of calls that it loses or
@@ -143,9 +145,20 @@
         # Where all links are full nobody can tell that the store was there.
         if not self._world.full_links:
             self._world.full_links += 1
-            await self._harm(step, "all", delay=float(step.variant))
+            await self._fill(step, float(step.variant))
             self._world.full_links -= 1
 
+    async def _fill(self, step, most):
+        """Let bytes wait on a router's links, ever longer as they fill up."""
+        pairs = self._pairs(self._router(step), "all")
+        fault = self._note_links(step, NEVER)
+        begun = now()
+        while (seconds := now() - begun) < step.seconds:
+            self._world.relays.change(pairs, delay=min(most, seconds))
+            await asyncio.sleep(FILL_PAUSE)
+        self._world.relays.change(pairs)
+        fault.ended = now()
+
     async def _do_cut(self, step):
         links, _, direction = step.variant.partition(" ")
         await self._harm(step, links, held=DIRECTIONS[direction])
--- a/test/test_freshness.py
+++ b/test/test_freshness.py
@@ -2,6 +2,8 @@
 
 import math
 
+import pytest
+
 from rowanport.gateway.freshness import AGE_LIMIT
 from rowanport.gateway.freshness import AGING
 from rowanport.gateway.freshness import CONTACT_LIMIT
@@ -66,7 +68,7 @@
 
 def test_late_answers_are_not_taken_for_an_outage_of_the_store():
     # Nothing newer, says each, but each says what was so seconds ago.
-    for tenths in range(11, 40):
+    for tenths in range(10, 40):
         round_trip = tenths / 10
         age = asked(round_trip, 60.0)
         assert age.standing(60.0) is not Standing.NEWEST, round_trip
@@ -86,6 +88,28 @@
                 assert arrives <= DRAIN_SECONDS, (round_trip, now)
 
 
+@pytest.mark.parametrize("inward", (0.0, 1.0))
+def test_a_request_gets_there_in_time_while_the_link_fills_up(inward):
+    # What goes out waits a second longer each second, and what comes in, too.
+    pause = 0.25
+    for begin in (0.0, 0.05, 0.1, 0.2):
+        age = ViewAge()
+        answers = []
+        for number in range(60):
+            sent_at = begin + pause * number
+            reached = sent_at + sent_at
+            answers.append((reached + inward * reached, sent_at))
+        for moment in range(100):
+            now = moment / 20
+            for arrives, sent_at in answers:
+                if arrives <= now:
+                    age.note_contact(sent_at)
+                    age.confirm(sent_at - 0.2, "peer")
+            if age.standing(now) is Standing.CONFIRMED:
+                reaches_upstream = now + now
+                assert reaches_upstream - age.known_until <= DRAIN_SECONDS
+
+
 def test_prompt_answers_count_for_a_while_only():
     age = asked(0.01, 20.0, lambda now: now)
     last = age.contact_at
