Do not drop as missing what a peer lists again

Cause: a follower that kept an entry as lapsed dropped it at the end of its wait, whatever its view said by then. Where a peer had heard first that the entry was back, the follower took it out of the newer list and told all others so, until the next change.

Change: only what is still marked as lapsing in the list in force is dropped.

Ruled out: forgetting what is missing whenever a peer's list is taken, as that list may still carry the mark, and the wait would begin anew.

Before: test_what_a_peer_lists_again_is_not_dropped_as_missing failed (one of four upstreams gone). After: it and the tests of sources, entries, returned entries, lapses and connections pass.

--- a/rowanport/platform/sources.py
+++ b/rowanport/platform/sources.py
@@ -374,13 +374,14 @@
             self._settle(views)
 
     def _settle(self, views):
+        """Hand on a list by what was decided without a word of the store."""
         gone = self._end_grace(views)
         settled = self._book.settle(self._clock.steady())
         if not gone and not settled:
             return
         upstreams = dict(views.upstreams.upstreams)
         for name in gone:
-            upstreams.pop(name, None)
+            del upstreams[name]
         for entry in settled:
             upstreams[entry.upstream.id] = entry.upstream
         self._hand_on(views, upstreams, 0)
@@ -389,7 +390,13 @@
         """Return the ids of upstreams that were missing for too long."""
         if self._clock.steady() < self._grace_until(views):
             return []
-        gone = list(self._missing)
+        known = views.upstreams.upstreams
+        # A peer may have heard meanwhile that one is back, or that it is gone.
+        gone = [
+            name
+            for name in self._missing
+            if name in known and known[name].lapsing
+        ]
         self._missing.clear()
         for name in gone:
             LOG.info("upstream_gone", upstream=name)
--- a/test/test_sources.py
+++ b/test/test_sources.py
@@ -28,6 +28,7 @@
 
 from rowanport.gateway.lapses import LAPSE_GRACE
 from rowanport.gateway.standing import ViewStanding
+from rowanport.gateway.upstream import Upstream
 from rowanport.gateway.upstream import UpstreamList
 from rowanport.platform.__main__ import STORE_CONNECT_TIMEOUT
 from rowanport.platform.__main__ import STORE_KEEPALIVE
@@ -291,3 +292,21 @@
     follower.standin.calls.clear()
     await asyncio.sleep(60.0)
     assert follower.standin.calls == []
+
+
+@on_follower
+async def test_what_a_peer_lists_again_is_not_dropped_as_missing(follower):
+    await asyncio.sleep(10.0)
+    follower.standin.fault = "silent"
+    await asyncio.sleep(2 * SHORTEST_LAPSE)
+    await follower.drop("two")
+    follower.standin.fault = ""
+    await asyncio.sleep(0.5)
+    # A peer hears of the entry's return before this router's own watch does.
+    known = follower.views.upstreams
+    listed = {name: known.upstreams[name] for name in NAMES}
+    assert listed["two"].lapsing
+    listed["two"] = Upstream(*listed["two"].fields()[:-1])
+    follower.views.upstreams = UpstreamList(10**6, listed.values())
+    await asyncio.sleep(LAPSE_GRACE + 0.5)
+    assert follower.known == set(NAMES)
