Say once what stands twice, and compute a list's checksum once

The checksum of a list was computed anew for each version that askers had, and each entry of two lists was compared field by field though most are the same objects; followers were looked up for each asker; three tests wrote the same outage, two the same series of ends.

Change: UpstreamList.digest, computed once; the comparison looks at identity first; _take_packed_config beside _take_packed_list; Fleet.remove_in_outage and check_while_routers_end in tests, with the same values and checks.

--- a/rowanport/gateway/changes.py
+++ b/rowanport/gateway/changes.py
@@ -19,17 +19,6 @@
 CHANGES_KEPT = 2000
 
 
-def digest(upstreams):
-    """Return a checksum of a list, without what is kept as a guess.
-
-    Routers end their guesses by themselves, each at its own time.
-
-    :param upstreams: Upstream by id
-    """
-    rows = [u.fields() for u in upstreams.values() if not u.lapsing]
-    return zlib.crc32(msgpack.packb(sorted(rows)))
-
-
 class UpstreamDelta:
     """What leads from one version of a list to a later one.
 
@@ -42,10 +31,10 @@
 
     __slots__ = ("base", "version", "digest", "changed", "gone")
 
-    def __init__(self, base, version, digest_, changed, gone):
+    def __init__(self, base, version, digest, changed, gone):
         self.base = tuple(base)
         self.version = tuple(version)
-        self.digest = digest_
+        self.digest = digest
         self.changed = changed
         self.gone = gone
 
@@ -59,11 +48,11 @@
     def unpack(cls, data):
         """Return the delta in a peer's bytes; raise MessageError if unfit."""
         try:
-            base, version, digest_, rows, gone = msgpack.unpackb(
+            base, version, digest, rows, gone = msgpack.unpackb(
                 zlib.decompress(data)
             )
             changed = [Upstream(*row) for row in rows]
-            return cls(base, version, digest_, changed, gone)
+            return cls(base, version, digest, changed, gone)
         except (
             ValueError,
             TypeError,
@@ -104,7 +93,9 @@
             self._floor = new.version
             return
         for name in old.upstreams.keys() | new.upstreams.keys():
-            if old.upstreams.get(name) != new.upstreams.get(name):
+            before, after = old.upstreams.get(name), new.upstreams.get(name)
+            # Most of a list are the same objects as in the one before.
+            if before is not after and before != after:
                 # The latest changes stay at the end.
                 self._changed_at.pop(name, None)
                 self._changed_at[name] = new.version
@@ -123,7 +114,7 @@
             return UpstreamDelta(
                 NO_LIST,
                 known.version,
-                digest(upstreams),
+                known.digest,
                 list(upstreams.values()),
                 [],
             )
@@ -131,7 +122,7 @@
         return UpstreamDelta(
             base,
             known.version,
-            digest(upstreams),
+            known.digest,
             [upstreams[name] for name in names if name in upstreams],
             [name for name in names if name not in upstreams],
         )
--- a/rowanport/gateway/standing.py
+++ b/rowanport/gateway/standing.py
@@ -45,13 +45,16 @@
 
     @property
     def store_age(self):
-        """Return the seconds since the store answered any router."""
+        """Return the seconds since the store last answered any router."""
         age = self._clock.steady() - self.store_contact.until
         return min(UNKNOWN_AGE, age)
 
     @property
     def store_steady(self):
-        """Return for how many tenths of a second it had done so steadily."""
+        """Return for how long it had done so without an outage.
+
+        In tenths of a second, as peers are told.
+        """
         contact = self.store_contact
         if contact.since == -math.inf:
             return 0
--- a/rowanport/gateway/upstream.py
+++ b/rowanport/gateway/upstream.py
@@ -1,5 +1,9 @@
 """Upstreams as the directory lists them, and the list as a whole."""
 
+import zlib
+
+import msgpack
+
 
 class UpstreamRun:
     """What tells two runs of upstreams apart.
@@ -101,14 +105,27 @@
     :ivar upstreams: Upstream by id
     """
 
-    __slots__ = ("revision", "step", "upstreams")
+    __slots__ = ("revision", "step", "upstreams", "_digest")
 
     def __init__(self, revision=0, upstreams=(), step=0):
         self.revision = revision
         self.step = step
+        self._digest = None
         self.upstreams = {upstream.id: upstream for upstream in upstreams}
 
     @property
     def version(self):
         """Return what is greater for a newer list."""
         return (self.revision, self.step)
+
+    @property
+    def digest(self):
+        """Return a checksum, without what is kept as a guess.
+
+        Routers end their guesses by themselves, each at its own time.
+        """
+        if self._digest is None:
+            listed = self.upstreams.values()
+            rows = [u.fields() for u in listed if not u.lapsing]
+            self._digest = zlib.crc32(msgpack.packb(sorted(rows)))
+        return self._digest
--- a/rowanport/gateway/views.py
+++ b/rowanport/gateway/views.py
@@ -22,7 +22,6 @@
 from ..tasks import TaskSet
 from .askers import Askers
 from .changes import ChangeLog
-from .changes import digest
 from .changes import NO_LIST
 from .changes import UpstreamDelta
 from .followers import followers
@@ -247,9 +246,10 @@
         """
         now = self._clock.steady()
         version = self.upstreams.version
+        duty = followers(self._members)
         packed = {}
         for address, asker in self._askers.recent(now):
-            if address in followers(self._members):
+            if address in duty:
                 continue
             if asker.take_upstreams(version, now):
                 base = asker.upstreams
@@ -362,7 +362,7 @@
         if self.limits is not None:
             self.limits.hear(give.limits, address)
         if give.config_data:
-            self._take_packed(give.config_data, address)
+            self._take_packed_config(give.config_data, address)
         if give.upstream_data:
             self._take_packed_list(give.upstream_data, address)
         if self.on_answer is not None:
@@ -393,12 +393,12 @@
         if upstreams is None:
             return
         # Peers may have concluded different things from the same revision.
-        self._list_wanted = digest(upstreams.upstreams) != delta.digest
+        self._list_wanted = upstreams.digest != delta.digest
         if self._list_wanted:
             LOG.info("upstreams_differ", version=delta.version, peer=address)
         self._take_list(upstreams, address)
 
-    def _take_packed(self, packed, address):
+    def _take_packed_config(self, packed, address):
         """Take over a configuration that a peer handed on."""
         try:
             data = zlib.decompress(packed)
--- a/test/test_changes.py
+++ b/test/test_changes.py
@@ -10,7 +10,6 @@
 from rowanport.gateway.askers import TELL_AGAIN
 from rowanport.gateway.askers import TELL_SECONDS
 from rowanport.gateway.changes import ChangeLog
-from rowanport.gateway.changes import digest
 from rowanport.gateway.changes import NO_LIST
 from rowanport.gateway.changes import UpstreamDelta
 from rowanport.gateway.upstream import Upstream
@@ -92,7 +91,7 @@
                 taken = piece.apply(known)
                 if taken is not None:
                     known = taken
-                    assert digest(known.upstreams) == piece.digest, seed
+                    assert known.digest == piece.digest, seed
         last = giver.tell(known.version)
         if known.version < giver.known.version:
             known = last.apply(known)
@@ -123,17 +122,17 @@
 
 
 def test_what_is_kept_as_a_guess_does_not_make_lists_differ():
-    known = {name: upstream(name) for name in NAMES[:3]}
-    guess = {**known, NAMES[5]: upstream(NAMES[5], lapsing=True)}
-    assert digest(known) == digest(guess)
-    assert digest(known) != digest({**guess, NAMES[6]: upstream(NAMES[6])})
+    known = [upstream(name) for name in NAMES[:3]]
+    guess = [*known, upstream(NAMES[5], lapsing=True)]
+    more = [*guess, upstream(NAMES[6])]
+    assert UpstreamList(1, known).digest == UpstreamList(1, guess).digest
+    assert UpstreamList(1, known).digest != UpstreamList(1, more).digest
 
 
 def test_the_order_of_upstreams_does_not_make_lists_differ():
-    names = NAMES[:5]
-    one = {name: upstream(name) for name in names}
-    other = {name: upstream(name) for name in reversed(names)}
-    assert digest(one) == digest(other)
+    listed = [upstream(name) for name in NAMES[:5]]
+    other = UpstreamList(1, reversed(listed))
+    assert UpstreamList(1, listed).digest == other.digest
 
 
 @pytest.mark.parametrize("data", (b"", b"{}", b"\x00" * 20))
--- a/test/test_named_limits.py
+++ b/test/test_named_limits.py
@@ -80,30 +80,33 @@
     await check_end(world, upstream, 20.0)
 
 
-@crash_test()
-async def test_a_limit_is_kept_while_routers_end_and_start(world):
+async def check_while_routers_end(world, rate, end):
+    """Check that a limit is kept while all routers in turn end and start.
+
+    :param end: coroutine function that ends the router of a host
+    """
     upstream = world.busiest()
-    asking = world.spawn(ask_while_limited(world, upstream, "1.0", 30.0))
+    asking = world.spawn(ask_while_limited(world, upstream, str(rate), 30.0))
     for host in world.hosts:
         await asyncio.sleep(5.0)
-        await world.kill_router(host)
+        await end(host)
         await asyncio.sleep(1.0)
         await world.start_router(host)
     since = await asking
-    assert most_in_window(upstream, since) <= allowed(1.0)
+    assert most_in_window(upstream, since) <= allowed(rate)
+
+
+@crash_test()
+async def test_a_limit_is_kept_while_routers_end_and_start(world):
+    await check_while_routers_end(world, 1.0, world.kill_router)
 
 
 @crash_test()
 async def test_a_limit_is_kept_while_routers_stop_as_planned(world):
-    upstream = world.busiest()
-    asking = world.spawn(ask_while_limited(world, upstream, "10.0", 30.0))
-    for host in world.hosts:
-        await asyncio.sleep(5.0)
+    async def stop(host):
         world.spawn(world.gateways.pop(host).stop())
-        await asyncio.sleep(1.0)
-        await world.start_router(host)
-    since = await asking
-    assert most_in_window(upstream, since) <= allowed(10.0)
+
+    await check_while_routers_end(world, 10.0, stop)
 
 
 @crash_test()
--- a/test/test_peer_connections.py
+++ b/test/test_peer_connections.py
@@ -292,10 +292,7 @@
         await fleet.start()
     await fleet.store.put("servers/two", UPSTREAM)
     await asyncio.sleep(6.3)
-    fleet.store.fault = "silent"
-    await asyncio.sleep(seconds)
-    await fleet.store.remove("servers/two")
-    fleet.store.fault = ""
+    await fleet.remove_in_outage("two", seconds)
     lost = []
     until = loop.time() + 1.0
     while loop.time() < until:
--- a/test/test_returned_entries.py
+++ b/test/test_returned_entries.py
@@ -62,10 +62,7 @@
     for length in (2.5, 4.0, 8.0):
         await fleet.store.put("servers/lapser", UPSTREAM)
         await asyncio.sleep(5.0)
-        fleet.store.fault = "silent"
-        await asyncio.sleep(length)
-        await fleet.store.remove("servers/lapser")
-        fleet.store.fault = ""
+        await fleet.remove_in_outage("lapser", length)
         for _look in range(90):
             await asyncio.sleep(0.02)
             assert who_lists(fleet, "lapser") == fleet.hosts, length
@@ -81,10 +78,7 @@
 async def test_entries_that_stay_missing_after_an_outage_go_everywhere(fleet):
     await fleet.store.put("servers/lapser", UPSTREAM)
     await asyncio.sleep(5.0)
-    fleet.store.fault = "silent"
-    await asyncio.sleep(4.0)
-    await fleet.store.remove("servers/lapser")
-    fleet.store.fault = ""
+    await fleet.remove_in_outage("lapser", 4.0)
     await change_others(fleet, 5.0)
     assert who_lists(fleet, "lapser") == []
 
--- a/test/test_silence.py
+++ b/test/test_silence.py
@@ -132,6 +132,13 @@
         versions = [g.table.version for g in self.gateways.values()]
         return min(versions) < self.version
 
+    async def remove_in_outage(self, name, seconds):
+        """Let the store be silent, and an entry go just before its return."""
+        self.store.fault = "silent"
+        await asyncio.sleep(seconds)
+        await self.store.remove(f"servers/{name}")
+        self.store.fault = ""
+
     async def close(self):
         for gateway in self.gateways.values():
             await gateway.close()
