Send a run once its start is recorded; give back what never started

What callers saw: after a router was killed, an organisation lost the worst case of each request that had waited for its turn there (193 tokens each), for good, though the request was retried, served and billed; the books closed 11 to 13 s after the last answer.

Cause: a router told the home, or the witness of its own reservations, where a run goes without waiting for the answer. A reservation that named no upstream was either one that waited in a lane or one whose start was under way. Nobody could tell them apart, so both were presumed spent after 10 s. Evidence: all 14 presumed reservations of ten fleets have no run_starts line at the killed router; all 76 that engines answered for have one.

Change: the start is recorded, and the answer awaited, before the first byte. What names no upstream has not run: it is given back once its router has seemed dead for 1 s, and a start after that is refused, so a router that was cut off or paused cannot run on it and reserves anew. A new witness is told the upstream with the reservation itself. A run that its engine does not know never arrived if its router's process has surely ended (the port refuses connections) and the engine cannot have been restarted since; else it is presumed spent as before. A refused heartbeat tells that a process has ended, where 8 s of missed ones did.

Ruled out: a start that was untold (0 of 14); a lost bill (none missing); the place before the reservation, and upstreams named in advance: see docs/design/spend.md.

--- a/rowanport/errors.py
+++ b/rowanport/errors.py
@@ -188,6 +188,10 @@
     """A peer did not answer: it may have acted on the message."""
 
 
+class PeerGone(PeerError):
+    """A peer's port refused the connection: its process has ended."""
+
+
 class UpstreamError(RowanportError):
     """A call of an upstream failed.
 
--- a/rowanport/ledger/account.py
+++ b/rowanport/ledger/account.py
@@ -12,8 +12,11 @@
 
     :ivar upstream: where it runs, empty until that is known
     :ivar since: wall time at which it was set aside
-    :ivar presume_at: when it is presumed spent if its entry stays dead and
-        no upstream is known to have its run; None while that is not so
+    :ivar started_at: wall time at which its upstream was named, or None
+    :ivar orphaned_at: wall time at which its router was first found dead;
+        None while it seems alive
+    :ivar gone_at: wall time at which the process of its router was known to
+        have ended, or None
     """
 
     __slots__ = (
@@ -25,7 +28,9 @@
         "deadline",
         "upstream",
         "since",
-        "presume_at",
+        "started_at",
+        "orphaned_at",
+        "gone_at",
     )
 
     def __init__(self, message, now):
@@ -37,7 +42,14 @@
         self.deadline = message.deadline
         self.upstream = ""
         self.since = now
-        self.presume_at = None
+        self.started_at = None
+        self.orphaned_at = None
+        self.gone_at = None
+
+    @property
+    def router(self):
+        """Return the incarnation of the router that has it run."""
+        return self.entry
 
 
 class Account:
--- a/rowanport/ledger/book.py
+++ b/rowanport/ledger/book.py
@@ -7,6 +7,7 @@
 
 import collections
 
+from ..incarnation import incarnation_of
 from ..schema.messages import Reserve
 from ..schema.messages import Settle
 from ..schema.messages import Started
@@ -17,7 +18,9 @@
 
     :ivar home: incarnation that was asked
     :ivar since: wall time at which this router took it in
-    :ivar presume_at: as that of a Reservation
+    :ivar started_at: as that of a Reservation
+    :ivar orphaned_at: as that of a Reservation
+    :ivar gone_at: as that of a Reservation
     :ivar holder: holder that granted it; empty while unanswered
     :ivar settlement: the Settle message, once the run has ended
     :ivar witness: incarnation that remembers it too, if any
@@ -42,7 +45,9 @@
         "upstream",
         "usable",
         "since",
-        "presume_at",
+        "started_at",
+        "orphaned_at",
+        "gone_at",
     )
 
     def __init__(self, request, reservation, budget, tokens, deadline, home):
@@ -60,7 +65,14 @@
         self.upstream = ""
         self.usable = False
         self.since = 0.0
-        self.presume_at = None
+        self.started_at = None
+        self.orphaned_at = None
+        self.gone_at = None
+
+    @property
+    def router(self):
+        """Return the incarnation of the router that has it run."""
+        return incarnation_of(self.holder)
 
     @property
     def owed(self):
@@ -136,11 +148,14 @@
         entry.upstream = upstream
         return Started(reservation, entry.budget, upstream)
 
-    def started(self, message):
-        """Note where a witnessed run went."""
+    def started(self, message, now):
+        """Note where a witnessed run goes; return whether it is known."""
         entry = self._open.get(message.reservation)
-        if entry is not None and entry.witnessed:
-            entry.upstream = message.upstream
+        if entry is None or not entry.witnessed or entry.settlement:
+            return False
+        entry.upstream = message.upstream
+        entry.started_at = now
+        return True
 
     def settle(self, reservation, run, tokens, expiry):
         """Close a reservation and return the Settle message to send.
@@ -163,7 +178,7 @@
         """Forget a reservation whose bill stands in the shard."""
         self._open.pop(reservation, None)
 
-    def witness(self, message):
+    def witness(self, message, now):
         """Remember a reservation that a home made for its own entry.
 
         :returns: False if its holder was attested as dead: it must not be
@@ -181,6 +196,10 @@
         )
         entry.holder = message.holder
         entry.witnessed = True
+        entry.since = now
+        if message.upstream:
+            entry.upstream = message.upstream
+            entry.started_at = now
         self._open[message.reservation] = entry
         return True
 
@@ -194,11 +213,15 @@
             if not entry.witnessed or entry.settlement is not None:
                 continue
             if is_alive(entry.holder):
-                entry.presume_at = None
+                entry.orphaned_at = entry.gone_at = None
             else:
                 orphans.append(entry)
         return orphans
 
+    def is_shunned(self, holder):
+        """Return whether a holder was attested as dead."""
+        return holder in self._shunned
+
     def attest(self, holder):
         """Return what a dead holder's grants still owe for this entry.
 
--- a/rowanport/ledger/client.py
+++ b/rowanport/ledger/client.py
@@ -31,6 +31,9 @@
 SHORT_TIMEOUT = 1.0
 PROBE_AFTER = 0.2
 PROBE_TIMEOUT = 0.2
+# Seconds after which a home or witness that does not record a start is given
+# up, as one that answers no probe is.
+START_TIMEOUT = PROBE_AFTER + PROBE_TIMEOUT
 
 
 class LedgerClient:
@@ -63,12 +66,14 @@
         self._members = members
         self._settings = settings
         self._clock = clock
-        self._resolver = OrphanResolver(resolve, settings.bill_memory, clock)
+        self._resolver = OrphanResolver(
+            resolve, peers, members, settings.bill_memory, clock
+        )
         self._witnessing = Witnessing(
             incarnation, keeper, book, peers, members
         )
         self._resolving = set()
-        self._replacing = set()
+        self._replacing = {}
         self._tasks = TaskSet()
 
     # Reserving
@@ -181,37 +186,65 @@
 
     # Running and settling
 
-    def start(self, entry, upstream):
-        """Tell the home where a run goes, without waiting."""
+    async def start(self, entry, upstream):
+        """Record where a run goes, before its first byte is sent.
+
+        Who settles the reservation should this router die takes a run that
+        names no upstream for one that never began.
+
+        :returns: False if it is not recorded: the run must not be sent, and
+            the reservation is to be given back
+        """
         message = self._book.start(entry.reservation, upstream)
+        if not await self._record_start(entry, message):
+            return False
         LOG.info(
             "run_starts",
             request=entry.request,
             reservation=entry.reservation,
             upstream=upstream,
             home=entry.home,
+            witness=entry.witness,
         )
-        self._tasks.spawn(self._tell(entry.home, message))
-        for witness in entry.asked:
-            self._tasks.spawn(self._tell(witness, message))
-
-    async def _tell(self, home, message):
+        return True
+
+    async def _record_start(self, entry, message):
+        if entry.home != self._incarnation:
+            # Where its home was recovered, only this router remembers it, and
+            # nobody else can give it back.
+            if self._book.is_shunned(entry.holder):
+                return True
+            return await self._tell_start(entry.home, message)
+        await self._keeper.handle(message)
+        replacing = self._replacing.get(entry.reservation)
+        if replacing is not None:
+            # The new witness is told of no upstream yet.
+            await asyncio.wait({replacing})
+        if entry.witness is None:
+            return True
+        if not self._keeper.is_listed(entry):
+            return False
+        return await self._tell_start(entry.witness, message)
+
+    async def _tell_start(self, peer, message):
+        """Tell a home or witness of a start; return whether it recorded it."""
         try:
-            if home == self._incarnation:
-                await self._keeper.handle(message)
-            else:
-                await self._peers.call(
-                    address_of(home), message, SHORT_TIMEOUT
-                )
-        except PeerError as error:
-            # Should this router die, the worst case is presumed of the run.
-            LOG.info(
-                "start_untold",
-                reservation=message.reservation,
-                upstream=message.upstream,
-                peer=home,
-                error=str(error),
+            answer = await self._peers.call(
+                address_of(peer), message, START_TIMEOUT
             )
+        except PeerError as error:
+            self._members.suspect(incarnation_of(peer))
+            answer = Refused(ErrorKind.BUDGET_UNAVAILABLE.value, str(error))
+        if isinstance(answer, Ack):
+            return True
+        LOG.info(
+            "start_unrecorded",
+            reservation=message.reservation,
+            upstream=message.upstream,
+            peer=peer,
+            error=answer.detail,
+        )
+        return False
 
     def release(self, reservation):
         """Give back a reservation whose run surely did not start."""
@@ -271,13 +304,16 @@
     # Witnessed reservations
 
     def handle(self, message):
-        """Take in a Witness or WitnessEnd message."""
+        """Take in a Witness, Started or WitnessEnd message."""
+        now = self._clock.wall()
         if isinstance(message, Witness):
-            if not self._book.witness(message):
+            if not self._book.witness(message, now):
                 return Refused(ErrorKind.BUDGET_UNAVAILABLE.value, "shunned")
-            self._book.get(message.reservation).since = self._clock.wall()
         elif isinstance(message, Started):
-            self._book.started(message)
+            if not self._book.started(message, now):
+                return Refused(
+                    ErrorKind.BUDGET_UNAVAILABLE.value, "not witnessed"
+                )
         else:
             self._book.written(message.reservation)
         return Ack()
@@ -300,14 +336,14 @@
         """Find witnesses for runs that lost theirs."""
         for entry in self._witnessing.unwatched():
             if entry.reservation not in self._replacing:
-                self._replacing.add(entry.reservation)
-                self._tasks.spawn(self._replace_witness(entry))
+                task = self._tasks.spawn(self._replace_witness(entry))
+                self._replacing[entry.reservation] = task
 
     async def _replace_witness(self, entry):
         try:
             await self._witnessing.replace(entry)
         finally:
-            self._replacing.discard(entry.reservation)
+            self._replacing.pop(entry.reservation, None)
 
     async def _resolve_orphan(self, entry):
         try:
@@ -322,6 +358,9 @@
             entry.reservation, result.run, result.tokens, result.expiry
         )
         log_resolved(message, entry.upstream)
+        if not result.tokens:
+            self._book.written(entry.reservation)
+            return
         entry.home = self._next_home(entry)
         self._tasks.spawn(self._settle(entry, message))
 
--- a/rowanport/ledger/holder.py
+++ b/rowanport/ledger/holder.py
@@ -215,12 +215,17 @@
         text = f"{message.tokens} tokens needed, none to be had now"
         return _refused(ErrorKind.BUDGET_EXHAUSTED, text)
 
-    def started(self, message):
-        """Note where a reserved run went."""
+    def started(self, message, now):
+        """Note where a reserved run goes, before it is sent there.
+
+        :returns: Refused if the reservation was given back meanwhile
+        """
         account = self.account(message.budget)
         reservation = account.reserved.get(message.reservation)
-        if reservation is not None:
-            reservation.upstream = message.upstream
+        if reservation is None:
+            return _refused(ErrorKind.BUDGET_UNAVAILABLE, "not reserved")
+        reservation.upstream = message.upstream
+        reservation.started_at = now
         return Ack()
 
     def settle(self, message, now):
--- a/rowanport/ledger/keeper.py
+++ b/rowanport/ledger/keeper.py
@@ -189,7 +189,7 @@
         if isinstance(message, Settle):
             return await self._settle(holder, message, now)
         if isinstance(message, Started):
-            return holder.started(message)
+            return holder.started(message, now)
         if isinstance(message, LendAsk):
             return holder.lend(message, now)
         return Refused(ErrorKind.INTERNAL.value, "unexpected message")
@@ -202,6 +202,16 @@
         holder = self._place(self.shard(entry.budget)).holder
         holder.rename_entry(entry.reservation, entry.budget, entry.witness)
 
+    def is_listed(self, entry):
+        """Return whether the shard lists the witness of an own reservation.
+
+        Who recovers this home's grants asks only those that are listed.
+
+        :param entry: its OpenReservation
+        """
+        holder = self._place(self.shard(entry.budget)).holder
+        return holder.holder == entry.holder and entry.witness in holder.listed
+
     async def _staying(self, holder):
         """Return the shard's holder, kept from leaving if it may be."""
         while holder.leaving and not self._stopping and not holder.stay():
--- a/rowanport/ledger/recoverer.py
+++ b/rowanport/ledger/recoverer.py
@@ -48,7 +48,9 @@
         self._clock = clock
         self._metrics = metrics
         self._book = book
-        self._resolver = OrphanResolver(resolve, settings.bill_memory, clock)
+        self._resolver = OrphanResolver(
+            resolve, peers, members, settings.bill_memory, clock
+        )
         self._attest = attest
         self._resolving = set()
         self._tasks = TaskSet()
@@ -59,7 +61,7 @@
         """Bill the runs of a holder's dead entries by what upstreams say."""
         for reservation in holder.reservations():
             if not self._is_orphan(reservation):
-                reservation.presume_at = None
+                reservation.orphaned_at = reservation.gone_at = None
                 continue
             if reservation.reservation in self._resolving:
                 continue
@@ -93,9 +95,9 @@
                 result.tokens,
                 result.expiry,
             )
-            if holder.settle(message, self._clock.wall()) is None:
-                log_resolved(message, reservation.upstream)
-                self._metrics.resolved_runs.inc({})
+            holder.settle(message, self._clock.wall())
+            log_resolved(message, reservation.upstream)
+            self._metrics.resolved_runs.inc({})
         finally:
             self._resolving.discard(reservation.reservation)
 
--- a/rowanport/ledger/witnessing.py
+++ b/rowanport/ledger/witnessing.py
@@ -8,7 +8,6 @@
 from ..incarnation import address_of
 from ..incarnation import cell_of
 from ..schema.messages import Ack
-from ..schema.messages import Started
 from ..schema.messages import Witness
 from ..schema.messages import WitnessEnd
 from .witnesses import WitnessChoice
@@ -68,6 +67,7 @@
             entry.tokens,
             entry.deadline,
             entry.holder,
+            entry.upstream,
         )
         try:
             answer = await self._peers.call(
@@ -164,18 +164,3 @@
             witness=witness,
         )
         self._keeper.rename_entry(entry)
-        if entry.upstream:
-            await self._tell_start(entry, witness)
-
-    async def _tell_start(self, entry, witness):
-        message = Started(entry.reservation, entry.budget, entry.upstream)
-        try:
-            await self._peers.call(address_of(witness), message, SHORT_TIMEOUT)
-        except PeerError as error:
-            LOG.info(
-                "start_untold",
-                reservation=entry.reservation,
-                upstream=entry.upstream,
-                peer=witness,
-                error=str(error),
-            )
--- a/rowanport/membership/gossip.py
+++ b/rowanport/membership/gossip.py
@@ -6,6 +6,7 @@
 import structlog
 
 from ..errors import PeerError
+from ..errors import PeerGone
 from ..errors import StoreError
 from ..schema.messages import Gossip
 from ..store.directory import ROUTER_ROLE
@@ -27,14 +28,19 @@
     """The asyncio shell of a Membership.
 
     :param on_list: function that is given each reading of the list
+    :param on_gone: function that is given the address of a router whose
+        process has ended
     """
 
-    def __init__(self, members, peers, directory, settings, on_list):
+    def __init__(
+        self, members, peers, directory, settings, on_list, on_gone=None
+    ):
         self._members = members
         self._peers = peers
         self._directory = directory
         self._settings = settings
         self._on_list = on_list
+        self._on_gone = on_gone
 
     async def run(self):
         """Gossip and read the list until cancelled."""
@@ -55,6 +61,10 @@
             answer = await self._peers.call(
                 address, message, GOSSIP_TIMEOUT, repeatable=True
             )
+        except PeerGone:
+            if self._on_gone is not None:
+                self._on_gone(address)
+            return
         except PeerError:
             return
         if isinstance(answer, Gossip):
--- a/rowanport/membership/members.py
+++ b/rowanport/membership/members.py
@@ -299,6 +299,14 @@
         """Return whether a router is remembered, alive or not."""
         return incarnation in self._members
 
+    def is_replaced(self, incarnation):
+        """Return whether a later router is known at the same address."""
+        address = address_of(incarnation)
+        return any(
+            member.address == address and name != incarnation
+            for name, member in self._members.items()
+        )
+
     def is_unheard(self, address):
         """Return whether a listed router was not heard of since the start."""
         return address in self._unheard()
--- a/rowanport/metrics.py
+++ b/rowanport/metrics.py
@@ -64,7 +64,7 @@
             "ledger_recoveries", "Dead holders whose grants were recovered"
         )
         self.resolved_runs = counter(
-            "resolved_runs", "Runs of dead entries billed by their home"
+            "resolved_runs", "Runs of dead entries settled by their home"
         )
         self.policy_failures = counter(
             "policy_failures", "Policy programs that failed at run time"
@@ -83,3 +83,6 @@
         self.reserve = self._histogram(
             "reserve_seconds", "Time to reserve tokens"
         )
+        self.start = self._histogram(
+            "start_seconds", "Time to record a start before it is sent"
+        )
--- a/rowanport/peers.py
+++ b/rowanport/peers.py
@@ -13,6 +13,7 @@
 
 from .errors import MessageError
 from .errors import PeerError
+from .errors import PeerGone
 from .schema import messages
 from .tasks import TaskSet
 from .web import stream
@@ -252,6 +253,7 @@
         :param repeatable: whether it does no harm if the peer takes it
             twice; it is sent again if its connection turns out silent
         :raises PeerError: no answer; the peer may have acted on it
+        :raises PeerGone: its process has ended
         """
         prompt = timeout <= PROMPT_SECONDS
         try:
@@ -325,6 +327,8 @@
             # Not cancelled with its first caller: others wait for it too.
             await asyncio.wait({opening})
             error = "closed" if opening.cancelled() else opening.result()
+            if isinstance(error, ConnectionRefusedError):
+                raise PeerGone(f"{address}: {error}")
             if error is not None:
                 raise PeerError(f"{address}: {error}")
         return peer.connection
--- a/rowanport/router/daemon.py
+++ b/rowanport/router/daemon.py
@@ -122,6 +122,8 @@
             self.directory,
             settings.membership,
             self._take_list,
+            # Its runs are settled now, not once its heartbeats are missed.
+            self.members.suspect_address,
         )
         self.config = ConfigFollower(
             self.store, self.peers, self.members, self._take_config
@@ -279,7 +281,7 @@
         if isinstance(message, (messages.Witness, messages.WitnessEnd)):
             return self.ledger.handle(message)
         if isinstance(message, messages.Started):
-            self.ledger.handle(message)
+            return await self._answer_started(message)
         if isinstance(message, messages.StatusAsk):
             status = json.dumps(self._operators.status()).encode()
             return messages.StatusGive(status)
@@ -288,13 +290,18 @@
             return messages.Ack()
         return await self.keeper.handle(message)
 
+    async def _answer_started(self, message):
+        """Record where a run goes, as its witness or as its home."""
+        answer = self.ledger.handle(message)
+        if isinstance(answer, messages.Ack):
+            return answer
+        return await self.keeper.handle(message)
+
     async def _resolve(self, reservation):
         """Return run and tokens of a dead entry's run once it has ended.
 
-        :raises RunUnknown: its engine answers that it has no such run
+        :raises RunUnknown: its upstream answers that it has no such run
         """
-        if not reservation.upstream:
-            return None
         late = self.clock.wall() > reservation.deadline
         try:
             usage = await self._engines.usage(
@@ -303,7 +310,9 @@
         except UpstreamError:
             return None
         if usage is None:
-            raise RunUnknown(reservation.upstream)
+            raise RunUnknown(
+                reservation.upstream, self._is_engine(reservation.upstream)
+            )
         if usage.finish is None:
             return None
         return usage.run, usage.tokens
@@ -326,6 +335,9 @@
                 self._tasks.spawn(self._read_load(*waiting.pop()))
             await asyncio.sleep(pause)
 
+    def _is_engine(self, address):
+        return any(address == known for _, known in self._engine_addresses())
+
     def _engine_addresses(self):
         groups = self.config.snapshot.groups
         return [
--- a/rowanport/router/runner.py
+++ b/rowanport/router/runner.py
@@ -21,6 +21,7 @@
 
 CLOSE_TRIES = 20
 CLOSE_PAUSE = 0.5
+START_TRIES = 3
 
 
 class Job:
@@ -173,10 +174,12 @@
                 job.call, job.decision, job.key, job.cost, job.size, tried
             )
             claimed = await self._claim(job, upstream)
+            if claimed is None:
+                await self._start(job, upstream)
         except BaseException:
             if upstream is not None:
                 group.release(upstream, 0, 0.0, failed=False)
-            self._release(job)
+            self._release_run(job)
             raise
         if claimed is not None:
             group.release(upstream, 0, 0.0, failed=False)
@@ -190,8 +193,6 @@
         failed = True
         try:
             self._check_not_frozen(job)
-            if job.entry is not None:
-                self._router.ledger.start(job.entry, upstream.address)
             tokens = await self.attempt(job, upstream, responder)
             failed = False
             self._settle(job, job.run, tokens)
@@ -244,6 +245,26 @@
         seconds = self._router.clock.steady() - begun
         self._router.metrics.reserve.observe({}, seconds)
 
+    async def _start(self, job, upstream):
+        """Have the start of a run recorded before it is sent.
+
+        A reservation whose home or witness does not record it was given back,
+        or may be: another one takes its place.
+        """
+        if job.entry is None:
+            return
+        begun = self._router.clock.steady()
+        for _try in range(START_TRIES):
+            if await self._router.ledger.start(job.entry, upstream.address):
+                seconds = self._router.clock.steady() - begun
+                self._router.metrics.start.observe({}, seconds)
+                return
+            self._release(job)
+            await self._reserve(job)
+        raise RequestError(
+            ErrorKind.BUDGET_UNAVAILABLE, "no home records the start"
+        )
+
     def _release_next(self, job):
         """Give back what was set aside for a run that did not follow."""
         if job.next_entry is not None:
--- a/rowanport/schema/messages.py
+++ b/rowanport/schema/messages.py
@@ -521,6 +521,7 @@
     :ivar tokens: tokens set aside
     :ivar deadline: deadline of the request
     :ivar holder: holder whose grant covers them
+    :ivar upstream: address of its upstream, empty if its run has not started
     """
 
     __slots__ = (
@@ -530,16 +531,20 @@
         "tokens",
         "deadline",
         "holder",
+        "upstream",
     )
     KIND = 18
 
-    def __init__(self, request, reservation, budget, tokens, deadline, holder):
+    def __init__(
+        self, request, reservation, budget, tokens, deadline, holder, upstream
+    ):
         self.request = request
         self.reservation = reservation
         self.budget = budget
         self.tokens = tokens
         self.deadline = deadline
         self.holder = holder
+        self.upstream = upstream
 
     def to_wire(self):
         """Return the fields as plain values, in the schema's order."""
@@ -550,12 +555,13 @@
             self.tokens,
             self.deadline,
             self.holder,
+            self.upstream,
         ]
 
     @classmethod
     def from_wire(cls, values):
         """Build one from plain values; raise MessageError if unfit."""
-        check_length(cls, values, 6)
+        check_length(cls, values, 7)
         return cls(
             as_str(values[0]),
             as_str(values[1]),
@@ -563,6 +569,7 @@
             as_int(values[3]),
             as_float(values[4]),
             as_str(values[5]),
+            as_str(values[6]),
         )
 
 
--- a/test/test_membership.py
+++ b/test/test_membership.py
@@ -1,9 +1,16 @@
 """Membership: who is alive, who is home, and what it costs."""
 
+import asyncio
+from unittest import mock
+
 import pytest
 
 from rowanport.clock import ManualClock
+from rowanport.errors import PeerError
+from rowanport.errors import PeerGone
+from rowanport.incarnation import address_of
 from rowanport.membership import Membership
+from rowanport.membership import MembershipLoop
 from rowanport.membership.members import LEAVING
 from rowanport.membership.members import READY
 from rowanport.schema.settings import MembershipSettings
@@ -57,6 +64,25 @@
             self.round(frozen)
 
 
+@pytest.mark.parametrize(
+    "error, gone", ((PeerGone("refused"), True), (PeerError("silent"), False))
+)
+def test_a_router_whose_process_has_ended_is_taken_for_dead_at_once(
+    error, gone
+):
+    # Its runs stayed unsettled until its heartbeats were missed, 8 s later.
+    cell = Cell(2)
+    cell.run(2)
+    one, other = cell.members.values()
+    peers = mock.AsyncMock()
+    peers.call.side_effect = error
+    loop = MembershipLoop(
+        one, peers, None, cell.settings, None, one.suspect_address
+    )
+    asyncio.run(loop._tell(address_of(other.own.incarnation), one._message()))
+    assert one.is_alive(other.own.incarnation) is not gone
+
+
 def test_listed_routers_that_are_not_known_are_greeted_at_once():
     cell = Cell(3)
     one = cell.members["10.0.0.1:1"]
