Ask another home where one was recovered while it was paused

Cause: a home that is paused until another router has recovered its grants wakes and grants from them until it reads that in the store, up to a second later. Its entries may not use such a grant, dropped it, and asked the same home again, four times within milliseconds, then refused. The text named the witness, which was not asked. And what waited for tokens at such a home as it learned of its recovery was refused with the home's answer, 'recovered'.

Change: who is granted what was recovered asks the next home, and logs home_recovered; what waits there is asked again.

Before: both tests fail (refused with the texts above).

--- a/rowanport/ledger/client.py
+++ b/rowanport/ledger/client.py
@@ -119,7 +119,22 @@
                     failure = answer.detail
                     tried.add(home)
                     continue
+                if answer.kind == ErrorKind.NOT_READY.value:
+                    # It begins anew, without what was recovered from it.
+                    failure = answer.detail
+                    continue
                 raise RequestError(ErrorKind(answer.kind), answer.detail)
+            if self._is_recovered(answer):
+                failure = f"{home} was recovered"
+                LOG.info(
+                    "home_recovered",
+                    request=request,
+                    reservation=message.reservation,
+                    holder=answer.holder,
+                )
+                tried.add(home)
+                self.release(message.reservation)
+                continue
             entry = await self._accept(answer, witness)
             if entry is not None:
                 return entry
@@ -131,6 +146,15 @@
             ErrorKind.BUDGET_UNAVAILABLE, f"no home answers: {failure}"
         )
 
+    def _is_recovered(self, answer):
+        """Return whether a home granted what others have recovered from it.
+
+        One that was paused meanwhile learns that by its next read.
+        """
+        if not isinstance(answer, Reserved):
+            return False
+        return self._book.is_shunned(answer.holder)
+
     def _next_untried(self, shard, tried):
         for home in self._members.homes(shard):
             if home not in tried:
--- a/rowanport/ledger/holder.py
+++ b/rowanport/ledger/holder.py
@@ -601,7 +601,7 @@
         self._begin(holder)
         self._touched = True
         for message in waiting:
-            answer = _refused(ErrorKind.BUDGET_UNAVAILABLE, "recovered")
+            answer = _refused(ErrorKind.NOT_READY, "its home was recovered")
             self._answers.append((message, answer))
 
 
--- a/test/test_ledger.py
+++ b/test/test_ledger.py
@@ -1002,6 +1002,57 @@
         world.close()
 
 
+def test_a_home_that_was_recovered_while_it_was_paused_refuses_nobody():
+    # A home was paused until another router had recovered its grants.  Until it
+    # read that in the store it went on to grant from them; nobody may use that,
+    # so each request was refused after four tries at the same home.
+    world = World(seed=1)
+    try:
+        home, entry = add_cell(world, "north", 2)
+        world.add_budget(BUDGET, 1000)
+        world.advance(3.0)
+        world.request(entry, "first", BUDGET, 50, 0.1)
+        world.advance(1.0)
+        world.frozen.add(home.address)
+        world.suspected.add(home.incarnation)
+        world.advance(12.0)
+        world.heal()
+        world.store_cut.add(home.address)
+        asked = reserve(world, entry)
+        world.advance(1.0)
+        assert asked.result().usable
+        world.check()
+    finally:
+        world.close()
+
+
+def test_what_waits_at_a_home_as_it_learns_of_its_recovery_is_not_refused():
+    # The same home, asked by its own callers as it woke: it waits for tokens of
+    # a grant that is gone, and the answer that it was recovered went to the
+    # caller as a refusal.
+    world = World(seed=1)
+    try:
+        home, _other = add_cell(world, "north", 2)
+        world.add_budget(BUDGET, 1000)
+        world.advance(3.0)
+        world.request(home, "first", BUDGET, 50, 0.1)
+        world.advance(1.0)
+        world.frozen.add(home.address)
+        world.suspected.add(home.incarnation)
+        world.advance(12.0)
+        world.suspected.clear()
+        deadline = world.loop.now + 30.0
+        asked = home.client.reserve("large", BUDGET, 600, deadline)
+        asked = world.spawn(home.address, asked)
+        world.advance(0.1)
+        world.heal()
+        world.advance(2.0)
+        assert asked.result().usable
+        world.check()
+    finally:
+        world.close()
+
+
 def test_a_caller_that_goes_away_while_it_waits_for_tokens_leaves_none():
     # A caller's connection closed while its reservation was asked for.  The
     # call was cancelled, and with it all that would have given the tokens
