--- a/test/test_router.py
+++ b/test/test_router.py
@@ -154,6 +154,7 @@
     return headers
 
 
+@keeps_logs
 def test_the_openai_client_gets_whole_and_streamed_answers(site):
     address = site.fleet.routers[0].address
     client = openai.OpenAI(api_key=site.key, base_url=f"http://{address}/v1")
@@ -171,6 +172,7 @@
     assert [model.id for model in client.models.list()] == [MODEL]
 
 
+@keeps_logs
 def test_bad_requests_get_clear_answers_and_do_not_run(site):
     starts = site.counts(site.fleet.engines)
     wrong = site.chat(authorization="Bearer rp.house.wrong")
@@ -215,6 +217,7 @@
     assert answer.startswith(b"HTTP/1.1 " + expected)
 
 
+@keeps_logs
 def test_a_bulletin_runs_once_through_whatever_router(site):
     before = site.counts(site.fleet.services)[0]
     answers = [
@@ -234,6 +237,7 @@
     assert sum(after.values()) - sum(before.values()) == 1
 
 
+@keeps_logs
 def test_a_second_try_of_a_chat_bulletin_gets_the_same_answer(site):
     headers = {
         "idempotency_key": "bulletin-2",
@@ -250,6 +254,7 @@
     check_refusal(other, 422, "key_reused")
 
 
+@keeps_logs
 def test_bulletins_with_a_made_key_go_on_while_the_store_is_out(site):
     platform = site.fleet.platform
     site.run(site.fleet.faults(platform, down=True))
@@ -270,6 +275,7 @@
         site.run(site.fleet.faults(platform, down=False))
 
 
+@keeps_logs
 def test_a_cut_off_router_follows_the_configuration(site):
     fleet = site.fleet
     versions = []
@@ -289,6 +295,7 @@
     assert versions == [version] * len(fleet.routers)
 
 
+@keeps_logs
 def test_a_leaving_engine_gets_nothing_new(site):
     engine, other = site.fleet.engines
     site.run(site.fleet.faults(engine, leaving=True))
@@ -305,6 +312,11 @@
         site.run(site.fleet.faults(engine, leaving=False))
 
 
+def describe(sample):
+    """Return what a caller was answered, for the report of a failure."""
+    return (sample.request, sample.status, sample.error, sample.detail)
+
+
 def check_books(site):
     """Every token that the engines generated is in the ledger, once."""
     assert site.run(site.deployment.settled(30.0))
@@ -321,6 +333,7 @@
     return record
 
 
+@keeps_logs
 def test_a_router_that_froze_and_woke_bills_once(site):
     kind = load.Kind("stream", 1.0, 60, 20, 30, True, True)
     plans = load.make_plans(3, 60, 3.0, [ORGANISATION], 6, [kind])
@@ -336,11 +349,12 @@
     for sample in samples:
         assert sample.own
         if sample.plan.router != 4:
-            assert sample.done, sample.error
+            assert sample.done, describe(sample)
         assert sample.status != 200 or sample.done
     check_books(site)
 
 
+@keeps_logs
 def test_a_stopped_router_cuts_no_stream(site):
     kind = load.Kind("stream", 1.0, 80, 20, 30, True, True)
     plans = load.make_plans(1, 60, 3.0, [ORGANISATION], 6, [kind])
@@ -353,7 +367,7 @@
     samples = site.samples(plans, stop)
     for sample in samples:
         if sample.plan.router != 3:
-            assert sample.done
+            assert sample.done, describe(sample)
         # At the stopping router a request is done or refused, never cut.
         assert sample.status != 200 or sample.done
         assert sample.own
@@ -361,11 +375,7 @@
     assert router.wait() == 0
 
 
-def describe(sample):
-    """Return what a caller was answered, for the report of a failure."""
-    return (sample.request, sample.status, sample.error, sample.detail)
-
-
+@keeps_logs
 @keeps_logs
 def test_a_killed_router_leaves_one_bill_for_each_request(site):
     kind = load.Kind("stream", 1.0, 100, 20, 30, True, True)
@@ -390,6 +400,7 @@
     assert set(record.bills) >= {s.request for s in samples if s.done}
 
 
+@keeps_logs
 def test_the_last_routers_serve_on_and_agree(site):
     for number in (0, 1):
         assert site.chat(router=number)[0] == 200
