Keep a run whose router is back while its engine is asked

Cause: the time since which a router seemed dead is forgotten as it is back; whoever waited for an engine's 'unknown' then added to None, and the task that settles the orphan failed (task_failed in the log). The next second it was tried again, so no token went wrong. Found by reading the change once more.

Change: a router that is back settles its own runs; when a run is presumed spent is a function of its own again.

Before: the test fails (one task failed).

--- a/rowanport/ledger/orphans.py
+++ b/rowanport/ledger/orphans.py
@@ -93,22 +93,21 @@
     async def _resolve_started(self, orphan, now):
         upstream = orphan.upstream
         await self._note_gone(orphan)
-        presume_at = orphan.deadline + PRESUME_AFTER
+        result = unknown = None
         try:
             result = await self._resolve(orphan)
         except RunUnknown as error:
-            if error.remembered and self._never_arrives(orphan, now):
-                return NOT_RUN
-            unknown_at = orphan.orphaned_at + PRESUME_UNKNOWN_AFTER
-            presume_at = min(presume_at, unknown_at)
-            result = None
-        if orphan.upstream != upstream:
-            # It was sent elsewhere meanwhile, so its router lives.
+            unknown = error
+        if orphan.orphaned_at is None or orphan.upstream != upstream:
+            # Its router is back, and may have sent it elsewhere.
             return None
         if result is not None:
             expiry = orphan.deadline + self._bill_memory
             return Resolution(*result, expiry)
-        if self._clock.wall() < presume_at:
+        if unknown is not None and unknown.remembered:
+            if self._never_arrives(orphan, now):
+                return NOT_RUN
+        if self._clock.wall() < _presume_at(orphan, unknown):
             return None
         # Nobody can tell: presume all spent, on no bill.
         return Resolution(orphan.reservation, orphan.tokens, NO_BILL)
@@ -142,6 +141,17 @@
         return False
 
 
+def _presume_at(orphan, unknown):
+    """Return when the run of an orphan is presumed spent.
+
+    :param unknown: the RunUnknown of its upstream, None if it did not answer
+    """
+    late = orphan.deadline + PRESUME_AFTER
+    if unknown is None:
+        return late
+    return min(late, orphan.orphaned_at + PRESUME_UNKNOWN_AFTER)
+
+
 def log_resolved(message, upstream):
     """Log what a dead entry's run is settled with.
 
--- a/test/test_ledger.py
+++ b/test/test_ledger.py
@@ -19,6 +19,7 @@
 from hypothesis.stateful import RuleBasedStateMachine
 import pytest
 
+from rowanport import tasks
 from rowanport.errors import RequestError
 from rowanport.incarnation import address_of
 from rowanport.ledger import holder
@@ -534,9 +535,11 @@
 
 @contextlib.contextmanager
 def presumed_though_never_started():
+    resolve_orphan = orphans.OrphanResolver.resolve
+
     async def resolve(self, orphan):
         if orphan.upstream:
-            return await self._resolve_started(orphan, self._clock.wall())
+            return await resolve_orphan(self, orphan)
         return orphans.Resolution(
             orphan.reservation, orphan.tokens, record.NO_BILL
         )
@@ -899,6 +902,37 @@
         world.close()
 
 
+@pytest.mark.parametrize("own", (False, True), ids=("home", "witness"))
+def test_a_router_that_is_back_while_its_engine_is_asked_keeps_its_run(own):
+    # Found by reading: the time since which it seemed dead was gone by the
+    # time that the engine answered, and what was to settle the run failed.
+    world = World(seed=1)
+
+    async def resolve(reservation):
+        world.suspected.clear()
+        await asyncio.sleep(2.5)
+        raise RunUnknown(reservation.upstream)
+
+    world.resolve = resolve
+    try:
+        home, other = add_cell(world, "north", 2)
+        world.add_budget(BUDGET, 1000)
+        world.advance(3.0)
+        entry = home if own else other
+        asked = reserve(world, entry)
+        world.advance(1.0)
+        assert start(world, entry, asked.result())
+        world.suspected.add(entry.incarnation)
+        with mock.patch.object(tasks.LOG, "error") as failed:
+            world.advance(15.0)
+        failed.assert_not_called()
+        assert world.unsettled
+        assert world.spent == {BUDGET: 0}
+        world.check()
+    finally:
+        world.close()
+
+
 def test_a_start_that_its_witness_does_not_record_is_not_sent():
     # The witness died while the run waited for its turn.  Were it sent all the
     # same, and its router killed, nobody alive would know of the run.
