Cut routers off from all upstreams, in the soak and in memory: fails

What callers saw: first tries at routers that lost their links to all upstreams are refused. Neither the soak nor the tests could do that: the soak's cuts knew the links to the store, to peers, or all.

The soak's plan learns to cut one, half or most of the routers off from all upstreams: packets are dropped (a socket filter on the relays' listening sockets drops new connections by their source, too), all is reset, old connections live while new ones are reset, or all of it comes and goes. A promise compares the rates of first tries.

--- a/soak/caller.py
+++ b/soak/caller.py
@@ -78,8 +78,9 @@
     async def _ask(self):
         ask, patience = self._draw()
         until = time.monotonic() + patience
-        for _try in range(MOST_TRIES):
-            request, retry_after = await self._attempt(ask, until)
+        for number in range(MOST_TRIES):
+            first = number == 0
+            request, retry_after = await self._attempt(ask, until, first)
             left = until - time.monotonic()
             if not self._comes_back(ask, request, retry_after, left):
                 break
@@ -117,9 +118,10 @@
         self._history.requests[request.id] = request
         return request
 
-    async def _attempt(self, ask, until):
+    async def _attempt(self, ask, until, first=True):
         """Send one request; return it and the time to come back."""
         request = self._request(ask, until)
+        request.first = first
         channel = await self._connect()
         if channel is None:
             request.outcome = "unsent"
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -4,6 +4,7 @@
 import signal
 
 from .history import NEVER
+from .history import SEVER
 from .history import STORE
 from .lethal import LethalCaller
 from .plan import LIMITS
@@ -19,6 +20,8 @@
 # Seconds by which the store is slow, and shares of calls that it loses or
 # carries out late.
 STORE_FAULTS = {"slow": 0.24, "lossy": 0.3, "late": 0.5}
+# How long links that come and go are gone, and there.
+FLAP_SECONDS = 1.0
 DIRECTIONS = {"up": (UP,), "down": (DOWN,), "both": (UP, DOWN)}
 
 
@@ -163,6 +166,55 @@
         links, _, direction = step.variant.partition(" ")
         await self._harm(step, links, held=DIRECTIONS[direction])
 
+    async def _do_sever(self, step):
+        """Cut some routers off from all upstreams, unless others are."""
+        if self._world.severed:
+            return
+        self._world.severed = True
+        count, how = step.variant.split()
+        routers = self._routers_from(step.target, count)
+        pairs = [
+            pair
+            for router in routers
+            for pair in self._pairs(router, "upstreams")
+        ]
+        names = [router.name for router in routers]
+        fault = self._world.note(SEVER, names, now(), NEVER)
+        if how == "flap":
+            await self._flap(pairs, step.seconds)
+        else:
+            self._sever(pairs, how)
+            await asyncio.sleep(step.seconds)
+        self._world.relays.recover(pairs)
+        fault.ended = now()
+        self._world.severed = False
+
+    def _sever(self, pairs, how):
+        """Let links hang, or refuse new connections, or reset all."""
+        relays = self._world.relays
+        if how == "hang":
+            relays.hang(pairs)
+            return
+        relays.refuse(pairs)
+        if how == "reset":
+            relays.reset(pairs)
+
+    async def _flap(self, pairs, seconds):
+        """Let links come and go."""
+        until = now() + seconds
+        while now() < until:
+            self._sever(pairs, "reset")
+            await asyncio.sleep(FLAP_SECONDS)
+            self._world.relays.recover(pairs)
+            await asyncio.sleep(FLAP_SECONDS)
+
+    def _routers_from(self, first, count):
+        """Return one, half or most of the routers, from a number on."""
+        routers = self._world.routers
+        many = len(routers)
+        count = {"one": 1, "half": many // 2, "most": many - 1}[count]
+        return [routers[(first + n) % many] for n in range(max(1, count))]
+
     async def _harm(self, step, links, **change):
         """Change how bytes fare on a router's links for some time."""
         pairs = self._pairs(self._router(step), links)
--- a/soak/history.py
+++ b/soak/history.py
@@ -12,6 +12,8 @@
 # A link that is slow with a load of its own: it excuses late answers, but no
 # work for an upstream that left.
 FULL = "full"
+# The links of routers to all upstreams are lost; they stay in touch.
+SEVER = "sever"
 
 
 class Record:
@@ -51,6 +53,7 @@
         caller closed it
     :ivar signed: whether an upstream's signature came with it
     :ivar wrong: how the answer is not the request's own, "" if it is
+    :ivar first: whether it is its caller's first try
     """
 
     __slots__ = (
@@ -69,6 +72,7 @@
         "outcome",
         "signed",
         "wrong",
+        "first",
     )
 
     defaults = {
@@ -85,6 +89,7 @@
         "outcome": "",
         "signed": False,
         "wrong": "",
+        "first": True,
     }
 
 
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -68,6 +68,8 @@
     "pause": 1,
     "config": 2,
 }
+# Routers that lose their links to all upstreams, beside stops and kills.
+SEVERED = {"sever": 7, "term": 2, "kill": 1, "config": 1, "leave": 1}
 # Links that are full, of routers that hear of upstreams that leave.
 LINKS = {"full": 5, "leave": 8, "config": 1, "store_away": 2, "term": 1}
 THEMES["all"] = {
@@ -89,6 +91,7 @@
     "pause": (0.3, 4.0),
     "lethal": (8.0, 20.0),
     "limit": (5.0, 15.0),
+    "sever": (6.0, 12.0),
 }
 # Kinds that strike all routers: in a large fleet there are more steps, but not
 # more of these, or nobody would ever be in touch.
@@ -102,6 +105,7 @@
     "store_slow",
     "store_lossy",
     "store_late",
+    "sever",
 )
 SMALL_FLEET = 10
 UPSTREAM_KINDS = ("leave", "crash", "pause", "lethal", "limit")
@@ -120,6 +124,12 @@
     "leave": ("draining", "draining", "gone"),
     "pause": ("all", "streams", "newest"),
     "limit": tuple(LIMITS),
+    # How many routers, and how their links fail.
+    "sever": tuple(
+        f"{count} {how}"
+        for count in ("one", "half", "most")
+        for how in ("hang", "reset", "refuse", "flap")
+    ),
 }
 CLOCK_JUMPS = (-30.0, -5.0, -2.0, 2.0, 5.0, 30.0)
 # Seconds between the stops of a series over the whole fleet.
@@ -159,6 +169,7 @@
 THEMES["lethal"] = LETHAL
 THEMES["limits"] = LIMITED
 THEMES["links"] = LINKS
+THEMES["severed"] = SEVERED
 
 
 def choose_theme(seed):
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -8,8 +8,10 @@
 import bisect
 
 from .history import FULL
+from .history import NEVER
 from .history import Record
 from .history import RELOAD
+from .history import SEVER
 from .history import STOP
 from .history import STORE
 from .upstream import LETHAL
@@ -38,6 +40,12 @@
 LIMIT_WINDOW = 4.0
 LIMIT_FACTOR = 1.5
 LIMIT_SLACK = 5
+# What routers that are cut off from all upstreams serve of first tries at
+# least, as a share of what the others serve; and how many may fail: some, and
+# a share of all.
+SEVERED_SHARE = 2 / 3
+SEVERED_FAILURES = 10
+SEVERED_FAILED_SHARE = 1 / 50
 # Crashes under a request after which it is to be known, and runs of it later.
 MOST_CRASHES = 3
 MOST_LATE_RUNS = 3
@@ -140,7 +148,7 @@
             if request is None:
                 continue
             if history.in_touch(
-                request.router, request.sent_at, run.arrived_at, (FULL,)
+                request.router, request.sent_at, run.arrived_at, (FULL, SEVER)
             ):
                 evidence = (
                     f"{run.request} from {request.router} reached "
@@ -320,7 +328,7 @@
             continue
         late = probe.sent_at - version.taken_at
         if late > history.bounds.apply and history.in_touch(
-            probe.router, probe.sent_at, probe.ended_at
+            probe.router, probe.sent_at, probe.ended_at, (SEVER,)
         ):
             evidence = (
                 f"{probe.router} doesn't know version {probe.version} "
@@ -451,6 +459,63 @@
                 break
 
 
+def check_severed(history):
+    """Routers cut off from all upstreams serve nearly as often as others.
+
+    Counted are first tries at routers that nothing else disturbs.  A caller
+    that left in the middle of an answer says nothing.
+    """
+    for cut in history.faults:
+        if cut.kind != SEVER or cut.ended == NEVER:
+            continue
+        there = {True: [], False: []}
+        tries = _first_tries(history, cut)
+        if any(request.ended_at == NEVER for request in tries):
+            continue
+        for request in tries:
+            severed = request.router in cut.targets
+            # While another cut strikes the others there is nothing to compare.
+            if severed or not _severed(history, request):
+                there[severed].append(request.status == 200)
+        served, missed = sum(there[True]), there[True].count(False)
+        others, count = sum(there[False]), len(there[False])
+        few = served * count < SEVERED_SHARE * others * len(there[True])
+        most = SEVERED_FAILURES + SEVERED_FAILED_SHARE * len(tries)
+        if few and missed > most:
+            names = " ".join(sorted(cut.targets))
+            evidence = (
+                f"cut off from all upstreams at {names}: {served} of "
+                f"{served + missed} first tries served, at the others "
+                f"{others} of {count}"
+            )
+            yield Finding("severed", cut.ended, evidence)
+
+
+def _first_tries(history, cut):
+    """Return the first tries during a cut at routers otherwise in touch."""
+    begun = cut.begun + history.bounds.contact
+    return [
+        request
+        for request in history.requests.values()
+        if request.first
+        and begun <= request.sent_at <= cut.ended
+        and not (request.outcome == "left" and request.status == 200)
+        and history.in_touch(
+            request.router, request.sent_at, request.ended_at, (SEVER,)
+        )
+    ]
+
+
+def _severed(history, request):
+    """Return whether any cut from the upstreams strikes its router."""
+    begun = request.sent_at - history.bounds.contact
+    return any(
+        fault.touches(request.router, begun, request.ended_at)
+        for fault in history.faults
+        if fault.kind == SEVER
+    )
+
+
 def check_blamed(history):
     """No request is refused for good that crashes nothing."""
     for request in history.requests.values():
@@ -477,6 +542,7 @@
     check_lethal,
     check_blamed,
     check_limits,
+    check_severed,
 )
 
 
--- a/soak/relay.py
+++ b/soak/relay.py
@@ -19,7 +19,13 @@
 # A socket option of Linux that needs no privilege, and a filter's one
 # instruction: take no byte of any packet.
 SO_ATTACH_FILTER = 26
+SO_DETACH_FILTER = 27
 DROP_ALL = struct.pack("HBBI", 0x06, 0, 0, 0)
+# Instructions of a filter: load a packet's source IP number, compare it, and
+# take the whole packet.
+LOAD_SOURCE = struct.pack("HBBI", 0x20, 0, 0, 0xFFF00000 + 12)
+EQUALS = 0x15
+TAKE_ALL = struct.pack("HBBI", 0x06, 0, 0, 0xFFFFFFFF)
 # Lingering for no time makes the kernel reset a connection that is closed.
 RESET = struct.pack("ii", 1, 0)
 
@@ -29,13 +35,15 @@
 
     :ivar delay: seconds by which each piece is late
     :ivar held: directions that are cut
+    :ivar refuses: whether new connections are reset at once
     """
 
-    __slots__ = ("delay", "held")
+    __slots__ = ("delay", "held", "refuses")
 
     def __init__(self):
         self.delay = 0.0
         self.held = set()
+        self.refuses = False
 
 
 class _Connection:
@@ -86,6 +94,14 @@
             for _reader, writer in (self._near, self._far):
                 _drop_all(writer)
 
+    def hang(self):
+        """Let no packet of the source arrive any more."""
+        _drop_all(self._near[1])
+
+    def recover(self):
+        """Let packets of the source arrive again."""
+        _detach_filter(self._near[1].get_extra_info("socket"))
+
     def abort(self):
         """Reset both ends."""
         for _reader, writer in (self._near, self._far):
@@ -105,11 +121,36 @@
     sock = writer.get_extra_info("socket")
     if sock is None or sock.fileno() < 0:
         return
-    code = ctypes.create_string_buffer(DROP_ALL)
-    program = struct.pack("HP", 1, ctypes.addressof(code))
+    _attach_filter(sock, [DROP_ALL])
+
+
+def _drop_sources(sock, addresses):
+    """Let a listening socket's kernel drop all from some IP numbers."""
+    if not addresses:
+        _detach_filter(sock)
+        return
+    program = [LOAD_SOURCE]
+    for left, address in zip(range(len(addresses), 0, -1), addresses):
+        number = int.from_bytes(socket.inet_aton(address), "big")
+        # On a match it skips to the last instruction.
+        program.append(struct.pack("HBBI", EQUALS, left, 0, number))
+    _attach_filter(sock, [*program, TAKE_ALL, DROP_ALL])
+
+
+def _attach_filter(sock, instructions):
+    code = ctypes.create_string_buffer(b"".join(instructions))
+    program = struct.pack("HP", len(instructions), ctypes.addressof(code))
     sock.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, program)
 
 
+def _detach_filter(sock):
+    """Let a socket take all again, whether or not it has a filter."""
+    if sock is None or sock.fileno() < 0:
+        return
+    with contextlib.suppress(FileNotFoundError):
+        sock.setsockopt(socket.SOL_SOCKET, SO_DETACH_FILTER, 0)
+
+
 class Relays:
     """All relays of a world.
 
@@ -120,7 +161,10 @@
         self._names = names
         self._links = {}
         self._open = set()
-        self._servers = []
+        # Listening sockets by target.
+        self._servers = {}
+        # Pairs of source and target whose packets are dropped.
+        self._hanging = set()
         self._changed = asyncio.Event()
 
     async def add(self, target, address, destination):
@@ -131,10 +175,13 @@
             await self._serve(source, target, destination, reader, writer)
 
         server = await asyncio.start_server(serve, *address, backlog=1024)
-        self._servers.append(server)
+        self._servers[target] = server
         return server
 
     async def _serve(self, source, target, destination, reader, writer):
+        if self.link(source, target).refuses:
+            _reset(writer)
+            return
         try:
             far = await asyncio.open_connection(*destination)
         except OSError:
@@ -186,13 +233,50 @@
         for connection in self._chosen(pairs):
             connection.silence(acknowledged)
 
+    # Links that are lost for some time
+
+    def hang(self, pairs):
+        """Drop all packets of links, of new connections too."""
+        self.change(pairs, held=(UP, DOWN))
+        self._hanging.update(pairs)
+        for connection in self._chosen(pairs):
+            connection.hang()
+        self._filter_sources()
+
+    def refuse(self, pairs):
+        """Reset new connections of links; open ones live."""
+        for pair in pairs:
+            self.link(*pair).refuses = True
+
+    def recover(self, pairs):
+        """End what hang() and refuse() did to links."""
+        for pair in pairs:
+            self.link(*pair).refuses = False
+        hanging = self._hanging & set(pairs)
+        self._hanging -= hanging
+        self._filter_sources()
+        for connection in self._chosen(hanging):
+            connection.recover()
+        self.change(hanging)
+
+    def _filter_sources(self):
+        """Let listening sockets drop what comes over hanging links."""
+        for target, server in self._servers.items():
+            addresses = [
+                address
+                for address, name in self._names.items()
+                if (name, target) in self._hanging
+            ]
+            for sock in server.sockets:
+                _drop_sources(sock, addresses)
+
     def _chosen(self, pairs):
         pairs = set(pairs)
         return [c for c in self._open if (c.source, c.target) in pairs]
 
     def close(self):
         """Stop all relays."""
-        for server in self._servers:
+        for server in self._servers.values():
             server.close()
         self.change(list(self._links))
         for connection in list(self._open):
--- a/soak/shapes.py
+++ b/soak/shapes.py
@@ -148,6 +148,7 @@
         paid=1500,
     ),
     "limits": Shape(upstreams=6, paid=1500),
+    "severed": Shape(upstreams=6, faulty=6, paid=1500),
     # Callers wait long enough to be served through a full link.
     "links": Shape(upstreams=6, paid=1500, patience=(5.0, 8.0)),
     "callers": Shape(
--- a/soak/world.py
+++ b/soak/world.py
@@ -55,6 +55,7 @@
     :ivar shape: the Shape of its traffic
     :ivar failures: exceptions of the soak's own tasks
     :ivar full_links: routers whose links are full
+    :ivar severed: whether routers are cut off from all upstreams
     """
 
     def __init__(self, seed, seconds, routers, shape, directory, broken):
@@ -68,6 +69,7 @@
         self.operator = Operator(self, seed, seconds)
         self.failures = []
         self.full_links = 0
+        self.severed = False
         self._tasks = TaskSet()
         self._random = random.Random(f"world {seed}")
         self._count = routers
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -29,6 +29,7 @@
 from soak.history import Readiness
 from soak.history import Request
 from soak.history import Run
+from soak.history import SEVER
 from soak.history import STORE
 from soak.history import Version
 from soak.plan import choose_theme
@@ -55,6 +56,11 @@
     "lethal": ("--theme", "lethal", *SHORT, "--seed", "900"),
     "limits": ("--theme", "limits", *SHORT, "--seed", "950"),
     "links": ("--theme", "links", *SHORT, "--seed", "1000"),
+    # Cut-off routers served 3 of 32 first tries, the others 155 of 158.
+    "severed": (
+        *("--theme", "severed", "--processes", "6"),
+        *("--seconds", "30", "--calm", "14", "--seed", "2000"),
+    ),
 }
 BROKEN = ("--calm", "15.5", "--seed", "1")
 # Seconds of faults that a variant is given to be found in.
@@ -839,6 +845,92 @@
     assert "limit" not in found(history)
 
 
+# Routers that are cut off from all upstreams
+
+
+def add_tries(history, router, served, missed, at=104.0):
+    """Add first tries at a router, served and refused ones."""
+    for number in range(served + missed):
+        add_request(
+            history,
+            f"{router}-{number}",
+            router=router,
+            sent_at=at,
+            ended_at=at + 0.1,
+            status=200 if number < served else 503,
+        )
+
+
+def severed_history(served, missed):
+    """Return a History of a cut, with tries at r0 (cut off) and at r1."""
+    history = History()
+    fault = Fault(SEVER, frozenset(["r0"]), 100.0, 110.0)
+    history.faults.append(fault)
+    add_tries(history, "r0", served, missed)
+    add_tries(history, "r1", 30, 0)
+    return history
+
+
+@pytest.mark.parametrize(
+    "served, missed, expected",
+    [(18, 12, 1), (20, 10, 0), (0, 11, 1), (0, 10, 0)],
+)
+def test_cut_off_routers_serve_nearly_as_often_as_others(
+    served, missed, expected
+):
+    history = severed_history(served, missed)
+    assert found(history).count("severed") == expected
+
+
+def test_the_first_seconds_of_a_cut_and_disturbed_routers_do_not_count():
+    history = severed_history(0, 0)
+    add_tries(history, "r0", 0, 30, at=102.9)
+    assert found(history) == []
+    history = severed_history(0, 30)
+    assert found(history) == ["severed"]
+    history.faults.append(Fault("kill", frozenset(["r0"]), 103.0, 104.0))
+    assert found(history) == []
+
+
+def test_a_cut_off_router_stays_bound_by_other_promises():
+    history = severed_history(0, 0)
+    history.versions.append(Version(2, 90.0, 90.0, {}))
+    history.probes.append(Probe("r0", 1, 2, 105.0, 105.1, False))
+    assert found(history) == ["configuration"]
+
+
+def test_a_hanging_link_takes_no_new_connection_and_recovers(loop):
+    async def check(relays, connect):
+        old = await connect()
+        assert await answers(old) == b"x"
+        relays.hang(LINK)
+        assert await answers(old) is None
+        with pytest.raises(asyncio.TimeoutError):
+            async with asyncio.timeout(0.5):
+                await connect()
+        relays.recover(LINK)
+        assert await answers(await connect(), 2.0) == b"x"
+        async with asyncio.timeout(3.0):
+            assert await old[0].read(100) == b"x"
+
+    loop.run_until_complete(with_relay(check))
+
+
+def test_a_refusing_link_lets_open_connections_live(loop):
+    async def check(relays, connect):
+        old = await connect()
+        assert await answers(old) == b"x"
+        relays.refuse(LINK)
+        with pytest.raises(ConnectionError):
+            reader, _writer = await connect()
+            await reader.read(100)
+        assert await answers(old) == b"x"
+        relays.recover(LINK)
+        assert await answers(await connect()) == b"x"
+
+    loop.run_until_complete(with_relay(check))
+
+
 # Real routers
 
 
--- a/test/virtual_net.py
+++ b/test/virtual_net.py
@@ -70,9 +70,12 @@
         self._loop = loop
         self._closed = False
         self._sent = collections.deque()
+        self.unacknowledged = 0
 
     def write(self, data):
         """Send bytes, unless the connection is silent."""
+        if self._link.silent:
+            self.unacknowledged += len(data)
         if not self._closed:
             self._later(self.other.receive, bytes(data))
 
@@ -198,6 +201,8 @@
         self._links = []
         self._waits = {}
         self._cut = set()
+        self._hanging = set()
+        self._refusing = set()
         self._tasks = set()
 
     async def listen(self, handle, host, port, limit, backlog):
@@ -211,6 +216,10 @@
         await asyncio.sleep(self.delay(own, host) + self.delay(host, own))
         if (own, host) in self._cut:
             raise ConnectionResetError(errno.ECONNRESET, "reset by peer")
+        if (own, host) in self._hanging:
+            await self._loop.create_future()
+        if (own, host) in self._refusing:
+            raise ConnectionRefusedError(errno.ECONNREFUSED, "refused")
         if (host, port) not in self._servers:
             raise ConnectionRefusedError(errno.ECONNREFUSED, "refused")
         handle, context = self._servers[host, port]
@@ -244,6 +253,26 @@
         """Let a host take the connections of another one again."""
         self._cut.discard((source, target))
 
+    def sever(self, source, target, how):
+        """Cut a host off from another one, which reaches all others.
+
+        :param how: "hang", "reset", or "refuse": open connections live and
+            new ones are refused
+        """
+        if how == "hang":
+            self._hanging.add((source, target))
+            self.silence(lambda *names: names == (source, target))
+            return
+        self._refusing.add((source, target))
+        if how == "reset":
+            self.cut(source, target)
+            self.join(source, target)
+
+    def recover(self, source, target):
+        """Let a host reach another one again with new connections."""
+        self._hanging.discard((source, target))
+        self._refusing.discard((source, target))
+
     def delay(self, source, target):
         """Return the seconds that bytes take from one host to another."""
         _inward, outward = self._waits.get(source, (0.0, 0.0))
@@ -266,6 +295,9 @@
     def installed(self):
         """Take the place of the machine's network meanwhile."""
         with mock.patch.multiple(
-            stream, connect=self.connect, listen=self.listen
+            stream,
+            connect=self.connect,
+            listen=self.listen,
+            unacknowledged=lambda end: end.unacknowledged,
         ):
             yield self
