Web: connections are opened by a Connector, and say why they failed

"cannot be reached" stood for a refused connection, a time-out and a reset, so the log of the incident could not tell an upstream that is down from a link that hangs. The message names the cause. Opening moves out of the client, so that a connection may take another path than the own link.

--- a/rowanport/gateway/daemon.py
+++ b/rowanport/gateway/daemon.py
@@ -20,7 +20,7 @@
 from ..tasks import TaskSet
 from ..web import HttpClient
 from ..web import HttpServer
-from ..web.client import Keepalive
+from ..web.connector import Keepalive
 from ..web.server import HttpLimits
 from ..wire import PeerServer
 from .blocklist import Blocklist
--- a/rowanport/platform/__main__.py
+++ b/rowanport/platform/__main__.py
@@ -18,7 +18,7 @@
 from ..errors import SettingsError
 from ..gateway import Gateway
 from ..web import HttpClient
-from ..web.client import Keepalive
+from ..web.connector import Keepalive
 from .config import decode_config
 from .directory import RouterDirectory
 from .settings import read_settings
--- a/rowanport/router/daemon.py
+++ b/rowanport/router/daemon.py
@@ -38,7 +38,7 @@
 from ..upstreams import EngineClient
 from ..upstreams import ServiceClient
 from ..web import HttpClient
-from ..web.client import Keepalive
+from ..web.connector import Keepalive
 from ..wire import PeerServer
 from ..wire import Traffic
 from .callers import CallerServer
--- a/rowanport/web/client.py
+++ b/rowanport/web/client.py
@@ -4,15 +4,14 @@
 import enum
 import errno
 import json
-import socket
 
 import h11
 
-from . import stream
 from ..errors import ConnectionEnded
 from ..errors import ConnectionRefused
 from ..errors import ConnectionSilent
 from ..errors import UpstreamError
+from .connector import DirectConnector
 from .patience import NO_PATIENCE
 from .patience import wait_patiently
 
@@ -28,37 +27,6 @@
 SETTLE_SECONDS = 0.02
 
 
-class Keepalive:
-    """How fast a connection to a silent host is given up by the kernel.
-
-    :ivar idle: seconds without a byte before it is probed
-    :ivar interval: seconds between two probes
-    :ivar probes: probes without an answer after which it is dropped
-    """
-
-    __slots__ = ("idle", "interval", "probes")
-
-    def __init__(self, idle=1, interval=1, probes=2):
-        self.idle = idle
-        self.interval = interval
-        self.probes = probes
-
-    @property
-    def patience(self):
-        """Return the seconds of silence after which it is dropped."""
-        return self.idle + self.interval * self.probes
-
-    def apply(self, sock):
-        """Set the options of a socket."""
-        longest = 1000 * self.patience
-        level = socket.IPPROTO_TCP
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-        sock.setsockopt(level, socket.TCP_KEEPIDLE, self.idle)
-        sock.setsockopt(level, socket.TCP_KEEPINTVL, self.interval)
-        sock.setsockopt(level, socket.TCP_KEEPCNT, self.probes)
-        sock.setsockopt(level, socket.TCP_USER_TIMEOUT, longest)
-
-
 class Listening(enum.Enum):
     """What became of connections that were opened to an address."""
 
@@ -69,20 +37,29 @@
 
 
 class _Connection:
-    """One open connection and its protocol state."""
+    """One open connection and its protocol state.
+
+    :ivar path: its Path
+    :ivar sent_at: the event loop's time at which the last request was sent
+    :ivar released_at: the event loop's time at which it became idle
+    """
 
     __slots__ = (
+        "path",
         "reader",
         "writer",
         "state",
         "spoiled",
         "request",
+        "sent_at",
         "released_at",
     )
 
-    def __init__(self, reader, writer):
-        self.reader = reader
-        self.writer = writer
+    def __init__(self, path):
+        self.path = path
+        self.reader = path.reader
+        self.writer = path.writer
+        self.sent_at = None
         self.released_at = None
         self.request = None
         self.spoiled = False
@@ -214,11 +191,14 @@
     """Sends requests to upstreams and the platform by address.
 
     :param connect_timeout: longest wait for a connection in seconds
-    :param keepalive: a Keepalive, or None for the kernel's habits
+    :param keepalive: a Keepalive, or None for the kernel's defaults
+    :param connector: a Connector, by default one over the own link
     """
 
-    def __init__(self, connect_timeout=1.0, keepalive=None):
-        self._connect_timeout = connect_timeout
+    def __init__(self, connect_timeout=1.0, keepalive=None, connector=None):
+        self._connector = connector or DirectConnector(
+            connect_timeout, keepalive
+        )
         self._keepalive = keepalive
         self._idle = {}
         self.opened = 0
@@ -379,19 +359,9 @@
             connection.unwatch()
             if not connection.spoiled and not connection.reader.ended:
                 return connection
-        host, _, port = address.rpartition(":")
-        try:
-            async with asyncio.timeout(self._connect_timeout):
-                reader, writer = await stream.connect(host, int(port))
-        except ConnectionRefusedError:
-            raise ConnectionRefused(f"{address} cannot be reached") from None
-        except (OSError, asyncio.TimeoutError):
-            message = f"{address} cannot be reached"
-            raise UpstreamError(message, started=False) from None
+        path = await self._connector.open(address)
         self.opened += 1
-        if self._keepalive is not None:
-            self._keepalive.apply(writer.get_extra_info("socket"))
-        return _Connection(reader, writer)
+        return _Connection(path)
 
     def _send(self, connection, address, method, path, body, headers):
         head = [("content-length", str(len(body))), *headers]
--- /dev/null
+++ b/rowanport/web/connector.py
@@ -0,0 +1,132 @@
+"""Opens the connections that an HttpClient uses."""
+
+import abc
+import asyncio
+import socket
+
+from . import stream
+from ..errors import ConnectionRefused
+from ..errors import UpstreamError
+
+
+class Keepalive:
+    """How fast a connection to a silent host is given up by the kernel.
+
+    :ivar idle: seconds without a byte before it is probed
+    :ivar interval: seconds between two probes
+    :ivar probes: probes without an answer after which it is dropped
+    """
+
+    __slots__ = ("idle", "interval", "probes")
+
+    def __init__(self, idle=1, interval=1, probes=2):
+        self.idle = idle
+        self.interval = interval
+        self.probes = probes
+
+    @property
+    def patience(self):
+        """Return the seconds of silence after which it is dropped."""
+        return self.idle + self.interval * self.probes
+
+    def apply(self, sock):
+        """Set the options of a socket.
+
+        The user timeout decides when probes give up, whatever their count, so
+        it is the time that all of them take.
+        """
+        longest = 1000 * self.patience
+        level = socket.IPPROTO_TCP
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        sock.setsockopt(level, socket.TCP_KEEPIDLE, self.idle)
+        sock.setsockopt(level, socket.TCP_KEEPINTVL, self.interval)
+        sock.setsockopt(level, socket.TCP_KEEPCNT, self.probes)
+        sock.setsockopt(level, socket.TCP_USER_TIMEOUT, longest)
+
+
+class Path:
+    """An open connection to an address, and the way that it takes.
+
+    :ivar address: IP and port of the upstream
+    :ivar reader: its WatchedReader
+    :ivar writer: its StreamWriter
+    :ivar relay: peer address of the router that relays it, None if direct
+    :ivar opened_at: the event loop's time at which it was opened
+    :ivar answered: whether the head of an answer has arrived on it
+    """
+
+    __slots__ = (
+        "address",
+        "reader",
+        "writer",
+        "relay",
+        "opened_at",
+        "answered",
+    )
+
+    def __init__(self, address, reader, writer, relay=None):
+        self.address = address
+        self.reader = reader
+        self.writer = writer
+        self.relay = relay
+        self.opened_at = asyncio.get_running_loop().time()
+        self.answered = False
+
+
+class Connector(abc.ABC):
+    """Opens connections to addresses, and learns what became of them."""
+
+    @abc.abstractmethod
+    async def open(self, address):
+        """Return a Path to an address.
+
+        :param address: IP and port
+        :raises ConnectionRefused: nobody listens there
+        :raises UpstreamError: it cannot be reached; nothing was sent
+        """
+
+    def may_reuse(self, path):
+        """Return whether an idle Path may be used for another request."""
+        return True
+
+    def record_answer(self, path):
+        """Record that the head of an answer arrived on a Path."""
+
+    def record_failure(self, path, reason):
+        """Record that a Path failed before any answer arrived on it.
+
+        :param reason: how it failed, for the log
+        """
+
+
+class DirectConnector(Connector):
+    """Opens connections over the router's own link.
+
+    :param timeout: longest wait for a connection in seconds
+    :param keepalive: a Keepalive, or None for the kernel's defaults
+    """
+
+    def __init__(self, timeout, keepalive=None):
+        self._timeout = timeout
+        self._keepalive = keepalive
+
+    async def open(self, address):
+        host, _, port = address.rpartition(":")
+        try:
+            async with asyncio.timeout(self._timeout):
+                reader, writer = await stream.connect(host, int(port))
+        except ConnectionRefusedError:
+            message = f"{address} cannot be reached: connection refused"
+            raise ConnectionRefused(message) from None
+        except asyncio.TimeoutError:
+            message = (
+                f"{address} cannot be reached: no connection within "
+                f"{self._timeout} s"
+            )
+            raise UpstreamError(message, started=False) from None
+        except OSError as error:
+            message = f"{address} cannot be reached: {error}"
+            raise UpstreamError(message, started=False) from None
+        if self._keepalive is not None:
+            self._keepalive.apply(writer.get_extra_info("socket"))
+        return Path(address, reader, writer)
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -14,7 +14,7 @@
 from bench.ports import free_ports
 from rowanport.standins.upstream import ID_HEADER
 from rowanport.standins.upstream import STAMP_HEADER
-from rowanport.web.client import Keepalive
+from rowanport.web.connector import Keepalive
 from rowanport.web.stream import listen
 from soak import promises
 from soak.broken import VARIANTS
