Reach upstreams through peers while the own link to them is lost

What callers saw: nearly all first tries at routers that had lost their links to all upstreams were refused, and such routers told their peers that the upstreams had crashed.

Cause: a router's only way to an upstream is its own link, and what it sees on that link it takes for the state of the upstream.

Change: an UpstreamLinks keeps apart the own link and the upstream. Once a connection over the own link fails, the next ones go through a tunnel: a connection to a peer that reaches the upstream, on which all bytes pass unchanged. Tokens, retries, at most once, streams and deadlines stay with the router that took the request. Two upstreams that peers reach and this router does not show that it is cut off; from then on it tries no link until a probe succeeds, and longer where links come and go. A hang shows by what the kernel sees unacknowledged, or by health checks that are not answered. A crash counts only if a peer confirms that nobody listens.

Ruled out: readiness (two missed questions take too long, and is ignored where most routers of a data centre are out); handing the request itself to a peer (its tokens, its start and its stream would have two owners).

The stand-in answers health checks as the platform's upstreams do.

--- a/rowanport/errors.py
+++ b/rowanport/errors.py
@@ -196,11 +196,13 @@
     """A call of an upstream failed.
 
     :param started: whether the upstream may have started the work
+    :ivar path: the Path on which it failed, None if there was none
     """
 
     def __init__(self, detail, started=True):
         super().__init__(detail)
         self.started = started
+        self.path = None
 
 
 class ConnectionEnded(UpstreamError):
--- a/rowanport/gateway/attempt.py
+++ b/rowanport/gateway/attempt.py
@@ -70,6 +70,11 @@
         """Return whether the head of its answer has arrived."""
         return self.answer is not None
 
+    @property
+    def path(self):
+        """Return the Path of its answer, None until its head has arrived."""
+        return self.answer and self.answer.path
+
     @property
     def forwarding(self):
         """Return whether its answer is being forwarded."""
--- a/rowanport/gateway/crash_guard.py
+++ b/rowanport/gateway/crash_guard.py
@@ -47,6 +47,8 @@
     :param address: this router's peer address
     :param clock: a Clock
     :param metrics: the GatewayMetrics
+    :param confirm: coroutine function of an address that returns whether peers
+        confirm that nobody listens there
     :ivar table: the SuspectTable
     :ivar sync: the SuspectSync, which exchanges suspects with peers
     :ivar on_blocked: callback with each Job in progress whose request was
@@ -57,8 +59,9 @@
     """
 
     def __init__(
-        self, pool, client, peers, recipients, address, clock, metrics
+        self, pool, client, peers, recipients, address, clock, metrics, confirm
     ):
+        self._confirm = confirm
         self._pool = pool
         self._client = client
         self._clock = clock
@@ -222,7 +225,9 @@
         :param address: its IP and port
         """
         try:
-            if await self._is_gone(run.name, address):
+            gone = await self._is_gone(run.name, address)
+            # The own link may be lost instead.
+            if gone and await self._confirm(address):
                 now = self._clock.steady()
                 crashed_at = self._sends.first_ended_at(run.name) or now
                 self._metrics.crashes.inc({})
--- a/rowanport/gateway/daemon.py
+++ b/rowanport/gateway/daemon.py
@@ -11,6 +11,8 @@
 from ..membership import MembershipLoop
 from ..membership.members import LEAVING
 from ..membership.members import READY
+from ..paths import RelayPeers
+from ..paths import UpstreamLinks
 from ..peers import PeerClient
 from ..prepaid import BudgetKeeper
 from ..prepaid import FleetClocks
@@ -18,8 +20,11 @@
 from ..schema.settings import MembershipSettings
 from ..supervision import Supervisor
 from ..tasks import TaskSet
+from ..tunnels import TunnelClient
+from ..tunnels import TunnelServer
 from ..web import HttpClient
 from ..web import HttpServer
+from ..web.connector import DirectConnector
 from ..web.connector import Keepalive
 from ..web.server import HttpLimits
 from ..wire import PeerServer
@@ -33,8 +38,11 @@
 from .forwarder import Forwarder
 from .health import HealthServer
 from .job import Admission
+from .link_monitor import LinkMonitor
 from .load_sync import LoadSync
 from .metrics import GatewayMetrics
+from .own_link import OwnLink
+from .path_connector import PathConnector
 from .pool import UpstreamPool
 from .prefix_map import PrefixMap
 from .rate_limits import RateLimits
@@ -107,6 +115,7 @@
         self._loops = Supervisor(self._tasks, self.clock, self._count_restart)
         self._retries = {}
         self._build_peers(settings, store, directory, decode)
+        self._build_paths(settings)
         self._build_forwarding(settings)
 
     def _build_peers(self, settings, store, directory, decode):
@@ -151,8 +160,33 @@
             clocks,
         )
 
+    def _build_paths(self, settings):
+        """Create what opens connections to upstreams, and to relay them."""
+        keepalive = Keepalive()
+        own, _port = split_address(settings.peers)
+        direct = DirectConnector(CONNECT_TIMEOUT, keepalive)
+        self.links = UpstreamLinks()
+        self._own_link = OwnLink(direct, self.links, self)
+        self._connector = PathConnector(
+            self._own_link,
+            self.links,
+            RelayPeers(settings.data_centre),
+            TunnelClient(self.incarnation, settings.secret, keepalive, own),
+            self.members,
+            self.metrics,
+        )
+        self.client = HttpClient(
+            keepalive=keepalive, connector=self._connector
+        )
+        self._own_link.client = self._connector.client = self.client
+        self._link_monitor = LinkMonitor(
+            self._own_link, self.links, self.client, self.congestion
+        )
+        self._connector.on_ended = self._link_monitor.verify
+        self.tunnels = TunnelServer(self._own_link, keepalive)
+        self._peer_server.on_tunnel = self.tunnels.serve
+
     def _build_forwarding(self, settings):
-        self.client = HttpClient(CONNECT_TIMEOUT, Keepalive())
         # A fault that stalled a connection to a peer may have stalled those to
         # upstreams, where a request would have to wait for its time-out.
         self._peers.on_silence = self.client.doubt
@@ -181,6 +215,7 @@
             settings.peers,
             self.clock,
             self.metrics,
+            self._connector.confirms_crash,
         )
         self._views.suspect_sync = self.crashes.sync
         self._blocklist = Blocklist(
@@ -280,6 +315,7 @@
     def _apply_upstreams(self, upstreams):
         for name in self.pool.update(upstreams.upstreams):
             self._prefixes.remove_engine(name)
+            self.links.forget(upstreams.upstreams[name].address)
             LOG.info("upstream_restarted", upstream=name)
         listed = upstreams.upstreams.values()
         self.limits.retain({upstream.run.name for upstream in listed})
@@ -298,6 +334,7 @@
             messages.SuspectRun: self.crashes.sync.receive_run,
             messages.LimitNews: self.limits.receive,
             messages.PermitAsk: self.limits.grant,
+            messages.RelayLeaving: self._handle_relay_leaving,
         }
 
     async def _answer_peer(self, message):
@@ -312,6 +349,9 @@
             return
         handle(message)
 
+    def _handle_relay_leaving(self, message):
+        self._connector.drop_relay(message.sender)
+
     # Callers
 
     async def _refuse(self, responder, error):
@@ -346,6 +386,7 @@
         self._loops.start("budgets", self.budgets.run, LOOP_TIMEOUT)
         self._loops.start("suspects", self.crashes.run, LOOP_TIMEOUT)
         self._loops.start("blocklist", self._blocklist.run, LOOP_TIMEOUT)
+        self._loops.start("links", self._link_monitor.run, LOOP_TIMEOUT)
 
     def _count_restart(self, loop):
         self.metrics.loop_restarts.inc({"loop": loop})
@@ -380,6 +421,7 @@
         self.stopping.begin(self.settings.stop_grace)
         self.members.set_state(LEAVING)
         self._server.drain()
+        self._end_tunnels()
         self.forwarder.bound_open()
         LOG.info("gateway_stopping", busy=self._server.busy)
         self.budgets.withhold(self.stopping.remaining_tokens)
@@ -397,6 +439,13 @@
         )
         await self.close()
 
+    def _end_tunnels(self):
+        """Open no more tunnels, and tell the users of the open ones."""
+        self.tunnels.closing = True
+        message = messages.RelayLeaving(self.settings.peers)
+        for peer in self.tunnels.callers:
+            self._peer_server.tell(peer, message)
+
     async def _hand_off(self):
         """Hand off tokens; an error must not interrupt answers in flight."""
         try:
@@ -405,8 +454,11 @@
             LOG.exception("hand_over_failed")
 
     async def _finish_requests(self):
-        """Wait until all accepted requests are answered or cut off."""
-        while not self.stopping.finished:
+        """Wait until all accepted and relayed requests are answered.
+
+        What is unfinished at the cut-off is cut off.
+        """
+        while not self.stopping.finished or self.tunnels.count:
             if (
                 self.clock.steady()
                 >= self.stopping.cutoff_at + STOP_WRITE_TIMEOUT
@@ -433,4 +485,6 @@
         await self._health.close()
         await self._peer_server.close()
         self._peers.close()
+        self._connector.close()
+        self._own_link.close()
         self.client.close()
--- a/rowanport/gateway/decisions.py
+++ b/rowanport/gateway/decisions.py
@@ -19,12 +19,13 @@
         self._metrics = metrics
         self._clock = clock
 
-    def log_send(self, job, state, outcome, error):
+    def log_send(self, job, state, outcome, error, path=None):
         """Log and count a send that did not end in an answer.
 
         :param state: the UpstreamState of its upstream
         :param outcome: label of the outcome
         :param error: what ended the send
+        :param path: the Path that it took, None if it is not known
         """
         self._metrics.sends.inc({"outcome": outcome})
         LOG.info(
@@ -32,6 +33,8 @@
             request=job.id,
             fingerprint=format_fingerprint(job.fingerprint),
             upstream=state.record.id,
+            relay=path and path.relay,
+            tunnel=path and path.tunnel,
             outcome=outcome,
             why=str(error),
             ended=isinstance(error, ConnectionEnded),
@@ -73,6 +76,8 @@
             sends=job.sends,
             runs=job.runs,
             upstream=job.upstream,
+            relay=job.path and job.path.relay,
+            tunnel=job.path and job.path.tunnel,
             backlog=job.backlog,
             events=job.events,
             first_ms=self._first_ms(job),
--- a/rowanport/gateway/exchange.py
+++ b/rowanport/gateway/exchange.py
@@ -63,7 +63,8 @@
         self._record_limit(upstream, answer)
         try:
             self._check(job, answer)
-        except UpstreamError:
+        except UpstreamError as error:
+            error.path = answer.path
             answer.close()
             raise
         return answer
--- a/rowanport/gateway/health.py
+++ b/rowanport/gateway/health.py
@@ -42,6 +42,9 @@
             metrics.tokens_held.set({"budget": name}, account.available)
         for name, seconds in gateway.loop_silences().items():
             metrics.loop_silent.set({"loop": name}, seconds)
+        metrics.lost_upstream_links.set({}, len(gateway.links.lost))
+        metrics.cut_off.set({}, int(gateway.links.cut_off))
+        metrics.tunnels.set({}, gateway.tunnels.count)
         metrics.logs_dropped.set({}, logs.dropped())
         version = gateway.table.version if gateway.table else 0
         metrics.config_version.set({}, version)
--- a/rowanport/gateway/job.py
+++ b/rowanport/gateway/job.py
@@ -50,6 +50,7 @@
     :ivar failed_connections: sends that failed for lack of a connection
     :ivar reserved: tokens of its budget that are reserved for it
     :ivar upstream: id of the upstream that it was last sent to, or None
+    :ivar path: Path of the answer that was forwarded, or None
     :ivar backlog: prompt tokens queued at that upstream when it was chosen,
         None before the first choice
     :ivar last_event: id of the last forwarded event, or None
@@ -84,6 +85,7 @@
         "failed_connections",
         "reserved",
         "upstream",
+        "path",
         "backlog",
         "last_event",
         "events",
@@ -116,6 +118,7 @@
         self.failed_connections = 0
         self.reserved = 0
         self.upstream = None
+        self.path = None
         self.backlog = None
         self.last_event = None
         self.events = 0
--- a/rowanport/gateway/metrics.py
+++ b/rowanport/gateway/metrics.py
@@ -22,6 +22,18 @@
         self.permits = self._counter(
             "permits", "Permits to send to these, by outcome"
         )
+        self.lost_upstream_links = self._gauge(
+            "lost_upstream_links", "Upstreams not reached over the own link"
+        )
+        self.cut_off = self._gauge(
+            "cut_off", "Whether the own link reaches no upstream"
+        )
+        self.relayed_connections = self._counter(
+            "relayed_connections", "Connections through peers, by outcome"
+        )
+        self.tunnels = self._gauge(
+            "tunnels", "Connections relayed for peers now"
+        )
         self.loop_restarts = self._counter(
             "loop_restarts", "Loops started again after they ended"
         )
--- /dev/null
+++ b/rowanport/gateway/own_link.py
@@ -0,0 +1,185 @@
+"""The router's own link to the upstreams: connections, probes, beliefs."""
+
+import asyncio
+import random
+
+import structlog
+
+from ..errors import ConnectionRefused
+from ..errors import UpstreamError
+from ..paths import Verdict
+from ..tunnels import UpstreamReach
+from ..web import HttpClient
+
+LOG = structlog.get_logger(__name__)
+
+# Seconds for which a new connection has to stay open to count as one: a
+# network that refuses connections may close them only once they are accepted.
+SETTLE_SECONDS = 0.02
+# Time-out in seconds of a health check that shows whether an upstream answers.
+CHECK_TIMEOUT = 0.5
+# Other upstreams that are tried to tell a lost link from an upstream that is
+# down.
+REFERENCES = 2
+
+
+class OwnLink(UpstreamReach):
+    """Opens connections over the own link, and probes it.
+
+    :param direct: the DirectConnector
+    :param links: the UpstreamLinks
+    :param gateway: the Gateway, for its views and its congestion
+    :ivar client: the HttpClient of the upstreams, which keeps connections
+    """
+
+    def __init__(self, direct, links, gateway):
+        self._direct = direct
+        self._links = links
+        self._gateway = gateway
+        self._checks = HttpClient(connector=direct)
+        self.client = None
+
+    @property
+    def addresses(self):
+        """Return the addresses of the upstreams that take requests."""
+        return {
+            upstream.address: upstream
+            for upstream in self._gateway.upstreams.upstreams.values()
+            if not upstream.leaving
+        }
+
+    @property
+    def unlimited(self):
+        """Return the addresses of upstreams that name no rate limit.
+
+        Health checks would use up what the others accept.
+        """
+        pool, limits = self._gateway.pool, self._gateway.limits
+        states = [pool.get(one.id) for one in self.addresses.values()]
+        return {
+            state.record.address
+            for state in limits.unlimited([s for s in states if s is not None])
+        }
+
+    def close(self):
+        """Drop the connections of health checks."""
+        self._checks.close()
+
+    async def open(self, address):
+        """Return a Path over the own link.
+
+        :raises UpstreamError: as Connector.open()
+        """
+        try:
+            return await self._direct.open(address)
+        except ConnectionRefused:
+            self.record_lost(address, "refused")
+            raise
+        except UpstreamError:
+            self.record_lost(address, "no connection")
+            raise
+
+    def record_lost(self, address, reason):
+        """Record and log that the link to an upstream is lost."""
+        if self._links.record_lost(address, reason, _now()):
+            LOG.info(
+                "upstream_link_lost", upstream_address=address, reason=reason
+            )
+
+    # On behalf of peers
+
+    async def reach(self, address, fresh):
+        refusal = self._refusal(address, fresh)
+        if refusal is not None:
+            return refusal, None
+        begin = _now()
+        try:
+            path = await self._open_settled(address, begin)
+        except UpstreamError as error:
+            refused = isinstance(error, ConnectionRefused)
+            if not await self.works({address}, begin):
+                return Verdict.CUT_OFF, None
+            return Verdict.REFUSED if refused else Verdict.UNREACHABLE, None
+        return Verdict.REACHED, path
+
+    def _refusal(self, address, fresh):
+        """Return the Verdict if it is known without a connection, or None."""
+        if address not in self.addresses:
+            return Verdict.UNLISTED
+        if self._links.cut_off:
+            return Verdict.CUT_OFF
+        if self._gateway.congestion.congested:
+            return Verdict.BUSY
+        if not fresh and not self._links.usable(address):
+            return Verdict.UNREACHABLE
+        return None
+
+    async def _open_settled(self, address, begin):
+        """Return a Path that stays open.
+
+        :param begin: the event loop's time
+        :raises ConnectionRefused: nobody listens
+        :raises UpstreamError: no connection
+        """
+        path = await self.open(address)
+        await asyncio.sleep(SETTLE_SECONDS)
+        if path.reader.ended:
+            path.writer.transport.abort()
+            self.record_lost(address, "closed at once")
+            raise ConnectionRefused(f"{address} closed the connection")
+        return path
+
+    async def works(self, excluded, begin):
+        """Return whether upstreams other than some are reached.
+
+        :param excluded: addresses of those
+        :param begin: the event loop's time from which on connections count
+        """
+        if self._links.reached_since(begin, excluded):
+            return True
+        others = [a for a in self.addresses if a not in excluded]
+        others = random.sample(others, min(REFERENCES, len(others)))
+        return any(await asyncio.gather(*map(self.connects, others)))
+
+    # Probes
+
+    async def connects(self, address):
+        """Return whether a new connection to an upstream stays open."""
+        begin = _now()
+        try:
+            path = await self._direct.open(address)
+        except UpstreamError:
+            return False
+        await asyncio.sleep(SETTLE_SECONDS)
+        if path.reader.ended:
+            path.writer.transport.abort()
+            return False
+        self._links.record_reached(address, begin)
+        self.client.keep(path)
+        return True
+
+    async def answers(self, address):
+        """Return whether an upstream answers a health check in time.
+
+        Any answer counts, as only the link is in question.
+        """
+        upstream = self.addresses.get(address)
+        table = self._gateway.table
+        service = upstream and table and table.services.get(upstream.service)
+        if service is None:
+            return False
+        begin = _now()
+        try:
+            async with asyncio.timeout(CHECK_TIMEOUT):
+                answer = await self._checks.request(
+                    address, "GET", service.health_path, fresh=True
+                )
+        except (UpstreamError, asyncio.TimeoutError):
+            return False
+        answer.close()
+        self._links.record_reached(address, begin)
+        return True
+
+
+def _now():
+    return asyncio.get_running_loop().time()
--- a/rowanport/gateway/sender.py
+++ b/rowanport/gateway/sender.py
@@ -59,6 +59,7 @@
             while not self._job.complete:
                 attempt = await self._advance(attempt)
             attempt.state.record_success()
+            self._job.path = attempt.path
             run = attempt.state.record.run
             self._crashes.record_success(self._job, run)
             self._log.count_answered()
@@ -242,17 +243,18 @@
     def _drop(self, attempt, error):
         """Record the failure of an Attempt, and close it."""
         job, state = self._job, attempt.state
+        path = error.path or attempt.path
         job.tried.add(state.record.run)
         if not error.started:
             job.runs -= 1
             self._retry_policy.release_hedge(job, attempt.tokens)
         if isinstance(error, UpstreamLeft):
             job.sends -= 1
-            self._log.log_send(job, state, "left", error)
+            self._log.log_send(job, state, "left", error, path)
         elif isinstance(error, NotExecuted):
-            self._record_rejection(state, error)
+            self._record_rejection(state, error, path)
         else:
-            self._record_failure(state, error)
+            self._record_failure(state, error, path)
         self._close(attempt, error)
 
     def _close(self, attempt, error=None):
@@ -264,20 +266,20 @@
             self._crashes.finish_run(attempt.in_flight_send, error)
             attempt.close()
 
-    def _record_rejection(self, state, error):
+    def _record_rejection(self, state, error, path):
         self._job.rejections += 1
         if error.misdirected:
             state.record_failure(self._clock.steady(), weight=2)
             self._gateway.client.forget(state.record.address)
-        self._log.log_send(self._job, state, "not_executed", error)
+        self._log.log_send(self._job, state, "not_executed", error, path)
 
-    def _record_failure(self, state, error):
+    def _record_failure(self, state, error, path):
         weight = 1
         if not error.started:
             self._job.failed_connections += 1
             weight = 2
         state.record_failure(self._clock.steady(), weight)
-        self._log.log_send(self._job, state, "failed", error)
+        self._log.log_send(self._job, state, "failed", error, path)
 
     # Stalls and hedging
 
@@ -366,4 +368,6 @@
         for loser in attempts:
             if loser is not winner:
                 self._close(loser)
-                self._log.log_send(self._job, loser.state, "superseded", why)
+                self._log.log_send(
+                    self._job, loser.state, "superseded", why, loser.path
+                )
--- /dev/null
+++ b/rowanport/paths/relays.py
@@ -0,0 +1,118 @@
+"""Which peers relay to which upstreams."""
+
+import random
+
+from .verdict import Verdict
+
+# Seconds for which a peer that does not relay is not asked again, by its
+# answer.
+PEER_PAUSE = {
+    Verdict.CUT_OFF: 1.0,
+    Verdict.LEAVING: 10.0,
+    Verdict.BUSY: 0.3,
+}
+# The same for one upstream that the peer does not reach.
+UPSTREAM_PAUSE = 1.0
+# Seconds for which a peer that did not answer is not asked again.
+UNANSWERED_PAUSE = 1.0
+# The same for one that closed the connection instead: its version does not
+# know the question.
+UNSUPPORTED_PAUSE = 30.0
+# Tunnels by which a peer may have more than another one and still be preferred
+# for its data centre, or as it relayed before.
+LOAD_STEP = 8
+
+
+class _Peer:
+    """What is known of one peer.
+
+    :ivar paused_until: monotonic time until which it is not asked
+    :ivar tunnels: tunnels that it served when it answered last
+    :ivar relayed: whether it relayed when it was asked last
+    :ivar unreached: monotonic times until which it is not asked for an
+        upstream, by address
+    """
+
+    __slots__ = ("paused_until", "tunnels", "relayed", "unreached")
+
+    def __init__(self):
+        self.paused_until = 0.0
+        self.tunnels = 0
+        self.relayed = False
+        self.unreached = {}
+
+
+class RelayPeers:
+    """The peers that may relay, and what they answered lately.
+
+    :param data_centre: name of this router's data centre
+    :param seed: seed of the random choices, None for a random one
+    """
+
+    def __init__(self, data_centre, seed=None):
+        self._data_centre = data_centre
+        self._random = random.Random(seed)
+        self._peers = {}
+
+    def candidates(self, peers, address, now):
+        """Return the peers to ask to relay to an upstream, the best first.
+
+        Those with few tunnels come first, so that the routers that are not cut
+        off share the load; among these the ones that relayed before, and those
+        of the own data centre.
+
+        :param peers: (peer address, data centre) pairs
+        :param address: address of the upstream
+        """
+        ranked = []
+        for peer, data_centre in peers:
+            known = self._peers.get(peer) or _Peer()
+            if known.paused_until > now:
+                continue
+            if known.unreached.get(address, 0.0) > now:
+                continue
+            remote = data_centre != self._data_centre
+            load = known.tunnels // LOAD_STEP
+            rank = (load, not known.relayed, remote, self._random.random())
+            ranked.append((rank, peer))
+        return [peer for _rank, peer in sorted(ranked)]
+
+    def accepts(self, peer, now):
+        """Return whether an open tunnel through a peer may be used again."""
+        known = self._peers.get(peer)
+        return known is None or known.paused_until <= now
+
+    def record(self, peer, address, verdict, tunnels, now):
+        """Record a peer's answer.
+
+        :param address: address of the upstream that it was asked for
+        :param verdict: its Verdict
+        :param tunnels: number of tunnels that it serves
+        """
+        known = self._peers.setdefault(peer, _Peer())
+        known.tunnels = tunnels
+        known.relayed = verdict is Verdict.REACHED
+        if verdict is Verdict.REACHED:
+            known.unreached.pop(address, None)
+        elif verdict in PEER_PAUSE:
+            known.paused_until = now + PEER_PAUSE[verdict]
+        else:
+            known.unreached[address] = now + UPSTREAM_PAUSE
+
+    def record_unanswered(self, peer, supported, now):
+        """Record that a peer gave no answer.
+
+        :param supported: whether its version may know the question
+        """
+        known = self._peers.setdefault(peer, _Peer())
+        known.relayed = False
+        pause = UNANSWERED_PAUSE if supported else UNSUPPORTED_PAUSE
+        known.paused_until = now + pause
+
+    def retain(self, peers):
+        """Drop what is known of peers that are gone.
+
+        :param peers: peer addresses
+        """
+        for peer in [peer for peer in self._peers if peer not in peers]:
+            del self._peers[peer]
--- a/rowanport/peers.py
+++ b/rowanport/peers.py
@@ -18,8 +18,8 @@
 from .tasks import TaskSet
 from .web import stream
 from .wire import pack_frame
+from .wire import prove
 from .wire import read_frame
-from .wire import sign
 from .wire import TELL_LIMIT
 from .wire import Traffic
 from .wire import UNANSWERED
@@ -364,15 +364,10 @@
             host, int(port), local_addr=self._source
         )
         try:
-            _call, challenge = await read_frame(reader)
-            if not isinstance(challenge, messages.Challenge):
-                raise MessageError("expected a challenge")
+            await prove(reader, writer, self._secret, self._incarnation)
         except BaseException:
             writer.close()
             raise
-        signature = sign(self._secret, challenge.nonce, self._incarnation)
-        proof = messages.Proof(self._incarnation, signature)
-        writer.write(pack_frame(0, proof))
         return _Connection(
             reader, writer, self._traffic, peer.note_trip, self._hear
         )
--- a/rowanport/schema/messages.py
+++ b/rowanport/schema/messages.py
@@ -2418,6 +2418,106 @@
         )
 
 
+class TunnelOpen(Message):
+    """Ask a router to relay the bytes of this connection to an upstream.
+
+    :ivar id: id of the tunnel, for the logs of both routers
+    :ivar address: IP and port of the upstream
+    :ivar fresh: whether the router has to find out now that it reaches it
+    """
+
+    __slots__ = (
+        "id",
+        "address",
+        "fresh",
+    )
+    KIND = 72
+
+    def __init__(self, id, address, fresh):
+        self.id = id
+        self.address = address
+        self.fresh = fresh
+
+    def to_wire(self):
+        """Return the fields as plain values, in the schema's order."""
+        return [
+            self.id,
+            self.address,
+            self.fresh,
+        ]
+
+    @classmethod
+    def from_wire(cls, values):
+        """Build one from plain values; raise MessageError if unfit."""
+        check_length(cls, values, 3)
+        return cls(
+            as_str(values[0]),
+            as_str(values[1]),
+            as_bool(values[2]),
+        )
+
+
+class TunnelReady(Message):
+    """Answer whether a router relays; if so, all that follows is relayed.
+
+    :ivar verdict: name of the Verdict
+    :ivar tunnels: tunnels that the router serves
+    """
+
+    __slots__ = (
+        "verdict",
+        "tunnels",
+    )
+    KIND = 73
+
+    def __init__(self, verdict, tunnels):
+        self.verdict = verdict
+        self.tunnels = tunnels
+
+    def to_wire(self):
+        """Return the fields as plain values, in the schema's order."""
+        return [
+            self.verdict,
+            self.tunnels,
+        ]
+
+    @classmethod
+    def from_wire(cls, values):
+        """Build one from plain values; raise MessageError if unfit."""
+        check_length(cls, values, 2)
+        return cls(
+            as_str(values[0]),
+            as_int(values[1]),
+        )
+
+
+class RelayLeaving(Message):
+    """Tell the users of a router's tunnels that it is shutting down.
+
+    :ivar sender: peer address of the sender
+    """
+
+    __slots__ = ("sender",)
+    KIND = 74
+
+    def __init__(self, sender):
+        self.sender = sender
+
+    def to_wire(self):
+        """Return the fields as plain values, in the schema's order."""
+        return [
+            self.sender,
+        ]
+
+    @classmethod
+    def from_wire(cls, values):
+        """Build one from plain values; raise MessageError if unfit."""
+        check_length(cls, values, 1)
+        return cls(
+            as_str(values[0]),
+        )
+
+
 class NoLoan(Message):
     """Answer an ask for tokens: there are none to lend now.
 
@@ -2531,6 +2631,9 @@
     61: ViewAsk,
     62: ViewGive,
     71: UpstreamNews,
+    72: TunnelOpen,
+    73: TunnelReady,
+    74: RelayLeaving,
     65: NoLoan,
     64: BudgetNews,
 }
--- a/rowanport/standins/upstream.py
+++ b/rowanport/standins/upstream.py
@@ -12,6 +12,8 @@
 BACKLOG = 100
 STAMP_HEADER = "x-rowanport-server-stamp"
 LIMIT_HEADER = "server-limit"
+INSTANCE_HEADER = "x-rowanport-instance-id"
+HEALTH_PATH = b"/healthz"
 # More than a gateway holds back of an answer.
 LARGE = bytes(range(256)) * 12000
 
@@ -114,6 +116,9 @@
         await asyncio.sleep(0.3)
 
     async def _answer(self, connection, writer, request, body):
+        if is_health_check(request):
+            self._answer_health(connection, writer)
+            return
         names = {n.decode(): v.decode() for n, v in request.headers}
         behaviour = self._next_behaviour(names)
         if body in self.lethal:
@@ -122,6 +127,10 @@
             connection, writer, names, body
         )
 
+    def _answer_health(self, connection, writer, status=200):
+        head = [(INSTANCE_HEADER, self.name)]
+        self._send(connection, writer, status, head, b"")
+
     # What a stand-in that keeps a record overrides
 
     def _next_behaviour(self, names):
@@ -265,6 +274,11 @@
             raise
 
 
+def is_health_check(request):
+    """Return whether an h11.Request is a health check."""
+    return request.method == b"GET" and request.target == HEALTH_PATH
+
+
 class _Wrapped:
     """What next_event needs of a connection."""
 
--- /dev/null
+++ b/rowanport/tunnels/server.py
@@ -0,0 +1,156 @@
+"""The relaying side of tunnels."""
+
+import abc
+import asyncio
+
+import structlog
+
+from ..paths import Verdict
+from ..schema import messages
+from ..wire import pack_frame
+
+LOG = structlog.get_logger(__name__)
+
+READ_SIZE = 65536
+# Most tunnels at once: each takes two of the descriptors that callers need,
+# too.
+MAX_TUNNELS = 500
+
+
+class UpstreamReach(abc.ABC):
+    """Reaches upstreams over the router's own link, on behalf of peers."""
+
+    @abc.abstractmethod
+    async def reach(self, address, fresh):
+        """Open a connection to an upstream.
+
+        :param address: IP and port
+        :param fresh: whether to open one whatever is known
+        :returns: the Verdict, and a Path if it is REACHED, otherwise None
+        """
+
+
+class _Tunnel:
+    """One tunnel: copies bytes both ways until one end closes.
+
+    :ivar id: its id, for the logs
+    :ivar caller: peer address of the router that uses it
+    :ivar sent: bytes copied to the upstream
+    :ivar received: bytes copied from the upstream
+    """
+
+    def __init__(self, id_, caller, reader, writer, path):
+        self.id = id_
+        self.caller = caller
+        self.sent = 0
+        self.received = 0
+        self._reader = reader
+        self._writer = writer
+        self._path = path
+
+    async def run(self):
+        """Copy until an end closes, and close the other one."""
+        path = self._path
+        upward = asyncio.ensure_future(self._copy_up(path.writer))
+        downward = asyncio.ensure_future(self._copy_down(path.reader))
+        try:
+            await asyncio.wait(
+                (upward, downward), return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            upward.cancel()
+            downward.cancel()
+            # The upstream learns at once that nobody reads its answer.
+            path.writer.transport.abort()
+            # What has arrived from the upstream is still sent.
+            self._writer.close()
+
+    async def _copy_up(self, writer):
+        try:
+            while data := await self._reader.read(READ_SIZE):
+                self.sent += len(data)
+                writer.write(data)
+                await writer.drain()
+        except OSError:
+            return
+
+    async def _copy_down(self, reader):
+        try:
+            while data := await reader.read(READ_SIZE):
+                self.received += len(data)
+                self._writer.write(data)
+                await self._writer.drain()
+        except OSError:
+            # The asking router must not take it for the end of an answer.
+            self._writer.transport.abort()
+
+
+class TunnelServer:
+    """Relays the bytes of peers that are cut off from upstreams.
+
+    :param upstreams: the UpstreamReach
+    :param keepalive: the Keepalive of tunnels
+    :ivar closing: whether no more tunnels are opened
+    """
+
+    def __init__(self, upstreams, keepalive):
+        self._upstreams = upstreams
+        self._keepalive = keepalive
+        self._tunnels = set()
+        self.closing = False
+
+    @property
+    def count(self):
+        """Return the number of open tunnels."""
+        return len(self._tunnels)
+
+    @property
+    def callers(self):
+        """Return the peer addresses of the routers that use tunnels."""
+        return {tunnel.caller for tunnel in self._tunnels}
+
+    async def serve(self, message, caller, reader, writer):
+        """Serve a tunnel until it ends.
+
+        :param message: the TunnelOpen
+        :param caller: peer address of the asking router
+        :param reader: StreamReader of the connection to it
+        :param writer: StreamWriter of the connection to it
+        """
+        verdict, path = await self._reach(message)
+        answer = messages.TunnelReady(verdict.value, self.count)
+        writer.write(pack_frame(0, answer))
+        if path is None:
+            LOG.info(
+                "tunnel_refused",
+                tunnel=message.id,
+                peer=caller,
+                upstream_address=message.address,
+                verdict=verdict.value,
+            )
+            await writer.drain()
+            return
+        self._keepalive.apply(writer.get_extra_info("socket"))
+        await self._run(_Tunnel(message.id, caller, reader, writer, path))
+
+    async def _reach(self, message):
+        if self.closing:
+            return Verdict.LEAVING, None
+        if self.count >= MAX_TUNNELS:
+            return Verdict.BUSY, None
+        return await self._upstreams.reach(message.address, message.fresh)
+
+    async def _run(self, tunnel):
+        self._tunnels.add(tunnel)
+        LOG.info("tunnel_opened", tunnel=tunnel.id, peer=tunnel.caller)
+        try:
+            await tunnel.run()
+        finally:
+            self._tunnels.discard(tunnel)
+            LOG.info(
+                "tunnel_closed",
+                tunnel=tunnel.id,
+                peer=tunnel.caller,
+                sent=tunnel.sent,
+                received=tunnel.received,
+            )
--- a/rowanport/web/client.py
+++ b/rowanport/web/client.py
@@ -109,6 +109,7 @@
 
     :ivar headers: values by lower-case name
     :ivar fields: (name, value) pairs of bytes in their order
+    :ivar path: the Path on which it arrives
     """
 
     def __init__(
@@ -119,6 +120,7 @@
         self._connection = connection
         self._timeout = timeout
         self._patience = patience
+        self.path = connection.path
         self.status = response.status_code
         self.fields = response.headers.raw_items()
         self.headers = {
@@ -144,6 +146,7 @@
         except (OSError, h11.ProtocolError) as error:
             message = f"the answer broke off: {error}"
             raise _broken(self._connection, message, error) from None
+        self._client.record_heard(self.path)
         if isinstance(event, h11.EndOfMessage):
             return None
         if not isinstance(event, h11.Data):
@@ -193,6 +196,9 @@
     :param connect_timeout: longest wait for a connection in seconds
     :param keepalive: a Keepalive, or None for the kernel's defaults
     :param connector: a Connector, by default one over the own link
+    :ivar opened: number of connections opened so far
+    :ivar heard_at: the event loop's time at which something last arrived over
+        the own link
     """
 
     def __init__(self, connect_timeout=1.0, keepalive=None, connector=None):
@@ -201,7 +207,10 @@
         )
         self._keepalive = keepalive
         self._idle = {}
+        # Connections with a request whose answer has not begun.
+        self._waiting = set()
         self.opened = 0
+        self.heard_at = 0.0
 
     async def request(
         self,
@@ -232,28 +241,67 @@
         connection = await self._connect(address, fresh)
         if check is not None:
             self._check(check, address, connection)
+        self._waiting.add(connection)
         try:
             self._send(connection, address, method, path, body, headers)
             reading = self._read_head(connection, address, owner)
             response = await wait_patiently(reading, timeout, patience)
+        except UpstreamError as error:
+            connection.writer.transport.abort()
+            self._record_failure(connection, error)
+            raise
         except asyncio.TimeoutError as error:
             connection.writer.transport.abort()
-            if error.errno == errno.ETIMEDOUT:
-                self._doubt_older()
-                message = f"the connection to {address} went silent"
-                raise ConnectionSilent(message) from None
-            raise UpstreamError(f"{address} did not answer") from None
+            raise self._silent(connection, error) from None
         except (OSError, h11.ProtocolError) as error:
             broken = _broken(connection, f"{address}: {error}", error)
             connection.writer.close()
+            self._record_failure(connection, broken)
             raise broken from None
         except BaseException:
             connection.writer.transport.abort()
             raise
+        finally:
+            self._waiting.discard(connection)
+        connection.path.answered = True
+        self._connector.record_answer(connection.path)
         return HttpAnswer(
             self, address, connection, response, timeout, patience
         )
 
+    @property
+    def waiting(self):
+        """Return (Path, time of the send) of requests without an answer.
+
+        The time is the event loop's.
+        """
+        return [(one.path, one.sent_at) for one in self._waiting]
+
+    def record_heard(self, path):
+        """Record that something arrived on a Path."""
+        if path.relay is None:
+            self.heard_at = asyncio.get_running_loop().time()
+
+    def _silent(self, connection, error):
+        """Return the UpstreamError of a request that was not answered."""
+        address = connection.path.address
+        if error.errno != errno.ETIMEDOUT:
+            silent = UpstreamError(f"{address} did not answer")
+            silent.path = connection.path
+            return silent
+        self._doubt_older()
+        silent = ConnectionSilent(f"the connection to {address} went silent")
+        self._record_failure(connection, silent)
+        return silent
+
+    def _record_failure(self, connection, error):
+        """Record that a connection failed while a request waited on it."""
+        path = error.path = connection.path
+        silent = isinstance(error, ConnectionSilent)
+        ended = isinstance(error, ConnectionEnded)
+        if silent or ended and not path.answered:
+            self._connector.record_failure(path, silent)
+
     def _check(self, check, address, connection):
         """Call a check; keep the connection if it raises UpstreamError."""
         try:
@@ -287,7 +335,8 @@
     def _keep(self, address, connection):
         """Keep a connection for the next request, if few are kept."""
         idle = self._idle.setdefault(address, [])
-        if len(idle) >= IDLE_CONNECTIONS:
+        reusable = self._connector.may_reuse(connection.path)
+        if len(idle) >= IDLE_CONNECTIONS or not reusable:
             connection.writer.close()
             return
         connection.watch()
@@ -315,13 +364,22 @@
         dropped = 0
         for idle in self._idle.values():
             doubted = [one for one in idle if one.released_at < before]
-            for connection in doubted:
-                idle.remove(connection)
-                connection.unwatch()
-                connection.writer.close()
             dropped += len(doubted)
+            _drop(idle, doubted)
         return dropped
 
+    def drop_idle(self, choose):
+        """Drop kept connections.
+
+        :param choose: function from a Path to whether it is dropped
+        """
+        for idle in self._idle.values():
+            _drop(idle, [one for one in idle if choose(one.path)])
+
+    def keep(self, path):
+        """Keep a Path that was opened without a request."""
+        self._keep(path.address, _Connection(path))
+
     async def probe(self, address):
         """Open a connection to find out who listens; return a Listening.
 
@@ -357,8 +415,11 @@
         while idle:
             connection = idle.pop()
             connection.unwatch()
-            if not connection.spoiled and not connection.reader.ended:
+            if connection.spoiled or connection.reader.ended:
+                continue
+            if self._connector.may_reuse(connection.path):
                 return connection
+            connection.writer.close()
         path = await self._connector.open(address)
         self.opened += 1
         return _Connection(path)
@@ -374,6 +435,7 @@
         if body:
             data += state.send(h11.Data(data=body))
         data += state.send(h11.EndOfMessage())
+        connection.sent_at = asyncio.get_running_loop().time()
         # Not drained: an upstream may answer before it has read the body.
         connection.writer.write(data)
 
@@ -382,6 +444,7 @@
             event = await next_event(connection)
             while isinstance(event, h11.InformationalResponse):
                 event = await next_event(connection)
+            self.record_heard(connection.path)
             if not isinstance(event, h11.Response):
                 raise ConnectionEnded(f"{address} closed the connection")
             if owner is None or _is_own(event, owner):
@@ -408,6 +471,14 @@
         connection.state.send(h11.EndOfMessage())
 
 
+def _drop(idle, chosen):
+    """Close some of the kept connections of an address."""
+    for connection in chosen:
+        idle.remove(connection)
+        connection.unwatch()
+        connection.writer.close()
+
+
 def _broken(connection, message, cause=None):
     """Return the error of an answer that is not whole.
 
--- a/rowanport/web/connector.py
+++ b/rowanport/web/connector.py
@@ -51,6 +51,7 @@
     :ivar reader: its WatchedReader
     :ivar writer: its StreamWriter
     :ivar relay: peer address of the router that relays it, None if direct
+    :ivar tunnel: id of the tunnel through that router, for the logs, or None
     :ivar opened_at: the event loop's time at which it was opened
     :ivar answered: whether the head of an answer has arrived on it
     """
@@ -60,15 +61,17 @@
         "reader",
         "writer",
         "relay",
+        "tunnel",
         "opened_at",
         "answered",
     )
 
-    def __init__(self, address, reader, writer, relay=None):
+    def __init__(self, address, reader, writer, relay=None, tunnel=None):
         self.address = address
         self.reader = reader
         self.writer = writer
         self.relay = relay
+        self.tunnel = tunnel
         self.opened_at = asyncio.get_running_loop().time()
         self.answered = False
 
@@ -92,10 +95,11 @@
     def record_answer(self, path):
         """Record that the head of an answer arrived on a Path."""
 
-    def record_failure(self, path, reason):
-        """Record that a Path failed before any answer arrived on it.
+    def record_failure(self, path, silent):
+        """Record that a Path failed while a request waited on it.
 
-        :param reason: how it failed, for the log
+        :param silent: whether the kernel gave it up; otherwise it ended
+            before any answer had arrived on it
         """
 
 
--- a/rowanport/wire.py
+++ b/rowanport/wire.py
@@ -76,6 +76,18 @@
     return hmac.new(secret.encode(), text, hashlib.sha256).digest()
 
 
+async def prove(reader, writer, secret, incarnation):
+    """Answer the challenge of an accepting router.
+
+    :raises MessageError: it sent none
+    """
+    _call, challenge = await read_frame(reader)
+    if not isinstance(challenge, messages.Challenge):
+        raise MessageError("expected a challenge")
+    signature = sign(secret, challenge.nonce, incarnation)
+    writer.write(pack_frame(0, messages.Proof(incarnation, signature)))
+
+
 # Traffic counts
 
 
@@ -98,6 +110,9 @@
 
     :param handler: coroutine function from message to answer
     :param secret: what all routers share
+    :ivar on_tunnel: coroutine function that serves a connection which begins
+        with a TunnelOpen, until it ends; its arguments are the message, the
+        caller's address, the reader and the writer
     """
 
     def __init__(self, handler, secret, traffic=None):
@@ -108,6 +123,7 @@
         self._writers = set()
         self._callers = {}
         self._tasks = TaskSet()
+        self.on_tunnel = None
 
     @property
     def open(self):
@@ -151,12 +167,14 @@
             )
             # An operator's tool has no address.
             caller = address_of(name) if "/" in name else name
+            call, message = await self._read(reader)
+            if isinstance(message, messages.TunnelOpen) and self.on_tunnel:
+                await self.on_tunnel(message, caller, reader, writer)
+                return
             self._callers[caller] = writer
             while True:
-                # A peer that went silent for good never says goodbye.
-                async with asyncio.timeout(UNUSED_LIMIT):
-                    call, message = await read_frame(reader)
                 self._tasks.spawn(self._answer(writer, call, message))
+                call, message = await self._read(reader)
         except (
             OSError,
             EOFError,
@@ -171,6 +189,12 @@
                 del self._callers[caller]
             writer.close()
 
+    async def _read(self, reader):
+        """Return the next call number and message of a peer."""
+        # A peer that went silent for good never says goodbye.
+        async with asyncio.timeout(UNUSED_LIMIT):
+            return await read_frame(reader)
+
     async def _authenticate(self, reader, writer):
         """Return the peer's incarnation; raise MessageError if it is none."""
         nonce = os.urandom(NONCE_BYTES)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -190,11 +190,18 @@
         self._world.severed = False
 
     def _sever(self, pairs, how):
-        """Let links hang, or refuse new connections, or reset all."""
+        """Let links hang, or refuse new connections, or reset all.
+
+        On a link that stalls connections open and all is acknowledged, as by a
+        proxy that hangs, but nothing gets through.
+        """
         relays = self._world.relays
         if how == "hang":
             relays.hang(pairs)
             return
+        if how == "stall":
+            relays.change(pairs, held=(UP, DOWN))
+            return
         relays.refuse(pairs)
         if how == "reset":
             relays.reset(pairs)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -128,7 +128,7 @@
     "sever": tuple(
         f"{count} {how}"
         for count in ("one", "half", "most")
-        for how in ("hang", "reset", "refuse", "flap")
+        for how in ("hang", "stall", "reset", "refuse", "flap")
     ),
 }
 CLOCK_JUMPS = (-30.0, -5.0, -2.0, 2.0, 5.0, 30.0)
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -145,7 +145,7 @@
             request = history.requests.get(run.request)
             if run.upstream != leave.upstream or late <= bounds.drain:
                 continue
-            if request is None:
+            if request is None or _held_up(history, request, run):
                 continue
             if history.in_touch(
                 request.router, request.sent_at, run.arrived_at, (FULL, SEVER)
@@ -158,6 +158,20 @@
                 yield Finding("leaving", run.arrived_at, evidence)
 
 
+def _held_up(history, request, run):
+    """Return whether a run arrived late as its link had been lost.
+
+    The platform doesn't count as late what a link held up that was harmed
+    within the time of contact.
+    """
+    begun = run.arrived_at - history.bounds.contact
+    return any(
+        fault.touches(request.router, begun, run.arrived_at)
+        for fault in history.faults
+        if fault.kind == SEVER
+    )
+
+
 def check_planned_stop(history):
     """A planned stop, or a reload, cuts no request."""
     for request in _requests_cut(history):
@@ -474,6 +488,8 @@
             continue
         for request in tries:
             severed = request.router in cut.targets
+            if severed and not _anyone_reaches(history, request.sent_at):
+                continue
             # While another cut strikes the others there is nothing to compare.
             if severed or not _severed(history, request):
                 there[severed].append(request.status == 200)
@@ -506,6 +522,23 @@
     ]
 
 
+def _anyone_reaches(history, at):
+    """Return whether some router in touch reaches the upstreams.
+
+    One that was told to stop takes no new work.
+    """
+    routers = {request.router for request in history.requests.values()}
+    cut = {
+        router
+        for router in routers
+        for fault in history.faults
+        if fault.kind == SEVER and fault.touches(router, at, at)
+    }
+    return any(
+        history.in_touch(router, at, at, (SEVER,)) for router in routers - cut
+    )
+
+
 def _severed(history, request):
     """Return whether any cut from the upstreams strikes its router."""
     begun = request.sent_at - history.bounds.contact
--- a/soak/relay.py
+++ b/soak/relay.py
@@ -249,7 +249,7 @@
             self.link(*pair).refuses = True
 
     def recover(self, pairs):
-        """End what hang() and refuse() did to links."""
+        """End what was done to links, but for resets."""
         for pair in pairs:
             self.link(*pair).refuses = False
         hanging = self._hanging & set(pairs)
@@ -257,7 +257,7 @@
         self._filter_sources()
         for connection in self._chosen(hanging):
             connection.recover()
-        self.change(hanging)
+        self.change(pairs)
 
     def _filter_sources(self):
         """Let listening sockets drop what comes over hanging links."""
--- a/soak/upstream.py
+++ b/soak/upstream.py
@@ -5,6 +5,7 @@
 import time
 
 from rowanport.standins.upstream import ID_HEADER
+from rowanport.standins.upstream import is_health_check
 from rowanport.standins.upstream import UpstreamStandin
 
 from .history import Arrival
@@ -129,6 +130,11 @@
 
     async def _answer(self, connection, writer, request, body):
         await self._wait_stalled(connection, writer)
+        if is_health_check(request):
+            full = self.active >= self.slots
+            status = 503 if full or self.leaving else 200
+            self._answer_health(connection, writer, status)
+            return
         names = {n.decode(): v.decode() for n, v in request.headers}
         expected = names.get("x-rowanport-expect-instance", self.name)
         if expected != self.name:
