Tunnels: spread requests that are sent together, and return to the own link

Thirty requests of one cut-off router asked the same peer, as questions under way did not count: 12, 57 and 21 tunnels at three peers. Tunnels that are kept are closed once the own link is back, so that they do not hold descriptors of the peers. Peers that refuse say whether nobody listens, so that a cut-off router finds out about a crash; before, it found none.

--- a/rowanport/gateway/link_monitor.py
+++ b/rowanport/gateway/link_monitor.py
@@ -102,11 +102,20 @@
         if was_cut is not None and not self._links.cut_off:
             seconds = round(now - was_cut.began_at, 3)
             LOG.warning("upstreams_reached_again", seconds=seconds)
+            self._drop_idle_tunnels()
         if back:
             seconds = round(now - outage.began_at, 3)
             LOG.info(
                 "upstream_link_back", upstream_address=address, seconds=seconds
             )
+            self._drop_idle_tunnels()
+
+    def _drop_idle_tunnels(self):
+        """Close the kept tunnels to upstreams that the own link reaches."""
+        self._client.drop_idle(
+            lambda path: path.relay is not None
+            and self._links.usable(path.address)
+        )
 
     # Links that fell silent
 
--- a/rowanport/gateway/path_connector.py
+++ b/rowanport/gateway/path_connector.py
@@ -4,6 +4,7 @@
 
 import structlog
 
+from ..errors import ConnectionRefused
 from ..errors import PeerError
 from ..errors import UpstreamError
 from ..incarnation import address_of
@@ -51,7 +52,8 @@
         self._members = members
         self._metrics = metrics
         self._tasks = TaskSet()
-        self._unreached_until = {}
+        # Until when an address is given up, and the Verdicts of the peers.
+        self._unreached = {}
         self.client = None
         self.on_ended = None
 
@@ -68,12 +70,14 @@
                 return await self._own_link.open(address)
             except UpstreamError as error:
                 cause = error
-        path = await self._relayed(address)
+        path, verdicts = await self._relayed(address)
         if path is not None:
             return path
         if cause is None and self._links.may_work(address):
             return await self._own_link.open(address)
         message = f"{address} cannot be reached, nor by peers"
+        if Verdict.REFUSED in verdicts:
+            raise ConnectionRefused(message)
         raise cause or UpstreamError(message, started=False)
 
     def may_reuse(self, path):
@@ -112,35 +116,45 @@
         ]
 
     async def _relayed(self, address):
-        """Return a Path through a peer, or None."""
+        """Return a Path through a peer, or None, and the peers' Verdicts."""
         now = _now()
-        if self._unreached_until.get(address, 0.0) > now:
-            return None
+        until, verdicts = self._unreached.get(address, (0.0, ()))
+        if until > now:
+            return None, verdicts
         peers = self._ready_peers()
         self._relays.retain({peer for peer, _data_centre in peers})
         candidates = self._relays.candidates(peers, address, now)
-        path = await self._first_path(candidates[:MOST_ASKED], address)
+        path, verdicts = await self._first_path(
+            candidates[:MOST_ASKED], address
+        )
         outcome = "opened" if path else "denied"
         self._metrics.relayed_connections.inc({"outcome": outcome})
         if path is None:
-            self._unreached_until = {
-                known: until
-                for known, until in self._unreached_until.items()
-                if until > now
-            }
-            self._unreached_until[address] = _now() + UNREACHED_SECONDS
-        return path
+            self._record_unreached(address, verdicts)
+        return path, verdicts
+
+    def _record_unreached(self, address, verdicts):
+        now = _now()
+        self._unreached = {
+            known: row
+            for known, row in self._unreached.items()
+            if row[0] > now
+        }
+        self._unreached[address] = (now + UNREACHED_SECONDS, verdicts)
 
     async def _first_path(self, peers, address):
-        """Return the first Path that some peers give, asked in their order.
+        """Ask peers in their order until one gives a Path.
 
         More of them are asked at once the longer it takes.
+
+        :returns: the Path or None, and the Verdicts so far
         """
         waiting, pending, count = list(peers), set(), 1
+        verdicts = set()
         while waiting or pending:
             if waiting:
                 for peer in waiting[:count]:
-                    pending.add(self._tasks.spawn(self._ask(peer, address)))
+                    pending.add(self._start_ask(peer, address))
                 del waiting[:count]
                 count = min(count + 1, MOST_AT_ONCE)
             done, pending = await asyncio.wait(
@@ -148,11 +162,13 @@
                 timeout=STAGGER if waiting else None,
                 return_when=asyncio.FIRST_COMPLETED,
             )
-            paths = [task.result() for task in done if task.result()]
+            answers = [task.result() for task in done]
+            verdicts.update(verdict for verdict, _path in answers)
+            paths = [path for _verdict, path in answers if path is not None]
             if paths:
                 self._keep_surplus(paths[1:], pending)
-                return paths[0]
-        return None
+                return paths[0], verdicts
+        return None, verdicts
 
     def _keep_surplus(self, paths, pending):
         """Keep tunnels that were opened though another one came first."""
@@ -162,15 +178,19 @@
             task.add_done_callback(self._keep_result)
 
     def _keep_result(self, task):
-        if not task.cancelled() and task.exception() is None and task.result():
-            self.client.keep(task.result())
+        if task.cancelled() or task.exception() is not None:
+            return
+        _verdict, path = task.result()
+        if path is not None:
+            self.client.keep(path)
 
-    async def _ask(self, peer, address, fresh=False):
-        """Ask a peer for a tunnel; return its Path, or None."""
-        _verdict, path = await self._ask_verdict(peer, address, fresh)
-        return path
+    def _start_ask(self, peer, address, fresh=False):
+        """Start to ask a peer for a tunnel; return the task."""
+        # At once, so that requests that are sent together ask several peers.
+        self._relays.begin(peer)
+        return self._tasks.spawn(self._ask(peer, address, fresh))
 
-    async def _ask_verdict(self, peer, address, fresh):
+    async def _ask(self, peer, address, fresh):
         """Ask a peer for a tunnel; return (Verdict or None, Path or None)."""
         try:
             verdict, tunnels, path = await self._tunnels.open(
@@ -181,6 +201,8 @@
             self._relays.record_unanswered(peer, supported, _now())
             LOG.info("relay_unanswered", peer=peer, error=str(error))
             return None, None
+        finally:
+            self._relays.end(peer)
         self._relays.record(peer, address, verdict, tunnels, _now())
         if path is not None:
             self._record_relayed(address, peer)
@@ -228,7 +250,7 @@
         return Verdict.REFUSED in verdicts
 
     async def _ask_and_keep(self, peer, address):
-        verdict, path = await self._ask_verdict(peer, address, fresh=True)
+        verdict, path = await self._start_ask(peer, address, fresh=True)
         if path is not None:
             self.client.keep(path)
         return verdict
--- a/rowanport/paths/relays.py
+++ b/rowanport/paths/relays.py
@@ -28,16 +28,18 @@
 
     :ivar paused_until: monotonic time until which it is not asked
     :ivar tunnels: tunnels that it served when it answered last
+    :ivar asked: questions that it has not answered yet
     :ivar relayed: whether it relayed when it was asked last
     :ivar unreached: monotonic times until which it is not asked for an
         upstream, by address
     """
 
-    __slots__ = ("paused_until", "tunnels", "relayed", "unreached")
+    __slots__ = ("paused_until", "tunnels", "asked", "relayed", "unreached")
 
     def __init__(self):
         self.paused_until = 0.0
         self.tunnels = 0
+        self.asked = 0
         self.relayed = False
         self.unreached = {}
 
@@ -72,7 +74,7 @@
             if known.unreached.get(address, 0.0) > now:
                 continue
             remote = data_centre != self._data_centre
-            load = known.tunnels // LOAD_STEP
+            load = (known.tunnels + known.asked) // LOAD_STEP
             rank = (load, not known.relayed, remote, self._random.random())
             ranked.append((rank, peer))
         return [peer for _rank, peer in sorted(ranked)]
@@ -82,6 +84,16 @@
         known = self._peers.get(peer)
         return known is None or known.paused_until <= now
 
+    def begin(self, peer):
+        """Record that a peer is asked."""
+        self._peers.setdefault(peer, _Peer()).asked += 1
+
+    def end(self, peer):
+        """Record that a question to a peer has ended, answered or not."""
+        known = self._peers.get(peer)
+        if known is not None:
+            known.asked = max(0, known.asked - 1)
+
     def record(self, peer, address, verdict, tunnels, now):
         """Record a peer's answer.
 
