--- a/rowanport/tunnels/server.py
+++ b/rowanport/tunnels/server.py
@@ -35,6 +35,7 @@
 
     :ivar id: its id, for the logs
     :ivar caller: peer address of the router that uses it
+    :ivar address: IP and port of the upstream
     :ivar sent: bytes copied to the upstream
     :ivar received: bytes copied from the upstream
     """
@@ -42,6 +43,7 @@
     def __init__(self, id_, caller, reader, writer, path):
         self.id = id_
         self.caller = caller
+        self.address = path.address
         self.sent = 0
         self.received = 0
         self._reader = reader
@@ -142,7 +144,12 @@
 
     async def _run(self, tunnel):
         self._tunnels.add(tunnel)
-        LOG.info("tunnel_opened", tunnel=tunnel.id, peer=tunnel.caller)
+        LOG.info(
+            "tunnel_opened",
+            tunnel=tunnel.id,
+            peer=tunnel.caller,
+            upstream_address=tunnel.address,
+        )
         try:
             await tunnel.run()
         finally:
--- a/rowanport/ui/explain.py
+++ b/rowanport/ui/explain.py
@@ -13,10 +13,15 @@
     "config_in_force",
     "upstreams_in_force",
     "upstream_limit",
+    "upstream_link_lost",
+    "cut_off_from_upstreams",
+    "upstreams_reached_again",
     "budget_store",
     "budgets_held",
     "tokens_stranded",
 )
+# Events at the router that relays, by the tunnel that a request's lines name.
+TUNNELS = ("tunnel_opened", "tunnel_closed")
 # Events of upstreams that crash under requests, which name fingerprints.
 CRASHES = (
     "upstream_crashed",
@@ -31,14 +36,16 @@
     """A request's lines, and what its routers believed before each.
 
     :ivar lines: (line, beliefs by event) pairs in the order of the logs
+    :ivar tunnels: the same of lines at the routers that relayed it
     :ivar crashes: the same of lines on upstreams that crashed under it, also
         as it was sent under other ids
     """
 
-    __slots__ = ("lines", "crashes")
+    __slots__ = ("lines", "tunnels", "crashes")
 
     def __init__(self):
         self.lines = []
+        self.tunnels = []
         self.crashes = []
 
 
@@ -52,6 +59,8 @@
     explanation = Explanation()
     fingerprints = set()
     crashes = []
+    used_tunnels = set()
+    tunnels = []
     for text in source:
         line = _read_line(text)
         if line is None:
@@ -63,11 +72,18 @@
         if line.get("request") == request:
             explanation.lines.append((line, dict(known)))
             fingerprints.add(line.get("fingerprint"))
+            used_tunnels.add(line.get("tunnel"))
         elif event in CRASHES:
             crashes.append((line, {}))
+        elif event in TUNNELS:
+            tunnels.append((line, dict(known)))
     explanation.crashes = [
         row for row in crashes if _fingerprints(row[0]) & fingerprints
     ]
+    used_tunnels.discard(None)
+    explanation.tunnels = [
+        row for row in tunnels if row[0].get("tunnel") in used_tunnels
+    ]
     return explanation
 
 
@@ -94,7 +110,8 @@
     explanation = explain(request, sys.stdin)
     if not explanation.lines:
         raise UserError(f"no line about {request}")
-    for line, beliefs in explanation.crashes + explanation.lines:
+    rows = explanation.crashes + explanation.tunnels + explanation.lines
+    for line, beliefs in rows:
         typer.echo(json.dumps(line))
         for belief in beliefs.values():
             typer.echo("    believed: " + json.dumps(belief))
--- a/soak/broken.py
+++ b/soak/broken.py
@@ -337,6 +337,21 @@
         RateLimits.record_answer = lambda *_arguments: None
 
 
+class OwnLinkOnly(Variant):
+    """Reaches upstreams over its own link and no other way."""
+
+    promise = "severed"
+    theme = "severed"
+
+    def apply(self):
+        from rowanport.gateway.path_connector import PathConnector
+
+        async def relayed(self, address):
+            return None, set()
+
+        PathConnector._relayed = relayed
+
+
 class Ends(Variant):
     """Ends by itself after some seconds."""
 
@@ -372,6 +387,7 @@
         ForgetsCrashes,
         BlamesAll,
         IgnoresLimits,
+        OwnLinkOnly,
         Ends,
     )
 }
--- a/test/test_explain.py
+++ b/test/test_explain.py
@@ -52,3 +52,20 @@
     assert events == ["upstream_crashed", "request_blocked"]
     found = CliRunner().invoke(app, ["explain", "abc"], input="\n".join(logs))
     assert found.output.count("request_blocked") == 1
+
+
+def test_a_relayed_request_is_explained_over_both_routers():
+    logs = [
+        line("cut_off_from_upstreams", "r1", reason="refused"),
+        line("tunnel_opened", "r2", tunnel="t1", peer="r1:82"),
+        line("tunnel_opened", "r2", tunnel="t2", peer="r1:82"),
+        line("request", "r1", request="abc", relay="r2:82", tunnel="t1"),
+        line("tunnel_closed", "r2", tunnel="t1", received=900),
+    ]
+    explanation = explain("abc", logs)
+    ((_request, beliefs),) = explanation.lines
+    assert beliefs["cut_off_from_upstreams"]["reason"] == "refused"
+    rows = [(row["event"], row["tunnel"]) for row, _ in explanation.tunnels]
+    assert rows == [("tunnel_opened", "t1"), ("tunnel_closed", "t1")]
+    found = CliRunner().invoke(app, ["explain", "abc"], input="\n".join(logs))
+    assert "t2" not in found.output
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -70,9 +70,15 @@
     BlamesAll=30,
     IgnoresLimits=30,
     TrustsOldViews=30,
+    OwnLinkOnly=30,
 )
 
 
+# Routers of a variant; where half of them are cut off, enough callers have to
+# come to the others.
+BROKEN_PROCESSES = collections.defaultdict(lambda: 3, OwnLinkOnly=6)
+
+
 def found(history):
     """Return the names of the promises that a history breaks."""
     return [finding.promise for finding in promises.check(history)]
@@ -954,7 +960,9 @@
     started = {name: pool.submit(soak, *run) for name, run in REAL.items()}
     for name in VARIANTS:
         seconds = str(BROKEN_SECONDS[name])
-        run = (*BROKEN, "--seconds", seconds, "--broken", name)
+        processes = str(BROKEN_PROCESSES[name])
+        run = (*BROKEN, "--seconds", seconds, "--processes", processes)
+        run = (*run, "--broken", name)
         started[name] = pool.submit(soak, *run)
     yield started
     pool.shutdown()
