Paths: an upstream that is down costs no more than another try

With an upstream that is down, a request waited for up to nine peers before it went on to the next upstream. It waits for .1 s, and the search goes on without it; one search runs for an address at a time; two peers that reach others and not this one end it. A peer answers "unreachable" only if it reached another upstream since, and "cut off" otherwise. Only peers of the own cell are asked. A crash is confirmed by what peers say within .4 s.

--- a/rowanport/gateway/own_link.py
+++ b/rowanport/gateway/own_link.py
@@ -16,6 +16,9 @@
 # Seconds for which a new connection has to stay open to count as one: a
 # network that refuses connections may close them only once they are accepted.
 SETTLE_SECONDS = 0.02
+# Seconds for which a new connection that stayed open, or was answered, speaks
+# for the next one.
+SETTLED_MEMORY = 1.0
 # Time-out in seconds of a health check that shows whether an upstream answers.
 CHECK_TIMEOUT = 0.5
 # Other upstreams that are tried to tell a lost link from an upstream that is
@@ -110,9 +113,14 @@
             return Verdict.CUT_OFF
         if self._gateway.congestion.congested:
             return Verdict.BUSY
-        if not fresh and not self._links.usable(address):
+        outage = self._links.outage(address)
+        if fresh or outage is None:
+            return None
+        # Without another upstream that was reached since, the fault may be
+        # here.
+        if self._links.reached_since(outage.began_at, {address}):
             return Verdict.UNREACHABLE
-        return None
+        return Verdict.CUT_OFF
 
     async def _open_settled(self, address, begin):
         """Return a Path that stays open.
@@ -122,11 +130,14 @@
         :raises UpstreamError: no connection
         """
         path = await self.open(address)
+        if self._links.reached_after(address, begin - SETTLED_MEMORY):
+            return path
         await asyncio.sleep(SETTLE_SECONDS)
         if path.reader.ended:
             path.writer.transport.abort()
             self.record_lost(address, "closed at once")
             raise ConnectionRefused(f"{address} closed the connection")
+        self._links.record_reached(address, begin)
         return path
 
     async def works(self, excluded, begin):
--- a/rowanport/gateway/path_connector.py
+++ b/rowanport/gateway/path_connector.py
@@ -8,7 +8,6 @@
 from ..errors import PeerError
 from ..errors import UpstreamError
 from ..incarnation import address_of
-from ..membership.members import READY
 from ..paths import Verdict
 from ..tasks import TaskSet
 from ..tunnels import TunnelUnsupported
@@ -18,6 +17,14 @@
 
 # Most peers that are asked to relay one connection.
 MOST_ASKED = 9
+# Peers that reach others, but not the upstream, after which no more are asked.
+MOST_DENIALS = 2
+DENIALS = (Verdict.REFUSED, Verdict.UNREACHABLE)
+# Seconds for which a connection that was just found impossible over the own
+# link waits for peers; they are asked on, but another upstream may be quicker.
+FIRST_WAIT = 0.1
+# The same if it is known that the own link is lost.
+RELAY_WAIT = 0.5
 # Seconds without an answer after which further peers are asked: a peer that
 # relays answers within a few round trips.
 STAGGER = 0.1
@@ -25,9 +32,11 @@
 MOST_AT_ONCE = 3
 # Seconds for which an upstream that neither the own link nor any peer reaches
 # is given up without trying.
-UNREACHED_SECONDS = 0.5
-# Peers that are asked whether an upstream crashed.
+UNREACHED_SECONDS = 1.0
+# Peers that are asked whether an upstream crashed, and seconds after which
+# their answers no longer count.
 CONFIRMING_PEERS = 3
+CONFIRM_TIMEOUT = 0.4
 
 
 class PathConnector(Connector):
@@ -52,6 +61,8 @@
         self._members = members
         self._metrics = metrics
         self._tasks = TaskSet()
+        # Tasks that look for a peer which relays, by address.
+        self._searches = {}
         # Until when an address is given up, and the Verdicts of the peers.
         self._unreached = {}
         self.client = None
@@ -70,7 +81,8 @@
                 return await self._own_link.open(address)
             except UpstreamError as error:
                 cause = error
-        path, verdicts = await self._relayed(address)
+        wait = RELAY_WAIT if cause is None else FIRST_WAIT
+        path, verdicts = await self._relayed(address, wait)
         if path is not None:
             return path
         if cause is None and self._links.may_work(address):
@@ -111,22 +123,44 @@
         """Return (peer address, data centre) of the peers that may relay."""
         return [
             (address_of(entry.incarnation), entry.data_centre)
-            for entry in self._members.live()[1:]
-            if entry.state == READY
+            for entry in self._members.ready_entries()
         ]
 
-    async def _relayed(self, address):
-        """Return a Path through a peer, or None, and the peers' Verdicts."""
-        now = _now()
+    async def _relayed(self, address, wait):
+        """Return a Path through a peer, or None, and the peers' Verdicts.
+
+        :param wait: longest wait in seconds; the search goes on after it
+        """
+        search = self._searches.get(address)
+        if search is not None:
+            # One search at a time: an upstream that is down is asked for once,
+            # however many requests wait for it.
+            await asyncio.wait({search}, timeout=wait)
+            if not search.done():
+                return None, ()
         until, verdicts = self._unreached.get(address, (0.0, ()))
-        if until > now:
+        if until > _now():
             return None, verdicts
-        peers = self._ready_peers()
-        self._relays.retain({peer for peer, _data_centre in peers})
-        candidates = self._relays.candidates(peers, address, now)
-        path, verdicts = await self._first_path(
-            candidates[:MOST_ASKED], address
-        )
+        search = self._tasks.spawn(self._search(address))
+        self._searches[address] = search
+        await asyncio.wait({search}, timeout=wait)
+        if search.done() and not search.cancelled():
+            return search.result()
+        search.add_done_callback(self._keep_result)
+        return None, ()
+
+    async def _search(self, address):
+        """Ask peers for a tunnel; return a Path or None, and Verdicts."""
+        try:
+            peers = self._ready_peers()
+            self._relays.retain({peer for peer, _data_centre in peers})
+            ranked = self._relays.candidates(peers, address, _now())
+            path, verdicts = await self._first_path(
+                ranked[:MOST_ASKED], address
+            )
+        finally:
+            if self._searches.get(address) is asyncio.current_task():
+                del self._searches[address]
         outcome = "opened" if path else "denied"
         self._metrics.relayed_connections.inc({"outcome": outcome})
         if path is None:
@@ -150,8 +184,11 @@
         :returns: the Path or None, and the Verdicts so far
         """
         waiting, pending, count = list(peers), set(), 1
-        verdicts = set()
+        verdicts = []
         while waiting or pending:
+            if sum(verdict in DENIALS for verdict in verdicts) >= MOST_DENIALS:
+                self._keep_surplus((), pending)
+                break
             if waiting:
                 for peer in waiting[:count]:
                     pending.add(self._start_ask(peer, address))
@@ -163,8 +200,8 @@
                 return_when=asyncio.FIRST_COMPLETED,
             )
             answers = [task.result() for task in done]
-            verdicts.update(verdict for verdict, _path in answers)
-            paths = [path for _verdict, path in answers if path is not None]
+            verdicts += [verdict for _path, verdict in answers]
+            paths = [path for path, _verdict in answers if path is not None]
             if paths:
                 self._keep_surplus(paths[1:], pending)
                 return paths[0], verdicts
@@ -180,7 +217,7 @@
     def _keep_result(self, task):
         if task.cancelled() or task.exception() is not None:
             return
-        _verdict, path = task.result()
+        path, _verdicts = task.result()
         if path is not None:
             self.client.keep(path)
 
@@ -191,7 +228,7 @@
         return self._tasks.spawn(self._ask(peer, address, fresh))
 
     async def _ask(self, peer, address, fresh):
-        """Ask a peer for a tunnel; return (Verdict or None, Path or None)."""
+        """Ask a peer for a tunnel; return (Path or None, Verdict or None)."""
         try:
             verdict, tunnels, path = await self._tunnels.open(
                 peer, address, fresh
@@ -206,7 +243,7 @@
         self._relays.record(peer, address, verdict, tunnels, _now())
         if path is not None:
             self._record_relayed(address, peer)
-        return verdict, path
+        return path, verdict
 
     def _record_relayed(self, address, peer):
         if self._links.record_relayed(address, _now()):
@@ -231,29 +268,26 @@
         if not peers or len(self._own_link.addresses) < 2:
             return True
         candidates = self._relays.candidates(peers, "", _now())
-        verdicts = await asyncio.gather(
-            *(
-                self._ask_and_keep(peer, address)
-                for peer in candidates[:CONFIRMING_PEERS]
-            )
-        )
+        asked = {
+            self._start_ask(peer, address, fresh=True): peer
+            for peer in candidates[:CONFIRMING_PEERS]
+        }
+        if not asked:
+            return False
+        answered, late = await asyncio.wait(asked, timeout=CONFIRM_TIMEOUT)
+        self._keep_surplus((), [*answered, *late])
+        verdicts = {asked[task]: task.result()[1] for task in answered}
         LOG.info(
             "crash_verdicts",
             upstream_address=address,
             verdicts={
                 peer: verdict and verdict.value
-                for peer, verdict in zip(candidates, verdicts)
+                for peer, verdict in verdicts.items()
             },
         )
-        if Verdict.REACHED in verdicts:
+        if Verdict.REACHED in verdicts.values():
             return False
-        return Verdict.REFUSED in verdicts
-
-    async def _ask_and_keep(self, peer, address):
-        verdict, path = await self._start_ask(peer, address, fresh=True)
-        if path is not None:
-            self.client.keep(path)
-        return verdict
+        return Verdict.REFUSED in verdicts.values()
 
 
 def _now():
--- a/rowanport/membership/members.py
+++ b/rowanport/membership/members.py
@@ -373,8 +373,12 @@
         return ready
 
     def _ready_peers(self):
+        return [entry.incarnation for entry in self.ready_entries()]
+
+    def ready_entries(self):
+        """Return the entries of the live and ready peers of the cell."""
         return [
-            member.entry.incarnation
+            member.entry
             for member in self._live_members()
             if member.same_cell and member.entry.state == READY
         ]
--- a/rowanport/paths/links.py
+++ b/rowanport/paths/links.py
@@ -73,6 +73,13 @@
             return True
         return outage.answering or outage.reason == SILENT
 
+    def reached_after(self, address, begin):
+        """Return whether a new connection to an upstream was answered.
+
+        :param begin: monotonic time after which it was opened
+        """
+        return self._reached_at.get(address, begin) > begin
+
     def reached_since(self, begin, excluded):
         """Return whether a new connection over the own link was answered.
 
--- a/soak/broken.py
+++ b/soak/broken.py
@@ -346,8 +346,8 @@
     def apply(self):
         from rowanport.gateway.path_connector import PathConnector
 
-        async def relayed(self, address):
-            return None, set()
+        async def relayed(self, address, wait):
+            return None, ()
 
         PathConnector._relayed = relayed
 
