Tunnels: a relay that is cut off in turn ends its tunnels

A router kept tunnels through a peer that had lost its links later. The peer now ends them with its own connections, and the asking router goes another way.

The soak sees from whose link a run came, so that only runs from a link that was lost are excused as held up, and no others; its own test shows both.

--- a/rowanport/gateway/daemon.py
+++ b/rowanport/gateway/daemon.py
@@ -179,11 +179,15 @@
             keepalive=keepalive, connector=self._connector
         )
         self._own_link.client = self._connector.client = self.client
+        self.tunnels = TunnelServer(self._own_link, keepalive)
         self._link_monitor = LinkMonitor(
-            self._own_link, self.links, self.client, self.congestion
+            self._own_link,
+            self.links,
+            self.client,
+            self.congestion,
+            self.tunnels,
         )
         self._connector.on_ended = self._link_monitor.verify
-        self.tunnels = TunnelServer(self._own_link, keepalive)
         self._peer_server.on_tunnel = self.tunnels.serve
 
     def _build_forwarding(self, settings):
--- a/rowanport/gateway/link_monitor.py
+++ b/rowanport/gateway/link_monitor.py
@@ -36,13 +36,15 @@
     :param links: the UpstreamLinks
     :param client: the HttpClient of the upstreams
     :param congestion: the CongestionDetector
+    :param tunnels: the TunnelServer
     """
 
-    def __init__(self, own_link, links, client, congestion):
+    def __init__(self, own_link, links, client, congestion, tunnels):
         self._own_link = own_link
         self._links = links
         self._client = client
         self._congestion = congestion
+        self._tunnels = tunnels
         self._tasks = TaskSet()
         self._probing = set()
         self._checking = None
@@ -134,9 +136,7 @@
         for address in hanging:
             self._own_link.record_lost(address, UNACKNOWLEDGED)
         if hanging:
-            self._client.drop_idle(
-                lambda path: path.relay is None and path.address in hanging
-            )
+            self._drop_direct(lambda address: address in hanging)
         if len(hanging) > 1 and not self._checking and not self._links.cut_off:
             self._checking = self._tasks.spawn(self._check_link(hanging))
             self._checking.add_done_callback(self._end_check)
@@ -191,7 +191,18 @@
                 evidence=sorted(evidence),
                 reached_by=None,
             )
-        self._client.drop_idle(lambda path: path.relay is None)
+        self._drop_direct(lambda _address: True)
+
+    def _drop_direct(self, choose):
+        """Drop what goes over the own link, tunnels of peers included.
+
+        :param choose: function from an upstream's address to whether the
+            connections to it are dropped
+        """
+        self._client.drop_idle(
+            lambda path: path.relay is None and choose(path.address)
+        )
+        self._tunnels.drop(choose)
 
 
 def _now():
--- a/rowanport/tunnels/server.py
+++ b/rowanport/tunnels/server.py
@@ -50,6 +50,10 @@
         self._writer = writer
         self._path = path
 
+    def abort(self):
+        """Reset the connection to the asking router, which ends the tunnel."""
+        self._writer.transport.abort()
+
     async def run(self):
         """Copy until an end closes, and close the other one."""
         path = self._path
@@ -111,6 +115,18 @@
         """Return the peer addresses of the routers that use tunnels."""
         return {tunnel.caller for tunnel in self._tunnels}
 
+    def drop(self, choose):
+        """End tunnels whose upstreams this router no longer reaches.
+
+        The asking router then learns it at once, and not by its deadlines.
+
+        :param choose: function from an upstream's address to whether its
+            tunnels are ended
+        """
+        for tunnel in list(self._tunnels):
+            if choose(tunnel.address):
+                tunnel.abort()
+
     async def serve(self, message, caller, reader, writer):
         """Serve a tunnel until it ends.
 
--- a/soak/history.py
+++ b/soak/history.py
@@ -105,6 +105,7 @@
     :ivar tokens: tokens handed out, by number of the event
     :ivar broke_off: whether the upstream itself broke the answer off
     :ivar crashed: whether it crashed the upstream
+    :ivar sender: name of the router from whose link it came, "" if unknown
     """
 
     __slots__ = (
@@ -117,6 +118,7 @@
         "tokens",
         "broke_off",
         "crashed",
+        "sender",
     )
 
     def __init__(self, request, upstream, arrived_at, path, organisation=""):
@@ -125,6 +127,7 @@
         self.tokens = {}
         self.broke_off = False
         self.crashed = False
+        self.sender = ""
 
 
 class Version(Record):
--- a/soak/operator.py
+++ b/soak/operator.py
@@ -148,6 +148,7 @@
         faulty = seat.service == FEED and seat.number % self._shape.faulty == 0
         upstream = RecordingUpstream(name, self._history, self._seed, faulty)
         upstream.slots = self._shape.slots
+        upstream.source_at = self._world.relays.source_at
         if seat.service == PROBE:
             upstream.slots = PROBE_SLOTS
         upstream.pause = self._random.choice(self._shape.pauses)
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -166,7 +166,7 @@
     """
     begun = run.arrived_at - history.bounds.contact
     return any(
-        fault.touches(request.router, begun, run.arrived_at)
+        fault.touches(run.sender or request.router, begun, run.arrived_at)
         for fault in history.faults
         if fault.kind == SEVER
     )
--- a/soak/relay.py
+++ b/soak/relay.py
@@ -163,6 +163,8 @@
         self._open = set()
         # Listening sockets by target.
         self._servers = {}
+        # Sources of open connections, by the port that targets see.
+        self._sources = {}
         # Pairs of source and target whose packets are dropped.
         self._hanging = set()
         self._changed = asyncio.Event()
@@ -188,14 +190,24 @@
             writer.transport.abort()
             return
         connection = _Connection(self, source, target, (reader, writer), far)
+        port = far[1].get_extra_info("sockname")[1]
+        self._sources[port] = source
         self._open.add(connection)
         try:
             with contextlib.suppress(OSError):
                 await connection.run()
         finally:
+            self._sources.pop(port, None)
             self._open.discard(connection)
             connection.abort()
 
+    def source_at(self, port):
+        """Return the source of the connection that a target sees from a port.
+
+        :returns: "" if there is none
+        """
+        return self._sources.get(port, "")
+
     def name(self, address, name):
         """Give the source at an IP number a name."""
         self._names[address] = name
--- a/soak/upstream.py
+++ b/soak/upstream.py
@@ -66,6 +66,8 @@
     :param history: the History to write to
     :param faulty: whether it has faults of its own
     :ivar listed: its state in the store, "" if it isn't there
+    :ivar source_at: function from the port of a connection to the name of the
+        router from which it comes
     """
 
     def __init__(self, name, history, seed, faulty, slots=8):
@@ -81,6 +83,7 @@
         self._readers = {}
         self._stalls = []
         self._named = None
+        self.source_at = lambda _port: ""
 
     def entry(self, service="feed", state="ready"):
         """Return its entry in the directory."""
@@ -148,6 +151,8 @@
             return
         self.active += 1
         names["path"] = request.target.decode()
+        peer = writer.get_extra_info("peername")
+        names["sender"] = self.source_at(peer[1]) if peer else ""
         self._runs[connection] = names
         try:
             await asyncio.sleep(self._random.uniform(0, 0.02))
@@ -216,6 +221,7 @@
         )
         run.broke_off = names["behaviour"] in BREAKING
         run.crashed = names["behaviour"] == "crash"
+        run.sender = names["sender"]
         self._runs[connection] = run
         self._history.runs.append(run)
 
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -905,6 +905,22 @@
     assert found(history) == ["configuration"]
 
 
+def leaving_history(sender):
+    """Return a History of a late arrival over the link of a router."""
+    history = History()
+    history.leaves.append(Leave("u0", 101.0))
+    add_request(history, sent_at=100.9)
+    add_run(history, at=106.0).sender = sender
+    fault = Fault(SEVER, frozenset(["r1"]), 100.0, 105.9)
+    history.faults.append(fault)
+    return history
+
+
+def test_what_a_lost_link_held_up_is_not_late_and_other_work_is():
+    assert found(leaving_history("r1")) == []
+    assert found(leaving_history("r0")) == ["leaving"]
+
+
 def test_a_hanging_link_takes_no_new_connection_and_recovers(loop):
     async def check(relays, connect):
         old = await connect()
--- a/test/test_tunnels.py
+++ b/test/test_tunnels.py
@@ -5,6 +5,7 @@
 from test.crash_world import crash_test
 from test.platform_world import ID_HEADER
 from test.test_cut_off import ask_everywhere
+from test.test_cut_off import HANG
 from test.test_cut_off import recover
 from test.test_cut_off import RESET
 from test.test_cut_off import sever
@@ -171,3 +172,15 @@
         for gateway in world.gateways.values()
     )
     assert crashes >= 1
+
+
+@crash_test()
+async def test_a_relay_that_is_cut_off_in_turn_ends_its_tunnels(world):
+    host, *_others = world.hosts
+    await cut_off(world, [host])
+    tasks = await ask_at(world, host, 12, "/stream/", "s")
+    relay = relays_in_use(world)[0]
+    sever(world, [relay], HANG)
+    await world.ask_many(20, 0.05, host=relay)
+    assert await asyncio.gather(*tasks) == [200] * 12
+    assert not world.gateways[relay].tunnels.count
