Paths: a peer that restarted is asked again at once

The check meant not to count tries while nobody in touch reaches the upstreams, but took requests that were never sent for those of a router in touch.

--- a/rowanport/gateway/daemon.py
+++ b/rowanport/gateway/daemon.py
@@ -446,7 +446,7 @@
     def _end_tunnels(self):
         """Open no more tunnels, and tell the users of the open ones."""
         self.tunnels.closing = True
-        message = messages.RelayLeaving(self.settings.peers)
+        message = messages.RelayLeaving(self.incarnation)
         for peer in self.tunnels.callers:
             self._peer_server.tell(peer, message)
 
--- a/rowanport/gateway/decisions.py
+++ b/rowanport/gateway/decisions.py
@@ -3,11 +3,19 @@
 import structlog
 
 from ..errors import ConnectionEnded
+from ..incarnation import address_of
 from .fingerprint import format_fingerprint
 
 LOG = structlog.get_logger(__name__)
 
 
+def _relay_address(path):
+    """Return the peer address of the router that relays a Path, or None."""
+    if path is None or path.relay is None:
+        return None
+    return address_of(path.relay)
+
+
 class DecisionLog:
     """Writes the log lines and counts the outcomes of requests and sends.
 
@@ -33,7 +41,7 @@
             request=job.id,
             fingerprint=format_fingerprint(job.fingerprint),
             upstream=state.record.id,
-            relay=path and path.relay,
+            relay=_relay_address(path),
             tunnel=path and path.tunnel,
             outcome=outcome,
             why=str(error),
@@ -76,7 +84,7 @@
             sends=job.sends,
             runs=job.runs,
             upstream=job.upstream,
-            relay=job.path and job.path.relay,
+            relay=_relay_address(job.path),
             tunnel=job.path and job.path.tunnel,
             backlog=job.backlog,
             events=job.events,
--- a/rowanport/gateway/path_connector.py
+++ b/rowanport/gateway/path_connector.py
@@ -120,9 +120,9 @@
         self.client.drop_idle(lambda path: path.relay == peer)
 
     def _ready_peers(self):
-        """Return (peer address, data centre) of the peers that may relay."""
+        """Return (incarnation, data centre) of the peers that may relay."""
         return [
-            (address_of(entry.incarnation), entry.data_centre)
+            (entry.incarnation, entry.data_centre)
             for entry in self._members.ready_entries()
         ]
 
@@ -236,7 +236,9 @@
         except PeerError as error:
             supported = not isinstance(error, TunnelUnsupported)
             self._relays.record_unanswered(peer, supported, _now())
-            LOG.info("relay_unanswered", peer=peer, error=str(error))
+            LOG.info(
+                "relay_unanswered", peer=address_of(peer), error=str(error)
+            )
             return None, None
         finally:
             self._relays.end(peer)
@@ -252,7 +254,7 @@
                 "cut_off_from_upstreams",
                 reason=cut.reason,
                 evidence=self._links.evidence,
-                reached_by=peer,
+                reached_by=address_of(peer),
             )
 
     # Crashes
@@ -281,7 +283,7 @@
             "crash_verdicts",
             upstream_address=address,
             verdicts={
-                peer: verdict and verdict.value
+                address_of(peer): verdict and verdict.value
                 for peer, verdict in verdicts.items()
             },
         )
--- a/rowanport/paths/relays.py
+++ b/rowanport/paths/relays.py
@@ -59,11 +59,14 @@
     def candidates(self, peers, address, now):
         """Return the peers to ask to relay to an upstream, the best first.
 
+        Peers are told apart by their incarnation: one that restarted knows
+        nothing of what its address answered before.
+
         Those with few tunnels come first, so that the routers that are not cut
         off share the load; among these the ones that relayed before, and those
         of the own data centre.
 
-        :param peers: (peer address, data centre) pairs
+        :param peers: (incarnation, data centre) pairs
         :param address: address of the upstream
         """
         ranked = []
@@ -124,7 +127,7 @@
     def retain(self, peers):
         """Drop what is known of peers that are gone.
 
-        :param peers: peer addresses
+        :param peers: incarnations
         """
         for peer in [peer for peer in self._peers if peer not in peers]:
             del self._peers[peer]
--- a/rowanport/schema/messages.py
+++ b/rowanport/schema/messages.py
@@ -2494,7 +2494,7 @@
 class RelayLeaving(Message):
     """Tell the users of a router's tunnels that it is shutting down.
 
-    :ivar sender: peer address of the sender
+    :ivar sender: incarnation of the sender
     """
 
     __slots__ = ("sender",)
--- a/rowanport/tunnels/client.py
+++ b/rowanport/tunnels/client.py
@@ -5,6 +5,7 @@
 from ..errors import MessageError
 from ..errors import PeerError
 from ..hashing import new_id
+from ..incarnation import address_of
 from ..paths import Verdict
 from ..schema import messages
 from ..web import stream
@@ -40,7 +41,7 @@
     async def open(self, peer, address, fresh=False):
         """Ask a peer for a tunnel to an upstream.
 
-        :param peer: the peer's address
+        :param peer: the peer's incarnation
         :param address: IP and port of the upstream
         :param fresh: whether the peer has to open a connection to the upstream
             whatever it knows
@@ -58,7 +59,7 @@
             raise PeerError(f"{peer}: {error}") from None
 
     async def _open(self, peer, address, fresh):
-        host, _, port = peer.rpartition(":")
+        host, _, port = address_of(peer).rpartition(":")
         reader, writer = await stream.connect(
             host, int(port), local_addr=self._source
         )
--- a/rowanport/web/connector.py
+++ b/rowanport/web/connector.py
@@ -50,7 +50,7 @@
     :ivar address: IP and port of the upstream
     :ivar reader: its WatchedReader
     :ivar writer: its StreamWriter
-    :ivar relay: peer address of the router that relays it, None if direct
+    :ivar relay: incarnation of the router that relays it, None if direct
     :ivar tunnel: id of the tunnel through that router, for the logs, or None
     :ivar opened_at: the event loop's time at which it was opened
     :ivar answered: whether the head of an answer has arrived on it
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -528,6 +528,8 @@
     One that was told to stop takes no new work.
     """
     routers = {request.router for request in history.requests.values()}
+    # Of what was not sent.
+    routers.discard("")
     cut = {
         router
         for router in routers
--- a/test/test_paths.py
+++ b/test/test_paths.py
@@ -167,9 +167,9 @@
 # Peers
 
 
-PEERS = [(f"10.0.0.{n}:82", "near") for n in range(2, 5)] + [
-    (f"10.0.1.{n}:82", "far") for n in range(2, 5)
-]
+NEAR = [f"north/10.0.0.{n}:82/a" for n in range(2, 5)]
+FAR = [f"north/10.0.1.{n}:82/a" for n in range(2, 5)]
+PEERS = [(peer, "near") for peer in NEAR] + [(peer, "far") for peer in FAR]
 
 
 def relay_peers():
@@ -179,7 +179,7 @@
 def test_peers_of_the_own_data_centre_are_asked_first():
     first = relay_peers().candidates(PEERS, A, 100.0)
     assert len(first) == len(PEERS)
-    assert all(peer.startswith("10.0.0.") for peer in first[:3])
+    assert set(first[:3]) == set(NEAR)
 
 
 def test_peers_that_relay_a_lot_come_after_those_that_do_not():
@@ -188,7 +188,7 @@
         if data_centre == "near":
             relays.record(peer, A, Verdict.REACHED, 40, 100.0)
     first = relays.candidates(PEERS, A, 100.0)
-    assert all(peer.startswith("10.0.1.") for peer in first[:3])
+    assert set(first[:3]) == set(FAR)
 
 
 def test_questions_under_way_count_as_tunnels():
@@ -203,8 +203,17 @@
 
 def test_a_peer_that_relayed_is_preferred_to_one_that_was_not_asked():
     relays = relay_peers()
-    relays.record("10.0.1.2:82", A, Verdict.REACHED, 1, 100.0)
-    assert relays.candidates(PEERS, B, 100.0)[0] == "10.0.1.2:82"
+    relays.record(FAR[0], A, Verdict.REACHED, 1, 100.0)
+    assert relays.candidates(PEERS, B, 100.0)[0] == FAR[0]
+
+
+def test_a_peer_that_restarted_is_asked_again_at_once():
+    relays = relay_peers()
+    old = NEAR[0]
+    relays.record(old, A, Verdict.LEAVING, 0, 100.0)
+    restarted = old.removesuffix("a") + "b"
+    assert relays.candidates([(old, "near")], A, 100.1) == []
+    assert relays.candidates([(restarted, "near")], A, 100.1) == [restarted]
 
 
 @pytest.mark.parametrize(
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -898,6 +898,14 @@
     assert found(history) == []
 
 
+def test_nobody_serves_while_the_only_other_router_stops():
+    history = severed_history(0, 30)
+    add_tries(history, "", 0, 1)
+    history.requests["-0"].outcome = "unsent"
+    history.faults.append(Fault("term", frozenset(["r1"]), 103.5, 106.0))
+    assert found(history) == []
+
+
 def test_a_cut_off_router_stays_bound_by_other_promises():
     history = severed_history(0, 0)
     history.versions.append(Version(2, 90.0, 90.0, {}))
