--- a/soak/relay.py
+++ b/soak/relay.py
@@ -163,7 +163,8 @@
         self._open = set()
         # Listening sockets by target.
         self._servers = {}
-        # Sources of open connections, by the port that targets see.
+        # Sources of connections, by the port that targets see; of one that has
+        # just closed, too.
         self._sources = {}
         # Pairs of source and target whose packets are dropped.
         self._hanging = set()
@@ -197,12 +198,11 @@
             with contextlib.suppress(OSError):
                 await connection.run()
         finally:
-            self._sources.pop(port, None)
             self._open.discard(connection)
             connection.abort()
 
     def source_at(self, port):
-        """Return the source of the connection that a target sees from a port.
+        """Return the source of the last connection that came from a port.
 
         :returns: "" if there is none
         """
