Links: one that closes what it accepted is probed by an answer

Where connections open though nothing gets through, only the answer to a health check counts: for the probes, for the upstreams by which a peer tells a lost link from a lost upstream, and once a new connection has ended without an answer. Upstreams that name a rate limit are tried by a connection alone.

test_tunnels.py has the case (a network that resets 50 ms after it accepted): fails before, passes after.

--- a/rowanport/gateway/link_monitor.py
+++ b/rowanport/gateway/link_monitor.py
@@ -5,6 +5,7 @@
 
 import structlog
 
+from ..paths import CLOSED
 from ..paths import SILENT
 from ..paths import UNACKNOWLEDGED
 from ..supervision import beat
@@ -71,8 +72,8 @@
             self._spawn(address, self._verify(address))
 
     async def _verify(self, address):
-        if not await self._own_link.connects(address):
-            self._own_link.record_lost(address, "closed at once")
+        if not await self._own_link.check(address, CLOSED):
+            self._own_link.record_lost(address, CLOSED)
 
     def _start_probes(self):
         now = _now()
@@ -94,11 +95,7 @@
         if outage is None:
             return
         was_cut = self._links.cut
-        # A link that passes connections and no answers shows only by these.
-        if outage.reason == SILENT:
-            reached = await self._own_link.answers(address)
-        else:
-            reached = await self._own_link.connects(address)
+        reached = await self._own_link.check(address, outage.reason)
         now = _now()
         back = self._links.record_probe(address, reached, now)
         if was_cut is not None and not self._links.cut_off:
@@ -146,7 +143,8 @@
 
         :param hanging: addresses of upstreams that acknowledge nothing
         """
-        if not await self._own_link.works(hanging, _now()):
+        works = self._own_link.works(hanging, _now(), UNACKNOWLEDGED)
+        if not await works:
             self._begin_cut(UNACKNOWLEDGED, hanging)
 
     def _end_check(self, _task):
--- a/rowanport/gateway/own_link.py
+++ b/rowanport/gateway/own_link.py
@@ -7,6 +7,10 @@
 
 from ..errors import ConnectionRefused
 from ..errors import UpstreamError
+from ..paths import ANSWER_REASONS
+from ..paths import CLOSED
+from ..paths import NO_CONNECTION
+from ..paths import REFUSED
 from ..paths import Verdict
 from ..tunnels import UpstreamReach
 from ..web import HttpClient
@@ -76,10 +80,10 @@
         try:
             return await self._direct.open(address)
         except ConnectionRefused:
-            self.record_lost(address, "refused")
+            self.record_lost(address, REFUSED)
             raise
         except UpstreamError:
-            self.record_lost(address, "no connection")
+            self.record_lost(address, NO_CONNECTION)
             raise
 
     def record_lost(self, address, reason):
@@ -100,7 +104,9 @@
             path = await self._open_settled(address, begin)
         except UpstreamError as error:
             refused = isinstance(error, ConnectionRefused)
-            if not await self.works({address}, begin):
+            outage = self._links.outage(address)
+            reason = outage and outage.reason
+            if not await self.works({address}, begin, reason):
                 return Verdict.CUT_OFF, None
             return Verdict.REFUSED if refused else Verdict.UNREACHABLE, None
         return Verdict.REACHED, path
@@ -135,25 +141,36 @@
         await asyncio.sleep(SETTLE_SECONDS)
         if path.reader.ended:
             path.writer.transport.abort()
-            self.record_lost(address, "closed at once")
+            self.record_lost(address, CLOSED)
             raise ConnectionRefused(f"{address} closed the connection")
         self._links.record_reached(address, begin)
         return path
 
-    async def works(self, excluded, begin):
+    async def works(self, excluded, begin, reason):
         """Return whether upstreams other than some are reached.
 
         :param excluded: addresses of those
         :param begin: the event loop's time from which on connections count
+        :param reason: how the links to those were lost
         """
         if self._links.reached_since(begin, excluded):
             return True
         others = [a for a in self.addresses if a not in excluded]
         others = random.sample(others, min(REFERENCES, len(others)))
-        return any(await asyncio.gather(*map(self.connects, others)))
+        checks = [self.check(address, reason) for address in others]
+        return any(await asyncio.gather(*checks))
 
     # Probes
 
+    async def check(self, address, reason):
+        """Return whether the link to an upstream passes what it has to.
+
+        :param reason: how the link is thought to be lost
+        """
+        if reason in ANSWER_REASONS and address in self.unlimited:
+            return await self.answers(address)
+        return await self.connects(address)
+
     async def connects(self, address):
         """Return whether a new connection to an upstream stays open."""
         begin = _now()
--- a/rowanport/paths/links.py
+++ b/rowanport/paths/links.py
@@ -3,10 +3,18 @@
 from .outage import LossHistory
 from .outage import PROBE_INTERVAL
 
-# Reasons of a loss that other modules act on: the upstream's kernel does not
-# acknowledge what is sent, or it does and nothing answers.
+# Reasons of a loss.
+REFUSED = "refused"
+NO_CONNECTION = "no connection"
+# The connection ended before anything was answered.
+CLOSED = "closed at once"
+# The upstream's kernel does not acknowledge what is sent.
 UNACKNOWLEDGED = "unacknowledged"
+# All is acknowledged and nothing answers.
 SILENT = "silent"
+# Reasons in which connections open though nothing gets through, so that only
+# an answer shows that the link is back.
+ANSWER_REASONS = (CLOSED, SILENT)
 # Upstreams that peers reach and this router does not, after which it takes
 # itself for cut off from all of them.
 CUT_OFF_EVIDENCE = 2
@@ -131,8 +139,9 @@
         self._evidence.setdefault(address, now)
         if len(self._evidence) < CUT_OFF_EVIDENCE:
             return False
-        reasons = {self._outages[a].reason for a in self._evidence}
-        self.begin_cut(", ".join(sorted(reasons)), now)
+        reasons = sorted(self._outages[a].reason for a in self._evidence)
+        strict = [reason for reason in reasons if reason in ANSWER_REASONS]
+        self.begin_cut((strict or reasons)[0], now)
         return True
 
     def begin_cut(self, reason, now):
--- a/test/test_cut_off.py
+++ b/test/test_cut_off.py
@@ -14,6 +14,7 @@
 HANG = "hang"
 RESET = "reset"
 REFUSE = "refuse"
+ACCEPT = "accept"
 # Seconds after the beginning of a cut from which on requests are served.
 CONTACT_SECONDS = 3.0
 # Part of the first tries at other routers that are served at cut-off ones.
--- a/test/test_paths.py
+++ b/test/test_paths.py
@@ -6,13 +6,14 @@
 from rowanport.paths import RelayPeers
 from rowanport.paths import UpstreamLinks
 from rowanport.paths import Verdict
+from rowanport.paths.links import CLOSED
+from rowanport.paths.links import REFUSED
 from rowanport.paths.links import SILENT
 from rowanport.paths.outage import HOLD_SECONDS
 from rowanport.paths.outage import LOSS_MEMORY
 from rowanport.paths.outage import PROBE_INTERVAL
 
 A, B, C = "10.9.0.1:80", "10.9.0.2:80", "10.9.0.3:80"
-REFUSED = "refused"
 
 
 def cut_off_links(now=100.0):
@@ -55,6 +56,14 @@
     assert not links.usable(C)
 
 
+def test_a_cut_keeps_the_reason_that_asks_for_the_strictest_probes():
+    links = UpstreamLinks()
+    for address, reason in ((A, REFUSED), (B, CLOSED)):
+        links.record_lost(address, reason, 100.0)
+        links.record_relayed(address, 100.0)
+    assert links.cut.reason == CLOSED
+
+
 def test_a_relayed_upstream_whose_link_works_is_no_evidence():
     links = UpstreamLinks()
     links.record_lost(A, REFUSED, 100.0)
--- a/test/test_tunnels.py
+++ b/test/test_tunnels.py
@@ -4,6 +4,7 @@
 import collections
 from test.crash_world import crash_test
 from test.platform_world import ID_HEADER
+from test.test_cut_off import ACCEPT
 from test.test_cut_off import ask_everywhere
 from test.test_cut_off import HANG
 from test.test_cut_off import recover
@@ -184,3 +185,14 @@
     await world.ask_many(20, 0.05, host=relay)
     assert await asyncio.gather(*tasks) == [200] * 12
     assert not world.gateways[relay].tunnels.count
+
+
+@crash_test()
+async def test_a_link_that_closes_late_what_it_accepted_is_not_taken_for_well(
+    world,
+):
+    host, *_others = world.hosts
+    await cut_off(world, [host], ACCEPT)
+    tried = await ask_everywhere(world, 160, 0.025, "s")
+    assert tried[host][200] >= 38, tried[host]
+    assert world.gateways[host].links.cut_off
--- a/test/virtual_net.py
+++ b/test/virtual_net.py
@@ -18,6 +18,9 @@
 HOST = contextvars.ContextVar("host", default="")
 # Seconds that bytes are on their way.
 DELAY = 0.001
+# Seconds until a connection that was accepted is reset, by a network that
+# refuses connections so.
+CLOSE_SECONDS = 0.05
 # Options of a socket that probes its peer, and what they say without being
 # set: minutes, which no test waits for.
 PROBES = {
@@ -203,6 +206,7 @@
         self._cut = set()
         self._hanging = set()
         self._refusing = set()
+        self._accepting = set()
         self._tasks = set()
 
     async def listen(self, handle, host, port, limit, backlog):
@@ -222,6 +226,8 @@
             raise ConnectionRefusedError(errno.ECONNREFUSED, "refused")
         if (host, port) not in self._servers:
             raise ConnectionRefusedError(errno.ECONNREFUSED, "refused")
+        if (own, host) in self._accepting:
+            return self._accept_and_close(own, host)
         handle, context = self._servers[host, port]
         link = Link(self, self._loop, own, host)
         self._links.append(link)
@@ -233,6 +239,13 @@
         task.add_done_callback(self._tasks.discard)
         return first.reader, first
 
+    def _accept_and_close(self, own, host):
+        """Open a connection that is reset a moment later."""
+        link = Link(self, self._loop, own, host)
+        first, second = link.ends
+        self._loop.call_later(CLOSE_SECONDS, second.abort)
+        return first.reader, first
+
     def fill(self, host, inward=0.0, outward=0.0):
         """Let bytes wait on a host's link, as behind others on a full one.
 
@@ -257,14 +270,16 @@
         """Cut a host off from another one, which reaches all others.
 
         :param how: "hang", "reset", or "refuse": open connections live and
-            new ones are refused
+            new ones are refused; "accept": all are reset, new ones once they
+            were accepted
         """
         if how == "hang":
             self._hanging.add((source, target))
             self.silence(lambda *names: names == (source, target))
             return
-        self._refusing.add((source, target))
-        if how == "reset":
+        refused = self._accepting if how == "accept" else self._refusing
+        refused.add((source, target))
+        if how != "refuse":
             self.cut(source, target)
             self.join(source, target)
 
@@ -272,6 +287,7 @@
         """Let a host reach another one again with new connections."""
         self._hanging.discard((source, target))
         self._refusing.discard((source, target))
+        self._accepting.discard((source, target))
 
     def delay(self, source, target):
         """Return the seconds that bytes take from one host to another."""
