Paths: four faults found by reading

A tunnel that came after its caller had left was neither used nor closed. A relay was passed over for 1 s whenever a tunnel through it ended before an answer, which the upstream may have caused; only silence counts now. A single upstream that acknowledged nothing ended the tunnels of peers to it, streams included, though a lost packet or two look alike; they end only once no upstream is reached. Health checks kept connections at upstreams that accept few.

--- a/rowanport/gateway/link_monitor.py
+++ b/rowanport/gateway/link_monitor.py
@@ -133,7 +133,7 @@
         for address in hanging:
             self._own_link.record_lost(address, UNACKNOWLEDGED)
         if hanging:
-            self._drop_direct(lambda address: address in hanging)
+            self._drop_idle_direct(lambda address: address in hanging)
         if len(hanging) > 1 and not self._checking and not self._links.cut_off:
             self._checking = self._tasks.spawn(self._check_link(hanging))
             self._checking.add_done_callback(self._end_check)
@@ -189,10 +189,11 @@
                 evidence=sorted(evidence),
                 reached_by=None,
             )
-        self._drop_direct(lambda _address: True)
+        self._drop_idle_direct(lambda _address: True)
+        self._tunnels.drop()
 
-    def _drop_direct(self, choose):
-        """Drop what goes over the own link, tunnels of peers included.
+    def _drop_idle_direct(self, choose):
+        """Drop kept connections over the own link.
 
         :param choose: function from an upstream's address to whether the
             connections to it are dropped
@@ -200,7 +201,6 @@
         self._client.drop_idle(
             lambda path: path.relay is None and choose(path.address)
         )
-        self._tunnels.drop(choose)
 
 
 def _now():
--- a/rowanport/gateway/own_link.py
+++ b/rowanport/gateway/own_link.py
@@ -205,6 +205,8 @@
         except (UpstreamError, asyncio.TimeoutError):
             return False
         answer.close()
+        # Checks keep none of the connections that upstreams accept.
+        self._checks.forget(address)
         self._links.record_reached(address, begin)
         return True
 
--- a/rowanport/gateway/path_connector.py
+++ b/rowanport/gateway/path_connector.py
@@ -8,6 +8,7 @@
 from ..errors import PeerError
 from ..errors import UpstreamError
 from ..incarnation import address_of
+from ..paths import SILENT
 from ..paths import Verdict
 from ..tasks import TaskSet
 from ..tunnels import TunnelUnsupported
@@ -105,12 +106,13 @@
             self._links.record_reached(path.address, path.opened_at)
 
     def record_failure(self, path, silent):
-        if path.relay is not None:
-            self._relays.record_unanswered(path.relay, True, _now())
+        if path.relay is None:
+            if silent:
+                self._own_link.record_lost(path.address, SILENT)
+            else:
+                self.on_ended(path.address)
         elif silent:
-            self._own_link.record_lost(path.address, "silent")
-        else:
-            self.on_ended(path.address)
+            self._relays.record_unanswered(path.relay, True, _now())
 
     # Relays
 
@@ -143,11 +145,15 @@
             return None, verdicts
         search = self._tasks.spawn(self._search(address))
         self._searches[address] = search
-        await asyncio.wait({search}, timeout=wait)
-        if search.done() and not search.cancelled():
-            return search.result()
-        search.add_done_callback(self._keep_result)
-        return None, ()
+        taken = False
+        try:
+            await asyncio.wait({search}, timeout=wait)
+            taken = search.done() and not search.cancelled()
+        finally:
+            # Also if the caller of the request left meanwhile.
+            if not taken:
+                search.add_done_callback(self._keep_result)
+        return search.result() if taken else (None, ())
 
     async def _search(self, address):
         """Ask peers for a tunnel; return a Path or None, and Verdicts."""
--- a/rowanport/tunnels/server.py
+++ b/rowanport/tunnels/server.py
@@ -115,17 +115,13 @@
         """Return the peer addresses of the routers that use tunnels."""
         return {tunnel.caller for tunnel in self._tunnels}
 
-    def drop(self, choose):
-        """End tunnels whose upstreams this router no longer reaches.
+    def drop(self):
+        """End all tunnels, as this router reaches no upstream any more.
 
-        The asking router then learns it at once, and not by its deadlines.
-
-        :param choose: function from an upstream's address to whether its
-            tunnels are ended
+        The asking routers then learn it at once, and not by their deadlines.
         """
         for tunnel in list(self._tunnels):
-            if choose(tunnel.address):
-                tunnel.abort()
+            tunnel.abort()
 
     async def serve(self, message, caller, reader, writer):
         """Serve a tunnel until it ends.
--- a/test/test_tunnels.py
+++ b/test/test_tunnels.py
@@ -196,3 +196,21 @@
     tried = await ask_everywhere(world, 160, 0.025, "s")
     assert tried[host][200] >= 38, tried[host]
     assert world.gateways[host].links.cut_off
+
+
+@crash_test()
+async def test_a_tunnel_is_kept_that_comes_after_its_caller_has_left(world):
+    host, *_others = world.hosts
+    await cut_off(world, [host])
+    gateway = world.gateways[host]
+    gateway.client.drop_idle(lambda _path: True)
+    await asyncio.sleep(0.1)
+    assert not relays_in_use(world)
+    asking = world.spawn(world.ask("left", b"x", "/once/", host))
+    # The tunnel is being opened.
+    await asyncio.sleep(0.006)
+    asking.cancel()
+    await asyncio.sleep(0.2)
+    gateway.client.drop_idle(lambda _path: True)
+    await asyncio.sleep(0.1)
+    assert not relays_in_use(world)
