Paths: plainer names, and one function for the event loop's time

listed, was_reached and others_reached for addresses, reached_after and reached_since, which read alike; loop_time in place of three copies.

--- a/rowanport/clock.py
+++ b/rowanport/clock.py
@@ -1,6 +1,7 @@
 """Clocks, given to whatever needs the time."""
 
 import abc
+import asyncio
 import time
 
 
@@ -41,3 +42,12 @@
     def advance(self, seconds):
         """Move the clock forward."""
         self.now += seconds
+
+
+def loop_time():
+    """Return the time of the running event loop in seconds.
+
+    It is monotonic, and does not count the time for which the process was
+    suspended.
+    """
+    return asyncio.get_running_loop().time()
--- a/rowanport/gateway/link_monitor.py
+++ b/rowanport/gateway/link_monitor.py
@@ -5,6 +5,7 @@
 
 import structlog
 
+from ..clock import loop_time
 from ..paths import CLOSED
 from ..paths import SILENT
 from ..paths import UNACKNOWLEDGED
@@ -56,7 +57,7 @@
         try:
             while True:
                 beat()
-                self._links.retain(self._own_link.addresses)
+                self._links.retain(self._own_link.listed)
                 self._start_probes()
                 self._find_unacknowledged()
                 self._find_silence()
@@ -76,8 +77,8 @@
             self._own_link.record_lost(address, CLOSED)
 
     def _start_probes(self):
-        now = _now()
-        listed = self._own_link.addresses
+        now = loop_time()
+        listed = self._own_link.listed
         for address in self._links.probes_due(listed, now):
             if len(self._probing) >= MAX_PROBES:
                 return
@@ -96,7 +97,7 @@
             return
         was_cut = self._links.cut
         reached = await self._own_link.check(address, outage.reason)
-        now = _now()
+        now = loop_time()
         back = self._links.record_probe(address, reached, now)
         if was_cut is not None and not self._links.cut_off:
             seconds = round(now - was_cut.began_at, 3)
@@ -122,7 +123,7 @@
         """Look for requests that the upstreams' kernels do not acknowledge."""
         if self._congestion.congested:
             return
-        since = _now() - ACKNOWLEDGE_SECONDS
+        since = loop_time() - ACKNOWLEDGE_SECONDS
         hanging = {
             path.address
             for path, sent_at in self._client.waiting
@@ -143,7 +144,7 @@
 
         :param hanging: addresses of upstreams that acknowledge nothing
         """
-        works = self._own_link.works(hanging, _now(), UNACKNOWLEDGED)
+        works = self._own_link.works(hanging, loop_time(), UNACKNOWLEDGED)
         if not await works:
             self._begin_cut(UNACKNOWLEDGED, hanging)
 
@@ -152,7 +153,7 @@
 
     def _find_silence(self):
         """Check the link if a request waits and no upstream says anything."""
-        now = _now()
+        now = loop_time()
         since = now - QUIET_SECONDS
         waiting = {
             path.address
@@ -171,7 +172,7 @@
 
         :param waiting: addresses of upstreams that have not answered
         """
-        begin = _now()
+        begin = loop_time()
         unlimited = self._own_link.unlimited
         checked = sorted(unlimited - waiting or unlimited)
         if not checked:
@@ -182,7 +183,7 @@
             self._begin_cut(SILENT, waiting.union(checked))
 
     def _begin_cut(self, reason, evidence):
-        if self._links.begin_cut(reason, _now()):
+        if self._links.begin_cut(reason, loop_time()):
             LOG.warning(
                 "cut_off_from_upstreams",
                 reason=reason,
@@ -201,7 +202,3 @@
         self._client.drop_idle(
             lambda path: path.relay is None and choose(path.address)
         )
-
-
-def _now():
-    return asyncio.get_running_loop().time()
--- a/rowanport/gateway/own_link.py
+++ b/rowanport/gateway/own_link.py
@@ -5,6 +5,7 @@
 
 import structlog
 
+from ..clock import loop_time
 from ..errors import ConnectionRefused
 from ..errors import UpstreamError
 from ..paths import ANSWER_REASONS
@@ -47,8 +48,8 @@
         self.client = None
 
     @property
-    def addresses(self):
-        """Return the addresses of the upstreams that take requests."""
+    def listed(self):
+        """Return the upstreams that take requests, by address."""
         return {
             upstream.address: upstream
             for upstream in self._gateway.upstreams.upstreams.values()
@@ -62,7 +63,7 @@
         Health checks would use up what the others accept.
         """
         pool, limits = self._gateway.pool, self._gateway.limits
-        states = [pool.get(one.id) for one in self.addresses.values()]
+        states = [pool.get(one.id) for one in self.listed.values()]
         return {
             state.record.address
             for state in limits.unlimited([s for s in states if s is not None])
@@ -88,7 +89,7 @@
 
     def record_lost(self, address, reason):
         """Record and log that the link to an upstream is lost."""
-        if self._links.record_lost(address, reason, _now()):
+        if self._links.record_lost(address, reason, loop_time()):
             LOG.info(
                 "upstream_link_lost", upstream_address=address, reason=reason
             )
@@ -99,7 +100,7 @@
         refusal = self._refusal(address, fresh)
         if refusal is not None:
             return refusal, None
-        begin = _now()
+        begin = loop_time()
         try:
             path = await self._open_settled(address, begin)
         except UpstreamError as error:
@@ -113,7 +114,7 @@
 
     def _refusal(self, address, fresh):
         """Return the Verdict if it is known without a connection, or None."""
-        if address not in self.addresses:
+        if address not in self.listed:
             return Verdict.UNLISTED
         if self._links.cut_off:
             return Verdict.CUT_OFF
@@ -124,7 +125,7 @@
             return None
         # Without another upstream that was reached since, the fault may be
         # here.
-        if self._links.reached_since(outage.began_at, {address}):
+        if self._links.others_reached(outage.began_at, {address}):
             return Verdict.UNREACHABLE
         return Verdict.CUT_OFF
 
@@ -136,7 +137,7 @@
         :raises UpstreamError: no connection
         """
         path = await self.open(address)
-        if self._links.reached_after(address, begin - SETTLED_MEMORY):
+        if self._links.was_reached(address, begin - SETTLED_MEMORY):
             return path
         await asyncio.sleep(SETTLE_SECONDS)
         if path.reader.ended:
@@ -153,9 +154,9 @@
         :param begin: the event loop's time from which on connections count
         :param reason: how the links to those were lost
         """
-        if self._links.reached_since(begin, excluded):
+        if self._links.others_reached(begin, excluded):
             return True
-        others = [a for a in self.addresses if a not in excluded]
+        others = [a for a in self.listed if a not in excluded]
         others = random.sample(others, min(REFERENCES, len(others)))
         checks = [self.check(address, reason) for address in others]
         return any(await asyncio.gather(*checks))
@@ -173,7 +174,7 @@
 
     async def connects(self, address):
         """Return whether a new connection to an upstream stays open."""
-        begin = _now()
+        begin = loop_time()
         try:
             path = await self._direct.open(address)
         except UpstreamError:
@@ -191,12 +192,12 @@
 
         Any answer counts, as only the link is in question.
         """
-        upstream = self.addresses.get(address)
+        upstream = self.listed.get(address)
         table = self._gateway.table
         service = upstream and table and table.services.get(upstream.service)
         if service is None:
             return False
-        begin = _now()
+        begin = loop_time()
         try:
             async with asyncio.timeout(CHECK_TIMEOUT):
                 answer = await self._checks.request(
@@ -209,7 +210,3 @@
         self._checks.forget(address)
         self._links.record_reached(address, begin)
         return True
-
-
-def _now():
-    return asyncio.get_running_loop().time()
--- a/rowanport/gateway/path_connector.py
+++ b/rowanport/gateway/path_connector.py
@@ -4,6 +4,7 @@
 
 import structlog
 
+from ..clock import loop_time
 from ..errors import ConnectionRefused
 from ..errors import PeerError
 from ..errors import UpstreamError
@@ -99,7 +100,7 @@
         # Back to the own link once it works.
         if self._links.usable(path.address):
             return False
-        return self._relays.accepts(path.relay, _now())
+        return self._relays.accepts(path.relay, loop_time())
 
     def record_answer(self, path):
         if path.relay is None:
@@ -112,13 +113,13 @@
             else:
                 self.on_ended(path.address)
         elif silent:
-            self._relays.record_unanswered(path.relay, True, _now())
+            self._relays.record_unanswered(path.relay, True, loop_time())
 
     # Relays
 
     def drop_relay(self, peer):
         """Use no tunnel through a peer any more, as it is shutting down."""
-        self._relays.record(peer, "", Verdict.LEAVING, 0, _now())
+        self._relays.record(peer, "", Verdict.LEAVING, 0, loop_time())
         self.client.drop_idle(lambda path: path.relay == peer)
 
     def _ready_peers(self):
@@ -141,7 +142,7 @@
             if not search.done():
                 return None, ()
         until, verdicts = self._unreached.get(address, (0.0, ()))
-        if until > _now():
+        if until > loop_time():
             return None, verdicts
         search = self._tasks.spawn(self._search(address))
         self._searches[address] = search
@@ -160,7 +161,7 @@
         try:
             peers = self._ready_peers()
             self._relays.retain({peer for peer, _data_centre in peers})
-            ranked = self._relays.candidates(peers, address, _now())
+            ranked = self._relays.candidates(peers, address, loop_time())
             path, verdicts = await self._first_path(
                 ranked[:MOST_ASKED], address
             )
@@ -174,7 +175,7 @@
         return path, verdicts
 
     def _record_unreached(self, address, verdicts):
-        now = _now()
+        now = loop_time()
         self._unreached = {
             known: row
             for known, row in self._unreached.items()
@@ -241,20 +242,20 @@
             )
         except PeerError as error:
             supported = not isinstance(error, TunnelUnsupported)
-            self._relays.record_unanswered(peer, supported, _now())
+            self._relays.record_unanswered(peer, supported, loop_time())
             LOG.info(
                 "relay_unanswered", peer=address_of(peer), error=str(error)
             )
             return None, None
         finally:
             self._relays.end(peer)
-        self._relays.record(peer, address, verdict, tunnels, _now())
+        self._relays.record(peer, address, verdict, tunnels, loop_time())
         if path is not None:
             self._record_relayed(address, peer)
         return path, verdict
 
     def _record_relayed(self, address, peer):
-        if self._links.record_relayed(address, _now()):
+        if self._links.record_relayed(address, loop_time()):
             cut = self._links.cut
             LOG.warning(
                 "cut_off_from_upstreams",
@@ -273,9 +274,9 @@
         the own link's word is all there is.
         """
         peers = self._ready_peers()
-        if not peers or len(self._own_link.addresses) < 2:
+        if not peers or len(self._own_link.listed) < 2:
             return True
-        candidates = self._relays.candidates(peers, "", _now())
+        candidates = self._relays.candidates(peers, "", loop_time())
         asked = {
             self._start_ask(peer, address, fresh=True): peer
             for peer in candidates[:CONFIRMING_PEERS]
@@ -296,7 +297,3 @@
         if Verdict.REACHED in verdicts.values():
             return False
         return Verdict.REFUSED in verdicts.values()
-
-
-def _now():
-    return asyncio.get_running_loop().time()
--- a/rowanport/paths/links.py
+++ b/rowanport/paths/links.py
@@ -81,18 +81,18 @@
             return True
         return outage.answering or outage.reason == SILENT
 
-    def reached_after(self, address, begin):
+    def was_reached(self, address, begin):
         """Return whether a new connection to an upstream was answered.
 
         :param begin: monotonic time after which it was opened
         """
         return self._reached_at.get(address, begin) > begin
 
-    def reached_since(self, begin, excluded):
-        """Return whether a new connection over the own link was answered.
+    def others_reached(self, begin, excluded):
+        """Return whether a new connection to another upstream was answered.
 
         :param begin: monotonic time after which it was opened
-        :param excluded: addresses that do not count
+        :param excluded: addresses of the upstreams that do not count
         """
         return any(
             at >= begin
--- a/test/test_paths.py
+++ b/test/test_paths.py
@@ -86,7 +86,7 @@
     links.record_lost(A, REFUSED, 100.0)
     links.record_relayed(A, 100.0)
     links.record_reached(C, 99.0)
-    assert not links.reached_since(99.5, {A})
+    assert not links.others_reached(99.5, {A})
     links.record_lost(B, REFUSED, 100.2)
     assert links.record_relayed(B, 100.2)
 
