Tunnels: those through a frozen relay are not used again

The kernel of a frozen process acknowledges everything, so that keepalive did not end its tunnels, and each that was kept cost the next request on it. A relay through which nothing comes back for .8 s while a request waits loses its kept tunnels and is asked last for a second, but not left out: a long prompt looks alike.

test_tunnels.py has the case: without the check it fails.

--- a/rowanport/gateway/daemon.py
+++ b/rowanport/gateway/daemon.py
@@ -167,10 +167,11 @@
         direct = DirectConnector(CONNECT_TIMEOUT, keepalive)
         self.links = UpstreamLinks()
         self._own_link = OwnLink(direct, self.links, self)
+        relays = RelayPeers(settings.data_centre)
         self._connector = PathConnector(
             self._own_link,
             self.links,
-            RelayPeers(settings.data_centre),
+            relays,
             TunnelClient(self.incarnation, settings.secret, keepalive, own),
             self.members,
             self.metrics,
@@ -186,6 +187,7 @@
             self.client,
             self.congestion,
             self.tunnels,
+            relays,
         )
         self._connector.on_ended = self._link_monitor.verify
         self._peer_server.on_tunnel = self.tunnels.serve
--- a/rowanport/gateway/link_monitor.py
+++ b/rowanport/gateway/link_monitor.py
@@ -21,7 +21,8 @@
 # works: many round trips within a region.
 ACKNOWLEDGE_SECONDS = 0.25
 # Seconds without a byte of any upstream, with a request unanswered, after
-# which it is checked whether any upstream answers.
+# which it is checked whether any upstream answers; or without one through a
+# relay, after which others are preferred.
 QUIET_SECONDS = 0.8
 # Upstreams that are checked then.
 CHECKED_UPSTREAMS = 2
@@ -39,14 +40,16 @@
     :param client: the HttpClient of the upstreams
     :param congestion: the CongestionDetector
     :param tunnels: the TunnelServer
+    :param relays: the RelayPeers
     """
 
-    def __init__(self, own_link, links, client, congestion, tunnels):
+    def __init__(self, own_link, links, client, congestion, tunnels, relays):
         self._own_link = own_link
         self._links = links
         self._client = client
         self._congestion = congestion
         self._tunnels = tunnels
+        self._relays = relays
         self._tasks = TaskSet()
         self._probing = set()
         self._checking = None
@@ -61,6 +64,7 @@
                 self._start_probes()
                 self._find_unacknowledged()
                 self._find_silence()
+                self._find_silent_relays()
                 await asyncio.sleep(CHECK_INTERVAL)
         finally:
             self._tasks.cancel()
@@ -160,13 +164,29 @@
             for path, sent_at in self._client.waiting
             if path.relay is None and sent_at < since
         }
-        if not waiting or self._client.heard_at > since:
+        if not waiting or self._client.heard_at() > since:
             return
         if self._links.cut_off or now < self._quiet_checked_at + QUIET_PAUSE:
             return
         self._quiet_checked_at = now
         self._tasks.spawn(self._check_silence(waiting))
 
+    def _find_silent_relays(self):
+        """Look for peers through which nothing comes back."""
+        now = loop_time()
+        since = now - QUIET_SECONDS
+        silent = {
+            path.relay
+            for path, sent_at in self._client.waiting
+            if path.relay is not None
+            and sent_at < since
+            and self._client.heard_at(path.relay) < since
+        }
+        for relay in silent:
+            self._relays.suspect(relay, now)
+        if silent:
+            self._client.drop_idle(lambda path: path.relay in silent)
+
     async def _check_silence(self, waiting):
         """Begin a cut unless some upstream answers.
 
@@ -179,7 +199,7 @@
             return
         checked = random.sample(checked, min(CHECKED_UPSTREAMS, len(checked)))
         answers = await asyncio.gather(*map(self._own_link.answers, checked))
-        if not any(answers) and self._client.heard_at < begin:
+        if not any(answers) and self._client.heard_at() < begin:
             self._begin_cut(SILENT, waiting.union(checked))
 
     def _begin_cut(self, reason, evidence):
--- a/rowanport/paths/relays.py
+++ b/rowanport/paths/relays.py
@@ -18,6 +18,8 @@
 # The same for one that closed the connection instead: its version does not
 # know the question.
 UNSUPPORTED_PAUSE = 30.0
+# Seconds for which a peer that relays nothing back comes last.
+SUSPECT_PAUSE = 1.0
 # Tunnels by which a peer may have more than another one and still be preferred
 # for its data centre, or as it relayed before.
 LOAD_STEP = 8
@@ -27,6 +29,8 @@
     """What is known of one peer.
 
     :ivar paused_until: monotonic time until which it is not asked
+    :ivar suspected_until: monotonic time until which it is asked last, and its
+        tunnels are not used again
     :ivar tunnels: tunnels that it served when it answered last
     :ivar asked: questions that it has not answered yet
     :ivar relayed: whether it relayed when it was asked last
@@ -34,10 +38,18 @@
         upstream, by address
     """
 
-    __slots__ = ("paused_until", "tunnels", "asked", "relayed", "unreached")
+    __slots__ = (
+        "paused_until",
+        "suspected_until",
+        "tunnels",
+        "asked",
+        "relayed",
+        "unreached",
+    )
 
     def __init__(self):
         self.paused_until = 0.0
+        self.suspected_until = 0.0
         self.tunnels = 0
         self.asked = 0
         self.relayed = False
@@ -76,16 +88,28 @@
                 continue
             if known.unreached.get(address, 0.0) > now:
                 continue
+            suspected = known.suspected_until > now
             remote = data_centre != self._data_centre
             load = (known.tunnels + known.asked) // LOAD_STEP
-            rank = (load, not known.relayed, remote, self._random.random())
-            ranked.append((rank, peer))
-        return [peer for _rank, peer in sorted(ranked)]
+            rank = (suspected, load, not known.relayed, remote)
+            ranked.append((rank, self._random.random(), peer))
+        return [peer for _rank, _tie, peer in sorted(ranked)]
 
     def accepts(self, peer, now):
         """Return whether an open tunnel through a peer may be used again."""
         known = self._peers.get(peer)
-        return known is None or known.paused_until <= now
+        if known is None:
+            return True
+        return max(known.paused_until, known.suspected_until) <= now
+
+    def suspect(self, peer, now):
+        """Record that nothing comes back through a peer.
+
+        It may be frozen: its kernel then still acknowledges everything.  Or
+        the upstream takes long, so the peer is asked if there is no other.
+        """
+        known = self._peers.setdefault(peer, _Peer())
+        known.suspected_until = now + SUSPECT_PAUSE
 
     def begin(self, peer):
         """Record that a peer is asked."""
--- a/rowanport/web/client.py
+++ b/rowanport/web/client.py
@@ -197,8 +197,6 @@
     :param keepalive: a Keepalive, or None for the kernel's defaults
     :param connector: a Connector, by default one over the own link
     :ivar opened: number of connections opened so far
-    :ivar heard_at: the event loop's time at which something last arrived over
-        the own link
     """
 
     def __init__(self, connect_timeout=1.0, keepalive=None, connector=None):
@@ -210,7 +208,8 @@
         # Connections with a request whose answer has not begun.
         self._waiting = set()
         self.opened = 0
-        self.heard_at = 0.0
+        # When something last arrived, by relay, None for the own link.
+        self._heard_at = {}
 
     async def request(
         self,
@@ -279,8 +278,15 @@
 
     def record_heard(self, path):
         """Record that something arrived on a Path."""
-        if path.relay is None:
-            self.heard_at = asyncio.get_running_loop().time()
+        self._heard_at[path.relay] = asyncio.get_running_loop().time()
+
+    def heard_at(self, relay=None):
+        """Return the event loop's time at which something last arrived.
+
+        :param relay: incarnation of the router that relays, None for the own
+            link
+        """
+        return self._heard_at.get(relay, 0.0)
 
     def _silent(self, connection, error):
         """Return the UpstreamError of a request that was not answered."""
--- a/test/test_paths.py
+++ b/test/test_paths.py
@@ -245,6 +245,17 @@
     assert peer in relays.candidates(PEERS, A, 111.0)
 
 
+def test_a_peer_through_which_nothing_comes_back_is_asked_last():
+    relays = relay_peers()
+    frozen = NEAR[0]
+    relays.record(frozen, A, Verdict.REACHED, 1, 100.0)
+    relays.suspect(frozen, 100.0)
+    assert not relays.accepts(frozen, 100.5)
+    assert relays.candidates(PEERS, A, 100.5)[-1] == frozen
+    assert relays.accepts(frozen, 101.5)
+    assert relays.candidates(PEERS, A, 101.5)[0] == frozen
+
+
 def test_a_peer_that_does_not_know_tunnels_is_left_alone_for_longer():
     relays = relay_peers()
     old, silent = PEERS[0][0], PEERS[1][0]
--- a/test/test_tunnels.py
+++ b/test/test_tunnels.py
@@ -214,3 +214,28 @@
     gateway.client.drop_idle(lambda _path: True)
     await asyncio.sleep(0.1)
     assert not relays_in_use(world)
+
+
+@crash_test()
+async def test_tunnels_through_a_frozen_relay_are_not_used_again(world):
+    host, *_others = world.hosts
+    await cut_off(world, [host])
+    await asyncio.gather(*await ask_at(world, host, 20, "/stream/", "s"))
+    relay = relays_in_use(world)[0]
+    freeze(world.gateways[relay])
+    statuses = collections.Counter()
+    for number in range(30):
+        name = f"o{number}"
+        statuses[await world.ask(name, b"x", "/once/", host)] += 1
+    assert statuses[200] == 29, statuses
+
+
+def freeze(gateway):
+    """Let a router pass nothing on any more, with its connections open."""
+
+    async def wait(*_arguments):
+        await asyncio.sleep(100.0)
+
+    for tunnel in gateway.tunnels._tunnels:
+        tunnel._writer.write = lambda _data: None
+    gateway._peer_server.on_tunnel = wait
