--- a/test/test_headers.py
+++ b/test/test_headers.py
@@ -228,6 +228,7 @@
 
     async def request(self, *_request, check):
         answer = types.SimpleNamespace(
+            path=None,
             status=self._status,
             headers={
                 DIALECT.request_id: "r1",
