--- a/test/test_loop_heartbeats.py
+++ b/test/test_loop_heartbeats.py
@@ -17,6 +17,7 @@
 
 from rowanport import supervision
 from rowanport.gateway import crash_guard
+from rowanport.gateway import link_monitor
 from rowanport.gateway import views
 from rowanport.platform import directory
 from rowanport.supervision import beat
@@ -136,6 +137,7 @@
         "views": views,
         "RouterDirectory": directory,
         "suspects": crash_guard,
+        "links": link_monitor,
     }
     if name in modules:
         asleep = types.SimpleNamespace(sleep=hang, Event=asyncio.Event)
@@ -170,6 +172,7 @@
     "budgets",
     "suspects",
     "blocklist",
+    "links",
 )
 
 
