Paths: crashes are found again where upstreams stand behind a proxy

Verdicts were "reached" for upstreams that had just crashed: a connection to one that had been reached within a second was not waited for, and a proxy accepts before it resets. So it was also taken for a sign that the asking router was cut off, and requests were refused. Each new connection on behalf of a peer is waited for again (20 ms).

A peer tries three other upstreams, those whose links work first; and if all peers were asked and none reaches the upstream, it counts as crashed: it is down for everyone.

--- a/rowanport/gateway/own_link.py
+++ b/rowanport/gateway/own_link.py
@@ -21,14 +21,11 @@
 # Seconds for which a new connection has to stay open to count as one: a
 # network that refuses connections may close them only once they are accepted.
 SETTLE_SECONDS = 0.02
-# Seconds for which a new connection that stayed open, or was answered, speaks
-# for the next one.
-SETTLED_MEMORY = 1.0
 # Time-out in seconds of a health check that shows whether an upstream answers.
 CHECK_TIMEOUT = 0.5
 # Other upstreams that are tried to tell a lost link from an upstream that is
 # down.
-REFERENCES = 2
+REFERENCES = 3
 
 
 class OwnLink(UpstreamReach):
@@ -137,8 +134,6 @@
         :raises UpstreamError: no connection
         """
         path = await self.open(address)
-        if self._links.was_reached(address, begin - SETTLED_MEMORY):
-            return path
         await asyncio.sleep(SETTLE_SECONDS)
         if path.reader.ended:
             path.writer.transport.abort()
@@ -157,7 +152,10 @@
         if self._links.others_reached(begin, excluded):
             return True
         others = [a for a in self.listed if a not in excluded]
-        others = random.sample(others, min(REFERENCES, len(others)))
+        random.shuffle(others)
+        # Those whose links are lost may be down as well.
+        others.sort(key=lambda a: self._links.outage(a) is not None)
+        others = others[:REFERENCES]
         checks = [self.check(address, reason) for address in others]
         return any(await asyncio.gather(*checks))
 
--- a/rowanport/gateway/path_connector.py
+++ b/rowanport/gateway/path_connector.py
@@ -1,6 +1,7 @@
 """Opens connections to upstreams, through a peer if the own link is lost."""
 
 import asyncio
+import random
 
 import structlog
 
@@ -35,9 +36,7 @@
 # Seconds for which an upstream that neither the own link nor any peer reaches
 # is given up without trying.
 UNREACHED_SECONDS = 1.0
-# Peers that are asked whether an upstream crashed, and seconds after which
-# their answers no longer count.
-CONFIRMING_PEERS = 3
+# Seconds after which answers on whether an upstream crashed no longer count.
 CONFIRM_TIMEOUT = 0.4
 
 
@@ -271,18 +270,18 @@
 
         What looks like a crash from here may be a fault of the own link.
         Without peers, and without another upstream by which they could tell,
-        the own link's word is all there is.
+        the own link's word is all there is.  If all peers of the fleet were
+        asked and none reaches the upstream, it is down for everyone, though
+        none can tell from a cut what it is.
         """
         peers = self._ready_peers()
         if not peers or len(self._own_link.listed) < 2:
             return True
-        candidates = self._relays.candidates(peers, "", loop_time())
+        chosen = random.sample(peers, min(MOST_ASKED, len(peers)))
         asked = {
             self._start_ask(peer, address, fresh=True): peer
-            for peer in candidates[:CONFIRMING_PEERS]
+            for peer, _data_centre in chosen
         }
-        if not asked:
-            return False
         answered, late = await asyncio.wait(asked, timeout=CONFIRM_TIMEOUT)
         self._keep_surplus((), [*answered, *late])
         verdicts = {asked[task]: task.result()[1] for task in answered}
@@ -294,6 +293,7 @@
                 for peer, verdict in verdicts.items()
             },
         )
-        if Verdict.REACHED in verdicts.values():
+        given = {verdict for verdict in verdicts.values() if verdict}
+        if Verdict.REACHED in given or not given:
             return False
-        return Verdict.REFUSED in verdicts.values()
+        return Verdict.REFUSED in given or len(chosen) == len(peers)
--- a/rowanport/paths/links.py
+++ b/rowanport/paths/links.py
@@ -81,13 +81,6 @@
             return True
         return outage.answering or outage.reason == SILENT
 
-    def was_reached(self, address, begin):
-        """Return whether a new connection to an upstream was answered.
-
-        :param begin: monotonic time after which it was opened
-        """
-        return self._reached_at.get(address, begin) > begin
-
     def others_reached(self, begin, excluded):
         """Return whether a new connection to another upstream was answered.
 
