Test: the loop that watches the links is started again, too

The suite on failed test_each_loop_of_a_gateway_is_started_again, whose list lacked the new loop; it has it now, and lets it fail as the others.

--- a/test/test_supervision.py
+++ b/test/test_supervision.py
@@ -171,6 +171,7 @@
         "budgets": (gateway.budgets._refill, "sync"),
         "suspects": (gateway.crashes, "_expire_and_clear"),
         "blocklist": (gateway._blocklist, "_load_and_save"),
+        "links": (gateway._link_monitor, "_find_silence"),
     }
 
 
@@ -222,7 +223,14 @@
 @scenario
 async def test_each_loop_of_a_gateway_is_started_again(platform):
     gateway = platform.gateway
-    for name in ("heartbeats", "views", "budgets", "suspects", "blocklist"):
+    for name in (
+        "heartbeats",
+        "views",
+        "budgets",
+        "suspects",
+        "blocklist",
+        "links",
+    ):
         with failing(gateway, name):
             await platform.wait(lambda: restarts(gateway, name) > 0)
     names = [loop.name for loop in gateway._loops._loops]
