--- a/soak/broken.py
+++ b/soak/broken.py
@@ -315,12 +315,17 @@
 
     def apply(self):
         from rowanport.gateway.crash_guard import CrashGuard
+        from rowanport.gateway.path_connector import PathConnector
         from rowanport.suspects import table
 
         async def is_gone(self, name, address):
             return True
 
+        async def confirm(self, address):
+            return True
+
         CrashGuard._is_gone = is_gone
+        PathConnector.confirms_crash = confirm
         table.BLOCK_THRESHOLD = 1
         table.STORM_REQUESTS = 1000
 
