--- a/rowanport/gateway/own_link.py
+++ b/rowanport/gateway/own_link.py
@@ -99,7 +99,7 @@
             return refusal, None
         begin = loop_time()
         try:
-            path = await self._open_settled(address, begin)
+            path = await self._open_settled(address, begin, fresh)
         except UpstreamError as error:
             refused = isinstance(error, ConnectionRefused)
             outage = self._links.outage(address)
@@ -126,15 +126,19 @@
             return Verdict.UNREACHABLE
         return Verdict.CUT_OFF
 
-    async def _open_settled(self, address, begin):
+    async def _open_settled(self, address, begin, fresh):
         """Return a Path that stays open.
 
         :param begin: the event loop's time
+        :param fresh: whether to wait for the answer to a health check, too, as
+            a busy proxy may take long to close what it accepted
         :raises ConnectionRefused: nobody listens
         :raises UpstreamError: no connection
         """
         path = await self.open(address)
         await asyncio.sleep(SETTLE_SECONDS)
+        if fresh and not path.reader.ended and address in self.unlimited:
+            await self.answers(address)
         if path.reader.ended:
             path.writer.transport.abort()
             self.record_lost(address, CLOSED)
