Logs: each decision on a retry, with what it was decided by

What limits retries was not in the log: an allowed retry left no line at all, and of denied ones only hedges said so. One line a retry, which the allowance bounds; no behaviour changes.

--- a/rowanport/gateway/retry_policy.py
+++ b/rowanport/gateway/retry_policy.py
@@ -1,10 +1,14 @@
 """Decides whether a request may be retried or hedged."""
 
+import structlog
+
 from ..errors import ErrorKind
 from ..errors import RequestError
 from ..errors import RowanportError
 from .exchange import NotExecuted
 
+LOG = structlog.get_logger(__name__)
+
 # Rejections by upstreams after which a request is not sent again.
 MAX_REJECTIONS = 3
 # Failed connections after which a request is not sent again.
@@ -130,7 +134,20 @@
     def _acquire_retry(self, job):
         """Record a retry if the window allows it; return whether it does."""
         now = self._gateway.clock.steady()
-        return self._window(job).acquire(self._router_count, now)
+        window = self._window(job)
+        routers = self._router_count
+        allowed = window.acquire(routers, now)
+        requests, retries = window.counts
+        LOG.info(
+            "retry",
+            request=job.id,
+            service=job.service,
+            allowed=allowed,
+            requests=requests,
+            retries=retries,
+            routers=routers,
+        )
+        return allowed
 
 
 def final_error(job, error):
--- a/rowanport/gateway/retry_window.py
+++ b/rowanport/gateway/retry_window.py
@@ -55,6 +55,11 @@
         self._retries.append(now)
         return True
 
+    @property
+    def counts(self):
+        """Return the numbers of requests and retries in the window."""
+        return len(self._requests), len(self._retries)
+
     def _expire(self, times, now):
         while times and times[0] < now - self._window:
             times.popleft()
