Retries: an allowance that holds over the whole fleet

What callers' operators saw: the model service got more arrivals beyond the first of their request than .2 of its requests plus 54. Cause: the window of retries lived in the process and its part of the slack was a guess of who is alive, so a restart forgot what the run before it spent, and a router that sees few peers took their parts, too; and windows of routers ended at different times, so that one window of the fleet held retries earned in two. Change: rowanport/retries/ decides without I/O or clock. Shares of the slack stand in one record of the store, written by compare-and-swap, so that they never add up to more; a share is valid for 120 s after a confirmed write, a row that stands still for longer than that and a window is taken over, what is released rests for a window first, and a run that inherits a row waits for a window. Holders lend permits for half a second and count them as used. The proportional part uses half of the ratio. A repeat needs a permit where its first byte is sent, whatever led to it. Ruled out: shares of live routers with a smaller safety share (nothing bounds them in a cut); one granter elected by a lease (out whenever the store is). The tests' platform waits until its router has a share, and lists of loops name the new one; no check changed.

--- a/rowanport/gateway/daemon.py
+++ b/rowanport/gateway/daemon.py
@@ -47,7 +47,7 @@
 from .prefix_map import PrefixMap
 from .rate_limits import RateLimits
 from .refusals import Refusals
-from .retry_window import RetryWindow
+from .retry_allowances import RetryAllowances
 from .settings import split_address
 from .stopping import GracefulStop
 from .store_watchers import update_recipients
@@ -113,7 +113,6 @@
         self._store = store
         self._tasks = TaskSet()
         self._loops = Supervisor(self._tasks, self.clock, self._count_restart)
-        self._retries = {}
         self._build_peers(settings, store, directory, decode)
         self._build_paths(settings)
         self._build_forwarding(settings)
@@ -207,6 +206,15 @@
             self.clock,
             self.metrics,
         )
+        self.retries = RetryAllowances(
+            settings,
+            self.incarnation,
+            self._store,
+            self._peers,
+            self.members,
+            self.clock,
+            self.metrics,
+        )
         self.exchange = Exchange(
             self.client, self.dialect, self.clock, self.limits
         )
@@ -294,16 +302,6 @@
         """Return the prompt tokens of a job that an engine has not cached."""
         return self._prefix_choice.uncached_tokens(state, job, now)
 
-    def retries(self, service):
-        """Return the RetryWindow of a service."""
-        window = self._retries.get(service)
-        if window is None:
-            own = self.settings
-            window = self._retries[service] = RetryWindow(
-                own.retry_ratio, own.retry_slack, own.retry_window
-            )
-        return window
-
     def _apply_table(self, table):
         limits = table.limits
         self._limits.head = limits.head
@@ -340,6 +338,7 @@
             messages.SuspectRun: self.crashes.sync.receive_run,
             messages.LimitNews: self.limits.receive,
             messages.PermitAsk: self.limits.grant,
+            messages.RetryPermitAsk: self.retries.lend,
             messages.RelayLeaving: self._handle_relay_leaving,
         }
 
@@ -391,6 +390,7 @@
         self._loops.start("views", self._views.run, LOOP_TIMEOUT)
         self._loops.start("budgets", self.budgets.run, LOOP_TIMEOUT)
         self._loops.start("suspects", self.crashes.run, LOOP_TIMEOUT)
+        self._loops.start("retries", self.retries.run, STORE_LOOP_TIMEOUT)
         self._loops.start("blocklist", self._blocklist.run, LOOP_TIMEOUT)
         self._loops.start("links", self._link_monitor.run, LOOP_TIMEOUT)
 
@@ -487,6 +487,7 @@
         """Close all connections and stop all tasks at once."""
         self._tasks.cancel()
         self.crashes.close()
+        self.retries.close()
         await self._server.close()
         await self._health.close()
         await self._peer_server.close()
--- a/rowanport/gateway/forwarder.py
+++ b/rowanport/gateway/forwarder.py
@@ -100,11 +100,10 @@
 
     async def _serve(self, job, responder):
         gateway = self._gateway
-        now = self._clock.steady()
         # A blocked request is refused, even if the views are stale.
         self._crashes.check(job)
         gateway.views.freshness.check()
-        gateway.retries(job.service).record_request(now)
+        gateway.retries.record_request(job.service)
         if gateway.congestion.should_refuse(job.request):
             raise RequestError(
                 ErrorKind.OVERLOADED, "network link of the router is congested"
--- a/rowanport/gateway/job.py
+++ b/rowanport/gateway/job.py
@@ -46,6 +46,9 @@
     :ivar tried: UpstreamRuns that must not be tried again
     :ivar sends: number of sends, rejected ones included
     :ivar runs: sends that an upstream may have executed
+    :ivar arrivals: sends of which at least one byte was sent
+    :ivar retry_permits: monotonic times until which acquired retries, each of
+        which allows another arrival, are valid
     :ivar rejections: sends that an upstream rejected
     :ivar failed_connections: sends that failed for lack of a connection
     :ivar reserved: tokens of its budget that are reserved for it
@@ -81,6 +84,8 @@
         "tried",
         "sends",
         "runs",
+        "arrivals",
+        "retry_permits",
         "rejections",
         "failed_connections",
         "reserved",
@@ -114,6 +119,8 @@
         self.tried = set()
         self.sends = 0
         self.runs = 0
+        self.arrivals = 0
+        self.retry_permits = []
         self.rejections = 0
         self.failed_connections = 0
         self.reserved = 0
--- a/rowanport/gateway/metrics.py
+++ b/rowanport/gateway/metrics.py
@@ -22,6 +22,15 @@
         self.permits = self._counter(
             "permits", "Permits to send to these, by outcome"
         )
+        self.retries = self._counter(
+            "retries", "Retries and hedges, by what they count against"
+        )
+        self.retry_loans = self._counter(
+            "retry_loans", "Requests for permits of peers, by outcome"
+        )
+        self.retry_share = self._gauge(
+            "retry_share", "Permits of the slack that this router has"
+        )
         self.lost_upstream_links = self._gauge(
             "lost_upstream_links", "Upstreams not reached over the own link"
         )
--- a/rowanport/gateway/retry_policy.py
+++ b/rowanport/gateway/retry_policy.py
@@ -5,6 +5,8 @@
 from ..errors import ErrorKind
 from ..errors import RequestError
 from ..errors import RowanportError
+from ..errors import UpstreamLeft
+from ..retries import SEND_SECONDS
 from .exchange import NotExecuted
 
 LOG = structlog.get_logger(__name__)
@@ -13,12 +15,17 @@
 MAX_REJECTIONS = 3
 # Failed connections after which a request is not sent again.
 MAX_FAILED_CONNECTIONS = 6
+RETRY_LIMIT_REACHED = "retry limit reached"
 
 
 class HedgeDenied(RowanportError):
     """A request may not be hedged; the message is the reason."""
 
 
+class RetryDenied(UpstreamLeft):
+    """A send was given up before its first byte, as no retry is allowed."""
+
+
 class RetryPolicy:
     """Rules for retries and hedges of Jobs.
 
@@ -60,13 +67,12 @@
             if not self._gateway.budgets.try_reserve(job.budget, tokens):
                 raise HedgeDenied("not enough tokens for a second run")
             job.reserved += tokens
-        self._acquire_retry(job)
+        self._acquire_now(job)
         return tokens
 
     def _check_hedge(self, job, responder):
         """Raise HedgeDenied unless a hedge is allowed, tokens aside."""
         gateway = self._gateway
-        now = gateway.clock.steady()
         if not self.may_retry(job, responder):
             raise HedgeDenied("the route allows no further run")
         if gateway.crashes.is_suspect(job):
@@ -79,8 +85,8 @@
             raise HedgeDenied("too late for a send")
         if not self.hedge_candidates(job):
             raise HedgeDenied("no upstream is left")
-        if not self._window(job).allows(self._router_count, now):
-            raise HedgeDenied("retry limit reached")
+        if not gateway.retries.available(job.service):
+            raise HedgeDenied(RETRY_LIMIT_REACHED)
 
     def hedge_candidates(self, job):
         """Return the UpstreamStates that may run a hedge of a job.
@@ -98,25 +104,28 @@
             self._gateway.budgets.settle(job.budget, tokens, 0)
             job.reserved -= tokens
 
-    def check_retry(self, job, responder, error):
+    async def check_retry(self, job, responder, error):
         """Raise RequestError unless a failed job may be retried.
 
         :param job: the Job
         :param responder: the Responder of its caller
         :param error: the UpstreamError of the last send
         """
-        if not self._may_resend(job, responder, error):
+        if not await self._may_resend(job, responder, error):
             raise final_error(job, error) from None
 
-    def _may_resend(self, job, responder, error):
+    async def _may_resend(self, job, responder, error):
         if self._is_rejected_too_often(job):
             return False
+        if isinstance(error, RetryDenied):
+            return False
         if not error.started and not isinstance(error, NotExecuted):
-            # No connection was made, so it put no load on the upstreams.
+            # Nothing was sent, so it put no load on the upstreams.
             return True
         if error.started and not self.may_retry(job, responder):
             return False
-        return self._acquire_retry(job)
+        source = await self._gateway.retries.acquire(job.service)
+        return self._record(job, source)
 
     def _is_rejected_too_often(self, job):
         return (
@@ -124,30 +133,58 @@
             or job.failed_connections >= MAX_FAILED_CONNECTIONS
         )
 
-    @property
-    def _router_count(self):
-        return len(self._gateway.members.live())
+    # Permits
 
-    def _window(self, job):
-        return self._gateway.retries(job.service)
+    def use_permit(self, job):
+        """Count that a job is about to be sent to an upstream.
 
-    def _acquire_retry(self, job):
-        """Record a retry if the window allows it; return whether it does."""
+        The first time costs nothing.  Later ones use the retry that the job
+        acquired, another one if it was delayed since for too long.
+
+        :raises RetryDenied: no retry is allowed
+        """
         now = self._gateway.clock.steady()
-        window = self._window(job)
-        routers = self._router_count
-        allowed = window.acquire(routers, now)
-        requests, retries = window.counts
+        if job.arrivals and not _pop_permit(job, now):
+            if not self._acquire_now(job):
+                raise RetryDenied(RETRY_LIMIT_REACHED)
+            job.retry_permits.pop()
+        job.arrivals += 1
+
+    def _acquire_now(self, job):
+        """Acquire a retry that is available here."""
+        return self._record(
+            job, self._gateway.retries.try_acquire(job.service)
+        )
+
+    def _record(self, job, source):
+        """Log a decision on a retry, and add the permit to the job.
+
+        :param source: the Source of the retry, None if it was denied
+        :returns: whether it was allowed
+        """
+        gateway = self._gateway
+        requests, earned = gateway.retries.allowance(job.service).counts
         LOG.info(
             "retry",
             request=job.id,
             service=job.service,
-            allowed=allowed,
+            source=source and source.value,
             requests=requests,
-            retries=retries,
-            routers=routers,
+            earned=earned,
+            share=gateway.retries.share,
         )
-        return allowed
+        if source is None:
+            return False
+        job.retry_permits.append(gateway.clock.steady() + SEND_SECONDS)
+        return True
+
+
+def _pop_permit(job, now):
+    """Remove a job's permits up to a valid one; return whether it had one."""
+    while job.retry_permits:
+        if job.retry_permits.pop(0) >= now:
+            return True
+    return False
 
 
 def final_error(job, error):
--- a/rowanport/gateway/sender.py
+++ b/rowanport/gateway/sender.py
@@ -15,6 +15,7 @@
 from .relay import is_stream
 from .retry_policy import final_error
 from .retry_policy import HedgeDenied
+from .retry_policy import RetryDenied
 
 # Share of the remaining time after which a repeatable request without an
 # answer is hedged, that is, sent to another upstream as well.
@@ -82,7 +83,9 @@
             return attempt
         except UpstreamError as error:
             self._drop(attempt, error)
-            self._retry_policy.check_retry(self._job, self._responder, error)
+            await self._retry_policy.check_retry(
+                self._job, self._responder, error
+            )
             return await self._start_admitted()
 
     async def _wait_for_data(self, attempt):
@@ -208,7 +211,7 @@
         return answer
 
     def _check_before_send(self, state):
-        """Raise UpstreamLeft if the upstream accepts no requests any more.
+        """Raise UpstreamLeft if the job may not be sent to the upstream now.
 
         It may have left while the job waited for a permit or a connection.
         """
@@ -220,6 +223,7 @@
             raise UpstreamLeft("upstream has no entry and peers do not answer")
         if freshness.stale:
             raise UpstreamLeft("the list of upstreams is stale")
+        self._retry_policy.use_permit(self._job)
         self._job.view_age = freshness.age
 
     def _record_load(self, state):
@@ -250,7 +254,8 @@
             self._retry_policy.release_hedge(job, attempt.tokens)
         if isinstance(error, UpstreamLeft):
             job.sends -= 1
-            self._log.log_send(job, state, "left", error, path)
+            outcome = "denied" if isinstance(error, RetryDenied) else "left"
+            self._log.log_send(job, state, outcome, error, path)
         elif isinstance(error, NotExecuted):
             self._record_rejection(state, error, path)
         else:
--- a/rowanport/schema/messages.py
+++ b/rowanport/schema/messages.py
@@ -2220,6 +2220,40 @@
         )
 
 
+class RetryPermitAsk(Message):
+    """Ask for permits to retry, from a peer's share of the fleet's slack.
+
+    :ivar service: the service
+    :ivar wanted: permits
+    """
+
+    __slots__ = (
+        "service",
+        "wanted",
+    )
+    KIND = 75
+
+    def __init__(self, service, wanted):
+        self.service = service
+        self.wanted = wanted
+
+    def to_wire(self):
+        """Return the fields as plain values, in the schema's order."""
+        return [
+            self.service,
+            self.wanted,
+        ]
+
+    @classmethod
+    def from_wire(cls, values):
+        """Build one from plain values; raise MessageError if unfit."""
+        check_length(cls, values, 2)
+        return cls(
+            as_str(values[0]),
+            as_int(values[1]),
+        )
+
+
 class ViewAsk(Message):
     """Ask a peer for what it has newer: configuration and upstreams.
 
@@ -2628,6 +2662,7 @@
     68: LimitNews,
     69: PermitAsk,
     70: Permits,
+    75: RetryPermitAsk,
     61: ViewAsk,
     62: ViewGive,
     71: UpstreamNews,
--- a/soak/broken.py
+++ b/soak/broken.py
@@ -80,7 +80,10 @@
     def apply(self):
         from rowanport.gateway.retry_policy import RetryPolicy
 
-        RetryPolicy.check_retry = lambda self, *_arguments: None
+        async def check_retry(self, *_arguments):
+            """Allow each retry."""
+
+        RetryPolicy.check_retry = check_retry
 
 
 class ForgetsKey(Variant):
--- a/test/platform_world.py
+++ b/test/platform_world.py
@@ -1,8 +1,10 @@
 """A gateway of the adapter, against stand-ins, in the test's own process."""
 
 import asyncio
+from unittest import mock
 
 from bench.ports import free_ports
+from rowanport.gateway import retry_allowances
 from rowanport.gateway.settings import GatewaySettings
 from rowanport.platform.__main__ import build
 from rowanport.platform.settings import PlatformSettings
@@ -100,8 +102,12 @@
             f"127.0.0.1:{port}" for port in ports[3:]
         ]
         self.gateway = build(self.settings(ports[0]))
-        await self.gateway.start()
-        await self.wait(lambda: self.gateway.ready)
+        with mock.patch.multiple(
+            retry_allowances, CLAIM_DELAY=0.0, CLAIM_SPREAD=0.0
+        ):
+            await self.gateway.start()
+            await self.wait(lambda: self.gateway.ready)
+            await self.wait(lambda: self.gateway.retries.share)
         await self.wait(lambda: self.gateway.budgets.accounts["org"].inflow)
         return self
 
--- a/test/test_loop_heartbeats.py
+++ b/test/test_loop_heartbeats.py
@@ -18,6 +18,7 @@
 from rowanport import supervision
 from rowanport.gateway import crash_guard
 from rowanport.gateway import link_monitor
+from rowanport.gateway import retry_allowances
 from rowanport.gateway import views
 from rowanport.platform import directory
 from rowanport.supervision import beat
@@ -138,6 +139,7 @@
         "RouterDirectory": directory,
         "suspects": crash_guard,
         "links": link_monitor,
+        "retries": retry_allowances,
     }
     if name in modules:
         asleep = types.SimpleNamespace(sleep=hang, Event=asyncio.Event)
@@ -173,6 +175,7 @@
     "suspects",
     "blocklist",
     "links",
+    "retries",
 )
 
 
--- a/test/test_supervision.py
+++ b/test/test_supervision.py
@@ -172,6 +172,7 @@
         "suspects": (gateway.crashes, "_expire_and_clear"),
         "blocklist": (gateway._blocklist, "_load_and_save"),
         "links": (gateway._link_monitor, "_find_silence"),
+        "retries": (gateway.retries, "_log_share"),
     }
 
 
@@ -230,6 +231,7 @@
         "suspects",
         "blocklist",
         "links",
+        "retries",
     ):
         with failing(gateway, name):
             await platform.wait(lambda: restarts(gateway, name) > 0)
