--- a/soak/broken.py
+++ b/soak/broken.py
@@ -345,6 +345,18 @@
         RateLimits.record_answer = lambda *_arguments: None
 
 
+class ForgetsRetries(Variant):
+    """Has the whole slack for retries to itself, and again at each start."""
+
+    promise = "repeats"
+    theme = "refusing"
+
+    def apply(self):
+        from rowanport.retries import ShareClaim
+
+        ShareClaim.permits = lambda self, now: self._slack
+
+
 class OwnLinkOnly(Variant):
     """Reaches upstreams over its own link and no other way."""
 
@@ -396,6 +408,7 @@
         BlamesAll,
         IgnoresLimits,
         OwnLinkOnly,
+        ForgetsRetries,
         Ends,
     )
 }
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -73,13 +73,20 @@
             router.signal(signal.SIGKILL)
 
     async def _do_kill(self, step):
-        router = self._router(step)
+        self._kill(self._router(step))
+
+    def _kill(self, router):
         if not router.life or not router.alive:
             return
         router.told = True
         self._world.note("kill", [router.name], now(), NEVER)
         router.signal(signal.SIGKILL)
 
+    async def _do_herd(self, _step):
+        """Kill all routers at once."""
+        for router in self._world.routers:
+            self._kill(router)
+
     async def _do_again(self, _step):
         """Send the signal again to all routers that stop."""
         for router in self._world.routers:
@@ -306,6 +313,13 @@
         await asyncio.sleep(step.seconds)
         upstream.resume(stall)
 
+    async def _do_refuse(self, step):
+        """Let all upstreams turn most requests away as full."""
+        until = now() + step.seconds
+        for seat in self._world.operator.seats:
+            if seat.occupant is not None:
+                seat.occupant.refuses_until = until
+
     async def _do_limit(self, step):
         upstream = self._seat(step).occupant
         if upstream is None or upstream.limit is not None:
--- a/soak/history.py
+++ b/soak/history.py
@@ -213,9 +213,23 @@
 
 
 class Bounds(Record):
-    """The platform's bounds in seconds, as the settings give them."""
+    """The platform's bounds in seconds, as the settings give them.
 
-    __slots__ = ("contact", "drain", "grace", "apply", "rollback", "slack")
+    :ivar repeats: arrivals beyond the first of their requests that the fleet
+        may cause within a window, by request and beyond
+    :ivar repeat_window: length of that window
+    """
+
+    __slots__ = (
+        "contact",
+        "drain",
+        "grace",
+        "apply",
+        "rollback",
+        "slack",
+        "repeats",
+        "repeat_window",
+    )
 
     defaults = {
         "contact": 3.0,
@@ -224,6 +238,8 @@
         "apply": 2.0,
         "rollback": 0.25,
         "slack": 0.2,
+        "repeats": (0.2, 54),
+        "repeat_window": 10.0,
     }
 
 
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -70,6 +70,18 @@
 }
 # Routers that lose their links to all upstreams, beside stops and kills.
 SEVERED = {"sever": 7, "term": 2, "kill": 1, "config": 1, "leave": 1}
+# Upstreams that turn most requests away, while routers are killed at once and
+# cut off from each other.
+REFUSING = {
+    "refuse": 4,
+    "herd": 3,
+    "kill": 2,
+    "freeze": 1,
+    "cut": 3,
+    "term": 1,
+    "store_down": 1,
+    "config": 1,
+}
 # Links that are full, of routers that hear of upstreams that leave.
 LINKS = {"full": 5, "leave": 8, "config": 1, "store_away": 2, "term": 1}
 THEMES["all"] = {
@@ -92,6 +104,7 @@
     "lethal": (8.0, 20.0),
     "limit": (5.0, 15.0),
     "sever": (6.0, 12.0),
+    "refuse": (5.0, 12.0),
 }
 # Kinds that strike all routers: in a large fleet there are more steps, but not
 # more of these, or nobody would ever be in touch.
@@ -106,6 +119,8 @@
     "store_lossy",
     "store_late",
     "sever",
+    "refuse",
+    "herd",
 )
 SMALL_FLEET = 10
 UPSTREAM_KINDS = ("leave", "crash", "pause", "lethal", "limit")
@@ -170,6 +185,7 @@
 THEMES["limits"] = LIMITED
 THEMES["links"] = LINKS
 THEMES["severed"] = SEVERED
+THEMES["refusing"] = REFUSING
 
 
 def choose_theme(seed):
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -560,6 +560,42 @@
             yield Finding("blamed", request.ended_at, evidence)
 
 
+def check_repeats(history):
+    """Upstreams get no more repeats than the fleet is allowed.
+
+    Counted are arrivals beyond the first of their request, run or not, in each
+    window; requests in whichever has most of that window, the one before it
+    and the one half a window before it.
+    """
+    ratio, slack = history.bounds.repeats
+    window = history.bounds.repeat_window
+    seen = set()
+    repeats = []
+    for arrival in sorted(history.arrivals, key=lambda one: one.at):
+        if arrival.request in seen:
+            repeats.append(arrival.at)
+        elif arrival.request in history.requests:
+            seen.add(arrival.request)
+    sent = sorted(request.sent_at for request in history.requests.values())
+    for number, at in enumerate(repeats):
+        if not sent or sent[-1] < at + window:
+            # Requests of this window are still to come.
+            return
+        count = bisect.bisect_left(repeats, at + window) - number
+        requests = max(
+            _count_between(sent, start, start + window)
+            for start in (at, at - window / 2, at - window)
+        )
+        if count > ratio * requests + slack:
+            evidence = f"{count} repeats for {requests} requests"
+            yield Finding("repeats", at, evidence)
+            return
+
+
+def _count_between(times, begun, ended):
+    return bisect.bisect_left(times, ended) - bisect.bisect_left(times, begun)
+
+
 PROMISES = (
     check_budgets,
     check_answers,
@@ -578,6 +614,7 @@
     check_blamed,
     check_limits,
     check_severed,
+    check_repeats,
 )
 
 
--- a/soak/shapes.py
+++ b/soak/shapes.py
@@ -148,6 +148,17 @@
         paid=1500,
     ),
     "limits": Shape(upstreams=6, paid=1500),
+    # Callers of repeatable requests, and a slack that one router can use up.
+    "refusing": Shape(
+        asks={
+            Ask("/safe/", True, False, True, 3.0, 3): 2,
+            Ask("/open/", True, False, False, 3.0, 3): 2,
+            Ask("/stream/", True, True, True, 6.0, 3): 4,
+        },
+        faulty=6,
+        paid=1500,
+        repeats=(0.02, 24),
+    ),
     "severed": Shape(upstreams=6, faulty=6, paid=1500),
     # Callers wait long enough to be served through a full link.
     "links": Shape(upstreams=6, paid=1500, patience=(5.0, 8.0)),
--- a/soak/upstream.py
+++ b/soak/upstream.py
@@ -30,6 +30,8 @@
 BREAKING = ("reset", "short", "unsigned", "stray")
 # The same, after some events of a stream.
 STREAM_ONLY = ("break", "tear")
+# Share of requests that an upstream turns away while it is told to refuse.
+REFUSED_SHARE = 0.85
 # Part of the paths of requests that crash what runs them.
 LETHAL = "lethal"
 # Seconds between two looks whether a silent upstream goes on.
@@ -66,6 +68,7 @@
     :param history: the History to write to
     :param faulty: whether it has faults of its own
     :ivar listed: its state in the store, "" if it isn't there
+    :ivar refuses_until: until when it turns most requests away as full
     :ivar source_at: function from the port of a connection to the name of the
         router from which it comes
     """
@@ -76,6 +79,7 @@
         self.active = 0
         self.leaving = False
         self.listed = ""
+        self.refuses_until = 0.0
         self._history = history
         self._faulty = faulty
         self._random = random.Random(f"{seed} {name}")
@@ -146,7 +150,7 @@
         request_id = names.get(ID_HEADER, "")
         arrival = Arrival(self.name, request_id, time.monotonic())
         self._history.arrivals.append(arrival)
-        if self.active >= self.slots:
+        if self.active >= self.slots or self._refuses():
             await self._do_full(connection, writer, names, body)
             return
         self.active += 1
@@ -166,6 +170,11 @@
             self.active -= 1
             self._end(self._runs.pop(connection))
 
+    def _refuses(self):
+        if time.monotonic() >= self.refuses_until:
+            return False
+        return self._random.random() < REFUSED_SHARE
+
     def _note_broken(self, connection, behaviour):
         run = self._runs[connection]
         if behaviour in STREAM_ONLY and isinstance(run, Run):
--- a/soak/world.py
+++ b/soak/world.py
@@ -60,7 +60,7 @@
 
     def __init__(self, seed, seconds, routers, shape, directory, broken):
         grace = shape.graces[seed % len(shape.graces)]
-        self.history = History(Bounds(grace=grace))
+        self.history = History(Bounds(grace=grace, repeats=shape.repeats))
         self.shape = shape
         self.seed = seed
         self.routers = []
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -61,6 +61,8 @@
         *("--theme", "severed", "--processes", "6"),
         *("--seconds", "30", "--calm", "14", "--seed", "2000"),
     ),
+    # Three routers of ad2cc76 repeated more than was allowed.
+    "refusing": ("--theme", "refusing", *SHORT, "--seed", "3000"),
 }
 BROKEN = ("--calm", "15.5", "--seed", "1")
 # Seconds of faults that a variant is given to be found in.
@@ -71,6 +73,7 @@
     IgnoresLimits=30,
     TrustsOldViews=30,
     OwnLinkOnly=30,
+    ForgetsRetries=30,
 )
 
 
@@ -851,6 +854,29 @@
     assert "limit" not in found(history)
 
 
+@pytest.mark.parametrize("repeats, expected", [(56, 0), (57, 1)])
+def test_repeats_beyond_what_the_fleet_is_allowed_are_found(repeats, expected):
+    history = History()
+    for number in range(10):
+        add_request(history, f"c{number}")
+    for number in range(1 + repeats):
+        arrival = Arrival("u0", "c0", 100.0 + number / 10)
+        history.arrivals.append(arrival)
+    assert "repeats" not in found(history)
+    add_request(history, "later", sent_at=120.0, ended_at=120.1)
+    assert found(history).count("repeats") == expected
+
+
+def test_repeats_of_two_windows_break_no_promise():
+    history = History()
+    add_request(history)
+    add_request(history, "later", sent_at=150.0, ended_at=150.1)
+    for number in range(100):
+        arrival = Arrival("u0", "c1", 100.0 + number / 5)
+        history.arrivals.append(arrival)
+    assert "repeats" not in found(history)
+
+
 # Routers that are cut off from all upstreams
 
 
