Logs: the version that a request was sent to, and the stream that it takes up

The field version of an upstream's entry was read and dropped, and Resumes stood nowhere: nothing told a stream that was joined from one that was not. Lists of upstreams carry the versions now (behind the packed list, where routers of earlier versions read nothing; a checksum of them tells lists of one revision apart), and the lines of sends and requests name version, resumes and events. Nothing is decided by it yet.

--- a/rowanport/gateway/dialect.py
+++ b/rowanport/gateway/dialect.py
@@ -17,6 +17,8 @@
     :ivar prefix: parts of the prompt as ID:TOKENS, separated by commas
     :ivar priority: the request's priority at the upstream, 0 the highest
     :ivar last_event: id of the last event received from a resumed stream
+    :ivar resumes: id of the caller's request that began the stream which it
+        takes up
     :ivar orders: other headers by which a router controls an upstream
     :ivar facts: other headers of answers that only routers may see
     :ivar hints: other headers of callers that affect an upstream's decisions
@@ -35,6 +37,7 @@
         "prefix",
         "priority",
         "last_event",
+        "resumes",
         "orders",
         "facts",
         "hints",
--- a/rowanport/gateway/job.py
+++ b/rowanport/gateway/job.py
@@ -58,6 +58,9 @@
         None before the first choice
     :ivar last_event: id of the last forwarded event, or None
     :ivar events: number of forwarded events
+    :ivar version: version of the upstream that it was last sent to, or None
+    :ivar resumes: id of the earlier request whose stream it takes up, as the
+        caller names it, or None
     :ivar first_event_at: monotonic time of the first event, or None
     :ivar last_event_at: monotonic time of the last event, or None
     :ivar longest_pause: longest time in seconds between two events
@@ -94,6 +97,8 @@
         "backlog",
         "last_event",
         "events",
+        "version",
+        "resumes",
         "first_event_at",
         "last_event_at",
         "longest_pause",
@@ -129,6 +134,8 @@
         self.backlog = None
         self.last_event = None
         self.events = 0
+        self.version = None
+        self.resumes = None
         self.first_event_at = None
         self.last_event_at = None
         self.longest_pause = 0.0
@@ -222,6 +229,7 @@
         name = request.header(self._dialect.request_id)
         job = Job(request, name, route, route.service_for(name), now)
         job.config = table.version
+        job.resumes = request.header(self._dialect.resumes) or None
         self._identify(job, table)
         organisation = job.organisation.name if job.organisation else ""
         job.fingerprint = self._fingerprints.compute(request, organisation)
--- a/rowanport/gateway/sender.py
+++ b/rowanport/gateway/sender.py
@@ -144,6 +144,7 @@
         self._attempts.append(attempt)
         self._restart_stall_timeout(attempt)
         job.upstream = state.record.id
+        job.version = state.record.version
         return attempt
 
     def _choose(self):
--- a/rowanport/gateway/upstream.py
+++ b/rowanport/gateway/upstream.py
@@ -43,6 +43,7 @@
         runs with different start times share no state
     :ivar lapsing: whether its entry is missing, and the upstream is retained
         for a while because the entry may have expired in a store outage
+    :ivar version: version of its software, "" if unknown
     """
 
     __slots__ = (
@@ -54,6 +55,7 @@
         "leaving",
         "born",
         "lapsing",
+        "version",
     )
 
     def __init__(
@@ -66,6 +68,7 @@
         leaving,
         born=0,
         lapsing=False,
+        version="",
     ):
         self.id = id_
         self.service = service
@@ -75,6 +78,7 @@
         self.leaving = leaving
         self.born = born
         self.lapsing = lapsing
+        self.version = version
 
     @property
     def run(self):
@@ -82,19 +86,23 @@
         return UpstreamRun(self.id, self.born)
 
     def fields(self):
-        """Return the values of all slots, in the order of the slots."""
-        return [getattr(self, slot) for slot in self.__slots__]
+        """Return the values of all slots but the version, in their order.
+
+        Routers of earlier versions read no more; see UpstreamDelta.pack.
+        """
+        return [getattr(self, slot) for slot in self.__slots__[:-1]]
 
     def as_lapsing(self):
         """Return a copy that is marked as lapsing."""
-        upstream = Upstream(*self.fields())
+        upstream = Upstream(*self.fields(), version=self.version)
         upstream.lapsing = True
         return upstream
 
     def __eq__(self, other):
         if not isinstance(other, Upstream):
             return NotImplemented
-        return self.fields() == other.fields()
+        same = self.fields() == other.fields()
+        return same and self.version == other.version
 
 
 class UpstreamList:
@@ -106,12 +114,19 @@
     :ivar upstreams: Upstream by id
     """
 
-    __slots__ = ("revision", "step", "upstreams", "_digest")
+    __slots__ = (
+        "revision",
+        "step",
+        "upstreams",
+        "_digest",
+        "_versions_digest",
+    )
 
     def __init__(self, revision=0, upstreams=(), step=0):
         self.revision = revision
         self.step = step
         self._digest = None
+        self._versions_digest = None
         self.upstreams = {upstream.id: upstream for upstream in upstreams}
 
     @property
@@ -131,3 +146,24 @@
             rows = [u.fields() for u in listed if not u.lapsing]
             self._digest = zlib.crc32(msgpack.packb(sorted(rows)))
         return self._digest
+
+    @property
+    def versions_digest(self):
+        """Return a checksum of the versions of all upstreams not lapsing."""
+        if self._versions_digest is None:
+            listed = self.upstreams.values()
+            rows = [(u.id, u.version) for u in listed if not u.lapsing]
+            packed = msgpack.packb(sorted(rows))
+            self._versions_digest = zlib.crc32(packed)
+        return self._versions_digest
+
+    def versions(self, service):
+        """Return the versions of a service's upstreams, the leaving ones too.
+
+        A set, in which "" stands for versions that are not known.
+        """
+        return {
+            upstream.version
+            for upstream in self.upstreams.values()
+            if upstream.service == service
+        }
--- a/rowanport/gateway/upstream_delta.py
+++ b/rowanport/gateway/upstream_delta.py
@@ -27,22 +27,41 @@
     :ivar digest: digest of the resulting list
     :ivar changed: the Upstreams that were added or changed
     :ivar removed: ids of the upstreams that were removed
+    :ivar versions_digest: versions_digest of the resulting list, None if the
+        sender does not know versions
     """
 
-    __slots__ = ("base", "version", "digest", "changed", "removed")
-
-    def __init__(self, base, version, digest, changed, removed):
+    __slots__ = (
+        "base",
+        "version",
+        "digest",
+        "changed",
+        "removed",
+        "versions_digest",
+    )
+
+    def __init__(
+        self, base, version, digest, changed, removed, versions_digest=None
+    ):
         self.base = tuple(base)
         self.version = tuple(version)
         self.digest = digest
         self.changed = changed
         self.removed = removed
+        self.versions_digest = versions_digest
 
     def pack(self):
-        """Return the delta as bytes for a peer."""
+        """Return the delta as bytes for a peer.
+
+        The versions of software follow the rest, where routers of earlier
+        versions read nothing.
+        """
         rows = [upstream.fields() for upstream in self.changed]
         fields = [self.base, self.version, self.digest, rows, self.removed]
-        return zlib.compress(msgpack.packb(fields))
+        versions = [upstream.version for upstream in self.changed]
+        return zlib.compress(msgpack.packb(fields)) + zlib.compress(
+            msgpack.packb([self.versions_digest, versions])
+        )
 
     @classmethod
     def unpack(cls, data):
@@ -51,11 +70,17 @@
         :raises MessageError: the bytes are malformed
         """
         try:
+            stream = zlib.decompressobj()
             base, version, digest, rows, removed = msgpack.unpackb(
-                zlib.decompress(data)
+                stream.decompress(data)
             )
             changed = [Upstream(*row) for row in rows]
-            return cls(base, version, digest, changed, removed)
+            versions_digest = None
+            if stream.unused_data:
+                versions_digest = _unpack_versions(stream.unused_data, changed)
+            return cls(
+                base, version, digest, changed, removed, versions_digest
+            )
         except (
             ValueError,
             TypeError,
@@ -83,6 +108,16 @@
         return UpstreamList(revision, upstreams.values(), step)
 
 
+def _unpack_versions(data, upstreams):
+    """Set the versions of Upstreams; return the versions_digest."""
+    digest, versions = msgpack.unpackb(zlib.decompress(data))
+    if len(versions) != len(upstreams):
+        raise ValueError("versions of other upstreams")
+    for upstream, version in zip(upstreams, versions):
+        upstream.version = version
+    return digest
+
+
 class ChangeLog:
     """Remembers in which version each upstream last changed."""
 
@@ -120,6 +155,7 @@
                 known.digest,
                 list(upstreams.values()),
                 [],
+                known.versions_digest,
             )
         names = [n for n, at in self._changed_at.items() if at > base]
         return UpstreamDelta(
@@ -128,4 +164,5 @@
             known.digest,
             [upstreams[name] for name in names if name in upstreams],
             [name for name in names if name not in upstreams],
+            known.versions_digest,
         )
--- a/rowanport/gateway/views.py
+++ b/rowanport/gateway/views.py
@@ -416,7 +416,11 @@
         if upstreams is None:
             return
         # Peers may have made different changes at the same revision.
-        self._needs_full_list = upstreams.digest != delta.digest
+        self._needs_full_list = (
+            upstreams.digest != delta.digest
+            or delta.versions_digest is not None
+            and upstreams.versions_digest != delta.versions_digest
+        )
         if self._needs_full_list:
             LOG.info("upstreams_differ", version=delta.version, peer=address)
         self._apply_list(upstreams, address)
--- a/rowanport/platform/entries.py
+++ b/rowanport/platform/entries.py
@@ -51,7 +51,7 @@
         raise MessageError("not a table")
     # The heartbeat's number is no part of what the upstream is like.
     beat = _read(row, "seq_num", int)
-    _read(row, "version", str)
+    version = _read(row, "version", str)
     _read(row, "cold_left_ms", (int, float))
     # An upstream that does not tell when it started has a single run.
     born = _read(row, "born", int) if "born" in row else 0
@@ -63,6 +63,7 @@
         _read_slots(row),
         _read_leaving(row),
         born,
+        version=version,
     )
     return Entry(upstream, beat)
 
--- a/rowanport/platform/words.py
+++ b/rowanport/platform/words.py
@@ -15,6 +15,7 @@
     prefix="x-rowanport-prompt-prefix",
     priority="priority",
     last_event="last-event-id",
+    resumes="resumes",
     # The pages let only the system set these; an upstream reserves, pins,
     # copies and takes over memory by them.
     orders=(
