Test: streams go on at the version that began them, failing

In memory, three to five routers before upstreams of two versions whose events can be told apart: breaks, silences, callers that take a stream up elsewhere, killed routers, and streams that nobody knows.

--- a/rowanport/standins/upstream.py
+++ b/rowanport/standins/upstream.py
@@ -21,6 +21,8 @@
 class UpstreamStandin:
     """One upstream that does what its script says, request by request.
 
+    :param version: version of its software, by which its events can be told
+        from those of others; "" for one that writes no version
     :ivar script: names of behaviours to come; "ok" when it is used up
     :ivar heads: headers of the requests that it ran
     :ivar limit: text of the rate limit that its answers name, None for none
@@ -28,8 +30,9 @@
     :ivar on_crash: function that is told of each crash, or None
     """
 
-    def __init__(self, name, events=6):
+    def __init__(self, name, events=6, version=""):
         self.name = name
+        self.version = version
         self.events = events
         self.pause = 0.01
         self.script = []
@@ -69,7 +72,7 @@
             "service": service,
             "address": self.address,
             "zone": "hall-a",
-            "version": "v1",
+            "version": self.version or "v1",
             "slots": 8,
             "state": state,
             "cold_left_ms": 0,
@@ -188,7 +191,8 @@
         first = int(names.get("last-event-id", 0)) + 1
         for number in range(first, last + 1):
             self._note_event(connection, number)
-            event = f"id: {number}\ndata: {names[ID_HEADER]}\n\n".encode()
+            data = f"{names[ID_HEADER]} {self.version}".rstrip()
+            event = f"id: {number}\ndata: {data}\n\n".encode()
             writer.write(connection.send(h11.Data(data=event)))
             await writer.drain()
             await self._rest(connection, writer)
--- /dev/null
+++ b/test/test_stream_versions.py
@@ -0,0 +1,189 @@
+"""Streams go on at the version that began them, or not at all."""
+
+import asyncio
+from test.test_silence import run_on_net
+from test.version_world import EVENTS
+from test.version_world import NEW
+from test.version_world import OLD
+from test.version_world import VersionWorld
+
+import pytest
+
+STREAMS = 12
+
+
+def version_test(**options):
+    """Return a decorator that passes a started VersionWorld to a test."""
+
+    def decorate(body):
+        def test():
+            async def run(loop, net):
+                world = VersionWorld(loop, net, **options)
+                await world.start()
+                await body(world)
+                await world.close()
+
+            run_on_net(run)
+
+        test.__name__ = body.__name__
+        return test
+
+    return decorate
+
+
+def count(streams, name):
+    """Return how many Streams have a property."""
+    return sum(bool(getattr(stream, name)) for stream in streams)
+
+
+async def begin(world, hosts=None, most=3):
+    """Begin streams at some routers, and leave them after some events."""
+    hosts = hosts or world.hosts
+    reads = [
+        world.read(hosts[n % len(hosts)], f"s{n}", most)
+        for n in range(STREAMS)
+    ]
+    streams = await world.all_of(reads)
+    assert all(len(stream.events) == most for stream in streams)
+    return streams
+
+
+async def resume_all(world, streams, host):
+    """Take up all streams at one router."""
+    await world.all_of([world.resume(host, stream) for stream in streams])
+
+
+# Within one answer
+
+
+@version_test()
+async def test_a_stream_that_breaks_off_goes_on_at_its_version(world):
+    for version in (OLD, NEW):
+        world.break_streams(version)
+    reads = [world.read(world.hosts[0], f"s{n}") for n in range(STREAMS)]
+    streams = await world.all_of(reads)
+    assert not count(streams, "joined")
+    assert count(streams, "whole") == STREAMS
+
+
+@version_test(versions=(OLD, NEW, NEW))
+async def test_a_stream_ends_if_no_other_upstream_has_its_version(world):
+    world.break_streams(OLD)
+    reads = [world.read(world.hosts[0], f"s{n}") for n in range(STREAMS)]
+    streams = await world.all_of(reads)
+    assert not count(streams, "joined")
+    assert count(streams, "whole") >= STREAMS - 1
+
+
+@version_test(versions=(OLD, NEW))
+async def test_a_stream_that_falls_silent_is_not_hedged_elsewhere(world):
+    for upstream in world.upstreams.values():
+        upstream.silent_after = 3
+    reads = [world.read(world.hosts[0], f"s{n}") for n in range(STREAMS)]
+    streams = await world.all_of(reads)
+    assert not count(streams, "joined")
+
+
+# Over a caller's tries
+
+
+@version_test()
+async def test_a_stream_taken_up_elsewhere_goes_on_at_its_version(world):
+    streams = await begin(world, world.hosts[:1])
+    await resume_all(world, streams, world.hosts[1])
+    assert not count(streams, "joined")
+    assert count(streams, "whole") == STREAMS
+    assert all(s.events == [*range(1, EVENTS + 1)] for s in streams)
+
+
+@version_test()
+async def test_a_stream_goes_on_after_the_router_was_killed(world):
+    streams = await begin(world, world.hosts[:1])
+    await world.kill_router(world.hosts[0])
+    await resume_all(world, streams, world.hosts[1])
+    assert not count(streams, "joined")
+    assert count(streams, "whole") >= STREAMS / 2
+
+
+@version_test(routers=5)
+async def test_a_stream_goes_on_after_two_routers_were_killed(world):
+    streams = await begin(world, world.hosts[:1])
+    for host in world.hosts[:2]:
+        await world.kill_router(host)
+    await resume_all(world, streams, world.hosts[2])
+    assert not count(streams, "joined")
+    assert count(streams, "whole") >= STREAMS / 2
+
+
+@version_test()
+async def test_a_stream_that_nobody_knows_is_refused_and_does_not_run(world):
+    streams = await begin(world)
+    for host in world.hosts:
+        await world.kill_router(host)
+    for host in world.hosts:
+        await world.start_router(host)
+    await asyncio.sleep(5.0)
+    runs = sum(len(u.heads) for u in world.upstreams.values())
+    await resume_all(world, streams, world.hosts[0])
+    assert not count(streams, "joined")
+    assert {stream.status for stream in streams} == {503}
+    assert runs == sum(len(u.heads) for u in world.upstreams.values())
+
+
+@version_test(versions=(OLD, OLD))
+async def test_with_one_version_a_stream_that_nobody_knows_goes_on(world):
+    streams = await begin(world)
+    for host in world.hosts:
+        await world.kill_router(host)
+    for host in world.hosts:
+        await world.start_router(host)
+    await asyncio.sleep(5.0)
+    await resume_all(world, streams, world.hosts[0])
+    assert count(streams, "whole") == STREAMS
+
+
+@version_test()
+async def test_a_stream_taken_up_twice_goes_on_at_its_version(world):
+    streams = await begin(world, world.hosts[:1])
+    for host in world.hosts[1:]:
+        more = [
+            world.read(
+                host,
+                f"{stream.name}-{host}",
+                2,
+                resumes=stream.name,
+                last_event_id=len(stream.events),
+            )
+            for stream in streams
+        ]
+        for stream, part in zip(streams, await world.all_of(more)):
+            stream.events += part.events
+            stream.versions |= part.versions
+    assert not count(streams, "joined")
+    assert all(len(stream.events) == 7 for stream in streams)
+
+
+@version_test()
+async def test_a_resumed_stream_that_breaks_off_stays_at_its_version(world):
+    streams = await begin(world, world.hosts[:1], 1)
+    for version in (OLD, NEW):
+        world.break_streams(version)
+    await resume_all(world, streams, world.hosts[1])
+    assert not count(streams, "joined")
+    assert count(streams, "whole") >= STREAMS - 2
+
+
+@pytest.mark.parametrize("missing", ["resumes", "last_event_id"])
+def test_what_names_half_of_a_stream_is_never_joined(missing):
+    @version_test()
+    async def check(world):
+        streams = await begin(world, world.hosts[:1])
+        resumes = [
+            world.resume(world.hosts[1], stream, **{missing: ""})
+            for stream in streams
+        ]
+        await world.all_of(resumes)
+        if missing == "resumes":
+            assert not count(streams, "joined")
+
+    check()
