Streams: go on at the version that began them, or not at all

What callers saw: events of one version of an upstream behind those of another, under the signature of the first, in an answer that looked whole. Cause: the version of an upstream's software was read and dropped; nothing bound a retry or a hedge of a stream to what had begun it, and Resumes was read nowhere. Change: the version of the run whose event is passed on first binds the request; candidates, hedges and a last check before the first byte go by it. It is announced before that event to two routers that keep the records of the id, handed over at a planned stop. A router that takes up a stream knows it or asks; rowanport/versions/ decides without I/O or clock. Where nobody knows it, it goes on only if one version was listed for as long as a stream can last, and is refused otherwise: not run. Tests: the reader of the new test's streams left before their end and split events over pieces; one test wanted a stream to go on that nobody could vouch for, as the whole fleet had just started. It is two now: a fleet that watched long enough lets it go on, one that just started refuses it.

--- a/rowanport/gateway/daemon.py
+++ b/rowanport/gateway/daemon.py
@@ -51,6 +51,7 @@
 from .settings import split_address
 from .stopping import GracefulStop
 from .store_watchers import update_recipients
+from .stream_sync import StreamSync
 from .views import Views
 
 LOG = structlog.get_logger(__name__)
@@ -206,6 +207,13 @@
             self.clock,
             self.metrics,
         )
+        self.streams = StreamSync(
+            self._peers,
+            self.members,
+            settings.peers,
+            self.clock,
+            self.metrics,
+        )
         self.retries = RetryAllowances(
             settings,
             self.incarnation,
@@ -322,6 +330,7 @@
             self.links.forget(upstreams.upstreams[name].address)
             LOG.info("upstream_restarted", upstream=name)
         listed = upstreams.upstreams.values()
+        self.streams.update(listed)
         self.limits.retain({upstream.run.name for upstream in listed})
 
     # Peers
@@ -339,6 +348,8 @@
             messages.LimitNews: self.limits.receive,
             messages.PermitAsk: self.limits.grant,
             messages.RetryPermitAsk: self.retries.lend,
+            messages.StreamNews: self.streams.receive,
+            messages.StreamAsk: self.streams.answer,
             messages.RelayLeaving: self._handle_relay_leaving,
         }
 
@@ -428,6 +439,7 @@
         self.members.set_state(LEAVING)
         self._server.drain()
         self._end_tunnels()
+        self.streams.hand_off()
         self.forwarder.bound_open()
         LOG.info("gateway_stopping", busy=self._server.busy)
         self.budgets.withhold(self.stopping.remaining_tokens)
@@ -488,6 +500,7 @@
         self._tasks.cancel()
         self.crashes.close()
         self.retries.close()
+        self.streams.close()
         await self._server.close()
         await self._health.close()
         await self._peer_server.close()
--- a/rowanport/gateway/forwarder.py
+++ b/rowanport/gateway/forwarder.py
@@ -108,6 +108,8 @@
             raise RequestError(
                 ErrorKind.OVERLOADED, "network link of the router is congested"
             )
+        if job.takes_up:
+            await gateway.streams.bind(job)
         budget = job.budget
         if budget is None:
             return await self._send(job, responder)
--- a/rowanport/gateway/job.py
+++ b/rowanport/gateway/job.py
@@ -58,7 +58,9 @@
         None before the first choice
     :ivar last_event: id of the last forwarded event, or None
     :ivar events: number of forwarded events
-    :ivar version: version of the upstream that it was last sent to, or None
+    :ivar version: version of the upstreams at which alone it may go on, None
+        before its first event
+    :ivar takes_up: whether it takes up a stream of which the caller has events
     :ivar resumes: id of the earlier request whose stream it takes up, as the
         caller names it, or None
     :ivar first_event_at: monotonic time of the first event, or None
@@ -98,6 +100,7 @@
         "last_event",
         "events",
         "version",
+        "takes_up",
         "resumes",
         "first_event_at",
         "last_event_at",
@@ -135,6 +138,7 @@
         self.last_event = None
         self.events = 0
         self.version = None
+        self.takes_up = False
         self.resumes = None
         self.first_event_at = None
         self.last_event_at = None
@@ -229,7 +233,10 @@
         name = request.header(self._dialect.request_id)
         job = Job(request, name, route, route.service_for(name), now)
         job.config = table.version
-        job.resumes = request.header(self._dialect.resumes) or None
+        last = request.header(self._dialect.last_event)
+        job.takes_up = route.resumable and bool(last)
+        if job.takes_up:
+            job.resumes = request.header(self._dialect.resumes) or None
         self._identify(job, table)
         organisation = job.organisation.name if job.organisation else ""
         job.fingerprint = self._fingerprints.compute(request, organisation)
--- a/rowanport/gateway/metrics.py
+++ b/rowanport/gateway/metrics.py
@@ -22,6 +22,9 @@
         self.permits = self._counter(
             "permits", "Permits to send to these, by outcome"
         )
+        self.resumptions = self._counter(
+            "resumptions", "Streams that callers take up, by outcome"
+        )
         self.retries = self._counter(
             "retries", "Retries and hedges, by what they count against"
         )
--- a/rowanport/gateway/pool.py
+++ b/rowanport/gateway/pool.py
@@ -112,7 +112,7 @@
         """Return the UpstreamState of an upstream's id, or None."""
         return self._states.get(name)
 
-    def candidates(self, service, avoid, now):
+    def candidates(self, service, avoid, now, version=None):
         """Return the UpstreamStates to which a request may be sent.
 
         Ejected upstreams are included only if more than half of those of the
@@ -120,11 +120,14 @@
 
         :param avoid: UpstreamRuns to which it must not be sent again, usually
             none
+        :param version: version that they must have, None for any
         """
         accepting = [
             state
             for state in self._states.values()
-            if state.record.service == service and not state.record.leaving
+            if state.record.service == service
+            and not state.record.leaving
+            and (version is None or state.record.version == version)
         ]
         accepting = [
             s for s in accepting if s.crashed_until <= now
--- a/rowanport/gateway/relay.py
+++ b/rowanport/gateway/relay.py
@@ -75,10 +75,14 @@
 
 
 class EventRelay(Relay):
-    """Forwards complete events as they arrive, each of them once."""
+    """Forwards complete events as they arrive, each of them once.
 
-    def __init__(self, *args):
-        super().__init__(*args)
+    :param begin: function that is called before the first event is forwarded
+    """
+
+    def __init__(self, job, fields, answer, responder, clock, begin):
+        super().__init__(job, fields, answer, responder, clock)
+        self._begin = begin
         self._splitter = EventSplitter()
 
     async def forward(self, chunk):
@@ -91,6 +95,8 @@
             if _is_new(job, event)
         ]
         if events:
+            if job.first_event_at is None:
+                self._begin()
             job.record_events(events, self._clock.steady())
             await self._responder.write(b"".join(e.data for e in events))
 
--- a/rowanport/gateway/retry_policy.py
+++ b/rowanport/gateway/retry_policy.py
@@ -95,7 +95,9 @@
         """
         gateway = self._gateway
         now = gateway.clock.steady()
-        candidates = gateway.pool.candidates(job.service, job.tried, now)
+        candidates = gateway.pool.candidates(
+            job.service, job.tried, now, job.version
+        )
         return gateway.limits.unlimited(candidates)
 
     def release_hedge(self, job, tokens):
--- a/rowanport/gateway/sender.py
+++ b/rowanport/gateway/sender.py
@@ -138,13 +138,14 @@
         job.runs += 1
         # Counted before the send, so that concurrent requests go elsewhere.
         ahead = self._record_load(state)
-        opening = asyncio.ensure_future(self._open(state, ahead))
+        version = state.record.version
+        opening = asyncio.ensure_future(self._open(state, ahead, version))
         in_flight_send = self._crashes.start_run(job, state)
-        attempt = Attempt(state, opening, self._relay, in_flight_send)
+        relay = functools.partial(self._relay, version)
+        attempt = Attempt(state, opening, relay, in_flight_send)
         self._attempts.append(attempt)
         self._restart_stall_timeout(attempt)
         job.upstream = state.record.id
-        job.version = state.record.version
         return attempt
 
     def _choose(self):
@@ -154,7 +155,9 @@
         """
         gateway, job = self._gateway, self._job
         now = self._clock.steady()
-        candidates = gateway.pool.candidates(job.service, job.tried, now)
+        candidates = gateway.pool.candidates(
+            job.service, job.tried, now, job.version
+        )
         return self._choose_among(self._accepting(candidates, now))
 
     def _accepting(self, candidates, now):
@@ -171,7 +174,7 @@
         gateway, job = self._gateway, self._job
         now = self._clock.steady()
         if not candidates:
-            raise final_error(job, UpstreamError("no upstream is left"))
+            raise final_error(job, UpstreamError(_none_left(job)))
         choice = gateway.choice(job.tokens is not None)
         if not job.sends:
             self._check_in_time(choice, candidates, now)
@@ -195,14 +198,15 @@
                 come_back_at=late.come_back_at,
             )
 
-    async def _open(self, state, ahead):
+    async def _open(self, state, ahead, version):
         """Send the job; return the HttpAnswer once its head has arrived.
 
         :param ahead: prompt tokens that the engine has to process before the
             first event
+        :param version: version of the upstream when it was chosen
         """
         sent_at = self._clock.steady()
-        check = functools.partial(self._check_before_send, state)
+        check = functools.partial(self._check_before_send, state, version)
         answer = await self._gateway.exchange.send(
             self._job, state.record, check
         )
@@ -211,7 +215,7 @@
             state.backlog.record_first_event(ahead, now - sent_at, now)
         return answer
 
-    def _check_before_send(self, state):
+    def _check_before_send(self, state, version):
         """Raise UpstreamLeft if the job may not be sent to the upstream now.
 
         It may have left while the job waited for a permit or a connection.
@@ -219,6 +223,11 @@
         gateway, record = self._gateway, state.record
         if gateway.pool.get(record.id) is not state or record.leaving:
             raise UpstreamLeft("upstream left before the send")
+        if record.version != version or self._job.version not in (
+            None,
+            version,
+        ):
+            raise UpstreamLeft(f"upstream has version {record.version}")
         freshness = gateway.views.freshness
         if record.lapsing and not freshness.peers_responsive:
             raise UpstreamLeft("upstream has no entry and peers do not answer")
@@ -239,11 +248,19 @@
         unread = gateway.unread(state, job, self._clock.steady())
         return gateway.loads.record_send(state, job.prefix, unread)
 
-    def _relay(self, answer):
-        """Return the Relay of an HttpAnswer."""
-        kind = EventRelay if is_stream(answer) else BufferedRelay
+    def _relay(self, version, answer):
+        """Return the Relay of an HttpAnswer.
+
+        :param version: version of the upstream that sends it
+        """
         fields = self._gateway.exchange.answer_fields(answer)
-        return kind(self._job, fields, answer, self._responder, self._clock)
+        parts = (self._job, fields, answer, self._responder, self._clock)
+        if not is_stream(answer):
+            return BufferedRelay(*parts)
+        begin = functools.partial(
+            self._gateway.streams.begin, self._job, version
+        )
+        return EventRelay(*parts, begin)
 
     def _drop(self, attempt, error):
         """Record the failure of an Attempt, and close it."""
@@ -377,3 +394,9 @@
                 self._log.log_send(
                     self._job, loser.state, "superseded", why, loser.path
                 )
+
+
+def _none_left(job):
+    if job.version is None:
+        return "no upstream is left"
+    return f"no upstream of version {job.version or 'unknown'} is left"
--- a/rowanport/peers.py
+++ b/rowanport/peers.py
@@ -271,6 +271,11 @@
         """Return the seconds that a peer's last answer took."""
         return self._peer(address).last_trip
 
+    def is_connected(self, address):
+        """Return whether a connection to a peer is open."""
+        peer = self._known.get(address)
+        return peer is not None and peer.usable
+
     def tell(self, addresses, message):
         """Send a message to peers that needs no answer and may be lost.
 
@@ -281,9 +286,8 @@
         """
         frame = pack_frame(UNANSWERED, message)
         for address in addresses:
-            peer = self._known.get(address)
-            if peer is not None and peer.usable:
-                peer.connection.tell(frame)
+            if self.is_connected(address):
+                self._known[address].connection.tell(frame)
 
     def close(self):
         """Drop all connections."""
--- a/rowanport/schema/messages.py
+++ b/rowanport/schema/messages.py
@@ -2220,6 +2220,150 @@
         )
 
 
+class StreamRow(Message):
+    """The version at which a stream began.
+
+    :ivar key: key of the stream
+    :ivar version: version of the upstream's software
+    :ivar age: seconds since it was recorded
+    """
+
+    __slots__ = (
+        "key",
+        "version",
+        "age",
+    )
+    KIND = 0
+
+    def __init__(self, key, version, age):
+        self.key = key
+        self.version = version
+        self.age = age
+
+    def to_wire(self):
+        """Return the fields as plain values, in the schema's order."""
+        return [
+            self.key,
+            self.version,
+            self.age,
+        ]
+
+    @classmethod
+    def from_wire(cls, values):
+        """Build one from plain values; raise MessageError if unfit."""
+        check_length(cls, values, 3)
+        return cls(
+            as_str(values[0]),
+            as_str(values[1]),
+            as_float(values[2]),
+        )
+
+
+class StreamNews(Message):
+    """Tell the routers that keep them the versions of streams.
+
+    :ivar rows: rows
+    """
+
+    __slots__ = ("rows",)
+    KIND = 76
+
+    def __init__(self, rows):
+        self.rows = rows
+
+    def to_wire(self):
+        """Return the fields as plain values, in the schema's order."""
+        return [
+            [item.to_wire() for item in self.rows],
+        ]
+
+    @classmethod
+    def from_wire(cls, values):
+        """Build one from plain values; raise MessageError if unfit."""
+        check_length(cls, values, 1)
+        return cls(
+            as_list(values[0], StreamRow.from_wire),
+        )
+
+
+class StreamAsk(Message):
+    """Ask a peer what it knows of a stream that a caller takes up.
+
+    :ivar key: key of the stream
+    :ivar service: the service of its upstreams
+    :ivar span: seconds within which the stream began
+    """
+
+    __slots__ = (
+        "key",
+        "service",
+        "span",
+    )
+    KIND = 77
+
+    def __init__(self, key, service, span):
+        self.key = key
+        self.service = service
+        self.span = span
+
+    def to_wire(self):
+        """Return the fields as plain values, in the schema's order."""
+        return [
+            self.key,
+            self.service,
+            self.span,
+        ]
+
+    @classmethod
+    def from_wire(cls, values):
+        """Build one from plain values; raise MessageError if unfit."""
+        check_length(cls, values, 3)
+        return cls(
+            as_str(values[0]),
+            as_str(values[1]),
+            as_float(values[2]),
+        )
+
+
+class StreamAnswer(Message):
+    """What a router knows of a stream.
+
+    :ivar version: version at which it began, empty if not known
+    :ivar versions: versions that the service had in that span
+    :ivar watched: seconds for which the sender has seen lists
+    """
+
+    __slots__ = (
+        "version",
+        "versions",
+        "watched",
+    )
+    KIND = 78
+
+    def __init__(self, version, versions, watched):
+        self.version = version
+        self.versions = versions
+        self.watched = watched
+
+    def to_wire(self):
+        """Return the fields as plain values, in the schema's order."""
+        return [
+            self.version,
+            self.versions,
+            self.watched,
+        ]
+
+    @classmethod
+    def from_wire(cls, values):
+        """Build one from plain values; raise MessageError if unfit."""
+        check_length(cls, values, 3)
+        return cls(
+            as_str(values[0]),
+            as_list(values[1], as_str),
+            as_float(values[2]),
+        )
+
+
 class RetryPermitAsk(Message):
     """Ask for permits to retry, from a peer's share of the fleet's slack.
 
@@ -2662,6 +2806,9 @@
     68: LimitNews,
     69: PermitAsk,
     70: Permits,
+    76: StreamNews,
+    77: StreamAsk,
+    78: StreamAnswer,
     75: RetryPermitAsk,
     61: ViewAsk,
     62: ViewGive,
--- a/test/test_stream_versions.py
+++ b/test/test_stream_versions.py
@@ -9,6 +9,9 @@
 
 import pytest
 
+from rowanport.versions import RECORD_SECONDS
+from rowanport.versions import StreamVersions
+
 STREAMS = 12
 
 
@@ -132,6 +135,16 @@
 
 @version_test(versions=(OLD, OLD))
 async def test_with_one_version_a_stream_that_nobody_knows_goes_on(world):
+    await asyncio.sleep(RECORD_SECONDS)
+    streams = await begin(world)
+    for gateway in world.gateways.values():
+        gateway.streams._streams = StreamVersions()
+    await resume_all(world, streams, world.hosts[0])
+    assert count(streams, "whole") == STREAMS
+
+
+@version_test(versions=(OLD, OLD))
+async def test_a_fleet_that_just_started_vouches_for_no_version(world):
     streams = await begin(world)
     for host in world.hosts:
         await world.kill_router(host)
@@ -139,7 +152,7 @@
         await world.start_router(host)
     await asyncio.sleep(5.0)
     await resume_all(world, streams, world.hosts[0])
-    assert count(streams, "whole") == STREAMS
+    assert {stream.status for stream in streams} == {503}
 
 
 @version_test()
