Soak: upstreams of several versions, streams taken up at other routers

A theme by name (versions): releases that raise the version of every other upstream, crashes, resets and kills; callers that take a broken stream up with Last-Event-Id and Resumes at another router, and events by which versions can be told apart. Two promises: no stream holds two versions over all tries of its caller, and of those taken up half as many go on as new ones begin.

--- a/soak/broken.py
+++ b/soak/broken.py
@@ -357,6 +357,34 @@
         ShareClaim.permits = lambda self, now: self._slack
 
 
+class JoinsVersions(Variant):
+    """Lets a stream go on at any version."""
+
+    promise = "versions"
+    theme = "versions"
+
+    def apply(self):
+        from rowanport.gateway.stream_sync import StreamSync
+
+        async def bind(self, job):
+            """Bind a job to no version."""
+
+        StreamSync.bind = bind
+        StreamSync.begin = lambda *_arguments: None
+
+
+class ForgetsStreams(Variant):
+    """Knows the version of no stream that a caller takes up."""
+
+    promise = "taken_up"
+    theme = "versions"
+
+    def apply(self):
+        from rowanport.versions import StreamVersions
+
+        StreamVersions.find = lambda *_arguments: None
+
+
 class OwnLinkOnly(Variant):
     """Reaches upstreams over its own link and no other way."""
 
@@ -409,6 +437,8 @@
         IgnoresLimits,
         OwnLinkOnly,
         ForgetsRetries,
+        JoinsVersions,
+        ForgetsStreams,
         Ends,
     )
 }
--- a/soak/caller.py
+++ b/soak/caller.py
@@ -23,6 +23,7 @@
 from .shapes import USUAL
 from .upstream import body_of
 from .upstream import last_event
+from .upstream import RESUMES_HEADER
 
 HOST = "feed.example"
 NOT_RUN = (408, 421, 429, 503)
@@ -78,9 +79,9 @@
     async def _ask(self):
         ask, patience = self._draw()
         until = time.monotonic() + patience
-        for number in range(MOST_TRIES):
-            first = number == 0
-            request, retry_after = await self._attempt(ask, until, first)
+        request = None
+        for _try in range(MOST_TRIES):
+            request, retry_after = await self._attempt(ask, until, request)
             left = until - time.monotonic()
             if not self._comes_back(ask, request, retry_after, left):
                 break
@@ -95,7 +96,13 @@
         return ask, self._random.choice(self._shape.patience)
 
     def _comes_back(self, ask, request, retry_after, left):
-        if left <= 0.2 or request.outcome == "left":
+        if left <= 0.2:
+            return False
+        if self._shape.takes_up and ask.resumable and not request.status:
+            return True
+        if self._shape.takes_up and ask.resumable and request.status == 200:
+            return request.outcome in ("cut", "left")
+        if request.outcome == "left":
             return False
         if request.status in NOT_RUN:
             return retry_after <= left * RETRY_SHARE
@@ -104,7 +111,7 @@
         failed = request.outcome == "cut" or request.status >= 500
         return failed and ask.repeatable and not ask.streamed
 
-    def _request(self, ask, until):
+    def _request(self, ask, until, before=None):
         self._count += 1
         id_ = f"{self._name}-{self._count}"
         own = self._name if ask.alike else id_
@@ -114,14 +121,26 @@
         if ask.streamed:
             request.prompt = self._random.choice(self._shape.prompts)
             request.most = self._random.choice(self._shape.mosts)
+        if before is not None:
+            self._follow(request, before)
         request.until = min(until, time.monotonic() + ask.timeout)
         self._history.requests[request.id] = request
         return request
 
-    async def _attempt(self, ask, until, first=True):
-        """Send one request; return it and the time to come back."""
-        request = self._request(ask, until)
-        request.first = first
+    def _follow(self, request, before):
+        """Make a request the next try after another one."""
+        request.first = False
+        request.prompt, request.most = before.prompt, before.most
+        if self._shape.takes_up and before.events:
+            request.resumes = before.stream
+            request.after = request.events = before.events
+
+    async def _attempt(self, ask, until, before=None):
+        """Send one request; return it and the time to come back.
+
+        :param before: the Request of the try before, or None
+        """
+        request = self._request(ask, until, before)
         channel = await self._connect()
         if channel is None:
             request.outcome = "unsent"
@@ -259,6 +278,9 @@
         ]
         if request.organisation:
             headers.append(("api-key", self._key))
+        if request.resumes:
+            headers.append(("last-event-id", str(request.after)))
+            headers.append((RESUMES_HEADER, request.resumes))
         if request.most:
             tokens = f"{request.prompt},{request.most}"
             own = zlib.crc32(self._name.encode())
@@ -314,7 +336,7 @@
         if not request.signed:
             request.wrong = "a success without a signature"
         elif ask.streamed:
-            last = last_event(request.id, request.most)
+            last = last_event(request.stream, request.most)
             self._compare_events(request, answer, last)
         elif answer != body_of(request.id, body):
             request.wrong = f"another body: {answer[:60]!r}"
@@ -328,12 +350,17 @@
         if last is None:
             # A broken answer may end within an event.
             events = answer.split(b"\n\n")[:-1]
-        for number, event in enumerate(events, 1):
-            if event != f"id: {number}\ndata: {request.id}".encode():
+        versions = set()
+        for number, event in enumerate(events, request.after + 1):
+            data, _, version = event.decode("latin-1").partition(" v")
+            if data != f"id: {number}\ndata: {request.id}":
                 request.wrong = f"event {number} is {event[:60]!r}"
                 return
-        if last is not None and len(events) != last:
-            request.wrong = f"{len(events)} events of {last} look whole"
+            versions.add(version)
+            request.events = number
+        request.versions = frozenset(versions)
+        if last is not None and request.events != last:
+            request.wrong = f"{request.events} events of {last} look whole"
 
 
 def _draw_manner(manners, name):
@@ -346,7 +373,7 @@
     """Return whether an answer is about to end."""
     if not ask.streamed:
         return True
-    last = last_event(request.id, request.most)
+    last = last_event(request.stream, request.most)
     return f"id: {last}\n".encode() in body
 
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -305,6 +305,10 @@
             self._world.operator.leave(self._seat(step), step.variant)
         )
 
+    async def _do_release(self, _step):
+        """Replace half of the upstreams by ones of the next version."""
+        self._world.spawn(self._world.operator.release())
+
     async def _do_pause(self, step):
         upstream = self._seat(step).occupant
         if upstream is None:
--- a/soak/history.py
+++ b/soak/history.py
@@ -12,6 +12,8 @@
 # A link that is slow with a load of its own: it excuses late answers, but no
 # work for an upstream that left.
 FULL = "full"
+# Connections that were reset.
+RESET = "reset"
 # The links of routers to all upstreams are lost; they stay in touch.
 SEVER = "sever"
 
@@ -54,6 +56,11 @@
     :ivar signed: whether an upstream's signature came with it
     :ivar wrong: how the answer is not the request's own, "" if it is
     :ivar first: whether it is its caller's first try
+    :ivar resumes: id of the request that began the stream which it takes up,
+        "" if it takes up none
+    :ivar after: number of the last event that its caller had before
+    :ivar events: number of the last event that its caller has
+    :ivar versions: versions that wrote its events
     """
 
     __slots__ = (
@@ -73,6 +80,10 @@
         "signed",
         "wrong",
         "first",
+        "resumes",
+        "after",
+        "events",
+        "versions",
     )
 
     defaults = {
@@ -90,8 +101,17 @@
         "signed": False,
         "wrong": "",
         "first": True,
+        "resumes": "",
+        "after": 0,
+        "events": 0,
+        "versions": frozenset(),
     }
 
+    @property
+    def stream(self):
+        """Return the id of the request that began its stream."""
+        return self.resumes or self.id
+
 
 class Run(Record):
     """One request at work at one upstream.
@@ -200,6 +220,14 @@
     __slots__ = ("upstream", "taken_at")
 
 
+class Serving(Record):
+    """An upstream, from when it is listed until it leaves or ends."""
+
+    __slots__ = ("upstream", "version", "begun", "ended")
+
+    defaults = {"ended": NEVER}
+
+
 class Readiness(Record):
     """One answer of a router to the balancer's question."""
 
@@ -257,6 +285,7 @@
         self.probes = []
         self.faults = []
         self.leaves = []
+        self.serving = []
         self.arrivals = []
         self.limits = []
         self.readiness = []
--- a/soak/operator.py
+++ b/soak/operator.py
@@ -9,6 +9,7 @@
 from .caller import HOST
 from .history import Leave
 from .history import NEVER
+from .history import Serving
 from .history import Version
 from .router import now
 from .upstream import RecordingUpstream
@@ -27,6 +28,8 @@
 # and those until another one may have its address.
 LAPSE_AFTER = 3.6
 REUSE_PAUSE = 2.0
+# Seconds between two upstreams of a release.
+RELEASE_PAUSE = 0.5
 # Longest time in seconds until entries that lapsed are back.
 LAPSE_SECONDS = 1.5
 
@@ -35,10 +38,19 @@
     """An address that one upstream after the other takes.
 
     :ivar service: which its upstreams serve
+    :ivar version: version of the software of its next upstream
     :ivar occupant: the RecordingUpstream there, or None
     """
 
-    __slots__ = ("number", "service", "address", "port", "occupant", "count")
+    __slots__ = (
+        "number",
+        "service",
+        "address",
+        "port",
+        "occupant",
+        "count",
+        "version",
+    )
 
     def __init__(self, number, service, address, port):
         self.number = number
@@ -47,6 +59,7 @@
         self.port = port
         self.occupant = None
         self.count = 0
+        self.version = 1
 
     @property
     def name(self):
@@ -148,6 +161,8 @@
         faulty = seat.service == FEED and seat.number % self._shape.faulty == 0
         upstream = RecordingUpstream(name, self._history, self._seed, faulty)
         upstream.slots = self._shape.slots
+        if self._shape.takes_up:
+            upstream.version = f"v{seat.version}"
         upstream.source_at = self._world.relays.source_at
         if seat.service == PROBE:
             upstream.slots = PROBE_SLOTS
@@ -159,6 +174,10 @@
         upstream.address = seat.address
         seat.occupant = upstream
         await self._list(seat, "ready")
+        if seat.service == FEED:
+            self._history.serving.append(
+                Serving(upstream.name, upstream.version, now())
+            )
 
     async def _list(self, seat, state):
         """Write an upstream's entry, or remove it for an empty state."""
@@ -171,12 +190,27 @@
         elif key in self._store.items:
             await self._store.remove(key)
 
+    async def release(self):
+        """Replace every other upstream, one after the other."""
+        seats = [seat for seat in self.seats if seat.service == FEED]
+        version = 1 + max(seat.version for seat in seats)
+        for seat in seats[version % 2 :: 2]:
+            seat.version = version
+            self._world.spawn(self.leave(seat, "draining"))
+            await asyncio.sleep(RELEASE_PAUSE)
+
+    def _note_served(self, upstream):
+        for serving in self._history.serving:
+            if serving.upstream == upstream.name:
+                serving.ended = min(serving.ended, now())
+
     async def leave(self, seat, variant):
         """Let an upstream leave, end, and another one take its address."""
         upstream = seat.occupant
         if upstream is None or upstream.leaving:
             return
         upstream.leaving = True
+        self._note_served(upstream)
         await self._store_up()
         await self._list(seat, "" if variant == "gone" else "draining")
         self._history.leaves.append(Leave(upstream.name, now()))
@@ -193,6 +227,7 @@
         if upstream is None or upstream.leaving:
             return
         upstream.leaving = True
+        self._note_served(upstream)
         self._world.note("crash", [upstream.name], now(), NEVER)
         upstream.on_crash = None
         upstream.crash()
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -70,6 +70,19 @@
 }
 # Routers that lose their links to all upstreams, beside stops and kills.
 SEVERED = {"sever": 7, "term": 2, "kill": 1, "config": 1, "leave": 1}
+# Upstreams of several versions, whose streams are taken up at other routers.
+VERSIONS = {
+    "release": 4,
+    "crash": 3,
+    "kill": 3,
+    "reset": 2,
+    "cut": 1,
+    "freeze": 1,
+    "term": 2,
+    "leave": 2,
+    "store_down": 1,
+    "config": 1,
+}
 # Upstreams that turn most requests away, while routers are killed at once and
 # cut off from each other.
 REFUSING = {
@@ -121,6 +134,7 @@
     "sever",
     "refuse",
     "herd",
+    "release",
 )
 SMALL_FLEET = 10
 UPSTREAM_KINDS = ("leave", "crash", "pause", "lethal", "limit")
@@ -186,6 +200,7 @@
 THEMES["links"] = LINKS
 THEMES["severed"] = SEVERED
 THEMES["refusing"] = REFUSING
+THEMES["versions"] = VERSIONS
 
 
 def choose_theme(seed):
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -11,6 +11,7 @@
 from .history import NEVER
 from .history import Record
 from .history import RELOAD
+from .history import RESET
 from .history import SEVER
 from .history import STOP
 from .history import STORE
@@ -46,6 +47,10 @@
 SEVERED_SHARE = 2 / 3
 SEVERED_FAILURES = 10
 SEVERED_FAILED_SHARE = 1 / 50
+# Streams that are taken up, at the fewest, of which a share goes on: this part
+# of the share of new streams that begin.
+FEWEST_RESUMED = 12
+RESUMED_SHARE = 1 / 2
 # Crashes under a request after which it is to be known, and runs of it later.
 MOST_CRASHES = 3
 MOST_LATE_RUNS = 3
@@ -560,6 +565,60 @@
             yield Finding("blamed", request.ended_at, evidence)
 
 
+def check_versions(history):
+    """No stream holds events of two versions, over all tries of its caller."""
+    versions = {}
+    for request in history.requests.values():
+        seen = versions.setdefault(request.stream, set())
+        seen |= request.versions
+        if len(seen) > 1:
+            evidence = f"{request.stream} holds events of several versions"
+            yield Finding("versions", request.ended_at, evidence)
+
+
+def check_taken_up(history):
+    """Streams that are taken up go on half as often as new ones begin.
+
+    Counted are those at routers in touch, while two upstreams of their version
+    serve.
+    """
+    versions = {}
+    for request in history.requests.values():
+        versions.setdefault(request.stream, set()).update(request.versions)
+    resumed, begun = [], []
+    ended = [r for r in history.requests.values() if r.outcome and r.most]
+    for request in ended:
+        if not request.repeatable:
+            continue
+        if request.outcome == "unsent" or not history.in_touch(
+            request.router, request.sent_at, request.ended_at, (RESET,)
+        ):
+            continue
+        goes_on = request.events > request.after
+        if not request.resumes:
+            begun.append(goes_on)
+        elif _has_two(history, versions[request.stream], request):
+            resumed.append(goes_on)
+    if len(resumed) < FEWEST_RESUMED or not begun:
+        return
+    share = sum(resumed) / len(resumed)
+    if share < RESUMED_SHARE * sum(begun) / len(begun):
+        evidence = f"{sum(resumed)} of {len(resumed)} streams went on"
+        yield Finding("taken_up", max(r.ended_at for r in ended), evidence)
+
+
+def _has_two(history, versions, request):
+    """Return whether two upstreams of a stream's version serve throughout."""
+    serving = [
+        one
+        for one in history.serving
+        if f" {one.version}".partition(" v")[2] in versions
+        and one.begun <= request.sent_at
+        and one.ended >= request.ended_at
+    ]
+    return len(serving) > 1
+
+
 def check_repeats(history):
     """Upstreams get no more repeats than the fleet is allowed.
 
@@ -615,6 +674,8 @@
     check_limits,
     check_severed,
     check_repeats,
+    check_versions,
+    check_taken_up,
 )
 
 
--- a/soak/shapes.py
+++ b/soak/shapes.py
@@ -63,6 +63,7 @@
     :ivar pauses: seconds between two events of a stream, by upstream
     :ivar paid: prepaid tokens by second, of organisations that use more
     :ivar repeats: sends past the first of a request, by request and beyond
+    :ivar takes_up: whether callers take broken streams up at another router
     :ivar manners: of callers, with weights
     :ivar bodies: least bytes of a plain request, and of its answer
     :ivar graces: seconds from the signal to stop until the process is
@@ -80,6 +81,7 @@
         "pauses",
         "paid",
         "repeats",
+        "takes_up",
         "manners",
         "bodies",
         "graces",
@@ -102,6 +104,7 @@
         "pauses": (0.02, 0.06, 0.15),
         "paid": 150,
         "repeats": (0.2, 54),
+        "takes_up": False,
         "manners": {PLAIN: 1},
         "bodies": (0,),
         "graces": (8.0,),
@@ -159,6 +162,19 @@
         paid=1500,
         repeats=(0.02, 24),
     ),
+    # Streams that break off often, and callers that take them up.
+    "versions": Shape(
+        asks={
+            Ask("/safe/", True, False, True, 3.0, 3): 1,
+            Ask("/stream/", True, True, True, 8.0, 3): 9,
+        },
+        upstreams=6,
+        faulty=3,
+        mosts=(60, 120),
+        paid=5000,
+        repeats=(1.0, 200),
+        takes_up=True,
+    ),
     "severed": Shape(upstreams=6, faulty=6, paid=1500),
     # Callers wait long enough to be served through a full link.
     "links": Shape(upstreams=6, paid=1500, patience=(5.0, 8.0)),
--- a/soak/upstream.py
+++ b/soak/upstream.py
@@ -12,6 +12,7 @@
 from .history import Limit
 from .history import Run
 
+RESUMES_HEADER = "resumes"
 # Tokens that one event holds, the last one fewer.
 STRIDE = 3
 # Shares of requests that a faulty upstream doesn't answer well.
@@ -238,9 +239,11 @@
         run = self._runs[connection]
         request = self._history.requests.get(run.request)
         most = request.most if request else 0
-        left = tokens_out(run.request, most) - STRIDE * (number - 1)
+        stream = request.stream if request else run.request
+        left = tokens_out(stream, most) - STRIDE * (number - 1)
         run.tokens[number] = max(0, min(STRIDE, left))
 
     def _last_event(self, names):
         _prompt, _, most = names["x-rowanport-token-count"].partition(",")
-        return last_event(names[ID_HEADER], int(most))
+        stream = names.get(RESUMES_HEADER, names[ID_HEADER])
+        return last_event(stream, int(most))
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -29,6 +29,7 @@
 from soak.history import Readiness
 from soak.history import Request
 from soak.history import Run
+from soak.history import Serving
 from soak.history import SEVER
 from soak.history import STORE
 from soak.history import Version
@@ -63,6 +64,10 @@
     ),
     # Three routers of ad2cc76 repeated more than was allowed.
     "refusing": ("--theme", "refusing", *SHORT, "--seed", "3000"),
+    "versions": (
+        *("--theme", "versions", "--processes", "5"),
+        *("--seconds", "25", "--calm", "14", "--seed", "4000"),
+    ),
 }
 BROKEN = ("--calm", "15.5", "--seed", "1")
 # Seconds of faults that a variant is given to be found in.
@@ -74,12 +79,16 @@
     TrustsOldViews=30,
     OwnLinkOnly=30,
     ForgetsRetries=30,
+    JoinsVersions=25,
+    ForgetsStreams=25,
 )
 
 
 # Routers of a variant; where half of them are cut off, enough callers have to
 # come to the others.
-BROKEN_PROCESSES = collections.defaultdict(lambda: 3, OwnLinkOnly=6)
+BROKEN_PROCESSES = collections.defaultdict(
+    lambda: 3, OwnLinkOnly=6, JoinsVersions=5, ForgetsStreams=5
+)
 
 
 def found(history):
@@ -877,6 +886,46 @@
     assert "repeats" not in found(history)
 
 
+# Streams of several versions
+
+
+def add_try(history, id_, version, after=0, events=3, **values):
+    """Add a try of a stream that brought some events of a version."""
+    return add_request(
+        history,
+        id_,
+        most=90,
+        after=after,
+        events=after + events,
+        versions=frozenset([version] if events else ()),
+        **values,
+    )
+
+
+def test_a_stream_of_two_versions_over_two_tries_is_found():
+    history = History()
+    add_try(history, "c1", "1")
+    add_try(history, "c2", "1", 3, resumes="c1")
+    assert "versions" not in found(history)
+    add_try(history, "c3", "2", 6, resumes="c1")
+    assert found(history).count("versions") == 1
+
+
+@pytest.mark.parametrize("went_on, expected", [(6, 0), (5, 1)])
+def test_streams_that_hardly_ever_go_on_are_found(went_on, expected):
+    history = History()
+    for number in range(2):
+        serving = Serving(f"u{number}", "v1", 90.0)
+        history.serving.append(serving)
+    for number in range(12):
+        add_try(history, f"c{number}", "1")
+        events = 3 if number < went_on else 0
+        add_try(history, f"d{number}", "1", 3, events, resumes=f"c{number}")
+    assert found(history).count("taken_up") == expected
+    history.serving.pop()
+    assert "taken_up" not in found(history)
+
+
 # Routers that are cut off from all upstreams
 
 
