Peers: messages of new kinds go only to runs that speak them

A message of a kind that a peer does not know ends the connection to it, and with it calls under way; announcing each stream would do so at every start of one in a fleet of two builds. The nonce of an incarnation ends with the number of the protocol that the run speaks; streams are announced, and permits and streams asked for, only where it is high enough. Lists of upstreams stay readable for earlier versions, and their lists for this one (tests of both, on the bytes; no mixed fleet was run).

--- a/rowanport/gateway/retry_allowances.py
+++ b/rowanport/gateway/retry_allowances.py
@@ -41,6 +41,8 @@
 LOAN_TIMEOUT = 0.1
 # Maximum permits in one loan.
 MAX_LOAN = 16
+# Protocol of routers that lend permits.
+LOAN_PROTOCOL = 2
 # Requests for loans a second of all routers together, while none is granted.
 ASKS_A_SECOND = 100.0
 
@@ -163,7 +165,12 @@
     async def _borrow(self, service, borrowing):
         """Ask a peer that may have a share for as many as retries wait."""
         try:
-            lenders = [a for a in self._holders if a != self._address]
+            lenders = [
+                address
+                for address in self._holders
+                if address != self._address
+                and self._members.speaks(address, LOAN_PROTOCOL)
+            ]
             if not lenders:
                 return
             now = self._clock.steady()
--- a/rowanport/gateway/stream_sync.py
+++ b/rowanport/gateway/stream_sync.py
@@ -43,6 +43,8 @@
 # Seconds beyond the time-out of its route within which a stream has begun that
 # a caller takes up: its first try may have waited for a connection.
 SPAN_MARGIN = 2.0
+# Protocol of routers that keep versions of streams.
+STREAM_PROTOCOL = 2
 # Maximum records in one message of a planned stop.
 MAX_ROWS = 500
 
@@ -86,7 +88,7 @@
 
     def _announce(self, addresses, news):
         for address in addresses:
-            if address == self._address:
+            if not self._members.speaks(address, STREAM_PROTOCOL):
                 continue
             if self._peers.is_connected(address):
                 self._peers.tell([address], news)
@@ -171,7 +173,11 @@
         others = self._members.live_peers()
         if len(others) <= FULL_MESH_LIMIT:
             keepers += [address_of(other) for other in others]
-        return sorted({*keepers} - {self._address})
+        return sorted(
+            address
+            for address in {*keepers} - {self._address}
+            if self._members.speaks(address, STREAM_PROTOCOL)
+        )
 
     async def _ask(self, address, ask):
         """Return the Knowledge of a peer, None without an answer."""
--- a/rowanport/incarnation.py
+++ b/rowanport/incarnation.py
@@ -3,14 +3,29 @@
 The text is ``cell/address/nonce``: a router that starts again at the same
 address is another incarnation, and any peer can tell where to reach it.
 A holder id is an incarnation with ``~`` and a count.
+
+The nonce ends with ``.`` and the number of the protocol that the run speaks:
+a message of a kind that a peer does not know ends the connection to it.
 """
 
 from .hashing import new_id
 
+# Increases with each kind of message that is sent without being asked for.
+# 2: versions of streams, permits to retry.
+PROTOCOL = 2
+# The protocol of runs that name none.
+FIRST_PROTOCOL = 1
+
 
 def new_incarnation(cell, address):
     """Return a fresh incarnation of the router at a peer address."""
-    return f"{cell}/{address}/{new_id()}"
+    return f"{cell}/{address}/{new_id()}.{PROTOCOL}"
+
+
+def protocol_of(incarnation):
+    """Return the number of the protocol that a run of a router speaks."""
+    _nonce, _, number = incarnation.rpartition("/")[2].partition(".")
+    return int(number) if number.isdecimal() else FIRST_PROTOCOL
 
 
 def address_of(name):
--- a/rowanport/membership/members.py
+++ b/rowanport/membership/members.py
@@ -12,6 +12,7 @@
 from ..hashing import rendezvous
 from ..incarnation import address_of
 from ..incarnation import cell_of
+from ..incarnation import protocol_of
 from ..schema.messages import Gossip
 from ..schema.messages import MemberEntry
 
@@ -313,6 +314,16 @@
         member = self._members.get(incarnation)
         return member is not None and self._is_live(member)
 
+    def speaks(self, address, protocol):
+        """Return whether the router at a peer address speaks a protocol.
+
+        :param protocol: its number; later ones include earlier ones
+        """
+        return any(
+            member.address == address and protocol_of(name) >= protocol
+            for name, member in self._members.items()
+        )
+
     def is_known(self, incarnation):
         """Return whether a router is a known member, alive or not."""
         return incarnation in self._members
--- a/test/test_changes.py
+++ b/test/test_changes.py
@@ -1,7 +1,9 @@
 """Deltas of the list of upstreams, and to which peers they are sent."""
 
 import random
+import zlib
 
+import msgpack
 import pytest
 
 from rowanport.errors import MessageError
@@ -178,3 +180,55 @@
         polling.record_poll(f"peer-{number}", 1, (1, 0), 10.0 + number)
     now = 13.0 + PUSH_WINDOW
     assert [address for address, _peer in polling.recent(now)] == ["peer-3"]
+
+
+# Versions of software
+
+
+def versioned(name, version):
+    """Return an Upstream of a version."""
+    return Upstream(
+        name, "llm", "10.0.0.1:80", "hall-a", 24, False, version=version
+    )
+
+
+def test_versions_of_software_pass_with_a_list():
+    known = UpstreamList(3, [versioned("a", "v1"), versioned("b", "v2")])
+    packed = ChangeLog().delta(NO_LIST, known).pack()
+    delta = UpstreamDelta.unpack(packed)
+    copy = delta.apply(UpstreamList())
+    assert copy.upstreams == known.upstreams
+    assert delta.versions_digest == copy.versions_digest
+    assert known.versions("llm") == {"v1", "v2"}
+
+
+def test_routers_of_earlier_versions_read_a_list_without_versions():
+    known = UpstreamList(3, [versioned("a", "v1")])
+    packed = ChangeLog().delta(NO_LIST, known).pack()
+    base, version, digest, rows, removed = msgpack.unpackb(
+        zlib.decompress(packed)
+    )
+    assert (base, version, removed) == ([0, 0], [3, 0], [])
+    assert rows == [["a", "llm", "10.0.0.1:80", "hall-a", 24, False, 0, False]]
+    assert digest == known.digest
+
+
+def test_a_list_of_an_earlier_version_names_no_versions():
+    known = UpstreamList(3, [versioned("a", "v1")])
+    rows = [upstream.fields() for upstream in known.upstreams.values()]
+    fields = [NO_LIST, (3, 0), known.digest, rows, []]
+    delta = UpstreamDelta.unpack(zlib.compress(msgpack.packb(fields)))
+    assert delta.versions_digest is None
+    assert delta.apply(UpstreamList()).versions("llm") == {""}
+
+
+def test_a_changed_version_is_a_change_of_the_list():
+    old, new = versioned("a", "v1"), versioned("a", "v2")
+    assert old != new
+    before, after = UpstreamList(3, [old]), UpstreamList(4, [new])
+    assert before.versions_digest != after.versions_digest
+    changes = ChangeLog()
+    changes.record(UpstreamList(), before)
+    changes.record(before, after)
+    delta = UpstreamDelta.unpack(changes.delta((3, 0), after).pack())
+    assert delta.apply(before).upstreams["a"].version == "v2"
--- a/test/test_membership.py
+++ b/test/test_membership.py
@@ -9,10 +9,15 @@
 from rowanport.errors import PeerError
 from rowanport.errors import PeerGone
 from rowanport.incarnation import address_of
+from rowanport.incarnation import new_incarnation
+from rowanport.incarnation import PROTOCOL
+from rowanport.incarnation import protocol_of
 from rowanport.membership import Membership
 from rowanport.membership import MembershipLoop
 from rowanport.membership.members import LEAVING
 from rowanport.membership.members import READY
+from rowanport.schema.messages import Gossip
+from rowanport.schema.messages import MemberEntry
 from rowanport.schema.settings import MembershipSettings
 from rowanport.schema.settings import SECTIONS
 from rowanport.wire import pack_frame
@@ -312,3 +317,21 @@
         one.set_listed(dead)
     cell.run(30)
     assert set(first_delegates(cell, 8)) == set(cell.members)
+
+
+def test_the_protocol_of_a_peer_is_known_from_its_incarnation():
+    clock = ManualClock()
+    members = Membership(
+        new_incarnation("cell", "10.0.0.1:1"),
+        "dc",
+        membership_settings(),
+        clock,
+    )
+    for incarnation in ("cell/10.0.0.2:1/abc", "cell/10.0.0.3:1/abc.2"):
+        entry = MemberEntry(incarnation, "dc", 1, READY, 0)
+        members.merge(Gossip([entry]))
+    assert not members.speaks("10.0.0.2:1", 2)
+    assert members.speaks("10.0.0.2:1", 1)
+    assert members.speaks("10.0.0.3:1", 2)
+    assert not members.speaks("10.0.0.4:1", 1)
+    assert protocol_of(new_incarnation("cell", "10.0.0.1:1")) == PROTOCOL
