--- a/rowanport/versions/streams.py
+++ b/rowanport/versions/streams.py
@@ -1,5 +1,7 @@
 """The versions at which recent streams began."""
 
+import collections
+
 from ..hashing import hash_of
 
 # Seconds after the last event was about to be passed on for which a record is
@@ -39,7 +41,7 @@
 
     def __init__(self):
         # The records that expire first come first.
-        self._records = {}
+        self._records = collections.OrderedDict()
 
     def __len__(self):
         return len(self._records)
