Pool: an upstream of unknown version is no candidate for a bound stream

What a router of an earlier version lists has no versions. A stream that began at such an upstream was bound to the empty version, and all others without one were its candidates.

--- a/rowanport/gateway/pool.py
+++ b/rowanport/gateway/pool.py
@@ -120,14 +120,15 @@
 
         :param avoid: UpstreamRuns to which it must not be sent again, usually
             none
-        :param version: version that they must have, None for any
+        :param version: version that they must have, None for any; none have
+            "", which stands for unknown versions
         """
         accepting = [
             state
             for state in self._states.values()
             if state.record.service == service
             and not state.record.leaving
-            and (version is None or state.record.version == version)
+            and (version is None or version == state.record.version != "")
         ]
         accepting = [
             s for s in accepting if s.crashed_until <= now
--- a/test/test_stream_versions.py
+++ b/test/test_stream_versions.py
@@ -10,6 +10,8 @@
 
 import pytest
 
+from rowanport.gateway.pool import UpstreamPool
+from rowanport.gateway.upstream import Upstream
 from rowanport.versions import RECORD_SECONDS
 from rowanport.versions import StreamVersions
 
@@ -179,3 +181,21 @@
             assert not count(streams, "joined")
 
     check()
+
+
+@pytest.mark.parametrize(
+    "version, names", [(None, "abcd"), ("v1", "ab"), ("v3", ""), ("", "")]
+)
+def test_candidates_have_the_version_of_a_stream(version, names):
+    pool = UpstreamPool()
+    versions = {"a": "v1", "b": "v1", "c": "v2", "d": ""}
+    upstreams = {
+        name: Upstream(name, "llm", f"{name}:1", "z", 8, False, version=own)
+        for name, own in versions.items()
+    }
+    pool.update(upstreams)
+    # Those of one version are all there is, whatever became of the others.
+    pool.get("a").ejected_until = pool.get("b").ejected_until = 99.0
+    candidates = pool.candidates("llm", (), 1.0, version)
+    expected = set(names) - (set("ab") if version is None else set())
+    assert {state.record.id for state in candidates} == expected
