--- a/rowanport/gateway/retry_allowances.py
+++ b/rowanport/gateway/retry_allowances.py
@@ -10,6 +10,7 @@
 from ..errors import StoreConflict
 from ..errors import StoreError
 from ..incarnation import address_of
+from ..membership.members import LEAVING
 from ..retries import LOAN_SECONDS
 from ..retries import RetryAllowance
 from ..retries import ShareClaim
@@ -236,11 +237,22 @@
         await asyncio.sleep(CLAIM_DELAY + random.uniform(0.0, CLAIM_SPREAD))
         while True:
             beat()
-            if self._claim.is_due(self._clock.steady()):
+            if self._is_due:
                 await self._update()
             self._log_share()
             await asyncio.sleep(CHECK_INTERVAL)
 
+    @property
+    def _is_due(self):
+        """Return whether the share is to be claimed or renewed.
+
+        A stopping router is to have no share any more, but its last requests
+        may still need what it has.
+        """
+        if self._members.own_entry.state == LEAVING:
+            return False
+        return self._claim.is_due(self._clock.steady())
+
     async def _update(self):
         """Claim or renew the share, if the store can be reached."""
         try:
