--- a/soak/lethal.py
+++ b/soak/lethal.py
@@ -43,8 +43,8 @@
             self._drop()
             await asyncio.sleep(self._random.expovariate(1 / self._pause))
 
-    def _request(self, ask, until):
-        request = super()._request(ask, until)
+    def _request(self, ask, until, before=None):
+        request = super()._request(ask, until, before)
         request.path = self._path
         return request
 
