--- a/soak/caller.py
+++ b/soak/caller.py
@@ -353,7 +353,10 @@
         versions = set()
         for number, event in enumerate(events, request.after + 1):
             data, _, version = event.decode("latin-1").partition(" v")
-            if data != f"id: {number}\ndata: {request.id}":
+            named = (
+                version.isdecimal() if self._shape.takes_up else not version
+            )
+            if data != f"id: {number}\ndata: {request.id}" or not named:
                 request.wrong = f"event {number} is {event[:60]!r}"
                 return
             versions.add(version)
