Evacuated data centres and cold upstreams: decided, passed on, sent by

Evacuations (rowanport/evacuations/): the state is complete as of a revision of the store. The watch of op/ that brings the configuration brings it, one list of op/ in place of a read of the configuration, and answers to polls carry it, so the age rules of the views cover it. The pool leaves upstreams of evacuated data centres out, with no fallback, and the check before the first byte looks again. Peers of earlier builds get the answers that they know: new fields of a message can be optional.

Cold upstreams (rowanport/warmup/): a few routers, by rendezvous hashing over all known ones, send to a cold upstream, each a part of what it bears; counted at the first byte. The parts add up whatever routers know of each other's sends. A router that has run for less than 5 s and has peers sends nothing there. Entries, answers to health checks, and the end of an evacuation make an upstream cold; how long goes to peers behind the list of upstreams.

Doubles of views and store learn the new calls.

--- a/rowanport/gateway/daemon.py
+++ b/rowanport/gateway/daemon.py
@@ -31,6 +31,7 @@
 from .blocklist import Blocklist
 from .choice import NearestChoice
 from .choice import PrefixChoice
+from .cold_starts import ColdStarts
 from .congestion import CongestionDetector
 from .crash_guard import CrashGuard
 from .exchange import Exchange
@@ -208,6 +209,7 @@
             self.clock,
             self.metrics,
         )
+        self.cold = ColdStarts(self, settings.peers, self.clock, self.metrics)
         self.streams = StreamSync(
             self._peers,
             self.members,
@@ -227,7 +229,7 @@
         self.exchange = Exchange(
             self.client, self.dialect, self.clock, self.limits
         )
-        self.pool = UpstreamPool()
+        self.pool = UpstreamPool(self._views.evacuations)
         fingerprints = Fingerprints(settings.secret)
         self.admission = Admission(self.dialect, fingerprints)
         self.crashes = CrashGuard(
@@ -333,7 +335,9 @@
             LOG.info("upstream_restarted", upstream=name)
         listed = upstreams.upstreams.values()
         self.streams.update(listed)
-        self.limits.retain({upstream.run.name for upstream in listed})
+        names = {upstream.run.name for upstream in listed}
+        self.limits.retain(names)
+        self.cold.retain(names)
 
     # Peers
 
@@ -347,6 +351,7 @@
             messages.LoadNote: self.loads.receive,
             messages.SuspectNews: self.crashes.sync.receive,
             messages.SuspectRun: self.crashes.sync.receive_run,
+            messages.PlacementAsk: self._answer_operator,
             messages.BlockedAsk: self.crashes.answer_operator,
             messages.LimitNews: self.limits.receive,
             messages.PermitAsk: self.limits.grant,
@@ -368,6 +373,15 @@
             return
         handle(message)
 
+    def _answer_operator(self, _message):
+        evacuations = self._views.evacuations
+        return messages.Placement(
+            evacuations.revision,
+            sorted(evacuations.data_centres),
+            evacuations.unreadable,
+            self.cold.rows(),
+        )
+
     def _handle_relay_leaving(self, message):
         self._connector.drop_relay(message.sender)
 
--- a/rowanport/gateway/dialect.py
+++ b/rowanport/gateway/dialect.py
@@ -13,6 +13,8 @@
     :ivar signature: set by an upstream to sign the answer as its own
     :ivar rate_limit: requests a second that an upstream accepts from all
         routers together, in effect as long as its answers name it
+    :ivar cold_ms: milliseconds for which an upstream is cold, in the answer to
+        a health check
     :ivar tokens: tokens of the prompt and maximum tokens of the answer
     :ivar prefix: parts of the prompt as ID:TOKENS, separated by commas
     :ivar priority: the request's priority at the upstream, 0 the highest
@@ -33,6 +35,7 @@
         "not_executed",
         "signature",
         "rate_limit",
+        "cold_ms",
         "tokens",
         "prefix",
         "priority",
@@ -69,7 +72,7 @@
 
         They are removed from the answers to callers.
         """
-        return (self.not_executed, *self.facts)
+        return (self.not_executed, self.cold_ms, *self.facts)
 
     @property
     def end_to_end(self):
--- a/rowanport/gateway/health.py
+++ b/rowanport/gateway/health.py
@@ -45,6 +45,10 @@
         metrics.lost_upstream_links.set({}, len(gateway.links.lost))
         metrics.cut_off.set({}, int(gateway.links.cut_off))
         metrics.tunnels.set({}, gateway.tunnels.count)
+        evacuations = gateway.views.evacuations
+        metrics.evacuated.set({}, len(evacuations.data_centres))
+        metrics.unreadable_evacuations.set({}, evacuations.unreadable)
+        metrics.cold_upstreams.set({}, len(gateway.cold.rows()))
         metrics.logs_dropped.set({}, logs.dropped())
         version = gateway.table.version if gateway.table else 0
         metrics.config_version.set({}, version)
--- a/rowanport/gateway/metrics.py
+++ b/rowanport/gateway/metrics.py
@@ -26,6 +26,21 @@
         self.permits = self._counter(
             "permits", "Permits to send to these, by outcome"
         )
+        self.evacuated = self._gauge(
+            "evacuated_data_centres", "Data centres that get no new requests"
+        )
+        self.unreadable_evacuations = self._gauge(
+            "unreadable_evacuations", "Records of evacuations with odd content"
+        )
+        self.cold_upstreams = self._gauge(
+            "cold_upstreams", "Upstreams that get few requests as they start"
+        )
+        self.cold_sends = self._counter(
+            "cold_sends", "Sends to cold upstreams, by outcome"
+        )
+        self.cold_refusals = self._counter(
+            "cold_refusals", "Requests refused as all upstreams are cold"
+        )
         self.resumptions = self._counter(
             "resumptions", "Streams that callers take up, by outcome"
         )
--- a/rowanport/gateway/own_link.py
+++ b/rowanport/gateway/own_link.py
@@ -207,6 +207,8 @@
                 )
         except (UpstreamError, asyncio.TimeoutError):
             return False
+        name = self._gateway.dialect.cold_ms
+        self._gateway.cold.record_answer(upstream, answer.headers.get(name))
         answer.close()
         # Checks keep none of the connections that upstreams accept.
         self._checks.forget(address)
--- a/rowanport/gateway/pool.py
+++ b/rowanport/gateway/pool.py
@@ -1,5 +1,6 @@
 """This router's state of each upstream, and which upstreams take requests."""
 
+from ..evacuations import Evacuations
 from .backlog import Backlog
 from .stream_pauses import StreamPauses
 
@@ -83,10 +84,14 @@
 
 
 class UpstreamPool:
-    """The states of all upstreams, by service."""
+    """The states of all upstreams, by service.
 
-    def __init__(self):
+    :param evacuations: the Evacuations, None for none
+    """
+
+    def __init__(self, evacuations=None):
         self._states = {}
+        self._evacuations = evacuations or Evacuations()
 
     def update(self, upstreams):
         """Apply a list of upstreams.
@@ -123,6 +128,7 @@
     def candidates(self, service, avoid, now, version=None):
         """Return the UpstreamStates to which a request may be sent.
 
+        Those of evacuated data centres never are, also if there are no others.
         Ejected upstreams are included only if more than half of those of the
         service are ejected: the cause is then hardly the upstreams themselves.
 
@@ -134,7 +140,8 @@
         accepting = [
             state
             for state in self.of_service(service)
-            if version is None or version == state.record.version != ""
+            if not self._evacuations.covers(state.record.data_centre)
+            and (version is None or version == state.record.version != "")
         ]
         accepting = [
             s for s in accepting if s.crashed_until <= now
--- a/rowanport/gateway/retry_policy.py
+++ b/rowanport/gateway/retry_policy.py
@@ -91,14 +91,15 @@
     def hedge_candidates(self, job):
         """Return the UpstreamStates that may run a hedge of a job.
 
-        Upstreams with a rate limit are reserved for first sends.
+        Upstreams with a rate limit, and cold ones, are reserved for first
+        sends.
         """
         gateway = self._gateway
         now = gateway.clock.steady()
         candidates = gateway.pool.candidates(
             job.service, job.tried, now, job.version
         )
-        return gateway.limits.unlimited(candidates)
+        return gateway.cold.warm(gateway.limits.unlimited(candidates))
 
     def release_hedge(self, job, tokens):
         """Release the tokens reserved for a hedge that did not run."""
--- a/rowanport/gateway/sender.py
+++ b/rowanport/gateway/sender.py
@@ -164,6 +164,7 @@
         """Return the candidates that are known to accept requests now."""
         try:
             self._gateway.views.freshness.check()
+            candidates = self._gateway.cold.with_room(candidates, now)
             return self._gateway.limits.with_permits(candidates, now)
         except RequestError as error:
             if self._job.runs:
@@ -223,6 +224,8 @@
         gateway, record = self._gateway, state.record
         if gateway.pool.get(record.id) is not state or record.leaving:
             raise UpstreamLeft("upstream left before the send")
+        if gateway.views.evacuations.covers(record.data_centre):
+            raise UpstreamLeft(f"{record.data_centre} is evacuated")
         if record.version != version or self._job.version not in (
             None,
             version,
@@ -233,6 +236,7 @@
             raise UpstreamLeft("upstream has no entry and peers do not answer")
         if freshness.stale:
             raise UpstreamLeft("the list of upstreams is stale")
+        gateway.cold.acquire(record)
         self._retry_policy.use_permit(self._job)
         self._job.view_age = freshness.age
 
--- a/rowanport/gateway/upstream.py
+++ b/rowanport/gateway/upstream.py
@@ -44,6 +44,8 @@
     :ivar lapsing: whether its entry is missing, and the upstream is retained
         for a while because the entry may have expired in a store outage
     :ivar version: version of its software, "" if unknown
+    :ivar cold_until: monotonic time until which it is cold by its entry; a
+        time in the past if it is warm
     """
 
     __slots__ = (
@@ -56,6 +58,7 @@
         "born",
         "lapsing",
         "version",
+        "cold_until",
     )
 
     def __init__(
@@ -69,6 +72,7 @@
         born=0,
         lapsing=False,
         version="",
+        cold_until=0.0,
     ):
         self.id = id_
         self.service = service
@@ -79,6 +83,7 @@
         self.born = born
         self.lapsing = lapsing
         self.version = version
+        self.cold_until = cold_until
 
     @property
     def run(self):
@@ -86,15 +91,17 @@
         return UpstreamRun(self.id, self.born)
 
     def fields(self):
-        """Return the values of all slots but the version, in their order.
+        """Return the values of the slots up to ``lapsing``, in their order.
 
         Routers of earlier versions read no more; see UpstreamDelta.pack.
         """
-        return [getattr(self, slot) for slot in self.__slots__[:-1]]
+        return [getattr(self, slot) for slot in self.__slots__[:-2]]
 
     def as_lapsing(self):
         """Return a copy that is marked as lapsing."""
-        upstream = Upstream(*self.fields(), version=self.version)
+        upstream = Upstream(
+            *self.fields(), version=self.version, cold_until=self.cold_until
+        )
         upstream.lapsing = True
         return upstream
 
@@ -102,7 +109,8 @@
         if not isinstance(other, Upstream):
             return NotImplemented
         same = self.fields() == other.fields()
-        return same and self.version == other.version
+        same = same and self.version == other.version
+        return same and self.cold_until == other.cold_until
 
 
 class UpstreamList:
--- a/rowanport/gateway/upstream_delta.py
+++ b/rowanport/gateway/upstream_delta.py
@@ -9,6 +9,7 @@
 import msgpack
 
 from ..errors import MessageError
+from ..warmup import MAX_COLD_SECONDS
 from .upstream import Upstream
 from .upstream import UpstreamList
 
@@ -50,23 +51,32 @@
         self.removed = removed
         self.versions_digest = versions_digest
 
-    def pack(self):
+    def pack(self, now=0.0):
         """Return the delta as bytes for a peer.
 
-        The versions of software follow the rest, where routers of earlier
-        versions read nothing.
+        The versions of software, and how long upstreams are cold, follow the
+        rest, where routers of earlier versions read nothing.
+
+        :param now: monotonic time
         """
         rows = [upstream.fields() for upstream in self.changed]
         fields = [self.base, self.version, self.digest, rows, self.removed]
         versions = [upstream.version for upstream in self.changed]
-        return zlib.compress(msgpack.packb(fields)) + zlib.compress(
-            msgpack.packb([self.versions_digest, versions])
-        )
+        cold = {
+            upstream.id: upstream.cold_until - now
+            for upstream in self.changed
+            if upstream.cold_until > now
+        }
+        parts = [fields, [self.versions_digest, versions]]
+        if cold:
+            parts.append(cold)
+        return b"".join(zlib.compress(msgpack.packb(part)) for part in parts)
 
     @classmethod
-    def unpack(cls, data):
+    def unpack(cls, data, now=0.0):
         """Return the delta in a peer's bytes.
 
+        :param now: monotonic time
         :raises MessageError: the bytes are malformed
         """
         try:
@@ -77,11 +87,18 @@
             changed = [Upstream(*row) for row in rows]
             versions_digest = None
             if stream.unused_data:
-                versions_digest = _unpack_versions(stream.unused_data, changed)
+                stream, rest = zlib.decompressobj(), stream.unused_data
+                versions_digest = _unpack_versions(
+                    stream.decompress(rest), changed
+                )
+            if stream.unused_data:
+                cold = zlib.decompress(stream.unused_data)
+                _unpack_cold(cold, changed, now)
             return cls(
                 base, version, digest, changed, removed, versions_digest
             )
         except (
+            AttributeError,
             ValueError,
             TypeError,
             zlib.error,
@@ -110,7 +127,7 @@
 
 def _unpack_versions(data, upstreams):
     """Set the versions of Upstreams; return the versions_digest."""
-    digest, versions = msgpack.unpackb(zlib.decompress(data))
+    digest, versions = msgpack.unpackb(data)
     if len(versions) != len(upstreams):
         raise ValueError("versions of other upstreams")
     for upstream, version in zip(upstreams, versions):
@@ -118,6 +135,15 @@
     return digest
 
 
+def _unpack_cold(data, upstreams, now):
+    """Set the cold times of Upstreams."""
+    cold = msgpack.unpackb(data)
+    for upstream in upstreams:
+        seconds = cold.get(upstream.id)
+        if seconds is not None:
+            upstream.cold_until = now + min(MAX_COLD_SECONDS, float(seconds))
+
+
 class ChangeLog:
     """Remembers in which version each upstream last changed."""
 
--- a/rowanport/gateway/views.py
+++ b/rowanport/gateway/views.py
@@ -13,7 +13,9 @@
 
 from ..errors import MessageError
 from ..errors import PeerError
+from ..evacuations import Evacuations
 from ..incarnation import address_of
+from ..incarnation import EVACUATIONS_PROTOCOL
 from ..schema.messages import SuspectNews
 from ..schema.messages import UpstreamNews
 from ..schema.messages import ViewAsk
@@ -63,6 +65,7 @@
     :ivar freshness: the FreshnessTracker of the views
     :ivar table: the active RoutingTable, or None
     :ivar upstreams: the active UpstreamList
+    :ivar evacuations: the Evacuations
     :ivar on_table: function of a RoutingTable, called when it becomes active
     :ivar on_upstreams: function of an UpstreamList, called when it becomes
         active
@@ -98,6 +101,7 @@
         self.freshness = FreshnessTracker(members, clock)
         self.table = None
         self.upstreams = UpstreamList()
+        self.evacuations = Evacuations()
         self.on_table = None
         self.on_answer = None
         self.push = None
@@ -189,6 +193,34 @@
         self.on_upstreams(upstreams)
         self._push_changes()
 
+    def apply_evacuations(self, revision, data_centres, source):
+        """Apply the evacuated data centres if they are newer.
+
+        :param revision: revision of the store to which they are complete
+        :param data_centres: their names
+        :param source: where they came from, for the log
+        """
+        now = self._clock.steady()
+        if self.evacuations.replace(revision, data_centres, now):
+            self._log_evacuations(source)
+
+    def apply_evacuation_changes(self, changes, source):
+        """Apply all EvacuationChanges since the last revision."""
+        if self.evacuations.apply(changes, self._clock.steady()):
+            self._log_evacuations(source)
+
+    def _log_evacuations(self, source):
+        records = self.upstreams.upstreams.values()
+        known = {record.data_centre for record in records}
+        evacuated = self.evacuations.data_centres
+        LOG.info(
+            "evacuations_in_force",
+            revision=self.evacuations.revision,
+            data_centres=sorted(evacuated),
+            without_upstreams=sorted(evacuated - known),
+            source=source,
+        )
+
     def _drop_overdue(self):
         """Drop upstreams whose entry is missing beyond the grace period."""
         overdue = self._retained.pop_overdue(self._clock.steady())
@@ -233,6 +265,9 @@
             self.limits.merge(message.limits, message.asker)
             give.limits = self.limits.rows()
         self._add_updates(message, give)
+        if self._members.speaks(message.asker, EVACUATIONS_PROTOCOL):
+            give.evacuations = self.evacuations.revision
+            give.evacuated = sorted(self.evacuations.data_centres)
         return give
 
     def _add_updates(self, ask, give):
@@ -253,7 +288,9 @@
                 give.upstream_data = self._pack_changes(has)
 
     def _pack_changes(self, base):
-        return self._changes.delta(base, self.upstreams).pack()
+        return self._changes.delta(base, self.upstreams).pack(
+            self._clock.steady()
+        )
 
     def _push_changes(self):
         """Push the latest changes to the peers that polled recently.
@@ -384,6 +421,7 @@
             self.suspect_sync.receive_answer(give.suspects)
         if self.limits is not None:
             self.limits.merge(give.limits, address)
+        self.apply_evacuations(give.evacuations, give.evacuated, address)
         if give.config_data:
             self._apply_packed_config(give.config_data, address)
         if give.upstream_data:
@@ -403,7 +441,7 @@
     def _apply_packed_list(self, packed, address):
         """Apply a peer's UpstreamDelta if it is newer or was requested."""
         try:
-            delta = UpstreamDelta.unpack(packed)
+            delta = UpstreamDelta.unpack(packed, self._clock.steady())
         except MessageError as error:
             LOG.error("upstreams_unreadable", error=str(error))
             return
--- a/rowanport/incarnation.py
+++ b/rowanport/incarnation.py
@@ -12,7 +12,9 @@
 
 # Increases with each kind of message that is sent without being asked for.
 # 2: versions of streams, permits to retry.
-PROTOCOL = 2
+# 3: evacuated data centres in the answers to polls.
+PROTOCOL = 3
+EVACUATIONS_PROTOCOL = 3
 # The protocol of runs that name none.
 FIRST_PROTOCOL = 1
 
--- a/rowanport/membership/members.py
+++ b/rowanport/membership/members.py
@@ -99,6 +99,7 @@
         self._delegates_checked = set()
         self._live = []
         self._live_until = -math.inf
+        self._addresses = None
 
     # Own entry
 
@@ -258,6 +259,7 @@
     def _invalidate_live(self):
         """Have the live members and the homes computed again."""
         self._live_until = -math.inf
+        self._addresses = None
         self._home_orders.clear()
 
     def _invalidate_roles(self):
@@ -307,6 +309,20 @@
         """Return the entries of the live routers, the own one first."""
         return [self._own, *(m.entry for m in self._live_members())]
 
+    @property
+    def addresses(self):
+        """Return the peer addresses of all known routers, the own one first.
+
+        Dead ones stay for as long as they are remembered.
+
+        :returns: the same tuple object as long as they stay the same
+        """
+        if self._addresses is None:
+            known = {member.address for member in self._members.values()}
+            others = sorted(known - {self._address})
+            self._addresses = (self._address, *others)
+        return self._addresses
+
     def is_alive(self, incarnation):
         """Return whether a router is alive by its heartbeats."""
         if incarnation == self._incarnation:
--- a/rowanport/platform/config.py
+++ b/rowanport/platform/config.py
@@ -66,6 +66,8 @@
         row.get("health_path", ""),
         row.get("max_connections", 0),
         engine.get("stride", 1),
+        float(row.get("cold_start_s", 0.0)),
+        float(row.get("cold_per_s", 0.0)),
     )
 
 
--- a/rowanport/platform/entries.py
+++ b/rowanport/platform/entries.py
@@ -8,6 +8,7 @@
 
 from ..errors import MessageError
 from ..gateway.upstream import Upstream
+from ..warmup import parse_cold_time
 
 READY = "ready"
 DRAINING = "draining"
@@ -27,13 +28,15 @@
 
     :ivar upstream: the Upstream that it names
     :ivar beat: counts the writes of one run, its heartbeats among them
+    :ivar cold: seconds for which it is cold, None if that is unreadable
     """
 
-    __slots__ = ("upstream", "beat")
+    __slots__ = ("upstream", "beat", "cold")
 
-    def __init__(self, upstream, beat):
+    def __init__(self, upstream, beat, cold=0.0):
         self.upstream = upstream
         self.beat = beat
+        self.cold = cold
 
 
 def decode_entry(name, data):
@@ -52,7 +55,7 @@
     # The heartbeat's number is no part of what the upstream is like.
     beat = _read(row, "seq_num", int)
     version = _read(row, "version", str)
-    _read(row, "cold_left_ms", (int, float))
+    cold = parse_cold_time(row.get("cold_left_ms"))
     # An upstream that does not tell when it started has a single run.
     born = _read(row, "born", int) if "born" in row else 0
     upstream = Upstream(
@@ -65,7 +68,7 @@
         born,
         version=version,
     )
-    return Entry(upstream, beat)
+    return Entry(upstream, beat, cold)
 
 
 def _read(row, field, type_):
--- a/rowanport/platform/sources.py
+++ b/rowanport/platform/sources.py
@@ -3,6 +3,7 @@
 import abc
 import asyncio
 import functools
+import json
 import math
 
 import structlog
@@ -11,10 +12,12 @@
 from ..errors import StoreBusy
 from ..errors import StoreError
 from ..errors import StoreSilent
+from ..evacuations import EvacuationChange
 from ..gateway.expired_entries import EXPIRY_GRACE
 from ..gateway.freshness import WatchAge
 from ..gateway.upstream import UpstreamList
 from ..supervision import beat
+from ..warmup import cold_until
 from .entries import decode_entry
 from .entries import EntryBook
 from .store import HistoryLost
@@ -24,6 +27,11 @@
 
 CONFIG_KEY = "op/config"
 CONFIG_PREFIX = "op/"
+# A key for each evacuated data centre, whose name follows.  That the key is
+# there is all that it says.
+EVACUATION_PREFIX = "op/evacuate/"
+# Largest usual size in bytes of the value of such a key.
+RECORD_LIMIT = 4096
 UPSTREAM_PREFIX = "servers/"
 # Seconds between two looks whether this router is to follow the store.
 DUTY_POLL = 0.5
@@ -190,27 +198,84 @@
 
 
 class ConfigSource(_Source):
-    """Feeds the configuration."""
+    """Feeds what operators write: configuration and evacuations."""
 
     prefix = CONFIG_PREFIX
 
+    def __init__(self, store, clock):
+        super().__init__(store, clock)
+        # Revision of each record of an evacuation that was unreadable.
+        self._unreadable = {}
+
     async def load(self, views):
-        listing = await self._store.get(CONFIG_KEY)
-        self.change(views, listing)
+        listing = await self._store.list(self.prefix)
+        self._apply_config(views, listing)
+        self._check_records(views, listing)
+        changes = _evacuation_changes(listing)
+        names = [change.data_centre for change in changes]
+        views.apply_evacuations(listing.revision, names, "store")
         return listing.revision
 
     async def load_old(self, views):
-        # Versions of configurations never go back.
-        self.change(views, await self._store.get(CONFIG_KEY, stale=True))
+        # Neither goes back to what an old answer says.  That a record is
+        # missing says nothing, as nobody knows how old the answer is.
+        self.change(views, await self._store.list(self.prefix, stale=True))
 
     def is_known(self, views):
         return views.table is not None
 
     def change(self, views, listing):
+        self._apply_config(views, listing)
+        self._check_records(views, listing)
+        views.apply_evacuation_changes(_evacuation_changes(listing), "store")
+
+    @staticmethod
+    def _apply_config(views, listing):
         for item in listing.items:
             if item.key == CONFIG_KEY and item.data is not None:
                 views.apply_config(item.data, "store")
 
+    def _check_records(self, views, listing):
+        """Log and count records of evacuations with unexpected content.
+
+        They are in force all the same: that they exist is unmistakable.
+        """
+        for item in listing.items:
+            evacuation = item.key.startswith(EVACUATION_PREFIX)
+            if not evacuation or item.data is None or is_record(item.data):
+                continue
+            if self._unreadable.get(item.key) != item.revision:
+                self._unreadable[item.key] = item.revision
+                views.evacuations.unreadable += 1
+                LOG.error(
+                    "evacuation_unreadable",
+                    data_centre=item.key.removeprefix(EVACUATION_PREFIX),
+                    size=len(item.data),
+                )
+
+
+def is_record(data):
+    """Return whether the content of a record is a table of usual size."""
+    if len(data) > RECORD_LIMIT:
+        return False
+    try:
+        return isinstance(json.loads(data), dict)
+    except (ValueError, RecursionError):
+        return False
+
+
+def _evacuation_changes(listing):
+    """Return the EvacuationChanges in a Listing."""
+    return [
+        EvacuationChange(
+            item.revision,
+            item.key.removeprefix(EVACUATION_PREFIX),
+            item.data is not None,
+        )
+        for item in listing.items
+        if item.key.startswith(EVACUATION_PREFIX)
+    ]
+
 
 class UpstreamSource(_Source):
     """Feeds the list of upstreams."""
@@ -301,6 +366,7 @@
             self._book.forget(name)
             LOG.error("upstream_unreadable", upstream=name, error=str(error))
             return
+        self._set_cold(entry, known)
         if self._book.take(entry, self._clock.steady()):
             upstreams[name] = entry.upstream
             return
@@ -308,6 +374,21 @@
         if known is not None:
             upstreams[name] = known
 
+    def _set_cold(self, entry, known):
+        """Set until when the upstream of an Entry is cold.
+
+        :param known: the Upstream that was known under its id, or None
+        """
+        upstream = entry.upstream
+        same_run = known is not None and known.run == upstream.run
+        upstream.cold_until = cold_until(
+            known.cold_until if same_run else None,
+            entry.cold,
+            self._clock.steady(),
+        )
+        if entry.cold is None and not same_run:
+            LOG.error("cold_time_unreadable", upstream=upstream.id)
+
     def _hand_on(self, views, upstreams, revision):
         known = views.upstreams
         step = 0
--- a/rowanport/platform/words.py
+++ b/rowanport/platform/words.py
@@ -11,6 +11,7 @@
     not_executed="x-rowanport-not-executed",
     signature="x-rowanport-server-stamp",
     rate_limit="server-limit",
+    cold_ms="x-rowanport-cold-ms",
     tokens="x-rowanport-token-count",
     prefix="x-rowanport-prompt-prefix",
     priority="priority",
--- a/rowanport/routing/table.py
+++ b/rowanport/routing/table.py
@@ -114,15 +114,35 @@
     :ivar max_connections: most connections that one upstream accepts in
         total
     :ivar tokens_per_event: most tokens in one event of a stream
+    :ivar cold_start: seconds for which an upstream is cold after its start
+    :ivar cold_rate: requests a second that a cold upstream bears, 0 if there
+        is no limit
     """
 
-    __slots__ = ("name", "health_path", "max_connections", "tokens_per_event")
+    __slots__ = (
+        "name",
+        "health_path",
+        "max_connections",
+        "tokens_per_event",
+        "cold_start",
+        "cold_rate",
+    )
 
-    def __init__(self, name, health_path, max_connections, tokens_per_event):
+    def __init__(
+        self,
+        name,
+        health_path,
+        max_connections,
+        tokens_per_event,
+        cold_start=0.0,
+        cold_rate=0.0,
+    ):
         self.name = name
         self.health_path = health_path
         self.max_connections = max_connections
         self.tokens_per_event = tokens_per_event
+        self.cold_start = cold_start
+        self.cold_rate = cold_rate
 
 
 class Organisation:
--- a/rowanport/schema/messages.py
+++ b/rowanport/schema/messages.py
@@ -2506,6 +2506,8 @@
     :ivar store_age: milliseconds since the store answered any router, as far as the peer knows
     :ivar step: step of the list of upstreams
     :ivar steady: for how many tenths of a second the store had answered some router all the time then
+    :ivar evacuations: revision of the store to which the evacuated data centres are complete
+    :ivar evacuated: names of the evacuated data centres
     """
 
     __slots__ = (
@@ -2521,6 +2523,8 @@
         "store_age",
         "step",
         "steady",
+        "evacuations",
+        "evacuated",
     )
     KIND = 62
 
@@ -2538,6 +2542,8 @@
         store_age,
         step,
         steady,
+        evacuations=0,
+        evacuated=(),
     ):
         self.config = config
         self.config_data = config_data
@@ -2551,10 +2557,12 @@
         self.store_age = store_age
         self.step = step
         self.steady = steady
+        self.evacuations = evacuations
+        self.evacuated = evacuated
 
     def to_wire(self):
         """Return the fields as plain values, in the schema's order."""
-        return [
+        values = [
             self.config,
             self.config_data,
             self.upstreams,
@@ -2567,12 +2575,23 @@
             self.store_age,
             self.step,
             self.steady,
+            self.evacuations,
+            self.evacuated,
         ]
+        if not any(values[12:]):
+            del values[12:]
+        return values
 
     @classmethod
     def from_wire(cls, values):
         """Build one from plain values; raise MessageError if unfit."""
-        check_length(cls, values, 12)
+        if isinstance(values, list) and len(values) == 12:
+            values = [
+                *values,
+                0,
+                [],
+            ]
+        check_length(cls, values, 14)
         return cls(
             as_int(values[0]),
             as_bytes(values[1]),
@@ -2586,6 +2605,8 @@
             as_int(values[9]),
             as_int(values[10]),
             as_int(values[11]),
+            as_int(values[12]),
+            as_list(values[13], as_str),
         )
 
 
@@ -2801,6 +2822,119 @@
         )
 
 
+class PlacementAsk(Message):
+    """Ask a router which upstreams get no, or few, new requests."""
+
+    __slots__ = ()
+    KIND = 80
+
+    def __init__(self):
+        pass
+
+    def to_wire(self):
+        """Return the fields as plain values, in the schema's order."""
+        return []
+
+    @classmethod
+    def from_wire(cls, values):
+        """Build one from plain values; raise MessageError if unfit."""
+        check_length(cls, values, 0)
+        return cls()
+
+
+class ColdRow(Message):
+    """A cold upstream.
+
+    :ivar upstream: its id
+    :ivar service: its service
+    :ivar data_centre: its data centre
+    :ivar left: seconds for which it stays cold
+    :ivar quota: requests a second that the router sends to it
+    """
+
+    __slots__ = (
+        "upstream",
+        "service",
+        "data_centre",
+        "left",
+        "quota",
+    )
+    KIND = 0
+
+    def __init__(self, upstream, service, data_centre, left, quota):
+        self.upstream = upstream
+        self.service = service
+        self.data_centre = data_centre
+        self.left = left
+        self.quota = quota
+
+    def to_wire(self):
+        """Return the fields as plain values, in the schema's order."""
+        return [
+            self.upstream,
+            self.service,
+            self.data_centre,
+            self.left,
+            self.quota,
+        ]
+
+    @classmethod
+    def from_wire(cls, values):
+        """Build one from plain values; raise MessageError if unfit."""
+        check_length(cls, values, 5)
+        return cls(
+            as_str(values[0]),
+            as_str(values[1]),
+            as_str(values[2]),
+            as_float(values[3]),
+            as_int(values[4]),
+        )
+
+
+class Placement(Message):
+    """Which upstreams get no, or few, new requests from a router.
+
+    :ivar revision: revision of the store to which the evacuated data centres are complete
+    :ivar evacuated: names of the evacuated data centres
+    :ivar unreadable: number of records of evacuations seen with odd content
+    :ivar cold: the cold upstreams
+    """
+
+    __slots__ = (
+        "revision",
+        "evacuated",
+        "unreadable",
+        "cold",
+    )
+    KIND = 81
+
+    def __init__(self, revision, evacuated, unreadable, cold):
+        self.revision = revision
+        self.evacuated = evacuated
+        self.unreadable = unreadable
+        self.cold = cold
+
+    def to_wire(self):
+        """Return the fields as plain values, in the schema's order."""
+        return [
+            self.revision,
+            self.evacuated,
+            self.unreadable,
+            [item.to_wire() for item in self.cold],
+        ]
+
+    @classmethod
+    def from_wire(cls, values):
+        """Build one from plain values; raise MessageError if unfit."""
+        check_length(cls, values, 4)
+        return cls(
+            as_int(values[0]),
+            as_list(values[1], as_str),
+            as_int(values[2]),
+            as_list(values[3], ColdRow.from_wire),
+        )
+
+
 BY_KIND = {
     1: Challenge,
     2: Proof,
@@ -2846,4 +2980,6 @@
     74: RelayLeaving,
     65: NoLoan,
     64: BudgetNews,
+    80: PlacementAsk,
+    81: Placement,
 }
--- a/rowanport/ui/__init__.py
+++ b/rowanport/ui/__init__.py
@@ -11,6 +11,7 @@
 from . import explain
 from . import fleet
 from . import organisation
+from . import placement
 from . import policy
 from . import settings
 from . import upstream
@@ -32,6 +33,7 @@
 app.command("router")(daemons.run_router)
 app.command("status")(fleet.show_status)
 app.command("audit")(fleet.show_audit)
+app.command("placement")(placement.show_placement)
 app.command("explain")(explain.run_explain)
 
 
--- a/rowanport/ui/blocked.py
+++ b/rowanport/ui/blocked.py
@@ -3,11 +3,9 @@
 import typer
 
 from . import common
-from ..errors import PeerError
 from ..errors import UserError
 from ..gateway.fingerprint import format_fingerprint
 from ..gateway.fingerprint import parse_fingerprint
-from ..peers import PeerClient
 from ..schema.messages import BlockedAsk
 
 app = typer.Typer(
@@ -15,23 +13,11 @@
     help="Requests, and parts of prompts, that crash upstreams.",
 )
 
-ANSWER_TIMEOUT = 2.0
-
-RouterArgument = typer.Argument(
-    ..., help="IP and port for peers, of any router of the fleet."
-)
-SecretOption = typer.Option(
-    ...,
-    "--secret",
-    envvar="ROWANPORT_PEER_SECRET",
-    help="Secret that the routers share.",
-)
-
 
 @app.command("list")
 def show_blocked(
-    router: str = RouterArgument,
-    secret: str = SecretOption,
+    router: str = common.RouterArgument,
+    secret: str = common.SecretOption,
     as_json: bool = common.JsonOption,
 ):
     """List what a router blocks."""
@@ -41,11 +27,11 @@
 
 @app.command("free")
 def free(
-    router: str = RouterArgument,
+    router: str = common.RouterArgument,
     fingerprints: list[str] = typer.Argument(
         ..., help="As in the list, and in the logs."
     ),
-    secret: str = SecretOption,
+    secret: str = common.SecretOption,
     as_json: bool = common.JsonOption,
 ):
     """Clear suspects of all crashes so far, at all routers.
@@ -62,13 +48,7 @@
 
 async def _ask(router, secret, free):
     """Return the rows of what a router blocks, after some were freed."""
-    peers = PeerClient("operator", secret)
-    try:
-        answer = await peers.call(router, BlockedAsk(free), ANSWER_TIMEOUT)
-    except PeerError as error:
-        raise UserError(f"the router does not answer: {error}") from None
-    finally:
-        peers.close()
+    answer = await common.ask_router(router, secret, BlockedAsk(free))
     return [
         {
             "fingerprint": format_fingerprint(row.fingerprint),
--- a/rowanport/ui/common.py
+++ b/rowanport/ui/common.py
@@ -10,11 +10,13 @@
 from ..clock import SystemClock
 from ..config import ConfigEditor
 from ..errors import ConflictError
+from ..errors import PeerError
 from ..errors import SettingsError
 from ..errors import StoreError
 from ..errors import UserError
 from ..hashing import new_id
 from ..ledger.editor import BudgetEditor
+from ..peers import PeerClient
 from ..settings import read_settings
 from ..store import InstanceDirectory
 from ..store import KeyValueStore
@@ -23,6 +25,8 @@
 REFUSED = 1
 BAD_INPUT = 2
 CONFLICT = 3
+# Seconds for which a router's answer is waited for.
+ANSWER_TIMEOUT = 2.0
 
 SettingsOption = typer.Option(
     ...,
@@ -30,6 +34,15 @@
     envvar="ROWANPORT_SETTINGS",
     help="Settings file of any router of the fleet.",
 )
+RouterArgument = typer.Argument(
+    ..., help="IP and port for peers, of any router of the fleet."
+)
+SecretOption = typer.Option(
+    ...,
+    "--secret",
+    envvar="ROWANPORT_PEER_SECRET",
+    help="Secret that the routers share.",
+)
 JsonOption = typer.Option(False, "--json", help="Print JSON.")
 ChangeOption = typer.Option(
     "", "--change", help="Change id; the same id again does nothing."
@@ -78,6 +91,21 @@
         raise UserError(f"the store does not answer: {error}") from None
 
 
+async def ask_router(router, secret, message):
+    """Return a router's answer to an operator's message.
+
+    :param router: its peer address
+    :raises UserError: it does not answer
+    """
+    peers = PeerClient("operator", secret)
+    try:
+        return await peers.call(router, message, ANSWER_TIMEOUT)
+    except PeerError as error:
+        raise UserError(f"the router does not answer: {error}") from None
+    finally:
+        peers.close()
+
+
 def change_id(given):
     """Return the change id that was given, or a fresh one."""
     return given or new_id()
--- a/rowanport/ui/explain.py
+++ b/rowanport/ui/explain.py
@@ -12,6 +12,8 @@
 BELIEFS = (
     "config_in_force",
     "upstreams_in_force",
+    "evacuations_in_force",
+    "upstream_cold",
     "upstream_limit",
     "upstream_link_lost",
     "cut_off_from_upstreams",
--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -23,6 +23,7 @@
 from rowanport.errors import StoreConflict
 from rowanport.errors import StoreUnavailable
 from rowanport.errors import UpstreamError
+from rowanport.evacuations import Evacuations
 from rowanport.gateway.freshness_tracker import FreshnessTracker
 from rowanport.platform import settings as platform_settings
 from rowanport.platform.config import decode_config
@@ -611,11 +612,18 @@
         self.watches_store = False
         self.starting_up = False
         self.configs = []
+        self.evacuations = Evacuations()
         self.freshness = FreshnessTracker(Alone(), SystemClock())
 
     def apply_config(self, data, source):
         self.configs.append(json.loads(data)["version"])
 
+    def apply_evacuations(self, revision, data_centres, source):
+        self.evacuations.replace(revision, data_centres, 0.0)
+
+    def apply_evacuation_changes(self, changes, source):
+        self.evacuations.apply(changes, 0.0)
+
 
 def test_only_routers_on_duty_follow_the_store():
     # Found on the bench: of 86 routers each paid for a call at each change.
--- a/test/test_views.py
+++ b/test/test_views.py
@@ -59,6 +59,9 @@
     def set_config(self, version):
         self.version = version
 
+    def speaks(self, address, protocol):
+        return True
+
 
 class Table:
     """The part of a RoutingTable that Views uses."""
@@ -171,3 +174,44 @@
     loop.run_until_complete(views.ask("peer"))
     assert views.table is None
     loop.close()
+
+
+# Evacuated data centres
+
+
+def poll_once(loop, views, address):
+    loop.run_until_complete(views.ask(address))
+
+
+def test_an_evacuation_and_its_end_reach_routers_over_others():
+    loop = VirtualLoop()
+    first = make_views(loop, FewMembers(), None)
+    second = make_views(loop, FewMembers(), OnePeer(first))
+    third = make_views(loop, FewMembers(), OnePeer(second))
+    for revision, names in ((8, ["hall-a"]), (9, ["hall-a", "b"]), (12, [])):
+        first.apply_evacuations(revision, names, "store")
+        for views in (second, third):
+            poll_once(loop, views, "x")
+        assert third.evacuations.data_centres == set(names)
+    # A copy that was under way meanwhile changes nothing.
+    third.apply_evacuations(9, ["hall-a", "b"], "late")
+    assert third.evacuations.data_centres == set()
+    loop.close()
+
+
+class OlderMembers(FewMembers):
+    """Peers that speak an earlier protocol."""
+
+    def speaks(self, address, protocol):
+        return False
+
+
+def test_peers_of_an_earlier_build_get_the_answers_that_they_know():
+    loop = VirtualLoop()
+    views = make_views(loop, OlderMembers(), None)
+    views.apply_evacuations(8, ["hall-a"], "store")
+    ask = ViewAsk(0, 0, "asker", 0.0, 0, NO_NEWS, [], 0)
+    assert len(views.handle(ask).to_wire()) == 12
+    give = ViewGive.from_wire(views.handle(ask).to_wire())
+    assert (give.evacuations, give.evacuated) == (0, [])
+    loop.close()
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -28,12 +28,26 @@
 class Field:
     """One field of a message, with the code that moves it on the wire."""
 
-    __slots__ = ("name", "type", "doc")
+    __slots__ = ("name", "type", "doc", "default")
 
-    def __init__(self, name, type_, doc):
+    def __init__(self, name, type_, doc, default=None):
         self.name = name
         self.type = type_
         self.doc = doc
+        self.default = default
+
+    @property
+    def optional(self):
+        """Return whether it is left out where it and all after it are empty.
+
+        Peers of earlier versions expect a message without it.
+        """
+        return self.default is not None
+
+    @property
+    def blank(self):
+        """Return the expression of its default among plain values."""
+        return "[]" if self.outer == "list" else self.default
 
     @property
     def outer(self):
@@ -98,7 +112,10 @@
     """Return the text of each generated file by its path."""
     messages = read_schema("messages.toml")["message"]
     for message in messages:
-        message["fields"] = [Field(*field) for field in message["fields"]]
+        fields = [Field(*field) for field in message["fields"]]
+        message["fields"] = fields
+        message["optional"] = [field for field in fields if field.optional]
+        message["required"] = len(fields) - len(message["optional"])
     sections = read_schema("settings.toml")["section"]
     package = ROOT / "rowanport" / "schema"
     return {
