--- a/soak/broken.py
+++ b/soak/broken.py
@@ -434,6 +434,30 @@
         PathConnector._relayed = relayed
 
 
+class IgnoresEvacuations(Variant):
+    """Sends to upstreams of evacuated data centres."""
+
+    promise = "evacuated"
+    theme = "evacuations"
+
+    def apply(self):
+        from rowanport.evacuations import Evacuations
+
+        Evacuations.covers = lambda self, data_centre: False
+
+
+class RushesCold(Variant):
+    """Takes no upstream for cold."""
+
+    promise = "cold"
+    theme = "evacuations"
+
+    def apply(self):
+        from rowanport.gateway.cold_starts import ColdStarts
+
+        ColdStarts._is_limited = lambda self, record, now: False
+
+
 class Ends(Variant):
     """Ends by itself after some seconds."""
 
@@ -472,6 +496,8 @@
         BlamesAll,
         IgnoresLimits,
         OwnLinkOnly,
+        IgnoresEvacuations,
+        RushesCold,
         ForgetsRetries,
         JoinsVersions,
         ForgetsStreams,
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -306,6 +306,13 @@
             self._world.operator.leave(self._seat(step), step.variant)
         )
 
+    async def _do_evacuate(self, step):
+        await self._world.operator.evacuate(step.variant, step.seconds)
+
+    async def _do_chill(self, step):
+        """Let a cold upstream take requests that it may not be known for."""
+        await self._world.operator.chill(self._seat(step))
+
     async def _do_release(self, _step):
         """Replace half of the upstreams by ones of the next version."""
         self._world.spawn(self._world.operator.release())
--- a/soak/history.py
+++ b/soak/history.py
@@ -214,6 +214,24 @@
     defaults = {"named_at": None, "ended": NEVER}
 
 
+class Evacuation(Record):
+    """An evacuated data centre.
+
+    :ivar taken_at: when the store confirmed the record
+    :ivar ended: when the record was withdrawn
+    """
+
+    __slots__ = ("data_centre", "taken_at", "ended")
+
+    defaults = {"ended": NEVER}
+
+
+class Cold(Record):
+    """A span in which an upstream was cold."""
+
+    __slots__ = ("upstream", "since", "until")
+
+
 class Leave(Record):
     """An upstream that leaves, as the store confirmed it."""
 
@@ -246,6 +264,8 @@
     :ivar repeats: arrivals beyond the first of their requests that the fleet
         may cause within a window, by request and beyond
     :ivar repeat_window: length of that window
+    :ivar evacuate: until an evacuated data centre gets no new work
+    :ivar cold_requests: most requests that reach a cold upstream in a second
     """
 
     __slots__ = (
@@ -257,6 +277,8 @@
         "slack",
         "repeats",
         "repeat_window",
+        "evacuate",
+        "cold_requests",
     )
 
     defaults = {
@@ -268,12 +290,15 @@
         "slack": 0.2,
         "repeats": (0.2, 54),
         "repeat_window": 10.0,
+        "evacuate": 5.0,
+        "cold_requests": 4.5,
     }
 
 
 class History:
     """All that was seen, in the order in which it was written down.
 
+    :ivar data_centres: data centre by upstream
     :ivar calm_at: from when on nothing is disturbed any more
     """
 
@@ -288,6 +313,9 @@
         self.serving = []
         self.arrivals = []
         self.limits = []
+        self.evacuations = []
+        self.colds = []
+        self.data_centres = {}
         self.readiness = []
         self.own_ends = []
         self.failed_tasks = []
--- a/soak/operator.py
+++ b/soak/operator.py
@@ -7,11 +7,14 @@
 from bench.ports import free_ports
 
 from .caller import HOST
+from .history import Evacuation
 from .history import Leave
 from .history import NEVER
 from .history import Serving
 from .history import Version
 from .router import now
+from .upstream import COLD_RATE
+from .upstream import COLD_SECONDS
 from .upstream import RecordingUpstream
 from .upstream import STRIDE
 
@@ -22,6 +25,9 @@
 PROBE_SLOTS = 10000
 PLENTY = 10**9
 STORE_POLL = 0.05
+DATA_CENTRES = ("hall-a", "hall-b", "hall-c")
+# Seconds before the end of an evacuation at which its upstreams turn cold.
+CHILL_BEFORE = 0.5
 # Seconds that a leaving upstream serves on beyond the bound.
 LINGER = (2.0, 6.0)
 # Seconds after which the entry of an upstream that ended without a word goes,
@@ -84,6 +90,7 @@
         self._random = random.Random(f"operator {seed}")
         self._version = 1
         self._publishing = asyncio.Lock()
+        self._evacuated = set()
         small = int(self._shape.paid * max(10, seconds))
         self.totals = {"ample": PLENTY, "small": small, "topped": small}
 
@@ -139,7 +146,7 @@
         return {
             "version": self._version,
             "routes": routes,
-            "services": [_service(FEED), _service(PROBE)],
+            "services": [self._feed(), _service(PROBE)],
             "limits": {
                 "max_header_bytes": 16384,
                 "max_body_bytes": 100000,
@@ -152,6 +159,12 @@
             ],
         }
 
+    def _feed(self):
+        if not self._shape.cold:
+            return _service(FEED)
+        cold = {"cold_start_s": COLD_SECONDS, "cold_per_s": COLD_RATE}
+        return {**_service(FEED), **cold}
+
     # Upstreams
 
     async def _fill(self, seat):
@@ -163,6 +176,11 @@
         upstream.slots = self._shape.slots
         if self._shape.takes_up:
             upstream.version = f"v{seat.version}"
+        if self._shape.cold and seat.service == FEED:
+            upstream.data_centre = DATA_CENTRES[seat.number % 3]
+            if seat.count > 1:
+                upstream.turn_cold()
+        self._history.data_centres[name] = upstream.data_centre
         upstream.source_at = self._world.relays.source_at
         if seat.service == PROBE:
             upstream.slots = PROBE_SLOTS
@@ -179,9 +197,14 @@
                 Serving(upstream.name, upstream.version, now())
             )
 
-    async def _list(self, seat, state):
-        """Write an upstream's entry, or remove it for an empty state."""
+    async def _list(self, seat, state, chill=False):
+        """Write an upstream's entry, or remove it for an empty state.
+
+        :param chill: whether the upstream turns cold as it writes
+        """
         upstream = seat.occupant
+        if chill:
+            upstream.turn_cold()
         upstream.listed = state
         key = f"servers/{upstream.name}"
         if state:
@@ -199,6 +222,40 @@
             self._world.spawn(self.leave(seat, "draining"))
             await asyncio.sleep(RELEASE_PAUSE)
 
+    async def evacuate(self, variant, seconds):
+        """Evacuate data centres, and take them back after some seconds.
+
+        :param variant: their names, or "all"
+        """
+        names = DATA_CENTRES if variant == "all" else variant.split()
+        names = sorted(set(names) - self._evacuated)
+        self._evacuated.update(names)
+        begun = []
+        for name in names:
+            await self._store_up()
+            await self._store.put(f"op/evacuate/{name}", {})
+            begun.append(Evacuation(name, now()))
+        self._history.evacuations += begun
+        await asyncio.sleep(seconds - CHILL_BEFORE)
+        for seat in self.seats:
+            upstream = seat.occupant
+            if upstream and upstream.data_centre in names:
+                await self.chill(seat)
+        await asyncio.sleep(CHILL_BEFORE)
+        for evacuation in begun:
+            await self._store_up()
+            evacuation.ended = now()
+            await self._store.remove(f"op/evacuate/{evacuation.data_centre}")
+            self._evacuated.discard(evacuation.data_centre)
+
+    async def chill(self, seat):
+        """Let an upstream turn cold, and say so once the store is up."""
+        upstream = seat.occupant
+        if upstream is None or upstream.leaving or seat.service != FEED:
+            return
+        await self._store_up()
+        await self._list(seat, upstream.listed, chill=True)
+
     def _note_served(self, upstream):
         for serving in self._history.serving:
             if serving.upstream == upstream.name:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -108,6 +108,22 @@
     "store_down": 1,
     "config": 1,
 }
+# Data centres that are evacuated, and upstreams that turn cold, while routers
+# and the store fail.
+EVACUATIONS = {
+    "evacuate": 5,
+    "chill": 4,
+    "crash": 2,
+    "leave": 2,
+    "kill": 2,
+    "herd": 1,
+    "freeze": 1,
+    "term": 1,
+    "store_down": 1,
+    "store_forget": 1,
+    "store_away": 1,
+    "config": 1,
+}
 # Links that are full, of routers that hear of upstreams that leave.
 LINKS = {"full": 5, "leave": 8, "config": 1, "store_away": 2, "term": 1}
 THEMES["all"] = {
@@ -132,6 +148,7 @@
     "limit": (5.0, 15.0),
     "sever": (6.0, 12.0),
     "refuse": (5.0, 12.0),
+    "evacuate": (6.0, 12.0),
 }
 # Kinds that strike all routers: in a large fleet there are more steps, but not
 # more of these, or nobody would ever be in touch.
@@ -149,9 +166,18 @@
     "refuse",
     "herd",
     "release",
+    "evacuate",
 )
 SMALL_FLEET = 10
-UPSTREAM_KINDS = ("leave", "crash", "pause", "lethal", "part", "limit")
+UPSTREAM_KINDS = (
+    "leave",
+    "crash",
+    "pause",
+    "lethal",
+    "part",
+    "limit",
+    "chill",
+)
 # Variants of a kind: which links, in which direction, how a store is down.
 VARIANTS = {
     "delay": ("store", "upstreams", "peers", "all"),
@@ -167,6 +193,7 @@
     "leave": ("draining", "draining", "gone"),
     "pause": ("all", "streams", "newest"),
     "limit": tuple(LIMITS),
+    "evacuate": ("hall-a", "hall-a", "hall-b", "hall-a hall-b", "all"),
     # How many routers, and how their links fail.
     "sever": tuple(
         f"{count} {how}"
@@ -216,6 +243,7 @@
 THEMES["severed"] = SEVERED
 THEMES["refusing"] = REFUSING
 THEMES["versions"] = VERSIONS
+THEMES["evacuations"] = EVACUATIONS
 
 
 def choose_theme(seed):
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -554,6 +554,55 @@
                 break
 
 
+def check_evacuated(history):
+    """An evacuated data centre gets no new work after its bound."""
+    bounds = history.bounds
+    for evacuation in history.evacuations:
+        if not history.in_touch(STORE, evacuation.taken_at):
+            continue
+        since = evacuation.taken_at + bounds.evacuate
+        for run in history.runs:
+            request = history.requests.get(run.request)
+            if not since < run.arrived_at < evacuation.ended:
+                continue
+            where = history.data_centres.get(run.upstream)
+            if request is None or where != evacuation.data_centre:
+                continue
+            if history.in_touch(
+                request.router, request.sent_at, run.arrived_at
+            ):
+                late = run.arrived_at - evacuation.taken_at
+                evidence = (
+                    f"{run.request} from {request.router} reached "
+                    f"{run.upstream} {late:.2f} s after the evacuation of "
+                    f"{where}"
+                )
+                yield Finding("evacuated", run.arrived_at, evidence)
+
+
+def check_cold(history):
+    """A cold upstream gets few requests a second, from all routers."""
+    arrivals = {}
+    for arrival in history.arrivals:
+        arrivals.setdefault(arrival.upstream, []).append(arrival.at)
+    most = history.bounds.cold_requests
+    for cold in history.colds:
+        times = [
+            at
+            for at in arrivals.get(cold.upstream, ())
+            if cold.since <= at <= cold.until
+        ]
+        for number, at in enumerate(times):
+            count = bisect.bisect_left(times, at + 1.0) - number
+            if count > most:
+                evidence = (
+                    f"{cold.upstream} was cold and got {count} requests in a"
+                    f" second, allowed {most}"
+                )
+                yield Finding("cold", at, evidence)
+                break
+
+
 def check_severed(history):
     """Routers cut off from all upstreams serve nearly as often as others.
 
@@ -751,6 +800,8 @@
     check_part_sharers,
     check_blamed,
     check_limits,
+    check_evacuated,
+    check_cold,
     check_severed,
     check_repeats,
     check_versions,
--- a/soak/shapes.py
+++ b/soak/shapes.py
@@ -64,6 +64,8 @@
     :ivar paid: prepaid tokens by second, of organisations that use more
     :ivar repeats: sends past the first of a request, by request and beyond
     :ivar takes_up: whether callers take broken streams up at another router
+    :ivar cold: whether upstreams stand in several data centres, and are cold
+        after their start
     :ivar manners: of callers, with weights
     :ivar bodies: least bytes of a plain request, and of its answer
     :ivar graces: seconds from the signal to stop until the process is
@@ -82,6 +84,7 @@
         "paid",
         "repeats",
         "takes_up",
+        "cold",
         "manners",
         "bodies",
         "graces",
@@ -105,6 +108,7 @@
         "paid": 150,
         "repeats": (0.2, 54),
         "takes_up": False,
+        "cold": False,
         "manners": {PLAIN: 1},
         "bodies": (0,),
         "graces": (8.0,),
@@ -176,6 +180,7 @@
         repeats=(1.0, 200),
         takes_up=True,
     ),
+    "evacuations": Shape(upstreams=6, faulty=6, paid=1500, cold=True),
     "severed": Shape(upstreams=6, faulty=6, paid=1500),
     # Callers wait long enough to be served through a full link.
     "links": Shape(upstreams=6, paid=1500, patience=(5.0, 8.0)),
--- a/soak/upstream.py
+++ b/soak/upstream.py
@@ -9,6 +9,7 @@
 from rowanport.standins.upstream import UpstreamStandin
 
 from .history import Arrival
+from .history import Cold
 from .history import Limit
 from .history import Run
 
@@ -38,6 +39,10 @@
 # What the ids of parts of prompts begin with that crash what answers on them.
 BAD_PART = "badpart"
 PREFIX_HEADER = "x-rowanport-prompt-prefix"
+# Seconds for which an upstream is cold, and requests a second that it says it
+# bears meanwhile.
+COLD_SECONDS = 3.0
+COLD_RATE = 2.0
 # Seconds between two looks whether a silent upstream goes on.
 STALL_POLL = 0.02
 
@@ -73,6 +78,7 @@
     :param faulty: whether it has faults of its own
     :ivar listed: its state in the store, "" if it isn't there
     :ivar refuses_until: until when it turns most requests away as full
+    :ivar data_centre: where it stands
     :ivar source_at: function from the port of a connection to the name of the
         router from which it comes
     """
@@ -92,10 +98,37 @@
         self._stalls = []
         self._named = None
         self.source_at = lambda _port: ""
+        self.data_centre = "hall-a"
+        self._cold = None
 
     def entry(self, service="feed", state="ready"):
         """Return its entry in the directory."""
-        return {**super().entry(service, state), "slots": self.slots}
+        left = self._cold.until - time.monotonic() if self._cold else 0.0
+        return {
+            **super().entry(service, state),
+            "slots": self.slots,
+            "zone": self.data_centre,
+            "cold_left_ms": max(0, int(1000 * left)),
+        }
+
+    def turn_cold(self):
+        """Be cold from now on, for some seconds."""
+        now = time.monotonic()
+        self._cold = Cold(self.name, now, now + COLD_SECONDS)
+        self._history.colds.append(self._cold)
+
+    def _is_overrun(self):
+        """Return whether it is cold and got too many requests in a second."""
+        now = time.monotonic()
+        if self._cold is None or now > self._cold.until:
+            return False
+        since = max(now - 1.0, self._cold.since)
+        recent = 0
+        for arrival in reversed(self._history.arrivals):
+            if arrival.at < since:
+                break
+            recent += arrival.upstream == self.name
+        return recent > self._history.bounds.cold_requests
 
     def stall(self, what):
         """Fall silent, as when its process is stopped or memory ran out.
@@ -154,6 +187,9 @@
         request_id = names.get(ID_HEADER, "")
         arrival = Arrival(self.name, request_id, time.monotonic())
         self._history.arrivals.append(arrival)
+        if self._is_overrun():
+            self.crash()
+            return
         if self.active >= self.slots or self._refuses():
             await self._do_full(connection, writer, names, body)
             return
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -65,14 +65,18 @@
     ),
     # Three routers of ad2cc76 repeated more than was allowed.
     "refusing": ("--theme", "refusing", *SHORT, "--seed", "3000"),
+    "evacuations": ("--theme", "evacuations", *SHORT, "--seed", "6000"),
     "versions": (
         *("--theme", "versions", "--processes", "5"),
         *("--seconds", "25", "--calm", "14", "--seed", "4000"),
     ),
 }
 BROKEN = ("--calm", "15.5")
-# A seed whose requests with bad parts come while upstreams are up.
-BROKEN_SEEDS = collections.defaultdict(lambda: 1, NeverBlocks=3)
+# Seeds whose requests with bad parts come while upstreams are up, and in
+# which routers are in touch for a whole evacuation.
+BROKEN_SEEDS = collections.defaultdict(
+    lambda: 1, NeverBlocks=3, IgnoresEvacuations=2
+)
 # Seconds of faults that a variant is given to be found in.
 BROKEN_SECONDS = collections.defaultdict(
     lambda: 14,
@@ -83,6 +87,8 @@
     IgnoresLimits=30,
     TrustsOldViews=30,
     OwnLinkOnly=30,
+    IgnoresEvacuations=40,
+    RushesCold=30,
     ForgetsRetries=30,
     JoinsVersions=25,
     ForgetsStreams=25,
