Callers of a router whose link fills up go to other routers

Change: rowanport/diversion/ measures the bytes of bodies against the link's rate, which the settings tell. Nothing is cut or refused for it. Routers with wide or unknown links, and those without peers, divert nobody.

Readiness by ready peers only: on a full link none seems alive, so the router was ready again while its link was full; known peers decide.

--- a/rowanport/gateway/daemon.py
+++ b/rowanport/gateway/daemon.py
@@ -6,6 +6,7 @@
 import structlog
 
 from ..clock import SystemClock
+from ..diversion import Diversion
 from ..incarnation import new_incarnation
 from ..membership import Membership
 from ..membership import MembershipLoop
@@ -254,6 +255,8 @@
         self.crashes.on_blocklist_change = self._blocklist.on_blocked
         self.crashes.on_blocked_answered = self._blocklist.on_blocked_answered
         self.refusals = Refusals(self.clock)
+        self.diversion = Diversion(settings.link_rate)
+        self._diverted = False
         self.stopping = GracefulStop(self.members, self.clock)
         self.forwarder = Forwarder(self)
         self.crashes.on_blocked = self.forwarder.abort
@@ -302,6 +305,25 @@
             return False
         return self.members.own_entry.state == READY
 
+    @property
+    def diverts(self):
+        """Return whether new callers should go to other routers.
+
+        Without another ready router they could go nowhere.
+        """
+        now = self.clock.steady()
+        active = self.diversion.is_active(now)
+        # Known peers count, alive or not: on a full link none seems alive.
+        diverts = active and self.members.knows_peers
+        if diverts is not self._diverted:
+            self._diverted = diverts
+            share = round(self.diversion.share(now), 2)
+            LOG.info(
+                "callers_diverted" if diverts else "callers_welcome",
+                link_share=share,
+            )
+        return diverts
+
     def loop_silences(self):
         """Return the seconds since the last heartbeat, by loop."""
         return self._loops.silences()
--- a/rowanport/gateway/forwarder.py
+++ b/rowanport/gateway/forwarder.py
@@ -30,6 +30,10 @@
     async def handle(self, request, responder):
         """Answer an HttpRequest, also if it fails."""
         arrived = self._clock.steady()
+        self._gateway.diversion.record(len(request.body), arrived)
+        if self._gateway.diverts:
+            # The caller's next connection goes to another router.
+            responder.closing = True
         job = None
         try:
             job = self._admit(request, arrived)
@@ -48,6 +52,8 @@
             raise
         finally:
             self._stopping.release(job)
+            now = self._clock.steady()
+            self._gateway.diversion.record(responder.sent, now)
 
     def _admit(self, request, arrived):
         """Return the Job of a request.
--- a/rowanport/gateway/metrics.py
+++ b/rowanport/gateway/metrics.py
@@ -62,6 +62,10 @@
         self.relayed_connections = self._counter(
             "relayed_connections", "Connections through peers, by outcome"
         )
+        self.diverts = self._gauge(
+            "diverts_callers",
+            "Whether the own link is so full that new" " callers go elsewhere",
+        )
         self.tunnels = self._gauge(
             "tunnels", "Connections relayed for peers now"
         )
--- a/rowanport/gateway/settings.py
+++ b/rowanport/gateway/settings.py
@@ -20,6 +20,8 @@
         window
     :ivar retry_slack: additional retries of the whole fleet within a window
     :ivar retry_window: length of that window
+    :ivar link_rate: bytes a second that the instance's network link passes, 0
+        if that is not known
     """
 
     __slots__ = (
@@ -35,10 +37,12 @@
         "retry_ratio",
         "retry_slack",
         "retry_window",
+        "link_rate",
     )
 
-    def __init__(self, **values):
-        for slot in self.__slots__:
+    def __init__(self, link_rate=0.0, **values):
+        self.link_rate = link_rate
+        for slot in self.__slots__[:-1]:
             setattr(self, slot, values[slot])
 
 
--- a/rowanport/platform/settings.py
+++ b/rowanport/platform/settings.py
@@ -44,6 +44,12 @@
         raise SettingsError(f"{path}: {error} is missing") from None
 
 
+def _read_link_rate(fields):
+    """Return the link's rate in bytes a second, 0 if it is not told."""
+    megabits = (fields.get("limits") or {}).get("link_mbps") or 0
+    return megabits * 1e6 / 8
+
+
 def _decode(fields, secret):
     bounds = fields["bounds"]
     listen = fields["listen"]
@@ -60,5 +66,6 @@
         retry_ratio=bounds["retry_budget_ratio"],
         retry_slack=bounds["retry_slack"],
         retry_window=bounds["budget_window_s"],
+        link_rate=_read_link_rate(fields),
     )
     return PlatformSettings(gateway, fields["platform"]["address"])
--- a/rowanport/web/server.py
+++ b/rowanport/web/server.py
@@ -95,6 +95,7 @@
     """Sends the answer to one request, whole or piece by piece.
 
     :ivar dropped: whether the server itself gives the request up
+    :ivar sent: bytes sent so far
     """
 
     def __init__(self, connection, writer, server):
@@ -105,6 +106,7 @@
         self.started = False
         self.finished = False
         self.closing = False
+        self.sent = 0
 
     async def start(self, status, headers):
         """Send the head; without content-length the body is chunked."""
@@ -144,6 +146,7 @@
     async def _send(self, event):
         data = self._connection.send(event)
         if data:
+            self.sent += len(data)
             self._writer.write(data)
             await self._writer.drain()
 
