--- a/rowanport/gateway/forwarder.py
+++ b/rowanport/gateway/forwarder.py
@@ -112,7 +112,9 @@
         gateway.retries.record_request(job.service)
         if gateway.congestion.should_refuse(job.request):
             raise RequestError(
-                ErrorKind.OVERLOADED, "network link of the router is congested"
+                ErrorKind.OVERLOADED,
+                "network link of the router is congested",
+                elsewhere=True,
             )
         if job.takes_up:
             await gateway.streams.bind(job)
