--- a/rowanport/errors.py
+++ b/rowanport/errors.py
@@ -115,19 +115,10 @@
         effect is known better than its kind says
     :param come_back_at: steady time from which on it may be served, if that
         is known
-    :param elsewhere: whether another router may serve it at once
     """
 
-    def __init__(
-        self,
-        kind,
-        detail="",
-        outcome=None,
-        come_back_at=None,
-        elsewhere=False,
-    ):
+    def __init__(self, kind, detail="", outcome=None, come_back_at=None):
         super().__init__(detail or kind.value)
-        self.elsewhere = elsewhere
         self.kind = kind
         self.come_back_at = come_back_at
         self.detail = detail or kind.value.replace("_", " ")
--- a/rowanport/gateway/forwarder.py
+++ b/rowanport/gateway/forwarder.py
@@ -112,9 +112,7 @@
         gateway.retries.record_request(job.service)
         if gateway.congestion.should_refuse(job.request):
             raise RequestError(
-                ErrorKind.OVERLOADED,
-                "network link of the router is congested",
-                elsewhere=True,
+                ErrorKind.OVERLOADED, "network link of the router is congested"
             )
         if job.takes_up:
             await gateway.streams.bind(job)
--- a/rowanport/gateway/freshness_tracker.py
+++ b/rowanport/gateway/freshness_tracker.py
@@ -124,7 +124,6 @@
             raise RequestError(
                 ErrorKind.NOT_READY,
                 f"view of the fleet last confirmed {self.age:.1f} s ago",
-                elsewhere=True,
             )
 
     def register_watch(self, name, age, reach):
--- a/rowanport/gateway/refusals.py
+++ b/rowanport/gateway/refusals.py
@@ -13,9 +13,6 @@
 # deadlines.
 RETRY_AFTER = 0.1
 RETRY_JITTER = 0.3
-# The same where another router may serve a request at once: retries of callers
-# go to other routers.
-ELSEWHERE_JITTER = 0.02
 # Upper bound of the retry time, as a share of the time until the caller's
 # deadline, so that the retry can still be served.
 MAX_RETRY_SHARE = 0.5
@@ -50,8 +47,6 @@
 
     def _retry_seconds(self, error, job):
         now = self._clock.steady()
-        if error.elsewhere:
-            return random.uniform(0, ELSEWHERE_JITTER)
         seconds = RETRY_AFTER
         if error.come_back_at is not None:
             seconds = max(seconds, error.come_back_at - now)
