--- a/test/test_prepaid_spent.py
+++ b/test/test_prepaid_spent.py
@@ -191,3 +191,56 @@
         assert 600 <= min(keeper.no_loan(BUDGET).spent for keeper in keepers)
         assert max(world.spent_as_known()) <= 2400
     world.close()
+
+
+# The load replayed: budgets that are used up or reserved to the last tokens,
+# and callers that come back for them.  In a fleet of 17 routers whose tokens
+# were lost with a loss of power, 183 of 198 batches in 12 s drew nothing.
+
+
+def hold_all(fleet):
+    """Let requests that run for long hold all tokens of the budget."""
+    world = fleet.world
+    for address in fleet.borrowers * 2:
+        world.request(address, 4000, 0, 200.0)
+        world.advance(0.5)
+
+
+def ask_for(fleet, seconds):
+    """Ask two routers often for tokens; return the draws on the budget."""
+    world = fleet.world
+    draws = []
+    apply = world.apply
+
+    def count(writes):
+        draws.extend(w for w in writes if w.key == BUDGET_PREFIX + BUDGET)
+        return apply(writes)
+
+    with mock.patch.object(world, "apply", count):
+        for step in range(int(16 * seconds)):
+            world.request(fleet.borrowers[step % 2], 6000, 6000, 0.1)
+            world.advance(1 / 16)
+    return len(draws)
+
+
+@pytest.mark.parametrize("seed", range(2))
+def test_an_exhausted_budget_is_drawn_on_ever_more_rarely(seed):
+    fleet = SettledFleet(total=60000, seed=seed)
+    hold_all(fleet)
+    first = ask_for(fleet, 10.0)
+    ask_for(fleet, 20.0)
+    later = ask_for(fleet, 10.0)
+    assert later < first, f"{first} draws at first, {later} later"
+    fleet.world.check()
+    fleet.world.close()
+
+
+def test_a_top_up_of_an_exhausted_budget_is_drawn_at_once():
+    fleet = SettledFleet(total=60000, seed=1)
+    hold_all(fleet)
+    ask_for(fleet, 30.0)
+    fleet.world.set_total(100000)
+    fleet.world.advance(0.5)
+    use(fleet.world, fleet.borrowers[0], 6000)
+    fleet.world.check()
+    fleet.world.close()
