Views: a router that just started learns of evacuations at once

Cause: a peer told evacuations only to routers that it knows to speak the protocol, and knows nobody in the first moments after a start, when a router asks most: its first answers confirmed its views without them.

Change: they are left out only for known routers of an earlier build. An unknown one of an earlier build fails to read such an answer until gossip has named it.

--- a/rowanport/gateway/views.py
+++ b/rowanport/gateway/views.py
@@ -265,7 +265,7 @@
             self.limits.merge(message.limits, message.asker)
             give.limits = self.limits.rows()
         self._add_updates(message, give)
-        if self._members.speaks(message.asker, EVACUATIONS_PROTOCOL):
+        if not self._members.predates(message.asker, EVACUATIONS_PROTOCOL):
             give.evacuations = self.evacuations.revision
             give.evacuated = sorted(self.evacuations.data_centres)
         return give
--- a/rowanport/membership/members.py
+++ b/rowanport/membership/members.py
@@ -340,6 +340,18 @@
             for name, member in self._members.items()
         )
 
+    def predates(self, address, protocol):
+        """Return whether a known router speaks earlier protocols only.
+
+        One that is not known yet has just started, and most likely runs the
+        newest build.
+
+        :param address: its peer address
+        :param protocol: number of the protocol
+        """
+        known = any(m.address == address for m in self._members.values())
+        return known and not self.speaks(address, protocol)
+
     def is_known(self, incarnation):
         """Return whether a router is a known member, alive or not."""
         return incarnation in self._members
--- a/test/test_membership.py
+++ b/test/test_membership.py
@@ -335,3 +335,21 @@
     assert members.speaks("10.0.0.3:1", 2)
     assert not members.speaks("10.0.0.4:1", 1)
     assert protocol_of(new_incarnation("cell", "10.0.0.1:1")) == PROTOCOL
+
+
+def test_only_a_known_router_of_an_earlier_build_predates_a_protocol():
+    clock = ManualClock(0.0)
+    own = new_incarnation("cell", "10.0.0.1:1")
+    members = Membership(own, "hall-a", membership_settings(), clock)
+    old = MemberEntry("cell/10.0.0.2:1/abc.2", "hall-a", 1, READY, 0)
+    new = MemberEntry(
+        new_incarnation("cell", "10.0.0.3:1"), "hall-a", 1, READY, 0
+    )
+    members.merge(Gossip([old, new]))
+    assert members.predates("10.0.0.2:1", PROTOCOL)
+    assert not members.predates("10.0.0.2:1", 2)
+    assert not members.predates("10.0.0.3:1", PROTOCOL)
+    assert not members.predates("10.0.0.4:1", PROTOCOL)
+    addresses = members.addresses
+    assert addresses == ("10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1")
+    assert members.addresses is addresses
--- a/test/test_views.py
+++ b/test/test_views.py
@@ -59,8 +59,8 @@
     def set_config(self, version):
         self.version = version
 
-    def speaks(self, address, protocol):
-        return True
+    def predates(self, address, protocol):
+        return False
 
 
 class Table:
@@ -202,8 +202,8 @@
 class OlderMembers(FewMembers):
     """Peers that speak an earlier protocol."""
 
-    def speaks(self, address, protocol):
-        return False
+    def predates(self, address, protocol):
+        return True
 
 
 def test_peers_of_an_earlier_build_get_the_answers_that_they_know():
