--- a/rowanport/evacuations/state.py
+++ b/rowanport/evacuations/state.py
@@ -1,7 +1,5 @@
 """The evacuated data centres at one revision of the store."""
 
-import math
-
 
 class EvacuationChange:
     """A change of one data centre's record.
@@ -53,9 +51,9 @@
     def returned_at(self, data_centre):
         """Return when the last evacuation of a data centre was seen to end.
 
-        :returns: monotonic time, minus infinity if none was seen
+        :returns: monotonic time, None if none was seen
         """
-        return self._returned_at.get(data_centre, -math.inf)
+        return self._returned_at.get(data_centre)
 
     def replace(self, revision, data_centres, now):
         """Replace the state by a complete one if that is newer.
--- a/rowanport/gateway/cold_starts.py
+++ b/rowanport/gateway/cold_starts.py
@@ -49,12 +49,15 @@
         :param record: the Upstream
         :returns: a time in the past if it is warm
         """
-        entry = max(record.cold_until, self._answered.get(record.run.name, 0))
-        service = self._service(record)
-        returned_at = self._gateway.views.evacuations.returned_at(
-            record.data_centre
-        )
-        return max(entry, returned_at + service.cold_start + ENTRY_LAG)
+        until = record.cold_until
+        if self._answered:
+            until = max(until, self._answered.get(record.run.name, until))
+        evacuations = self._gateway.views.evacuations
+        returned_at = evacuations.returned_at(record.data_centre)
+        if returned_at is None:
+            return until
+        cold_start = self._service(record).cold_start
+        return max(until, returned_at + cold_start + ENTRY_LAG)
 
     def _service(self, record):
         table = self._gateway.table
