Read as a newcomer: names, a log line, a default

is_diverting() logs changes, so it is no property; a health answer that names no cold time writes no upstream_cold; the default of link_rate stands with the other settings.

--- a/rowanport/gateway/cold_starts.py
+++ b/rowanport/gateway/cold_starts.py
@@ -76,8 +76,10 @@
         name = record.run.name
         known = self._answered.get(name)
         until = cold_until(known, parse_cold_time(text), now)
-        if until != known:
-            self._answered[name] = until
+        if until == known:
+            return
+        self._answered[name] = until
+        if until > now:
             LOG.info(
                 "upstream_cold",
                 upstream=name,
--- a/rowanport/gateway/daemon.py
+++ b/rowanport/gateway/daemon.py
@@ -305,11 +305,10 @@
             return False
         return self.members.own_entry.state == READY
 
-    @property
-    def diverts(self):
+    def is_diverting(self):
         """Return whether new callers should go to other routers.
 
-        Without another ready router they could go nowhere.
+        Without peers they could go nowhere.  Changes are logged.
         """
         now = self.clock.steady()
         active = self.diversion.is_active(now)
--- a/rowanport/gateway/forwarder.py
+++ b/rowanport/gateway/forwarder.py
@@ -31,7 +31,7 @@
         """Answer an HttpRequest, also if it fails."""
         arrived = self._clock.steady()
         self._gateway.diversion.record(len(request.body), arrived)
-        if self._gateway.diverts:
+        if self._gateway.is_diverting():
             # The caller's next connection goes to another router.
             responder.closing = True
         job = None
--- a/rowanport/gateway/health.py
+++ b/rowanport/gateway/health.py
@@ -28,7 +28,7 @@
 
     async def _handle(self, request, responder):
         if request.path == "/readyz":
-            welcome = self._gateway.ready and not self._gateway.diverts
+            welcome = self._gateway.ready and not self._gateway.is_diverting()
             status = 200 if welcome else 503
             return await responder.reply(status)
         if request.path == "/metrics":
@@ -50,7 +50,7 @@
         metrics.evacuated.set({}, len(evacuations.data_centres))
         metrics.unreadable_evacuations.set({}, evacuations.unreadable)
         metrics.cold_upstreams.set({}, len(gateway.cold.rows()))
-        metrics.diverts.set({}, int(gateway.diverts))
+        metrics.diverts.set({}, int(gateway.is_diverting()))
         metrics.logs_dropped.set({}, logs.dropped())
         version = gateway.table.version if gateway.table else 0
         metrics.config_version.set({}, version)
--- a/rowanport/gateway/metrics.py
+++ b/rowanport/gateway/metrics.py
@@ -64,7 +64,7 @@
         )
         self.diverts = self._gauge(
             "diverts_callers",
-            "Whether the own link is so full that new" " callers go elsewhere",
+            "Whether new callers go elsewhere, as the own link fills up",
         )
         self.tunnels = self._gauge(
             "tunnels", "Connections relayed for peers now"
--- a/rowanport/gateway/settings.py
+++ b/rowanport/gateway/settings.py
@@ -40,9 +40,9 @@
         "link_rate",
     )
 
-    def __init__(self, link_rate=0.0, **values):
-        self.link_rate = link_rate
-        for slot in self.__slots__[:-1]:
+    def __init__(self, **values):
+        values.setdefault("link_rate", 0.0)
+        for slot in self.__slots__:
             setattr(self, slot, values[slot])
 
 
--- a/test/test_diversion.py
+++ b/test/test_diversion.py
@@ -156,7 +156,7 @@
             gateway.diversion = Diversion(1000.0)
             gateway.diversion.record(10000, gateway.clock.steady())
             # Alone it has nowhere to send its callers.
-            assert not gateway.diverts
+            assert not gateway.is_diverting()
             entry = MemberEntry(
                 "north/10.0.0.9:1/run.3", "hall-a", 1, READY, 0
             )
