Revert "Draws on an exhausted budget: pauses double while nothing is there"

After such a loss each router gives back to the store what its last run held, and nobody announces that: who found the store empty before waits up to 16 s.

--- a/rowanport/prepaid/refill.py
+++ b/rowanport/prepaid/refill.py
@@ -16,10 +16,8 @@
 LOG = structlog.get_logger(__name__)
 
 # Seconds without further draws on a budget after the store had too few of its
-# tokens: at first, and at most, as they double while nothing can be drawn.
-# Returned tokens and a higher total end them.
+# tokens.
 STORE_EMPTY_SECONDS = 2.0
-LONGEST_EMPTY_SECONDS = 16.0
 # Minimum time in seconds between two records that only raise limits.
 WIDEN_PAUSE = 0.35
 # Seconds after the start before the first draw for which no request waits, in
@@ -29,20 +27,6 @@
 LARGE_DRAW_SECONDS = 4.0
 
 
-class _EmptyBudget:
-    """A budget of which the store had too few tokens.
-
-    :ivar until: monotonic time until which no more are drawn
-    :ivar seconds: how long to wait once the store has too few again
-    """
-
-    __slots__ = ("until", "seconds")
-
-    def __init__(self):
-        self.until = 0.0
-        self.seconds = STORE_EMPTY_SECONDS
-
-
 class Refill:
     """Decides what to draw and to return, and when to write limits.
 
@@ -64,7 +48,7 @@
         self._clock = clock
         self._notifier = notifier
         self._totals = ({}, 0)
-        self._empty_budgets = {}
+        self._store_empty_until = {}
         self._drawn = set()
         self._allowances = Allowances()
         self._writer = BatchWriter(
@@ -99,7 +83,7 @@
         """Apply totals by budget, and their configuration's version."""
         for name, total in totals.items():
             if total != self._totals[0].get(name):
-                self._empty_budgets.pop(name, None)
+                self._store_empty_until.pop(name, None)
         self._totals = (totals, version)
 
     def headroom(self, account):
@@ -113,8 +97,7 @@
 
     def is_store_empty(self, name):
         """Return whether the store recently had too few of its tokens."""
-        empty = self._empty_budgets.get(name)
-        return empty is not None and self._clock.steady() < empty.until
+        return self._clock.steady() < self._store_empty_until.get(name, 0.0)
 
     def release(self):
         """Stop drawing, and write limits that let out all held tokens."""
@@ -173,7 +156,7 @@
             if not needed and too_early:
                 continue
             draw = account.planned_draw(self._holders.sharer_count(name), now)
-            if draw > 0 and self.is_store_empty(name):
+            if draw > 0 and now < self._store_empty_until.get(name, 0.0):
                 continue
             if draw or account.recalled:
                 draws[name] = draw
@@ -294,10 +277,7 @@
         if account is not None and self._writer.batch is None:
             # During a batch the record may count spent tokens that this router
             # still takes for unreported.
-            record = self._writer.record(name)
-            account.recorded = record.spent
-            if record.remaining > 0:
-                self._empty_budgets.pop(name, None)
+            account.recorded = self._writer.record(name).spent
 
     def reportable_spent(self, account):
         """Return the tokens spent here to report to a lender.
@@ -385,24 +365,11 @@
             elif not self._holders.is_holder(name):
                 self._drawn.discard(name)
             if moved < requested:
-                self._record_empty(name, now, drew=moved > 0)
-            elif drawn:
-                self._empty_budgets.pop(name, None)
+                self._store_empty_until[name] = now + STORE_EMPTY_SECONDS
         if batch.planned_draws:
             LOG.info("budget_batch", number=batch.number, moves=batch.moves)
         return True
 
-    def _record_empty(self, name, now, drew):
-        """Record that the store had too few tokens of a budget.
-
-        :param drew: whether it had some
-        """
-        empty = self._empty_budgets.get(name)
-        if empty is None or drew:
-            empty = self._empty_budgets[name] = _EmptyBudget()
-        empty.until = now + empty.seconds
-        empty.seconds = min(LONGEST_EMPTY_SECONDS, 2 * empty.seconds)
-
     def _is_released(self, batch):
         """Return whether a batch's limits let out all held tokens."""
         return not batch.record.unspent(0.0)
