--- a/rowanport/gateway/congestion.py
+++ b/rowanport/gateway/congestion.py
@@ -14,9 +14,6 @@
 # A longer round trip to a peer (in seconds) counts as slow: within a region
 # one takes less than 10 ms.
 SLOW_ROUND_TRIP = 0.04
-# Round trip (in seconds) from which large requests are rejected: with a
-# shorter one they are still in time here, and a rejection costs more.
-REJECT_ROUND_TRIP = 0.25
 # Number of consecutive round trips, to random peers, that must all be slow:
 # one or two peers may be slow themselves.
 SLOW_SAMPLES = 3
@@ -75,8 +72,4 @@
 
     def should_refuse(self, request):
         """Return whether an HttpRequest should be left to another router."""
-        if len(request.body) < LARGE_BODY or not self.congested:
-            return False
-        return all(
-            seconds > REJECT_ROUND_TRIP for seconds, _at in self._round_trips
-        )
+        return len(request.body) >= LARGE_BODY and self.congested
