Diversion: a comment names the average that its half-life is of

Cause: "measured rate" reads as if a value had been measured. Only the comment changes. Lint of the folder and test_diversion run; the suite was not run again.

--- a/rowanport/diversion/diversion.py
+++ b/rowanport/diversion/diversion.py
@@ -2,8 +2,9 @@
 
 from ..rates import DecayingRate
 
-# Half-life in seconds of the measured rate: shorter than a burst that a link
-# holds up for longer than a caller waits, longer than a large request takes.
+# Half-life in seconds of the average of bytes: shorter than a burst that a
+# link holds up for longer than a caller waits, longer than a large request
+# takes.
 RATE_HALF_LIFE = 0.4
 # Share of the link's rate from which new callers are sent elsewhere, well
 # before bytes have to wait: the platform takes two seconds to act.
