--- a/rowanport/gateway/daemon.py
+++ b/rowanport/gateway/daemon.py
@@ -52,6 +52,7 @@
 from .refusals import Refusals
 from .retry_allowances import RetryAllowances
 from .settings import split_address
+from .state_exchange import StateExchange
 from .stopping import GracefulStop
 from .store_watchers import update_recipients
 from .stream_sync import StreamSync
@@ -255,6 +256,7 @@
         self.crashes.on_blocklist_change = self._blocklist.on_blocked
         self.crashes.on_blocked_answered = self._blocklist.on_blocked_answered
         self.refusals = Refusals(self.clock)
+        self.state = StateExchange(self._peers, self.members, settings.peers)
         self.diversion = Diversion(settings.link_rate)
         self._diverted = False
         self.stopping = GracefulStop(self.members, self.clock)
@@ -379,6 +381,7 @@
             messages.RetryPermitAsk: self.retries.lend,
             messages.StreamNews: self.streams.receive,
             messages.StreamAsk: self.streams.answer,
+            messages.StateReport: self.state.answer,
             messages.RelayLeaving: self._handle_relay_leaving,
         }
 
@@ -442,6 +445,7 @@
         self._loops.start("retries", self.retries.run, STORE_LOOP_TIMEOUT)
         self._loops.start("blocklist", self._blocklist.run, LOOP_TIMEOUT)
         self._loops.start("links", self._link_monitor.run, LOOP_TIMEOUT)
+        self._loops.start("state", self.state.run, LOOP_TIMEOUT)
 
     def _count_restart(self, loop):
         self.metrics.loop_restarts.inc({"loop": loop})
--- a/rowanport/incarnation.py
+++ b/rowanport/incarnation.py
@@ -13,8 +13,10 @@
 # Increases with each kind of message that is sent without being asked for.
 # 2: versions of streams, permits to retry.
 # 3: evacuated data centres in the answers to polls.
-PROTOCOL = 3
+# 4: reports of state to the routers that collect them.
+PROTOCOL = 4
 EVACUATIONS_PROTOCOL = 3
+STATE_PROTOCOL = 4
 # The protocol of runs that name none.
 FIRST_PROTOCOL = 1
 
--- a/rowanport/schema/messages.py
+++ b/rowanport/schema/messages.py
@@ -2935,6 +2935,101 @@
         )
 
 
+class StateRow(Message):
+    """What one component reports of its state.
+
+    :ivar name: name of the component
+    :ivar data: its state, in the component's own encoding
+    """
+
+    __slots__ = (
+        "name",
+        "data",
+    )
+    KIND = 0
+
+    def __init__(self, name, data):
+        self.name = name
+        self.data = data
+
+    def to_wire(self):
+        """Return the fields as plain values, in the schema's order."""
+        return [
+            self.name,
+            self.data,
+        ]
+
+    @classmethod
+    def from_wire(cls, values):
+        """Build one from plain values; raise MessageError if unfit."""
+        check_length(cls, values, 2)
+        return cls(
+            as_str(values[0]),
+            as_bytes(values[1]),
+        )
+
+
+class StateReport(Message):
+    """Report the state of components to a router that collects it, and ask for the fleet's.
+
+    :ivar sender: peer address of the reporting router
+    :ivar rows: its state, by component
+    """
+
+    __slots__ = (
+        "sender",
+        "rows",
+    )
+    KIND = 90
+
+    def __init__(self, sender, rows):
+        self.sender = sender
+        self.rows = rows
+
+    def to_wire(self):
+        """Return the fields as plain values, in the schema's order."""
+        return [
+            self.sender,
+            [item.to_wire() for item in self.rows],
+        ]
+
+    @classmethod
+    def from_wire(cls, values):
+        """Build one from plain values; raise MessageError if unfit."""
+        check_length(cls, values, 2)
+        return cls(
+            as_str(values[0]),
+            as_list(values[1], StateRow.from_wire),
+        )
+
+
+class FleetState(Message):
+    """The state of the fleet, as far as a router that collects it knows.
+
+    :ivar rows: the state of the fleet, by component
+    """
+
+    __slots__ = ("rows",)
+    KIND = 91
+
+    def __init__(self, rows):
+        self.rows = rows
+
+    def to_wire(self):
+        """Return the fields as plain values, in the schema's order."""
+        return [
+            [item.to_wire() for item in self.rows],
+        ]
+
+    @classmethod
+    def from_wire(cls, values):
+        """Build one from plain values; raise MessageError if unfit."""
+        check_length(cls, values, 1)
+        return cls(
+            as_list(values[0], StateRow.from_wire),
+        )
+
+
 BY_KIND = {
     1: Challenge,
     2: Proof,
@@ -2982,4 +3077,6 @@
     64: BudgetNews,
     80: PlacementAsk,
     81: Placement,
+    90: StateReport,
+    91: FleetState,
 }
--- a/test/test_loop_heartbeats.py
+++ b/test/test_loop_heartbeats.py
@@ -151,6 +151,7 @@
         "router_list": (gateway._membership, "_read_list"),
         "budgets": (gateway.budgets._refill, "sync"),
         "blocklist": (gateway._blocklist, "_load_and_save"),
+        "state": (gateway.state, "exchange"),
     }[name]
     return mock.patch.object(owner, method, hang)
 
@@ -176,6 +177,7 @@
     "blocklist",
     "links",
     "retries",
+    "state",
 )
 
 
--- a/test/test_supervision.py
+++ b/test/test_supervision.py
@@ -173,6 +173,7 @@
         "blocklist": (gateway._blocklist, "_load_and_save"),
         "links": (gateway._link_monitor, "_find_silence"),
         "retries": (gateway.retries, "_log_share"),
+        "state": (gateway.state, "exchange"),
     }
 
 
@@ -232,6 +233,7 @@
         "blocklist",
         "links",
         "retries",
+        "state",
     ):
         with failing(gateway, name):
             await platform.wait(lambda: restarts(gateway, name) > 0)
