--- a/rowanport/gateway/daemon.py
+++ b/rowanport/gateway/daemon.py
@@ -54,6 +54,7 @@
 from .settings import split_address
 from .state_exchange import StateExchange
 from .stopping import GracefulStop
+from .store_watchers import FULL_MESH_LIMIT
 from .store_watchers import update_recipients
 from .stream_sync import StreamSync
 from .views import Views
@@ -307,6 +308,16 @@
             return False
         return self.members.own_entry.state == READY
 
+    @property
+    def large_fleet(self):
+        """Return whether what only pays in a large fleet is used.
+
+        Up to FULL_MESH_LIMIT other routers, each hears of all long prompts.
+        """
+        if self.settings.large_fleet is not None:
+            return self.settings.large_fleet
+        return len(self.members.addresses) > FULL_MESH_LIMIT + 1
+
     def is_diverting(self):
         """Return whether new callers should go to other routers.
 
--- a/rowanport/gateway/settings.py
+++ b/rowanport/gateway/settings.py
@@ -22,6 +22,9 @@
     :ivar retry_window: length of that window
     :ivar link_rate: bytes a second that the instance's network link passes, 0
         if that is not known
+    :ivar large_fleet: whether to use what only pays in a large fleet, whose
+        routers each see a small part of the requests; None decides by the
+        number of routers
     """
 
     __slots__ = (
@@ -38,10 +41,12 @@
         "retry_slack",
         "retry_window",
         "link_rate",
+        "large_fleet",
     )
 
     def __init__(self, **values):
         values.setdefault("link_rate", 0.0)
+        values.setdefault("large_fleet", None)
         for slot in self.__slots__:
             setattr(self, slot, values[slot])
 
