--- a/rowanport/gateway/choice.py
+++ b/rowanport/gateway/choice.py
@@ -7,13 +7,16 @@
 that no engine would begin in time is rejected.
 
 Plain services: the least busy upstream, with a preference for the local data
-centre.
+centre.  In a large fleet a random one, in proportion to free room.
 """
 
 import abc
 import math
+import random
 
 from ..hashing import rendezvous
+from ..placement import Candidate
+from ..placement import select
 from ..scheduling import Overload
 
 # Share of the objective within which an engine's expected wait counts as in
@@ -189,13 +192,38 @@
 class NearestChoice(Choice):
     """Policy for plain services: the least busy one, local ones first.
 
+    In a large fleet the load of all routers decides, otherwise the requests
+    of this one.
+
     :param data_centre: name of this router's data centre
+    :param replicas: the ReplicaState, None for none
+    :param rng: a random.Random, by default one with a random seed
     """
 
-    def __init__(self, data_centre):
+    def __init__(self, data_centre, replicas=None, rng=None):
         self._data_centre = data_centre
+        self._replicas = replicas
+        self._random = rng or random.Random()
 
     def choose(self, candidates, job, now):
+        if self._replicas is not None and self._replicas.active:
+            return self._choose_by_fleet(candidates, now)
+        return self._choose_by_own(candidates, job)
+
+    def _choose_by_fleet(self, candidates, now):
+        """Select by the load of the whole fleet."""
+        rows = [
+            Candidate(
+                state.record.data_centre == self._data_centre,
+                state.record.slots,
+                self._replicas.load(state.record, now),
+            )
+            for state in candidates
+        ]
+        return candidates[select(rows, now, self._random)]
+
+    def _choose_by_own(self, candidates, job):
+        """Select by this router's own requests."""
         ids = [state.record.id for state in candidates]
         order = rendezvous(job.affinity or job.id, ids)
         rank = {name: index for index, name in enumerate(order)}
--- /dev/null
+++ b/rowanport/placement/selection.py
@@ -0,0 +1,95 @@
+"""Selects the replica of a request by free room."""
+
+# Seconds for which a replica that turned a request away comes last: by then
+# its queue has moved on, or another router has told.
+REJECTION_SECONDS = 0.5
+# Relative excess of the expected time to answer up to which a local replica
+# is as good as the best one, and from which on it gets no preference.  The
+# mean of .5 s of answers is exact to about an eighth.
+EQUAL_EXCESS = 0.25
+WORSE_EXCESS = 0.75
+# Outstanding requests, in multiples of its slots, at which a replica has no
+# room left: its queue holds about four times what it works on.
+ROOM_SLOTS = 5.0
+# Share of its room that a full replica counts with, as the state is old.
+LEAST_ROOM = 0.05
+
+
+class Candidate:
+    """A replica to which a request may be sent.
+
+    :ivar local: whether it is in the router's own data centre
+    :ivar slots: requests that it runs at once, 1 at least
+    :ivar load: its ReplicaLoad
+    :ivar speed: requests a second that it answers when it is busy
+    :ivar delay: expected seconds until it would answer one more request
+    """
+
+    __slots__ = ("local", "slots", "load", "speed", "delay")
+
+    def __init__(self, local, slots, load):
+        self.local = local
+        self.slots = max(1, slots)
+        self.load = load
+        self.speed = self.delay = 0.0
+
+    def estimate(self, usual_seconds):
+        """Estimate speed and delay from the recent answers.
+
+        :param usual_seconds: time to answer if there were no answers
+        """
+        load = self.load
+        seconds = load.seconds or usual_seconds
+        # By Little's law, unless slots were idle.
+        self.speed = max(load.outstanding, self.slots) / seconds
+        self.delay = max(load.outstanding + 1, self.slots) / self.speed
+
+    @property
+    def weight(self):
+        """Return its part of random choices: free room, by its speed."""
+        used = self.load.outstanding / (ROOM_SLOTS * self.slots)
+        return self.speed * max(LEAST_ROOM, 1.0 - used)
+
+
+def select(candidates, now, rng):
+    """Return the position of the candidate to which a request is sent.
+
+    The choice is random in proportion to free room, because all routers know
+    the same state for half a second: would they all take the best replica, it
+    would be the most loaded one by then.
+
+    :param candidates: Candidates, at least one
+    :param now: monotonic time in seconds
+    :param rng: a random.Random
+    """
+    accepting = [
+        one
+        for one in candidates
+        if now >= one.load.rejected_at + REJECTION_SECONDS
+    ] or list(candidates)
+    known = [one.load.seconds for one in accepting if one.load.seconds]
+    usual = sum(known) / len(known) if known else 1.0
+    for one in accepting:
+        one.estimate(usual)
+    local = [one for one in accepting if one.local]
+    if local and rng.random() < _preference(local, accepting):
+        accepting = local
+    return candidates.index(_draw(accepting, rng))
+
+
+def _preference(local, accepting):
+    """Return the probability with which only local replicas count.
+
+    It falls off evenly, so that the routers of a data centre do not all
+    change their minds at once.
+    """
+    best = min(one.delay for one in accepting)
+    excess = min(one.delay for one in local) / best - 1.0
+    return (WORSE_EXCESS - excess) / (WORSE_EXCESS - EQUAL_EXCESS)
+
+
+def _draw(candidates, rng):
+    """Draw two candidates by weight; return the one that answers sooner."""
+    weights = [one.weight for one in candidates]
+    first, second = rng.choices(candidates, weights, k=2)
+    return min(first, second, key=lambda one: one.load.own)
