--- a/rowanport/gateway/choice.py
+++ b/rowanport/gateway/choice.py
@@ -192,8 +192,8 @@
 class NearestChoice(Choice):
     """Policy for plain services: the least busy one, local ones first.
 
-    In a large fleet the load of all routers decides, otherwise the requests
-    of this one.
+    In a large fleet the load of all routers decides.  Otherwise, or while
+    that is not known, the requests of this one do.
 
     :param data_centre: name of this router's data centre
     :param replicas: the ReplicaState, None for none
@@ -206,21 +206,23 @@
         self._random = rng or random.Random()
 
     def choose(self, candidates, job, now):
-        if self._replicas is not None and self._replicas.active:
-            return self._choose_by_fleet(candidates, now)
-        return self._choose_by_own(candidates, job)
-
-    def _choose_by_fleet(self, candidates, now):
-        """Select by the load of the whole fleet."""
-        rows = [
-            Candidate(
-                state.record.data_centre == self._data_centre,
-                state.record.slots,
-                self._replicas.load(state.record, now),
-            )
-            for state in candidates
+        if self._replicas is None or not self._replicas.active:
+            return self._choose_by_own(candidates, job)
+        rows = {state: self._candidate(state, now) for state in candidates}
+        if self._replicas.is_informed(now):
+            index = select(list(rows.values()), now, self._random)
+            return candidates[index]
+        accepting = [
+            state for state, row in rows.items() if row.is_accepting(now)
         ]
-        return candidates[select(rows, now, self._random)]
+        return self._choose_by_own(accepting or candidates, job)
+
+    def _candidate(self, state, now):
+        return Candidate(
+            state.record.data_centre == self._data_centre,
+            state.record.slots,
+            self._replicas.load(state.record, now),
+        )
 
     def _choose_by_own(self, candidates, job):
         """Select by this router's own requests."""
--- a/rowanport/gateway/replica_state.py
+++ b/rowanport/gateway/replica_state.py
@@ -46,7 +46,7 @@
                 min(255, math.ceil(row.answers)),
                 min(65535, round(1000 * row.seconds)),
                 min(255, math.ceil(row.rejections)),
-                int(age),
+                round(age),
             )
         )
     return b"".join(parts)
@@ -109,6 +109,10 @@
         """Record that a replica turned a request away."""
         self._replicas.record_rejection(key_of(record), self._clock.steady())
 
+    def is_informed(self, now):
+        """Return whether the state of the fleet is known."""
+        return self._replicas.is_informed(now)
+
     def load(self, record, now):
         """Return the ReplicaLoad of a replica."""
         return self._replicas.load(key_of(record), now)
--- a/rowanport/placement/replicas.py
+++ b/rowanport/placement/replicas.py
@@ -238,6 +238,10 @@
         """Store the ReplicaRows of all other routers."""
         self._fleet = _Report(rows, now)
 
+    def is_informed(self, now):
+        """Return whether the state of the other routers is known."""
+        return now < self._fleet.at + ENTRY_SECONDS
+
     def load(self, key, now):
         """Return the ReplicaLoad of a replica.
 
@@ -249,7 +253,7 @@
             own.fade(now)
             row.add(own.recent, 1.0)
             outstanding = own.outstanding
-        if now < self._fleet.at + ENTRY_SECONDS:
+        if self.is_informed(now):
             told = self._fleet.rows.get(key)
             if told is not None:
                 row.add(told, 1.0)
--- a/rowanport/placement/selection.py
+++ b/rowanport/placement/selection.py
@@ -45,6 +45,10 @@
         self.speed = max(load.outstanding, self.slots) / seconds
         self.delay = max(load.outstanding + 1, self.slots) / self.speed
 
+    def is_accepting(self, now):
+        """Return whether it turned no request away lately."""
+        return now >= self.load.rejected_at + REJECTION_SECONDS
+
     @property
     def weight(self):
         """Return its part of random choices: free room, by its speed."""
@@ -63,11 +67,8 @@
     :param now: monotonic time in seconds
     :param rng: a random.Random
     """
-    accepting = [
-        one
-        for one in candidates
-        if now >= one.load.rejected_at + REJECTION_SECONDS
-    ] or list(candidates)
+    accepting = [one for one in candidates if one.is_accepting(now)]
+    accepting = accepting or list(candidates)
     known = [one.load.seconds for one in accepting if one.load.seconds]
     usual = sum(known) / len(known) if known else 1.0
     for one in accepting:
--- a/test/placement_model.py
+++ b/test/placement_model.py
@@ -140,9 +140,10 @@
     :param shared: whether the parts for large fleets are used
     :param seed: seed of all random choices
     :param exchanging: whether routers exchange their state
+    :param rate: requests a second of all callers, apart from bursts
     """
 
-    def __init__(self, shared, seed=1, exchanging=True):
+    def __init__(self, shared, seed=1, exchanging=True, rate=RATE):
         self.clock = Clock()
         self.random = random.Random(seed)
         self.result = Result()
@@ -152,6 +153,7 @@
         self._events = []
         self._order = itertools.count()
         self.factor = 1.0
+        self._rate = rate
         share = connection_share(CONNECTIONS, ROUTERS)
         self._share = share if shared else CONNECTIONS
         if exchanging:
@@ -205,7 +207,7 @@
         work = WORK * (LONG_FACTOR if long else 1.0)
         self.result.requests += 1
         self._send(Request(router, now, work))
-        wait = self.random.expovariate(RATE * self.factor)
+        wait = self.random.expovariate(self._rate * self.factor)
         self.at(now + wait, self._arrive, until)
 
     # Routers
@@ -316,12 +318,14 @@
         self._work(replica)
 
 
-def play(shared, seed=1, exchanging=True, events=(), seconds=40.0):
+def play(shared, seed=1, exchanging=True, events=(), seconds=40.0, rate=RATE):
     """Play a model; return its Result.
 
+    Other parameters as of a Model.
+
     :param events: (time, function of the Model and its arguments)
     """
-    model = Model(shared, seed, exchanging)
+    model = Model(shared, seed, exchanging, rate)
     for time, act, *args in events:
         model.at(time, act, model, *args)
     return model.run(seconds)
--- a/test/test_placement.py
+++ b/test/test_placement.py
@@ -297,22 +297,39 @@
         state.record_rejection(near)
     candidates = make_states(near, far)
 
-    class Job:
-        affinity, id = "", "id"
-
     choice = make_choice(state)
     assert choice.choose(candidates, Job, NOW).record is near
     candidates[0].outstanding = 3
     assert choice.choose(candidates, Job, NOW).record is far
 
 
+class Job:
+    affinity, id = "", "id"
+
+
+def test_without_the_fleet_a_router_chooses_by_its_own_requests(states):
+    # Guards against a guess by a sixtieth of the load.
+    state = states[0]
+    near, far = make_record("r1"), make_record("r2", hall="hall-b")
+    candidates = make_states(near, far)
+    choice = make_choice(state)
+    assert choice.choose(candidates, Job, NOW).record is near
+    state.record_rejection(near)
+    assert choice.choose(candidates, Job, NOW).record is far
+    state.record_rejection(far)
+    assert choice.choose(candidates, Job, NOW).record is near
+
+
 def test_a_new_replica_is_chosen_as_soon_as_it_is_listed(states):
     state = states[0]
     old, new = make_record("r1"), make_record("r2")
+    exchange(states[1], states[2], "b")
+    state.apply(states[2].summarize("a"), "c")
     for _request in range(5):
         state.record_send(old)
         state.record_answer(old, 0.07)
+    assert state.is_informed(NOW)
     candidates = make_states(old, new)
     choice = make_choice(state)
-    chosen = {choice.choose(candidates, None, NOW).record.id for _ in range(9)}
+    chosen = {choice.choose(candidates, Job, NOW).record.id for _ in range(9)}
     assert "r2" in chosen
