--- a/rowanport/placement/selection.py
+++ b/rowanport/placement/selection.py
@@ -14,6 +14,14 @@
 ROOM_SLOTS = 5.0
 # Share of its room that a full replica counts with, as the state is old.
 LEAST_ROOM = 0.05
+# Replicas that are drawn by free room.  Of them the one with the fewest
+# requests of this router is taken; with two, near saturation, queues filled
+# up while the state that showed it was on its way.
+DRAWS = 4
+# Requests of this router by which a local replica may have more than another
+# one and still be preferred, and the same while all its slots are in use.
+LOCAL_BONUS = 2
+BUSY_LOCAL_BONUS = 1
 
 
 class Candidate:
@@ -85,16 +93,24 @@
     It falls off evenly, so that the routers of a data centre do not all
     change their minds at once.
     """
+    idle = any(one.load.outstanding < one.slots for one in local)
+    bonus = LOCAL_BONUS if idle else BUSY_LOCAL_BONUS
+    if _least_own(local) > _least_own(accepting) + bonus:
+        return 0.0
     best = min(one.delay for one in accepting)
     excess = min(one.delay for one in local) / best - 1.0
     return (WORSE_EXCESS - excess) / (WORSE_EXCESS - EQUAL_EXCESS)
 
 
+def _least_own(candidates):
+    return min(one.load.own for one in candidates)
+
+
 def _draw(candidates, rng):
-    """Draw two by weight; return the one with fewer requests of this router.
+    """Draw some by weight; return the one with fewest requests of this router.
 
     These are the only ones that are known without delay.
     """
     weights = [one.weight for one in candidates]
-    first, second = rng.choices(candidates, weights, k=2)
-    return min(first, second, key=lambda one: one.load.own)
+    drawn = rng.choices(candidates, weights, k=DRAWS)
+    return min(drawn, key=lambda one: one.load.own)
