--- a/test/test_placement_model.py
+++ b/test/test_placement_model.py
@@ -6,11 +6,11 @@
 """
 
 import functools
+from test import placement_model as model
 
 import pytest
 
 from rowanport.placement import selection
-from test import placement_model as model
 
 
 @functools.cache
