--- a/rowanport/diversion/__init__.py
+++ b/rowanport/diversion/__init__.py
@@ -1,4 +1,4 @@
-"""When a router whose network link fills up sends new callers elsewhere.
+"""When a router whose network link fills up leaves callers to others.
 
 The load concerned: the platform hands all connections of a caller to one
 router, so that a caller with much traffic fills that router's link while the
@@ -9,5 +9,7 @@
 """
 
 from .diversion import Diversion
+from .peers import PeerSummary
+from .peers import PeerUse
 
-__all__ = ["Diversion"]
+__all__ = ["Diversion", "PeerSummary", "PeerUse"]
--- a/rowanport/errors.py
+++ b/rowanport/errors.py
@@ -125,6 +125,16 @@
         self.outcome = outcome or ANSWERS[kind].outcome
 
 
+class CallerDiverted(RequestError):
+    """A request is left to another router, which serves it at once."""
+
+    def __init__(self):
+        super().__init__(
+            ErrorKind.OVERLOADED,
+            "network link of the router is full, others have room",
+        )
+
+
 def error_body(error):
     """Return a RequestError in the shape that the API's clients know."""
     return {
--- a/rowanport/gateway/daemon.py
+++ b/rowanport/gateway/daemon.py
@@ -7,6 +7,7 @@
 
 from ..clock import SystemClock
 from ..diversion import Diversion
+from ..diversion import PeerUse
 from ..incarnation import new_incarnation
 from ..membership import Membership
 from ..membership import MembershipLoop
@@ -30,6 +31,7 @@
 from ..web.server import HttpLimits
 from ..wire import PeerServer
 from .blocklist import Blocklist
+from .caller_diversion import CallerDiversion
 from .choice import NearestChoice
 from .choice import PrefixChoice
 from .cold_starts import ColdStarts
@@ -41,6 +43,7 @@
 from .health import HealthServer
 from .job import Admission
 from .link_monitor import LinkMonitor
+from .link_sharing import LinkSharing
 from .load_sync import LoadSync
 from .metrics import GatewayMetrics
 from .own_link import OwnLink
@@ -258,8 +261,14 @@
         self.crashes.on_blocked_answered = self._blocklist.on_blocked_answered
         self.refusals = Refusals(self.clock)
         self.state = StateExchange(self._peers, self.members, settings.peers)
-        self.diversion = Diversion(settings.link_rate)
-        self._diverted = False
+        link_peers = PeerUse(settings.data_centre)
+        self.diversion = Diversion(settings.link_rate, link_peers)
+        self.callers = CallerDiversion(self, self._tasks)
+        self.state.add(
+            LinkSharing(
+                self.diversion, link_peers, settings.data_centre, self.clock
+            )
+        )
         self.stopping = GracefulStop(self.members, self.clock)
         self.forwarder = Forwarder(self)
         self.crashes.on_blocked = self.forwarder.abort
@@ -278,6 +287,8 @@
         self._server = HttpServer(
             self.forwarder.handle, self._refuse, self._limits
         )
+        self._server.admits = self.callers.admit_connection
+        self.callers.server = self._server
         self._health = HealthServer(self)
 
     # Views
@@ -319,22 +330,8 @@
         return len(self.members.addresses) > FULL_MESH_LIMIT + 1
 
     def is_diverting(self):
-        """Return whether new callers should go to other routers.
-
-        Without peers they could go nowhere.  Changes are logged.
-        """
-        now = self.clock.steady()
-        active = self.diversion.is_active(now)
-        # Known peers count, alive or not: on a full link none seems alive.
-        diverts = active and self.members.knows_peers
-        if diverts is not self._diverted:
-            self._diverted = diverts
-            share = round(self.diversion.share(now), 2)
-            LOG.info(
-                "callers_diverted" if diverts else "callers_welcome",
-                link_share=share,
-            )
-        return diverts
+        """Return whether callers were left to others in the last seconds."""
+        return self.callers.diverting
 
     def loop_silences(self):
         """Return the seconds since the last heartbeat, by loop."""
--- a/rowanport/gateway/forwarder.py
+++ b/rowanport/gateway/forwarder.py
@@ -30,13 +30,13 @@
     async def handle(self, request, responder):
         """Answer an HttpRequest, also if it fails."""
         arrived = self._clock.steady()
-        self._gateway.diversion.record(len(request.body), arrived)
-        if self._gateway.is_diverting():
-            # The caller's next connection goes to another router.
-            responder.closing = True
+        callers = self._gateway.callers
+        passage = callers.begin(request, responder)
         job = None
         try:
+            callers.check(passage)
             job = self._admit(request, arrived)
+            callers.accept(passage, job)
             self._stopping.accept(job)
             await self._serve_in_time(job, responder)
             self._stopping.record_complete(job)
@@ -52,8 +52,7 @@
             raise
         finally:
             self._stopping.release(job)
-            now = self._clock.steady()
-            self._gateway.diversion.record(responder.sent, now)
+            callers.end(passage)
 
     def _admit(self, request, arrived):
         """Return the Job of a request.
@@ -110,7 +109,9 @@
         self._crashes.check(job)
         gateway.views.freshness.check()
         gateway.retries.record_request(job.service)
-        if gateway.congestion.should_refuse(job.request):
+        if gateway.congestion.should_refuse(job.request) and (
+            not gateway.callers.protects(job)
+        ):
             raise RequestError(
                 ErrorKind.OVERLOADED, "network link of the router is congested"
             )
--- a/rowanport/gateway/health.py
+++ b/rowanport/gateway/health.py
@@ -28,8 +28,9 @@
 
     async def _handle(self, request, responder):
         if request.path == "/readyz":
-            welcome = self._gateway.ready and not self._gateway.is_diverting()
-            status = 200 if welcome else 503
+            # A full link alone does not count: all callers would leave at
+            # once, to one other router.
+            status = 200 if self._gateway.ready else 503
             return await responder.reply(status)
         if request.path == "/metrics":
             text, kind = self._render()
@@ -51,6 +52,7 @@
         metrics.unreadable_evacuations.set({}, evacuations.unreadable)
         metrics.cold_upstreams.set({}, len(gateway.cold.rows()))
         metrics.diverts.set({}, int(gateway.is_diverting()))
+        metrics.link_share.set({}, gateway.callers.link_share)
         metrics.logs_dropped.set({}, logs.dropped())
         version = gateway.table.version if gateway.table else 0
         metrics.config_version.set({}, version)
--- a/rowanport/gateway/metrics.py
+++ b/rowanport/gateway/metrics.py
@@ -66,6 +66,16 @@
             "diverts_callers",
             "Whether new callers go elsewhere, as the own link fills up",
         )
+        self.diverted = self._counter(
+            "diverted_callers",
+            "Requests refused and connections closed for a full link",
+        )
+        self.accept_pauses = self._counter(
+            "accept_pauses", "Pauses in accepting connections for a full link"
+        )
+        self.link_share = self._gauge(
+            "link_share", "Used part of the own link, in its fuller direction"
+        )
         self.tunnels = self._gauge(
             "tunnels", "Connections relayed for peers now"
         )
--- a/rowanport/gateway/refusals.py
+++ b/rowanport/gateway/refusals.py
@@ -3,6 +3,7 @@
 import random
 
 from ..errors import ANSWERS
+from ..errors import CallerDiverted
 from ..errors import error_body
 from ..errors import ErrorKind
 from ..errors import Outcome
@@ -13,6 +14,8 @@
 # deadlines.
 RETRY_AFTER = 0.1
 RETRY_JITTER = 0.3
+# The jitter in seconds of callers that another router serves at once.
+DIVERTED_JITTER = 0.02
 # Upper bound of the retry time, as a share of the time until the caller's
 # deadline, so that the retry can still be served.
 MAX_RETRY_SHARE = 0.5
@@ -46,6 +49,8 @@
         await responder.reply_json(answer.status, error_body(error), headers)
 
     def _retry_seconds(self, error, job):
+        if isinstance(error, CallerDiverted):
+            return random.uniform(0, DIVERTED_JITTER)
         now = self._clock.steady()
         seconds = RETRY_AFTER
         if error.come_back_at is not None:
--- a/rowanport/web/server.py
+++ b/rowanport/web/server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import socket
 
 import h11
 import structlog
@@ -96,9 +97,10 @@
 
     :ivar dropped: whether the server itself gives the request up
     :ivar sent: bytes sent so far
+    :ivar first: whether the request is the first on its connection
     """
 
-    def __init__(self, connection, writer, server):
+    def __init__(self, connection, writer, server, first=False):
         self._connection = connection
         self._writer = writer
         self._server = server
@@ -107,6 +109,7 @@
         self.finished = False
         self.closing = False
         self.sent = 0
+        self.first = first
 
     async def start(self, status, headers):
         """Send the head; without content-length the body is chunked."""
@@ -158,6 +161,8 @@
     :param refuse: coroutine function of Responder and RequestError, for
         requests that never reach the handler
     :param limits: an HttpLimits
+    :ivar admits: function that is called for each new connection, which is
+        closed unread unless it returns true; None for all
     """
 
     def __init__(self, handler, refuse=None, limits=None):
@@ -169,7 +174,11 @@
         self._connections = {}
         self._full = False
         self._stopping = False
+        # The bound socket while no connections are accepted.
+        self._paused = None
+        self._resuming = False
         self.draining = False
+        self.admits = None
 
     @property
     def busy(self):
@@ -185,12 +194,60 @@
         """Number of connections in use only by the end of an answer."""
         return sum(item.sending for item in self._connections.values())
 
+    @property
+    def paused(self):
+        """Return whether no connections are accepted for the moment."""
+        return self._paused is not None
+
     async def start(self, address, port):
         """Listen on an address."""
         self._server = await stream.listen(
             self._accept, address, port, READ_SIZE, BACKLOG
         )
 
+    def pause(self):
+        """Refuse new connections until resume(); the open ones go on.
+
+        The socket stays bound to its address, so that no other process can
+        take this in the meantime.
+        """
+        if self._stopping or self._paused is not None:
+            return
+        if self._server is None or len(self._server.sockets) != 1:
+            return
+        listening = self._server.sockets[0]
+        paused = listening.dup()
+        try:
+            # Linux: it listens no more, and resets what was not accepted.
+            paused.shutdown(socket.SHUT_RD)
+        except OSError as error:
+            LOG.error("pause_failed", error=str(error))
+            paused.close()
+            return
+        self._paused = paused
+        self._server.close()
+
+    async def resume(self):
+        """Accept connections again on the same address.
+
+        :raises OSError: that failed; it may be tried again
+        """
+        if self._paused is None or self._resuming:
+            return
+        self._resuming = True
+        try:
+            server = await stream.listen_on(
+                self._accept, self._paused, READ_SIZE, BACKLOG
+            )
+        finally:
+            self._resuming = False
+        # The server owns the socket now.
+        self._paused = None
+        if self._stopping:
+            server.close()
+            return
+        self._server = server
+
     def drain(self):
         """Say in each answer from now on that its connection closes."""
         self.draining = True
@@ -219,6 +276,9 @@
         """Close the listening socket and all idle connections."""
         self._stopping = True
         self._server.close()
+        if self._paused is not None and not self._resuming:
+            self._paused.close()
+            self._paused = None
         self.close_idle()
 
     def close_idle(self):
@@ -260,6 +320,9 @@
         if not self._has_room():
             writer.close()
             return
+        if self.admits is not None and not self.admits():
+            writer.transport.abort()
+            return
         task = asyncio.current_task()
         connection = Connection(reader, writer, self._limits.head)
         self._connections[task] = connection
@@ -289,8 +352,10 @@
     async def _serve(self, connection):
         """Serve requests, until no more are to come on the connection."""
         state = connection.state
+        first = True
         while not self._stopping:
-            responder = Responder(state, connection.writer, self)
+            responder = Responder(state, connection.writer, self, first)
+            first = False
             try:
                 request = await self._read_request(connection)
                 if request is None:
--- a/rowanport/web/stream.py
+++ b/rowanport/web/stream.py
@@ -68,12 +68,26 @@
 async def listen(handle, host, port, limit, backlog):
     """Listen, and hand each connection to a coroutine function."""
     loop = asyncio.get_running_loop()
+    make = _protocol_factory(handle, limit, loop)
+    return await loop.create_server(make, host, port, backlog=backlog)
+
+
+async def listen_on(handle, sock, limit, backlog):
+    """Do the same on a bound socket, which the server then owns.
+
+    :raises OSError: it cannot listen
+    """
+    loop = asyncio.get_running_loop()
+    make = _protocol_factory(handle, limit, loop)
+    return await loop.create_server(make, sock=sock, backlog=backlog)
 
+
+def _protocol_factory(handle, limit, loop):
     def make():
         reader = WatchedReader(loop=loop, limit=limit)
         return asyncio.StreamReaderProtocol(reader, handle, loop=loop)
 
-    return await loop.create_server(make, host, port, backlog=backlog)
+    return make
 
 
 def unacknowledged(writer):
