--- a/rowanport/web/server.py
+++ b/rowanport/web/server.py
@@ -209,7 +209,8 @@
         """Refuse new connections until resume(); the open ones go on.
 
         The socket stays bound to its address, so that no other process can
-        take this in the meantime.
+        take this in the meantime.  The kernel keeps only a port that was
+        asked for, not one that it chose itself.
         """
         if self._stopping or self._paused is not None:
             return
