--- a/rowanport/gateway/caller_diversion.py
+++ b/rowanport/gateway/caller_diversion.py
@@ -241,8 +241,14 @@
 
     async def _run_checks(self):
         """Check until the link is idle."""
+        goes_on = True
         try:
-            while await self._check():
+            while goes_on:
+                try:
+                    goes_on = await self._check()
+                except Exception:
+                    # Without checks, a pause would never end.
+                    LOG.exception("link_check_failed")
                 await asyncio.sleep(CHECK_INTERVAL)
         finally:
             self._checking = False
--- a/test/test_diversion.py
+++ b/test/test_diversion.py
@@ -504,6 +504,29 @@
     asyncio.run(run())
 
 
+def test_a_check_that_fails_does_not_leave_a_router_deaf(monkeypatch):
+    # Guards against a pause that nothing ends.
+    async def run():
+        async with Platform() as platform:
+            callers = platform.gateway.callers
+            fill_gateway(platform.gateway, 0.0)
+            platform.gateway._server.pause()
+
+            def fail(_passage):
+                raise ValueError("a fault")
+
+            with monkeypatch.context() as patch:
+                patch.setattr(callers, "_count", fail)
+                callers._passages.add(object())
+                callers._start_checks()
+                await asyncio.sleep(0.1)
+                assert platform.gateway._server.paused
+                callers._passages.clear()
+            await platform.wait(lambda: not platform.gateway._server.paused)
+
+    asyncio.run(run())
+
+
 async def open_connection(address):
     host, _, port = address.rpartition(":")
     return await asyncio.open_connection(host, int(port))
