--- a/rowanport/gateway/caller_diversion.py
+++ b/rowanport/gateway/caller_diversion.py
@@ -12,8 +12,10 @@
 
 # Seconds between two checks while the link is used.
 CHECK_INTERVAL = 0.025
-# Use of the link, as a part of its rate, below which it counts as idle.
-IDLE_SHARE = 0.02
+# Use of the link, as a part of its rate, below which it is not checked.  It is
+# a quarter of the least target, and below it most routers would only spend
+# processor time on checks.
+IDLE_SHARE = 0.1
 # Seconds after the last pause or refusal in which callers still count as
 # diverted, so that the log tells of one crowd once.
 EPISODE = 2.0
@@ -235,7 +237,7 @@
     # Checks
 
     def _start_checks(self):
-        if not self._checking:
+        if not self._checking and self.link_share > IDLE_SHARE:
             self._checking = True
             self._tasks.spawn(self._run_checks())
 
@@ -262,9 +264,8 @@
         elif self.server.paused:
             await self._resume()
         self._note_end()
-        return bool(
-            self._passages
-            or self.server.paused
+        return (
+            self.server.paused
             or self.diverting
             or self.link_share > IDLE_SHARE
         )
