--- a/rowanport/gateway/choice.py
+++ b/rowanport/gateway/choice.py
@@ -54,12 +54,14 @@
         :param now: monotonic time in seconds
         """
 
-    def late_start(self, candidates, job, now):
+    def late_start(self, candidates, job, now, latest=None):
         """Return the LateStart of a job that would begin too late everywhere.
 
         :param candidates: UpstreamStates, at least one
         :param job: the Job
         :param now: monotonic time in seconds
+        :param latest: monotonic time by which it has to begin in any case,
+            None if there is none
         :returns: None if a candidate should begin it in time
         """
         return None
@@ -80,11 +82,13 @@
         self._prefixes = prefixes
         self._overloads = {}
 
-    def late_start(self, candidates, job, now):
+    def late_start(self, candidates, job, now, latest=None):
         overload = self._overloads.setdefault(job.service, Overload())
         delays = [state.start_delay(now) for state in candidates]
         objective = job.route.objective
-        return overload.late_start(delays, objective, job.priority, now)
+        return overload.late_start(
+            delays, objective, job.priority, now, latest
+        )
 
     def choose(self, candidates, job, now):
         if job.shared_tokens < MIN_SHARED_TOKENS:
--- a/rowanport/gateway/daemon.py
+++ b/rowanport/gateway/daemon.py
@@ -29,6 +29,7 @@
 from ..web.connector import Keepalive
 from ..web.server import HttpLimits
 from ..wire import PeerServer
+from .admission_control import AdmissionControl
 from .blocklist import Blocklist
 from .choice import NearestChoice
 from .choice import PrefixChoice
@@ -256,8 +257,10 @@
         )
         self.crashes.on_blocklist_change = self._blocklist.on_blocked
         self.crashes.on_blocked_answered = self._blocklist.on_blocked_answered
-        self.refusals = Refusals(self.clock)
+        self.refusals = Refusals(self.clock, lambda: self.large_fleet)
         self.state = StateExchange(self._peers, self.members, settings.peers)
+        self.admission_control = AdmissionControl(self)
+        self.state.add(self.admission_control.sync)
         self.diversion = Diversion(settings.link_rate)
         self._diverted = False
         self.stopping = GracefulStop(self.members, self.clock)
--- a/rowanport/gateway/exchange.py
+++ b/rowanport/gateway/exchange.py
@@ -93,6 +93,8 @@
             headers.append((names.organisation, job.organisation.name))
         if job.tokens is not None:
             rank = min(LOWEST_PRIORITY, job.priority)
+            if job.background:
+                rank = LOWEST_PRIORITY
             headers.append((names.priority, str(rank)))
         last = job.last_event
         if last is None:
--- a/rowanport/gateway/forwarder.py
+++ b/rowanport/gateway/forwarder.py
@@ -116,6 +116,7 @@
             )
         if job.takes_up:
             await gateway.streams.bind(job)
+        gateway.admission_control.check(job)
         budget = job.budget
         if budget is None:
             return await self._send(job, responder)
--- a/rowanport/gateway/job.py
+++ b/rowanport/gateway/job.py
@@ -78,6 +78,9 @@
     :ivar config: version of the configuration that admitted it
     :ivar view_age: age in seconds of the view of the fleet at the last send,
         or None
+    :ivar work: units of work by which it counts for fair shares
+    :ivar background: whether it is expected to be late, and so runs with the
+        lowest urgency
     """
 
     __slots__ = (
@@ -119,6 +122,8 @@
         "complete",
         "config",
         "view_age",
+        "work",
+        "background",
     )
 
     def __init__(self, request, id_, route, service, arrived):
@@ -160,6 +165,8 @@
         self.complete = False
         self.config = 0
         self.view_age = None
+        self.work = 0
+        self.background = False
 
     @property
     def suspect_ids(self):
--- a/rowanport/gateway/metrics.py
+++ b/rowanport/gateway/metrics.py
@@ -69,6 +69,12 @@
         self.tunnels = self._gauge(
             "tunnels", "Connections relayed for peers now"
         )
+        self.share_refusals = self._counter(
+            "share_refusals", "Requests refused beyond fair shares, by service"
+        )
+        self.late_sends = self._counter(
+            "late_sends", "Requests sent to be answered late, by service"
+        )
         self.loop_restarts = self._counter(
             "loop_restarts", "Loops started again after they ended"
         )
--- a/rowanport/gateway/refusals.py
+++ b/rowanport/gateway/refusals.py
@@ -16,16 +16,21 @@
 # Upper bound of the retry time, as a share of the time until the caller's
 # deadline, so that the retry can still be served.
 MAX_RETRY_SHARE = 0.5
+# The same in a large fleet, where callers have many routers to try and come
+# back only if they wait for no more than a third.
+LARGE_FLEET_RETRY_SHARE = 0.33
 
 
 class Refusals:
     """Sends RequestErrors to callers.
 
     :param clock: a Clock
+    :param is_large_fleet: function that returns whether the fleet is large
     """
 
-    def __init__(self, clock):
+    def __init__(self, clock, is_large_fleet=lambda: False):
         self._clock = clock
+        self._is_large_fleet = is_large_fleet
 
     async def send(self, responder, error, headers=(), job=None):
         """Send the answer of a RequestError, with a Retry-After header.
@@ -52,9 +57,10 @@
             seconds = max(seconds, error.come_back_at - now)
         seconds += random.uniform(0, RETRY_JITTER)
         if job is not None:
-            seconds = min(
-                seconds, MAX_RETRY_SHARE * (job.caller_deadline - now)
-            )
+            share = MAX_RETRY_SHARE
+            if self._is_large_fleet():
+                share = LARGE_FLEET_RETRY_SHARE
+            seconds = min(seconds, share * (job.caller_deadline - now))
         return max(0.0, seconds)
 
 
--- a/rowanport/gateway/sender.py
+++ b/rowanport/gateway/sender.py
@@ -67,6 +67,7 @@
         finally:
             for attempt in self._attempts:
                 self._close(attempt)
+            self._gateway.admission_control.release(self._job)
 
     async def _advance(self, attempt):
         """Handle the next progress, stall or failure of an Attempt.
@@ -187,12 +188,16 @@
     def _check_in_time(self, choice, candidates, now):
         """Refuse a job that no upstream would start in time.
 
-        Called only before the first send: a job that was sent may have run.
+        In a large fleet a job whose caller would still wait for it becomes a
+        background job instead.  Called only before the first send: a job that
+        was sent may have run.
 
         :raises RequestError: overloaded; it names the time for a retry
         """
-        late = choice.late_start(candidates, self._job, now)
-        if late is not None:
+        control = self._gateway.admission_control
+        latest = control.begin_by(self._job)
+        late = choice.late_start(candidates, self._job, now, latest)
+        if late is not None and not control.accept_late(self._job, late):
             raise RequestError(
                 ErrorKind.OVERLOADED,
                 f"start expected in {late.wait:.2f} s, limit {late.due:.2f} s",
@@ -211,9 +216,11 @@
         answer = await self._gateway.exchange.send(
             self._job, state.record, check
         )
-        if is_stream(answer):
-            now = self._clock.steady()
+        now = self._clock.steady()
+        # A background job waits for others that its send did not count.
+        if is_stream(answer) and not self._job.background:
             state.backlog.record_first_event(ahead, now - sent_at, now)
+        self._gateway.admission_control.record_answer(self._job, now - sent_at)
         return answer
 
     def _check_before_send(self, state, version):
@@ -247,7 +254,8 @@
             first event
         """
         job, gateway = self._job, self._gateway
-        if job.tokens is None:
+        # A background job delays none of those whose waits the backlog tells.
+        if job.tokens is None or job.background:
             return 0
         unread = gateway.unread(state, job, self._clock.steady())
         return gateway.loads.record_send(state, job.prefix, unread)
@@ -298,6 +306,8 @@
         if error.misdirected:
             state.record_failure(self._clock.steady(), weight=2)
             self._gateway.client.forget(state.record.address)
+        else:
+            self._gateway.admission_control.record_turned_away(self._job)
         self._log.log_send(self._job, state, "not_executed", error, path)
 
     def _record_failure(self, state, error, path):
@@ -325,6 +335,9 @@
             return None
         if attempt.head_received and is_stream(attempt.answer):
             return EVENT_STALL
+        if job.background:
+            # It is late as planned; another run would only add load.
+            return None
         if job.tokens is not None:
             return FIRST_EVENT_OBJECTIVES * job.route.objective
         return STALL_SHARE * (job.deadline - self._clock.steady())
--- a/rowanport/rates.py
+++ b/rowanport/rates.py
@@ -47,6 +47,30 @@
         return rate if rate > NEGLIGIBLE else 0.0
 
 
+class DecayingMean:
+    """A mean of values that count less as they age.
+
+    :param half_life: seconds after which a value counts half
+    :ivar mean: the mean, None before the first value
+    """
+
+    __slots__ = ("_half_life", "_weight", "_at", "mean")
+
+    def __init__(self, half_life):
+        self._half_life = half_life
+        self._weight = 0.0
+        self._at = 0.0
+        self.mean = None
+
+    def add(self, value, now):
+        """Take in a value at a time."""
+        age = max(0.0, now - self._at) / self._half_life
+        self._weight = 1.0 + self._weight * 0.5**age
+        self._at = now
+        known = value if self.mean is None else self.mean
+        self.mean = known + (value - known) / self._weight
+
+
 class LinearEstimate:
     """A straight line through points that count less as they age.
 
--- a/rowanport/scheduling/overload.py
+++ b/rowanport/scheduling/overload.py
@@ -44,7 +44,7 @@
         self._most_urgent = None
         self._until = 0.0
 
-    def late_start(self, waits, objective, rank, now):
+    def late_start(self, waits, objective, rank, now, latest=None):
         """Return the LateStart of a request that no upstream starts in time.
 
         :param waits: expected seconds until each upstream starts it, at least
@@ -52,12 +52,16 @@
         :param objective: seconds within which its first event is due
         :param rank: rank of the request, 0 is the most urgent
         :param now: monotonic time
+        :param latest: monotonic time by which it has to start in any case,
+            None if there is none
         :returns: None if an upstream is expected to start it in time
         """
         self._record_rank(rank, now)
         due = objective
         if rank > self._most_urgent:
             due *= LESS_URGENT_SHARE
+        if latest is not None:
+            due = min(due, latest - now)
         wait = min(waits)
         if wait <= due:
             return None
