--- a/rowanport/admission/demand.py
+++ b/rowanport/admission/demand.py
@@ -4,7 +4,7 @@
 
 # Half-life in seconds of the average demand: an organisation's excess may
 # last for only 6 s.
-DEMAND_HALF_LIFE = 1.0
+DEMAND_HALF_LIFE = 0.7
 # Organisations whose demand a router reports, those with the largest.
 REPORTED = 8
 # Services that a router reports; the rest is left to its own demand.
@@ -16,7 +16,7 @@
 TURNED_AWAY_SECONDS = 1.0
 # Weight of a new state of the fleet.  A collector has heard from about half of
 # the routers within MAX_AGE, another half each time, so states are averaged.
-STATE_WEIGHT = 0.4
+STATE_WEIGHT = 0.5
 # Demand of the average, relative to the total, below which it is dropped.
 NEGLIGIBLE_SHARE = 0.001
 
--- a/rowanport/admission/late_answers.py
+++ b/rowanport/admission/late_answers.py
@@ -48,14 +48,21 @@
         # Monotonic time of the send by request, the earliest first.
         self._pending = {}
 
-    def accepts(self, wait, latest, now):
+    def accepts(self, wait, busy, latest, now):
         """Return whether a late request is expected to begin early enough.
 
-        :param wait: expected seconds until more urgent work is done
+        More urgent requests that arrive meanwhile go first, so that only what
+        they leave of the capacity works off the queue.
+
+        :param wait: seconds that the engines need for the work that waits
+        :param busy: part of the engines' capacity that is in use
         :param latest: monotonic time by which it has to begin
         :param now: monotonic time
         """
-        return now + max(wait, self.expected_wait(now)) <= latest
+        if busy >= 1:
+            return False
+        wait = max(wait / (1 - busy), self.expected_wait(now))
+        return now + wait <= latest
 
     def expected_wait(self, now):
         """Return the seconds that a late request is expected to wait.
--- a/rowanport/gateway/admission_control.py
+++ b/rowanport/gateway/admission_control.py
@@ -5,8 +5,6 @@
 
 import random
 
-import structlog
-
 from ..admission import begin_by
 from ..admission import FairShares
 from ..admission import LateAnswers
@@ -15,36 +13,47 @@
 from ..errors import ErrorKind
 from ..errors import RequestError
 from ..rates import DecayingMean
+from ..rates import DecayingPeak
 from .demand_sync import DemandSync
 from .demand_sync import id_of
 
-LOG = structlog.get_logger(__name__)
-
 # Part of the objective that the shortest wait may take before capacity is
 # short.
 SHORT_SHARE = 0.5
-# What may be admitted, relative to the work that engines began lately, when
-# the shortest wait just counts as short, and when it is as long as the
-# objective.  Below 1 the queues shrink; above 1 an estimate that is too low
-# recovers.
-MOST_HEADROOM = 1.1
-LEAST_HEADROOM = 0.9
-# The same for plain services, while they turn requests away.
-PLAIN_HEADROOM = 0.95
+# Half-life in seconds of the most work that engines began, which bounds their
+# capacity: it outlasts a pause in which they begin nothing.
+BEGUN_HALF_LIFE = 5.0
+# What may be admitted, relative to the capacity, when the shortest wait just
+# counts as short, and when it is as long as the objective.  Below 1 the queues
+# shrink; above 1 an estimate that is too low recovers.
+MOST_HEADROOM = 1.05
+LEAST_HEADROOM = 0.5
+# Part of the capacity of a plain service that is admitted while it turns
+# requests away, so that its queues shrink.
+PLAIN_HEADROOM = 0.85
 # Half-life in seconds of the mean time of a plain service's answers.
 ANSWER_HALF_LIFE = 10.0
+# Weight in that mean of an answer that is slower than the mean.
+SLOW_WEIGHT = 0.1
 
 
 class _Service:
     """What this router knows of the load of one service."""
 
-    __slots__ = ("id", "shortage", "late_answers", "answer_seconds")
+    __slots__ = (
+        "id",
+        "shortage",
+        "late_answers",
+        "answer_seconds",
+        "begun",
+    )
 
     def __init__(self, name):
         self.id = id_of(name)
         self.shortage = Shortage()
         self.late_answers = LateAnswers()
         self.answer_seconds = DecayingMean(ANSWER_HALF_LIFE)
+        self.begun = DecayingPeak(BEGUN_HALF_LIFE)
 
 
 class AdmissionControl:
@@ -104,16 +113,9 @@
 
     def _refuse(self, job, excess, now, ends_at):
         self._gateway.metrics.share_refusals.inc({"service": job.service})
-        LOG.info(
-            "share_exceeded",
-            request=job.id,
-            organisation=job.organisation.name,
-            service=job.service,
-            excess=round(excess, 3),
-        )
         raise RequestError(
             ErrorKind.OVERLOADED,
-            "capacity is short, and the organisation is beyond its share",
+            f"{excess:.0%} of the organisation's demand is beyond its share",
             come_back_at=random.uniform(now, ends_at),
         )
 
@@ -133,22 +135,24 @@
         if job.tokens is None:
             if not demand.turned_away:
                 return None
-            most = self._plain_capacity(service, candidates, now)
-            headroom = PLAIN_HEADROOM
-        else:
-            wait = min(state.start_delay(now) for state in candidates)
-            wait /= job.route.objective
-            if wait <= SHORT_SHARE:
-                return None
-            most = sum(state.backlog.rate for state in candidates)
-            headroom = _headroom(wait)
+            # Upstreams can do at least what they do.
+            capacity = self._plain_capacity(service, candidates)
+            return PLAIN_HEADROOM * max(demand.begun, capacity)
+        wait = min(state.start_delay(now) for state in candidates)
+        wait /= job.route.objective
+        if wait <= SHORT_SHARE:
+            return None
+        capacity = sum(state.backlog.rate for state in candidates)
         # What one router alone saw begin is too little to go by.
         if demand.begun and self._book.knows_fleet(now):
-            most = min(most, headroom * demand.begun)
-        return most
+            capacity = min(capacity, service.begun.update(demand.begun, now))
+        if demand.total <= MOST_HEADROOM * capacity:
+            # The queue is not due to demand, as after a pause of engines.
+            return None
+        return _headroom(wait) * capacity
 
     @staticmethod
-    def _plain_capacity(service, candidates, now):
+    def _plain_capacity(service, candidates):
         seconds = service.answer_seconds.mean
         if not seconds:
             return float("inf")
@@ -165,23 +169,38 @@
             job.arrived, job.deadline, route.objective, route.gap_objective
         )
 
-    def accept_late(self, job, late):
+    def accept_late(self, job, late, candidates):
         """Return whether a late job runs with the lowest urgency.
 
         :param late: its LateStart
+        :param candidates: UpstreamStates to which it may be sent
         """
         latest = self.begin_by(job)
         if latest is None:
             return False
         now = self._clock.steady()
-        answers = self._service(job.service).late_answers
-        if not answers.accepts(late.wait, latest, now):
+        service = self._service(job.service)
+        answers = service.late_answers
+        busy = self._busy(service, candidates, now)
+        if not answers.accepts(late.wait, busy, latest, now):
             return False
         answers.record_send(job, now)
         job.background = True
         self._gateway.metrics.late_sends.inc({"service": job.service})
         return True
 
+    def _busy(self, service, candidates, now):
+        """Return the part of the engines' capacity that is in use.
+
+        All of it counts as in use while the state of the fleet is not known:
+        late requests that do not begin cost more than refusals.
+        """
+        alone = not self._gateway.members.live_peers()
+        if not alone and not self._book.knows_fleet(now):
+            return 1.0
+        begun = self._book.demand(service.id, now).begun
+        return begun / sum(state.backlog.rate for state in candidates)
+
     def release(self, job):
         """Note that a job ended; may be called more than once."""
         if job.background:
@@ -208,14 +227,13 @@
     def _record_seconds(self, service, seconds, now):
         """Record the time of a plain answer.
 
-        While requests are turned away, answers wait in queues for several
-        times as long as the work takes, so these times count only if there
-        are no others.
+        Queues make answers later, in an overload by several times.  So what
+        is slower than the mean counts less than what is faster.
         """
         known = service.answer_seconds.mean
-        if known and self._book.demand(service.id, now).turned_away:
-            return
-        service.answer_seconds.add(seconds, now)
+        slow = known is not None and seconds > known
+        weight = SLOW_WEIGHT if slow else 1.0
+        service.answer_seconds.add(seconds, now, weight)
 
     def record_turned_away(self, job):
         """Record that an upstream turned a job away."""
--- a/rowanport/gateway/sender.py
+++ b/rowanport/gateway/sender.py
@@ -197,12 +197,13 @@
         control = self._gateway.admission_control
         latest = control.begin_by(self._job)
         late = choice.late_start(candidates, self._job, now, latest)
-        if late is not None and not control.accept_late(self._job, late):
-            raise RequestError(
-                ErrorKind.OVERLOADED,
-                f"start expected in {late.wait:.2f} s, limit {late.due:.2f} s",
-                come_back_at=late.come_back_at,
-            )
+        if late is None or control.accept_late(self._job, late, candidates):
+            return
+        raise RequestError(
+            ErrorKind.OVERLOADED,
+            f"start expected in {late.wait:.2f} s, limit {late.due:.2f} s",
+            come_back_at=late.come_back_at,
+        )
 
     async def _open(self, state, ahead, version):
         """Send the job; return the HttpAnswer once its head has arrived.
--- a/rowanport/rates.py
+++ b/rowanport/rates.py
@@ -62,13 +62,34 @@
         self._at = 0.0
         self.mean = None
 
-    def add(self, value, now):
+    def add(self, value, now, weight=1.0):
         """Take in a value at a time."""
         age = max(0.0, now - self._at) / self._half_life
-        self._weight = 1.0 + self._weight * 0.5**age
+        self._weight = weight + self._weight * 0.5**age
         self._at = now
         known = value if self.mean is None else self.mean
-        self.mean = known + (value - known) / self._weight
+        self.mean = known + (value - known) * weight / self._weight
+
+
+class DecayingPeak:
+    """The largest of some values, of which older ones count less.
+
+    :param half_life: seconds after which a value counts half
+    """
+
+    __slots__ = ("_half_life", "_peak", "_at")
+
+    def __init__(self, half_life):
+        self._half_life = half_life
+        self._peak = 0.0
+        self._at = 0.0
+
+    def update(self, value, now):
+        """Take in a value at a time; return the peak."""
+        age = max(0.0, now - self._at) / self._half_life
+        self._peak = max(value, self._peak * 0.5**age)
+        self._at = now
+        return self._peak
 
 
 class LinearEstimate:
--- a/test/test_late_answers.py
+++ b/test/test_late_answers.py
@@ -22,8 +22,17 @@
 
 def test_a_request_that_begins_too_late_for_its_caller_is_not_sent():
     answers = LateAnswers()
-    assert answers.accepts(0.9, NOW + 1.0, NOW)
-    assert not answers.accepts(1.1, NOW + 1.0, NOW)
+    assert answers.accepts(0.9, 0.0, NOW + 1.0, NOW)
+    assert not answers.accepts(1.1, 0.0, NOW + 1.0, NOW)
+
+
+def test_what_arrives_meanwhile_goes_first():
+    # Guards against late requests that wait until their callers give up:
+    # while all capacity was in demand none of them began.
+    answers = LateAnswers()
+    assert answers.accepts(0.4, 0.5, NOW + 1.0, NOW)
+    assert not answers.accepts(0.4, 0.7, NOW + 1.0, NOW)
+    assert not answers.accepts(0.0, 1.0, NOW + 1.0, NOW)
 
 
 def test_the_wait_of_earlier_late_requests_counts():
@@ -32,16 +41,16 @@
     for number in range(6):
         answers.record_send(number, NOW)
         answers.record_end(number, NOW + 2.0)
-    assert not answers.accepts(0.1, NOW + 3.0, NOW + 2.0)
-    assert answers.accepts(0.1, NOW + 9.0, NOW + 8.0)
+    assert not answers.accepts(0.1, 0.0, NOW + 3.0, NOW + 2.0)
+    assert answers.accepts(0.1, 0.0, NOW + 9.0, NOW + 8.0)
 
 
 def test_a_late_request_that_still_waits_counts():
     # Guards against sends without end while none of them begins.
     answers = LateAnswers()
     answers.record_send("one", NOW)
-    assert answers.accepts(0.1, NOW + 1.0, NOW)
-    assert not answers.accepts(0.1, NOW + 3.0, NOW + 2.0)
+    assert answers.accepts(0.1, 0.0, NOW + 1.0, NOW)
+    assert not answers.accepts(0.1, 0.0, NOW + 3.0, NOW + 2.0)
 
 
 def test_the_end_of_a_request_counts_once():
