--- a/test/admission_world.py
+++ b/test/admission_world.py
@@ -92,15 +92,24 @@
 class Request:
     """One request of a caller and what became of it.
 
+    :ivar objective: seconds within which its answer is due
     :ivar first: seconds to its answer, None without one
     :ivar refusals: number of times that it was refused
     :ivar late: whether it was sent as a late one
     """
 
-    __slots__ = ("organisation", "arrived", "first", "refusals", "late")
+    __slots__ = (
+        "organisation",
+        "objective",
+        "arrived",
+        "first",
+        "refusals",
+        "late",
+    )
 
-    def __init__(self, organisation, arrived):
+    def __init__(self, organisation, arrived, objective=OBJECTIVE):
         self.organisation = organisation
+        self.objective = objective
         self.arrived = arrived
         self.first = None
         self.refusals = 0
@@ -110,7 +119,7 @@
     def worth(self):
         if self.first is None:
             return 0.0
-        return IN_TIME if self.first <= OBJECTIVE else LATE
+        return IN_TIME if self.first <= self.objective else LATE
 
 
 class Engine:
@@ -390,7 +399,8 @@
 
         :param second: time since the begin, by which outcomes are found
         """
-        request = Request(name, self.clock.steady())
+        objective = ROUTES[service].objective
+        request = Request(name, self.clock.steady(), objective)
         self.requests.append((second, request))
         tokens = max(100, int(self.rng.expovariate(1 / TOKENS)))
         job = self.make_job(name, service, tokens)
