--- a/rowanport/gateway/daemon.py
+++ b/rowanport/gateway/daemon.py
@@ -30,6 +30,7 @@
 from ..web.connector import Keepalive
 from ..web.server import HttpLimits
 from ..wire import PeerServer
+from .admission_control import AdmissionControl
 from .blocklist import Blocklist
 from .caller_diversion import CallerDiversion
 from .choice import NearestChoice
@@ -266,7 +267,7 @@
         )
         self.crashes.on_blocklist_change = self._blocklist.on_blocked
         self.crashes.on_blocked_answered = self._blocklist.on_blocked_answered
-        self.refusals = Refusals(self.clock)
+        self.refusals = Refusals(self.clock, lambda: self.large_fleet)
         self.state = StateExchange(self._peers, self.members, settings.peers)
         link_peers = PeerUse(settings.data_centre)
         self.diversion = Diversion(settings.link_rate, link_peers)
@@ -276,6 +277,8 @@
                 self.diversion, link_peers, settings.data_centre, self.clock
             )
         )
+        self.admission_control = AdmissionControl(self)
+        self.state.add(self.admission_control.sync)
         self.stopping = GracefulStop(self.members, self.clock)
         self.forwarder = Forwarder(self)
         self.crashes.on_blocked = self.forwarder.abort
