--- a/test/test_diversion.py
+++ b/test/test_diversion.py
@@ -116,7 +116,7 @@
     assert late_share(demand) < 0.05
 
 
-@pytest.mark.parametrize("demand", (1.3, 2.5))
+@pytest.mark.parametrize("demand", (1.3, 1.6, 2.0, 2.5))
 def test_a_caller_that_is_too_large_for_one_link_gains_all_the_same(demand):
     assert late_share(demand, Way) - late_share(demand) > 0.5
 
