--- a/rowanport/gateway/dialect.py
+++ b/rowanport/gateway/dialect.py
@@ -21,6 +21,8 @@
     :ivar last_event: id of the last event received from a resumed stream
     :ivar resumes: id of the caller's request that began the stream which it
         takes up
+    :ivar backup_to: address of the engine to which a run is copied as it grows
+    :ivar resume_from: address and handle of the copy from which a run goes on
     :ivar orders: other headers by which a router controls an upstream
     :ivar facts: other headers of answers that only routers may see
     :ivar hints: other headers of callers that affect an upstream's decisions
@@ -41,6 +43,8 @@
         "priority",
         "last_event",
         "resumes",
+        "backup_to",
+        "resume_from",
         "orders",
         "facts",
         "hints",
@@ -63,6 +67,8 @@
             self.timeout_ms,
             self.priority,
             self.last_event,
+            self.backup_to,
+            self.resume_from,
             *self.orders,
         )
 
--- a/rowanport/gateway/settings.py
+++ b/rowanport/gateway/settings.py
@@ -25,6 +25,11 @@
     :ivar large_fleet: whether to use what only pays in a large fleet, whose
         routers each see a small part of the requests; None decides by the
         number of routers
+    :ivar copy_cost: cost of a copied gigabyte of a run's memory, in the unit
+        of lost_stream_cost
+    :ivar lost_stream_cost: cost of a stream that ends with its engine, 0 if
+        runs are not to be copied to other engines
+    :ivar engine_failure_rate: failures a second of one engine
     """
 
     __slots__ = (
@@ -42,11 +47,17 @@
         "retry_window",
         "link_rate",
         "large_fleet",
+        "copy_cost",
+        "lost_stream_cost",
+        "engine_failure_rate",
     )
 
     def __init__(self, **values):
         values.setdefault("link_rate", 0.0)
         values.setdefault("large_fleet", None)
+        values.setdefault("copy_cost", 0.0)
+        values.setdefault("lost_stream_cost", 0.0)
+        values.setdefault("engine_failure_rate", 0.0)
         for slot in self.__slots__:
             setattr(self, slot, values[slot])
 
--- a/rowanport/platform/config.py
+++ b/rowanport/platform/config.py
@@ -3,6 +3,7 @@
 import json
 
 from ..errors import MessageError
+from ..routing import EngineLimits
 from ..routing import Limits
 from ..routing import Organisation
 from ..routing import Route
@@ -18,6 +19,8 @@
     "streaming": RouteKind.STREAM,
 }
 
+BYTES_PER_MEGABIT = 1e6 / 8
+
 
 def decode_config(data):
     """Return the RoutingTable in the bytes of a configuration.
@@ -68,6 +71,19 @@
         engine.get("stride", 1),
         float(row.get("cold_start_s", 0.0)),
         float(row.get("cold_per_s", 0.0)),
+        _engine(engine),
+    )
+
+
+def _engine(row):
+    return EngineLimits(
+        int(row.get("slots") or 0),
+        int(row.get("kv_capacity_tokens") or 0),
+        int(row.get("kv_token_bytes") or 0),
+        float(row.get("link_mbps") or 0.0) * BYTES_PER_MEGABIT,
+        bool(row.get("moves", False)),
+        bool(row.get("backups", False)),
+        float(row.get("handle_s") or 0.0),
     )
 
 
--- a/rowanport/platform/settings.py
+++ b/rowanport/platform/settings.py
@@ -1,6 +1,7 @@
 """Reads the settings file that the platform gives each process."""
 
 import json
+import math
 
 from ..errors import SettingsError
 from ..gateway.settings import GatewaySettings
@@ -9,6 +10,12 @@
 PATH_VARIABLE = "ROWANPORT_NODE_FILE"
 # The variable by which the deploy file hands over the routers' secret.
 SECRET_VARIABLE = "ROWANPORT_PEER_SECRET"
+# The variables by which the deploy file sets the costs of copied runs.
+MOVE_VARIABLES = {
+    "copy_cost": "ROWANPORT_COPY_COST",
+    "lost_stream_cost": "ROWANPORT_LOST_STREAM_COST",
+    "engine_failure_rate": "ROWANPORT_ENGINE_FAILURE_RATE",
+}
 
 
 class PlatformSettings:
@@ -35,7 +42,8 @@
     try:
         with open(path, encoding="utf-8") as source:
             fields = json.load(source)
-        return _decode(fields, environment[SECRET_VARIABLE])
+        moves = _read_moves(environment)
+        return _decode(fields, environment[SECRET_VARIABLE], moves)
     except OSError as error:
         raise SettingsError(f"{path}: {error.strerror}") from None
     except ValueError as error:
@@ -50,7 +58,27 @@
     return megabits * 1e6 / 8
 
 
-def _decode(fields, secret):
+def _read_moves(environment):
+    """Return the settings of copied runs; those not set are left out."""
+    values = {}
+    for name, variable in MOVE_VARIABLES.items():
+        text = environment.get(variable, "")
+        if text:
+            values[name] = _read_cost(variable, text)
+    return values
+
+
+def _read_cost(variable, text):
+    try:
+        value = float(text)
+    except ValueError:
+        value = -1.0
+    if not 0 <= value < math.inf:
+        raise SettingsError(f"{variable}: {text!r} is no number from 0 on")
+    return value
+
+
+def _decode(fields, secret, moves):
     bounds = fields["bounds"]
     listen = fields["listen"]
     gateway = GatewaySettings(
@@ -67,5 +95,6 @@
         retry_slack=bounds["retry_slack"],
         retry_window=bounds["budget_window_s"],
         link_rate=_read_link_rate(fields),
+        **moves,
     )
     return PlatformSettings(gateway, fields["platform"]["address"])
--- a/rowanport/platform/words.py
+++ b/rowanport/platform/words.py
@@ -17,14 +17,14 @@
     priority="priority",
     last_event="last-event-id",
     resumes="resumes",
-    # The pages let only the system set these; an upstream reserves, pins,
-    # copies and takes over memory by them.
+    backup_to="kv-backup",
+    resume_from="kv-from",
+    # The pages let only the system set these; an upstream reserves, pins and
+    # fetches memory by them.
     orders=(
         "expect-version",
         "hold",
-        "kv-backup",
         "kv-fetch",
-        "kv-from",
         "pin-ms",
         "wait-ms",
     ),
--- a/rowanport/routing/__init__.py
+++ b/rowanport/routing/__init__.py
@@ -1,5 +1,6 @@
 """Routing configuration: routes, services, organisations and limits."""
 
+from .table import EngineLimits
 from .table import Limits
 from .table import Organisation
 from .table import Route
@@ -8,6 +9,7 @@
 from .table import Service
 
 __all__ = [
+    "EngineLimits",
     "Limits",
     "Organisation",
     "Route",
--- a/rowanport/routing/table.py
+++ b/rowanport/routing/table.py
@@ -106,6 +106,47 @@
         return self.targets[-1][0]
 
 
+class EngineLimits:
+    """What the engines of a service hold and can do.
+
+    :ivar slots: requests that an engine runs at once, 0 if unknown
+    :ivar memory_tokens: tokens that an engine's memory holds, 0 if unknown
+    :ivar token_bytes: bytes of memory for each token
+    :ivar link_rate: bytes a second that an engine's link passes, 0 if unknown
+    :ivar moves: whether a run can be moved to another engine on request
+    :ivar backups: whether an engine can copy a run as it grows
+    :ivar handle_seconds: seconds for which an engine keeps an unused copy
+    """
+
+    __slots__ = (
+        "slots",
+        "memory_tokens",
+        "token_bytes",
+        "link_rate",
+        "moves",
+        "backups",
+        "handle_seconds",
+    )
+
+    def __init__(
+        self,
+        slots=0,
+        memory_tokens=0,
+        token_bytes=0,
+        link_rate=0.0,
+        moves=False,
+        backups=False,
+        handle_seconds=0.0,
+    ):
+        self.slots = slots
+        self.memory_tokens = memory_tokens
+        self.token_bytes = token_bytes
+        self.link_rate = link_rate
+        self.moves = moves
+        self.backups = backups
+        self.handle_seconds = handle_seconds
+
+
 class Service:
     """A service that is provided by a group of upstreams.
 
@@ -117,6 +158,7 @@
     :ivar cold_start: seconds for which an upstream is cold after its start
     :ivar cold_rate: requests a second that a cold upstream bears, 0 if there
         is no limit
+    :ivar engine: the EngineLimits of its upstreams
     """
 
     __slots__ = (
@@ -126,6 +168,7 @@
         "tokens_per_event",
         "cold_start",
         "cold_rate",
+        "engine",
     )
 
     def __init__(
@@ -136,6 +179,7 @@
         tokens_per_event,
         cold_start=0.0,
         cold_rate=0.0,
+        engine=None,
     ):
         self.name = name
         self.health_path = health_path
@@ -143,6 +187,7 @@
         self.tokens_per_event = tokens_per_event
         self.cold_start = cold_start
         self.cold_rate = cold_rate
+        self.engine = engine or EngineLimits()
 
 
 class Organisation:
--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -727,6 +727,45 @@
         platform_settings.read_settings({})
 
 
+def test_the_costs_of_copied_runs_come_from_the_deploy_file():
+    """Guards against copies that nobody asked for, and unread settings."""
+    names = platform_settings.MOVE_VARIABLES
+    assert platform_settings._read_moves({}) == {}
+    values = dict(zip(names.values(), ("1.5", "2", "0.01")))
+    assert platform_settings._read_moves(values) == {
+        "copy_cost": 1.5,
+        "lost_stream_cost": 2.0,
+        "engine_failure_rate": 0.01,
+    }
+    for text in ("much", "-1", "nan", "inf"):
+        with pytest.raises(SettingsError, match="COPY_COST"):
+            platform_settings._read_moves({names["copy_cost"]: text})
+
+
+def test_an_engine_block_is_decoded():
+    """Guards against copies to engines that do not support them."""
+    fields = config()
+    fields["services"][0]["engine"] = {
+        "slots": 12,
+        "kv_capacity_tokens": 719043,
+        "kv_token_bytes": 18432,
+        "link_mbps": 370000,
+        "moves": True,
+        "backups": True,
+        "handle_s": 5,
+    }
+    table = decode_config(json.dumps(fields).encode())
+    engine = table.services["feed"].engine
+    assert (engine.slots, engine.memory_tokens) == (12, 719043)
+    assert (engine.token_bytes, engine.link_rate) == (18432, 46.25e9)
+    assert (engine.moves, engine.backups) == (True, True)
+    assert engine.handle_seconds == 5.0
+    del fields["services"][0]["engine"]
+    table = decode_config(json.dumps(fields).encode())
+    engine = table.services["feed"].engine
+    assert (engine.moves, engine.backups) == (False, False)
+
+
 def test_a_configuration_is_decoded_into_a_table():
     table = decode_config(json.dumps(config()).encode())
     assert table.find_route("FEED.example:80", "/safe/a/b").name == "safe"
