--- a/rowanport/gateway/daemon.py
+++ b/rowanport/gateway/daemon.py
@@ -43,6 +43,7 @@
 from .link_monitor import LinkMonitor
 from .load_sync import LoadSync
 from .metrics import GatewayMetrics
+from .migrations import Migrations
 from .own_link import OwnLink
 from .part_trials import PartTrials
 from .path_connector import PathConnector
@@ -261,6 +262,7 @@
         self.diversion = Diversion(settings.link_rate)
         self._diverted = False
         self.stopping = GracefulStop(self.members, self.clock)
+        self.migrations = Migrations(self, settings)
         self.forwarder = Forwarder(self)
         self.crashes.on_blocked = self.forwarder.abort
         self._prefixes = prefixes = PrefixMap()
@@ -554,6 +556,7 @@
         self.crashes.close()
         self.retries.close()
         self.streams.close()
+        self.migrations.close()
         await self._server.close()
         await self._health.close()
         await self._peer_server.close()
--- a/rowanport/gateway/dialect.py
+++ b/rowanport/gateway/dialect.py
@@ -2,7 +2,7 @@
 
 
 class Dialect:
-    """Header names, in lower case.
+    """Header names, in lower case, and paths of engines.
 
     :ivar request_id: the request's id, repeated in each answer
     :ivar timeout_ms: milliseconds that the sender waits for the answer
@@ -23,6 +23,8 @@
         takes up
     :ivar backup_to: address of the engine to which a run is copied as it grows
     :ivar resume_from: address and handle of the copy from which a run goes on
+    :ivar handle_path: path under which an engine frees the copy of a run, up
+        to the handle
     :ivar orders: other headers by which a router controls an upstream
     :ivar facts: other headers of answers that only routers may see
     :ivar hints: other headers of callers that affect an upstream's decisions
@@ -45,6 +47,7 @@
         "resumes",
         "backup_to",
         "resume_from",
+        "handle_path",
         "orders",
         "facts",
         "hints",
--- a/rowanport/gateway/exchange.py
+++ b/rowanport/gateway/exchange.py
@@ -97,9 +97,21 @@
         last = job.last_event
         if last is None:
             last = job.request.header(names.last_event)
+        if last == "" and job.resuming:
+            last = 0
         if last != "":
             headers.append((names.last_event, str(last)))
-        return headers
+        return headers + self._copy_headers(job.migration)
+
+    def _copy_headers(self, migration):
+        """Return the headers on the copy of a run, which may have none."""
+        names = self._dialect
+        if migration is None:
+            return []
+        if migration.place is None:
+            return [(names.backup_to, migration.target.address)]
+        copy = f"{migration.copy_address}/{migration.handle}"
+        return [(names.resume_from, copy)]
 
     def _check(self, job, answer):
         """Raise UpstreamError unless the answer may be forwarded."""
--- a/rowanport/gateway/job.py
+++ b/rowanport/gateway/job.py
@@ -71,6 +71,7 @@
     :ivar takes_up: whether it takes up a stream of which the caller has events
     :ivar resumes: id of the earlier request whose stream it takes up, as the
         caller names it, or None
+    :ivar migration: the Migration of its run, or None if there is no copy
     :ivar first_event_at: monotonic time of the first event, or None
     :ivar last_event_at: monotonic time of the last event, or None
     :ivar longest_pause: longest time in seconds between two events
@@ -113,6 +114,7 @@
         "version",
         "takes_up",
         "resumes",
+        "migration",
         "first_event_at",
         "last_event_at",
         "longest_pause",
@@ -154,6 +156,7 @@
         self.version = None
         self.takes_up = False
         self.resumes = None
+        self.migration = None
         self.first_event_at = None
         self.last_event_at = None
         self.longest_pause = 0.0
@@ -161,6 +164,11 @@
         self.config = 0
         self.view_age = None
 
+    @property
+    def resuming(self):
+        """Return whether its run is to go on from a copy."""
+        return self.migration is not None and self.migration.place is not None
+
     @property
     def suspect_ids(self):
         """Return the fingerprints by which crashes may be blamed on it."""
--- a/rowanport/gateway/metrics.py
+++ b/rowanport/gateway/metrics.py
@@ -69,6 +69,12 @@
         self.tunnels = self._gauge(
             "tunnels", "Connections relayed for peers now"
         )
+        self.copies = self._counter(
+            "copies", "Runs to be copied to another engine, by outcome"
+        )
+        self.resumed_runs = self._counter(
+            "resumed_runs", "Runs resumed from their copy, by outcome"
+        )
         self.loop_restarts = self._counter(
             "loop_restarts", "Loops started again after they ended"
         )
--- a/rowanport/gateway/retry_policy.py
+++ b/rowanport/gateway/retry_policy.py
@@ -43,7 +43,8 @@
 
         :param job: the Job
         :param responder: Responder of its caller; once it has started, only a
-            resumable stream may run again
+            resumable stream may run again.  A run that goes on from its copy
+            is not another one; see check_resume()
         """
         route = job.route
         if not route.repeatable or job.runs >= route.max_sends:
@@ -132,6 +133,21 @@
         source = await self._gateway.retries.acquire(job.service)
         return self._record(job, source)
 
+    async def check_resume(self, job, error):
+        """Raise RequestError unless a run may go on from its copy.
+
+        It is the same run on any route, but one more send to the upstreams.
+
+        :param job: the Job
+        :param error: the UpstreamError that ended the last send
+        """
+        gateway = self._gateway
+        if gateway.crashes.may_repeat(job):
+            source = await gateway.retries.acquire(job.service)
+            if self._record(job, source):
+                return
+        raise final_error(job, error) from None
+
     def _is_rejected_too_often(self, job):
         return (
             job.rejections >= MAX_REJECTIONS
--- a/rowanport/gateway/sender.py
+++ b/rowanport/gateway/sender.py
@@ -67,6 +67,7 @@
         finally:
             for attempt in self._attempts:
                 self._close(attempt)
+            self._gateway.migrations.finish(self._job)
 
     async def _advance(self, attempt):
         """Handle the next progress, stall or failure of an Attempt.
@@ -83,10 +84,25 @@
             return attempt
         except UpstreamError as error:
             self._drop(attempt, error)
-            await self._retry_policy.check_retry(
-                self._job, self._responder, error
-            )
-            return await self._start_admitted()
+            return await self._recover(error)
+
+    async def _recover(self, error):
+        """Continue after a failed send.
+
+        :param error: the UpstreamError
+        :returns: the Attempt to continue with
+        :raises RequestError: the job cannot be sent again
+        """
+        job = self._job
+        was_resuming = job.resuming
+        self._gateway.migrations.record_failure(job, error)
+        if job.resuming:
+            return await self._resume(error)
+        if was_resuming:
+            # Its run began at another engine: it must not run anew.
+            raise final_error(job, error)
+        await self._retry_policy.check_retry(job, self._responder, error)
+        return await self._start_admitted()
 
     async def _wait_for_data(self, attempt):
         """Wait for data of the upstream; return False if it stalls."""
@@ -133,12 +149,37 @@
 
     def _start(self, state):
         """Send the job to an upstream; return the Attempt."""
-        job = self._job
-        job.sends += 1
-        job.runs += 1
+        self._job.runs += 1
+        self._gateway.migrations.prepare(self._job, state)
         # Counted before the send, so that concurrent requests go elsewhere.
         ahead = self._record_load(state)
-        version = state.record.version
+        return self._send(state, state.record.version, ahead)
+
+    async def _resume(self, error):
+        """Let the job's run go on from its copy; return the Attempt.
+
+        :param error: the UpstreamError that ended the last send
+        :raises RequestError: it cannot go on
+        """
+        gateway, job = self._gateway, self._job
+        gateway.stopping.check_send(job)
+        await self._crashes.admit(job)
+        await self._retry_policy.check_resume(job, error)
+        state = gateway.migrations.find_place(job)
+        if state is None or not await gateway.limits.acquire(state):
+            raise final_error(job, error)
+        # Nearly all of the prompt was read: it adds no load.
+        return self._send(state, job.migration.version, None)
+
+    def _send(self, state, version, ahead):
+        """Send the job to an upstream; return the Attempt.
+
+        :param version: version at which alone it may run
+        :param ahead: prompt tokens that the engine has to process before the
+            first event, None if that is not known
+        """
+        job = self._job
+        job.sends += 1
         opening = asyncio.ensure_future(self._open(state, ahead, version))
         in_flight_send = self._crashes.start_run(job, state)
         relay = functools.partial(self._relay, version)
@@ -203,7 +244,7 @@
         """Send the job; return the HttpAnswer once its head has arrived.
 
         :param ahead: prompt tokens that the engine has to process before the
-            first event
+            first event, None if that is not known
         :param version: version of the upstream when it was chosen
         """
         sent_at = self._clock.steady()
@@ -211,7 +252,7 @@
         answer = await self._gateway.exchange.send(
             self._job, state.record, check
         )
-        if is_stream(answer):
+        if is_stream(answer) and ahead is not None:
             now = self._clock.steady()
             state.backlog.record_first_event(ahead, now - sent_at, now)
         return answer
@@ -271,7 +312,7 @@
         job, state = self._job, attempt.state
         path = error.path or attempt.path
         job.tried.add(state.record.run)
-        if not error.started:
+        if not error.started and not job.resuming:
             job.runs -= 1
             self._retry_policy.release_hedge(job, attempt.tokens)
         if isinstance(error, UpstreamLeft):
--- a/rowanport/platform/words.py
+++ b/rowanport/platform/words.py
@@ -19,6 +19,7 @@
     resumes="resumes",
     backup_to="kv-backup",
     resume_from="kv-from",
+    handle_path="/kv-handle/",
     # The pages let only the system set these; an upstream reserves, pins and
     # fetches memory by them.
     orders=(
