--- a/rowanport/gateway/daemon.py
+++ b/rowanport/gateway/daemon.py
@@ -374,6 +374,7 @@
         names = {upstream.run.name for upstream in listed}
         self.limits.retain(names)
         self.cold.retain(names)
+        self.migrations.move_leaving()
 
     # Peers
 
--- a/rowanport/gateway/dialect.py
+++ b/rowanport/gateway/dialect.py
@@ -25,6 +25,8 @@
     :ivar resume_from: address and handle of the copy from which a run goes on
     :ivar handle_path: path under which an engine frees the copy of a run, up
         to the handle
+    :ivar move_path: path by which an engine copies a run to another one
+    :ivar report_path: path of an engine's report on its state
     :ivar orders: other headers by which a router controls an upstream
     :ivar facts: other headers of answers that only routers may see
     :ivar hints: other headers of callers that affect an upstream's decisions
@@ -48,6 +50,8 @@
         "backup_to",
         "resume_from",
         "handle_path",
+        "move_path",
+        "report_path",
         "orders",
         "facts",
         "hints",
--- a/rowanport/gateway/exchange.py
+++ b/rowanport/gateway/exchange.py
@@ -109,6 +109,8 @@
         if migration is None:
             return []
         if migration.place is None:
+            if not migration.is_backup:
+                return []
             return [(names.backup_to, migration.target.address)]
         copy = f"{migration.copy_address}/{migration.handle}"
         return [(names.resume_from, copy)]
--- a/rowanport/gateway/job.py
+++ b/rowanport/gateway/job.py
@@ -169,6 +169,13 @@
         """Return whether its run is to go on from a copy."""
         return self.migration is not None and self.migration.place is not None
 
+    @property
+    def returning(self):
+        """Return whether its run is to go on at the engine that stopped it."""
+        if not self.resuming:
+            return False
+        return self.migration.place is self.migration.source
+
     @property
     def suspect_ids(self):
         """Return the fingerprints by which crashes may be blamed on it."""
--- a/rowanport/gateway/migrations.py
+++ b/rowanport/gateway/migrations.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import json
 
 import structlog
 
@@ -14,7 +15,6 @@
 from ..migration import MemoryBook
 from ..migration import Migration
 from ..migration import MovePolicy
-from ..migration import Phase
 from ..migration import Place
 from ..routing import RouteKind
 from ..tasks import TaskSet
@@ -25,6 +25,10 @@
 # Time-out in seconds of a request that frees a copy: without an answer the
 # copy expires by itself a few seconds later.
 RELEASE_TIMEOUT = 1.0
+# Time-out in seconds of an engine's report and of each call that copies a run:
+# a gigabyte passes an engine's link in 30 ms.
+REPORT_TIMEOUT = 0.3
+MOVE_TIMEOUT = 1.0
 
 
 class Migrations:
@@ -43,6 +47,10 @@
         )
         self._memory = MemoryBook()
         self._durations = Durations()
+        # The UpstreamState that each job was sent to last, and the tasks of
+        # moves by job.
+        self._states = {}
+        self._moves = {}
         self._tasks = TaskSet()
 
     # Copying
@@ -59,6 +67,7 @@
         engine = self._engine(job)
         if engine is None or job.tokens is None:
             return
+        self._states[job] = state
         self._memory.reserve(job, state.record.run.name, job.tokens.max_total)
         if self._wants_backup(job, engine):
             self._begin_backup(job, state, engine)
@@ -72,9 +81,7 @@
     def _wants_backup(self, job, engine):
         """Return whether a copy of a job's run as it grows pays."""
         route = job.route
-        if not engine.backups or not engine.memory_tokens:
-            return False
-        if route.kind is not RouteKind.STREAM or route.resumable:
+        if not engine.backups or not _is_lost_with_engine(job):
             return False
         seconds = self._durations.average(route.name) or route.objective
         size = job.tokens.max_total * engine.token_bytes
@@ -83,21 +90,26 @@
     def _begin_backup(self, job, state, engine):
         target = self._choose_target(job, state, engine)
         if target is None:
-            self._gateway.metrics.copies.inc({"outcome": "no room"})
             return
+        self._begin(job, state, target, "backup", job.id)
+
+    def _begin(self, job, state, target, kind, handle=None):
+        """Set and return the Migration of a job."""
         tokens = job.tokens.max_total
         self._memory.reserve(job, target.record.run.name, tokens)
         job.migration = Migration(
-            _place(state), _place(target), state.record.version, job.id
+            _place(state), _place(target), state.record.version, handle
         )
-        self._gateway.metrics.copies.inc({"outcome": "backup"})
+        self._gateway.metrics.copies.inc({"outcome": kind})
         LOG.info(
             "run_copied",
             request=job.id,
+            kind=kind,
             source=state.record.id,
             target=target.record.id,
             tokens=tokens,
         )
+        return job.migration
 
     def _choose_target(self, job, source, engine):
         """Return the UpstreamState that receives a copy, or None.
@@ -124,9 +136,10 @@
             return remote, self._memory.tokens(other.run.name)
 
         # The first of equal ones is taken.
-        return by_id.get(
-            min(rendezvous(job.id, by_id), key=weight, default=None)
-        )
+        if not by_id:
+            self._gateway.metrics.copies.inc({"outcome": "no room"})
+            return None
+        return by_id[min(rendezvous(job.id, by_id), key=weight)]
 
     def _receivers(self, job, record):
         """Return the UpstreamStates of a version, other than one upstream."""
@@ -138,6 +151,115 @@
         )
         return gateway.cold.warm(gateway.limits.unlimited(candidates))
 
+    # Moves
+
+    def move_leaving(self):
+        """Begin to move the runs whose engines leave."""
+        for job, state in list(self._states.items()):
+            engine = self._engine(job)
+            if not state.record.leaving or job in self._moves:
+                continue
+            if job.migration is None and self._wants_move(job, engine):
+                move = self._tasks.spawn(self._move(job, state, engine))
+                self._moves[job] = move
+
+    def _wants_move(self, job, engine):
+        """Return whether a move of a run that would be lost pays."""
+        if engine is None or not engine.moves:
+            return False
+        size = job.tokens.max_total * engine.token_bytes
+        return _is_lost_with_engine(job) and self._policy.move_pays(size)
+
+    async def _move(self, job, state, engine):
+        """Copy a run, stop it, and leave the rest to its sender.
+
+        The copy is made while the run goes on, so that the caller waits only
+        for what is new since then.
+        """
+        leaves_at = await self._ask_leaves_at(state)
+        if self._policy.ends_in_time(self._ends_at(job), leaves_at):
+            return
+        # Meanwhile it may have been sent elsewhere, or have ended.
+        if self._states.get(job) is not state:
+            return
+        target = self._choose_target(job, state, engine)
+        if target is None:
+            return
+        migration = self._begin(job, state, target, "move")
+        status, answer = await self._call_move(job, migration, last=False)
+        if status == 200:
+            migration.record_copy(_handle(answer))
+        if not migration.begin_stop():
+            return migration.drop()
+        status, answer = await self._call_move(job, migration, last=True)
+        if status in (200, 503) and _handle(answer) is not None:
+            migration.record_stop(_handle(answer), status == 200)
+
+    async def _ask_leaves_at(self, state):
+        """Return when an engine leaves by its report, None if unknown."""
+        path = self._gateway.dialect.report_path
+        _status, answer = await self._call(
+            _place(state), "GET", path, None, REPORT_TIMEOUT
+        )
+        left = answer.get("leaves_ms")
+        if not isinstance(left, (int, float)):
+            return None
+        return self._gateway.clock.steady() + left / 1000
+
+    def _ends_at(self, job):
+        """Return when a run ends at its pace, None if that is not known."""
+        if job.events < 2:
+            return None
+        pace = (job.last_event_at - job.first_event_at) / (job.events - 1)
+        left = job.remaining_tokens / job.tokens.per_event
+        return self._gateway.clock.steady() + left * pace
+
+    async def _call_move(self, job, migration, last):
+        """Ask the source to copy a run; return status and answer."""
+        value = {
+            "id": job.id,
+            "target_version": migration.target.address,
+            "last": last,
+        }
+        path = self._gateway.dialect.move_path
+        return await self._call(
+            migration.source, "POST", path, value, MOVE_TIMEOUT
+        )
+
+    async def _call(self, place, method, path, value, timeout):
+        """Send JSON to an engine; return status and answer.
+
+        :returns: (0, {}) if it did not answer
+        """
+        gateway = self._gateway
+        body = b"" if value is None else json.dumps(value).encode()
+        headers = [(gateway.dialect.expected_instance, place.run.id)]
+        try:
+            async with asyncio.timeout(timeout):
+                answer = await gateway.client.request(
+                    place.address, method, path, body, headers
+                )
+                data = await answer.read()
+            fields = json.loads(data or b"{}")
+        except (UpstreamError, asyncio.TimeoutError, ValueError) as error:
+            LOG.info(
+                "engine_unanswered",
+                upstream=place.run.id,
+                path=path,
+                error=str(error),
+            )
+            return 0, {}
+        return answer.status, fields if isinstance(fields, dict) else {}
+
+    async def wait_for_move(self, job):
+        """Wait until it is known what became of a job's move.
+
+        The stream may break off before the source answers that it stopped.
+        """
+        move = self._moves.get(job)
+        if move is not None:
+            await asyncio.wait([move])
+
     # The end of a send
 
     def record_failure(self, job, error):
@@ -193,46 +315,50 @@
     def finish(self, job):
         """Free what a job that has ended occupies."""
         self._memory.release(job)
+        self._states.pop(job, None)
+        self._moves.pop(job, None)
         if job.complete:
             seconds = job.last_event_at and job.last_event_at - job.arrived
             self._durations.record(job.route.name, seconds or 0.0)
         migration = job.migration
         if migration is None:
             return
+        unused = migration.holds_copy
         if job.complete:
             if migration.place is not None:
                 self._gateway.metrics.resumed_runs.inc({"outcome": "complete"})
+            # The engines themselves free a backup once its run has ended.
+            unused = unused and not migration.is_backup
             migration.record_complete()
-            return
-        if migration.phase is not Phase.DROPPED:
+        else:
+            unused = unused or migration.place is not None
             migration.drop()
+        if unused:
             self._tasks.spawn(self._release(migration))
 
     async def _release(self, migration):
-        """Free the copy of a run that ended before its end."""
-        gateway, target = self._gateway, migration.target
-        names = gateway.dialect
-        try:
-            async with asyncio.timeout(RELEASE_TIMEOUT):
-                answer = await gateway.client.request(
-                    target.address,
-                    "DELETE",
-                    names.handle_path + migration.handle,
-                    headers=[(names.expected_instance, target.run.id)],
-                )
-                await answer.read()
-        except (UpstreamError, asyncio.TimeoutError) as error:
-            LOG.info(
-                "copy_not_released",
-                request=migration.handle,
-                upstream=target.run.id,
-                error=str(error),
-            )
+        """Free the copy of a run, which the source of a move does."""
+        is_backup = migration.is_backup
+        place = migration.target if is_backup else migration.source
+        path = self._gateway.dialect.handle_path + migration.handle
+        await self._call(place, "DELETE", path, None, RELEASE_TIMEOUT)
 
     def close(self):
         """End what is under way."""
         self._tasks.cancel()
 
 
+def _is_lost_with_engine(job):
+    """Return whether a job's run cannot begin anew at another engine."""
+    route = job.route
+    return route.kind is RouteKind.STREAM and not route.resumable
+
+
+def _handle(answer):
+    """Return the handle that an engine's answer names, or None."""
+    handle = answer.get("handle")
+    return handle if isinstance(handle, str) and handle else None
+
+
 def _place(state):
     return Place(state.record.run, state.record.address)
--- a/rowanport/gateway/sender.py
+++ b/rowanport/gateway/sender.py
@@ -95,6 +95,7 @@
         """
         job = self._job
         was_resuming = job.resuming
+        await self._gateway.migrations.wait_for_move(job)
         self._gateway.migrations.record_failure(job, error)
         if job.resuming:
             return await self._resume(error)
@@ -263,9 +264,12 @@
         It may have left while the job waited for a permit or a connection.
         """
         gateway, record = self._gateway, state.record
-        if gateway.pool.get(record.id) is not state or record.leaving:
+        # An engine that leaves still has the memory of a run that it stopped.
+        leaving = record.leaving and not self._job.returning
+        if gateway.pool.get(record.id) is not state or leaving:
             raise UpstreamLeft("upstream left before the send")
-        if gateway.views.evacuations.covers(record.data_centre):
+        evacuated = gateway.views.evacuations.covers(record.data_centre)
+        if evacuated and not self._job.returning:
             raise UpstreamLeft(f"{record.data_centre} is evacuated")
         if record.version != version or self._job.version not in (
             None,
--- a/rowanport/migration/migration.py
+++ b/rowanport/migration/migration.py
@@ -96,6 +96,13 @@
             return self.source
         return None
 
+    @property
+    def holds_copy(self):
+        """Return whether a copy may exist that was not used."""
+        if self._handle is None:
+            return False
+        return self.phase in (Phase.COPYING, Phase.STOPPING)
+
     @property
     def copy_address(self):
         """Return the address that names the copy in a request to resume.
--- a/rowanport/migration/policy.py
+++ b/rowanport/migration/policy.py
@@ -5,6 +5,9 @@
 GIGABYTE = 1e9
 # Probability of the loss of a run whose engine leaves before the run ends.
 CERTAIN = 1.0
+# Seconds before an engine leaves by which a run has to end to stay there: a
+# move takes less, and the pace of a run varies.
+LEAVE_MARGIN = 0.5
 
 
 class MovePolicy:
@@ -46,6 +49,19 @@
         """
         return self._pays(size, CERTAIN)
 
+    @staticmethod
+    def ends_in_time(ends_at, leaves_at):
+        """Return whether a run ends before its engine leaves.
+
+        :param ends_at: monotonic time at which it ends at the latest, None if
+            that is not known
+        :param leaves_at: monotonic time at which the engine leaves, None if
+            that is not known
+        """
+        if ends_at is None or leaves_at is None:
+            return False
+        return ends_at + LEAVE_MARGIN < leaves_at
+
     def _pays(self, size, probability):
         price = size / GIGABYTE * self._copy_cost
         return probability * self._lost_stream_cost > price
--- a/rowanport/platform/words.py
+++ b/rowanport/platform/words.py
@@ -20,6 +20,8 @@
     backup_to="kv-backup",
     resume_from="kv-from",
     handle_path="/kv-handle/",
+    move_path="/kv-move",
+    report_path="/report",
     # The pages let only the system set these; an upstream reserves, pins and
     # fetches memory by them.
     orders=(
--- a/rowanport/standins/copying_engine.py
+++ b/rowanport/standins/copying_engine.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import json
 
 from ..platform.words import DIALECT
 from .upstream import ID_HEADER
@@ -14,6 +15,8 @@
 PIECE_SECONDS = 0.1
 # Seconds for which a copy is kept after its last piece.
 HANDLE_SECONDS = 5.0
+# What a handle of a moved run begins with; the request's id follows.
+HANDLE_PREFIX = "move-"
 
 
 class Copy:
@@ -21,13 +24,15 @@
 
     :ivar tokens: tokens that it occupies
     :ivar expires_at: the event loop's time until which it is kept
+    :ivar source: address that names it in a request to resume the run
     """
 
-    __slots__ = ("tokens", "expires_at")
+    __slots__ = ("tokens", "expires_at", "source")
 
-    def __init__(self, tokens, expires_at):
+    def __init__(self, tokens, expires_at, source):
         self.tokens = tokens
         self.expires_at = expires_at
+        self.source = source
 
 
 class RunSpan:
@@ -60,6 +65,10 @@
     :ivar copies: Copy by the request's id
     :ivar freed: ids of the copies that were freed on request
     :ivar lose_copies: whether the pieces that it sends are lost
+    :ivar leaves_at: the event loop's time at which it leaves, or None
+    :ivar full: whether it has no room for copies
+    :ivar moves: bodies of the requests to move a run
+    :ivar on_move: function that is called with each of them, or None
     """
 
     def __init__(self, name, engines, events=8, memory=100000, version="v1"):
@@ -68,9 +77,14 @@
         self.copies = {}
         self.freed = []
         self.lose_copies = False
+        self.leaves_at = None
+        self.full = False
+        self.moves = []
+        self.on_move = None
         self._memory = memory
         self._engines = engines
         self._open = {}
+        self._streams = {}
 
     async def start_at(self, host, port):
         await super().start_at(host, port)
@@ -101,13 +115,19 @@
 
     # Copies
 
-    def receive_piece(self, name, tokens):
-        """Take in the copy of a run so far, if there is room for it."""
+    def receive_piece(self, name, tokens, source=None):
+        """Take in the copy of a run so far; return whether there is room.
+
+        :param source: address of the engine that moves the run
+        """
         now = asyncio.get_running_loop().time()
         known = self.copies.get(name)
         more = tokens - (known.tokens if known else 0)
-        if self.memory_used + more <= self._memory:
-            self.copies[name] = Copy(tokens, now + HANDLE_SECONDS)
+        if self.full or self.memory_used + more > self._memory:
+            return False
+        source = source or self.address
+        self.copies[name] = Copy(tokens, now + HANDLE_SECONDS, source)
+        return True
 
     async def _copy(self, span, address):
         """Send the memory of a run to another engine while it goes on."""
@@ -124,11 +144,62 @@
         if request.method == b"DELETE":
             self._free(target.removeprefix(DIALECT.handle_path))
             return self._send(connection, writer, 200, [], b"")
+        if target == DIALECT.report_path:
+            return self._send_json(connection, writer, 200, self._report())
+        if target == DIALECT.move_path:
+            value = json.loads(body)
+            self.moves.append(value)
+            if self.on_move is not None:
+                self.on_move(value)
+            status, answer = self._move(value)
+            return self._send_json(connection, writer, status, answer)
         await super()._answer(connection, writer, request, body)
 
-    def _free(self, name):
-        self.freed.append(name)
+    def _send_json(self, connection, writer, status, value):
+        data = json.dumps(value).encode()
+        self._send(connection, writer, status, [], data)
+
+    def _report(self):
+        if self.leaves_at is None:
+            return {"state": "ready"}
+        left = self.leaves_at - asyncio.get_running_loop().time()
+        return {"state": "draining", "leaves_ms": max(0, int(left * 1000))}
+
+    def _move(self, value):
+        """Copy a run to another engine; return status and answer."""
+        name = value["id"]
+        span = next((one for one in self._open if one.id == name), None)
+        if span is None:
+            return 404, {}
+        tokens = self._open[span]
+        if value["last"]:
+            self._stop(span)
+        target = self._engines.get(value["target_version"])
+        handle = HANDLE_PREFIX + name
+        if target is None or not target.receive_piece(
+            name, tokens, self.address
+        ):
+            return 503, {"handle": handle} if value["last"] else {}
+        return 200, {"handle": handle, "made": 0}
+
+    def _stop(self, span):
+        """Stop a run, close its stream and keep its memory."""
+        tokens = self._open[span]
+        self._end(span)
+        now = asyncio.get_running_loop().time()
+        kept = Copy(tokens, now + HANDLE_SECONDS, self.address)
+        self.copies[span.id] = kept
+        self._streams.pop(span).transport.abort()
+
+    def _free(self, handle):
+        """Free a copy, and what this engine moved elsewhere by it."""
+        self.freed.append(handle)
+        name = handle.removeprefix(HANDLE_PREFIX)
         self.copies.pop(name, None)
+        for engine in self._engines.values():
+            copy = engine.copies.get(name)
+            if copy is not None and copy.source == self.address:
+                del engine.copies[name]
 
     async def _do_ok(self, connection, writer, names, body):
         source = names.get(DIALECT.resume_from)
@@ -139,10 +210,13 @@
     def _use_copy(self, source):
         """Use up the copy that a header names; return whether it is there."""
         self._expire()
-        address, _, name = source.partition("/")
-        if address != self.address:
+        address, _, handle = source.partition("/")
+        name = handle.removeprefix(HANDLE_PREFIX)
+        copy = self.copies.get(name)
+        if copy is None or copy.source != address:
             return False
-        return self.copies.pop(name, None) is not None
+        del self.copies[name]
+        return True
 
     async def _execute(self, connection, writer, names, resumed):
         now = asyncio.get_running_loop().time()
@@ -150,6 +224,7 @@
         self.spans.append(span)
         prompt = int(names[DIALECT.tokens].partition(",")[0])
         self._open[span] = prompt
+        self._streams[span] = writer
         backup = names.get(DIALECT.backup_to)
         copying = backup and asyncio.ensure_future(self._copy(span, backup))
         self._note_run(connection, names)
@@ -159,6 +234,7 @@
                 self._engines[backup].copies.pop(span.id, None)
         finally:
             self._end(span)
+            self._streams.pop(span, None)
             if copying:
                 copying.cancel()
 
--- a/test/migration_world.py
+++ b/test/migration_world.py
@@ -34,16 +34,20 @@
     """Routers, a store, and engines that copy their runs.
 
     :param costs: settings of the routers' MovePolicy
+    :param feature: what the engines can do, "backups" or "moves"
     :ivar engines: all CopyingEngines that ever ran
     :ivar streams: the Streams that were asked for, by name
     """
 
-    def __init__(self, loop, net, costs=COSTS, routers=2, engines=8):
+    def __init__(
+        self, loop, net, costs=COSTS, routers=2, engines=8, feature="backups"
+    ):
         super().__init__(loop, net, routers, engines)
         self.engines = []
         self.streams = {}
         self._costs = costs
         self._links = {}
+        self._feature = feature
 
     async def start_router(self, host):
         """Start the router of a host."""
@@ -60,10 +64,11 @@
     async def start(self):
         """Start everything, and configure engines with backups."""
         await super().start()
-        await self.store.put("op/config", _config())
+        await self.store.put("op/config", _config(self._feature))
         await asyncio.sleep(3.0)
         for gateway in self.gateways.values():
-            assert gateway.table.services["feed"].engine.backups
+            engine = gateway.table.services["feed"].engine
+            assert getattr(engine, self._feature)
 
     def _new_upstream(self, name):
         engine = CopyingEngine(name, self._links, EVENTS, MEMORY)
@@ -147,7 +152,7 @@
         return stream
 
 
-def _config():
+def _config(feature):
     long = {"timeout_ms": 15000, "target_latency_ms": 1000}
     routes = [
         route("/stream/", "streaming", stream_resume=True, **long),
@@ -160,7 +165,7 @@
         "kv_capacity_tokens": MEMORY,
         "kv_token_bytes": 18432,
         "link_mbps": 370000,
-        "backups": True,
+        feature: True,
         "handle_s": 5,
     }
     return fields
--- a/test/test_migrations.py
+++ b/test/test_migrations.py
@@ -261,6 +261,149 @@
     assert world.overlaps() == set()
 
 
+# An engine leaves
+
+move_test = functools.partial(migration_test, feature="moves")
+
+
+async def leave(world, engine, seconds):
+    """Let an engine leave: it drops all connections after some seconds."""
+    engine.leaves_at = world.now + seconds
+    entry = engine.entry(state="draining")
+    await world.store.put(f"servers/{engine.name}", entry)
+
+    async def end():
+        await asyncio.sleep(seconds)
+        engine.crash()
+
+    world.spawn(end())
+
+
+@move_test()
+async def test_a_run_moves_away_from_an_engine_that_leaves(world):
+    """Guards against streams that are cut by a planned stop."""
+    task = await begin(world, events=2)
+    source = world.engine_of("r1")
+    await leave(world, source, 0.5)
+    stream = await task
+    assert (stream.whole, stream.events) == (True, ALL)
+    assert [value["last"] for value in source.moves] == [False, True]
+    assert world.engine_of("r1") is not source
+    (resumed,) = world.engine_of("r1").heads
+    assert resumed[DIALECT.resume_from] == f"{source.address}/move-r1"
+    assert world.overlaps() == set()
+
+
+@move_test()
+async def test_a_run_that_ends_before_its_engine_leaves_stays(world):
+    """Guards against copies of runs that nothing threatens."""
+    task = await begin(world)
+    source = world.engine_of("r1")
+    await leave(world, source, 10.0)
+    assert (await task).whole
+    assert source.moves == []
+
+
+@move_test()
+async def test_a_run_without_room_elsewhere_returns_to_its_source(world):
+    """Guards against a stopped run that goes on nowhere."""
+    task = await begin(world, events=2)
+    source = world.engine_of("r1")
+
+    def fill(value):
+        for engine in world.engines:
+            engine.full = value["last"]
+
+    source.on_move = fill
+    await leave(world, source, 1.0)
+    stream = await task
+    assert (stream.whole, stream.events) == (True, ALL)
+    assert [span.engine for span in world.spans] == [source.name] * 2
+    assert world.overlaps() == set()
+
+
+@move_test()
+async def test_a_run_returns_if_its_target_dies(world):
+    """Guards against a run that is lost while its source still has it."""
+    task = await begin(world, events=2)
+    source = world.engine_of("r1")
+
+    def kill(value):
+        for engine in world.engines:
+            if value["last"] and engine.address == value["target_version"]:
+                engine.crash()
+
+    source.on_move = kill
+    await leave(world, source, 1.0)
+    stream = await task
+    assert (stream.whole, stream.events) == (True, ALL)
+    assert world.engine_of("r1") is source
+    assert [span.engine for span in world.spans] == [source.name] * 2
+    assert world.overlaps() == set()
+
+
+@move_test()
+async def test_a_source_that_dies_in_its_move_leaves_the_first_copy(world):
+    task = await begin(world, events=2)
+    source = world.engine_of("r1")
+
+    def die(value):
+        if value["last"]:
+            source.crash()
+
+    source.on_move = die
+    await leave(world, source, 1.0)
+    stream = await task
+    assert (stream.whole, stream.events) == (True, ALL)
+    assert world.engine_of("r1") is not source
+    assert world.overlaps() == set()
+
+
+async def kill_router_in_move(world, last):
+    """Kill the router as it asks for a copy, and check what is left.
+
+    :param last: whether it is killed as it stops the run
+    """
+    task = await begin(world, events=2)
+    source = world.engine_of("r1")
+    asked = asyncio.Event()
+    source.on_move = lambda v: asked.set() if v["last"] is last else None
+    await leave(world, source, 0.7)
+    async with asyncio.timeout(2.0):
+        await asked.wait()
+    await world.kill_router(world.hosts[0])
+    await task
+    await asyncio.sleep(HANDLE_SECONDS + 3 * PAUSE)
+    assert sum(engine.memory_used for engine in world.engines) == 0
+    assert world.overlaps() == set()
+
+
+@move_test()
+async def test_a_router_killed_as_it_copies_leaves_nothing_for_long(world):
+    """Guards against memory and slots held for nobody."""
+    await kill_router_in_move(world, last=False)
+
+
+@move_test()
+async def test_a_router_killed_as_it_stops_a_run_leaves_nothing_for_long(
+    world,
+):
+    await kill_router_in_move(world, last=True)
+
+
+@move_test(engines=8)
+async def test_no_stream_is_cut_as_an_engine_leaves_under_load(world):
+    """Guards against moves that take longer than the engine stays."""
+    loading = world.spawn(load(world, 200, 0.02))
+    await asyncio.sleep(2.0)
+    source = max(world.engines, key=lambda engine: len(engine.heads))
+    await leave(world, source, 0.8)
+    await asyncio.gather(*await loading)
+    assert len(source.moves) >= 4
+    assert share_whole(world, {*world.streams}) == 1.0
+    assert world.overlaps() == set()
+
+
 # Off
 
 
