--- a/rowanport/gateway/daemon.py
+++ b/rowanport/gateway/daemon.py
@@ -49,6 +49,7 @@
 from .link_sharing import LinkSharing
 from .load_sync import LoadSync
 from .metrics import GatewayMetrics
+from .migrations import Migrations
 from .own_link import OwnLink
 from .part_trials import PartTrials
 from .path_connector import PathConnector
@@ -280,6 +281,7 @@
         self.admission_control = AdmissionControl(self)
         self.state.add(self.admission_control.sync)
         self.stopping = GracefulStop(self.members, self.clock)
+        self.migrations = Migrations(self, settings)
         self.forwarder = Forwarder(self)
         self.crashes.on_blocked = self.forwarder.abort
         self._prefixes = prefixes = PrefixMap()
@@ -385,6 +387,7 @@
         names = {upstream.run.name for upstream in listed}
         self.limits.retain(names)
         self.cold.retain(names)
+        self.migrations.move_leaving()
 
     # Peers
 
@@ -567,6 +570,7 @@
         self.crashes.close()
         self.retries.close()
         self.streams.close()
+        self.migrations.close()
         await self._server.close()
         await self._health.close()
         await self._peer_server.close()
--- a/rowanport/gateway/dialect.py
+++ b/rowanport/gateway/dialect.py
@@ -2,7 +2,7 @@
 
 
 class Dialect:
-    """Header names, in lower case.
+    """Header names, in lower case, and paths of engines.
 
     :ivar request_id: the request's id, repeated in each answer
     :ivar timeout_ms: milliseconds that the sender waits for the answer
@@ -21,6 +21,12 @@
     :ivar last_event: id of the last event received from a resumed stream
     :ivar resumes: id of the caller's request that began the stream which it
         takes up
+    :ivar backup_to: address of the engine to which a run is copied as it grows
+    :ivar resume_from: address and handle of the copy from which a run goes on
+    :ivar handle_path: path under which an engine frees the copy of a run, up
+        to the handle
+    :ivar move_path: path by which an engine copies a run to another one
+    :ivar report_path: path of an engine's report on its state
     :ivar orders: other headers by which a router controls an upstream
     :ivar facts: other headers of answers that only routers may see
     :ivar hints: other headers of callers that affect an upstream's decisions
@@ -41,6 +47,11 @@
         "priority",
         "last_event",
         "resumes",
+        "backup_to",
+        "resume_from",
+        "handle_path",
+        "move_path",
+        "report_path",
         "orders",
         "facts",
         "hints",
@@ -63,6 +74,8 @@
             self.timeout_ms,
             self.priority,
             self.last_event,
+            self.backup_to,
+            self.resume_from,
             *self.orders,
         )
 
--- a/rowanport/gateway/metrics.py
+++ b/rowanport/gateway/metrics.py
@@ -89,6 +89,12 @@
         self.late_sends = self._counter(
             "late_sends", "Requests sent to be answered late, by service"
         )
+        self.copies = self._counter(
+            "copies", "Runs to be copied to another engine, by outcome"
+        )
+        self.resumed_runs = self._counter(
+            "resumed_runs", "Runs resumed from their copy, by outcome"
+        )
         self.loop_restarts = self._counter(
             "loop_restarts", "Loops started again after they ended"
         )
--- a/rowanport/platform/words.py
+++ b/rowanport/platform/words.py
@@ -17,14 +17,17 @@
     priority="priority",
     last_event="last-event-id",
     resumes="resumes",
-    # The pages let only the system set these; an upstream reserves, pins,
-    # copies and takes over memory by them.
+    backup_to="kv-backup",
+    resume_from="kv-from",
+    handle_path="/kv-handle/",
+    move_path="/kv-move",
+    report_path="/report",
+    # The pages let only the system set these; an upstream reserves, pins and
+    # fetches memory by them.
     orders=(
         "expect-version",
         "hold",
-        "kv-backup",
         "kv-fetch",
-        "kv-from",
         "pin-ms",
         "wait-ms",
     ),
