--- a/rowanport/gateway/caller_diversion.py
+++ b/rowanport/gateway/caller_diversion.py
@@ -237,7 +237,9 @@
     # Checks
 
     def _start_checks(self):
-        if not self._checking and self.link_share > IDLE_SHARE:
+        if self._checking:
+            return
+        if self.server.paused or self.link_share > IDLE_SHARE:
             self._checking = True
             self._tasks.spawn(self._run_checks())
 
