--- a/rowanport/gateway/migrations.py
+++ b/rowanport/gateway/migrations.py
@@ -25,6 +25,10 @@
 # Time-out in seconds of a request that frees a copy: without an answer the
 # copy expires by itself a few seconds later.
 RELEASE_TIMEOUT = 1.0
+# Seconds between the end of a run and the call that frees its copy.  An engine
+# that has not noticed the end sends one more part of the memory, which would
+# be held until it expires.
+RELEASE_DELAY = 0.1
 # Time-out in seconds of an engine's report and of each call that copies a run:
 # a gigabyte passes an engine's link in 30 ms.
 REPORT_TIMEOUT = 0.3
@@ -341,6 +345,7 @@
         is_backup = migration.is_backup
         place = migration.target if is_backup else migration.source
         path = self._gateway.dialect.handle_path + migration.handle
+        await asyncio.sleep(RELEASE_DELAY)
         await self._call(place, "DELETE", path, None, RELEASE_TIMEOUT)
 
     def close(self):
