--- a/rowanport/gateway/migrations.py
+++ b/rowanport/gateway/migrations.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import json
+import urllib.parse
 
 import structlog
 
@@ -65,7 +66,8 @@
             return
         self._memory.release(job)
         engine = self._engine(job)
-        if engine is None or job.tokens is None:
+        # Engines name a run by the request's id.
+        if engine is None or job.tokens is None or not job.id:
             return
         self._states[job] = state
         self._memory.reserve(job, state.record.run.name, job.tokens.max_total)
@@ -340,7 +342,9 @@
         """Free the copy of a run, which the source of a move does."""
         is_backup = migration.is_backup
         place = migration.target if is_backup else migration.source
-        path = self._gateway.dialect.handle_path + migration.handle
+        # The caller chose the request's id, which may hold any character.
+        handle = urllib.parse.quote(migration.handle, safe="")
+        path = self._gateway.dialect.handle_path + handle
         await self._call(place, "DELETE", path, None, RELEASE_TIMEOUT)
 
     def close(self):
--- a/test/test_migration.py
+++ b/test/test_migration.py
@@ -55,6 +55,18 @@
     assert not policy.backup_pays(SIZE, SECONDS)
 
 
+@pytest.mark.parametrize(
+    "ends_at, leaves_at, in_time",
+    ((10.0, 10.4, False), (10.0, 10.6, True), (None, 99.0, False)),
+)
+def test_a_run_stays_that_ends_before_its_engine_leaves(
+    ends_at, leaves_at, in_time
+):
+    """Guards against moves for nothing, and ones that begin too late."""
+    assert MovePolicy.ends_in_time(ends_at, leaves_at) is in_time
+    assert not MovePolicy.ends_in_time(ends_at, None)
+
+
 def test_nothing_is_copied_by_default():
     """Guards against free copies counting as worth while."""
     policy = MovePolicy(0.0, 0.0, 1.0)
--- a/test/test_migrations.py
+++ b/test/test_migrations.py
@@ -158,6 +158,23 @@
     assert target.copies == {}
 
 
+@migration_test()
+async def test_a_request_id_cannot_name_another_path(world):
+    """Guards against callers that choose what a router asks of an engine."""
+    await (await begin(world, "../a?b", most=5))
+    await asyncio.sleep(0.5)
+    freed = [name for engine in world.engines for name in engine.freed]
+    assert freed == ["..%2Fa%3Fb"]
+
+
+@migration_test()
+async def test_a_run_without_a_request_id_gets_no_copy(world):
+    """Guards against copies that no request can name."""
+    task = await begin(world, "")
+    assert header(world, "", DIALECT.backup_to) == [None]
+    assert (await task).whole
+
+
 @migration_test()
 async def test_a_killed_router_leaves_nothing_for_long(world):
     """Guards against copies that outlive the router that asked for them."""
