--- a/rowanport/engines/read_speed.py
+++ b/rowanport/engines/read_speed.py
@@ -14,20 +14,24 @@
 # line runs through the lower part.  The minimum would follow prompts that are
 # cached although they are counted as unread.
 QUANTILE = 0.35
-# Samples that the assumed speed counts for: enough that one or two samples of
-# similar size, which define no line, change it little.
-PRIOR_SAMPLES = 2.0
+# Samples that the assumed speed counts for, so that a line is defined also by
+# one sample.  More of them drew noisy fits to the assumed speed; how exact a
+# fit is, its error tells.
+PRIOR_SAMPLES = 0.2
 # Prompt tokens at which the assumed speed is weighed against samples.
-PRIOR_TOKENS = 5000.0
-# Standard error of the slowness in median residuals, for one sample at one
-# token from the mean: sqrt(QUANTILE * (1 - QUANTILE)) over the density of the
-# residuals at the line, of which half are within the median.
+PRIOR_TOKENS = 2000.0
+# Share of the residuals whose width tells their density at the line, and the
+# standard error of the slowness by that width, for one sample at one token
+# from the mean: sqrt(QUANTILE * (1 - QUANTILE)) * 2 / DENSITY_SHARE.
+DENSITY_SHARE = 0.5
 ERROR_FACTOR = 1.9
-# Samples that two parameters and their scale use up.
-FITTED_PARAMETERS = 3.0
+# Samples that the two parameters, their scale and their quantile use up.
+FITTED_PARAMETERS = 5.0
 # Multiple of the median tokens beyond which a sample counts for less: a single
 # large one, whose tokens were estimated wrongly, would turn the line.
 MAX_LEVERAGE = 3.0
+# With few samples their residuals are too small: the line follows them.
+FEW_SAMPLES = 12.0
 # Rounds of the iterated weighted fit, which begins with the line of the last
 # fit.  In a simulation of 60 samples, eight rounds were no more exact.
 ROUNDS = 4
@@ -170,9 +174,9 @@
     count = sum(weight for _x, _y, weight in rows) - FITTED_PARAMETERS
     if count <= 0:
         return math.inf
-    residual = statistics.median(
-        abs(y - fixed - slowness * x) for x, y, _weight in rows
-    )
-    residual = max(MIN_RESIDUAL, residual)
+    residuals = sorted(abs(y - fixed - slowness * x) for x, y, _ in rows)
+    width = residuals[int(DENSITY_SHARE * len(rows))]
+    width = max(MIN_RESIDUAL, width)
     spread = statistics.pstdev(x for x, _y, _weight in rows) + 1.0
-    return ERROR_FACTOR * residual / (math.sqrt(count) * spread)
+    factor = ERROR_FACTOR * (1.0 + FEW_SAMPLES / count)
+    return factor * width / (math.sqrt(count) * spread)
--- a/rowanport/gateway/speed_choice.py
+++ b/rowanport/gateway/speed_choice.py
@@ -16,10 +16,10 @@
 TIE_SHARE = 0.125
 # Most work of this router at one engine, relative to the mean of all by their
 # rates.  As each router keeps it, so does the fleet, without any messages.
-WORK_BOUND = 1.15
+WORK_BOUND = 1.1
 # Requests of mean size that an engine may get beyond that, so that a router
-# with few requests still sends equal prompts to the same engine.
-WORK_SLACK = 1.0
+# with few requests may send equal prompts to the same engine.
+WORK_SLACK = 0.5
 # Half-life in seconds of the work that counts.
 WORK_HALF_LIFE = 8.0
 # Half-lives after which the work's scale is reset, and the smallest work that
@@ -121,7 +121,11 @@
         return self._prefixes.levels(prefixes)
 
     def _examine(self, candidates, job, now):
-        """Return the cached tokens and the expected wait of each candidate."""
+        """Return the cached tokens and the expected wait of each candidate.
+
+        The lag counts: short prompts of other routers are not announced, and
+        an engine that queues them gives no samples that tell its rate.
+        """
         levels = self._levels(job)
         oldest = now - KEEP_SECONDS
         prompt = job.tokens.prompt
@@ -130,7 +134,7 @@
             for state in candidates
         ]
         waits = [
-            state.expected_wait(prompt - tokens, now)
+            state.expected_wait(prompt - tokens, now) + state.backlog.lag(now)
             for state, tokens in zip(candidates, cached)
         ]
         return cached, waits
--- a/test/speed_world.py
+++ b/test/speed_world.py
@@ -42,10 +42,31 @@
     return rng.lognormvariate(math.log(mean) - sigma**2 / 2, sigma)
 
 
+def draw_sample(rng, rate, fixed):
+    """Return the tokens ahead of a first event, and the seconds until it.
+
+    Some prompts are cached in part without the router's knowledge, and some
+    wait for work that it has not heard of.
+    """
+    tokens = unread = lognormal(rng, 2890)
+    if rng.random() < 0.3:
+        tokens = unread = tokens + 6300
+        if rng.random() < 0.25:
+            unread -= 2520
+    seconds = fixed + unread / rate
+    if rng.random() < 0.4:
+        seconds += rng.expovariate(rate / 2890)
+    seconds += rng.random() * rng.uniform(*STEP_SECONDS)
+    if rng.randrange(LATE_ONE_IN) == 0:
+        seconds *= LATE_FACTOR
+    return tokens, seconds
+
+
 class Engine:
     """Reads prompts one after another, and keeps their leading parts.
 
     :ivar rate: prompt tokens read per second
+    :ivar fixed: seconds to a first event besides those of reading
     :ivar busy: seconds for which it has read
     """
 
@@ -53,7 +74,7 @@
         self.rate = rate
         self.busy = 0.0
         self._rng = rng
-        self._fixed = rng.uniform(*FIXED_SECONDS)
+        self.fixed = rng.uniform(*FIXED_SECONDS)
         self._free_at = 0.0
         self._cached = set()
 
@@ -68,7 +89,7 @@
         seconds = tokens / self.rate
         self.busy += seconds
         self._free_at = max(now, self._free_at) + seconds
-        wait = self._free_at - now + self._fixed
+        wait = self._free_at - now + self.fixed
         wait += self._rng.random() * self._rng.uniform(*STEP_SECONDS)
         if self._rng.randrange(LATE_ONE_IN) == 0:
             wait *= LATE_FACTOR
@@ -124,6 +145,13 @@
             ahead, now - sent_at, now, certain, total
         )
 
+    def feed(self):
+        """Record a first event as if a request had been sent before."""
+        name, engine = self._world.rng.choice([*self._world.engines.items()])
+        sample = draw_sample(self._world.rng, engine.rate, engine.fixed)
+        now = self._world.clock.steady()
+        self.pool.get(name).backlog.record_first_event(*sample, now)
+
     async def poll(self):
         """Poll the announcements of other routers until cancelled."""
         while True:
@@ -149,6 +177,8 @@
 
     def __init__(self, rates, count, seed=0):
         self.rng = random.Random(seed)
+        # The routers draw collectors and samples from the module's source.
+        random.seed(seed)
         self.loop = VirtualLoop()
         self.clock = LoopClock(self.loop)
         self.large = True
@@ -217,10 +247,13 @@
         job.tokens = Tokens(6300 + round(lognormal(self.rng, own)), 56)
         return job
 
-    async def _load(self, router, per_second):
+    async def _load(self, router, per_second, fed):
         while True:
             await asyncio.sleep(self.rng.expovariate(per_second))
-            router.send(self.make_job())
+            if fed:
+                router.feed()
+            else:
+                router.send(self.make_job())
 
     async def _exchange(self, router):
         await asyncio.sleep(self.rng.uniform(0, REPORT_INTERVAL))
@@ -228,19 +261,19 @@
             await router.state.exchange()
             await asyncio.sleep(REPORT_INTERVAL)
 
-    def play(self, seconds, per_second, idle=(), after=None):
+    def play(self, seconds, per_second, idle=(), fed=False):
         """Run for some seconds.
 
         :param per_second: requests of each router
         :param idle: addresses of routers without requests
-        :param after: (second, function) to call meanwhile, or None
+        :param fed: whether first events are drawn instead of requests sent
         """
         asyncio.set_event_loop(self.loop)
         self.loop.run_until_complete(
-            self._play(seconds, per_second, idle, after)
+            self._play(seconds, per_second, idle, fed)
         )
 
-    async def _play(self, seconds, per_second, idle, after):
+    async def _play(self, seconds, per_second, idle, fed):
         tasks = []
         for address, router in self.routers.items():
             if address in self.dead:
@@ -248,10 +281,8 @@
             tasks.append(asyncio.ensure_future(self._exchange(router)))
             tasks.append(asyncio.ensure_future(router.poll()))
             if address not in idle:
-                load = self._load(router, per_second)
+                load = self._load(router, per_second, fed)
                 tasks.append(asyncio.ensure_future(load))
-        if after is not None:
-            self.loop.call_later(*after)
         await asyncio.sleep(seconds)
         for task in tasks:
             task.cancel()
