--- a/rowanport/engines/book.py
+++ b/rowanport/engines/book.py
@@ -24,6 +24,8 @@
     :ivar samples: the ReadSpeed of this router and the routers that report to
         it
     :ivar fleet: the FleetEstimate of collectors
+    :ivar changed_at: monotonic time of samples or estimates that are not yet
+        merged, None if all are
     """
 
     __slots__ = (
@@ -32,6 +34,8 @@
         "service",
         "samples",
         "fleet",
+        "changed_at",
+        "_median",
         "_own",
         "_known",
         "_logged",
@@ -44,22 +48,30 @@
         self.samples = ReadSpeed()
         self.fleet = FleetEstimate()
         self._own = None
+        self.changed_at = None
+        self._median = assumed
         self._known = assumed
         self._logged = assumed.rate
 
     @property
     def rate(self):
         """Return the prompt tokens that it reads per second."""
+        if self.changed_at is not None:
+            self._merge()
         return 1.0 / self._known.slowness
 
     @property
     def fixed(self):
         """Return the seconds to a first event besides those of reading."""
+        if self.changed_at is not None:
+            self._merge()
         return self._known.fixed
 
     @property
     def error(self):
         """Return the standard error of the rate, as a share of it."""
+        if self.changed_at is not None:
+            self._merge()
         return self._known.error / self._known.slowness
 
     def collected(self, assumed, now):
@@ -79,10 +91,13 @@
         self._logged = self.rate
         return True
 
-    def update(self, assumed, now):
+    def _merge(self):
         """Merge the samples with what collectors sent."""
-        own = self.collected(assumed, now)
-        self._known = combine((own, self.fleet.estimate(now)), assumed)
+        now = self.changed_at
+        self.changed_at = None
+        own = self.collected(self._median, now)
+        estimates = (own, self.fleet.estimate(now))
+        self._known = combine(estimates, self._median)
 
 
 class SpeedBook:
@@ -106,7 +121,8 @@
         for run, key, service in runs:
             speed = self._speeds.get(run)
             if speed is None:
-                speed = EngineSpeed(run, key, service, self.median(service))
+                median = self.median(service)
+                speed = EngineSpeed(run, key, service, median)
             speeds[run] = speed
         self._speeds = speeds
         self._by_key = {speed.key: speed for speed in speeds.values()}
@@ -133,7 +149,7 @@
         if not speed.samples.add(tokens, seconds, now):
             return False
         if speed.samples.outdated:
-            speed.update(self.median(speed.service), now)
+            speed.changed_at = now
         return True
 
     def collect(self, key, tokens, seconds, now):
@@ -143,20 +159,20 @@
             speed.samples.add(tokens, seconds, now)
 
     def apply(self, key, estimate, now):
-        """Merge an Estimate of a collector.
-
-        :returns: the EngineSpeed, None if the run is not listed
-        """
+        """Merge an Estimate of a collector; unlisted runs are ignored."""
         speed = self._by_key.get(key)
         if speed is not None:
             speed.fleet.merge(estimate, now)
-            speed.update(self.median(speed.service), now)
-        return speed
+            speed.changed_at = now
 
     def refresh(self, now):
-        """Compute the medians of the services, if they are due."""
+        """Compute the medians of the services, if they are due.
+
+        :returns: the EngineSpeeds whose rate differs much from the one last
+            logged
+        """
         if now < self._medians_until:
-            return
+            return []
         self._medians_until = now + MEDIAN_INTERVAL
         measured = {}
         for speed in self._speeds.values():
@@ -165,6 +181,7 @@
         for service, speeds in measured.items():
             # Changed in place: engines without samples refer to it.
             self._medians[service].assign(median_of(speeds))
+        return [one for one in self._speeds.values() if one.take_change()]
 
     def collected(self, now):
         """Return (EngineSpeed, Estimate) of the engines with samples here.
--- a/rowanport/gateway/backlog.py
+++ b/rowanport/gateway/backlog.py
@@ -93,6 +93,8 @@
 
         :param now: monotonic time in seconds
         """
+        if not self._lag:
+            return 0.0
         age = max(0.0, now - self._lag_at)
         return self._lag * 0.5 ** (age / LAG_HALF_LIFE)
 
--- a/rowanport/gateway/engine_speeds.py
+++ b/rowanport/gateway/engine_speeds.py
@@ -20,11 +20,15 @@
 
 LOG = structlog.get_logger(__name__)
 
-# Rows of an answer for the engines that differ most from the median; the other
-# rows are drawn at random, so that all engines are sent in turn.
-OUTLIER_ROWS = MAX_ESTIMATE_ROWS // 2
+# Rows of an answer with more engines than rows: for those that differ most
+# from the median, and for others drawn at random, so that all are sent in
+# time.  Full answers would cost a router of 420 more than 50 us a request.
+OUTLIER_ROWS = 8
+OTHER_ROWS = 8
 # Seconds for which the estimates in answers are used again.
 ANSWER_SECONDS = 0.4
+# The same with more engines than rows, for which it costs more.
+MAX_ANSWER_SECONDS = 2.0
 KEY_BITS = 32
 
 
@@ -122,28 +126,29 @@
                 (speed.key, estimate)
                 for speed, estimate in self._book.collected(now)
             ]
-            self._rows_until = now + ANSWER_SECONDS
+            scale = max(1.0, len(self._book) / MAX_ESTIMATE_ROWS)
+            self._rows_until = now + min(
+                MAX_ANSWER_SECONDS, ANSWER_SECONDS * scale
+            )
         rows = self._rows
         if len(rows) > MAX_ESTIMATE_ROWS:
             others = rows[OUTLIER_ROWS:]
-            count = MAX_ESTIMATE_ROWS - OUTLIER_ROWS
-            rows = rows[:OUTLIER_ROWS] + random.sample(others, count)
+            rows = rows[:OUTLIER_ROWS] + random.sample(others, OTHER_ROWS)
         return pack_estimates(rows)
 
     def apply(self, data, sender):
         now = self._clock.steady()
         for key, estimate in read_estimates(data):
-            speed = self._book.apply(key, estimate, now)
-            if speed is not None and speed.take_change():
-                LOG.info(
-                    "engine_speed",
-                    upstream=speed.run.name,
-                    rate=round(speed.rate),
-                    fixed_ms=round(1000 * speed.fixed),
-                    error=round(speed.error, 2),
-                    peer=sender,
-                )
-        self._book.refresh(now)
+            self._book.apply(key, estimate, now)
+        for speed in self._book.refresh(now):
+            LOG.info(
+                "engine_speed",
+                upstream=speed.run.name,
+                rate=round(speed.rate),
+                fixed_ms=round(1000 * speed.fixed),
+                error=round(speed.error, 2),
+                peer=sender,
+            )
 
 
 def _key_of(record):
--- a/rowanport/gateway/speed_choice.py
+++ b/rowanport/gateway/speed_choice.py
@@ -1,7 +1,5 @@
 """Selects engines by their learned speeds, in large fleets."""
 
-import math
-
 from ..hashing import hash_of
 from .choice import ASSUMED_CACHED_SHARE
 from .choice import IN_TIME_SHARE
@@ -26,6 +24,8 @@
 # is kept then.
 RESCALE_HALF_LIVES = 16.0
 MIN_WORK_TOKENS = 1.0
+# Seconds for which the sum of all rates is used again.
+RATES_SECONDS = 0.5
 
 
 class RecentWork:
@@ -35,13 +35,24 @@
     all amounts, newer ones are added with a greater weight.
     """
 
-    __slots__ = ("_work", "_total", "_count", "_begin")
+    __slots__ = (
+        "_work",
+        "_total",
+        "_count",
+        "_begin",
+        "_rates",
+        "_rates_until",
+        "_candidates",
+    )
 
     def __init__(self):
         self._work = {}
         self._total = 0.0
         self._count = 0.0
         self._begin = 0.0
+        self._rates = 0.0
+        self._rates_until = 0.0
+        self._candidates = 0
 
     def add(self, state, tokens, now):
         """Count a request of some prompt tokens to an UpstreamState."""
@@ -64,21 +75,25 @@
             if work * factor >= MIN_WORK_TOKENS
         }
 
-    def below_bound(self, candidates, rates):
-        """Return whether each candidate is below the bound on its work.
+    def bound(self, candidates, now):
+        """Return a function that tells whether a state is below the bound.
 
-        :param candidates: UpstreamStates
-        :param rates: their rates
+        :param candidates: UpstreamStates, whose rates make up the mean
         """
         if not self._count:
-            return [True] * len(candidates)
-        get = self._work.get
-        work = [get(state, 0.0) for state in candidates]
+            return lambda _state: True
+        if now >= self._rates_until or self._candidates != len(candidates):
+            self._rates = sum(state.backlog.rate for state in candidates)
+            self._candidates = len(candidates)
+            self._rates_until = now + RATES_SECONDS
         slack = WORK_SLACK * self._total / self._count
-        by_rate = WORK_BOUND * sum(work) / sum(rates)
-        return [
-            own <= by_rate * rate + slack for own, rate in zip(work, rates)
-        ]
+        by_rate = WORK_BOUND * self._total / self._rates
+        get = self._work.get
+
+        def is_below(state):
+            return get(state, 0.0) <= by_rate * state.backlog.rate + slack
+
+        return is_below
 
 
 class SpeedChoice(PrefixChoice):
@@ -93,7 +108,8 @@
 
     def __init__(self, data_centre, prefixes):
         super().__init__(data_centre, prefixes)
-        self._work = RecentWork()
+        # RecentWork by service.
+        self._work = {}
 
     def uncached_tokens(self, state, job, now):
         levels = self._levels(job)
@@ -103,100 +119,120 @@
 
     def choose(self, candidates, job, now):
         self._prefixes.learn_parts(job.prefixes)
-        cached, waits = self._examine(candidates, job, now)
-        usable = self._usable(candidates, cached, waits, job)
+        options = self._options(candidates, job, now)
         if job.shared_tokens < MIN_SHARED_TOKENS:
-            chosen = self._choose_local(candidates, usable, now)
+            options = self._local_first(self._smooth(options, now))
         else:
-            chosen = self._smooth(candidates, usable, now)
-        index = self._first(candidates, chosen, cached, waits, job)
-        state = candidates[index]
-        unread = job.tokens.prompt - cached[index]
-        self._work.add(state, unread + RUNNING_TOKENS, now)
-        state.stream_pauses.track(job, now)
-        return state
+            options = self._smooth(options, now)
+        chosen = self._first(options, job)
+        unread = job.tokens.prompt - chosen.cached
+        self._work_of(job).add(chosen.state, unread + RUNNING_TOKENS, now)
+        chosen.state.stream_pauses.track(job, now)
+        return chosen.state
+
+    def _work_of(self, job):
+        return self._work.setdefault(job.service, RecentWork())
 
     def _levels(self, job):
         prefixes = job.prefixes or ((job.prefix, job.shared_tokens),)
         return self._prefixes.levels(prefixes)
 
-    def _examine(self, candidates, job, now):
-        """Return the cached tokens and the expected wait of each candidate.
+    def _options(self, candidates, job, now):
+        """Return the preferred _Options.
+
+        Those in time and below the bound on their work come first, with the
+        longest run of leading parts among these.  If none is in time, an
+        engine without the prompt in its cache would only add load by reading
+        it again.
+        """
+        levels = self._levels(job)
+        limit = IN_TIME_SHARE * job.route.objective
+        bound = self._work_of(job).bound(candidates, now)
+        if job.shared_tokens >= MIN_SHARED_TOKENS:
+            for _tokens, engines in levels:
+                having = [s for s in candidates if s.record.id in engines]
+                options = self._examine(having, levels, job, now)
+                usable = [
+                    one
+                    for one in options
+                    if one.cached and one.wait <= limit and bound(one.state)
+                ]
+                if usable:
+                    return _longest(usable)
+        options = self._examine(candidates, levels, job, now)
+        in_time = [one for one in options if one.wait <= limit]
+        if in_time:
+            return [one for one in in_time if bound(one.state)] or in_time
+        return _longest(options)
+
+    @staticmethod
+    def _examine(states, levels, job, now):
+        """Return an _Option for each UpstreamState.
 
         The lag counts: short prompts of other routers are not announced, and
         an engine that queues them gives no samples that tell its rate.
         """
-        levels = self._levels(job)
         oldest = now - KEEP_SECONDS
         prompt = job.tokens.prompt
-        cached = [
-            _cached_tokens(levels, state.record.id, oldest)
-            for state in candidates
-        ]
-        waits = [
-            state.expected_wait(prompt - tokens, now) + state.backlog.lag(now)
-            for state, tokens in zip(candidates, cached)
-        ]
-        return cached, waits
-
-    def _usable(self, candidates, cached, waits, job):
-        """Return the indices of the candidates that are preferred.
-
-        Those in time and below the bound come first, with the longest run of
-        leading parts among these.  If none is in time, an engine without the
-        prompt in its cache would only add load by reading it again.
-        """
-        limit = IN_TIME_SHARE * job.route.objective
-        in_time = [n for n, wait in enumerate(waits) if wait <= limit]
-        if not in_time:
-            return _longest(range(len(candidates)), cached)
-        rates = [state.backlog.rate for state in candidates]
-        below = self._work.below_bound(candidates, rates)
-        bounded = [n for n in in_time if below[n]] or in_time
-        if job.shared_tokens < MIN_SHARED_TOKENS:
-            return bounded
-        return _longest(bounded, cached)
-
-    def _choose_local(self, candidates, indices, now):
-        smooth = self._smooth(candidates, indices, now)
+        options = []
+        for state in states:
+            cached = _cached_tokens(levels, state.record.id, oldest)
+            wait = state.expected_wait(prompt - cached, now)
+            wait += state.backlog.lag(now)
+            options.append(_Option(state, cached, wait))
+        return options
+
+    def _local_first(self, options):
         local = [
-            n
-            for n in smooth
-            if candidates[n].record.data_centre == self._data_centre
+            one
+            for one in options
+            if one.state.record.data_centre == self._data_centre
         ]
-        return local or smooth
+        return local or options
 
-    def _smooth(self, candidates, indices, now):
-        """Return the indices with the lowest level of paused streams."""
-        states = [candidates[n] for n in indices]
+    def _smooth(self, options, now):
+        """Return the options with the lowest level of paused streams."""
+        states = [one.state for one in options]
         smooth = set(map(id, self._fewest_pauses(states, now)))
-        return [n for n in indices if id(candidates[n]) in smooth]
+        return [one for one in options if id(one.state) in smooth]
 
-    def _first(self, candidates, indices, cached, waits, job):
-        """Return the index with the shortest expected wait.
+    @staticmethod
+    def _first(options, job):
+        """Return the option with the shortest expected wait.
 
         Ties are broken by rendezvous hashing, so that all routers agree.
         """
-        if len(indices) == 1:
-            return indices[0]
         key = job.affinity or job.id
 
-        def weight(index):
-            return hash_of(f"{key}\0{candidates[index].record.id}")
+        def weight(option):
+            return hash_of(f"{key}\0{option.state.record.id}")
 
-        tie = min(TIE_SECONDS, TIE_SHARE * job.route.objective)
-        if tie <= 0:
-            tie = TIE_SECONDS
-        if job.shared_tokens and not any(cached):
-            first = max(indices, key=weight)
+        if job.shared_tokens and not any(one.cached for one in options):
+            first = max(options, key=weight)
             assumed = ASSUMED_CACHED_SHARE * job.shared_tokens
-            waits[first] -= assumed / candidates[first].backlog.rate
-        steps = [math.floor(waits[n] / tie) for n in indices]
-        least = min(steps)
-        ties = [n for n, step in zip(indices, steps) if step == least]
+            first.wait -= assumed / first.state.backlog.rate
+        tie = min(TIE_SECONDS, TIE_SHARE * job.route.objective) or TIE_SECONDS
+        least = min(one.wait // tie for one in options)
+        ties = [one for one in options if one.wait // tie == least]
         return max(ties, key=weight)
 
 
+class _Option:
+    """A candidate for a job.
+
+    :ivar state: its UpstreamState
+    :ivar cached: prompt tokens that it has cached
+    :ivar wait: expected seconds to the first event
+    """
+
+    __slots__ = ("state", "cached", "wait")
+
+    def __init__(self, state, cached, wait):
+        self.state = state
+        self.cached = cached
+        self.wait = wait
+
+
 def _cached_tokens(levels, engine, oldest):
     """Return the tokens of the longest run of parts that an engine has."""
     for tokens, engines in levels:
@@ -206,7 +242,7 @@
     return 0
 
 
-def _longest(indices, cached):
-    """Return the indices with the most cached tokens."""
-    most = max(cached[n] for n in indices)
-    return [n for n in indices if cached[n] == most]
+def _longest(options):
+    """Return the options with the most cached tokens."""
+    most = max(one.cached for one in options)
+    return [one for one in options if one.cached == most]
--- a/test/test_speed_choice.py
+++ b/test/test_speed_choice.py
@@ -82,7 +82,7 @@
     for number in range(8):
         job.affinity = str(number)
         assert router.choice.choose(states, job, 1000.0) is states[-1]
-        router.choice._work = RecentWork()
+        router.choice._work.clear()
 
 
 def test_an_engine_above_its_share_of_work_is_passed_over(world, router):
@@ -104,13 +104,13 @@
     # The weights would grow beyond any number otherwise.
     work = RecentWork()
     states = router.pool.candidates(SERVICE, (), 1000.0)
-    rates = [1.0] * len(states)
     work.add(states[0], 1000.0, 1000.0)
-    assert work.below_bound(states, rates) == [False, True, True, True]
+    is_below = work.bound(states, 1000.0)
+    assert [*map(is_below, states)] == [False, True, True, True]
     later = 1000.0 + 10 * RESCALE_HALF_LIVES * WORK_HALF_LIFE
     for state in states:
         work.add(state, 1000.0, later)
-    assert all(work.below_bound(states, rates))
+    assert all(map(work.bound(states, later), states))
 
 
 # Prompts by their parts
