--- a/rowanport/gateway/health.py
+++ b/rowanport/gateway/health.py
@@ -53,6 +53,7 @@
         metrics.cold_upstreams.set({}, len(gateway.cold.rows()))
         metrics.diverts.set({}, int(gateway.is_diverting()))
         metrics.link_share.set({}, gateway.callers.link_share)
+        gateway.speeds.set_gauges()
         metrics.logs_dropped.set({}, logs.dropped())
         version = gateway.table.version if gateway.table else 0
         metrics.config_version.set({}, version)
--- a/rowanport/gateway/sender.py
+++ b/rowanport/gateway/sender.py
@@ -265,6 +265,7 @@
         :param version: version of the upstream when it was chosen
         """
         sent_at = self._clock.steady()
+        total = state.backlog.total
         check = functools.partial(self._check_before_send, state, version)
         answer = await self._gateway.exchange.send(
             self._job, state.record, check
@@ -273,12 +274,20 @@
         # A background job waits for others that its send did not count.
         known = ahead is not None and not self._job.background
         if is_stream(answer) and known:
-            state.backlog.record_first_event(ahead, now - sent_at, now)
+            state.backlog.record_first_event(
+                ahead, now - sent_at, now, self._certain_tokens, total
+            )
         elif self._job.tokens is None:
             self._gateway.replicas.record_answer(state.record, now - sent_at)
         self._gateway.admission_control.record_answer(self._job, now - sent_at)
         return answer
 
+    @property
+    def _certain_tokens(self):
+        """Return the prompt tokens that no engine has cached."""
+        tokens = self._job.tokens
+        return tokens.prompt - self._job.shared_tokens if tokens else 0
+
     def _check_before_send(self, state, version):
         """Raise UpstreamLeft if the job may not be sent to the upstream now.
 
--- a/rowanport/web/server.py
+++ b/rowanport/web/server.py
@@ -174,8 +174,8 @@
         self._connections = {}
         self._full = False
         self._stopping = False
-        # The bound socket while no connections are accepted.
-        self._paused = None
+        self._address = None
+        self._paused = False
         self._resuming = False
         self.draining = False
         self.admits = None
@@ -197,35 +197,20 @@
     @property
     def paused(self):
         """Return whether no connections are accepted for the moment."""
-        return self._paused is not None
+        return self._paused
 
     async def start(self, address, port):
         """Listen on an address."""
         self._server = await stream.listen(
             self._accept, address, port, READ_SIZE, BACKLOG
         )
+        self._address = self._server.sockets[0].getsockname()[:2]
 
     def pause(self):
-        """Refuse new connections until resume(); the open ones go on.
-
-        The socket stays bound to its address, so that no other process can
-        take this in the meantime.  The kernel keeps only a port that was
-        asked for, not one that it chose itself.
-        """
-        if self._stopping or self._paused is not None:
-            return
-        if self._server is None or len(self._server.sockets) != 1:
-            return
-        listening = self._server.sockets[0]
-        paused = listening.dup()
-        try:
-            # Linux: it listens no more, and resets what was not accepted.
-            paused.shutdown(socket.SHUT_RD)
-        except OSError as error:
-            LOG.error("pause_failed", error=str(error))
-            paused.close()
+        """Refuse new connections until resume(); the open ones go on."""
+        if self._stopping or self._paused or self._server is None:
             return
-        self._paused = paused
+        self._paused = True
         self._server.close()
 
     async def resume(self):
@@ -233,17 +218,16 @@
 
         :raises OSError: that failed; it may be tried again
         """
-        if self._paused is None or self._resuming:
+        if not self._paused or self._resuming:
             return
         self._resuming = True
         try:
-            server = await stream.listen_on(
-                self._accept, self._paused, READ_SIZE, BACKLOG
+            server = await stream.listen(
+                self._accept, *self._address, READ_SIZE, BACKLOG
             )
         finally:
             self._resuming = False
-        # The server owns the socket now.
-        self._paused = None
+        self._paused = False
         if self._stopping:
             server.close()
             return
@@ -277,9 +261,6 @@
         """Close the listening socket and all idle connections."""
         self._stopping = True
         self._server.close()
-        if self._paused is not None and not self._resuming:
-            self._paused.close()
-            self._paused = None
         self.close_idle()
 
     def close_idle(self):
