--- a/rowanport/errors.py
+++ b/rowanport/errors.py
@@ -184,6 +184,10 @@
     """A lease has ended or never was: the call took no effect."""
 
 
+class FrameTooLong(MessageError):
+    """A peer announces a frame that is longer than any may be."""
+
+
 class PeerError(RowanportError):
     """A peer did not answer: it may have acted on the message."""
 
@@ -205,6 +209,26 @@
         self.path = None
 
 
+class BoundExceeded(UpstreamError):
+    """Bytes that are no answer within its bounds; the connection is closed.
+
+    :ivar bound: name of the bound, for logs and metrics
+    :ivar recorded: whether it was counted and logged
+    """
+
+    def __init__(self, bound, limit):
+        super().__init__(f"{bound} exceeds its bound of {limit}")
+        self.bound = bound
+        self.recorded = False
+
+
+class StreamTruncated(UpstreamError):
+    """A stream without a length ended within an event."""
+
+    def __init__(self):
+        super().__init__("the stream ended within an event")
+
+
 class ConnectionEnded(UpstreamError):
     """The upstream closed or reset a connection with an answer due on it."""
 
--- a/rowanport/peers.py
+++ b/rowanport/peers.py
@@ -8,9 +8,11 @@
 
 import asyncio
 import collections
+import functools
 
 import structlog
 
+from .errors import FrameTooLong
 from .errors import MessageError
 from .errors import PeerError
 from .errors import PeerGone
@@ -54,14 +56,16 @@
 
     :param on_trip: called with the seconds that an answer took
     :param on_told: called with each message that answers no call
+    :param on_exceeded: called with the reason when a frame is too long
     """
 
-    def __init__(self, reader, writer, traffic, on_trip, on_told):
+    def __init__(self, reader, writer, traffic, on_trip, on_told, on_exceeded):
         self._reader = reader
         self._writer = writer
         self._traffic = traffic
         self._on_trip = on_trip
         self._on_told = on_told
+        self._on_exceeded = on_exceeded
         self._loop = asyncio.get_running_loop()
         self._waiting = {}
         self._last_call = 0
@@ -139,6 +143,8 @@
             while True:
                 call, message = await read_frame(self._reader)
                 self._take(call, message)
+        except FrameTooLong as error:
+            self._on_exceeded(str(error))
         except (OSError, EOFError, MessageError, asyncio.CancelledError):
             pass
         finally:
@@ -232,6 +238,8 @@
         nothing has arrived on it
     :ivar on_told: function that is told of each message that a peer sent
         though it was not called
+    :ivar on_exceeded: function that is called with the name of a bound, a
+        peer's address and the reason, when its connection is closed for it
     """
 
     def __init__(self, incarnation, secret, traffic=None, source=None):
@@ -244,6 +252,7 @@
         self._tasks = TaskSet()
         self.on_silence = None
         self.on_told = None
+        self.on_exceeded = None
 
     async def call(self, address, message, timeout, repeatable=False):
         """Send a message and return the answer.
@@ -369,13 +378,26 @@
         )
         try:
             await prove(reader, writer, self._secret, self._incarnation)
+        except FrameTooLong as error:
+            writer.transport.abort()
+            self._note_exceeded(address, str(error))
+            raise
         except BaseException:
             writer.close()
             raise
         return _Connection(
-            reader, writer, self._traffic, peer.note_trip, self._hear
+            reader,
+            writer,
+            self._traffic,
+            peer.note_trip,
+            self._hear,
+            functools.partial(self._note_exceeded, address),
         )
 
+    def _note_exceeded(self, address, why):
+        if self.on_exceeded is not None:
+            self.on_exceeded("frame", address, why)
+
     def _hear(self, message):
         if self.on_told is not None:
             self.on_told(message)
--- a/rowanport/tunnels/client.py
+++ b/rowanport/tunnels/client.py
@@ -10,6 +10,7 @@
 from ..schema import messages
 from ..web import stream
 from ..web.connector import Path
+from ..wire import HANDSHAKE_LIMIT
 from ..wire import pack_frame
 from ..wire import prove
 from ..wire import read_frame
@@ -83,7 +84,7 @@
 
     async def _read_ready(self, peer, reader):
         try:
-            _call, ready = await read_frame(reader)
+            _call, ready = await read_frame(reader, HANDSHAKE_LIMIT)
         except EOFError:
             message = f"{peer} closed the connection"
             raise TunnelUnsupported(message) from None
--- a/rowanport/web/closing.py
+++ b/rowanport/web/closing.py
@@ -9,6 +9,8 @@
 POLL = 0.02
 # Longest wait in seconds for a slow caller to take what is left of an answer.
 SEND_SECONDS = 30.0
+# Longest wait in seconds while the caller takes nothing of it.
+STALL_SECONDS = 5.0
 # Longest wait in seconds for the caller to close as well.  Until then what it
 # sends is read and discarded: the kernel resets a connection that is closed
 # with bytes unread, and drops the answer before them.
@@ -20,12 +22,14 @@
 
     :param reader: its WatchedReader
     :param writer: its StreamWriter
+    :ivar stalled: whether it was given up as the caller took nothing
     """
 
     def __init__(self, reader, writer):
         self._reader = reader
         self._writer = writer
         self._surplus = False
+        self.stalled = False
 
     @property
     def unsent(self):
@@ -52,7 +56,7 @@
 
     @property
     def _undelivered(self):
-        return self.unsent or stream.unacknowledged(self._writer)
+        return self.unsent + stream.unacknowledged(self._writer)
 
     async def run(self):
         """Send what is left, and wait for the caller's end.
@@ -65,10 +69,19 @@
         loop = asyncio.get_running_loop()
         self._writer.write_eof()
         until = loop.time() + SEND_SECONDS
-        while self._undelivered and loop.time() < until:
+        stalled_at = loop.time() + STALL_SECONDS
+        before = left = self._undelivered
+        while left and loop.time() < until:
             if transport.is_closing():
                 return
+            if left < before:
+                stalled_at = loop.time() + STALL_SECONDS
+            if loop.time() >= stalled_at:
+                self.stalled = True
+                return
+            before = left
             await self._discard(POLL)
+            left = self._undelivered
         until = loop.time() + LINGER_SECONDS
         while not self._reader.ended and loop.time() < until:
             await self._discard(until - loop.time())
--- a/rowanport/web/server.py
+++ b/rowanport/web/server.py
@@ -15,6 +15,9 @@
 LOG = structlog.get_logger(__name__)
 
 READ_SIZE = 65536
+# Seconds after which a caller that takes nothing of what waits for it is
+# dropped: callers give a stream up that is silent for 2 s.
+STALL_SECONDS = 5.0
 # Bytes of a header at least beside its name and value: colon and line end.
 HEADER_LEAST = 3
 # Connections that wait to be accepted: a burst of callers in one round trip.
@@ -148,7 +151,32 @@
         if data:
             self.sent += len(data)
             self._writer.write(data)
-            await self._writer.drain()
+            await self._drain()
+
+    async def _drain(self):
+        """Wait until little enough waits for the caller.
+
+        Meanwhile no more of the answer is read from the upstream.
+
+        :raises ConnectionResetError: the caller took nothing for too long
+        """
+        transport = self._writer.transport
+        size = transport.get_write_buffer_size()
+        if not size:
+            return await self._writer.drain()
+        while True:
+            try:
+                async with asyncio.timeout(STALL_SECONDS):
+                    return await self._writer.drain()
+            except asyncio.TimeoutError:
+                left = transport.get_write_buffer_size()
+                if left >= size:
+                    break
+                size = left
+        self._server.drop_stalled(self._writer, size)
+        # The handler is cancelled meanwhile, as after any loss of a caller.
+        await asyncio.sleep(0)
+        raise ConnectionResetError("the caller takes nothing")
 
 
 class HttpServer:
@@ -158,6 +186,8 @@
     :param refuse: coroutine function of Responder and RequestError, for
         requests that never reach the handler
     :param limits: an HttpLimits
+    :ivar on_stalled: function that is called for each caller that was dropped
+        as it took nothing, or None
     """
 
     def __init__(self, handler, refuse=None, limits=None):
@@ -170,6 +200,7 @@
         self._full = False
         self._stopping = False
         self.draining = False
+        self.on_stalled = None
 
     @property
     def busy(self):
@@ -235,6 +266,14 @@
                 connection.responder.dropped = True
             task.cancel()
 
+    def drop_stalled(self, writer, unsent):
+        """Drop a connection whose caller takes nothing."""
+        host, port, *_ = writer.get_extra_info("peername") or ("", 0)
+        stream.reset(writer)
+        LOG.info("caller_stalled", address=f"{host}:{port}", unsent=unsent)
+        if self.on_stalled is not None:
+            self.on_stalled()
+
     def _note_dropped(self):
         """Log what is lost by dropping everything, if anything is."""
         connections = self._connections.values()
@@ -265,8 +304,13 @@
         self._connections[task] = connection
         try:
             await self._serve(connection)
+            if _shows_no_end(connection.state):
+                stream.reset(writer)
+                return
             connection.closing = Closing(reader, writer)
             await connection.closing.run()
+            if connection.closing.stalled:
+                self.drop_stalled(writer, connection.unsent)
         except h11.LocalProtocolError as error:
             LOG.warning("answer_broken", error=repr(error))
         except (OSError, h11.ProtocolError) as error:
@@ -425,6 +469,17 @@
     await responder.reply_json(status, body, [("connection", "close")])
 
 
+def _shows_no_end(state):
+    """Return whether a broken-off answer would look complete to its caller.
+
+    Callers of HTTP/1.0 get no chunks: only the end of the connection tells
+    them that an answer without a length is complete.
+    """
+    if state.our_state is not h11.SEND_BODY:
+        return False
+    return (state.their_http_version or b"1.1") < b"1.1"
+
+
 def _protocol_error(error):
     if error.error_status_hint == 431:
         return RequestError(ErrorKind.TOO_LARGE, "the head is too large")
--- a/rowanport/web/stream.py
+++ b/rowanport/web/stream.py
@@ -3,6 +3,7 @@
 import asyncio
 import fcntl
 import socket
+import struct
 import sys
 import termios
 
@@ -10,6 +11,8 @@
 # which nothing is left.
 TCP_CLOSE = 7
 COUNT_SIZE = 4
+# The option's fields: whether it is on, and its seconds.
+NO_LINGER = struct.pack("ii", 1, 0)
 
 
 class WatchedReader(asyncio.StreamReader):
@@ -76,6 +79,17 @@
     return await loop.create_server(make, host, port, backlog=backlog)
 
 
+def reset(writer):
+    """Reset a connection, so that its peer sees no orderly end of it.
+
+    What the kernel still holds for the peer is dropped.
+    """
+    sock = writer.get_extra_info("socket")
+    if sock.fileno() >= 0:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+    writer.transport.abort()
+
+
 def unacknowledged(writer):
     """Return how many bytes the kernel holds until the peer has them."""
     sock = writer.get_extra_info("socket")
--- a/rowanport/wire.py
+++ b/rowanport/wire.py
@@ -15,6 +15,7 @@
 import msgpack
 import structlog
 
+from .errors import FrameTooLong
 from .errors import MessageError
 from .incarnation import address_of
 from .schema import messages
@@ -23,7 +24,14 @@
 
 LOG = structlog.get_logger(__name__)
 
+# Bytes of a frame; the whole view of a large fleet is well below.
 FRAME_LIMIT = 16 * 1024 * 1024
+# Bytes of a frame before its sender has proved who it is: a nonce, or an
+# incarnation and a signature.
+HANDSHAKE_LIMIT = 4096
+# Bytes of answers that wait on a connection when another one is due: its peer
+# asks on without reading, and is dropped.  5 Mbit/s pass them in 7 s.
+ANSWERS_LIMIT = 4 * 1024 * 1024
 # Bytes of a connection that wait unread before its peer is held up.
 READ_LIMIT = 65536
 # Connections that wait to be accepted: all of a large fleet that starts.
@@ -61,12 +69,16 @@
     return call, cls.from_wire(fields)
 
 
-async def read_frame(reader):
-    """Return the next call number and message of a stream."""
+async def read_frame(reader, limit=FRAME_LIMIT):
+    """Return the next call number and message of a stream.
+
+    :param limit: largest frame in bytes
+    :raises FrameTooLong: the frame is larger
+    """
     head = await reader.readexactly(_LENGTH.size)
     (length,) = _LENGTH.unpack(head)
-    if length > FRAME_LIMIT:
-        raise MessageError("frame too long")
+    if length > limit:
+        raise FrameTooLong(f"frame of {length} bytes, limit {limit}")
     return unpack_frame(await reader.readexactly(length))
 
 
@@ -81,7 +93,7 @@
 
     :raises MessageError: it sent none
     """
-    _call, challenge = await read_frame(reader)
+    _call, challenge = await read_frame(reader, HANDSHAKE_LIMIT)
     if not isinstance(challenge, messages.Challenge):
         raise MessageError("expected a challenge")
     signature = sign(secret, challenge.nonce, incarnation)
@@ -113,6 +125,8 @@
     :ivar on_tunnel: coroutine function that serves a connection which begins
         with a TunnelOpen, until it ends; its arguments are the message, the
         caller's address, the reader and the writer
+    :ivar on_exceeded: function that is called with the name of a bound, the
+        peer's address and the reason, when a peer is dropped for it, or None
     """
 
     def __init__(self, handler, secret, traffic=None):
@@ -124,6 +138,7 @@
         self._callers = {}
         self._tasks = TaskSet()
         self.on_tunnel = None
+        self.on_exceeded = None
 
     @property
     def open(self):
@@ -175,6 +190,8 @@
             while True:
                 self._tasks.spawn(self._answer(writer, call, message))
                 call, message = await self._read(reader)
+        except FrameTooLong as error:
+            self._note_exceeded("frame", writer, str(error))
         except (
             OSError,
             EOFError,
@@ -189,6 +206,11 @@
                 del self._callers[caller]
             writer.close()
 
+    def _note_exceeded(self, bound, writer, why):
+        if self.on_exceeded is not None:
+            host, port, *_ = writer.get_extra_info("peername") or ("", 0)
+            self.on_exceeded(bound, f"{host}:{port}", why)
+
     async def _read(self, reader):
         """Return the next call number and message of a peer."""
         # A peer that went silent for good never says goodbye.
@@ -199,7 +221,7 @@
         """Return the peer's incarnation; raise MessageError if it is none."""
         nonce = os.urandom(NONCE_BYTES)
         writer.write(pack_frame(0, messages.Challenge(nonce)))
-        _call, proof = await read_frame(reader)
+        _call, proof = await read_frame(reader, HANDSHAKE_LIMIT)
         if not isinstance(proof, messages.Proof):
             raise MessageError("expected a proof")
         expected = sign(self._secret, nonce, proof.incarnation)
@@ -216,6 +238,12 @@
             answer = messages.Failed()
         if call == UNANSWERED or writer.is_closing():
             return
+        unread = writer.transport.get_write_buffer_size()
+        if unread > ANSWERS_LIMIT:
+            writer.transport.abort()
+            why = f"{unread} bytes unread, limit {ANSWERS_LIMIT}"
+            self._note_exceeded("unread answers", writer, why)
+            return
         frame = pack_frame(call, answer)
         self._traffic.sent += len(frame)
         writer.write(frame)
