--- a/rowanport/gateway/daemon.py
+++ b/rowanport/gateway/daemon.py
@@ -32,6 +32,7 @@
 from ..wire import PeerServer
 from .admission_control import AdmissionControl
 from .blocklist import Blocklist
+from .bounds import BoundLog
 from .caller_diversion import CallerDiversion
 from .choice import NearestChoice
 from .choice import PrefixChoice
@@ -313,6 +314,17 @@
         self._server.admits = self.callers.admit_connection
         self.callers.server = self._server
         self._health = HealthServer(self)
+        self._build_bounds()
+
+    def _build_bounds(self):
+        """Let all that receives answers report what is beyond a bound."""
+        self.bounds = bounds = BoundLog(self.metrics)
+        self.client.on_exceeded = bounds.record
+        self._own_link.on_exceeded = bounds.record
+        self._store.on_exceeded = bounds.record
+        self._peers.on_exceeded = bounds.record_peer
+        self._peer_server.on_exceeded = bounds.record_peer
+        self._server.on_stalled = bounds.record_stalled
 
     # Views
 
