--- a/rowanport/gateway/attempt.py
+++ b/rowanport/gateway/attempt.py
@@ -2,8 +2,11 @@
 
 import asyncio
 
+from ..errors import BoundExceeded
+from ..errors import StreamTruncated
 from ..errors import UpstreamError
 from .events import END
+from .events import EVENT_LIMIT
 from .relay import BUFFER_LIMIT
 from .relay import is_stream
 
@@ -41,6 +44,9 @@
         "_make_relay",
         "_relay",
         "_chunks",
+        "_size",
+        "_tail",
+        "_has_event",
         "_ended",
         "_closed",
     )
@@ -56,6 +62,10 @@
         self._make_relay = make_relay
         self._relay = None
         self._chunks = []
+        # Of the chunks: bytes, last bytes and whether an event is complete.
+        self._size = 0
+        self._tail = b""
+        self._has_event = False
         self._ended = False
         self._closed = False
         state.outstanding += 1
@@ -93,8 +103,8 @@
         if self._ended:
             return True
         if is_stream(self.answer):
-            return END in b"".join(self._chunks)
-        return sum(len(chunk) for chunk in self._chunks) > BUFFER_LIMIT
+            return self._has_event
+        return self._size > BUFFER_LIMIT
 
     async def advance(self):
         """Wait for the next part of the answer: its head or a chunk.
@@ -128,9 +138,38 @@
     async def _read_chunk(self):
         chunk = await self.answer.next_piece()
         if chunk is None:
+            self._check_end()
             self._ended = True
         else:
-            self._chunks.append(chunk)
+            self._add(chunk)
+
+    def _add(self, chunk):
+        """Keep a chunk until it is forwarded.
+
+        :raises BoundExceeded: an event goes on without end
+        """
+        self._chunks.append(chunk)
+        self._size += len(chunk)
+        if self._has_event or not is_stream(self.answer):
+            return
+        # The end of an event may be split between two chunks.
+        seen = self._tail + chunk
+        self._has_event = END in seen
+        self._tail = seen[1 - len(END) :]
+        if not self._has_event and self._size > EVENT_LIMIT:
+            raise BoundExceeded("event", EVENT_LIMIT)
+
+    def _check_end(self):
+        """Raise UpstreamError if a stream ends within its next event.
+
+        It must not win a race.  Where a whole event has come before, that is
+        forwarded first, and the relay checks the end.
+        """
+        if self._has_event or not is_stream(self.answer):
+            return
+        torn = self._relay is not None and self._relay.within_event
+        if torn or any(not chunk.isspace() for chunk in self._chunks):
+            raise StreamTruncated
 
     def check(self, responder):
         """Raise UpstreamError unless the answer may be forwarded."""
@@ -152,6 +191,9 @@
         for chunk in self._chunks:
             await self._relay.forward(chunk)
         self._chunks.clear()
+        self._size = 0
+        self._tail = b""
+        self._has_event = False
         if self._ended:
             await self._relay.finish()
 
--- a/rowanport/gateway/daemon.py
+++ b/rowanport/gateway/daemon.py
@@ -30,6 +30,7 @@
 from ..web.server import HttpLimits
 from ..wire import PeerServer
 from .blocklist import Blocklist
+from .bounds import BoundLog
 from .choice import NearestChoice
 from .choice import PrefixChoice
 from .cold_starts import ColdStarts
@@ -279,6 +280,17 @@
             self.forwarder.handle, self._refuse, self._limits
         )
         self._health = HealthServer(self)
+        self._build_bounds()
+
+    def _build_bounds(self):
+        """Let all that receives answers report what is beyond a bound."""
+        self.bounds = bounds = BoundLog(self.metrics)
+        self.client.on_exceeded = bounds.record
+        self._own_link.on_exceeded = bounds.record
+        self._store.on_exceeded = bounds.record
+        self._peers.on_exceeded = bounds.record_peer
+        self._peer_server.on_exceeded = bounds.record_peer
+        self._server.on_stalled = bounds.record_stalled
 
     # Views
 
--- a/rowanport/gateway/events.py
+++ b/rowanport/gateway/events.py
@@ -1,6 +1,11 @@
 """Splits a stream of bytes into events, however it is chunked."""
 
+from ..errors import BoundExceeded
+
 END = b"\n\n"
+# Bytes of one event, a thousand times those of a usual one.  It is held in
+# memory until it is complete.
+EVENT_LIMIT = 256 * 1024
 
 
 class Event:
@@ -21,7 +26,7 @@
     """Collects chunks and returns the events that are complete."""
 
     def __init__(self):
-        self._rest = b""
+        self._rest = bytearray()
 
     @property
     def has_partial_event(self):
@@ -29,12 +34,33 @@
         return bool(self._rest.strip())
 
     def feed(self, chunk):
-        """Add a chunk; return the list of events that it completes."""
-        events = (self._rest + chunk).split(END)
-        self._rest = events.pop()
+        """Add a chunk; return the list of events that it completes.
+
+        :raises BoundExceeded: an event goes on without end
+        """
+        rest = self._rest
+        if rest:
+            # The end of an event may be split between two chunks.
+            begin = max(0, len(rest) - len(END) + 1)
+            rest += chunk
+            if rest.find(END, begin) < 0:
+                _check_size(rest)
+                return []
+            chunk = bytes(rest)
+        events = chunk.split(END)
+        last = events.pop()
+        if last or rest:
+            _check_size(last)
+            self._rest = bytearray(last)
         return [Event(event + END) for event in events]
 
 
+def _check_size(partial):
+    """Raise BoundExceeded if a partial event is too large."""
+    if len(partial) > EVENT_LIMIT:
+        raise BoundExceeded("event", EVENT_LIMIT)
+
+
 def _read_id(data):
     for line in data.split(b"\n"):
         if line.startswith(b"id:"):
--- a/rowanport/gateway/metrics.py
+++ b/rowanport/gateway/metrics.py
@@ -10,6 +10,10 @@
         super().__init__()
         self.answers = self._counter("answers", "Answers by outcome")
         self.sends = self._counter("sends", "Sends to upstreams by outcome")
+        self.exceeded_bounds = self._counter(
+            "exceeded_bounds",
+            "Connections closed as an answer or a caller went beyond a bound",
+        )
         self.crashes = self._counter(
             "upstream_crashes", "Crashes of upstreams under own requests"
         )
--- a/rowanport/gateway/own_link.py
+++ b/rowanport/gateway/own_link.py
@@ -66,6 +66,15 @@
             for state in limits.unlimited([s for s in states if s is not None])
         }
 
+    @property
+    def on_exceeded(self):
+        """Return what is told of health checks beyond a bound, or None."""
+        return self._checks.on_exceeded
+
+    @on_exceeded.setter
+    def on_exceeded(self, function):
+        self._checks.on_exceeded = function
+
     def close(self):
         """Drop the connections of health checks."""
         self._checks.close()
--- a/rowanport/gateway/relay.py
+++ b/rowanport/gateway/relay.py
@@ -2,11 +2,12 @@
 
 import abc
 
-from ..errors import UpstreamError
+from ..errors import BoundExceeded
+from ..errors import StreamTruncated
 from .events import EventSplitter
 
 # Size in bytes up to which an answer is buffered until it is complete; a
-# larger one is forwarded as it arrives.
+# larger one is forwarded as it arrives, if it tells where it ends.
 BUFFER_LIMIT = 1024 * 1024
 
 
@@ -27,6 +28,11 @@
         self._responder = responder
         self._clock = clock
 
+    @property
+    def within_event(self):
+        """Return whether the bytes so far end within an event."""
+        return False
+
     @abc.abstractmethod
     async def forward(self, chunk):
         """Process a chunk of the answer, and forward what can be."""
@@ -49,14 +55,20 @@
 
     def __init__(self, *args):
         super().__init__(*args)
-        self._buffer = []
+        self._buffer = bytearray()
         self._size = 0
 
     async def forward(self, chunk):
-        """Buffer a chunk; forward the buffer if it is too large."""
-        self._buffer.append(chunk)
+        """Buffer a chunk; forward the buffer if it is too large.
+
+        :raises BoundExceeded: the answer is too large to buffer, and does not
+            tell where it ends: it may never end
+        """
+        self._buffer += chunk
         self._size += len(chunk)
         if self._size > BUFFER_LIMIT:
+            if not self._answer.framed:
+                raise BoundExceeded("answer without a length", BUFFER_LIMIT)
             await self._flush()
 
     async def finish(self):
@@ -70,7 +82,7 @@
     async def _flush(self):
         await self._start()
         if self._buffer:
-            await self._responder.write(b"".join(self._buffer))
+            await self._responder.write(bytes(self._buffer))
             self._buffer.clear()
 
 
@@ -85,6 +97,10 @@
         self._begin = begin
         self._splitter = EventSplitter()
 
+    @property
+    def within_event(self):
+        return self._splitter.has_partial_event
+
     async def forward(self, chunk):
         """Forward the events that a chunk completes."""
         await self._start()
@@ -106,7 +122,7 @@
         :raises UpstreamError: the last event is incomplete
         """
         if self._splitter.has_partial_event:
-            raise UpstreamError("the stream ended within an event")
+            raise StreamTruncated
         await self._start()
         self._job.complete = True
         await self._responder.finish()
--- a/rowanport/gateway/sender.py
+++ b/rowanport/gateway/sender.py
@@ -3,8 +3,10 @@
 import asyncio
 import functools
 
+from ..errors import BoundExceeded
 from ..errors import ErrorKind
 from ..errors import RequestError
+from ..errors import StreamTruncated
 from ..errors import UpstreamError
 from ..errors import UpstreamLeft
 from .attempt import Attempt
@@ -301,6 +303,7 @@
         self._log.log_send(self._job, state, "not_executed", error, path)
 
     def _record_failure(self, state, error, path):
+        self._record_bound(state, error)
         weight = 1
         if not error.started:
             self._job.failed_connections += 1
@@ -308,6 +311,14 @@
         state.record_failure(self._clock.steady(), weight)
         self._log.log_send(self._job, state, "failed", error, path)
 
+    def _record_bound(self, state, error):
+        """Count an answer that was endless or ended within an event."""
+        bounds = self._gateway.bounds
+        if isinstance(error, BoundExceeded):
+            bounds.record(state.record.address, error, self._job.id)
+        elif isinstance(error, StreamTruncated):
+            bounds.record_truncated()
+
     # Stalls and hedging
 
     def _restart_stall_timeout(self, attempt):
--- a/rowanport/platform/store.py
+++ b/rowanport/platform/store.py
@@ -1,9 +1,11 @@
 """The client of the platform's key-value store."""
 
+import asyncio
 import base64
 import json
 import urllib.parse
 
+from ..errors import BoundExceeded
 from ..errors import ConnectionSilent
 from ..errors import LeaseOver
 from ..errors import StoreBusy
@@ -22,6 +24,14 @@
 CALL_TIMEOUT = 1.0
 # Longest wait of a watch in seconds; each watch that returns costs a call.
 WATCH_SECONDS = 20.0
+# Bytes of one answer, and seconds for its body: a link of 5 Mbit/s passes
+# them in 7 s.  A watch and its answer stay below the 30 s after which a loop
+# counts as hung.
+ANSWER_LIMIT = 4 * 1024 * 1024
+BODY_SECONDS = 8.0
+# Items of one listing over all its pages: a hundred for each router and
+# upstream of a fleet of a thousand.
+LISTING_LIMIT = 100000
 BUSY = (429, 503)
 # The key that probes read; it need not exist.
 PROBE_KEY = "rowanport/probe"
@@ -77,6 +87,15 @@
         self._reach = Reachability(self._probe, clock)
         self._reach.on_stalled = client.doubt
 
+    @property
+    def on_exceeded(self):
+        """Return what is told of answers beyond a bound, or None."""
+        return self._client.on_exceeded
+
+    @on_exceeded.setter
+    def on_exceeded(self, function):
+        self._client.on_exceeded = function
+
     @property
     def reach(self):
         """Return the Reachability: whether the store answers calls at all.
@@ -129,6 +148,7 @@
                 revision = page.revision
             if not answer.get("more"):
                 return Listing(items, revision)
+            _check_page(page, query.get("start_after_rev"), len(items))
             query["start_after_rev"] = items[-1].key
 
     async def watch(self, prefix, revision, fresh=False):
@@ -202,6 +222,12 @@
         self._reach.record_answer(sent_at)
         return answer
 
+    def _endless(self):
+        """Report a body that takes too long; return the error."""
+        error = BoundExceeded("seconds of a body", BODY_SECONDS)
+        self._client.note_exceeded(self._address, error)
+        return error
+
     async def _exchange(
         self,
         method,
@@ -225,7 +251,12 @@
                 timeout,
                 fresh=fresh,
             )
-            text = await answer.read()
+            try:
+                async with asyncio.timeout(BODY_SECONDS):
+                    text = await answer.read(ANSWER_LIMIT)
+            except asyncio.TimeoutError:
+                answer.close()
+                raise self._endless() from None
         except ConnectionSilent as error:
             raise StoreSilent(str(error)) from None
         except UpstreamError as error:
@@ -242,6 +273,18 @@
             raise StoreUnavailable("the answer is not JSON") from None
 
 
+def _check_page(page, after, count):
+    """Raise StoreUnavailable unless another page of a listing is to come.
+
+    :param after: key after which the page begins, None for the first one
+    :param count: items of the listing so far
+    """
+    if not page.items or after is not None and page.items[-1].key <= after:
+        raise StoreUnavailable("malformed answer: the listing goes nowhere")
+    if count > LISTING_LIMIT:
+        raise StoreUnavailable(f"more than {LISTING_LIMIT} items")
+
+
 def _listing(answer, rows):
     """Return the Listing in an answer; raise StoreUnavailable if unfit."""
     try:
--- a/rowanport/web/client.py
+++ b/rowanport/web/client.py
@@ -7,6 +7,7 @@
 
 import h11
 
+from ..errors import BoundExceeded
 from ..errors import ConnectionEnded
 from ..errors import ConnectionRefused
 from ..errors import ConnectionSilent
@@ -19,6 +20,16 @@
 IDLE_CONNECTIONS = 64
 # Largest head of an answer in bytes.
 HEAD_LIMIT = 65536
+# Informational answers before the head of an answer: servers send one or two.
+INFORMATIONAL_LIMIT = 16
+# Bytes of an answer to another request that are read past.  Reading more
+# takes longer than a new connection.
+SURPLUS_LIMIT = 1024 * 1024
+# Bytes of an answer that is read whole into memory, unless the caller names
+# another limit: as much as one frame of a peer.
+BODY_LIMIT = 16 * 1024 * 1024
+# Status that h11 proposes for a head, chunk header or trailer over its limit.
+HEAD_TOO_LARGE = 431
 # Answers to other requests that are read past before one is given up.
 STRAY_LIMIT = 3
 # Connections that are opened to find out who listens, and seconds after which
@@ -145,7 +156,9 @@
             event = await next_event(self._connection)
         except (OSError, h11.ProtocolError) as error:
             message = f"the answer broke off: {error}"
-            raise _broken(self._connection, message, error) from None
+            broken = _broken(self._connection, message, error)
+            self._client.note_exceeded(self._address, broken)
+            raise broken from None
         self._client.record_heard(self.path)
         if isinstance(event, h11.EndOfMessage):
             return None
@@ -172,9 +185,23 @@
             # Only a connection whose whole answer was read is used again.
             self.close()
 
-    async def read(self):
-        """Return the whole body."""
-        return b"".join([piece async for piece in self.pieces()])
+    async def read(self, limit=BODY_LIMIT):
+        """Return the whole body.
+
+        :param limit: largest body in bytes
+        :raises BoundExceeded: the body is larger; the connection is closed
+        """
+        body = bytearray()
+        try:
+            async for piece in self.pieces():
+                body += piece
+                if len(body) > limit:
+                    error = BoundExceeded("body", limit)
+                    self._client.note_exceeded(self._address, error)
+                    raise error
+        finally:
+            self.close()
+        return bytes(body)
 
     async def json(self):
         """Return the whole body as JSON."""
@@ -197,6 +224,8 @@
     :param keepalive: a Keepalive, or None for the kernel's defaults
     :param connector: a Connector, by default one over the own link
     :ivar opened: number of connections opened so far
+    :ivar on_exceeded: function that is called with the address and the
+        BoundExceeded of each answer beyond a bound of this client, or None
     """
 
     def __init__(self, connect_timeout=1.0, keepalive=None, connector=None):
@@ -208,6 +237,7 @@
         # Connections with a request whose answer has not begun.
         self._waiting = set()
         self.opened = 0
+        self.on_exceeded = None
         # When something last arrived, by relay, None for the own link.
         self._heard_at = {}
 
@@ -248,14 +278,16 @@
         except UpstreamError as error:
             connection.writer.transport.abort()
             self._record_failure(connection, error)
+            self.note_exceeded(address, error)
             raise
         except asyncio.TimeoutError as error:
             connection.writer.transport.abort()
             raise self._silent(connection, error) from None
         except (OSError, h11.ProtocolError) as error:
             broken = _broken(connection, f"{address}: {error}", error)
-            connection.writer.close()
+            connection.writer.transport.abort()
             self._record_failure(connection, broken)
+            self.note_exceeded(address, broken)
             raise broken from None
         except BaseException:
             connection.writer.transport.abort()
@@ -288,6 +320,11 @@
         """
         return self._heard_at.get(relay, 0.0)
 
+    def note_exceeded(self, address, error):
+        """Report an error if it is a BoundExceeded."""
+        if self.on_exceeded is not None and isinstance(error, BoundExceeded):
+            self.on_exceeded(address, error)
+
     def _silent(self, connection, error):
         """Return the UpstreamError of a request that was not answered."""
         address = connection.path.address
@@ -342,6 +379,9 @@
         """Keep a connection for the next request, if few are kept."""
         idle = self._idle.setdefault(address, [])
         reusable = self._connector.may_reuse(connection.path)
+        # Bytes that came before any request belong to no answer.
+        if connection.reader.unread:
+            reusable = False
         if len(idle) >= IDLE_CONNECTIONS or not reusable:
             connection.writer.close()
             return
@@ -447,9 +487,7 @@
 
     async def _read_head(self, connection, address, owner):
         for _stray in range(STRAY_LIMIT):
-            event = await next_event(connection)
-            while isinstance(event, h11.InformationalResponse):
-                event = await next_event(connection)
+            event = await _next_final(connection)
             self.record_heard(connection.path)
             if not isinstance(event, h11.Response):
                 raise ConnectionEnded(f"{address} closed the connection")
@@ -461,8 +499,13 @@
     async def _read_past(self, connection, address):
         """Read the rest of an answer that belongs to another request."""
         event = None
+        size = 0
         while not isinstance(event, h11.EndOfMessage):
             event = await next_event(connection)
+            if isinstance(event, h11.Data):
+                size += len(event.data)
+                if size > SURPLUS_LIMIT:
+                    raise BoundExceeded("surplus answer", SURPLUS_LIMIT)
             if isinstance(event, h11.ConnectionClosed):
                 raise ConnectionEnded(f"{address} closed the connection")
         if connection.state.their_state is not h11.DONE:
@@ -493,6 +536,8 @@
 
     :param cause: the exception that showed it, or None
     """
+    if getattr(cause, "error_status_hint", None) == HEAD_TOO_LARGE:
+        return BoundExceeded("head", HEAD_LIMIT)
     if connection.reader.ended and not isinstance(cause, TimeoutError):
         return ConnectionEnded(message)
     return UpstreamError(message)
@@ -504,6 +549,15 @@
     return not values or values == [value]
 
 
+async def _next_final(connection):
+    """Return the next h11 event that is no informational answer."""
+    for _answer in range(INFORMATIONAL_LIMIT + 1):
+        event = await next_event(connection)
+        if not isinstance(event, h11.InformationalResponse):
+            return event
+    raise BoundExceeded("informational answers", INFORMATIONAL_LIMIT)
+
+
 async def next_event(connection):
     """Return the next h11 event of an answer."""
     while True:
