--- a/rowanport/diversion/__init__.py
+++ b/rowanport/diversion/__init__.py
@@ -11,5 +11,6 @@
 from .diversion import Diversion
 from .peers import PeerSummary
 from .peers import PeerUse
+from .readiness import LinkReadiness
 
-__all__ = ["Diversion", "PeerSummary", "PeerUse"]
+__all__ = ["LinkReadiness", "Diversion", "PeerSummary", "PeerUse"]
--- a/rowanport/engines/book.py
+++ b/rowanport/engines/book.py
@@ -135,6 +135,11 @@
         """Return all EngineSpeeds."""
         return self._speeds.values()
 
+    @property
+    def fastest_median(self):
+        """Return the greatest median rate of a service, in tokens a second."""
+        return max((one.rate for one in self._medians.values()), default=0.0)
+
     def median(self, service):
         """Return the Estimate for engines without samples."""
         if service not in self._medians:
--- a/rowanport/gateway/daemon.py
+++ b/rowanport/gateway/daemon.py
@@ -7,6 +7,7 @@
 
 from ..clock import SystemClock
 from ..diversion import Diversion
+from ..diversion import LinkReadiness
 from ..diversion import PeerUse
 from ..incarnation import new_incarnation
 from ..membership import Membership
@@ -274,7 +275,12 @@
         self.refusals = Refusals(self.clock, lambda: self.large_fleet)
         self.state = StateExchange(self._peers, self.members, settings.peers)
         link_peers = PeerUse(settings.data_centre)
-        self.diversion = Diversion(settings.link_rate, link_peers)
+        spreads = settings.refused_callers_retry
+        self.diversion = Diversion(
+            settings.link_rate if spreads else 0.0, link_peers
+        )
+        self.readiness = LinkReadiness(0.0 if spreads else settings.link_rate)
+        self._full = False
         self.callers = CallerDiversion(self, self._tasks)
         self.state.add(
             LinkSharing(
@@ -364,9 +370,27 @@
             return self.settings.large_fleet
         return len(self.members.addresses) > FULL_MESH_LIMIT + 1
 
+    def is_full(self):
+        """Return whether the router is not ready as its link fills up.
+
+        Without peers its callers could go nowhere.  Changes are logged.
+        """
+        now = self.clock.steady()
+        active = self.readiness.is_active(now)
+        # Known peers count, alive or not: on a full link none seems alive.
+        full = active and self.members.knows_peers
+        if full is not self._full:
+            self._full = full
+            share = round(self.readiness.share(now), 2)
+            LOG.info(
+                "callers_diverted" if full else "callers_welcome",
+                link_share=share,
+            )
+        return full
+
     def is_diverting(self):
-        """Return whether callers were left to others in the last seconds."""
-        return self.callers.diverting
+        """Return whether callers are left to other routers now."""
+        return self.is_full() or self.callers.diverting
 
     def loop_silences(self):
         """Return the seconds since the last heartbeat, by loop."""
@@ -376,9 +400,9 @@
         """Return the Choice of upstreams for an engine or a plain service."""
         if not engine:
             return self._nearest_choice
-        return (
-            self._speed_choice if self.speeds.active else self._prefix_choice
-        )
+        if self.speeds.exceeds_own_estimates:
+            return self._speed_choice
+        return self._prefix_choice
 
     def unread(self, state, job, now):
         """Return the prompt tokens of a job that an engine has not cached."""
--- a/rowanport/gateway/engine_speeds.py
+++ b/rowanport/gateway/engine_speeds.py
@@ -16,6 +16,7 @@
 from ..engines.rows import read_estimates
 from ..engines.rows import read_samples
 from ..hashing import hash_of
+from .backlog import MAX_RATE
 from .state_exchange import StateComponent
 
 LOG = structlog.get_logger(__name__)
@@ -62,6 +63,15 @@
             self.update()
         return large
 
+    @property
+    def exceeds_own_estimates(self):
+        """Return whether engines read faster than a router's own estimate.
+
+        Up to MAX_RATE that tells them apart, and reading prompts again for
+        the sake of even work costs more than it gains.
+        """
+        return self._active and self._book.fastest_median > MAX_RATE
+
     @property
     def book(self):
         """Return the SpeedBook."""
--- a/rowanport/gateway/forwarder.py
+++ b/rowanport/gateway/forwarder.py
@@ -30,6 +30,10 @@
     async def handle(self, request, responder):
         """Answer an HttpRequest, also if it fails."""
         arrived = self._clock.steady()
+        self._gateway.readiness.record(len(request.body), arrived)
+        if self._gateway.is_full():
+            # The caller's next connection goes to another router.
+            responder.closing = True
         callers = self._gateway.callers
         passage = callers.begin(request, responder)
         job = None
@@ -53,6 +57,8 @@
         finally:
             self._stopping.release(job)
             callers.end(passage)
+            now = self._clock.steady()
+            self._gateway.readiness.record(responder.sent, now)
 
     def _admit(self, request, arrived):
         """Return the Job of a request.
--- a/rowanport/gateway/health.py
+++ b/rowanport/gateway/health.py
@@ -28,9 +28,8 @@
 
     async def _handle(self, request, responder):
         if request.path == "/readyz":
-            # A full link alone does not count: all callers would leave at
-            # once, to one other router.
-            status = 200 if self._gateway.ready else 503
+            welcome = self._gateway.ready and not self._gateway.is_full()
+            status = 200 if welcome else 503
             return await responder.reply(status)
         if request.path == "/metrics":
             text, kind = self._render()
--- a/rowanport/gateway/settings.py
+++ b/rowanport/gateway/settings.py
@@ -25,6 +25,9 @@
     :ivar large_fleet: whether to use what only pays in a large fleet, whose
         routers each see a small part of the requests; None decides by the
         number of routers
+    :ivar refused_callers_retry: whether callers whose connection is refused
+        try another router.  Only then a router whose link fills up pauses in
+        accepting connections; otherwise it reports itself not ready
     :ivar copy_cost: cost of a copied gigabyte of a run's memory, in the unit
         of lost_stream_cost
     :ivar lost_stream_cost: cost of a stream that ends with its engine, 0 if
@@ -47,6 +50,7 @@
         "retry_window",
         "link_rate",
         "large_fleet",
+        "refused_callers_retry",
         "copy_cost",
         "lost_stream_cost",
         "engine_failure_rate",
@@ -55,6 +59,7 @@
     def __init__(self, **values):
         values.setdefault("link_rate", 0.0)
         values.setdefault("large_fleet", None)
+        values.setdefault("refused_callers_retry", False)
         values.setdefault("copy_cost", 0.0)
         values.setdefault("lost_stream_cost", 0.0)
         values.setdefault("engine_failure_rate", 0.0)
