--- a/rowanport/gateway/daemon.py
+++ b/rowanport/gateway/daemon.py
@@ -53,6 +53,7 @@
 from .load_sync import LoadSync
 from .metrics import GatewayMetrics
 from .migrations import Migrations
+from .notices import UpstreamNotices
 from .own_link import OwnLink
 from .part_trials import PartTrials
 from .path_connector import PathConnector
@@ -245,8 +246,9 @@
             self.clock,
             self.metrics,
         )
+        self.notices = UpstreamNotices(self.dialect)
         self.exchange = Exchange(
-            self.client, self.dialect, self.clock, self.limits
+            self.client, self.dialect, self.clock, self.limits, self.notices
         )
         self.pool = UpstreamPool(self._views.evacuations)
         fingerprints = Fingerprints(settings.secret)
@@ -435,6 +437,7 @@
         names = {upstream.run.name for upstream in listed}
         self.limits.retain(names)
         self.cold.retain(names)
+        self.notices.retain(names)
         self.migrations.move_leaving()
 
     # Peers
--- a/rowanport/gateway/dialect.py
+++ b/rowanport/gateway/dialect.py
@@ -13,6 +13,10 @@
     :ivar signature: set by an upstream to sign the answer as its own
     :ivar rate_limit: requests a second that an upstream accepts from all
         routers together, in effect as long as its answers name it
+    :ivar leaving: says in each answer of an upstream that it leaves
+    :ivar retry_after: seconds for which an upstream that turned a request
+        away wants none of this router, as sent to callers, too
+    :ivar instance: id of the upstream, in the answer to a health check
     :ivar cold_ms: milliseconds for which an upstream is cold, in the answer to
         a health check
     :ivar tokens: tokens of the prompt and maximum tokens of the answer
@@ -28,7 +32,6 @@
     :ivar move_path: path by which an engine copies a run to another one
     :ivar report_path: path of an engine's report on its state
     :ivar orders: other headers by which a router controls an upstream
-    :ivar facts: other headers of answers that only routers may see
     :ivar hints: other headers of callers that affect an upstream's decisions
     """
 
@@ -41,6 +44,9 @@
         "not_executed",
         "signature",
         "rate_limit",
+        "leaving",
+        "retry_after",
+        "instance",
         "cold_ms",
         "tokens",
         "prefix",
@@ -53,7 +59,6 @@
         "move_path",
         "report_path",
         "orders",
-        "facts",
         "hints",
     )
 
@@ -85,7 +90,7 @@
 
         They are removed from the answers to callers.
         """
-        return (self.not_executed, self.cold_ms, *self.facts)
+        return (self.not_executed, self.cold_ms, self.instance)
 
     @property
     def end_to_end(self):
--- a/rowanport/gateway/exchange.py
+++ b/rowanport/gateway/exchange.py
@@ -30,10 +30,12 @@
     :param dialect: a Dialect
     :param clock: a Clock
     :param limits: the RateLimits, updated from the answers
+    :param notices: the UpstreamNotices, updated from the answers
     """
 
-    def __init__(self, client, dialect, clock, limits):
+    def __init__(self, client, dialect, clock, limits, notices):
         self._limits = limits
+        self._notices = notices
         self._client = client
         self._dialect = dialect
         self._clock = clock
@@ -61,6 +63,7 @@
             check=check,
         )
         self._record_limit(upstream, answer)
+        self._notices.record_answer(upstream, answer, job.id)
         try:
             self._check(job, answer)
         except UpstreamError as error:
--- a/rowanport/platform/words.py
+++ b/rowanport/platform/words.py
@@ -11,6 +11,9 @@
     not_executed="x-rowanport-not-executed",
     signature="x-rowanport-server-stamp",
     rate_limit="server-limit",
+    leaving="server-leaving",
+    retry_after="retry-after",
+    instance="x-rowanport-instance-id",
     cold_ms="x-rowanport-cold-ms",
     tokens="x-rowanport-token-count",
     prefix="x-rowanport-prompt-prefix",
@@ -31,6 +34,5 @@
         "pin-ms",
         "wait-ms",
     ),
-    facts=("x-rowanport-instance-id",),
     hints=("length-hint", "x-rowanport-model"),
 )
--- a/test/test_headers.py
+++ b/test/test_headers.py
@@ -252,7 +252,8 @@
     upstream = types.SimpleNamespace(id="one", address="127.0.0.1:1", run=run)
     clock = types.SimpleNamespace(steady=lambda: 0.0)
     limits = types.SimpleNamespace(record_answer=lambda run, text: None)
-    exchange = Exchange(client, DIALECT, clock, limits)
+    notices = types.SimpleNamespace(record_answer=lambda *_arguments: None)
+    exchange = Exchange(client, DIALECT, clock, limits, notices)
     return asyncio.run(exchange.send(job, upstream, None))
 
 
