Failing tests: leaves and rests that answers of upstreams name

Four routers in memory, six upstreams, 50 requests a second, the store unchanged. As found: 159 requests arrive over 2 s after two upstreams said that they leave, 493 where all three do; 103 of 164 rests get more than two requests, 94 of 150 where all upstreams ask for one.

--- a/rowanport/standins/upstream.py
+++ b/rowanport/standins/upstream.py
@@ -12,6 +12,8 @@
 BACKLOG = 100
 STAMP_HEADER = "x-rowanport-server-stamp"
 LIMIT_HEADER = "server-limit"
+LEAVING_HEADER = "server-leaving"
+REST_HEADER = "retry-after"
 INSTANCE_HEADER = "x-rowanport-instance-id"
 HEALTH_PATH = b"/healthz"
 # More than a gateway holds back of an answer.
@@ -26,6 +28,10 @@
     :ivar script: names of behaviours to come; "ok" when it is used up
     :ivar heads: headers of the requests that it ran
     :ivar limit: text of the rate limit that its answers name, None for none
+    :ivar leaving_text: text by which all its answers say that it leaves, None
+        for none
+    :ivar rest_text: text of the seconds of rest that it asks for as it turns
+        a request away, None for none
     :ivar lethal: bodies of the requests that crash it as they begin to run
     :ivar on_crash: function that is told of each crash, or None
     """
@@ -37,6 +43,8 @@
         self.pause = 0.01
         self.script = []
         self.limit = None
+        self.leaving_text = None
+        self.rest_text = None
         self.lethal = frozenset()
         self.on_crash = None
         self.heads = []
@@ -132,6 +140,8 @@
 
     def _answer_health(self, connection, writer, status=200):
         head = [(INSTANCE_HEADER, self.name)]
+        if self.leaving_text is not None:
+            head.append((LEAVING_HEADER, self.leaving_text))
         self._send(connection, writer, status, head, b"")
 
     # What a stand-in that keeps a record overrides
@@ -164,6 +174,8 @@
         ]
         if self.limit is not None:
             head.append((LIMIT_HEADER, self.limit))
+        if self.leaving_text is not None:
+            head.append((LEAVING_HEADER, self.leaving_text))
         return head + [(k.replace("_", "-"), v) for k, v in more.items()]
 
     async def _do_ok(self, connection, writer, names, body):
@@ -231,6 +243,8 @@
 
     async def _do_full(self, connection, writer, names, body):
         head = self._head(names, x_rowanport_not_executed="1")
+        if self.rest_text is not None:
+            head.append((REST_HEADER, self.rest_text))
         self._send(connection, writer, 503, head, b"")
 
     async def _do_misdirect(self, connection, writer, names, body):
--- a/test/virtual_net.py
+++ b/test/virtual_net.py
@@ -104,7 +104,9 @@
         return self._closed
 
     def get_extra_info(self, name):
-        """Return the socket."""
+        """Return the socket, or the other end's host and a port."""
+        if name == "peername":
+            return (self._link.host_at(self.other), 0)
         return self.socket if name == "socket" else None
 
     def get_write_buffer_size(self):
@@ -170,6 +172,10 @@
         first, second = self.ends
         first.other, second.other = second, first
 
+    def host_at(self, end):
+        """Return the host at one of its ends."""
+        return self.names[self.ends.index(end)]
+
     def delay(self, end):
         """Return the seconds that bytes sent at one of its ends take."""
         own, other = self.names
