Leaves that upstreams name in their answers are read, kept by run and told to all

Callers saw requests sent to upstreams that had said seconds before, in an answer, that they leave. Cause: only the store's entry counted, and the store may be out; no code read the header.

notices/ decides, gateway/notices.py reads heads of answers: requests (refusals, errors, streams), health checks, reports, moves. What is an upstream's own word is decided there for rate limits as well. Peers are told at once and with the polls (protocol 5; earlier builds get the messages that they know). Every choice, the last check before the first byte, crash suspicion, moves and links go by it.

Ruled out: marking the list of upstreams itself, as the store's next revision would revoke it.

--- a/rowanport/gateway/crash_guard.py
+++ b/rowanport/gateway/crash_guard.py
@@ -322,7 +322,7 @@
         state = self._pool.get(run.id)
         if state is None or state.record.run != run:
             return False
-        return not state.record.leaving
+        return not state.leaving
 
     async def _check_crashed(self, run, address):
         """Check whether an upstream that closed connections has crashed.
--- a/rowanport/gateway/daemon.py
+++ b/rowanport/gateway/daemon.py
@@ -189,11 +189,11 @@
         )
         self.links = UpstreamLinks()
         self._own_link = OwnLink(direct, self.links, self)
-        relays = RelayPeers(settings.data_centre)
+        self._relays = RelayPeers(settings.data_centre)
         self._connector = PathConnector(
             self._own_link,
             self.links,
-            relays,
+            self._relays,
             TunnelClient(self.incarnation, settings.secret, keepalive, own),
             self.members,
             self.metrics,
@@ -203,15 +203,6 @@
         )
         self._own_link.client = self._connector.client = self.client
         self.tunnels = TunnelServer(self._own_link, keepalive)
-        self._link_monitor = LinkMonitor(
-            self._own_link,
-            self.links,
-            self.client,
-            self.congestion,
-            self.tunnels,
-            relays,
-        )
-        self._connector.on_ended = self._link_monitor.verify
         self._peer_server.on_tunnel = self.tunnels.serve
 
     def _build_forwarding(self, settings):
@@ -246,11 +237,30 @@
             self.clock,
             self.metrics,
         )
-        self.notices = UpstreamNotices(self.dialect)
+        self.pool = UpstreamPool(self._views.evacuations)
+        self.notices = self._views.notices = UpstreamNotices(
+            self.dialect,
+            self.limits,
+            self.pool,
+            self._peers,
+            self.members,
+            recipients,
+            settings.peers,
+            self.clock,
+        )
         self.exchange = Exchange(
-            self.client, self.dialect, self.clock, self.limits, self.notices
+            self.client, self.dialect, self.clock, self.notices
         )
-        self.pool = UpstreamPool(self._views.evacuations)
+        self._link_monitor = LinkMonitor(
+            self._own_link,
+            self.links,
+            self.client,
+            self.congestion,
+            self.tunnels,
+            self._relays,
+            self.notices,
+        )
+        self._connector.on_ended = self._link_monitor.verify
         fingerprints = Fingerprints(settings.secret)
         self.admission = Admission(self.dialect, fingerprints)
         self.crashes = CrashGuard(
@@ -293,6 +303,7 @@
         self.state.add(self.admission_control.sync)
         self.stopping = GracefulStop(self.members, self.clock)
         self.migrations = Migrations(self, settings)
+        self.notices.on_leaving = self.migrations.move_leaving
         self.forwarder = Forwarder(self)
         self.crashes.on_blocked = self.forwarder.abort
         self._prefixes = prefixes = PrefixMap()
@@ -425,7 +436,10 @@
         self.budgets.set_totals(totals, table.version)
 
     def _apply_upstreams(self, upstreams):
-        for name in self.pool.update(upstreams.upstreams):
+        restarted = self.pool.update(
+            upstreams.upstreams, self.notices.is_leaving
+        )
+        for name in restarted:
             self._prefixes.remove_engine(name)
             self.links.forget(upstreams.upstreams[name].address)
             LOG.info("upstream_restarted", upstream=name)
@@ -437,7 +451,7 @@
         names = {upstream.run.name for upstream in listed}
         self.limits.retain(names)
         self.cold.retain(names)
-        self.notices.retain(names)
+        self.notices.retain(listed)
         self.migrations.move_leaving()
 
     # Peers
@@ -455,6 +469,7 @@
             messages.PlacementAsk: self._answer_operator,
             messages.BlockedAsk: self.crashes.answer_operator,
             messages.LimitNews: self.limits.receive,
+            messages.LeaveNews: self.notices.receive,
             messages.PermitAsk: self.limits.grant,
             messages.RetryPermitAsk: self.retries.lend,
             messages.StreamNews: self.streams.receive,
--- a/rowanport/gateway/exchange.py
+++ b/rowanport/gateway/exchange.py
@@ -29,12 +29,10 @@
     :param client: an HttpClient
     :param dialect: a Dialect
     :param clock: a Clock
-    :param limits: the RateLimits, updated from the answers
     :param notices: the UpstreamNotices, updated from the answers
     """
 
-    def __init__(self, client, dialect, clock, limits, notices):
-        self._limits = limits
+    def __init__(self, client, dialect, clock, notices):
         self._notices = notices
         self._client = client
         self._dialect = dialect
@@ -52,6 +50,7 @@
         :raises UpstreamError: ``started`` tells whether it may have run
         """
         owner = (self._dialect.request_id.encode(), job.id)
+        sent_at = self._clock.steady()
         answer = await self._client.request(
             upstream.address,
             job.request.method,
@@ -62,8 +61,7 @@
             owner if job.id else None,
             check=check,
         )
-        self._record_limit(upstream, answer)
-        self._notices.record_answer(upstream, answer, job.id)
+        self._notices.record_answer(upstream, answer, job.id, sent_at)
         try:
             self._check(job, answer)
         except UpstreamError as error:
@@ -72,20 +70,6 @@
             raise
         return answer
 
-    def _record_limit(self, upstream, answer):
-        """Record the rate limit that an answer names, if it names one.
-
-        Only an answer with a signature or a not-executed header is the
-        upstream's own.
-        """
-        names = self._dialect
-        if answer.status == MISDIRECTED:
-            return
-        own = names.signature in answer.headers
-        if own or names.not_executed in answer.headers:
-            text = answer.headers.get(names.rate_limit)
-            self._limits.record_answer(upstream.run, text)
-
     def _headers(self, job, upstream):
         names = self._dialect
         headers = self._filter.request_fields(job.request.fields)
--- a/rowanport/gateway/link_monitor.py
+++ b/rowanport/gateway/link_monitor.py
@@ -41,15 +41,19 @@
     :param congestion: the CongestionDetector
     :param tunnels: the TunnelServer
     :param relays: the RelayPeers
+    :param notices: the UpstreamNotices
     """
 
-    def __init__(self, own_link, links, client, congestion, tunnels, relays):
+    def __init__(
+        self, own_link, links, client, congestion, tunnels, relays, notices
+    ):
         self._own_link = own_link
         self._links = links
         self._client = client
         self._congestion = congestion
         self._tunnels = tunnels
         self._relays = relays
+        self._notices = notices
         self._tasks = TaskSet()
         self._probing = set()
         self._checking = None
@@ -65,6 +69,7 @@
                 self._find_unacknowledged()
                 self._find_silence()
                 self._find_silent_relays()
+                self._check_leaving()
                 await asyncio.sleep(CHECK_INTERVAL)
         finally:
             self._tasks.cancel()
@@ -121,6 +126,13 @@
             and self._links.usable(path.address)
         )
 
+    # Upstreams that said that they leave
+
+    def _check_leaving(self):
+        """Ask upstreams that have been about to leave for long."""
+        for upstream in self._notices.begin_checks():
+            self._tasks.spawn(self._own_link.ask_health(upstream))
+
     # Links that fell silent
 
     def _find_unacknowledged(self):
--- a/rowanport/gateway/metrics.py
+++ b/rowanport/gateway/metrics.py
@@ -27,6 +27,9 @@
         self.limited_upstreams = self._gauge(
             "limited_upstreams", "Upstreams that name a rate limit"
         )
+        self.leaving_upstreams = self._gauge(
+            "leaving_upstreams", "Upstreams whose answers say that they leave"
+        )
         self.permits = self._counter(
             "permits", "Permits to send to these, by outcome"
         )
--- a/rowanport/gateway/migrations.py
+++ b/rowanport/gateway/migrations.py
@@ -163,7 +163,7 @@
         """Begin to move the runs whose engines leave."""
         for job, state in list(self._states.items()):
             engine = self._engine(job)
-            if not state.record.leaving or job in self._moves:
+            if not state.leaving or job in self._moves:
                 continue
             if job.migration is None and self._wants_move(job, engine):
                 move = self._tasks.spawn(self._move(job, state, engine))
@@ -240,11 +240,13 @@
         gateway = self._gateway
         body = b"" if value is None else json.dumps(value).encode()
         headers = [(gateway.dialect.expected_instance, place.run.id)]
+        sent_at = gateway.clock.steady()
         try:
             async with asyncio.timeout(timeout):
                 answer = await gateway.client.request(
                     place.address, method, path, body, headers
                 )
+                self._record_notice(place, answer, sent_at)
                 data = await answer.read()
             fields = json.loads(data or b"{}")
         except (UpstreamError, asyncio.TimeoutError, ValueError) as error:
@@ -257,6 +259,14 @@
             return 0, {}
         return answer.status, fields if isinstance(fields, dict) else {}
 
+    def _record_notice(self, place, answer, sent_at):
+        """Record what an engine's answer says of the engine itself."""
+        state = self._gateway.pool.get(place.run.id)
+        if state is not None and state.record.run == place.run:
+            self._gateway.notices.record_question(
+                state.record, answer, sent_at
+            )
+
     async def wait_for_move(self, job):
         """Wait until it is known what became of a job's move.
 
--- a/rowanport/gateway/notices.py
+++ b/rowanport/gateway/notices.py
@@ -1,49 +1,209 @@
-"""What upstreams say of themselves in the heads of their answers."""
+"""Acts on what upstreams say of themselves in the heads of their answers."""
 
 import structlog
 
-LOG = structlog.get_logger(__name__)
+from ..errors import MessageError
+from ..hashing import rendezvous
+from ..incarnation import address_of
+from ..incarnation import LEAVES_PROTOCOL
+from ..notices import LeaveBook
+from ..notices import parse_leaving
+from ..schema.messages import LeaveNews
+from .exchange import MISDIRECTED
 
-# Longest part of a header's value that is logged.
-LOGGED_LENGTH = 40
+LOG = structlog.get_logger(__name__)
 
 
 class UpstreamNotices:
-    """Reads what an upstream says of itself in its answers.
+    """What the upstreams said of themselves, to this router or to peers.
 
     :param dialect: a Dialect
+    :param limits: the RateLimits, which are updated, too
+    :param pool: the UpstreamPool, whose states are marked
+    :param peers: a PeerClient
+    :param members: the Membership
+    :param recipients: function that returns the addresses of the peers to
+        which changes are sent at once
+    :param address: this router's peer address
+    :param clock: a Clock
+    :ivar on_leaving: function that is called once an upstream has said that
+        it leaves, or None
     """
 
-    def __init__(self, dialect):
+    def __init__(
+        self,
+        dialect,
+        limits,
+        pool,
+        peers,
+        members,
+        recipients,
+        address,
+        clock,
+    ):
         self._dialect = dialect
-        # What each upstream said last, by name of its run.
-        self._said = {}
+        self._limits = limits
+        self._pool = pool
+        self._peers = peers
+        self._members = members
+        self._recipients = recipients
+        self._address = address
+        self._clock = clock
+        self._leaves = LeaveBook()
+        # The last malformed value by (header, name of the run).
+        self._unreadable = {}
+        self.on_leaving = None
+
+    @property
+    def leaving_count(self):
+        """Return the number of upstreams that said that they leave."""
+        return self._leaves.count
+
+    # Answers
 
-    def record_answer(self, record, answer, request):
-        """Record an answer of an upstream.
+    def record_answer(self, record, answer, request, sent_at):
+        """Record the answer to a request.
 
-        :param record: the Upstream that answered
+        :param record: the Upstream that it was sent to
         :param answer: the HttpAnswer
         :param request: id of the request, for the log
+        :param sent_at: monotonic time of the send
         """
-        names = self._dialect
-        leaving = answer.headers.get(names.leaving)
-        rest = answer.headers.get(names.retry_after)
-        said = (leaving, rest)
-        if said != self._said.get(record.run.name, (None, None)):
-            self._said[record.run.name] = said
-            LOG.info(
-                "upstream_notice",
-                upstream=record.run.name,
-                request=request,
-                status=answer.status,
-                leaving=leaving and leaving[:LOGGED_LENGTH],
-                retry_after=rest and rest[:LOGGED_LENGTH],
+        if not self._is_own(answer):
+            return
+        text = answer.headers.get(self._dialect.rate_limit)
+        self._limits.record_answer(record.run, text)
+        self._record_leaving(record.run, answer, request, sent_at)
+
+    def _is_own(self, answer):
+        """Return whether an answer to a request is the upstream's own word.
+
+        Another upstream at its address says so by its status, and what stands
+        between repeats neither the request's id nor signs.
+        """
+        names, headers = self._dialect, answer.headers
+        if answer.status == MISDIRECTED or names.request_id not in headers:
+            return False
+        return names.signature in headers or names.not_executed in headers
+
+    def record_question(self, record, answer, sent_at):
+        """Record the answer to a health check or another question.
+
+        Such answers name no rate limit.
+
+        :param record: the Upstream that was asked
+        :param answer: the HttpAnswer
+        :param sent_at: monotonic time of the question
+        """
+        name = answer.headers.get(self._dialect.instance, record.id)
+        if answer.status == MISDIRECTED or name != record.id:
+            return
+        if answer.status != 200 and self._dialect.leaving not in (
+            answer.headers
+        ):
+            # It may be the word of what stands between.
+            return
+        self._record_leaving(record.run, answer, None, sent_at)
+
+    def _record_leaving(self, run, answer, request, sent_at):
+        text = answer.headers.get(self._dialect.leaving)
+        try:
+            leaving = parse_leaving(text)
+        except MessageError as error:
+            return self._log_unreadable(self._dialect.leaving, run, error)
+        now = self._clock.steady()
+        if self._leaves.record(run.name, leaving, sent_at, now):
+            self._apply_leaving(run.name, leaving, None, request)
+            self._tell(run.name, now)
+
+    def _log_unreadable(self, header, run, error):
+        """Log a value that cannot be parsed, unless it repeats the last."""
+        if self._unreadable.get((header, run.name)) != str(error):
+            self._unreadable[header, run.name] = str(error)
+            LOG.warning(
+                "upstream_notice_unreadable",
+                upstream=run.name,
+                header=header,
+                error=str(error),
             )
 
-    def retain(self, names):
-        """Drop the state of all upstreams that are no longer listed.
+    def _apply_leaving(self, name, leaving, heard_from, request=None):
+        LOG.info(
+            "upstream_leaving",
+            upstream=name,
+            leaving=leaving,
+            heard_from=heard_from,
+            request=request,
+        )
+        self._pool.set_leaving(name, leaving)
+        if leaving and self.on_leaving is not None:
+            self.on_leaving()
+
+    # The list of upstreams
+
+    def is_leaving(self, name):
+        """Return whether a run said that it leaves."""
+        return self._leaves.is_leaving(name)
+
+    def retain(self, records):
+        """Apply a list of upstreams.
+
+        :param records: the listed Upstreams
+        """
+        leaving = {record.run.name: record.leaving for record in records}
+        self._leaves.retain(leaving, self._clock.steady())
+        self._unreadable = {
+            key: text
+            for key, text in self._unreadable.items()
+            if key[1] in leaving
+        }
+
+    def begin_checks(self):
+        """Return the Upstreams to ask whether they still leave.
+
+        One router asks for all.
+        """
+        now = self._clock.steady()
+        chosen = []
+        for name in self._leaves.due_checks(now):
+            self._leaves.begin_check(name, now)
+            ready = map(address_of, self._members.ready_peers())
+            if rendezvous(name, [self._address, *ready])[0] == self._address:
+                chosen += self._pool.find_run(name)
+        return chosen
+
+    # Peers
+
+    def _tell(self, name, now):
+        """Send what a run said to the peers that read it."""
+        message = LeaveNews([self._leaves.row(name, now)], self._address)
+        readers = [
+            peer
+            for peer in self._recipients()
+            if self._members.speaks(peer, LEAVES_PROTOCOL)
+        ]
+        self._peers.tell(readers, message)
+
+    def rows_for(self, peer):
+        """Return the next LeaveRows to send to a peer.
+
+        :param peer: its peer address
+        """
+        if self._members.predates(peer, LEAVES_PROTOCOL):
+            return []
+        return self._leaves.next_rows(self._clock.steady())
+
+    def receive(self, message):
+        """Merge the LeaveRows of a LeaveNews message."""
+        self.merge(message.rows, message.sender)
+
+    def merge(self, rows, peer):
+        """Merge LeaveRows of a peer.
 
-        :param names: names of the runs of the listed upstreams
+        :param rows: the LeaveRows
+        :param peer: peer address of their sender, for the log
         """
-        self._said = {k: v for k, v in self._said.items() if k in names}
+        now = self._clock.steady()
+        for row in rows:
+            if self._leaves.merge(row, now):
+                self._apply_leaving(row.upstream, row.leaving, peer)
--- a/rowanport/gateway/own_link.py
+++ b/rowanport/gateway/own_link.py
@@ -49,9 +49,9 @@
     def listed(self):
         """Return the upstreams that take requests, by address."""
         return {
-            upstream.address: upstream
-            for upstream in self._gateway.upstreams.upstreams.values()
-            if not upstream.leaving
+            record.address: record
+            for record in self._gateway.pool.records()
+            if not self._gateway.pool.get(record.id).leaving
         }
 
     @property
@@ -221,11 +221,22 @@
         Any answer counts, as only the link is in question.
         """
         upstream = self.listed.get(address)
+        return upstream is not None and await self.ask_health(upstream)
+
+    async def ask_health(self, upstream):
+        """Send a health check; return whether it is answered in time.
+
+        What the answer says of the upstream is recorded.
+
+        :param upstream: the Upstream
+        """
+        address = upstream.address
         table = self._gateway.table
-        service = upstream and table and table.services.get(upstream.service)
+        service = table and table.services.get(upstream.service)
         if service is None or not self.may_probe(address):
             return False
         begin = loop_time()
+        sent_at = self._gateway.clock.steady()
         try:
             async with asyncio.timeout(CHECK_TIMEOUT):
                 answer = await self._checks.request(
@@ -235,6 +246,7 @@
             return False
         name = self._gateway.dialect.cold_ms
         self._gateway.cold.record_answer(upstream, answer.headers.get(name))
+        self._gateway.notices.record_question(upstream, answer, sent_at)
         answer.close()
         # Checks keep none of the connections that upstreams accept.
         self._checks.forget(address)
--- a/rowanport/gateway/pool.py
+++ b/rowanport/gateway/pool.py
@@ -27,6 +27,7 @@
     :ivar failures: consecutive failures
     :ivar ejected_until: monotonic time until which it gets no requests
     :ivar crashed_until: the same after a crash
+    :ivar says_leaving: whether its answers say that it leaves
     """
 
     __slots__ = (
@@ -37,6 +38,7 @@
         "failures",
         "ejected_until",
         "crashed_until",
+        "says_leaving",
     )
 
     def __init__(self, record):
@@ -47,6 +49,12 @@
         self.failures = 0
         self.ejected_until = 0.0
         self.crashed_until = 0.0
+        self.says_leaving = False
+
+    @property
+    def leaving(self):
+        """Return whether it gets no new requests, by its entry or answers."""
+        return self.record.leaving or self.says_leaving
 
     def expected_wait(self, uncached, now):
         """Return the expected seconds to the first event of one more request.
@@ -99,12 +107,14 @@
         self._states = {}
         self._evacuations = evacuations or Evacuations()
 
-    def update(self, upstreams):
+    def update(self, upstreams, says_leaving=lambda name: False):
         """Apply a list of upstreams.
 
         The state of an upstream that restarted under the same id is dropped.
 
         :param upstreams: Upstream by id
+        :param says_leaving: function from the name of a run to whether its
+            answers say that it leaves
         :returns: the ids of the upstreams that restarted
         """
         states, restarted = {}, []
@@ -113,7 +123,9 @@
             if state is not None and state.record.run != record.run:
                 restarted.append(name)
                 state = None
-            state = state or UpstreamState(record)
+            if state is None:
+                state = UpstreamState(record)
+                state.says_leaving = says_leaving(record.run.name)
             state.record = record
             states[name] = state
         self._states = states
@@ -123,6 +135,18 @@
         """Return the Upstreams as listed."""
         return [state.record for state in self._states.values()]
 
+    def find_run(self, name):
+        """Return a list with the Upstream of a run, or an empty one.
+
+        :param name: name of the run
+        """
+        return [one for one in self.records() if one.run.name == name]
+
+    def set_leaving(self, name, leaving):
+        """Set whether the answers of a run say that it leaves."""
+        for record in self.find_run(name):
+            self._states[record.id].says_leaving = leaving
+
     def use_speeds(self, speeds):
         """Let backlogs use the speeds that the fleet learns.
 
@@ -138,10 +162,18 @@
 
     def of_service(self, service):
         """Return the UpstreamStates of a service that are not leaving."""
+        return [state for state in self._all(service) if not state.leaving]
+
+    def all_leave(self, service):
+        """Return whether a service has upstreams, and all are leaving."""
+        states = self._all(service)
+        return bool(states) and all(state.leaving for state in states)
+
+    def _all(self, service):
         return [
             state
             for state in self._states.values()
-            if state.record.service == service and not state.record.leaving
+            if state.record.service == service
         ]
 
     def candidates(self, service, avoid, now, version=None):
--- a/rowanport/gateway/sender.py
+++ b/rowanport/gateway/sender.py
@@ -10,6 +10,7 @@
 from ..errors import UpstreamError
 from ..errors import UpstreamLeft
 from .attempt import Attempt
+from .cold_starts import ENTRY_LAG
 from .exchange import NotExecuted
 from .race import Race
 from .relay import BufferedRelay
@@ -229,13 +230,24 @@
         gateway, job = self._gateway, self._job
         now = self._clock.steady()
         if not candidates:
-            raise final_error(job, UpstreamError(_none_left(job)))
+            raise self._no_upstream_error(now)
         choice = gateway.choice(job.tokens is not None)
         candidates = self._crashes.isolate(job, candidates, now)
         state = choice.choose(candidates, job, now)
         job.backlog = round(state.backlog.tokens(now))
         return state
 
+    def _no_upstream_error(self, now):
+        """Return the RequestError of a job without an upstream to go to."""
+        job = self._job
+        leave = self._gateway.pool.all_leave(job.service)
+        why = "all upstreams leave" if leave else _none_left(job)
+        error = final_error(job, UpstreamError(why))
+        if leave and not job.runs:
+            # Their successors are known once they are listed.
+            error.come_back_at = now + ENTRY_LAG
+        return error
+
     def _check_in_time(self, choice, candidates, now):
         """Refuse a job that no upstream would start in time.
 
@@ -297,7 +309,7 @@
         """
         gateway, record = self._gateway, state.record
         # An engine that leaves still has the memory of a run that it stopped.
-        leaving = record.leaving and not self._job.returning
+        leaving = state.leaving and not self._job.returning
         if gateway.pool.get(record.id) is not state or leaving:
             raise UpstreamLeft("upstream left before the send")
         evacuated = gateway.views.evacuations.covers(record.data_centre)
--- a/rowanport/gateway/views.py
+++ b/rowanport/gateway/views.py
@@ -77,6 +77,8 @@
     :ivar suspect_sync: the SuspectSync whose data is exchanged in polls, or
         None
     :ivar limits: the RateLimits whose data is exchanged in polls, or None
+    :ivar notices: the UpstreamNotices whose data is exchanged in polls, or
+        None
     """
 
     def __init__(
@@ -109,6 +111,7 @@
         self.loads = None
         self.suspect_sync = None
         self.limits = None
+        self.notices = None
 
     @property
     def watches_store(self):
@@ -264,6 +267,9 @@
         if self.limits is not None:
             self.limits.merge(message.limits, message.asker)
             give.limits = self.limits.rows()
+        if self.notices is not None:
+            self.notices.merge(message.leaves, message.asker)
+            give.leaves = self.notices.rows_for(message.asker)
         self._add_updates(message, give)
         if not self._members.predates(message.asker, EVACUATIONS_PROTOCOL):
             give.evacuations = self.evacuations.revision
@@ -394,6 +400,7 @@
             ),
             self.limits.rows() if self.limits else [],
             has[1],
+            self.notices.rows_for(address) if self.notices else [],
         )
         sent_at = self._clock.steady()
         self._in_flight[address] += 1
@@ -421,6 +428,8 @@
             self.suspect_sync.receive_answer(give.suspects)
         if self.limits is not None:
             self.limits.merge(give.limits, address)
+        if self.notices is not None:
+            self.notices.merge(give.leaves, address)
         self.apply_evacuations(give.evacuations, give.evacuated, address)
         if give.config_data:
             self._apply_packed_config(give.config_data, address)
--- a/rowanport/incarnation.py
+++ b/rowanport/incarnation.py
@@ -14,9 +14,11 @@
 # 2: versions of streams, permits to retry.
 # 3: evacuated data centres in the answers to polls.
 # 4: reports of state to the routers that collect them.
-PROTOCOL = 4
+# 5: upstreams that said that they leave.
+PROTOCOL = 5
 EVACUATIONS_PROTOCOL = 3
 STATE_PROTOCOL = 4
+LEAVES_PROTOCOL = 5
 # The protocol of runs that name none.
 FIRST_PROTOCOL = 1
 
--- a/rowanport/ratelimits/limits.py
+++ b/rowanport/ratelimits/limits.py
@@ -2,6 +2,7 @@
 
 import re
 
+from ..cycle import Cycle
 from ..errors import MessageError
 from ..schema.messages import LimitRow
 
@@ -53,7 +54,7 @@
 
     def __init__(self):
         self._limits = {}
-        self._next_row = 0
+        self._cycle = Cycle(MAX_ROWS)
 
     @property
     def count(self):
@@ -104,11 +105,7 @@
             if limit.rate is not None
             or limit.changed_at > now - ANNOUNCE_END_SECONDS
         ]
-        if self._next_row >= len(names):
-            self._next_row = 0
-        rows = names[self._next_row : self._next_row + MAX_ROWS]
-        self._next_row += MAX_ROWS
-        return [self.row(name, now) for name in rows]
+        return [self.row(name, now) for name in self._cycle.next(names)]
 
     def merge(self, row, now):
         """Merge a peer's LimitRow; return whether a limit changed."""
--- a/rowanport/schema/messages.py
+++ b/rowanport/schema/messages.py
@@ -2174,6 +2174,79 @@
         )
 
 
+class LeaveRow(Message):
+    """What an upstream's run last said of whether it leaves.
+
+    :ivar upstream: name of the upstream's run
+    :ivar leaving: whether it said that it leaves
+    :ivar age: seconds since it first said so
+    """
+
+    __slots__ = (
+        "upstream",
+        "leaving",
+        "age",
+    )
+    KIND = 0
+
+    def __init__(self, upstream, leaving, age):
+        self.upstream = upstream
+        self.leaving = leaving
+        self.age = age
+
+    def to_wire(self):
+        """Return the fields as plain values, in the schema's order."""
+        return [
+            self.upstream,
+            self.leaving,
+            self.age,
+        ]
+
+    @classmethod
+    def from_wire(cls, values):
+        """Build one from plain values; raise MessageError if unfit."""
+        check_length(cls, values, 3)
+        return cls(
+            as_str(values[0]),
+            as_bool(values[1]),
+            as_float(values[2]),
+        )
+
+
+class LeaveNews(Message):
+    """Which upstreams said that they leave; sent to peers, not answered.
+
+    :ivar rows: rows
+    :ivar sender: peer address of the router that heard it
+    """
+
+    __slots__ = (
+        "rows",
+        "sender",
+    )
+    KIND = 82
+
+    def __init__(self, rows, sender):
+        self.rows = rows
+        self.sender = sender
+
+    def to_wire(self):
+        """Return the fields as plain values, in the schema's order."""
+        return [
+            [item.to_wire() for item in self.rows],
+            self.sender,
+        ]
+
+    @classmethod
+    def from_wire(cls, values):
+        """Build one from plain values; raise MessageError if unfit."""
+        check_length(cls, values, 2)
+        return cls(
+            as_list(values[0], LeaveRow.from_wire),
+            as_str(values[1]),
+        )
+
+
 class PermitAsk(Message):
     """Ask for permits to send to an upstream that names a rate limit.
 
@@ -2436,6 +2509,7 @@
     :ivar suspects: what the asker learned of suspects lately
     :ivar limits: rate limits that the asker knows of
     :ivar step: step of the asker's list of upstreams
+    :ivar leaves: which upstreams said that they leave, as the asker knows
     """
 
     __slots__ = (
@@ -2447,11 +2521,21 @@
         "suspects",
         "limits",
         "step",
+        "leaves",
     )
     KIND = 61
 
     def __init__(
-        self, config, upstreams, asker, wall, recent, suspects, limits, step
+        self,
+        config,
+        upstreams,
+        asker,
+        wall,
+        recent,
+        suspects,
+        limits,
+        step,
+        leaves=(),
     ):
         self.config = config
         self.upstreams = upstreams
@@ -2461,10 +2545,11 @@
         self.suspects = suspects
         self.limits = limits
         self.step = step
+        self.leaves = leaves
 
     def to_wire(self):
         """Return the fields as plain values, in the schema's order."""
-        return [
+        values = [
             self.config,
             self.upstreams,
             self.asker,
@@ -2473,12 +2558,21 @@
             self.suspects.to_wire(),
             [item.to_wire() for item in self.limits],
             self.step,
+            [item.to_wire() for item in self.leaves],
         ]
+        if len(values) == 9 and not any(values[8:]):
+            del values[8:]
+        return values
 
     @classmethod
     def from_wire(cls, values):
         """Build one from plain values; raise MessageError if unfit."""
-        check_length(cls, values, 8)
+        if isinstance(values, list) and len(values) in (8,):
+            blank = [
+                [],
+            ]
+            values = values + blank[len(values) - 9 :]
+        check_length(cls, values, 9)
         return cls(
             as_int(values[0]),
             as_int(values[1]),
@@ -2488,6 +2582,7 @@
             SuspectNews.from_wire(values[5]),
             as_list(values[6], LimitRow.from_wire),
             as_int(values[7]),
+            as_list(values[8], LeaveRow.from_wire),
         )
 
 
@@ -2508,6 +2603,7 @@
     :ivar steady: for how many tenths of a second the store had answered some router all the time then
     :ivar evacuations: revision of the store to which the evacuated data centres are complete
     :ivar evacuated: names of the evacuated data centres
+    :ivar leaves: which upstreams said that they leave, as the peer knows
     """
 
     __slots__ = (
@@ -2525,6 +2621,7 @@
         "steady",
         "evacuations",
         "evacuated",
+        "leaves",
     )
     KIND = 62
 
@@ -2544,6 +2641,7 @@
         steady,
         evacuations=0,
         evacuated=(),
+        leaves=(),
     ):
         self.config = config
         self.config_data = config_data
@@ -2559,6 +2657,7 @@
         self.steady = steady
         self.evacuations = evacuations
         self.evacuated = evacuated
+        self.leaves = leaves
 
     def to_wire(self):
         """Return the fields as plain values, in the schema's order."""
@@ -2577,21 +2676,28 @@
             self.steady,
             self.evacuations,
             self.evacuated,
+            [item.to_wire() for item in self.leaves],
         ]
-        if not any(values[12:]):
+        if len(values) == 15 and not any(values[14:]):
+            del values[14:]
+        if len(values) == 14 and not any(values[12:]):
             del values[12:]
         return values
 
     @classmethod
     def from_wire(cls, values):
         """Build one from plain values; raise MessageError if unfit."""
-        if isinstance(values, list) and len(values) == 12:
-            values = [
-                *values,
+        if isinstance(values, list) and len(values) in (
+            14,
+            12,
+        ):
+            blank = [
                 0,
                 [],
+                [],
             ]
-        check_length(cls, values, 14)
+            values = values + blank[len(values) - 15 :]
+        check_length(cls, values, 15)
         return cls(
             as_int(values[0]),
             as_bytes(values[1]),
@@ -2607,6 +2713,7 @@
             as_int(values[11]),
             as_int(values[12]),
             as_list(values[13], as_str),
+            as_list(values[14], LeaveRow.from_wire),
         )
 
 
@@ -3061,6 +3168,7 @@
     79: BlockedAsk,
     67: SuspectRun,
     68: LimitNews,
+    82: LeaveNews,
     69: PermitAsk,
     70: Permits,
     76: StreamNews,
--- a/rowanport/ui/explain.py
+++ b/rowanport/ui/explain.py
@@ -15,6 +15,7 @@
     "evacuations_in_force",
     "upstream_cold",
     "upstream_limit",
+    "upstream_leaving",
     "upstream_link_lost",
     "cut_off_from_upstreams",
     "retry_share",
--- a/test/admission_world.py
+++ b/test/admission_world.py
@@ -238,7 +238,7 @@
         self.gateway.admission_control = self.control
         self.choice = PrefixChoice("dc", PrefixMap())
         self.refusals = Refusals(clock, lambda: world.large_fleet)
-        self._sends = Exchange(None, DIALECT, clock, None, None)
+        self._sends = Exchange(None, DIALECT, clock, None)
         self.exchange = StateExchange(world.peers, Members(), name)
         self.exchange.add(self.control.sync)
         world.peers.exchanges[name] = self.exchange
--- a/test/test_admission_control.py
+++ b/test/test_admission_control.py
@@ -256,7 +256,7 @@
 
 
 def header_of(job, world):
-    exchange = Exchange(None, DIALECT, world.clock, None, None)
+    exchange = Exchange(None, DIALECT, world.clock, None)
     record = world.pool.get("e0").record
     return dict(exchange._headers(job, record))[DIALECT.priority]
 
--- a/test/test_headers.py
+++ b/test/test_headers.py
@@ -251,9 +251,8 @@
     run = types.SimpleNamespace(name="one")
     upstream = types.SimpleNamespace(id="one", address="127.0.0.1:1", run=run)
     clock = types.SimpleNamespace(steady=lambda: 0.0)
-    limits = types.SimpleNamespace(record_answer=lambda run, text: None)
     notices = types.SimpleNamespace(record_answer=lambda *_arguments: None)
-    exchange = Exchange(client, DIALECT, clock, limits, notices)
+    exchange = Exchange(client, DIALECT, clock, notices)
     return asyncio.run(exchange.send(job, upstream, None))
 
 
--- a/test/test_leaving_answers.py
+++ b/test/test_leaving_answers.py
@@ -28,6 +28,9 @@
         upstream.leaving_text = "1"
     await world.ask_mixed(12.0)
     assert len(world.late()) == 0
+    begun = world.now
+    assert await world.ask("refused", b"x", "/safe/") == 503
+    assert world.now - begun < 0.2
 
 
 @pytest.mark.parametrize("behaviour", ["ok", "error", "full"])
--- /dev/null
+++ b/test/test_notices.py
@@ -0,0 +1,302 @@
+"""What upstreams say of leaving, and how long it holds."""
+
+from test.virtual import LoopClock
+from test.virtual import VirtualLoop
+from types import SimpleNamespace
+
+import pytest
+
+from rowanport.errors import MessageError
+from rowanport.gateway.notices import UpstreamNotices
+from rowanport.gateway.pool import UpstreamPool
+from rowanport.gateway.upstream import Upstream
+from rowanport.incarnation import LEAVES_PROTOCOL
+from rowanport.notices import LeaveBook
+from rowanport.notices import parse_leaving
+from rowanport.notices.leaves import ANNOUNCE_SECONDS
+from rowanport.notices.leaves import CHECK_SECONDS
+from rowanport.notices.leaves import UNLISTED_SECONDS
+from rowanport.platform.words import DIALECT
+from rowanport.schema.messages import LeaveRow
+from rowanport.schema.messages import LimitRow
+from rowanport.schema.messages import SuspectNews
+from rowanport.schema.messages import ViewAsk
+from rowanport.schema.messages import ViewGive
+
+
+@pytest.mark.parametrize(
+    ("text", "expected"), [(None, False), ("1", True), ("0", False)]
+)
+def test_a_header_says_whether_an_upstream_leaves(text, expected):
+    assert parse_leaving(text) is expected
+
+
+@pytest.mark.parametrize("text", ["", "yes", "-1", "1.0", "9" * 40])
+def test_other_texts_are_rejected(text):
+    with pytest.raises(MessageError):
+        parse_leaving(text)
+
+
+# One run
+
+
+def test_a_notice_holds_for_as_long_as_the_run_is_listed():
+    book = LeaveBook()
+    assert book.record("u1@5", True, 0.0, 1.0)
+    for now in range(2, 4000, 50):
+        book.retain({"u1@5": False}, now)
+    assert book.is_leaving("u1@5")
+
+
+def test_the_next_run_under_the_same_name_has_no_notice():
+    book = LeaveBook()
+    book.record("u1@5", True, 0.0, 1.0)
+    assert not book.is_leaving("u1@9")
+
+
+def test_an_entry_that_expired_and_is_back_does_not_end_a_notice():
+    book = LeaveBook()
+    book.record("u1", True, 0.0, 1.0)
+    book.retain({}, 10.0)
+    book.retain({"u1": False}, 10.0 + UNLISTED_SECONDS - 1.0)
+    book.retain({"u1": False}, 10.0 + 2 * UNLISTED_SECONDS)
+    assert book.is_leaving("u1")
+
+
+def test_notices_of_runs_that_ended_are_dropped():
+    book = LeaveBook()
+    book.record("u1", True, 0.0, 1.0)
+    book.retain({}, 10.0)
+    book.retain({}, 10.0 + UNLISTED_SECONDS)
+    assert not book.count
+
+
+def test_an_answer_that_was_overtaken_takes_nothing_back():
+    book = LeaveBook()
+    book.record("u1", True, 0.5, 1.0)
+    assert not book.record("u1", False, 0.9, 2.0)
+    assert book.is_leaving("u1")
+
+
+def test_an_answer_to_a_later_request_takes_a_notice_back():
+    book = LeaveBook()
+    book.record("u1", True, 0.5, 1.0)
+    assert book.record("u1", False, 1.5, 2.0)
+    assert not book.is_leaving("u1")
+
+
+def test_an_upstream_that_is_listed_as_ready_is_asked_now_and_then():
+    book = LeaveBook()
+    book.record("u1", True, 0.0, 1.0)
+    book.retain({"u1": False}, 2.0)
+    due = 1.0 + CHECK_SECONDS
+    assert not book.due_checks(due - 0.1)
+    assert book.due_checks(due) == ["u1"]
+    book.begin_check("u1", due)
+    assert not book.due_checks(due + 0.1)
+    book.retain({"u1": True}, due + 1.0)
+    assert not book.due_checks(due + CHECK_SECONDS)
+
+
+# Peers
+
+
+def merged(rows, now=100.0):
+    """Return a LeaveBook after (leaving, age) rows on one run."""
+    book = LeaveBook()
+    for leaving, age in rows:
+        book.merge(LeaveRow("u1", leaving, age), now)
+    return book
+
+
+def test_news_of_peers_count_by_the_time_of_the_answer():
+    assert merged([(True, 5.0)]).is_leaving("u1")
+    assert not merged([(True, 5.0), (False, 2.0)]).is_leaving("u1")
+    assert merged([(True, 2.0), (False, 5.0)]).is_leaving("u1")
+
+
+def test_news_that_a_peer_repeats_change_nothing():
+    book = merged([(True, 5.0), (False, 2.0)])
+    assert not book.merge(LeaveRow("u1", True, 6.0), 101.0)
+    assert not book.merge(LeaveRow("u1", False, 1.0), 101.0)
+    assert not book.is_leaving("u1")
+
+
+def test_a_notice_is_announced_until_the_list_says_so_too():
+    book = LeaveBook()
+    book.record("u1", True, 0.0, 1.0)
+    assert [row.upstream for row in book.next_rows(2.0)] == ["u1"]
+    assert not book.next_rows(2.0 + ANNOUNCE_SECONDS)
+    book.retain({"u1": True}, 3.0)
+    assert not book.next_rows(3.0)
+
+
+def view_give(**fields):
+    """Return a ViewGive with some optional fields."""
+    suspects = SuspectNews(0, [])
+    parts = (0, b"", 0, b"", 1.0, [], suspects, [], 0, 0, 0, 0)
+    return ViewGive(*parts, **fields)
+
+
+@pytest.mark.parametrize(
+    ("fields", "length"),
+    [
+        ({}, 12),
+        ({"evacuations": 7}, 14),
+        ({"evacuations": 7, "evacuated": ["a"]}, 14),
+        ({"leaves": [LeaveRow("u1", True, 1.0)]}, 15),
+    ],
+)
+def test_peers_of_earlier_protocols_get_messages_as_they_know_them(
+    fields, length
+):
+    give = view_give(**fields)
+    assert len(give.to_wire()) == length
+    again = ViewGive.unpack(give.pack())
+    assert list(again.leaves) == list(give.leaves)
+    assert again.evacuations == give.evacuations
+
+
+def test_a_poll_of_an_earlier_protocol_names_no_leaves():
+    suspects = SuspectNews(0, [])
+    rows = [LimitRow("u1", 1.0, 0.0)]
+    ask = ViewAsk(1, 2, "10.0.0.1:1", 1.0, 0, suspects, rows, 0)
+    assert len(ask.to_wire()) == 8
+    assert not ViewAsk.unpack(ask.pack()).leaves
+
+
+class Members:
+    """Peers that speak some protocol."""
+
+    def __init__(self, protocol):
+        self._protocol = protocol
+
+    def speaks(self, _address, protocol):
+        return self._protocol >= protocol
+
+    def predates(self, address, protocol):
+        return not self.speaks(address, protocol)
+
+
+class Answer:
+    """The head of an answer of an upstream."""
+
+    def __init__(self, status=200, **headers):
+        self.status = status
+        self.headers = {k.replace("_", "-"): v for k, v in headers.items()}
+
+
+def own_answer(status=200, **headers):
+    """Return an Answer with the upstream's signature."""
+    fields = {DIALECT.request_id: "r1", DIALECT.signature: "s", **headers}
+    return Answer(status, **fields)
+
+
+class Fixture:
+    """UpstreamNotices of one upstream, u1, that tell a peer."""
+
+    def __init__(self, protocol=LEAVES_PROTOCOL):
+        self.clock = LoopClock(VirtualLoop())
+        self.pool = UpstreamPool()
+        self.record = Upstream("u1", "feed", "10.9.0.1:80", "a", 8, False)
+        self.told = []
+        self.limits = []
+        self.notices = UpstreamNotices(
+            DIALECT,
+            SimpleNamespace(
+                record_answer=lambda run, text: self.limits.append(text)
+            ),
+            self.pool,
+            SimpleNamespace(tell=self._tell),
+            Members(protocol),
+            lambda: ["10.0.0.2:82"],
+            "10.0.0.1:82",
+            self.clock,
+        )
+        self.pool.update({"u1": self.record}, self.notices.is_leaving)
+
+    def _tell(self, addresses, message):
+        self.told += [(address, message) for address in addresses]
+
+    @property
+    def leaving(self):
+        return self.pool.get("u1").leaving
+
+    def answer(self, answer, sent_at=0.0):
+        """Record an answer to a request."""
+        self.notices.record_answer(self.record, answer, "r1", sent_at)
+
+
+def test_a_notice_marks_the_upstream_and_is_told_once():
+    fixture = Fixture()
+    for _ in range(3):
+        fixture.answer(own_answer(server_leaving="1"))
+    assert fixture.leaving
+    assert len(fixture.told) == 1
+
+
+def test_peers_that_do_not_know_the_message_are_told_nothing():
+    fixture = Fixture(LEAVES_PROTOCOL - 1)
+    fixture.answer(own_answer(server_leaving="1"))
+    assert fixture.leaving
+    assert not fixture.told
+    assert not fixture.notices.rows_for("10.0.0.2:82")
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        own_answer(421, server_leaving="1"),
+        Answer(200, server_leaving="1"),
+        Answer(503, **{DIALECT.request_id: "r1", "server-leaving": "1"}),
+        Answer(200, **{DIALECT.signature: "s", "server-leaving": "1"}),
+        own_answer(200, server_leaving="soon"),
+    ],
+)
+def test_what_is_not_the_upstreams_own_word_marks_nothing(answer):
+    fixture = Fixture()
+    fixture.answer(answer)
+    assert not fixture.leaving
+
+
+def ask(fixture, status, sent_at=0.0, **headers):
+    """Record the answer to a health check."""
+    answer = Answer(status, **headers)
+    fixture.notices.record_question(fixture.record, answer, sent_at)
+
+
+@pytest.mark.parametrize("status", [200, 503])
+def test_a_health_check_tells_that_an_upstream_leaves(status):
+    fixture = Fixture()
+    ask(fixture, status, server_leaving="1")
+    assert fixture.leaving
+
+
+def test_a_health_check_of_another_upstream_tells_nothing():
+    fixture = Fixture()
+    other = {DIALECT.instance: "u2", "server-leaving": "1"}
+    ask(fixture, 200, **other)
+    assert not fixture.leaving
+
+
+def test_a_good_health_check_takes_a_notice_back():
+    fixture = Fixture()
+    fixture.answer(own_answer(server_leaving="1"))
+    later = fixture.clock.steady() + 1.0
+    ask(fixture, 503, later, **{DIALECT.instance: "u1"})
+    assert fixture.leaving
+    ask(fixture, 200, later, **{DIALECT.instance: "u1"})
+    assert not fixture.leaving
+    assert len(fixture.told) == 2
+
+
+def test_an_entry_that_says_ready_does_not_overrule_a_notice():
+    fixture = Fixture()
+    fixture.answer(own_answer(server_leaving="1"))
+    for _ in range(2):
+        fixture.pool.update({}, fixture.notices.is_leaving)
+        fixture.notices.retain([])
+        fixture.pool.update({"u1": fixture.record}, fixture.notices.is_leaving)
+        fixture.notices.retain([fixture.record])
+    assert fixture.leaving
+    assert not fixture.pool.of_service("feed")
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -28,13 +28,14 @@
 class Field:
     """One field of a message, with the code that moves it on the wire."""
 
-    __slots__ = ("name", "type", "doc", "default")
+    __slots__ = ("name", "type", "doc", "default", "protocol")
 
-    def __init__(self, name, type_, doc, default=None):
+    def __init__(self, name, type_, doc, default=None, protocol=0):
         self.name = name
         self.type = type_
         self.doc = doc
         self.default = default
+        self.protocol = protocol
 
     @property
     def optional(self):
@@ -108,6 +109,15 @@
     return black.format_str(render(template, **values), mode=mode)
 
 
+def _earlier_lengths(fields):
+    """Return how many fields earlier protocols have, the longest first."""
+    protocols = {field.protocol for field in fields if field.optional}
+    return [
+        sum(field.protocol < protocol for field in fields)
+        for protocol in sorted(protocols, reverse=True)
+    ]
+
+
 def build():
     """Return the text of each generated file by its path."""
     messages = read_schema("messages.toml")["message"]
@@ -115,7 +125,7 @@
         fields = [Field(*field) for field in message["fields"]]
         message["fields"] = fields
         message["optional"] = [field for field in fields if field.optional]
-        message["required"] = len(fields) - len(message["optional"])
+        message["lengths"] = _earlier_lengths(fields)
     sections = read_schema("settings.toml")["section"]
     package = ROOT / "rowanport" / "schema"
     return {
