--- a/soak/broken.py
+++ b/soak/broken.py
@@ -379,6 +379,18 @@
         RateLimits.record_answer = lambda *_arguments: None
 
 
+class IgnoresNotices(Variant):
+    """Knows only from the store that an upstream leaves."""
+
+    promise = "said_leaving"
+    theme = "answers"
+
+    def apply(self):
+        from rowanport.gateway import notices
+
+        notices.parse_leaving = lambda _text: False
+
+
 class ForgetsRetries(Variant):
     """Has the whole slack for retries to itself, and again at each start."""
 
@@ -498,6 +510,7 @@
         OwnLinkOnly,
         IgnoresEvacuations,
         RushesCold,
+        IgnoresNotices,
         ForgetsRetries,
         JoinsVersions,
         ForgetsStreams,
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -306,6 +306,14 @@
             self._world.operator.leave(self._seat(step), step.variant)
         )
 
+    async def _do_announce(self, step):
+        """Let an upstream leave whose entry says so only later."""
+        self._world.spawn(
+            self._world.operator.leave(
+                self._seat(step), "draining", step.seconds
+            )
+        )
+
     async def _do_evacuate(self, step):
         await self._world.operator.evacuate(step.variant, step.seconds)
 
--- a/soak/history.py
+++ b/soak/history.py
@@ -126,6 +126,7 @@
     :ivar broke_off: whether the upstream itself broke the answer off
     :ivar crashed: whether it crashed the upstream
     :ivar sender: name of the router from whose link it came, "" if unknown
+    :ivar says_leaving: whether its answer says that the upstream leaves
     """
 
     __slots__ = (
@@ -139,6 +140,7 @@
         "broke_off",
         "crashed",
         "sender",
+        "says_leaving",
     )
 
     def __init__(self, request, upstream, arrived_at, path, organisation=""):
@@ -148,6 +150,7 @@
         self.broke_off = False
         self.crashed = False
         self.sender = ""
+        self.says_leaving = False
 
 
 class Version(Record):
--- a/soak/operator.py
+++ b/soak/operator.py
@@ -261,13 +261,21 @@
             if serving.upstream == upstream.name:
                 serving.ended = min(serving.ended, now())
 
-    async def leave(self, seat, variant):
-        """Let an upstream leave, end, and another one take its address."""
+    async def leave(self, seat, variant, announced=None):
+        """Let an upstream leave, end, and another one take its address.
+
+        :param variant: how its entry changes
+        :param announced: for how many seconds its answers alone say so, None
+            if they do not say it at all
+        """
         upstream = seat.occupant
         if upstream is None or upstream.leaving:
             return
         upstream.leaving = True
         self._note_served(upstream)
+        if announced is not None:
+            upstream.leaving_text = "1"
+            await asyncio.sleep(announced)
         await self._store_up()
         await self._list(seat, "" if variant == "gone" else "draining")
         self._history.leaves.append(Leave(upstream.name, now()))
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -124,6 +124,17 @@
     "store_away": 1,
     "config": 1,
 }
+# Upstreams that say that they leave in their answers, long before the store
+# knows it.
+ANSWERS = {
+    "announce": 6,
+    "crash": 1,
+    "kill": 1,
+    "freeze": 1,
+    "term": 2,
+    "store_down": 2,
+    "config": 1,
+}
 # Links that are full, of routers that hear of upstreams that leave.
 LINKS = {"full": 5, "leave": 8, "config": 1, "store_away": 2, "term": 1}
 THEMES["all"] = {
@@ -149,6 +160,7 @@
     "sever": (6.0, 12.0),
     "refuse": (5.0, 12.0),
     "evacuate": (6.0, 12.0),
+    "announce": (4.0, 10.0),
 }
 # Kinds that strike all routers: in a large fleet there are more steps, but not
 # more of these, or nobody would ever be in touch.
@@ -167,6 +179,7 @@
     "herd",
     "release",
     "evacuate",
+    "announce",
 )
 SMALL_FLEET = 10
 UPSTREAM_KINDS = (
@@ -177,6 +190,7 @@
     "part",
     "limit",
     "chill",
+    "announce",
 )
 # Variants of a kind: which links, in which direction, how a store is down.
 VARIANTS = {
@@ -244,6 +258,7 @@
 THEMES["refusing"] = REFUSING
 THEMES["versions"] = VERSIONS
 THEMES["evacuations"] = EVACUATIONS
+THEMES["answers"] = ANSWERS
 
 
 def choose_theme(seed):
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -7,14 +7,15 @@
 
 import bisect
 
+from .finding import Finding
 from .history import FULL
 from .history import NEVER
-from .history import Record
 from .history import RELOAD
 from .history import RESET
 from .history import SEVER
 from .history import STOP
 from .history import STORE
+from .said import check_said_leaving
 from .upstream import BAD_PART
 from .upstream import LETHAL
 
@@ -63,22 +64,6 @@
 SHARERS_SHARE = 1 / 2
 
 
-class Finding(Record):
-    """A promise that was broken.
-
-    :ivar promise: its name
-    :ivar at: when, in steady seconds
-    :ivar evidence: what was seen
-    """
-
-    __slots__ = ("promise", "at", "evidence")
-
-    @property
-    def key(self):
-        """Return what tells it from other findings."""
-        return self.promise, self.evidence
-
-
 def check_budgets(history):
     """No organisation gets more tokens than were paid for.
 
@@ -788,6 +773,7 @@
     check_at_most_once,
     check_asked,
     check_leaving,
+    check_said_leaving,
     check_planned_stop,
     check_planned_change,
     check_lost,
--- a/soak/upstream.py
+++ b/soak/upstream.py
@@ -274,6 +274,7 @@
         run.broke_off = names["behaviour"] in BREAKING
         run.crashed = names["behaviour"] == "crash"
         run.sender = names["sender"]
+        run.says_leaving = self.leaving_text is not None
         self._runs[connection] = run
         self._history.runs.append(run)
 
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -65,6 +65,7 @@
     ),
     # Three routers of ad2cc76 repeated more than was allowed.
     "refusing": ("--theme", "refusing", *SHORT, "--seed", "3000"),
+    "answers": ("--theme", "answers", *SHORT, "--seed", "7000"),
     "evacuations": ("--theme", "evacuations", *SHORT, "--seed", "6000"),
     "versions": (
         *("--theme", "versions", "--processes", "5"),
@@ -975,6 +976,40 @@
     assert "taken_up" not in found(history)
 
 
+# What upstreams say of themselves in their answers
+
+
+def told_history(sent_at, sender="r0"):
+    """Return a History with a request after a notice that ended at 100.1 s."""
+    history = History()
+    add_request(history)
+    told = add_run(history, at=100.05)
+    told.says_leaving = True
+    told.sender = "r0"
+    add_request(history, "c2", sent_at=sent_at, ended_at=sent_at + 0.1)
+    add_run(history, "c2", at=sent_at + 0.05).sender = sender
+    return history
+
+
+@pytest.mark.parametrize(
+    "sent_at, sender, expected",
+    [(102.0, "r0", 0), (102.2, "r0", 1), (102.2, "r1", 0)],
+)
+def test_work_after_a_notice_is_found(sent_at, sender, expected):
+    history = told_history(sent_at, sender)
+    assert found(history).count("said_leaving") == expected
+
+
+def test_only_a_start_or_a_freeze_excuses_work_after_a_notice():
+    history = told_history(103.0)
+    for kind in ("cut", "store_down"):
+        fault = Fault(kind, frozenset(["r0", STORE]), 99.0, 104.0)
+        history.faults.append(fault)
+    assert found(history) == ["said_leaving"]
+    history.faults.append(Fault("kill", frozenset(["r0"]), 101.0, 101.0))
+    assert found(history) == []
+
+
 # Routers that are cut off from all upstreams
 
 
