Rests that upstreams ask for are kept, by run and router

Who rests is no candidate of any choice, hedge, copy or reckoning of room, and is checked again just before the first byte; health checks and reports wait, too. After a rest one request is sent, then twice as many each quarter of a second, from a moment that each router draws. Where all of a service rest, requests are refused at once with the time of the first to return, and no retry is taken from the allowance. Peers are not told, but for a router that relayed the refused request: the upstream answered that one.

--- a/rowanport/gateway/daemon.py
+++ b/rowanport/gateway/daemon.py
@@ -247,6 +247,7 @@
             recipients,
             settings.peers,
             self.clock,
+            self.metrics,
         )
         self.exchange = Exchange(
             self.client, self.dialect, self.clock, self.notices
@@ -436,9 +437,7 @@
         self.budgets.set_totals(totals, table.version)
 
     def _apply_upstreams(self, upstreams):
-        restarted = self.pool.update(
-            upstreams.upstreams, self.notices.is_leaving
-        )
+        restarted = self.pool.update(upstreams.upstreams, self.notices)
         for name in restarted:
             self._prefixes.remove_engine(name)
             self.links.forget(upstreams.upstreams[name].address)
@@ -470,6 +469,7 @@
             messages.BlockedAsk: self.crashes.answer_operator,
             messages.LimitNews: self.limits.receive,
             messages.LeaveNews: self.notices.receive,
+            messages.RestNews: self.notices.receive_rest,
             messages.PermitAsk: self.limits.grant,
             messages.RetryPermitAsk: self.retries.lend,
             messages.StreamNews: self.streams.receive,
--- a/rowanport/gateway/job.py
+++ b/rowanport/gateway/job.py
@@ -83,6 +83,8 @@
     :ivar config: version of the configuration that admitted it
     :ivar view_age: age in seconds of the view of the fleet at the last send,
         or None
+    :ivar left_out: ids of the upstreams that got nothing by their own word at
+        the last choice, by reason; None if there were none
     :ivar work: units of work by which it counts for fair shares
     :ivar background: whether it is expected to be late, and so runs with the
         lowest urgency
@@ -129,6 +131,7 @@
         "complete",
         "config",
         "view_age",
+        "left_out",
         "work",
         "background",
     )
@@ -174,6 +177,7 @@
         self.complete = False
         self.config = 0
         self.view_age = None
+        self.left_out = None
         self.work = 0
         self.background = False
 
--- a/rowanport/gateway/link_monitor.py
+++ b/rowanport/gateway/link_monitor.py
@@ -130,6 +130,7 @@
 
     def _check_leaving(self):
         """Ask upstreams that have been about to leave for long."""
+        self._notices.drop_ended()
         for upstream in self._notices.begin_checks():
             self._tasks.spawn(self._own_link.ask_health(upstream))
 
--- a/rowanport/gateway/metrics.py
+++ b/rowanport/gateway/metrics.py
@@ -30,6 +30,12 @@
         self.leaving_upstreams = self._gauge(
             "leaving_upstreams", "Upstreams whose answers say that they leave"
         )
+        self.resting_upstreams = self._gauge(
+            "resting_upstreams", "Upstreams that want no requests for a time"
+        )
+        self.rests = self._counter(
+            "rests", "Refusals of upstreams that asked for rest"
+        )
         self.permits = self._counter(
             "permits", "Permits to send to these, by outcome"
         )
--- a/rowanport/gateway/migrations.py
+++ b/rowanport/gateway/migrations.py
@@ -235,9 +235,13 @@
     async def _call(self, place, method, path, value, timeout):
         """Send JSON to an engine; return status and answer.
 
-        :returns: (0, {}) if it did not answer
+        :returns: (0, {}) if it did not answer, or rests
         """
         gateway = self._gateway
+        state = gateway.pool.get(place.run.id)
+        if state is not None and state.rests(gateway.clock.steady()):
+            LOG.info("engine_not_asked", upstream=place.run.id, path=path)
+            return 0, {}
         body = b"" if value is None else json.dumps(value).encode()
         headers = [(gateway.dialect.expected_instance, place.run.id)]
         sent_at = gateway.clock.steady()
@@ -316,6 +320,8 @@
         if state is None:
             return None
         record = state.record
+        if state.rests(self._gateway.clock.steady()):
+            return None
         if not migration.fits(record.run, record.version):
             return None
         LOG.info(
--- a/rowanport/gateway/notices.py
+++ b/rowanport/gateway/notices.py
@@ -1,18 +1,27 @@
 """Acts on what upstreams say of themselves in the heads of their answers."""
 
+import random
+
 import structlog
 
 from ..errors import MessageError
 from ..hashing import rendezvous
 from ..incarnation import address_of
-from ..incarnation import LEAVES_PROTOCOL
+from ..incarnation import NOTICES_PROTOCOL
 from ..notices import LeaveBook
+from ..notices import MAX_REST_SECONDS
 from ..notices import parse_leaving
+from ..notices import parse_rest
+from ..notices import RestBook
 from ..schema.messages import LeaveNews
+from ..schema.messages import RestNews
 from .exchange import MISDIRECTED
 
 LOG = structlog.get_logger(__name__)
 
+# Statuses of refusals, which may ask for rest.
+REFUSED = (429, 503)
+
 
 class UpstreamNotices:
     """What the upstreams said of themselves, to this router or to peers.
@@ -26,6 +35,7 @@
         which changes are sent at once
     :param address: this router's peer address
     :param clock: a Clock
+    :param metrics: the GatewayMetrics
     :ivar on_leaving: function that is called once an upstream has said that
         it leaves, or None
     """
@@ -40,6 +50,7 @@
         recipients,
         address,
         clock,
+        metrics,
     ):
         self._dialect = dialect
         self._limits = limits
@@ -49,16 +60,28 @@
         self._recipients = recipients
         self._address = address
         self._clock = clock
+        self._metrics = metrics
         self._leaves = LeaveBook()
+        self._rests = RestBook()
         # The last malformed value by (header, name of the run).
         self._unreadable = {}
         self.on_leaving = None
 
+    @property
+    def any(self):
+        """Return whether any upstream leaves or rests."""
+        return bool(self.leaving_count or self.resting_count)
+
     @property
     def leaving_count(self):
         """Return the number of upstreams that said that they leave."""
         return self._leaves.count
 
+    @property
+    def resting_count(self):
+        """Return the number of upstreams that rest."""
+        return self._rests.count(self._clock.steady())
+
     # Answers
 
     def record_answer(self, record, answer, request, sent_at):
@@ -74,6 +97,8 @@
         text = answer.headers.get(self._dialect.rate_limit)
         self._limits.record_answer(record.run, text)
         self._record_leaving(record.run, answer, request, sent_at)
+        if answer.status in REFUSED:
+            self._record_rest(record.run, answer, request)
 
     def _is_own(self, answer):
         """Return whether an answer to a request is the upstream's own word.
@@ -98,12 +123,57 @@
         name = answer.headers.get(self._dialect.instance, record.id)
         if answer.status == MISDIRECTED or name != record.id:
             return
-        if answer.status != 200 and self._dialect.leaving not in (
-            answer.headers
-        ):
-            # It may be the word of what stands between.
+        if answer.status in REFUSED:
+            self._record_rest(record.run, answer, None)
+        # A failure that does not say so may be the word of what stands
+        # between, and takes no notice back.
+        if answer.status == 200 or self._dialect.leaving in answer.headers:
+            self._record_leaving(record.run, answer, None, sent_at)
+
+    def _record_rest(self, run, answer, request):
+        """Record the rest that a refusal asks for, if it does."""
+        text = answer.headers.get(self._dialect.retry_after)
+        if text is None:
+            return
+        try:
+            seconds = parse_rest(text)
+        except MessageError as error:
+            return self._log_unreadable(self._dialect.retry_after, run, error)
+        if not seconds:
             return
-        self._record_leaving(record.run, answer, None, sent_at)
+        self._metrics.rests.inc({})
+        self._begin_rest(run.name, seconds, None, request)
+        relay = answer.path.relay
+        if relay is not None:
+            self._tell_relay(relay, run.name, seconds)
+
+    def _begin_rest(self, name, seconds, heard_from, request=None):
+        now = self._clock.steady()
+        rest = self._rests.record(name, seconds, now, random.random())
+        if rest is not None:
+            LOG.info(
+                "upstream_rests",
+                upstream=name,
+                seconds=seconds,
+                heard_from=heard_from,
+                request=request,
+            )
+            self._pool.set_rest(name, rest)
+
+    def _tell_relay(self, relay, name, seconds):
+        """Tell the router that relayed a refusal, which it was meant for.
+
+        :param relay: its incarnation
+        """
+        peer = address_of(relay)
+        if self._members.speaks(peer, NOTICES_PROTOCOL):
+            message = RestNews(name, seconds, self._address)
+            self._peers.tell([peer], message)
+
+    def receive_rest(self, message):
+        """Begin the rest that a RestNews message names."""
+        seconds = min(MAX_REST_SECONDS, message.seconds)
+        self._begin_rest(message.upstream, seconds, message.sender)
 
     def _record_leaving(self, run, answer, request, sent_at):
         text = answer.headers.get(self._dialect.leaving)
@@ -141,9 +211,16 @@
 
     # The list of upstreams
 
-    def is_leaving(self, name):
-        """Return whether a run said that it leaves."""
-        return self._leaves.is_leaving(name)
+    def mark(self, state):
+        """Mark the UpstreamState of a run that is listed from now on."""
+        name = state.record.run.name
+        state.says_leaving = self._leaves.is_leaving(name)
+        state.rest = self._rests.get(name)
+
+    def drop_ended(self):
+        """Drop what has no effect any more."""
+        for name in self._rests.drop_ended(self._clock.steady()):
+            self._pool.set_rest(name, None)
 
     def retain(self, records):
         """Apply a list of upstreams.
@@ -169,7 +246,11 @@
             self._leaves.begin_check(name, now)
             ready = map(address_of, self._members.ready_peers())
             if rendezvous(name, [self._address, *ready])[0] == self._address:
-                chosen += self._pool.find_run(name)
+                chosen += [
+                    record
+                    for record in self._pool.find_run(name)
+                    if not self._pool.get(record.id).rests(now)
+                ]
         return chosen
 
     # Peers
@@ -180,7 +261,7 @@
         readers = [
             peer
             for peer in self._recipients()
-            if self._members.speaks(peer, LEAVES_PROTOCOL)
+            if self._members.speaks(peer, NOTICES_PROTOCOL)
         ]
         self._peers.tell(readers, message)
 
@@ -189,7 +270,7 @@
 
         :param peer: its peer address
         """
-        if self._members.predates(peer, LEAVES_PROTOCOL):
+        if self._members.predates(peer, NOTICES_PROTOCOL):
             return []
         return self._leaves.next_rows(self._clock.steady())
 
--- a/rowanport/gateway/own_link.py
+++ b/rowanport/gateway/own_link.py
@@ -56,15 +56,18 @@
 
     @property
     def unlimited(self):
-        """Return the addresses of upstreams that name no rate limit.
+        """Return the addresses of upstreams that take health checks.
 
-        Health checks would use up what the others accept.
+        Checks would use up what those accept that name a rate limit, and
+        break the rest that others asked for.
         """
         pool, limits = self._gateway.pool, self._gateway.limits
+        now = self._gateway.clock.steady()
         states = [pool.get(one.id) for one in self.listed.values()]
         return {
             state.record.address
-            for state in limits.unlimited([s for s in states if s is not None])
+            for state in limits.unlimited(states)
+            if not state.rests(now)
         }
 
     @property
@@ -135,6 +138,9 @@
             return Verdict.UNLISTED
         if self._links.cut_off:
             return Verdict.CUT_OFF
+        now = self._gateway.clock.steady()
+        if self._gateway.pool.get(self.listed[address].id).rests(now):
+            return Verdict.BUSY
         if self._gateway.congestion.congested or not self.may_probe(address):
             return Verdict.BUSY
         outage = self._links.outage(address)
--- a/rowanport/gateway/pool.py
+++ b/rowanport/gateway/pool.py
@@ -28,6 +28,7 @@
     :ivar ejected_until: monotonic time until which it gets no requests
     :ivar crashed_until: the same after a crash
     :ivar says_leaving: whether its answers say that it leaves
+    :ivar rest: the Rest that it asked this router for, or None
     """
 
     __slots__ = (
@@ -39,6 +40,7 @@
         "ejected_until",
         "crashed_until",
         "says_leaving",
+        "rest",
     )
 
     def __init__(self, record):
@@ -50,12 +52,21 @@
         self.ejected_until = 0.0
         self.crashed_until = 0.0
         self.says_leaving = False
+        self.rest = None
 
     @property
     def leaving(self):
         """Return whether it gets no new requests, by its entry or answers."""
         return self.record.leaving or self.says_leaving
 
+    def available_at(self, now):
+        """Return the monotonic time from which it may get a request."""
+        return now if self.rest is None else self.rest.available_at(now)
+
+    def rests(self, now):
+        """Return whether it asked for rest and may get no request yet."""
+        return self.rest is not None and self.rest.available_at(now) > now
+
     def expected_wait(self, uncached, now):
         """Return the expected seconds to the first event of one more request.
 
@@ -107,14 +118,13 @@
         self._states = {}
         self._evacuations = evacuations or Evacuations()
 
-    def update(self, upstreams, says_leaving=lambda name: False):
+    def update(self, upstreams, notices=None):
         """Apply a list of upstreams.
 
         The state of an upstream that restarted under the same id is dropped.
 
         :param upstreams: Upstream by id
-        :param says_leaving: function from the name of a run to whether its
-            answers say that it leaves
+        :param notices: the UpstreamNotices, None for none
         :returns: the ids of the upstreams that restarted
         """
         states, restarted = {}, []
@@ -125,7 +135,8 @@
                 state = None
             if state is None:
                 state = UpstreamState(record)
-                state.says_leaving = says_leaving(record.run.name)
+                if notices is not None:
+                    notices.mark(state)
             state.record = record
             states[name] = state
         self._states = states
@@ -142,6 +153,11 @@
         """
         return [one for one in self.records() if one.run.name == name]
 
+    def set_rest(self, name, rest):
+        """Set the Rest of a run, None for no rest."""
+        for record in self.find_run(name):
+            self._states[record.id].rest = rest
+
     def set_leaving(self, name, leaving):
         """Set whether the answers of a run say that it leaves."""
         for record in self.find_run(name):
@@ -169,6 +185,26 @@
         states = self._all(service)
         return bool(states) and all(state.leaving for state in states)
 
+    def available_at(self, service, now):
+        """Return when the first upstream of a service takes requests again.
+
+        :returns: monotonic time, None unless all rest that do not leave
+        """
+        times = [state.available_at(now) for state in self.of_service(service)]
+        first = min(times, default=now)
+        return first if first > now else None
+
+    def left_out(self, service, now):
+        """Return the ids of upstreams that get nothing by their own word.
+
+        :returns: lists of ids by reason, "leaving" or "resting"
+        """
+        states = self._all(service)
+        return {
+            "leaving": [s.record.id for s in states if s.says_leaving],
+            "resting": [s.record.id for s in states if s.rests(now)],
+        }
+
     def _all(self, service):
         return [
             state
@@ -179,7 +215,8 @@
     def candidates(self, service, avoid, now, version=None):
         """Return the UpstreamStates to which a request may be sent.
 
-        Those of evacuated data centres never are, also if there are no others.
+        Those of evacuated data centres, and those that rest, never are, also
+        if there are no others.
         Ejected upstreams are included only if more than half of those of the
         service are ejected: the cause is then hardly the upstreams themselves.
 
@@ -193,6 +230,7 @@
             for state in self.of_service(service)
             if not self._evacuations.covers(state.record.data_centre)
             and (version is None or version == state.record.version != "")
+            and not state.rests(now)
         ]
         accepting = [
             s for s in accepting if s.crashed_until <= now
--- a/rowanport/gateway/retry_policy.py
+++ b/rowanport/gateway/retry_policy.py
@@ -118,6 +118,11 @@
         :param responder: the Responder of its caller
         :param error: the UpstreamError of the last send
         """
+        now = self._gateway.clock.steady()
+        available_at = self._gateway.pool.available_at(job.service, now)
+        if available_at is not None and not job.runs:
+            # A retry would be taken from the allowance for nothing.
+            raise resting_error(available_at) from None
         if not await self._may_resend(job, responder, error):
             raise final_error(job, error) from None
 
@@ -211,6 +216,18 @@
     return False
 
 
+def resting_error(available_at):
+    """Return the RequestError for a job whose upstreams all rest.
+
+    :param available_at: monotonic time at which the first one takes requests
+    """
+    return RequestError(
+        ErrorKind.OVERLOADED,
+        "all upstreams asked for rest",
+        come_back_at=available_at,
+    )
+
+
 def final_error(job, error):
     """Return the RequestError for a job that is not sent again.
 
--- a/rowanport/gateway/sender.py
+++ b/rowanport/gateway/sender.py
@@ -18,6 +18,7 @@
 from .relay import is_stream
 from .retry_policy import final_error
 from .retry_policy import HedgeDenied
+from .retry_policy import resting_error
 from .retry_policy import RetryDenied
 
 # Share of the remaining time after which a repeatable request without an
@@ -209,6 +210,8 @@
         candidates = gateway.pool.candidates(
             job.service, job.tried, now, job.version
         )
+        if gateway.notices.any:
+            job.left_out = gateway.pool.left_out(job.service, now)
         candidates = self._accepting(candidates, now)
         if candidates and not job.sends:
             choice = gateway.choice(job.tokens is not None)
@@ -239,8 +242,12 @@
 
     def _no_upstream_error(self, now):
         """Return the RequestError of a job without an upstream to go to."""
-        job = self._job
-        leave = self._gateway.pool.all_leave(job.service)
+        job, pool = self._job, self._gateway.pool
+        if not job.runs:
+            available_at = pool.available_at(job.service, now)
+            if available_at is not None:
+                return resting_error(available_at)
+        leave = pool.all_leave(job.service)
         why = "all upstreams leave" if leave else _none_left(job)
         error = final_error(job, UpstreamError(why))
         if leave and not job.runs:
@@ -325,8 +332,13 @@
             raise UpstreamLeft("upstream has no entry and peers do not answer")
         if freshness.stale:
             raise UpstreamLeft("the list of upstreams is stale")
+        now = self._clock.steady()
+        if state.rests(now):
+            raise UpstreamLeft("upstream asked for rest")
         gateway.cold.acquire(record)
         self._retry_policy.use_permit(self._job)
+        if state.rest is not None:
+            state.rest.acquire(now)
         self._job.view_age = freshness.age
 
     def _record_load(self, state):
--- a/rowanport/incarnation.py
+++ b/rowanport/incarnation.py
@@ -14,11 +14,11 @@
 # 2: versions of streams, permits to retry.
 # 3: evacuated data centres in the answers to polls.
 # 4: reports of state to the routers that collect them.
-# 5: upstreams that said that they leave.
+# 5: upstreams that said that they leave, or asked a relay for rest.
 PROTOCOL = 5
 EVACUATIONS_PROTOCOL = 3
 STATE_PROTOCOL = 4
-LEAVES_PROTOCOL = 5
+NOTICES_PROTOCOL = 5
 # The protocol of runs that name none.
 FIRST_PROTOCOL = 1
 
--- a/rowanport/notices/__init__.py
+++ b/rowanport/notices/__init__.py
@@ -5,6 +5,17 @@
 """
 
 from .leaves import LeaveBook
+from .parse import MAX_REST_SECONDS
 from .parse import parse_leaving
+from .parse import parse_rest
+from .rests import Rest
+from .rests import RestBook
 
-__all__ = ["LeaveBook", "parse_leaving"]
+__all__ = [
+    "LeaveBook",
+    "MAX_REST_SECONDS",
+    "parse_leaving",
+    "parse_rest",
+    "Rest",
+    "RestBook",
+]
--- a/rowanport/notices/parse.py
+++ b/rowanport/notices/parse.py
@@ -6,6 +6,10 @@
 
 # Longest part of a malformed value that an error names.
 NAMED_LENGTH = 40
+# Longest rest in seconds that an upstream gets: one that asks for hours by
+# mistake is tried again, by one request after each such time.
+MAX_REST_SECONDS = 600.0
+_DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?")
 _INTEGER = re.compile(r"[0-9]{1,12}")
 
 
@@ -20,3 +24,18 @@
     if not _INTEGER.fullmatch(text):
         raise MessageError(f"not a flag: {text[:NAMED_LENGTH]!r}")
     return int(text) != 0
+
+
+def parse_rest(text):
+    """Return the seconds of rest that an upstream asks for.
+
+    Of the forms that HTTP allows, upstreams send numbers, fractions too, and
+    no dates.
+
+    :param text: value of the header
+    :returns: 0 to MAX_REST_SECONDS
+    :raises MessageError: the text is no decimal number
+    """
+    if not _DECIMAL.fullmatch(text):
+        raise MessageError(f"not a time: {text[:NAMED_LENGTH]!r}")
+    return min(MAX_REST_SECONDS, float(text))
--- a/rowanport/schema/messages.py
+++ b/rowanport/schema/messages.py
@@ -2247,6 +2247,45 @@
         )
 
 
+class RestNews(Message):
+    """An upstream asked a router for rest, through the tunnel that it relays; not answered.
+
+    :ivar upstream: name of the upstream's run
+    :ivar seconds: for how long
+    :ivar sender: peer address of the router that heard it
+    """
+
+    __slots__ = (
+        "upstream",
+        "seconds",
+        "sender",
+    )
+    KIND = 83
+
+    def __init__(self, upstream, seconds, sender):
+        self.upstream = upstream
+        self.seconds = seconds
+        self.sender = sender
+
+    def to_wire(self):
+        """Return the fields as plain values, in the schema's order."""
+        return [
+            self.upstream,
+            self.seconds,
+            self.sender,
+        ]
+
+    @classmethod
+    def from_wire(cls, values):
+        """Build one from plain values; raise MessageError if unfit."""
+        check_length(cls, values, 3)
+        return cls(
+            as_str(values[0]),
+            as_float(values[1]),
+            as_str(values[2]),
+        )
+
+
 class PermitAsk(Message):
     """Ask for permits to send to an upstream that names a rate limit.
 
@@ -3169,6 +3208,7 @@
     67: SuspectRun,
     68: LimitNews,
     82: LeaveNews,
+    83: RestNews,
     69: PermitAsk,
     70: Permits,
     76: StreamNews,
--- a/soak/broken.py
+++ b/soak/broken.py
@@ -391,6 +391,18 @@
         notices.parse_leaving = lambda _text: False
 
 
+class SendsToResting(Variant):
+    """Takes no refusal for a wish for rest."""
+
+    promise = "rest"
+    theme = "rests"
+
+    def apply(self):
+        from rowanport.gateway import notices
+
+        notices.parse_rest = lambda _text: 0.0
+
+
 class ForgetsRetries(Variant):
     """Has the whole slack for retries to itself, and again at each start."""
 
@@ -511,6 +523,7 @@
         IgnoresEvacuations,
         RushesCold,
         IgnoresNotices,
+        SendsToResting,
         ForgetsRetries,
         JoinsVersions,
         ForgetsStreams,
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -340,6 +340,16 @@
             if seat.occupant is not None:
                 seat.occupant.refuses_until = until
 
+    async def _do_rest(self, step):
+        """Let some upstreams turn all requests away and ask for rest."""
+        until = now() + step.seconds
+        seats = self._world.operator.seats
+        many = {"one": 1, "half": len(seats) // 2, "all": len(seats)}
+        for number in range(many[step.variant]):
+            seat = seats[(step.target + number) % len(seats)]
+            if seat.occupant is not None:
+                seat.occupant.rests_until = until
+
     async def _do_limit(self, step):
         upstream = self._seat(step).occupant
         if upstream is None or upstream.limit is not None:
--- a/soak/history.py
+++ b/soak/history.py
@@ -199,9 +199,25 @@
 
 
 class Arrival(Record):
-    """A request that reached an upstream, run or not."""
+    """A request that reached an upstream, run or not.
 
-    __slots__ = ("upstream", "request", "at")
+    :ivar sender: name of the router from whose link it came, "" if unknown
+    """
+
+    __slots__ = ("upstream", "request", "at", "sender")
+
+    defaults = {"sender": ""}
+
+
+class Rest(Record):
+    """A rest that an upstream asked a router for as it turned one away.
+
+    :ivar router: name of the router that the refusal went to
+    :ivar at: when it was sent
+    :ivar until: end of the time that it named
+    """
+
+    __slots__ = ("upstream", "router", "at", "until")
 
 
 class Limit(Record):
@@ -316,6 +332,7 @@
         self.serving = []
         self.arrivals = []
         self.limits = []
+        self.rests = []
         self.evacuations = []
         self.colds = []
         self.data_centres = {}
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -135,6 +135,19 @@
     "store_down": 2,
     "config": 1,
 }
+# Times of rest that upstreams ask for, as their refusals say it.
+REST_TEXTS = ("0.8", "1.5", "2.75", "4")
+# Upstreams that turn all requests away for a while, and ask for rest.
+RESTS = {
+    "rest": 6,
+    "crash": 1,
+    "kill": 1,
+    "freeze": 1,
+    "term": 1,
+    "cut": 1,
+    "leave": 1,
+    "config": 1,
+}
 # Links that are full, of routers that hear of upstreams that leave.
 LINKS = {"full": 5, "leave": 8, "config": 1, "store_away": 2, "term": 1}
 THEMES["all"] = {
@@ -161,6 +174,7 @@
     "refuse": (5.0, 12.0),
     "evacuate": (6.0, 12.0),
     "announce": (4.0, 10.0),
+    "rest": (0.5, 2.5),
 }
 # Kinds that strike all routers: in a large fleet there are more steps, but not
 # more of these, or nobody would ever be in touch.
@@ -180,6 +194,7 @@
     "release",
     "evacuate",
     "announce",
+    "rest",
 )
 SMALL_FLEET = 10
 UPSTREAM_KINDS = (
@@ -207,6 +222,7 @@
     "leave": ("draining", "draining", "gone"),
     "pause": ("all", "streams", "newest"),
     "limit": tuple(LIMITS),
+    "rest": ("one", "half", "half", "all"),
     "evacuate": ("hall-a", "hall-a", "hall-b", "hall-a hall-b", "all"),
     # How many routers, and how their links fail.
     "sever": tuple(
@@ -259,6 +275,7 @@
 THEMES["versions"] = VERSIONS
 THEMES["evacuations"] = EVACUATIONS
 THEMES["answers"] = ANSWERS
+THEMES["rests"] = RESTS
 
 
 def choose_theme(seed):
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -15,6 +15,7 @@
 from .history import SEVER
 from .history import STOP
 from .history import STORE
+from .said import check_rests
 from .said import check_said_leaving
 from .upstream import BAD_PART
 from .upstream import LETHAL
@@ -774,6 +775,7 @@
     check_asked,
     check_leaving,
     check_said_leaving,
+    check_rests,
     check_planned_stop,
     check_planned_change,
     check_lost,
--- a/soak/said.py
+++ b/soak/said.py
@@ -7,8 +7,13 @@
 # Seconds after an answer that says that its upstream leaves until a router
 # sends nothing new there.
 DRAIN_TOLD = 2.0
+# Seconds after a refusal in which what was under way may arrive, and requests
+# that may arrive in the rest of the time that an upstream asked for.
+REST_GRACE = 0.5
+MOST_IN_REST = 2
 # Faults that excuse a router.
 INTERRUPTIONS = (STOP, "kill", "start", "freeze")
+CUTS = ("cut",)
 
 
 def check_said_leaving(history):
@@ -50,3 +55,24 @@
         for fault in history.faults
         if fault.kind in kinds
     )
+
+
+def check_rests(history):
+    """Who asks a router for rest gets hardly any request of it meanwhile."""
+    arrivals = {}
+    for arrival in history.arrivals:
+        key = (arrival.upstream, arrival.sender)
+        arrivals.setdefault(key, []).append(arrival.at)
+    for rest in history.rests:
+        times = arrivals.get((rest.upstream, rest.router), ())
+        late = [at for at in times if rest.at + REST_GRACE < at < rest.until]
+        if len(late) <= MOST_IN_REST or _was_interrupted(
+            history, rest.router, rest.at, late[-1], INTERRUPTIONS + CUTS
+        ):
+            continue
+        evidence = (
+            f"{rest.upstream} had asked {rest.router} for "
+            f"{rest.until - rest.at:.2f} s of rest and got {len(late)} "
+            "requests in it"
+        )
+        yield Finding("rest", late[MOST_IN_REST], evidence)
--- a/soak/shapes.py
+++ b/soak/shapes.py
@@ -182,6 +182,7 @@
     ),
     "evacuations": Shape(upstreams=6, faulty=6, paid=1500, cold=True),
     "answers": Shape(upstreams=6, faulty=6, paid=1500),
+    "rests": Shape(upstreams=6, faulty=6, paid=1500),
     "severed": Shape(upstreams=6, faulty=6, paid=1500),
     # Callers wait long enough to be served through a full link.
     "links": Shape(upstreams=6, paid=1500, patience=(5.0, 8.0)),
--- a/soak/upstream.py
+++ b/soak/upstream.py
@@ -11,7 +11,9 @@
 from .history import Arrival
 from .history import Cold
 from .history import Limit
+from .history import Rest
 from .history import Run
+from .plan import REST_TEXTS
 
 RESUMES_HEADER = "resumes"
 # Tokens that one event holds, the last one fewer.
@@ -78,6 +80,7 @@
     :param faulty: whether it has faults of its own
     :ivar listed: its state in the store, "" if it isn't there
     :ivar refuses_until: until when it turns most requests away as full
+    :ivar rests_until: until when it turns all requests away and asks for rest
     :ivar data_centre: where it stands
     :ivar source_at: function from the port of a connection to the name of the
         router from which it comes
@@ -90,6 +93,7 @@
         self.leaving = False
         self.listed = ""
         self.refuses_until = 0.0
+        self.rests_until = 0.0
         self._history = history
         self._faulty = faulty
         self._random = random.Random(f"{seed} {name}")
@@ -185,18 +189,21 @@
             await self._do_misdirect(connection, writer, names, body)
             return
         request_id = names.get(ID_HEADER, "")
-        arrival = Arrival(self.name, request_id, time.monotonic())
+        peer = writer.get_extra_info("peername")
+        sender = self.source_at(peer[1]) if peer else ""
+        arrival = Arrival(self.name, request_id, time.monotonic(), sender)
         self._history.arrivals.append(arrival)
         if self._is_overrun():
             self.crash()
             return
-        if self.active >= self.slots or self._refuses():
+        self._ask_for_rest(sender)
+        full = self.active >= self.slots or self._refuses()
+        if full or self.rest_text is not None:
             await self._do_full(connection, writer, names, body)
             return
         self.active += 1
         names["path"] = request.target.decode()
-        peer = writer.get_extra_info("peername")
-        names["sender"] = self.source_at(peer[1]) if peer else ""
+        names["sender"] = sender
         self._runs[connection] = names
         try:
             await asyncio.sleep(self._random.uniform(0, 0.02))
@@ -210,6 +217,16 @@
             self.active -= 1
             self._end(self._runs.pop(connection))
 
+    def _ask_for_rest(self, sender):
+        """Draw the rest that a refusal asks for, if requests are refused."""
+        now = time.monotonic()
+        self.rest_text = None
+        if now < self.rests_until:
+            self.rest_text = self._random.choice(REST_TEXTS)
+            until = now + float(self.rest_text)
+            rest = Rest(self.name, sender, now, until)
+            self._history.rests.append(rest)
+
     def _refuses(self):
         if time.monotonic() >= self.refuses_until:
             return False
--- a/test/test_notices.py
+++ b/test/test_notices.py
@@ -7,18 +7,27 @@
 import pytest
 
 from rowanport.errors import MessageError
+from rowanport.gateway.metrics import GatewayMetrics
 from rowanport.gateway.notices import UpstreamNotices
 from rowanport.gateway.pool import UpstreamPool
 from rowanport.gateway.upstream import Upstream
-from rowanport.incarnation import LEAVES_PROTOCOL
+from rowanport.incarnation import NOTICES_PROTOCOL
 from rowanport.notices import LeaveBook
+from rowanport.notices import MAX_REST_SECONDS
 from rowanport.notices import parse_leaving
+from rowanport.notices import parse_rest
+from rowanport.notices import Rest
+from rowanport.notices import RestBook
 from rowanport.notices.leaves import ANNOUNCE_SECONDS
 from rowanport.notices.leaves import CHECK_SECONDS
 from rowanport.notices.leaves import UNLISTED_SECONDS
+from rowanport.notices.rests import MAX_SPREAD
+from rowanport.notices.rests import STEP_SECONDS
+from rowanport.notices.rests import STEPS
 from rowanport.platform.words import DIALECT
 from rowanport.schema.messages import LeaveRow
 from rowanport.schema.messages import LimitRow
+from rowanport.schema.messages import RestNews
 from rowanport.schema.messages import SuspectNews
 from rowanport.schema.messages import ViewAsk
 from rowanport.schema.messages import ViewGive
@@ -181,11 +190,17 @@
 class Answer:
     """The head of an answer of an upstream."""
 
-    def __init__(self, status=200, **headers):
+    def __init__(self, status=200, relay=None, **headers):
         self.status = status
+        self.path = SimpleNamespace(relay=relay)
         self.headers = {k.replace("_", "-"): v for k, v in headers.items()}
 
 
+def refusal(text, **headers):
+    """Return an Answer by which an upstream asks for rest."""
+    return own_answer(503, retry_after=text, **headers)
+
+
 def own_answer(status=200, **headers):
     """Return an Answer with the upstream's signature."""
     fields = {DIALECT.request_id: "r1", DIALECT.signature: "s", **headers}
@@ -195,7 +210,7 @@
 class Fixture:
     """UpstreamNotices of one upstream, u1, that tell a peer."""
 
-    def __init__(self, protocol=LEAVES_PROTOCOL):
+    def __init__(self, protocol=NOTICES_PROTOCOL):
         self.clock = LoopClock(VirtualLoop())
         self.pool = UpstreamPool()
         self.record = Upstream("u1", "feed", "10.9.0.1:80", "a", 8, False)
@@ -212,8 +227,9 @@
             lambda: ["10.0.0.2:82"],
             "10.0.0.1:82",
             self.clock,
+            GatewayMetrics(),
         )
-        self.pool.update({"u1": self.record}, self.notices.is_leaving)
+        self.pool.update({"u1": self.record}, self.notices)
 
     def _tell(self, addresses, message):
         self.told += [(address, message) for address in addresses]
@@ -236,7 +252,7 @@
 
 
 def test_peers_that_do_not_know_the_message_are_told_nothing():
-    fixture = Fixture(LEAVES_PROTOCOL - 1)
+    fixture = Fixture(NOTICES_PROTOCOL - 1)
     fixture.answer(own_answer(server_leaving="1"))
     assert fixture.leaving
     assert not fixture.told
@@ -294,9 +310,187 @@
     fixture = Fixture()
     fixture.answer(own_answer(server_leaving="1"))
     for _ in range(2):
-        fixture.pool.update({}, fixture.notices.is_leaving)
+        fixture.pool.update({}, fixture.notices)
         fixture.notices.retain([])
-        fixture.pool.update({"u1": fixture.record}, fixture.notices.is_leaving)
+        fixture.pool.update({"u1": fixture.record}, fixture.notices)
         fixture.notices.retain([fixture.record])
     assert fixture.leaving
     assert not fixture.pool.of_service("feed")
+
+
+# Rest
+
+
+@pytest.mark.parametrize(
+    ("text", "seconds"),
+    [("3", 3.0), ("0.25", 0.25), ("0", 0.0), ("86400", MAX_REST_SECONDS)],
+)
+def test_a_header_says_for_how_long_an_upstream_rests(text, seconds):
+    assert parse_rest(text) == seconds
+
+
+@pytest.mark.parametrize(
+    "text",
+    ["", "-1", "soon", "nan", "inf", "1e3", "1,5", "9" * 30, "2 2"]
+    + ["Wed, 21 Oct 2026 07:28:00 GMT"],
+)
+def test_other_times_are_rejected(text):
+    with pytest.raises(MessageError):
+        parse_rest(text)
+
+
+def test_nothing_is_sent_within_a_rest():
+    rest = Rest()
+    assert rest.record(3.0, 10.0, 0.5)
+    for now in (10.0, 11.0, 12.99):
+        assert not rest.acquire(now)
+    assert rest.until == 13.0
+    assert 13.0 < rest.available_at(10.0) < 13.0 + MAX_SPREAD
+
+
+def test_the_later_end_counts_if_a_shorter_rest_follows():
+    rest = Rest()
+    rest.record(4.0, 10.0, 0.0)
+    assert not rest.record(1.0, 11.0, 0.0)
+    assert not rest.acquire(13.9)
+    assert rest.record(4.0, 11.0, 0.0)
+    assert not rest.acquire(14.9)
+
+
+def sends_after_rest(rest, begun, seconds):
+    """Return the times of sends by a router that sends as often as it may."""
+    times = []
+    for step in range(int(seconds / 0.01)):
+        now = begun + 0.01 * step
+        if rest.acquire(now):
+            times.append(now)
+    return times
+
+
+def test_few_requests_are_sent_first_after_a_rest():
+    rest = Rest()
+    rest.record(2.0, 10.0, 0.0)
+    # The first one may come long after the end.
+    times = sends_after_rest(rest, 12.7, STEPS * STEP_SECONDS)
+    counts = [
+        sum(at < times[0] + steps * STEP_SECONDS - 0.005 for at in times)
+        for steps in (1, 2, 3)
+    ]
+    assert counts == [1, 3, 7]
+
+
+def test_the_limit_ends_some_time_after_a_rest():
+    rest = Rest()
+    rest.record(2.0, 10.0, 0.0)
+    assert rest.acquire(12.0)
+    assert not rest.acquire(12.0)
+    assert all(rest.acquire(rest.ends_at) for _ in range(100))
+
+
+def test_a_refusal_after_a_rest_begins_the_next_one():
+    rest = Rest()
+    rest.record(2.0, 10.0, 0.0)
+    assert rest.acquire(12.1)
+    assert rest.record(2.0, 12.2, 0.0)
+    assert not rest.acquire(14.1)
+    assert rest.acquire(14.2)
+
+
+def test_routers_return_at_different_times():
+    begins = set()
+    for spread in (0.0, 0.3, 0.6, 0.9):
+        rest = Rest()
+        rest.record(3.0, 10.0, spread)
+        begins.add(rest.available_at(10.0))
+    assert len(begins) == 4
+
+
+def test_a_rest_is_dropped_once_it_has_no_effect():
+    book = RestBook()
+    rest = book.record("u1", 2.0, 10.0, 0.0)
+    assert book.count(11.0) == 1
+    assert not book.drop_ended(12.1)
+    assert book.drop_ended(rest.ends_at) == ["u1"]
+    assert book.get("u1") is None
+
+
+def rests(fixture):
+    """Return whether u1 gets no request now."""
+    return fixture.pool.get("u1").rests(fixture.clock.steady())
+
+
+def test_a_refusal_begins_a_rest_that_peers_are_not_told_of():
+    fixture = Fixture()
+    fixture.answer(refusal("3"))
+    assert rests(fixture)
+    assert not fixture.told
+    assert not fixture.pool.candidates("feed", (), fixture.clock.steady())
+
+
+def test_the_next_run_under_the_same_name_starts_without_a_rest():
+    fixture = Fixture()
+    fixture.answer(refusal("3"))
+    again = Upstream("u1", "feed", "10.9.0.1:80", "a", 8, False, born=9)
+    fixture.pool.update({"u1": again}, fixture.notices)
+    assert not rests(fixture)
+
+
+def test_an_entry_that_expired_and_is_back_does_not_end_a_rest():
+    fixture = Fixture()
+    fixture.answer(refusal("3"))
+    fixture.pool.update({}, fixture.notices)
+    fixture.notices.retain([])
+    fixture.pool.update({"u1": fixture.record}, fixture.notices)
+    assert rests(fixture)
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        own_answer(421, retry_after="3"),
+        own_answer(200, retry_after="3"),
+        own_answer(500, retry_after="3"),
+        Answer(503, **{DIALECT.request_id: "r1", "retry-after": "3"}),
+        refusal("soon"),
+        refusal("0"),
+        own_answer(503),
+    ],
+)
+def test_other_answers_begin_no_rest(answer):
+    fixture = Fixture()
+    fixture.answer(answer)
+    assert not rests(fixture)
+
+
+def test_a_refused_health_check_begins_a_rest():
+    fixture = Fixture()
+    ask(fixture, 503, retry_after="3")
+    assert rests(fixture)
+    assert not fixture.leaving
+
+
+def test_the_router_that_relayed_a_refusal_is_told():
+    relay = "north/10.0.0.3:82/nonce.5"
+    fixture = Fixture()
+    fixture.answer(refusal("2.5", relay=relay))
+    ((address, message),) = fixture.told
+    assert address == "10.0.0.3:82"
+    other = Fixture()
+    other.notices.receive_rest(RestNews.unpack(message.pack()))
+    assert rests(other)
+
+
+def test_a_service_rests_only_if_all_that_do_not_leave_rest():
+    fixture = Fixture()
+    second = Upstream("u2", "feed", "10.9.0.2:80", "a", 8, False)
+    both = {"u1": fixture.record, "u2": second}
+    fixture.pool.update(both, fixture.notices)
+    now = fixture.clock.steady()
+    fixture.answer(refusal("3"))
+    assert fixture.pool.available_at("feed", now) is None
+    fixture.pool.set_leaving("u2", True)
+    assert fixture.pool.available_at("feed", now) > now
+    assert fixture.pool.left_out("feed", now) == {
+        "leaving": ["u2"],
+        "resting": ["u1"],
+    }
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -28,6 +28,7 @@
 from soak.history import Probe
 from soak.history import Readiness
 from soak.history import Request
+from soak.history import Rest
 from soak.history import Run
 from soak.history import Serving
 from soak.history import SEVER
@@ -66,6 +67,7 @@
     # Three routers of ad2cc76 repeated more than was allowed.
     "refusing": ("--theme", "refusing", *SHORT, "--seed", "3000"),
     "answers": ("--theme", "answers", *SHORT, "--seed", "7000"),
+    "rests": ("--theme", "rests", *SHORT, "--seed", "8000"),
     "evacuations": ("--theme", "evacuations", *SHORT, "--seed", "6000"),
     "versions": (
         *("--theme", "versions", "--processes", "5"),
@@ -1010,6 +1012,33 @@
     assert found(history) == []
 
 
+def rest_history(count, begun=100.6):
+    """Return a History of a rest of 3 s, and of requests that arrive then."""
+    history = History()
+    history.rests.append(Rest("u0", "r0", 100.0, 103.0))
+    for number in range(count):
+        at = begun + 0.1 * number
+        add_request(history, f"c{number}")
+        history.arrivals.append(Arrival("u0", f"c{number}", at, "r0"))
+    return history
+
+
+@pytest.mark.parametrize(
+    "count, begun, expected",
+    [(2, 100.6, 0), (3, 100.6, 1), (5, 100.1, 0), (9, 103.0, 0)],
+)
+def test_requests_in_a_rest_are_found(count, begun, expected):
+    history = rest_history(count, begun)
+    assert found(history).count("rest") == expected
+
+
+@pytest.mark.parametrize("kind", ["cut", "freeze", "kill"])
+def test_a_router_that_was_disturbed_may_break_a_rest(kind):
+    history = rest_history(5)
+    history.faults.append(Fault(kind, frozenset(["r0"]), 100.2, 100.3))
+    assert found(history) == []
+
+
 # Routers that are cut off from all upstreams
 
 
