Tests of each way to an upstream that leaves or rests; one look-up where none does

The last check before the first byte, hedges, streams that are resumed, relayed requests, health checks and crash suspicion.

--- a/rowanport/gateway/notices.py
+++ b/rowanport/gateway/notices.py
@@ -67,11 +67,6 @@
         self._unreadable = {}
         self.on_leaving = None
 
-    @property
-    def any(self):
-        """Return whether any upstream leaves or rests."""
-        return bool(self.leaving_count or self.resting_count)
-
     @property
     def leaving_count(self):
         """Return the number of upstreams that said that they leave."""
--- a/rowanport/gateway/pool.py
+++ b/rowanport/gateway/pool.py
@@ -10,6 +10,9 @@
 EJECT_SECONDS = 2.0
 # Seconds for which a crashed upstream is ejected; by then its entry is gone.
 CRASH_EJECT_SECONDS = 5.0
+# Most ids by reason in a list of upstreams that are left out: it stands in the
+# log line of a request.
+MAX_LEFT_OUT = 8
 # Seconds that each running request adds to the expected wait, as much as 500
 # prompt tokens.
 RUNNING_SECONDS = 0.01
@@ -59,6 +62,11 @@
         """Return whether it gets no new requests, by its entry or answers."""
         return self.record.leaving or self.says_leaving
 
+    @property
+    def withdrawn(self):
+        """Return whether it leaves or rests by its own word."""
+        return self.says_leaving or self.rest is not None
+
     def available_at(self, now):
         """Return the monotonic time from which it may get a request."""
         return now if self.rest is None else self.rest.available_at(now)
@@ -116,8 +124,15 @@
 
     def __init__(self, evacuations=None):
         self._states = {}
+        # Those that say that they leave, or rest: hardly ever any.
+        self._withdrawn = set()
         self._evacuations = evacuations or Evacuations()
 
+    @property
+    def any_withdrawn(self):
+        """Return whether any upstream leaves or rests by its own word."""
+        return bool(self._withdrawn)
+
     def update(self, upstreams, notices=None):
         """Apply a list of upstreams.
 
@@ -140,6 +155,7 @@
             state.record = record
             states[name] = state
         self._states = states
+        self._withdrawn = {s for s in states.values() if s.withdrawn}
         return restarted
 
     def records(self):
@@ -156,12 +172,22 @@
     def set_rest(self, name, rest):
         """Set the Rest of a run, None for no rest."""
         for record in self.find_run(name):
-            self._states[record.id].rest = rest
+            state = self._states[record.id]
+            state.rest = rest
+            self._record_withdrawn(state)
 
     def set_leaving(self, name, leaving):
         """Set whether the answers of a run say that it leaves."""
         for record in self.find_run(name):
-            self._states[record.id].says_leaving = leaving
+            state = self._states[record.id]
+            state.says_leaving = leaving
+            self._record_withdrawn(state)
+
+    def _record_withdrawn(self, state):
+        if state.withdrawn:
+            self._withdrawn.add(state)
+        else:
+            self._withdrawn.discard(state)
 
     def use_speeds(self, speeds):
         """Let backlogs use the speeds that the fleet learns.
@@ -178,7 +204,14 @@
 
     def of_service(self, service):
         """Return the UpstreamStates of a service that are not leaving."""
-        return [state for state in self._all(service) if not state.leaving]
+        listed = [
+            state
+            for state in self._states.values()
+            if state.record.service == service and not state.record.leaving
+        ]
+        if not self._withdrawn:
+            return listed
+        return [state for state in listed if not state.says_leaving]
 
     def all_leave(self, service):
         """Return whether a service has upstreams, and all are leaving."""
@@ -197,12 +230,14 @@
     def left_out(self, service, now):
         """Return the ids of upstreams that get nothing by their own word.
 
-        :returns: lists of ids by reason, "leaving" or "resting"
+        :returns: lists of some ids by reason, "leaving" or "resting"
         """
         states = self._all(service)
+        leaving = [s.record.id for s in states if s.says_leaving]
+        resting = [s.record.id for s in states if s.rests(now)]
         return {
-            "leaving": [s.record.id for s in states if s.says_leaving],
-            "resting": [s.record.id for s in states if s.rests(now)],
+            "leaving": leaving[:MAX_LEFT_OUT],
+            "resting": resting[:MAX_LEFT_OUT],
         }
 
     def _all(self, service):
@@ -216,9 +251,9 @@
         """Return the UpstreamStates to which a request may be sent.
 
         Those of evacuated data centres, and those that rest, never are, also
-        if there are no others.
-        Ejected upstreams are included only if more than half of those of the
-        service are ejected: the cause is then hardly the upstreams themselves.
+        if there are no others.  Ejected upstreams are included
+        only if more than half of those of the service are ejected: the cause
+        is then hardly the upstreams themselves.
 
         :param avoid: UpstreamRuns to which it must not be sent again, usually
             none
@@ -230,8 +265,9 @@
             for state in self.of_service(service)
             if not self._evacuations.covers(state.record.data_centre)
             and (version is None or version == state.record.version != "")
-            and not state.rests(now)
         ]
+        if self._withdrawn:
+            accepting = [s for s in accepting if not s.rests(now)]
         accepting = [
             s for s in accepting if s.crashed_until <= now
         ] or accepting
--- a/rowanport/gateway/retry_policy.py
+++ b/rowanport/gateway/retry_policy.py
@@ -118,11 +118,13 @@
         :param responder: the Responder of its caller
         :param error: the UpstreamError of the last send
         """
-        now = self._gateway.clock.steady()
-        available_at = self._gateway.pool.available_at(job.service, now)
-        if available_at is not None and not job.runs:
-            # A retry would be taken from the allowance for nothing.
-            raise resting_error(available_at) from None
+        pool = self._gateway.pool
+        if pool.any_withdrawn and not job.runs:
+            now = self._gateway.clock.steady()
+            available_at = pool.available_at(job.service, now)
+            if available_at is not None:
+                # A retry would be taken from the allowance for nothing.
+                raise resting_error(available_at) from None
         if not await self._may_resend(job, responder, error):
             raise final_error(job, error) from None
 
--- a/rowanport/gateway/sender.py
+++ b/rowanport/gateway/sender.py
@@ -210,7 +210,7 @@
         candidates = gateway.pool.candidates(
             job.service, job.tried, now, job.version
         )
-        if gateway.notices.any:
+        if gateway.pool.any_withdrawn:
             job.left_out = gateway.pool.left_out(job.service, now)
         candidates = self._accepting(candidates, now)
         if candidates and not job.sends:
--- /dev/null
+++ b/test/test_withdrawn_upstreams.py
@@ -0,0 +1,145 @@
+"""Each way to an upstream goes by what the upstream said of itself."""
+
+import asyncio
+from test.crash_world import crash_test
+from test.notice_world import NoticeWorld
+from test.platform_world import Platform
+from test.test_last_check import names_at
+from test.test_last_check import then
+
+import pytest
+
+from rowanport.schema.messages import LeaveRow
+from rowanport.schema.messages import RestNews
+
+REST_SECONDS = 3.0
+
+
+def leave(gateway, name):
+    """Let an upstream say that it leaves."""
+    gateway.notices.merge([LeaveRow(name, True, 0.0)], "peer")
+
+
+def rest(gateway, name):
+    """Let an upstream ask for rest."""
+    gateway.notices.receive_rest(RestNews(name, REST_SECONDS, "peer"))
+
+
+@pytest.mark.parametrize("withdraw", [leave, rest])
+def test_a_request_that_waited_for_a_connection_goes_elsewhere(withdraw):
+    async def run():
+        async with Platform() as platform:
+            client = platform.gateway.client
+            names = names_at(platform)
+            withdrawn = []
+
+            def withdraw_first(address, *_args):
+                if not withdrawn:
+                    withdrawn.append(names[address])
+                    withdraw(platform.gateway, names[address])
+
+            client._connect = then(client._connect, withdraw_first)
+            for path in ("/once/", "/safe/"):
+                answer = await platform.ask(path, f"for {path}")
+                assert answer.status == 200
+            ran = [u.name for u in platform.upstreams if u.heads]
+            assert withdrawn and withdrawn[0] not in ran
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("withdraw", [leave, rest])
+def test_a_request_is_refused_as_not_run_if_all_withdraw_meanwhile(withdraw):
+    async def run():
+        async with Platform() as platform:
+            client = platform.gateway.client
+
+            def withdraw_all(*_args):
+                for upstream in platform.upstreams:
+                    withdraw(platform.gateway, upstream.name)
+
+            client._connect = then(client._connect, withdraw_all)
+            answer = await platform.ask("/once/")
+            assert answer.status == 503
+            assert float(answer.headers["retry-after"]) > 0.5
+            assert platform.runs == []
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("withdraw", [leave, rest])
+def test_no_hedge_goes_to_an_upstream_that_withdrew(withdraw):
+    @crash_test(NoticeWorld, upstreams=2)
+    async def run(world):
+        first, second = world.upstreams.values()
+        for gateway in world.gateways.values():
+            withdraw(gateway, second.name)
+        first.script = ["hang"] * 3
+        until = world.now + REST_SECONDS
+        asking = [world.ask(f"s{n}", b"s", "/safe/") for n in range(3)]
+        await asyncio.gather(*asking)
+        assert len(first.heads) == 3
+        assert all(arrival.at >= until for arrival in second.arrivals)
+
+    run()
+
+
+@pytest.mark.parametrize("withdraw", [leave, rest])
+def test_a_stream_that_broke_off_is_not_resumed_there(withdraw):
+    @crash_test(NoticeWorld, upstreams=3)
+    async def run(world):
+        first, second, third = world.upstreams.values()
+        for gateway in world.gateways.values():
+            withdraw(gateway, second.name)
+        first.script = ["break"] * 20
+        third.script = ["break"] * 20
+        await world.ask_mixed(1.0, rate=20)
+        assert first.heads and third.heads
+        assert not second.arrivals
+
+    run()
+
+
+@crash_test(NoticeWorld)
+async def test_what_goes_through_a_relay_keeps_the_rest_of_the_relay(world):
+    host = world.hosts[0]
+    for address in world.upstreams:
+        world.net.sever(host, address, "reset")
+    await asyncio.sleep(2.0)
+    for upstream in world.some(3):
+        upstream.rest_text = "3"
+        upstream.refusing = True
+    tasks = []
+    for number in range(300):
+        asking = world.ask(f"relayed{number}", b"x", "/safe/", host=host)
+        tasks.append(world.spawn(asking))
+        await asyncio.sleep(0.01)
+    await asyncio.gather(*tasks)
+    broken, count = world.broken_rests()
+    assert count
+    assert (len(broken), count) == (0, count)
+    assert all(rest.router != host for u in world.some(3) for rest in u.rests)
+
+
+@crash_test(NoticeWorld)
+async def test_no_health_check_goes_to_an_upstream_that_rests(world):
+    upstream = world.busiest()
+    gateway = next(iter(world.gateways.values()))
+    own_link = gateway.tunnels._upstreams
+    assert upstream.address in own_link.unlimited
+    rest(gateway, upstream.name)
+    assert upstream.address not in own_link.unlimited
+    await asyncio.sleep(6.0)
+    assert upstream.address in own_link.unlimited
+
+
+@crash_test(NoticeWorld, upstreams=2)
+async def test_an_upstream_that_closes_as_it_leaves_has_not_crashed(world):
+    upstream = world.busiest()
+    for gateway in world.gateways.values():
+        leave(gateway, upstream.name)
+    upstream.on_crash = None
+    upstream.crash()
+    await world.ask_mixed(2.0)
+    for gateway in world.gateways.values():
+        assert not len(gateway.metrics.crashes.values)
