No request crosses the close of an idle connection

Found while looking for other headers that nobody reads: upstreams name in Keep-Alive for how long they keep idle connections. A request that was sent as the upstream closed one got 502, as it may have run. Connections are now used again within four fifths of that time only.

--- a/rowanport/standins/upstream.py
+++ b/rowanport/standins/upstream.py
@@ -32,6 +32,8 @@
         for none
     :ivar rest_text: text of the seconds of rest that it asks for as it turns
         a request away, None for none
+    :ivar idle_seconds: whole seconds after which it closes idle connections,
+        as its answers say, None for never
     :ivar lethal: bodies of the requests that crash it as they begin to run
     :ivar on_crash: function that is told of each crash, or None
     """
@@ -45,6 +47,7 @@
         self.limit = None
         self.leaving_text = None
         self.rest_text = None
+        self.idle_seconds = None
         self.lethal = frozenset()
         self.on_crash = None
         self.heads = []
@@ -94,7 +97,7 @@
         wrapped = _Wrapped(connection, reader)
         try:
             while True:
-                request = await next_event(wrapped)
+                request = await self._next_request(wrapped)
                 if not isinstance(request, h11.Request):
                     return
                 early = self.script[:1] == ["early"]
@@ -117,6 +120,14 @@
             self._writers.discard(writer)
             writer.close()
 
+    async def _next_request(self, wrapped):
+        """Return the next request; None if none comes in time."""
+        try:
+            async with asyncio.timeout(self.idle_seconds):
+                return await next_event(wrapped)
+        except asyncio.TimeoutError:
+            return None
+
     async def _answer_early(self, connection, writer, request):
         """Answer before the body is read, and read on later."""
         self.script.pop(0)
@@ -174,6 +185,8 @@
         ]
         if self.limit is not None:
             head.append((LIMIT_HEADER, self.limit))
+        if self.idle_seconds is not None:
+            head.append(("keep-alive", f"timeout={self.idle_seconds}"))
         if self.leaving_text is not None:
             head.append((LEAVING_HEADER, self.leaving_text))
         return head + [(k.replace("_", "-"), v) for k, v in more.items()]
--- a/rowanport/web/client.py
+++ b/rowanport/web/client.py
@@ -4,6 +4,8 @@
 import enum
 import errno
 import json
+import math
+import re
 
 import h11
 
@@ -34,6 +36,11 @@
 HEAD_TOO_LARGE = 431
 # Answers to other requests that are read past before one is given up.
 STRAY_LIMIT = 3
+# Share of the time for which a server keeps an idle connection after which
+# none is used again: the rest is for the way of a request and for clocks.
+IDLE_SHARE = 0.8
+# The time in whole seconds in a Keep-Alive header, among other parameters.
+_KEEP_ALIVE = re.compile(rb"(?:^|[\s,;])(?:timeout\s*=\s*)?([0-9]{1,6})\b")
 # Connections that are opened to find out who listens, and seconds after which
 # one that is open was not accepted by a process that ends.
 PROBE_ATTEMPTS = 2
@@ -58,6 +65,9 @@
     :ivar path: its Path
     :ivar sent_at: the event loop's time at which the last request was sent
     :ivar released_at: the event loop's time at which it became idle
+    :ivar idle_limit: seconds for which the server keeps it while it is idle,
+        by its last answer; infinite if that names none
+    :ivar expires_at: the event loop's time from which it is not used again
     """
 
     __slots__ = (
@@ -69,6 +79,8 @@
         "request",
         "sent_at",
         "released_at",
+        "idle_limit",
+        "expires_at",
     )
 
     def __init__(self, path):
@@ -77,6 +89,8 @@
         self.writer = path.writer
         self.sent_at = None
         self.released_at = None
+        self.idle_limit = math.inf
+        self.expires_at = math.inf
         self.request = None
         self.spoiled = False
         self.state = None
@@ -306,6 +320,7 @@
             self._waiting.discard(connection)
             if not answered:
                 self._turns.wake(address)
+        connection.idle_limit = _idle_limit(response)
         connection.path.answered = True
         self._connector.record_answer(connection.path)
         return HttpAnswer(
@@ -402,7 +417,9 @@
             connection.writer.close()
             return
         connection.watch()
-        connection.released_at = asyncio.get_running_loop().time()
+        now = asyncio.get_running_loop().time()
+        connection.released_at = now
+        connection.expires_at = now + IDLE_SHARE * connection.idle_limit
         idle.append(connection)
         self._turns.wake(address)
 
@@ -507,12 +524,14 @@
     def _take_idle(self, address):
         """Take a kept connection that may be used, or return None."""
         idle = self._idle.get(address, [])
+        now = asyncio.get_running_loop().time()
         while idle:
             connection = idle.pop()
             connection.unwatch()
             if connection.spoiled or connection.reader.ended:
                 continue
-            if self._connector.may_reuse(connection.path):
+            expired = connection.expires_at <= now
+            if not expired and self._connector.may_reuse(connection.path):
                 return connection
             connection.writer.close()
         return None
@@ -567,6 +586,18 @@
         connection.state.send(h11.EndOfMessage())
 
 
+def _idle_limit(response):
+    """Return for how many seconds a server keeps an idle connection.
+
+    :returns: infinity if its answer does not say it in whole seconds
+    """
+    for name, value in response.headers:
+        if name == b"keep-alive":
+            found = _KEEP_ALIVE.search(value)
+            return int(found[1]) if found else math.inf
+    return math.inf
+
+
 def _drop(idle, chosen):
     """Close some of the kept connections of an address."""
     for connection in chosen:
