--- a/rowanport/gateway/notices.py
+++ b/rowanport/gateway/notices.py
@@ -127,13 +127,8 @@
 
     def _record_rest(self, run, answer, request):
         """Record the rest that a refusal asks for, if it does."""
-        text = answer.headers.get(self._dialect.retry_after)
-        if text is None:
-            return
-        try:
-            seconds = parse_rest(text)
-        except MessageError as error:
-            return self._log_unreadable(self._dialect.retry_after, run, error)
+        header = self._dialect.retry_after
+        seconds = self._read(header, parse_rest, run, answer)
         if not seconds:
             return
         self._metrics.rests.inc({})
@@ -171,16 +166,27 @@
         self._begin_rest(message.upstream, seconds, message.sender)
 
     def _record_leaving(self, run, answer, request, sent_at):
-        text = answer.headers.get(self._dialect.leaving)
-        try:
-            leaving = parse_leaving(text)
-        except MessageError as error:
-            return self._log_unreadable(self._dialect.leaving, run, error)
+        header = self._dialect.leaving
+        leaving = self._read(header, parse_leaving, run, answer)
+        if leaving is None:
+            return
         now = self._clock.steady()
         if self._leaves.record(run.name, leaving, sent_at, now):
             self._apply_leaving(run.name, leaving, None, request)
             self._tell(run.name, now)
 
+    def _read(self, header, parse, run, answer):
+        """Return what a header says, None if its value is malformed.
+
+        :param parse: function that parses the value, None without the header;
+            raises MessageError
+        """
+        try:
+            return parse(answer.headers.get(header))
+        except MessageError as error:
+            self._log_unreadable(header, run, error)
+            return None
+
     def _log_unreadable(self, header, run, error):
         """Log a value that cannot be parsed, unless it repeats the last."""
         if self._unreadable.get((header, run.name)) != str(error):
--- a/rowanport/notices/parse.py
+++ b/rowanport/notices/parse.py
@@ -32,10 +32,12 @@
     Of the forms that HTTP allows, upstreams send numbers, fractions too, and
     no dates.
 
-    :param text: value of the header
+    :param text: value of the header, None if the answer has none
     :returns: 0 to MAX_REST_SECONDS
     :raises MessageError: the text is no decimal number
     """
+    if text is None:
+        return 0.0
     if not _DECIMAL.fullmatch(text):
         raise MessageError(f"not a time: {text[:NAMED_LENGTH]!r}")
     return min(MAX_REST_SECONDS, float(text))
--- a/test/test_notices.py
+++ b/test/test_notices.py
@@ -323,7 +323,8 @@
 
 @pytest.mark.parametrize(
     ("text", "seconds"),
-    [("3", 3.0), ("0.25", 0.25), ("0", 0.0), ("86400", MAX_REST_SECONDS)],
+    [(None, 0.0), ("0", 0.0), ("3", 3.0), ("0.25", 0.25)]
+    + [("86400", MAX_REST_SECONDS)],
 )
 def test_a_header_says_for_how_long_an_upstream_rests(text, seconds):
     assert parse_rest(text) == seconds
