Soak: a refusal of what a cut had held up begins no rest

Trace: probe-r0-16 was sent as the router's links were cut, given up 2 s later, reached the upstream as the cut ended, and its refusal met a connection that was closed; the router has no line of that rest. The rule excuses a cut of the machine. The check now looks for cuts from the time of contact before the refusal on; freezes and starts count from the refusal on, as before. Kept as a case.

A request's line has no left_out where nobody of its service is.

--- a/rowanport/gateway/pool.py
+++ b/rowanport/gateway/pool.py
@@ -230,15 +230,14 @@
     def left_out(self, service, now):
         """Return the ids of upstreams that get nothing by their own word.
 
-        :returns: lists of some ids by reason, "leaving" or "resting"
+        :returns: lists of some ids by reason, "leaving" or "resting", without
+            those that are empty
         """
         states = self._all(service)
         leaving = [s.record.id for s in states if s.says_leaving]
         resting = [s.record.id for s in states if s.rests(now)]
-        return {
-            "leaving": leaving[:MAX_LEFT_OUT],
-            "resting": resting[:MAX_LEFT_OUT],
-        }
+        rows = {"leaving": leaving, "resting": resting}
+        return {why: ids[:MAX_LEFT_OUT] for why, ids in rows.items() if ids}
 
     def _all(self, service):
         return [
--- a/rowanport/gateway/sender.py
+++ b/rowanport/gateway/sender.py
@@ -211,7 +211,7 @@
             job.service, job.tried, now, job.version
         )
         if gateway.pool.any_withdrawn:
-            job.left_out = gateway.pool.left_out(job.service, now)
+            job.left_out = gateway.pool.left_out(job.service, now) or None
         candidates = self._accepting(candidates, now)
         if candidates and not job.sends:
             choice = gateway.choice(job.tokens is not None)
--- a/soak/history.py
+++ b/soak/history.py
@@ -215,9 +215,10 @@
     :ivar router: name of the router that the refusal went to
     :ivar at: when it was sent
     :ivar until: end of the time that it named
+    :ivar request: id of the refused request
     """
 
-    __slots__ = ("upstream", "router", "at", "until")
+    __slots__ = ("upstream", "router", "at", "until", "request")
 
 
 class Limit(Record):
--- a/soak/said.py
+++ b/soak/said.py
@@ -66,13 +66,18 @@
     for rest in history.rests:
         times = arrivals.get((rest.upstream, rest.router), ())
         late = [at for at in times if rest.at + REST_GRACE < at < rest.until]
-        if len(late) <= MOST_IN_REST or _was_interrupted(
-            history, rest.router, rest.at, late[-1], INTERRUPTIONS + CUTS
-        ):
+        if len(late) <= MOST_IN_REST:
+            continue
+        # A refused request that a cut had held up was given up long ago: its
+        # answer reaches nobody.
+        held_up = rest.at - history.bounds.contact
+        if _was_interrupted(history, rest.router, rest.at, late[-1]):
+            continue
+        if _was_interrupted(history, rest.router, held_up, late[-1], CUTS):
             continue
         evidence = (
             f"{rest.upstream} had asked {rest.router} for "
-            f"{rest.until - rest.at:.2f} s of rest and got {len(late)} "
-            "requests in it"
+            f"{rest.until - rest.at:.2f} s of rest as it refused "
+            f"{rest.request}, and got {len(late)} requests in it"
         )
         yield Finding("rest", late[MOST_IN_REST], evidence)
--- a/soak/upstream.py
+++ b/soak/upstream.py
@@ -196,7 +196,7 @@
         if self._is_overrun():
             self.crash()
             return
-        self._ask_for_rest(sender)
+        self._ask_for_rest(sender, request_id)
         full = self.active >= self.slots or self._refuses()
         if full or self.rest_text is not None:
             await self._do_full(connection, writer, names, body)
@@ -217,14 +217,14 @@
             self.active -= 1
             self._end(self._runs.pop(connection))
 
-    def _ask_for_rest(self, sender):
+    def _ask_for_rest(self, sender, request_id):
         """Draw the rest that a refusal asks for, if requests are refused."""
         now = time.monotonic()
         self.rest_text = None
         if now < self.rests_until:
             self.rest_text = self._random.choice(REST_TEXTS)
             until = now + float(self.rest_text)
-            rest = Rest(self.name, sender, now, until)
+            rest = Rest(self.name, sender, now, until, request_id)
             self._history.rests.append(rest)
 
     def _refuses(self):
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -1015,7 +1015,7 @@
 def rest_history(count, begun=100.6):
     """Return a History of a rest of 3 s, and of requests that arrive then."""
     history = History()
-    history.rests.append(Rest("u0", "r0", 100.0, 103.0))
+    history.rests.append(Rest("u0", "r0", 100.0, 103.0, "c0"))
     for number in range(count):
         at = begun + 0.1 * number
         add_request(history, f"c{number}")
@@ -1032,6 +1032,13 @@
     assert found(history).count("rest") == expected
 
 
+@pytest.mark.parametrize("ended, expected", [(97.1, 0), (96.9, 1)])
+def test_a_cut_may_have_held_up_the_request_that_was_refused(ended, expected):
+    history = rest_history(5)
+    history.faults.append(Fault("cut", frozenset(["r0"]), 90.0, ended))
+    assert found(history).count("rest") == expected
+
+
 @pytest.mark.parametrize("kind", ["cut", "freeze", "kill"])
 def test_a_router_that_was_disturbed_may_break_a_rest(kind):
     history = rest_history(5)
