--- a/rowanport/gateway/migrations.py
+++ b/rowanport/gateway/migrations.py
@@ -239,7 +239,7 @@
         """
         gateway = self._gateway
         state = gateway.pool.get(place.run.id)
-        if state is not None and state.rests(gateway.clock.steady()):
+        if state is not None and state.is_resting(gateway.clock.steady()):
             LOG.info("engine_not_asked", upstream=place.run.id, path=path)
             return 0, {}
         body = b"" if value is None else json.dumps(value).encode()
@@ -320,7 +320,7 @@
         if state is None:
             return None
         record = state.record
-        if state.rests(self._gateway.clock.steady()):
+        if state.is_resting(self._gateway.clock.steady()):
             return None
         if not migration.fits(record.run, record.version):
             return None
--- a/rowanport/gateway/notices.py
+++ b/rowanport/gateway/notices.py
@@ -250,7 +250,7 @@
                 chosen += [
                     record
                     for record in self._pool.find_run(name)
-                    if not self._pool.get(record.id).rests(now)
+                    if not self._pool.get(record.id).is_resting(now)
                 ]
         return chosen
 
--- a/rowanport/gateway/own_link.py
+++ b/rowanport/gateway/own_link.py
@@ -67,7 +67,7 @@
         return {
             state.record.address
             for state in limits.unlimited(states)
-            if not state.rests(now)
+            if not state.is_resting(now)
         }
 
     @property
@@ -139,7 +139,7 @@
         if self._links.cut_off:
             return Verdict.CUT_OFF
         now = self._gateway.clock.steady()
-        if self._gateway.pool.get(self.listed[address].id).rests(now):
+        if self._gateway.pool.get(self.listed[address].id).is_resting(now):
             return Verdict.BUSY
         if self._gateway.congestion.congested or not self.may_probe(address):
             return Verdict.BUSY
--- a/rowanport/gateway/pool.py
+++ b/rowanport/gateway/pool.py
@@ -71,7 +71,7 @@
         """Return the monotonic time from which it may get a request."""
         return now if self.rest is None else self.rest.available_at(now)
 
-    def rests(self, now):
+    def is_resting(self, now):
         """Return whether it asked for rest and may get no request yet."""
         return self.rest is not None and self.rest.available_at(now) > now
 
@@ -235,7 +235,7 @@
         """
         states = self._all(service)
         leaving = [s.record.id for s in states if s.says_leaving]
-        resting = [s.record.id for s in states if s.rests(now)]
+        resting = [s.record.id for s in states if s.is_resting(now)]
         rows = {"leaving": leaving, "resting": resting}
         return {why: ids[:MAX_LEFT_OUT] for why, ids in rows.items() if ids}
 
@@ -266,7 +266,7 @@
             and (version is None or version == state.record.version != "")
         ]
         if self._withdrawn:
-            accepting = [s for s in accepting if not s.rests(now)]
+            accepting = [s for s in accepting if not s.is_resting(now)]
         accepting = [
             s for s in accepting if s.crashed_until <= now
         ] or accepting
--- a/rowanport/gateway/sender.py
+++ b/rowanport/gateway/sender.py
@@ -333,7 +333,7 @@
         if freshness.stale:
             raise UpstreamLeft("the list of upstreams is stale")
         now = self._clock.steady()
-        if state.rests(now):
+        if state.is_resting(now):
             raise UpstreamLeft("upstream asked for rest")
         gateway.cold.acquire(record)
         self._retry_policy.use_permit(self._job)
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -15,8 +15,8 @@
 from .history import SEVER
 from .history import STOP
 from .history import STORE
-from .said import check_rests
-from .said import check_said_leaving
+from .notices import check_rests
+from .notices import check_said_leaving
 from .upstream import BAD_PART
 from .upstream import LETHAL
 
--- a/test/test_notices.py
+++ b/test/test_notices.py
@@ -417,7 +417,7 @@
 
 def rests(fixture):
     """Return whether u1 gets no request now."""
-    return fixture.pool.get("u1").rests(fixture.clock.steady())
+    return fixture.pool.get("u1").is_resting(fixture.clock.steady())
 
 
 def test_a_refusal_begins_a_rest_that_peers_are_not_told_of():
