--- a/soak/relay.py
+++ b/soak/relay.py
@@ -192,7 +192,8 @@
             return
         connection = _Connection(self, source, target, (reader, writer), far)
         port = far[1].get_extra_info("sockname")[1]
-        self._sources[port] = source
+        # The kernel gives a port to connections to several destinations.
+        self._sources[port, destination[1]] = source
         self._open.add(connection)
         try:
             with contextlib.suppress(OSError):
@@ -201,12 +202,14 @@
             self._open.discard(connection)
             connection.abort()
 
-    def source_at(self, port):
-        """Return the source of the last connection that came from a port.
+    def source_at(self, port, destination):
+        """Return the source of the last connection between two ports.
 
+        :param port: port from which it came
+        :param destination: port to which it went
         :returns: "" if there is none
         """
-        return self._sources.get(port, "")
+        return self._sources.get((port, destination), "")
 
     def name(self, address, name):
         """Give the source at an IP number a name."""
--- a/soak/upstream.py
+++ b/soak/upstream.py
@@ -82,8 +82,8 @@
     :ivar refuses_until: until when it turns most requests away as full
     :ivar rests_until: until when it turns all requests away and asks for rest
     :ivar data_centre: where it stands
-    :ivar source_at: function from the port of a connection to the name of the
-        router from which it comes
+    :ivar source_at: function from the two ports of a connection to the name of
+        the router from which it comes
     """
 
     def __init__(self, name, history, seed, faulty, slots=8):
@@ -101,7 +101,7 @@
         self._readers = {}
         self._stalls = []
         self._named = None
-        self.source_at = lambda _port: ""
+        self.source_at = lambda _port, _destination: ""
         self.data_centre = "hall-a"
         self._cold = None
 
@@ -190,7 +190,8 @@
             return
         request_id = names.get(ID_HEADER, "")
         peer = writer.get_extra_info("peername")
-        sender = self.source_at(peer[1]) if peer else ""
+        own = writer.get_extra_info("sockname")
+        sender = self.source_at(peer[1], own[1]) if peer and own else ""
         arrival = Arrival(self.name, request_id, time.monotonic(), sender)
         self._history.arrivals.append(arrival)
         if self._is_overrun():
