A name that comes back after its entry was gone is another run

Cause: a notice was kept for 60 s after its run had left the list, so an upstream whose entry names no start, and which started again under its name, got nothing until a health check 30 s later. The platform takes what is missing 2 s after the store's return for gone.

Change: what is known of a run that was missing for 5 s ends as its name is listed again, or at the next list, for leaves and rests alike (notices/absences.py). The list of links comes from the pool in one pass, names of runs are computed only while something is known of any, and the protocol of a peer is looked up only if there are rows for it.

Ruled out: a shorter announcement, as polls of routers with an older list would still carry the row.

--- a/rowanport/gateway/daemon.py
+++ b/rowanport/gateway/daemon.py
@@ -437,20 +437,21 @@
         self.budgets.set_totals(totals, table.version)
 
     def _apply_upstreams(self, upstreams):
+        listed = upstreams.upstreams.values()
+        # Before the pool asks what is known of runs that are new to it.
+        self.notices.retain(listed)
         restarted = self.pool.update(upstreams.upstreams, self.notices)
         for name in restarted:
             self._prefixes.remove_engine(name)
             self.links.forget(upstreams.upstreams[name].address)
             LOG.info("upstream_restarted", upstream=name)
         self.speeds.update()
-        listed = upstreams.upstreams.values()
         self.connections.update(listed)
         self.replicas.retain(listed)
         self.streams.update(listed)
         names = {upstream.run.name for upstream in listed}
         self.limits.retain(names)
         self.cold.retain(names)
-        self.notices.retain(listed)
         self.migrations.move_leaving()
 
     # Peers
--- a/rowanport/gateway/notices.py
+++ b/rowanport/gateway/notices.py
@@ -8,6 +8,7 @@
 from ..hashing import rendezvous
 from ..incarnation import address_of
 from ..incarnation import NOTICES_PROTOCOL
+from ..notices import Absences
 from ..notices import LeaveBook
 from ..notices import MAX_REST_SECONDS
 from ..notices import parse_leaving
@@ -63,6 +64,7 @@
         self._metrics = metrics
         self._leaves = LeaveBook()
         self._rests = RestBook()
+        self._absences = Absences()
         # The last malformed value by (header, name of the run).
         self._unreadable = {}
         self.on_leaving = None
@@ -228,13 +230,21 @@
 
         :param records: the listed Upstreams
         """
-        leaving = {record.run.name: record.leaving for record in records}
-        self._leaves.retain(leaving, self._clock.steady())
-        self._unreadable = {
-            key: text
-            for key, text in self._unreadable.items()
-            if key[1] in leaving
+        known = {
+            *self._leaves.names,
+            *self._rests.names,
+            *(name for _header, name in self._unreadable),
         }
+        if not known:
+            return
+        listed = {record.run.name: record.leaving for record in records}
+        ended = self._absences.update(known, listed, self._clock.steady())
+        self._leaves.drop(ended)
+        self._rests.drop(ended)
+        self._leaves.update_listed(listed)
+        for key in list(self._unreadable):
+            if key[1] in ended:
+                del self._unreadable[key]
 
     def begin_checks(self):
         """Return the Upstreams to ask whether they still leave.
@@ -271,9 +281,10 @@
 
         :param peer: its peer address
         """
-        if self._members.predates(peer, NOTICES_PROTOCOL):
+        rows = self._leaves.next_rows(self._clock.steady())
+        if rows and self._members.predates(peer, NOTICES_PROTOCOL):
             return []
-        return self._leaves.next_rows(self._clock.steady())
+        return rows
 
     def receive(self, message):
         """Merge the LeaveRows of a LeaveNews message."""
--- a/rowanport/gateway/own_link.py
+++ b/rowanport/gateway/own_link.py
@@ -48,11 +48,7 @@
     @property
     def listed(self):
         """Return the upstreams that take requests, by address."""
-        return {
-            record.address: record
-            for record in self._gateway.pool.records()
-            if not self._gateway.pool.get(record.id).leaving
-        }
+        return self._gateway.pool.by_address()
 
     @property
     def unlimited(self):
--- a/rowanport/gateway/pool.py
+++ b/rowanport/gateway/pool.py
@@ -142,7 +142,7 @@
         :param notices: the UpstreamNotices, None for none
         :returns: the ids of the upstreams that restarted
         """
-        states, restarted = {}, []
+        states, restarted, added = {}, [], []
         for name, record in upstreams.items():
             state = self._states.get(name)
             if state is not None and state.record.run != record.run:
@@ -150,12 +150,17 @@
                 state = None
             if state is None:
                 state = UpstreamState(record)
+                added.append(state)
                 if notices is not None:
                     notices.mark(state)
             state.record = record
             states[name] = state
         self._states = states
-        self._withdrawn = {s for s in states.values() if s.withdrawn}
+        self._withdrawn = {
+            state
+            for state in (*self._withdrawn, *added)
+            if state.withdrawn and states.get(state.record.id) is state
+        }
         return restarted
 
     def records(self):
@@ -189,6 +194,18 @@
         else:
             self._withdrawn.discard(state)
 
+    def by_address(self):
+        """Return the Upstreams that are not leaving, by address."""
+        records = {
+            state.record.address: state.record
+            for state in self._states.values()
+            if not state.record.leaving
+        }
+        for state in self._withdrawn:
+            if state.says_leaving:
+                records.pop(state.record.address, None)
+        return records
+
     def use_speeds(self, speeds):
         """Let backlogs use the speeds that the fleet learns.
 
--- a/rowanport/notices/leaves.py
+++ b/rowanport/notices/leaves.py
@@ -8,9 +8,6 @@
 REVERSAL_DELAY = 1.0
 # Seconds for which a change is announced to peers.
 ANNOUNCE_SECONDS = 30.0
-# Seconds for which a notice is kept after its run is not listed any more: an
-# entry that expired in a store outage may be back later.
-UNLISTED_SECONDS = 60.0
 # Seconds after which an upstream that is still listed as ready is asked
 # whether it still leaves: it may have taken that back.
 CHECK_SECONDS = 30.0
@@ -24,16 +21,13 @@
     :ivar leaving: whether it said that it leaves
     :ivar said_at: monotonic time of the answer that said so first
     :ivar check_at: monotonic time from which it may be asked again
-    :ivar listed: whether the list of upstreams says that it leaves, too
-    :ivar expires_at: monotonic time at which the notice is dropped, None
-        while the run is listed
+    :ivar pending: whether the run is listed as one that does not leave
     """
 
-    __slots__ = ("leaving", "said_at", "check_at", "listed", "expires_at")
+    __slots__ = ("leaving", "said_at", "check_at", "pending")
 
     def __init__(self, leaving, said_at):
-        self.listed = False
-        self.expires_at = None
+        self.pending = True
         self.replace(leaving, said_at)
 
     def replace(self, leaving, said_at):
@@ -56,6 +50,11 @@
         self._notices = {}
         self._cycle = Cycle(MAX_ROWS)
 
+    @property
+    def names(self):
+        """Return the names of the runs of which a notice is kept."""
+        return self._notices.keys()
+
     @property
     def count(self):
         """Return the number of runs that said that they leave."""
@@ -88,30 +87,25 @@
         notice.replace(leaving, now)
         return True
 
-    def retain(self, leaving_by_name, now):
+    def update_listed(self, leaving):
         """Apply a list of upstreams.
 
-        :param leaving_by_name: whether each listed run leaves by its entry
-        :param now: monotonic time
+        :param leaving: whether a run leaves by its entry, by name of the run
         """
-        for name, notice in list(self._notices.items()):
-            notice.listed = leaving_by_name.get(name, False)
-            if name in leaving_by_name:
-                notice.expires_at = None
-            elif notice.expires_at is None:
-                notice.expires_at = now + UNLISTED_SECONDS
-            elif notice.expires_at <= now:
-                del self._notices[name]
+        for name, notice in self._notices.items():
+            notice.pending = leaving.get(name) is False
+
+    def drop(self, names):
+        """Drop the notices of runs that have ended."""
+        for name in names:
+            self._notices.pop(name, None)
 
     def due_checks(self, now):
         """Return the names of the runs to ask whether they still leave."""
         return [
             name
             for name, notice in self._notices.items()
-            if notice.leaving
-            and not notice.listed
-            and notice.expires_at is None
-            and notice.check_at <= now
+            if notice.leaving and notice.pending and notice.check_at <= now
         ]
 
     def begin_check(self, name, now):
@@ -130,7 +124,7 @@
         names = [
             name
             for name, notice in self._notices.items()
-            if not notice.listed and notice.said_at > now - ANNOUNCE_SECONDS
+            if notice.pending and notice.said_at > now - ANNOUNCE_SECONDS
         ]
         return [self.row(name, now) for name in self._cycle.next(names)]
 
--- a/rowanport/notices/rests.py
+++ b/rowanport/notices/rests.py
@@ -84,15 +84,22 @@
         rest = self._rests.setdefault(name, Rest())
         return rest if rest.record(seconds, now, spread) else None
 
+    @property
+    def names(self):
+        """Return the names of the runs that rest, or did so lately."""
+        return self._rests.keys()
+
+    def drop(self, names):
+        """Drop the rests of runs that have ended."""
+        for name in names:
+            self._rests.pop(name, None)
+
     def get(self, name):
         """Return the Rest of a run, or None."""
         return self._rests.get(name)
 
     def drop_ended(self, now):
-        """Drop the rests whose effect has ended.
-
-        Those of runs that are not listed are kept meanwhile: an entry that
-        expired may be back soon.
+        """Drop the rests that limit nothing any more.
 
         :returns: the names of their runs
         """
--- a/test/test_leaving_answers.py
+++ b/test/test_leaving_answers.py
@@ -78,6 +78,26 @@
     await asking
 
 
+@crash_test(NoticeWorld)
+async def test_a_name_that_comes_back_after_its_entry_was_gone_is_used(world):
+    # Its entry does not tell when it started.
+    upstream = world.some(1)[0]
+    address = next(a for a, u in world.upstreams.items() if u is upstream)
+    asking = world.spawn(world.ask_mixed(24.0))
+    await asyncio.sleep(1.0)
+    upstream.leaving_text = "1"
+    await asyncio.sleep(4.0)
+    upstream.on_crash = None
+    upstream.crash()
+    await world.store.remove(f"servers/{upstream.name}")
+    await asyncio.sleep(8.0)
+    begun = world.now
+    again = await world.start_run(address, upstream.name, born=None)
+    await asyncio.sleep(3.0)
+    assert again.arrivals and again.arrivals[0].at < begun + 2.0
+    await asking
+
+
 @crash_test(NoticeWorld)
 async def test_a_stream_under_way_goes_on_as_its_upstream_leaves(world):
     for upstream in world.upstreams.values():
