--- a/rowanport/gateway/daemon.py
+++ b/rowanport/gateway/daemon.py
@@ -189,11 +189,11 @@
         )
         self.links = UpstreamLinks()
         self._own_link = OwnLink(direct, self.links, self)
-        self._relays = RelayPeers(settings.data_centre)
+        relays = RelayPeers(settings.data_centre)
         self._connector = PathConnector(
             self._own_link,
             self.links,
-            self._relays,
+            relays,
             TunnelClient(self.incarnation, settings.secret, keepalive, own),
             self.members,
             self.metrics,
@@ -203,6 +203,15 @@
         )
         self._own_link.client = self._connector.client = self.client
         self.tunnels = TunnelServer(self._own_link, keepalive)
+        self._link_monitor = LinkMonitor(
+            self._own_link,
+            self.links,
+            self.client,
+            self.congestion,
+            self.tunnels,
+            relays,
+        )
+        self._connector.on_ended = self._link_monitor.verify
         self._peer_server.on_tunnel = self.tunnels.serve
 
     def _build_forwarding(self, settings):
@@ -248,20 +257,11 @@
             settings.peers,
             self.clock,
             self.metrics,
+            self._own_link.ask_health,
         )
         self.exchange = Exchange(
             self.client, self.dialect, self.clock, self.notices
         )
-        self._link_monitor = LinkMonitor(
-            self._own_link,
-            self.links,
-            self.client,
-            self.congestion,
-            self.tunnels,
-            self._relays,
-            self.notices,
-        )
-        self._connector.on_ended = self._link_monitor.verify
         fingerprints = Fingerprints(settings.secret)
         self.admission = Admission(self.dialect, fingerprints)
         self.crashes = CrashGuard(
@@ -470,7 +470,7 @@
             messages.BlockedAsk: self.crashes.answer_operator,
             messages.LimitNews: self.limits.receive,
             messages.LeaveNews: self.notices.receive,
-            messages.RestNews: self.notices.receive_rest,
+            messages.BackoffNews: self.notices.receive_backoff,
             messages.PermitAsk: self.limits.grant,
             messages.RetryPermitAsk: self.retries.lend,
             messages.StreamNews: self.streams.receive,
@@ -539,6 +539,7 @@
         self._loops.start("retries", self.retries.run, STORE_LOOP_TIMEOUT)
         self._loops.start("blocklist", self._blocklist.run, LOOP_TIMEOUT)
         self._loops.start("links", self._link_monitor.run, LOOP_TIMEOUT)
+        self._loops.start("notices", self.notices.run, LOOP_TIMEOUT)
         self._loops.start("state", self.state.run, LOOP_TIMEOUT)
 
     def _count_restart(self, loop):
--- a/rowanport/gateway/dialect.py
+++ b/rowanport/gateway/dialect.py
@@ -13,9 +13,10 @@
     :ivar signature: set by an upstream to sign the answer as its own
     :ivar rate_limit: requests a second that an upstream accepts from all
         routers together, in effect as long as its answers name it
-    :ivar leaving: says in each answer of an upstream that it leaves
-    :ivar retry_after: seconds for which an upstream that turned a request
-        away wants none of this router, as sent to callers, too
+    :ivar leaving: set by an upstream that leaves, in all its answers
+    :ivar retry_after: seconds for which an upstream that refused a request
+        wants no other of this router; the name is that of HTTP, so a caller
+        gets its own from a router
     :ivar instance: id of the upstream, in the answer to a health check
     :ivar cold_ms: milliseconds for which an upstream is cold, in the answer to
         a health check
--- a/rowanport/gateway/health.py
+++ b/rowanport/gateway/health.py
@@ -50,7 +50,7 @@
         metrics.evacuated.set({}, len(evacuations.data_centres))
         metrics.unreadable_evacuations.set({}, evacuations.unreadable)
         metrics.leaving_upstreams.set({}, gateway.notices.leaving_count)
-        metrics.resting_upstreams.set({}, gateway.notices.resting_count)
+        metrics.backed_off_upstreams.set({}, gateway.notices.backed_off_count)
         metrics.cold_upstreams.set({}, len(gateway.cold.rows()))
         metrics.diverts.set({}, int(gateway.is_diverting()))
         metrics.link_share.set({}, gateway.callers.link_share)
--- a/rowanport/gateway/job.py
+++ b/rowanport/gateway/job.py
@@ -83,8 +83,8 @@
     :ivar config: version of the configuration that admitted it
     :ivar view_age: age in seconds of the view of the fleet at the last send,
         or None
-    :ivar left_out: ids of the upstreams that got nothing by their own word at
-        the last choice, by reason; None if there were none
+    :ivar left_out: ids of the upstreams that were no choice at the last send
+        as their answers keep requests away, by reason; None without any
     :ivar work: units of work by which it counts for fair shares
     :ivar background: whether it is expected to be late, and so runs with the
         lowest urgency
--- a/rowanport/gateway/link_monitor.py
+++ b/rowanport/gateway/link_monitor.py
@@ -41,19 +41,15 @@
     :param congestion: the CongestionDetector
     :param tunnels: the TunnelServer
     :param relays: the RelayPeers
-    :param notices: the UpstreamNotices
     """
 
-    def __init__(
-        self, own_link, links, client, congestion, tunnels, relays, notices
-    ):
+    def __init__(self, own_link, links, client, congestion, tunnels, relays):
         self._own_link = own_link
         self._links = links
         self._client = client
         self._congestion = congestion
         self._tunnels = tunnels
         self._relays = relays
-        self._notices = notices
         self._tasks = TaskSet()
         self._probing = set()
         self._checking = None
@@ -69,7 +65,6 @@
                 self._find_unacknowledged()
                 self._find_silence()
                 self._find_silent_relays()
-                self._check_leaving()
                 await asyncio.sleep(CHECK_INTERVAL)
         finally:
             self._tasks.cancel()
@@ -126,14 +121,6 @@
             and self._links.usable(path.address)
         )
 
-    # Upstreams that said that they leave
-
-    def _check_leaving(self):
-        """Ask upstreams that have been about to leave for long."""
-        self._notices.drop_ended()
-        for upstream in self._notices.begin_checks():
-            self._tasks.spawn(self._own_link.ask_health(upstream))
-
     # Links that fell silent
 
     def _find_unacknowledged(self):
@@ -206,9 +193,9 @@
         :param waiting: addresses of upstreams that have not answered
         """
         begin = loop_time()
-        unlimited = self._own_link.unlimited
-        unlimited = {a for a in unlimited if self._own_link.may_probe(a)}
-        checked = sorted(unlimited - waiting or unlimited)
+        checkable = self._own_link.checkable
+        checkable = {a for a in checkable if self._own_link.may_probe(a)}
+        checked = sorted(checkable - waiting or checkable)
         if not checked:
             return
         checked = random.sample(checked, min(CHECKED_UPSTREAMS, len(checked)))
--- a/rowanport/gateway/metrics.py
+++ b/rowanport/gateway/metrics.py
@@ -30,11 +30,12 @@
         self.leaving_upstreams = self._gauge(
             "leaving_upstreams", "Upstreams whose answers say that they leave"
         )
-        self.resting_upstreams = self._gauge(
-            "resting_upstreams", "Upstreams that want no requests for a time"
+        self.backed_off_upstreams = self._gauge(
+            "backed_off_upstreams",
+            "Upstreams that want no requests for a time",
         )
-        self.rests = self._counter(
-            "rests", "Refusals of upstreams that asked for rest"
+        self.backoffs = self._counter(
+            "backoffs", "Refusals of upstreams that asked to back off"
         )
         self.permits = self._counter(
             "permits", "Permits to send to these, by outcome"
--- a/rowanport/gateway/migrations.py
+++ b/rowanport/gateway/migrations.py
@@ -235,11 +235,12 @@
     async def _call(self, place, method, path, value, timeout):
         """Send JSON to an engine; return status and answer.
 
-        :returns: (0, {}) if it did not answer, or rests
+        :returns: (0, {}) if it did not answer or was not asked,
+            as this router backs off from it
         """
         gateway = self._gateway
         state = gateway.pool.get(place.run.id)
-        if state is not None and state.is_resting(gateway.clock.steady()):
+        if state is not None and state.is_backed_off(gateway.clock.steady()):
             LOG.info("engine_not_asked", upstream=place.run.id, path=path)
             return 0, {}
         body = b"" if value is None else json.dumps(value).encode()
@@ -320,7 +321,7 @@
         if state is None:
             return None
         record = state.record
-        if state.is_resting(self._gateway.clock.steady()):
+        if state.is_backed_off(self._gateway.clock.steady()):
             return None
         if not migration.fits(record.run, record.version):
             return None
--- a/rowanport/gateway/notices.py
+++ b/rowanport/gateway/notices.py
@@ -1,5 +1,6 @@
 """Acts on what upstreams say of themselves in the heads of their answers."""
 
+import asyncio
 import random
 
 import structlog
@@ -9,19 +10,24 @@
 from ..incarnation import address_of
 from ..incarnation import NOTICES_PROTOCOL
 from ..notices import Absences
+from ..notices import BackoffBook
 from ..notices import LeaveBook
-from ..notices import MAX_REST_SECONDS
+from ..notices import MAX_BACKOFF_SECONDS
+from ..notices import parse_backoff
 from ..notices import parse_leaving
-from ..notices import parse_rest
-from ..notices import RestBook
+from ..schema.messages import BackoffNews
 from ..schema.messages import LeaveNews
-from ..schema.messages import RestNews
+from ..supervision import beat
+from ..tasks import TaskSet
 from .exchange import MISDIRECTED
 
 LOG = structlog.get_logger(__name__)
 
-# Statuses of refusals, which may ask for rest.
-REFUSED = (429, 503)
+# Statuses of refusals, which may name a time to back off.
+REFUSAL_STATUSES = (429, 503)
+# Seconds between two looks at what has no effect any more, and at which
+# upstreams are to be asked whether they still leave.
+CHECK_INTERVAL = 0.5
 
 
 class UpstreamNotices:
@@ -37,6 +43,8 @@
     :param address: this router's peer address
     :param clock: a Clock
     :param metrics: the GatewayMetrics
+    :param ask_health: coroutine function that sends a health check to an
+        Upstream and passes the answer to record_question()
     :ivar on_leaving: function that is called once an upstream has said that
         it leaves, or None
     """
@@ -52,6 +60,7 @@
         address,
         clock,
         metrics,
+        ask_health,
     ):
         self._dialect = dialect
         self._limits = limits
@@ -62,8 +71,10 @@
         self._address = address
         self._clock = clock
         self._metrics = metrics
+        self._ask_health = ask_health
+        self._checks = TaskSet()
         self._leaves = LeaveBook()
-        self._rests = RestBook()
+        self._backoffs = BackoffBook()
         self._absences = Absences()
         # The last malformed value by (header, name of the run).
         self._unreadable = {}
@@ -75,9 +86,9 @@
         return self._leaves.count
 
     @property
-    def resting_count(self):
-        """Return the number of upstreams that rest."""
-        return self._rests.count(self._clock.steady())
+    def backed_off_count(self):
+        """Return the number of upstreams that want no requests now."""
+        return self._backoffs.count(self._clock.steady())
 
     # Answers
 
@@ -94,14 +105,14 @@
         text = answer.headers.get(self._dialect.rate_limit)
         self._limits.record_answer(record.run, text)
         self._record_leaving(record.run, answer, request, sent_at)
-        if answer.status in REFUSED:
-            self._record_rest(record.run, answer, request)
+        if answer.status in REFUSAL_STATUSES:
+            self._record_backoff(record.run, answer, request)
 
     def _is_own(self, answer):
-        """Return whether an answer to a request is the upstream's own word.
+        """Return whether an answer to a request was made by its upstream.
 
-        Another upstream at its address says so by its status, and what stands
-        between repeats neither the request's id nor signs.
+        Another upstream that uses its address answers MISDIRECTED.  A proxy
+        neither repeats the request's id nor signs.
         """
         names, headers = self._dialect, answer.headers
         if answer.status == MISDIRECTED or names.request_id not in headers:
@@ -120,52 +131,54 @@
         name = answer.headers.get(self._dialect.instance, record.id)
         if answer.status == MISDIRECTED or name != record.id:
             return
-        if answer.status in REFUSED:
-            self._record_rest(record.run, answer, None)
-        # A failure that does not say so may be the word of what stands
-        # between, and takes no notice back.
+        if answer.status in REFUSAL_STATUSES:
+            self._record_backoff(record.run, answer, None)
+        # A failure without the header may come from a proxy, so it does not
+        # say that the upstream stays.
         if answer.status == 200 or self._dialect.leaving in answer.headers:
             self._record_leaving(record.run, answer, None, sent_at)
 
-    def _record_rest(self, run, answer, request):
-        """Record the rest that a refusal asks for, if it does."""
+    def _record_backoff(self, run, answer, request):
+        """Record the time to back off that a refusal may name."""
         header = self._dialect.retry_after
-        seconds = self._read(header, parse_rest, run, answer)
+        seconds = self._read(header, parse_backoff, run, answer)
         if not seconds:
             return
-        self._metrics.rests.inc({})
-        self._begin_rest(run.name, seconds, None, request)
+        self._metrics.backoffs.inc({})
+        self._begin_backoff(run.name, seconds, None, request)
         relay = answer.path.relay
         if relay is not None:
             self._tell_relay(relay, run.name, seconds)
 
-    def _begin_rest(self, name, seconds, heard_from, request=None):
+    def _begin_backoff(self, name, seconds, heard_from, request=None):
         now = self._clock.steady()
-        rest = self._rests.record(name, seconds, now, random.random())
-        if rest is not None:
+        backoff = self._backoffs.record(name, seconds, now, random.random())
+        if backoff is not None:
             LOG.info(
-                "upstream_rests",
+                "upstream_backoff",
                 upstream=name,
                 seconds=seconds,
                 heard_from=heard_from,
                 request=request,
             )
-            self._pool.set_rest(name, rest)
+            self._pool.set_backoff(name, backoff)
 
     def _tell_relay(self, relay, name, seconds):
-        """Tell the router that relayed a refusal, which it was meant for.
+        """Tell the router that relayed a refused request to back off.
+
+        The upstream refused that router, whose connection it was.
 
         :param relay: its incarnation
         """
         peer = address_of(relay)
         if self._members.speaks(peer, NOTICES_PROTOCOL):
-            message = RestNews(name, seconds, self._address)
+            message = BackoffNews(name, seconds, self._address)
             self._peers.tell([peer], message)
 
-    def receive_rest(self, message):
-        """Begin the rest that a RestNews message names."""
-        seconds = min(MAX_REST_SECONDS, message.seconds)
-        self._begin_rest(message.upstream, seconds, message.sender)
+    def receive_backoff(self, message):
+        """Begin the back-off that a BackoffNews message names."""
+        seconds = min(MAX_BACKOFF_SECONDS, message.seconds)
+        self._begin_backoff(message.upstream, seconds, message.sender)
 
     def _record_leaving(self, run, answer, request, sent_at):
         header = self._dialect.leaving
@@ -218,12 +231,24 @@
         """Mark the UpstreamState of a run that is listed from now on."""
         name = state.record.run.name
         state.says_leaving = self._leaves.is_leaving(name)
-        state.rest = self._rests.get(name)
+        state.backoff = self._backoffs.get(name)
 
-    def drop_ended(self):
-        """Drop what has no effect any more."""
-        for name in self._rests.drop_ended(self._clock.steady()):
-            self._pool.set_rest(name, None)
+    async def run(self):
+        """Drop what ended, and send health checks, until cancelled."""
+        try:
+            while True:
+                beat()
+                self._drop_ended()
+                for record in self._begin_checks():
+                    self._checks.spawn(self._ask_health(record))
+                await asyncio.sleep(CHECK_INTERVAL)
+        finally:
+            self._checks.cancel()
+
+    def _drop_ended(self):
+        """Drop the back-offs that limit nothing any more."""
+        for name in self._backoffs.drop_ended(self._clock.steady()):
+            self._pool.set_backoff(name, None)
 
     def retain(self, records):
         """Apply a list of upstreams.
@@ -232,7 +257,7 @@
         """
         known = {
             *self._leaves.names,
-            *self._rests.names,
+            *self._backoffs.names,
             *(name for _header, name in self._unreadable),
         }
         if not known:
@@ -240,16 +265,16 @@
         listed = {record.run.name: record.leaving for record in records}
         ended = self._absences.update(known, listed, self._clock.steady())
         self._leaves.drop(ended)
-        self._rests.drop(ended)
+        self._backoffs.drop(ended)
         self._leaves.update_listed(listed)
         for key in list(self._unreadable):
             if key[1] in ended:
                 del self._unreadable[key]
 
-    def begin_checks(self):
-        """Return the Upstreams to ask whether they still leave.
+    def _begin_checks(self):
+        """Return the Upstreams that this router asks whether they still leave.
 
-        One router asks for all.
+        Of all routers, one asks on behalf of the others.
         """
         now = self._clock.steady()
         chosen = []
@@ -257,11 +282,9 @@
             self._leaves.begin_check(name, now)
             ready = map(address_of, self._members.ready_peers())
             if rendezvous(name, [self._address, *ready])[0] == self._address:
-                chosen += [
-                    record
-                    for record in self._pool.find_run(name)
-                    if not self._pool.get(record.id).is_resting(now)
-                ]
+                state = self._pool.find_run(name)
+                if state is not None and not state.is_backed_off(now):
+                    chosen.append(state.record)
         return chosen
 
     # Peers
--- a/rowanport/gateway/own_link.py
+++ b/rowanport/gateway/own_link.py
@@ -51,11 +51,11 @@
         return self._gateway.pool.by_address()
 
     @property
-    def unlimited(self):
+    def checkable(self):
         """Return the addresses of upstreams that take health checks.
 
-        Checks would use up what those accept that name a rate limit, and
-        break the rest that others asked for.
+        Checks would use up the requests that an upstream with a rate limit
+        accepts, and one that asked routers to back off wants none.
         """
         pool, limits = self._gateway.pool, self._gateway.limits
         now = self._gateway.clock.steady()
@@ -63,7 +63,7 @@
         return {
             state.record.address
             for state in limits.unlimited(states)
-            if not state.is_resting(now)
+            if not state.is_backed_off(now)
         }
 
     @property
@@ -135,7 +135,7 @@
         if self._links.cut_off:
             return Verdict.CUT_OFF
         now = self._gateway.clock.steady()
-        if self._gateway.pool.get(self.listed[address].id).is_resting(now):
+        if self._gateway.pool.get(self.listed[address].id).is_backed_off(now):
             return Verdict.BUSY
         if self._gateway.congestion.congested or not self.may_probe(address):
             return Verdict.BUSY
@@ -159,7 +159,7 @@
         """
         path = await self.open(address)
         await asyncio.sleep(SETTLE_SECONDS)
-        if fresh and not path.reader.ended and address in self.unlimited:
+        if fresh and not path.reader.ended and address in self.checkable:
             await self.answers(address)
         if path.reader.ended:
             path.writer.transport.abort()
@@ -196,7 +196,7 @@
 
         :param reason: how the link is thought to be lost
         """
-        if reason in ANSWER_REASONS and address in self.unlimited:
+        if reason in ANSWER_REASONS and address in self.checkable:
             return await self.answers(address)
         return await self.connects(address)
 
--- a/rowanport/gateway/pool.py
+++ b/rowanport/gateway/pool.py
@@ -31,7 +31,7 @@
     :ivar ejected_until: monotonic time until which it gets no requests
     :ivar crashed_until: the same after a crash
     :ivar says_leaving: whether its answers say that it leaves
-    :ivar rest: the Rest that it asked this router for, or None
+    :ivar backoff: the Backoff that it asked this router for, or None
     """
 
     __slots__ = (
@@ -43,7 +43,7 @@
         "ejected_until",
         "crashed_until",
         "says_leaving",
-        "rest",
+        "backoff",
     )
 
     def __init__(self, record):
@@ -55,7 +55,7 @@
         self.ejected_until = 0.0
         self.crashed_until = 0.0
         self.says_leaving = False
-        self.rest = None
+        self.backoff = None
 
     @property
     def leaving(self):
@@ -64,16 +64,18 @@
 
     @property
     def withdrawn(self):
-        """Return whether it leaves or rests by its own word."""
-        return self.says_leaving or self.rest is not None
+        """Return whether its answers keep requests away from it."""
+        return self.says_leaving or self.backoff is not None
 
     def available_at(self, now):
         """Return the monotonic time from which it may get a request."""
-        return now if self.rest is None else self.rest.available_at(now)
+        return now if self.backoff is None else self.backoff.available_at(now)
 
-    def is_resting(self, now):
-        """Return whether it asked for rest and may get no request yet."""
-        return self.rest is not None and self.rest.available_at(now) > now
+    def is_backed_off(self, now):
+        """Return whether it refused requests and may get none yet."""
+        return (
+            self.backoff is not None and self.backoff.available_at(now) > now
+        )
 
     def expected_wait(self, uncached, now):
         """Return the expected seconds to the first event of one more request.
@@ -124,13 +126,13 @@
 
     def __init__(self, evacuations=None):
         self._states = {}
-        # Those that say that they leave, or rest: hardly ever any.
+        # Those whose answers keep requests away, hardly ever any.
         self._withdrawn = set()
         self._evacuations = evacuations or Evacuations()
 
     @property
     def any_withdrawn(self):
-        """Return whether any upstream leaves or rests by its own word."""
+        """Return whether answers keep requests away from any upstream."""
         return bool(self._withdrawn)
 
     def update(self, upstreams, notices=None):
@@ -168,23 +170,26 @@
         return [state.record for state in self._states.values()]
 
     def find_run(self, name):
-        """Return a list with the Upstream of a run, or an empty one.
+        """Return the UpstreamState of a run, or None.
 
         :param name: name of the run
         """
-        return [one for one in self.records() if one.run.name == name]
-
-    def set_rest(self, name, rest):
-        """Set the Rest of a run, None for no rest."""
-        for record in self.find_run(name):
-            state = self._states[record.id]
-            state.rest = rest
+        for state in self._states.values():
+            if state.record.run.name == name:
+                return state
+        return None
+
+    def set_backoff(self, name, backoff):
+        """Set the Backoff of a run, None for none."""
+        state = self.find_run(name)
+        if state is not None:
+            state.backoff = backoff
             self._record_withdrawn(state)
 
     def set_leaving(self, name, leaving):
         """Set whether the answers of a run say that it leaves."""
-        for record in self.find_run(name):
-            state = self._states[record.id]
+        state = self.find_run(name)
+        if state is not None:
             state.says_leaving = leaving
             self._record_withdrawn(state)
 
@@ -238,22 +243,23 @@
     def available_at(self, service, now):
         """Return when the first upstream of a service takes requests again.
 
-        :returns: monotonic time, None unless all rest that do not leave
+        :returns: monotonic time, None unless this router backs off
+            from all that do not leave
         """
         times = [state.available_at(now) for state in self.of_service(service)]
         first = min(times, default=now)
         return first if first > now else None
 
     def left_out(self, service, now):
-        """Return the ids of upstreams that get nothing by their own word.
+        """Return the ids of upstreams whose answers keep requests away.
 
-        :returns: lists of some ids by reason, "leaving" or "resting", without
-            those that are empty
+        :returns: some of the ids by reason, "leaving" or "backed_off"; without
+            reasons that concern none
         """
         states = self._all(service)
         leaving = [s.record.id for s in states if s.says_leaving]
-        resting = [s.record.id for s in states if s.is_resting(now)]
-        rows = {"leaving": leaving, "resting": resting}
+        backed_off = [s.record.id for s in states if s.is_backed_off(now)]
+        rows = {"leaving": leaving, "backed_off": backed_off}
         return {why: ids[:MAX_LEFT_OUT] for why, ids in rows.items() if ids}
 
     def _all(self, service):
@@ -266,10 +272,10 @@
     def candidates(self, service, avoid, now, version=None):
         """Return the UpstreamStates to which a request may be sent.
 
-        Those of evacuated data centres, and those that rest, never are, also
-        if there are no others.  Ejected upstreams are included
-        only if more than half of those of the service are ejected: the cause
-        is then hardly the upstreams themselves.
+        Those of evacuated data centres, and those from which this router backs
+        off, never are, also if there are no others.  Ejected upstreams are
+        included only if more than half of those of the service are ejected:
+        the cause is then hardly the upstreams themselves.
 
         :param avoid: UpstreamRuns to which it must not be sent again, usually
             none
@@ -283,7 +289,7 @@
             and (version is None or version == state.record.version != "")
         ]
         if self._withdrawn:
-            accepting = [s for s in accepting if not s.is_resting(now)]
+            accepting = [s for s in accepting if not s.is_backed_off(now)]
         accepting = [
             s for s in accepting if s.crashed_until <= now
         ] or accepting
--- a/rowanport/gateway/retry_policy.py
+++ b/rowanport/gateway/retry_policy.py
@@ -124,7 +124,7 @@
             available_at = pool.available_at(job.service, now)
             if available_at is not None:
                 # A retry would be taken from the allowance for nothing.
-                raise resting_error(available_at) from None
+                raise backed_off_error(available_at) from None
         if not await self._may_resend(job, responder, error):
             raise final_error(job, error) from None
 
@@ -218,14 +218,14 @@
     return False
 
 
-def resting_error(available_at):
-    """Return the RequestError for a job whose upstreams all rest.
+def backed_off_error(available_at):
+    """Return the RequestError for a job that no upstream wants yet.
 
     :param available_at: monotonic time at which the first one takes requests
     """
     return RequestError(
         ErrorKind.OVERLOADED,
-        "all upstreams asked for rest",
+        "all upstreams asked to back off",
         come_back_at=available_at,
     )
 
--- a/rowanport/gateway/sender.py
+++ b/rowanport/gateway/sender.py
@@ -16,9 +16,9 @@
 from .relay import BufferedRelay
 from .relay import EventRelay
 from .relay import is_stream
+from .retry_policy import backed_off_error
 from .retry_policy import final_error
 from .retry_policy import HedgeDenied
-from .retry_policy import resting_error
 from .retry_policy import RetryDenied
 
 # Share of the remaining time after which a repeatable request without an
@@ -29,6 +29,9 @@
 FIRST_EVENT_OBJECTIVES = 3.0
 # Seconds without an event after which such a stream is hedged later on.
 EVENT_STALL = 1.5
+# Seconds after which the successor of an upstream may be listed: its entry
+# arrives a heartbeat after its start.
+SUCCESSOR_SECONDS = ENTRY_LAG
 # Seconds until a hedge that was refused is tried again: a retry allowance or
 # tokens may have become available.
 HEDGE_RETRY_INTERVAL = 0.25
@@ -246,13 +249,12 @@
         if not job.runs:
             available_at = pool.available_at(job.service, now)
             if available_at is not None:
-                return resting_error(available_at)
+                return backed_off_error(available_at)
         leave = pool.all_leave(job.service)
         why = "all upstreams leave" if leave else _none_left(job)
         error = final_error(job, UpstreamError(why))
         if leave and not job.runs:
-            # Their successors are known once they are listed.
-            error.come_back_at = now + ENTRY_LAG
+            error.come_back_at = now + SUCCESSOR_SECONDS
         return error
 
     def _check_in_time(self, choice, candidates, now):
@@ -333,12 +335,12 @@
         if freshness.stale:
             raise UpstreamLeft("the list of upstreams is stale")
         now = self._clock.steady()
-        if state.is_resting(now):
-            raise UpstreamLeft("upstream asked for rest")
+        if state.is_backed_off(now):
+            raise UpstreamLeft("upstream asked to back off")
         gateway.cold.acquire(record)
         self._retry_policy.use_permit(self._job)
-        if state.rest is not None:
-            state.rest.acquire(now)
+        if state.backoff is not None:
+            state.backoff.acquire(now)
         self._job.view_age = freshness.age
 
     def _record_load(self, state):
--- a/rowanport/incarnation.py
+++ b/rowanport/incarnation.py
@@ -14,7 +14,7 @@
 # 2: versions of streams, permits to retry.
 # 3: evacuated data centres in the answers to polls.
 # 4: reports of state to the routers that collect them.
-# 5: upstreams that said that they leave, or asked a relay for rest.
+# 5: upstreams that said that they leave, or refused a relay.
 PROTOCOL = 5
 EVACUATIONS_PROTOCOL = 3
 STATE_PROTOCOL = 4
--- a/rowanport/notices/__init__.py
+++ b/rowanport/notices/__init__.py
@@ -5,19 +5,19 @@
 """
 
 from .absences import Absences
+from .backoffs import Backoff
+from .backoffs import BackoffBook
 from .leaves import LeaveBook
-from .parse import MAX_REST_SECONDS
+from .parse import MAX_BACKOFF_SECONDS
+from .parse import parse_backoff
 from .parse import parse_leaving
-from .parse import parse_rest
-from .rests import Rest
-from .rests import RestBook
 
 __all__ = [
     "Absences",
     "LeaveBook",
-    "MAX_REST_SECONDS",
+    "MAX_BACKOFF_SECONDS",
     "parse_leaving",
-    "parse_rest",
-    "Rest",
-    "RestBook",
+    "parse_backoff",
+    "Backoff",
+    "BackoffBook",
 ]
--- a/rowanport/notices/parse.py
+++ b/rowanport/notices/parse.py
@@ -6,9 +6,9 @@
 
 # Longest part of a malformed value that an error names.
 NAMED_LENGTH = 40
-# Longest rest in seconds that an upstream gets: one that asks for hours by
-# mistake is tried again, by one request after each such time.
-MAX_REST_SECONDS = 600.0
+# Longest back-off in seconds: an upstream that names hours by mistake is found
+# out by one request after each such time.
+MAX_BACKOFF_SECONDS = 600.0
 _DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?")
 _INTEGER = re.compile(r"[0-9]{1,12}")
 
@@ -26,18 +26,17 @@
     return int(text) != 0
 
 
-def parse_rest(text):
-    """Return the seconds of rest that an upstream asks for.
+def parse_backoff(text):
+    """Return the seconds for which an upstream wants no requests.
 
-    Of the forms that HTTP allows, upstreams send numbers, fractions too, and
-    no dates.
+    Upstreams send numbers, unlike HTTP with fractions, and no dates.
 
     :param text: value of the header, None if the answer has none
-    :returns: 0 to MAX_REST_SECONDS
+    :returns: 0 to MAX_BACKOFF_SECONDS
     :raises MessageError: the text is no decimal number
     """
     if text is None:
         return 0.0
     if not _DECIMAL.fullmatch(text):
         raise MessageError(f"not a time: {text[:NAMED_LENGTH]!r}")
-    return min(MAX_REST_SECONDS, float(text))
+    return min(MAX_BACKOFF_SECONDS, float(text))
--- a/rowanport/schema/messages.py
+++ b/rowanport/schema/messages.py
@@ -2247,8 +2247,8 @@
         )
 
 
-class RestNews(Message):
-    """An upstream asked a router for rest, through the tunnel that it relays; not answered.
+class BackoffNews(Message):
+    """An upstream refused a request through a tunnel, and wants none of the router that relays it for a time; not answered.
 
     :ivar upstream: name of the upstream's run
     :ivar seconds: for how long
@@ -2599,8 +2599,11 @@
             self.step,
             [item.to_wire() for item in self.leaves],
         ]
-        if len(values) == 9 and not any(values[8:]):
-            del values[8:]
+        # Empty fields that earlier protocols do not know are left out.
+        for length in (8,):
+            if any(values[length:]):
+                break
+            del values[length:]
         return values
 
     @classmethod
@@ -2610,7 +2613,7 @@
             blank = [
                 [],
             ]
-            values = values + blank[len(values) - 9 :]
+            values = values + blank[len(values) - 8 :]
         check_length(cls, values, 9)
         return cls(
             as_int(values[0]),
@@ -2717,10 +2720,14 @@
             self.evacuated,
             [item.to_wire() for item in self.leaves],
         ]
-        if len(values) == 15 and not any(values[14:]):
-            del values[14:]
-        if len(values) == 14 and not any(values[12:]):
-            del values[12:]
+        # Empty fields that earlier protocols do not know are left out.
+        for length in (
+            14,
+            12,
+        ):
+            if any(values[length:]):
+                break
+            del values[length:]
         return values
 
     @classmethod
@@ -2735,7 +2742,7 @@
                 [],
                 [],
             ]
-            values = values + blank[len(values) - 15 :]
+            values = values + blank[len(values) - 12 :]
         check_length(cls, values, 15)
         return cls(
             as_int(values[0]),
@@ -3208,7 +3215,7 @@
     67: SuspectRun,
     68: LimitNews,
     82: LeaveNews,
-    83: RestNews,
+    83: BackoffNews,
     69: PermitAsk,
     70: Permits,
     76: StreamNews,
--- a/rowanport/standins/upstream.py
+++ b/rowanport/standins/upstream.py
@@ -13,7 +13,7 @@
 STAMP_HEADER = "x-rowanport-server-stamp"
 LIMIT_HEADER = "server-limit"
 LEAVING_HEADER = "server-leaving"
-REST_HEADER = "retry-after"
+RETRY_AFTER_HEADER = "retry-after"
 INSTANCE_HEADER = "x-rowanport-instance-id"
 HEALTH_PATH = b"/healthz"
 # More than a gateway holds back of an answer.
@@ -30,8 +30,8 @@
     :ivar limit: text of the rate limit that its answers name, None for none
     :ivar leaving_text: text by which all its answers say that it leaves, None
         for none
-    :ivar rest_text: text of the seconds of rest that it asks for as it turns
-        a request away, None for none
+    :ivar backoff_text: text of the seconds for which it wants no requests
+        as it refuses one, None for none
     :ivar idle_seconds: whole seconds after which it closes idle connections,
         as its answers say, None for never
     :ivar lethal: bodies of the requests that crash it as they begin to run
@@ -46,7 +46,7 @@
         self.script = []
         self.limit = None
         self.leaving_text = None
-        self.rest_text = None
+        self.backoff_text = None
         self.idle_seconds = None
         self.lethal = frozenset()
         self.on_crash = None
@@ -256,8 +256,8 @@
 
     async def _do_full(self, connection, writer, names, body):
         head = self._head(names, x_rowanport_not_executed="1")
-        if self.rest_text is not None:
-            head.append((REST_HEADER, self.rest_text))
+        if self.backoff_text is not None:
+            head.append((RETRY_AFTER_HEADER, self.backoff_text))
         self._send(connection, writer, 503, head, b"")
 
     async def _do_misdirect(self, connection, writer, names, body):
--- a/rowanport/ui/explain.py
+++ b/rowanport/ui/explain.py
@@ -16,7 +16,7 @@
     "upstream_cold",
     "upstream_limit",
     "upstream_leaving",
-    "upstream_rests",
+    "upstream_backoff",
     "upstream_link_lost",
     "cut_off_from_upstreams",
     "retry_share",
--- a/soak/broken.py
+++ b/soak/broken.py
@@ -400,7 +400,7 @@
     def apply(self):
         from rowanport.gateway import notices
 
-        notices.parse_rest = lambda _text: 0.0
+        notices.parse_backoff = lambda _text: 0.0
 
 
 class ForgetsRetries(Variant):
--- a/soak/history.py
+++ b/soak/history.py
@@ -318,6 +318,7 @@
 class History:
     """All that was seen, in the order in which it was written down.
 
+    :ivar questions: Arrivals of health checks, with empty request ids
     :ivar data_centres: data centre by upstream
     :ivar calm_at: from when on nothing is disturbed any more
     """
@@ -334,6 +335,7 @@
         self.arrivals = []
         self.limits = []
         self.rests = []
+        self.questions = []
         self.evacuations = []
         self.colds = []
         self.data_centres = {}
--- a/soak/upstream.py
+++ b/soak/upstream.py
@@ -178,7 +178,12 @@
 
     async def _answer(self, connection, writer, request, body):
         await self._wait_stalled(connection, writer)
+        peer = writer.get_extra_info("peername")
+        own = writer.get_extra_info("sockname")
+        sender = self.source_at(peer[1], own[1]) if peer and own else ""
         if is_health_check(request):
+            question = Arrival(self.name, "", time.monotonic(), sender)
+            self._history.questions.append(question)
             full = self.active >= self.slots
             status = 503 if full or self.leaving else 200
             self._answer_health(connection, writer, status)
@@ -189,9 +194,6 @@
             await self._do_misdirect(connection, writer, names, body)
             return
         request_id = names.get(ID_HEADER, "")
-        peer = writer.get_extra_info("peername")
-        own = writer.get_extra_info("sockname")
-        sender = self.source_at(peer[1], own[1]) if peer and own else ""
         arrival = Arrival(self.name, request_id, time.monotonic(), sender)
         self._history.arrivals.append(arrival)
         if self._is_overrun():
@@ -199,7 +201,7 @@
             return
         self._ask_for_rest(sender, request_id)
         full = self.active >= self.slots or self._refuses()
-        if full or self.rest_text is not None:
+        if full or self.backoff_text is not None:
             await self._do_full(connection, writer, names, body)
             return
         self.active += 1
@@ -221,10 +223,10 @@
     def _ask_for_rest(self, sender, request_id):
         """Draw the rest that a refusal asks for, if requests are refused."""
         now = time.monotonic()
-        self.rest_text = None
+        self.backoff_text = None
         if now < self.rests_until:
-            self.rest_text = self._random.choice(REST_TEXTS)
-            until = now + float(self.rest_text)
+            self.backoff_text = self._random.choice(REST_TEXTS)
+            until = now + float(self.backoff_text)
             rest = Rest(self.name, sender, now, until, request_id)
             self._history.rests.append(rest)
 
--- a/test/notice_world.py
+++ b/test/notice_world.py
@@ -1,4 +1,4 @@
-"""Simulation of upstreams whose answers say that they leave or want rest."""
+"""Simulation of upstreams that say in answers to leave or to back off."""
 
 import asyncio
 import collections
@@ -15,7 +15,7 @@
 # Seconds after a refusal in which what is under way may arrive, and requests
 # that may arrive in the rest of the time that the upstream asked for.
 GRACE_SECONDS = 0.5
-MOST_IN_REST = 2
+MOST_IN_BACKOFF = 2
 
 
 class Arrival:
@@ -34,8 +34,8 @@
         self.name = name
 
 
-class Rest:
-    """A rest that an upstream asked a router for.
+class AskedBackoff:
+    """A time for which an upstream wants no requests of a router.
 
     :ivar at: loop time of the refusal
     :ivar router: host of the router
@@ -51,14 +51,14 @@
 
 
 class SayingUpstream(CrashingUpstream):
-    """An upstream that says that it leaves, or asks for rest.
+    """An upstream that says that it leaves, or to back off.
 
     :ivar refusing: whether it turns all requests away
     :ivar born: when it started, None if its entry does not tell
     :ivar arrivals: the Arrivals
     :ivar told_at: loop time of the first answer that says that it leaves, by
         router
-    :ivar rests: the Rests that it asked for
+    :ivar backoffs: the AskedBackoffs, by the refusals that named them
     """
 
     def __init__(self, name, lethal):
@@ -67,7 +67,7 @@
         self.born = None
         self.arrivals = []
         self.told_at = {}
-        self.rests = []
+        self.backoffs = []
 
     def entry(self, service="feed", state="ready"):
         entry = super().entry(service, state)
@@ -92,17 +92,17 @@
         return "full" if self.refusing else super()._next_behaviour(names)
 
     async def _do_full(self, connection, writer, names, body):
-        if self.rest_text is not None:
-            self._note_rest(self._senders[connection])
+        if self.backoff_text is not None:
+            self._note_backoff(self._senders[connection])
         await super()._do_full(connection, writer, names, body)
 
-    def _note_rest(self, router):
+    def _note_backoff(self, router):
         now = asyncio.get_running_loop().time()
         try:
-            seconds = float(self.rest_text)
+            seconds = float(self.backoff_text)
         except ValueError:
             return
-        self.rests.append(Rest(now, router, now + seconds))
+        self.backoffs.append(AskedBackoff(now, router, now + seconds))
 
     def late_arrivals(self, asked_at):
         """Return the Arrivals of requests after the upstream said it leaves.
@@ -118,17 +118,17 @@
             > self.told_at[arrival.router] + DRAIN_SECONDS
         ]
 
-    def broken_rests(self):
-        """Return the Rests in which too much arrived."""
+    def broken_backoffs(self):
+        """Return the AskedBackoffs in which too much arrived."""
         broken = []
-        for rest in self.rests:
+        for backoff in self.backoffs:
             count = sum(
-                arrival.router == rest.router
-                and rest.at + GRACE_SECONDS < arrival.at < rest.until
+                arrival.router == backoff.router
+                and backoff.at + GRACE_SECONDS < arrival.at < backoff.until
                 for arrival in self.arrivals
             )
-            if count > MOST_IN_REST:
-                broken.append(rest)
+            if count > MOST_IN_BACKOFF:
+                broken.append(backoff)
         return broken
 
 
@@ -180,11 +180,13 @@
             for arrival in upstream.late_arrivals(self.asked_at)
         ]
 
-    def broken_rests(self):
-        """Return the broken Rests of all upstreams, and the number of all."""
+    def broken_backoffs(self):
+        """Return the broken AskedBackoffs, and the number of all."""
         upstreams = list(self.upstreams.values())
-        broken = [rest for u in upstreams for rest in u.broken_rests()]
-        return broken, sum(len(u.rests) for u in upstreams)
+        broken = [
+            backoff for u in upstreams for backoff in u.broken_backoffs()
+        ]
+        return broken, sum(len(u.backoffs) for u in upstreams)
 
     def statuses(self, kind):
         """Return the number of requests of a kind by outcome."""
--- a/test/test_rests.py
+++ b/test/test_backoffs.py
@@ -1,4 +1,4 @@
-"""Upstreams that turn a router away and ask for rest get it."""
+"""A router backs off from upstreams that ask it to as they refuse it."""
 
 import asyncio
 from test.crash_world import crash_test
@@ -6,7 +6,7 @@
 
 import pytest
 
-# Times that upstreams ask for, in seconds, as their answers say it.
+# Seconds for which upstreams want no requests, as their refusals say it.
 TEXTS = ("1.5", "2.25", "4", "3.5")
 
 
@@ -16,7 +16,7 @@
     burst = 0
     while world.now < until:
         for number, upstream in enumerate(upstreams):
-            upstream.rest_text = TEXTS[(burst + number) % len(TEXTS)]
+            upstream.backoff_text = TEXTS[(burst + number) % len(TEXTS)]
             upstream.refusing = True
         await asyncio.sleep(for_s)
         for upstream in upstreams:
@@ -26,10 +26,10 @@
 
 
 @crash_test(NoticeWorld)
-async def test_upstreams_that_ask_for_rest_get_it(world):
+async def test_upstreams_that_ask_to_back_off_get_no_requests(world):
     world.spawn(refuse_in_bursts(world, world.some(2), 18.0))
     await world.ask_mixed(20.0)
-    broken, count = world.broken_rests()
+    broken, count = world.broken_backoffs()
     assert count
     assert (len(broken), count) == (0, count)
     statuses = world.statuses("mixed")
@@ -37,12 +37,12 @@
 
 
 @crash_test(NoticeWorld)
-async def test_where_all_rest_requests_are_refused_at_once(world):
+async def test_where_all_ask_to_back_off_requests_are_refused_at_once(world):
     await world.ask_mixed(2.0, kind="before")
     every = list(world.upstreams.values())
     world.spawn(refuse_in_bursts(world, every, 2.0, every=6.0))
     await world.ask_mixed(12.0)
-    broken, count = world.broken_rests()
+    broken, count = world.broken_backoffs()
     assert count
     assert (len(broken), count) == (0, count)
     refused = [n for n, status in world.answers.items() if status == 503]
@@ -60,11 +60,11 @@
     ["", "0", "-1", "soon", "nan", "1e3", "Wed, 21 Oct 2026 07:28:00 GMT"]
     + ["1,5", "9" * 30],
 )
-def test_a_time_that_names_no_rest_changes_nothing(text):
+def test_a_value_that_is_no_time_changes_nothing(text):
     @crash_test(NoticeWorld)
     async def run(world):
         upstream = world.busiest()
-        upstream.rest_text = text
+        upstream.backoff_text = text
         upstream.refusing = True
         await world.ask_mixed(3.0)
         upstream.refusing = False
@@ -78,15 +78,15 @@
 
 
 @crash_test(NoticeWorld)
-async def test_an_upstream_is_used_again_after_its_rest_without_a_rush(world):
+async def test_few_requests_come_first_after_a_back_off(world):
     upstream = world.busiest()
-    upstream.rest_text = "3"
+    upstream.backoff_text = "3"
     upstream.refusing = True
-    while len({rest.router for rest in upstream.rests}) < 4:
+    while len({backoff.router for backoff in upstream.backoffs}) < 4:
         await world.ask_mixed(0.2, rate=100, kind=f"first{world.now}")
     upstream.refusing = False
     upstream.arrivals.clear()
-    ends = {rest.router: rest.until for rest in upstream.rests}
+    ends = {backoff.router: backoff.until for backoff in upstream.backoffs}
     await world.ask_mixed(8.0, rate=100, kind="after")
     first = {}
     for arrival in upstream.arrivals:
--- a/test/test_leaving_answers.py
+++ b/test/test_leaving_answers.py
@@ -10,6 +10,8 @@
 
 import pytest
 
+from rowanport.notices.leaves import CHECK_SECONDS
+
 
 @crash_test(NoticeWorld)
 async def test_an_upstream_whose_answers_say_it_leaves_gets_no_new_work(world):
@@ -110,3 +112,20 @@
     assert set(await asyncio.gather(*tasks)) == {200}
     assert sum(len(u.heads) for u in world.upstreams.values()) >= 12
     assert not world.crashes
+
+
+@crash_test(NoticeWorld)
+async def test_an_upstream_that_stays_after_all_is_asked_and_used_again(world):
+    upstream = world.busiest()
+    upstream.leaving_text = "1"
+    await world.ask_mixed(2.0)
+    upstream.leaving_text = None
+    before = len(upstream.arrivals)
+    await asyncio.sleep(CHECK_SECONDS + 2.0)
+    # One router has asked, and told the others.
+    checks = upstream.arrivals[before:]
+    assert [arrival.name for arrival in checks] == [""]
+    before = len(upstream.heads)
+    await world.ask_mixed(4.0, kind="after")
+    # Its usual share is a sixth of all requests.
+    assert len(upstream.heads) - before >= 200 / 6 / 2
--- a/test/test_notices.py
+++ b/test/test_notices.py
@@ -12,22 +12,22 @@
 from rowanport.gateway.pool import UpstreamPool
 from rowanport.gateway.upstream import Upstream
 from rowanport.incarnation import NOTICES_PROTOCOL
+from rowanport.notices import Backoff
+from rowanport.notices import BackoffBook
 from rowanport.notices import LeaveBook
-from rowanport.notices import MAX_REST_SECONDS
+from rowanport.notices import MAX_BACKOFF_SECONDS
+from rowanport.notices import parse_backoff
 from rowanport.notices import parse_leaving
-from rowanport.notices import parse_rest
-from rowanport.notices import Rest
-from rowanport.notices import RestBook
 from rowanport.notices.absences import ABSENCE_SECONDS
+from rowanport.notices.backoffs import MAX_SPREAD
+from rowanport.notices.backoffs import STEP_SECONDS
+from rowanport.notices.backoffs import STEPS
 from rowanport.notices.leaves import ANNOUNCE_SECONDS
 from rowanport.notices.leaves import CHECK_SECONDS
-from rowanport.notices.rests import MAX_SPREAD
-from rowanport.notices.rests import STEP_SECONDS
-from rowanport.notices.rests import STEPS
 from rowanport.platform.words import DIALECT
+from rowanport.schema.messages import BackoffNews
 from rowanport.schema.messages import LeaveRow
 from rowanport.schema.messages import LimitRow
-from rowanport.schema.messages import RestNews
 from rowanport.schema.messages import SuspectNews
 from rowanport.schema.messages import ViewAsk
 from rowanport.schema.messages import ViewGive
@@ -83,7 +83,7 @@
     fixture.pass_time(ABSENCE_SECONDS)
     fixture.list(fixture.record)
     assert not fixture.leaving
-    assert not rests(fixture)
+    assert not backs_off(fixture)
     assert not fixture.pool.any_withdrawn
 
 
@@ -212,7 +212,7 @@
 
 
 def refusal(text, **headers):
-    """Return an Answer by which an upstream asks for rest."""
+    """Return an Answer by which an upstream asks to back off."""
     return own_answer(503, retry_after=text, **headers)
 
 
@@ -244,6 +244,7 @@
             "10.0.0.1:82",
             self.clock,
             GatewayMetrics(),
+            None,
         )
         self.list(self.record)
 
@@ -342,16 +343,16 @@
     assert not fixture.pool.of_service("feed")
 
 
-# Rest
+# Back-offs
 
 
 @pytest.mark.parametrize(
     ("text", "seconds"),
     [(None, 0.0), ("0", 0.0), ("3", 3.0), ("0.25", 0.25)]
-    + [("86400", MAX_REST_SECONDS)],
+    + [("86400", MAX_BACKOFF_SECONDS)],
 )
-def test_a_header_says_for_how_long_an_upstream_rests(text, seconds):
-    assert parse_rest(text) == seconds
+def test_a_header_says_for_how_long_to_back_off(text, seconds):
+    assert parse_backoff(text) == seconds
 
 
 @pytest.mark.parametrize(
@@ -361,42 +362,42 @@
 )
 def test_other_times_are_rejected(text):
     with pytest.raises(MessageError):
-        parse_rest(text)
+        parse_backoff(text)
 
 
-def test_nothing_is_sent_within_a_rest():
-    rest = Rest()
-    assert rest.record(3.0, 10.0, 0.5)
+def test_nothing_is_sent_within_a_back_off():
+    backoff = Backoff()
+    assert backoff.record(3.0, 10.0, 0.5)
     for now in (10.0, 11.0, 12.99):
-        assert not rest.acquire(now)
-    assert rest.until == 13.0
-    assert 13.0 < rest.available_at(10.0) < 13.0 + MAX_SPREAD
+        assert not backoff.acquire(now)
+    assert backoff.until == 13.0
+    assert 13.0 < backoff.available_at(10.0) < 13.0 + MAX_SPREAD
 
 
-def test_the_later_end_counts_if_a_shorter_rest_follows():
-    rest = Rest()
-    rest.record(4.0, 10.0, 0.0)
-    assert not rest.record(1.0, 11.0, 0.0)
-    assert not rest.acquire(13.9)
-    assert rest.record(4.0, 11.0, 0.0)
-    assert not rest.acquire(14.9)
+def test_the_later_end_counts_if_a_shorter_time_follows():
+    backoff = Backoff()
+    backoff.record(4.0, 10.0, 0.0)
+    assert not backoff.record(1.0, 11.0, 0.0)
+    assert not backoff.acquire(13.9)
+    assert backoff.record(4.0, 11.0, 0.0)
+    assert not backoff.acquire(14.9)
 
 
-def sends_after_rest(rest, begun, seconds):
+def sends_after_backoff(backoff, begun, seconds):
     """Return the times of sends by a router that sends as often as it may."""
     times = []
     for step in range(int(seconds / 0.01)):
         now = begun + 0.01 * step
-        if rest.acquire(now):
+        if backoff.acquire(now):
             times.append(now)
     return times
 
 
-def test_few_requests_are_sent_first_after_a_rest():
-    rest = Rest()
-    rest.record(2.0, 10.0, 0.0)
+def test_few_requests_are_sent_first_after_a_back_off():
+    backoff = Backoff()
+    backoff.record(2.0, 10.0, 0.0)
     # The first one may come long after the end.
-    times = sends_after_rest(rest, 12.7, STEPS * STEP_SECONDS)
+    times = sends_after_backoff(backoff, 12.7, STEPS * STEP_SECONDS)
     counts = [
         sum(at < times[0] + steps * STEP_SECONDS - 0.005 for at in times)
         for steps in (1, 2, 3)
@@ -404,68 +405,68 @@
     assert counts == [1, 3, 7]
 
 
-def test_the_limit_ends_some_time_after_a_rest():
-    rest = Rest()
-    rest.record(2.0, 10.0, 0.0)
-    assert rest.acquire(12.0)
-    assert not rest.acquire(12.0)
-    assert all(rest.acquire(rest.ends_at) for _ in range(100))
+def test_the_limit_ends_some_time_after_a_back_off():
+    backoff = Backoff()
+    backoff.record(2.0, 10.0, 0.0)
+    assert backoff.acquire(12.0)
+    assert not backoff.acquire(12.0)
+    assert all(backoff.acquire(backoff.ends_at) for _ in range(100))
 
 
-def test_a_refusal_after_a_rest_begins_the_next_one():
-    rest = Rest()
-    rest.record(2.0, 10.0, 0.0)
-    assert rest.acquire(12.1)
-    assert rest.record(2.0, 12.2, 0.0)
-    assert not rest.acquire(14.1)
-    assert rest.acquire(14.2)
+def test_a_refusal_after_a_back_off_begins_the_next_one():
+    backoff = Backoff()
+    backoff.record(2.0, 10.0, 0.0)
+    assert backoff.acquire(12.1)
+    assert backoff.record(2.0, 12.2, 0.0)
+    assert not backoff.acquire(14.1)
+    assert backoff.acquire(14.2)
 
 
 def test_routers_return_at_different_times():
     begins = set()
     for spread in (0.0, 0.3, 0.6, 0.9):
-        rest = Rest()
-        rest.record(3.0, 10.0, spread)
-        begins.add(rest.available_at(10.0))
+        backoff = Backoff()
+        backoff.record(3.0, 10.0, spread)
+        begins.add(backoff.available_at(10.0))
     assert len(begins) == 4
 
 
-def test_a_rest_is_dropped_once_it_has_no_effect():
-    book = RestBook()
-    rest = book.record("u1", 2.0, 10.0, 0.0)
+def test_a_back_off_is_dropped_once_it_has_no_effect():
+    book = BackoffBook()
+    backoff = book.record("u1", 2.0, 10.0, 0.0)
     assert book.count(11.0) == 1
     assert not book.drop_ended(12.1)
-    assert book.drop_ended(rest.ends_at) == ["u1"]
+    assert book.drop_ended(backoff.ends_at) == ["u1"]
     assert book.get("u1") is None
 
 
-def rests(fixture):
+def backs_off(fixture):
     """Return whether u1 gets no request now."""
-    return fixture.pool.get("u1").is_resting(fixture.clock.steady())
+    return fixture.pool.get("u1").is_backed_off(fixture.clock.steady())
 
 
-def test_a_refusal_begins_a_rest_that_peers_are_not_told_of():
+def test_a_refusal_begins_a_back_off_that_peers_are_not_told_of():
     fixture = Fixture()
     fixture.answer(refusal("3"))
-    assert rests(fixture)
+    assert backs_off(fixture)
     assert not fixture.told
     assert not fixture.pool.candidates("feed", (), fixture.clock.steady())
 
 
-def test_the_next_run_under_the_same_name_starts_without_a_rest():
+def test_the_next_run_under_the_same_name_starts_without_a_back_off():
     fixture = Fixture()
     fixture.answer(refusal("3"))
     again = Upstream("u1", "feed", "10.9.0.1:80", "a", 8, False, born=9)
     fixture.list(again)
-    assert not rests(fixture)
+    assert not backs_off(fixture)
 
 
-def test_an_entry_that_expired_and_is_back_does_not_end_a_rest():
+def test_an_entry_that_expired_and_is_back_does_not_end_a_back_off():
     fixture = Fixture()
     fixture.answer(refusal("3"))
     fixture.list()
     fixture.list(fixture.record)
-    assert rests(fixture)
+    assert backs_off(fixture)
 
 
 @pytest.mark.parametrize(
@@ -480,16 +481,16 @@
         own_answer(503),
     ],
 )
-def test_other_answers_begin_no_rest(answer):
+def test_other_answers_begin_no_back_off(answer):
     fixture = Fixture()
     fixture.answer(answer)
-    assert not rests(fixture)
+    assert not backs_off(fixture)
 
 
-def test_a_refused_health_check_begins_a_rest():
+def test_a_refused_health_check_begins_a_back_off():
     fixture = Fixture()
     ask(fixture, 503, retry_after="3")
-    assert rests(fixture)
+    assert backs_off(fixture)
     assert not fixture.leaving
 
 
@@ -500,11 +501,11 @@
     ((address, message),) = fixture.told
     assert address == "10.0.0.3:82"
     other = Fixture()
-    other.notices.receive_rest(RestNews.unpack(message.pack()))
-    assert rests(other)
+    other.notices.receive_backoff(BackoffNews.unpack(message.pack()))
+    assert backs_off(other)
 
 
-def test_a_service_rests_only_if_all_that_do_not_leave_rest():
+def test_a_service_is_backed_off_only_if_all_that_do_not_leave_are():
     fixture = Fixture()
     second = Upstream("u2", "feed", "10.9.0.2:80", "a", 8, False)
     fixture.list(fixture.record, second)
@@ -515,5 +516,5 @@
     assert fixture.pool.available_at("feed", now) > now
     assert fixture.pool.left_out("feed", now) == {
         "leaving": ["u2"],
-        "resting": ["u1"],
+        "backed_off": ["u1"],
     }
--- a/test/test_withdrawn_upstreams.py
+++ b/test/test_withdrawn_upstreams.py
@@ -9,10 +9,10 @@
 
 import pytest
 
+from rowanport.schema.messages import BackoffNews
 from rowanport.schema.messages import LeaveRow
-from rowanport.schema.messages import RestNews
 
-REST_SECONDS = 3.0
+BACKOFF_SECONDS = 3.0
 
 
 def leave(gateway, name):
@@ -20,12 +20,12 @@
     gateway.notices.merge([LeaveRow(name, True, 0.0)], "peer")
 
 
-def rest(gateway, name):
-    """Let an upstream ask for rest."""
-    gateway.notices.receive_rest(RestNews(name, REST_SECONDS, "peer"))
+def back_off(gateway, name):
+    """Let an upstream ask a router to back off."""
+    gateway.notices.receive_backoff(BackoffNews(name, BACKOFF_SECONDS, "peer"))
 
 
-@pytest.mark.parametrize("withdraw", [leave, rest])
+@pytest.mark.parametrize("withdraw", [leave, back_off])
 def test_a_request_that_waited_for_a_connection_goes_elsewhere(withdraw):
     async def run():
         async with Platform() as platform:
@@ -48,7 +48,7 @@
     asyncio.run(run())
 
 
-@pytest.mark.parametrize("withdraw", [leave, rest])
+@pytest.mark.parametrize("withdraw", [leave, back_off])
 def test_a_request_is_refused_as_not_run_if_all_withdraw_meanwhile(withdraw):
     async def run():
         async with Platform() as platform:
@@ -67,7 +67,7 @@
     asyncio.run(run())
 
 
-@pytest.mark.parametrize("withdraw", [leave, rest])
+@pytest.mark.parametrize("withdraw", [leave, back_off])
 def test_no_hedge_goes_to_an_upstream_that_withdrew(withdraw):
     @crash_test(NoticeWorld, upstreams=2)
     async def run(world):
@@ -75,7 +75,7 @@
         for gateway in world.gateways.values():
             withdraw(gateway, second.name)
         first.script = ["hang"] * 3
-        until = world.now + REST_SECONDS
+        until = world.now + BACKOFF_SECONDS
         asking = [world.ask(f"s{n}", b"s", "/safe/") for n in range(3)]
         await asyncio.gather(*asking)
         assert len(first.heads) == 3
@@ -84,7 +84,7 @@
     run()
 
 
-@pytest.mark.parametrize("withdraw", [leave, rest])
+@pytest.mark.parametrize("withdraw", [leave, back_off])
 def test_a_stream_that_broke_off_is_not_resumed_there(withdraw):
     @crash_test(NoticeWorld, upstreams=3)
     async def run(world):
@@ -101,13 +101,13 @@
 
 
 @crash_test(NoticeWorld)
-async def test_what_goes_through_a_relay_keeps_the_rest_of_the_relay(world):
+async def test_a_relay_backs_off_from_who_refused_what_it_relays(world):
     host = world.hosts[0]
     for address in world.upstreams:
         world.net.sever(host, address, "reset")
     await asyncio.sleep(2.0)
     for upstream in world.some(3):
-        upstream.rest_text = "3"
+        upstream.backoff_text = "3"
         upstream.refusing = True
     tasks = []
     for number in range(300):
@@ -115,22 +115,26 @@
         tasks.append(world.spawn(asking))
         await asyncio.sleep(0.01)
     await asyncio.gather(*tasks)
-    broken, count = world.broken_rests()
+    broken, count = world.broken_backoffs()
     assert count
     assert (len(broken), count) == (0, count)
-    assert all(rest.router != host for u in world.some(3) for rest in u.rests)
+    assert all(
+        backoff.router != host for u in world.some(3) for backoff in u.backoffs
+    )
 
 
 @crash_test(NoticeWorld)
-async def test_no_health_check_goes_to_an_upstream_that_rests(world):
+async def test_no_health_check_goes_to_an_upstream_that_asked_to_back_off(
+    world,
+):
     upstream = world.busiest()
     gateway = next(iter(world.gateways.values()))
     own_link = gateway.tunnels._upstreams
-    assert upstream.address in own_link.unlimited
-    rest(gateway, upstream.name)
-    assert upstream.address not in own_link.unlimited
+    assert upstream.address in own_link.checkable
+    back_off(gateway, upstream.name)
+    assert upstream.address not in own_link.checkable
     await asyncio.sleep(6.0)
-    assert upstream.address in own_link.unlimited
+    assert upstream.address in own_link.checkable
 
 
 @crash_test(NoticeWorld, upstreams=2)
