Soak: a signal to stop excuses no router, health checks count in a rest

Cause: the checks of both promises took a signal to stop for a new start. Health checks reach an upstream, too, and were not counted.

Change: both checks are stricter; three tests of the checks.

--- a/soak/notices.py
+++ b/soak/notices.py
@@ -2,7 +2,6 @@
 
 from .finding import Finding
 from .history import NEVER
-from .history import STOP
 
 # Seconds after an answer that says that its upstream leaves until a router
 # sends nothing new there.
@@ -11,13 +10,13 @@
 # that may arrive in the rest of the time that an upstream asked for.
 REST_GRACE = 0.5
 MOST_IN_REST = 2
-# Faults that excuse a router.
-INTERRUPTIONS = (STOP, "kill", "start", "freeze")
+# Faults that excuse a router.  A signal to stop does not: it goes on working.
+INTERRUPTIONS = ("kill", "start", "freeze")
 CUTS = ("cut",)
 
 
 def check_said_leaving(history):
-    """A router sends no new work to whose answer said that it leaves.
+    """A router sends nothing new to an upstream that said it leaves.
 
     Neither a lost store nor lost links excuse it, only a new start or a
     freeze of the router since then.
@@ -37,7 +36,7 @@
             continue
         told = told_at.get((request.router, run.upstream), NEVER)
         late = request.sent_at - told
-        if late <= DRAIN_TOLD or _was_interrupted(
+        if late <= DRAIN_TOLD or _was_disturbed(
             history, request.router, told, run.arrived_at
         ):
             continue
@@ -48,8 +47,8 @@
         yield Finding("said_leaving", run.arrived_at, evidence)
 
 
-def _was_interrupted(history, router, begun, ended, kinds=INTERRUPTIONS):
-    """Return whether a router was started or frozen within a span."""
+def _was_disturbed(history, router, begun, ended, kinds=INTERRUPTIONS):
+    """Return whether faults of some kinds struck a router within a span."""
     return any(
         fault.touches(router, begun, ended)
         for fault in history.faults
@@ -58,9 +57,9 @@
 
 
 def check_rests(history):
-    """Who asks a router for rest gets hardly any request of it meanwhile."""
+    """An upstream that asks for rest gets hardly any request meanwhile."""
     arrivals = {}
-    for arrival in history.arrivals:
+    for arrival in (*history.arrivals, *history.questions):
         key = (arrival.upstream, arrival.sender)
         arrivals.setdefault(key, []).append(arrival.at)
     for rest in history.rests:
@@ -71,9 +70,9 @@
         # A refused request that a cut had held up was given up long ago: its
         # answer reaches nobody.
         held_up = rest.at - history.bounds.contact
-        if _was_interrupted(history, rest.router, rest.at, late[-1]):
+        if _was_disturbed(history, rest.router, rest.at, late[-1]):
             continue
-        if _was_interrupted(history, rest.router, held_up, late[-1], CUTS):
+        if _was_disturbed(history, rest.router, held_up, late[-1], CUTS):
             continue
         evidence = (
             f"{rest.upstream} had asked {rest.router} for "
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -1004,7 +1004,7 @@
 
 def test_only_a_start_or_a_freeze_excuses_work_after_a_notice():
     history = told_history(103.0)
-    for kind in ("cut", "store_down"):
+    for kind in ("cut", "store_down", "term"):
         fault = Fault(kind, frozenset(["r0", STORE]), 99.0, 104.0)
         history.faults.append(fault)
     assert found(history) == ["said_leaving"]
@@ -1032,6 +1032,19 @@
     assert found(history).count("rest") == expected
 
 
+def test_health_checks_count_as_requests_in_a_rest():
+    history = rest_history(2)
+    assert "rest" not in found(history)
+    history.questions.append(Arrival("u0", "", 101.5, "r0"))
+    assert found(history) == ["rest"]
+
+
+def test_a_signal_to_stop_excuses_no_requests_in_a_rest():
+    history = rest_history(3)
+    history.faults.append(Fault("term", frozenset(["r0"]), 100.2, 104.0))
+    assert found(history).count("rest") == 1
+
+
 @pytest.mark.parametrize("ended, expected", [(97.1, 0), (96.9, 1)])
 def test_a_cut_may_have_held_up_the_request_that_was_refused(ended, expected):
     history = rest_history(5)
