Tests: the loop of notices is one of a gateway's loops

Change: the loop is in both lists, so that it, too, is shown to make its router unready when it hangs, and to be started again when it fails.

--- a/test/test_loop_heartbeats.py
+++ b/test/test_loop_heartbeats.py
@@ -18,6 +18,7 @@
 from rowanport import supervision
 from rowanport.gateway import crash_guard
 from rowanport.gateway import link_monitor
+from rowanport.gateway import notices
 from rowanport.gateway import retry_allowances
 from rowanport.gateway import views
 from rowanport.platform import directory
@@ -140,6 +141,7 @@
         "suspects": crash_guard,
         "links": link_monitor,
         "retries": retry_allowances,
+        "notices": notices,
     }
     if name in modules:
         asleep = types.SimpleNamespace(sleep=hang, Event=asyncio.Event)
@@ -177,6 +179,7 @@
     "blocklist",
     "links",
     "retries",
+    "notices",
     "state",
 )
 
--- a/test/test_supervision.py
+++ b/test/test_supervision.py
@@ -173,6 +173,7 @@
         "blocklist": (gateway._blocklist, "_load_and_save"),
         "links": (gateway._link_monitor, "_find_silence"),
         "retries": (gateway.retries, "_log_share"),
+        "notices": (gateway.notices, "_drop_ended"),
         "state": (gateway.state, "exchange"),
     }
 
@@ -233,6 +234,7 @@
         "blocklist",
         "links",
         "retries",
+        "notices",
         "state",
     ):
         with failing(gateway, name):
