Tunnels through a router that backs off are not used

Symptom: an upstream that had refused a router, and named a time, got requests of that router all the same: those of a peer that is cut off from the upstreams and went on to use the tunnels that it had open through it.

Cause: the refusal was known to the relay alone. New tunnels were refused there, but the requests of open ones pass it unread.

Change: a router that begins to back off tells the peers with tunnels to that upstream (RelayBackoff), which leave these until sends are not limited any more. A tunnel that was being opened when the refusal came is refused.

Ruled out: ending the tunnels, as that cuts the answers that they carry; the pause of a whole peer, as it may relay to other upstreams.

--- a/rowanport/gateway/daemon.py
+++ b/rowanport/gateway/daemon.py
@@ -10,10 +10,12 @@
 from ..diversion import LinkReadiness
 from ..diversion import PeerUse
 from ..incarnation import new_incarnation
+from ..incarnation import NOTICES_PROTOCOL
 from ..membership import Membership
 from ..membership import MembershipLoop
 from ..membership.members import LEAVING
 from ..membership.members import READY
+from ..notices import LONGEST_LIMIT_SECONDS
 from ..paths import RelayPeers
 from ..paths import UpstreamLinks
 from ..peers import PeerClient
@@ -258,6 +260,7 @@
             self.clock,
             self.metrics,
             self._own_link.ask_health,
+            self._tell_tunnel_users,
         )
         self.exchange = Exchange(
             self.client, self.dialect, self.clock, self.notices
@@ -477,6 +480,7 @@
             messages.StreamAsk: self.streams.answer,
             messages.StateReport: self.state.answer,
             messages.RelayLeaving: self._handle_relay_leaving,
+            messages.RelayBackoff: self._handle_relay_backoff,
         }
 
     async def _answer_peer(self, message):
@@ -503,6 +507,10 @@
     def _handle_relay_leaving(self, message):
         self._connector.drop_relay(message.sender)
 
+    def _handle_relay_backoff(self, message):
+        seconds = min(LONGEST_LIMIT_SECONDS, message.seconds)
+        self._connector.leave_relay(message.sender, message.address, seconds)
+
     # Callers
 
     async def _refuse(self, responder, error):
@@ -594,6 +602,19 @@
         )
         await self.close()
 
+    def _tell_tunnel_users(self, address, seconds):
+        """Tell the users of tunnels to an upstream to use them no more.
+
+        :param address: its address
+        :param seconds: for how long
+        """
+        for peer in self.tunnels.callers_of(address):
+            if self.members.speaks(peer, NOTICES_PROTOCOL):
+                message = messages.RelayBackoff(
+                    address, seconds, self.incarnation
+                )
+                self._peers.tell([peer], message)
+
     def _end_tunnels(self):
         """Open no more tunnels, and tell the users of the open ones."""
         self.tunnels.closing = True
--- a/rowanport/gateway/notices.py
+++ b/rowanport/gateway/notices.py
@@ -45,6 +45,8 @@
     :param metrics: the GatewayMetrics
     :param ask_health: coroutine function that sends a health check to an
         Upstream and passes the answer to record_question()
+    :param tell_tunnel_users: function of an upstream's address and seconds
+        that tells the peers with tunnels there not to use them so long
     :ivar on_leaving: function that is called once an upstream has said that
         it leaves, or None
     """
@@ -61,6 +63,7 @@
         clock,
         metrics,
         ask_health,
+        tell_tunnel_users,
     ):
         self._dialect = dialect
         self._limits = limits
@@ -72,6 +75,7 @@
         self._clock = clock
         self._metrics = metrics
         self._ask_health = ask_health
+        self._tell_tunnel_users = tell_tunnel_users
         self._checks = TaskSet()
         self._leaves = LeaveBook()
         self._backoffs = BackoffBook()
@@ -162,6 +166,10 @@
                 request=request,
             )
             self._pool.set_backoff(name, backoff)
+            state = self._pool.find_run(name)
+            if state is not None:
+                address = state.record.address
+                self._tell_tunnel_users(address, backoff.ends_at - now)
 
     def _tell_relay(self, relay, name, seconds):
         """Tell the router that relayed a refused request to back off.
--- a/rowanport/gateway/own_link.py
+++ b/rowanport/gateway/own_link.py
@@ -126,16 +126,26 @@
             if not await self.works({address}, begin, reason):
                 return Verdict.CUT_OFF, None
             return Verdict.REFUSED if refused else Verdict.UNREACHABLE, None
+        if self._backs_off_from(address):
+            # The upstream refused another request meanwhile.
+            path.writer.close()
+            return Verdict.BUSY, None
         return Verdict.REACHED, path
 
+    def _backs_off_from(self, address):
+        record = self.listed.get(address)
+        if record is None:
+            return False
+        now = self._gateway.clock.steady()
+        return self._gateway.pool.get(record.id).is_backed_off(now)
+
     def _refusal(self, address, fresh):
         """Return the Verdict if it is known without a connection, or None."""
         if address not in self.listed:
             return Verdict.UNLISTED
         if self._links.cut_off:
             return Verdict.CUT_OFF
-        now = self._gateway.clock.steady()
-        if self._gateway.pool.get(self.listed[address].id).is_backed_off(now):
+        if self._backs_off_from(address):
             return Verdict.BUSY
         if self._gateway.congestion.congested or not self.may_probe(address):
             return Verdict.BUSY
--- a/rowanport/gateway/path_connector.py
+++ b/rowanport/gateway/path_connector.py
@@ -106,7 +106,7 @@
         # Back to the own link once it works.
         if self._links.usable(path.address):
             return False
-        return self._relays.accepts(path.relay, loop_time())
+        return self._relays.accepts(path.relay, path.address, loop_time())
 
     def record_answer(self, path):
         if path.relay is None:
@@ -128,6 +128,25 @@
         self._relays.record(peer, "", Verdict.LEAVING, 0, loop_time())
         self.client.drop_idle(lambda path: path.relay == peer)
 
+    def leave_relay(self, peer, address, seconds):
+        """Use no tunnel to an upstream through a peer for a time.
+
+        :param peer: its incarnation
+        :param address: address of the upstream
+        :param seconds: for how long
+        """
+        LOG.info(
+            "relay_left",
+            peer=address_of(peer),
+            upstream_address=address,
+            seconds=seconds,
+        )
+        now = loop_time()
+        self._relays.record_backoff(peer, address, now + seconds, now)
+        self.client.drop_idle(
+            lambda path: (path.relay, path.address) == (peer, address)
+        )
+
     def _ready_peers(self):
         """Return (incarnation, data centre) of the peers that may relay."""
         return [
--- a/rowanport/notices/__init__.py
+++ b/rowanport/notices/__init__.py
@@ -7,6 +7,7 @@
 from .absences import Absences
 from .backoffs import Backoff
 from .backoffs import BackoffBook
+from .backoffs import LONGEST_LIMIT_SECONDS
 from .leaves import LeaveBook
 from .parse import MAX_BACKOFF_SECONDS
 from .parse import parse_backoff
@@ -15,6 +16,7 @@
 __all__ = [
     "Absences",
     "LeaveBook",
+    "LONGEST_LIMIT_SECONDS",
     "MAX_BACKOFF_SECONDS",
     "parse_leaving",
     "parse_backoff",
--- a/rowanport/notices/backoffs.py
+++ b/rowanport/notices/backoffs.py
@@ -1,5 +1,7 @@
 """How long this router sends nothing to an upstream that refused it."""
 
+from .parse import MAX_BACKOFF_SECONDS
+
 # Seconds after the end of a back-off within which a router begins to send
 # again, as a share of it and at most.  Each router draws its own moment, or
 # all would come back in the same one.
@@ -9,6 +11,8 @@
 # steps.  Seconds of a step, and steps after which there is no limit any more.
 STEP_SECONDS = 0.25
 STEPS = 6
+# Longest time in seconds from a refusal to the end of its limits.
+LONGEST_LIMIT_SECONDS = MAX_BACKOFF_SECONDS + MAX_SPREAD + STEPS * STEP_SECONDS
 
 
 class Backoff:
--- a/rowanport/paths/relays.py
+++ b/rowanport/paths/relays.py
@@ -36,6 +36,8 @@
     :ivar relayed: whether it relayed when it was asked last
     :ivar unreached: monotonic times until which it is not asked for an
         upstream, by address
+    :ivar backed_off: the same for upstreams that it backs off from; its
+        tunnels to these are not used again either
     """
 
     __slots__ = (
@@ -45,6 +47,7 @@
         "asked",
         "relayed",
         "unreached",
+        "backed_off",
     )
 
     def __init__(self):
@@ -54,6 +57,7 @@
         self.asked = 0
         self.relayed = False
         self.unreached = {}
+        self.backed_off = {}
 
 
 class RelayPeers:
@@ -88,6 +92,8 @@
                 continue
             if known.unreached.get(address, 0.0) > now:
                 continue
+            if known.backed_off.get(address, 0.0) > now:
+                continue
             suspected = known.suspected_until > now
             remote = data_centre != self._data_centre
             load = (known.tunnels + known.asked) // LOAD_STEP
@@ -95,12 +101,18 @@
             ranked.append((rank, self._random.random(), peer))
         return [peer for _rank, _tie, peer in sorted(ranked)]
 
-    def accepts(self, peer, now):
-        """Return whether an open tunnel through a peer may be used again."""
+    def accepts(self, peer, address, now):
+        """Return whether an open tunnel through a peer may be used again.
+
+        :param address: address of the upstream
+        """
         known = self._peers.get(peer)
         if known is None:
             return True
-        return max(known.paused_until, known.suspected_until) <= now
+        backed_off = known.backed_off.get(address, 0.0)
+        return (
+            max(known.paused_until, known.suspected_until, backed_off) <= now
+        )
 
     def suspect(self, peer, now):
         """Record that nothing comes back through a peer.
@@ -138,6 +150,18 @@
         else:
             known.unreached[address] = now + UPSTREAM_PAUSE
 
+    def record_backoff(self, peer, address, until, now):
+        """Record that a peer backs off from an upstream.
+
+        :param address: address of the upstream
+        :param until: monotonic time until which it relays nothing there
+        """
+        known = self._peers.setdefault(peer, _Peer())
+        known.backed_off = {
+            other: end for other, end in known.backed_off.items() if end > now
+        }
+        known.backed_off[address] = until
+
     def record_unanswered(self, peer, supported, now):
         """Record that a peer gave no answer.
 
--- a/rowanport/schema/messages.py
+++ b/rowanport/schema/messages.py
@@ -2286,6 +2286,45 @@
         )
 
 
+class RelayBackoff(Message):
+    """A router relays nothing to an upstream for a time, as it backs off from it; sent to the users of its tunnels, not answered.
+
+    :ivar address: address of the upstream
+    :ivar seconds: for how long
+    :ivar sender: incarnation of the router that relays
+    """
+
+    __slots__ = (
+        "address",
+        "seconds",
+        "sender",
+    )
+    KIND = 84
+
+    def __init__(self, address, seconds, sender):
+        self.address = address
+        self.seconds = seconds
+        self.sender = sender
+
+    def to_wire(self):
+        """Return the fields as plain values, in the schema's order."""
+        return [
+            self.address,
+            self.seconds,
+            self.sender,
+        ]
+
+    @classmethod
+    def from_wire(cls, values):
+        """Build one from plain values; raise MessageError if unfit."""
+        check_length(cls, values, 3)
+        return cls(
+            as_str(values[0]),
+            as_float(values[1]),
+            as_str(values[2]),
+        )
+
+
 class PermitAsk(Message):
     """Ask for permits to send to an upstream that names a rate limit.
 
@@ -3216,6 +3255,7 @@
     68: LimitNews,
     82: LeaveNews,
     83: BackoffNews,
+    84: RelayBackoff,
     69: PermitAsk,
     70: Permits,
     76: StreamNews,
--- a/rowanport/tunnels/server.py
+++ b/rowanport/tunnels/server.py
@@ -115,6 +115,13 @@
         """Return the peer addresses of the routers that use tunnels."""
         return {tunnel.caller for tunnel in self._tunnels}
 
+    def callers_of(self, address):
+        """Return the peer addresses of those with tunnels to an upstream.
+
+        :param address: IP and port of the upstream
+        """
+        return {t.caller for t in self._tunnels if t.address == address}
+
     def drop(self):
         """End all tunnels, as this router reaches no upstream any more.
 
--- a/test/test_notices.py
+++ b/test/test_notices.py
@@ -232,6 +232,7 @@
         self.record = Upstream("u1", "feed", "10.9.0.1:80", "a", 8, False)
         self.told = []
         self.limits = []
+        self.tunnels = []
         self.notices = UpstreamNotices(
             DIALECT,
             SimpleNamespace(
@@ -245,6 +246,7 @@
             self.clock,
             GatewayMetrics(),
             None,
+            lambda address, seconds: self.tunnels.append((address, seconds)),
         )
         self.list(self.record)
 
@@ -518,3 +520,14 @@
         "leaving": ["u2"],
         "backed_off": ["u1"],
     }
+
+
+def test_users_of_tunnels_are_told_how_long_sends_are_limited():
+    fixture = Fixture()
+    fixture.answer(refusal("3"))
+    address, seconds = fixture.tunnels[0]
+    assert address == fixture.record.address
+    # The back-off, its spread, and the steps after it.
+    assert 4.5 <= seconds <= 4.8
+    fixture.answer(refusal("2"))
+    assert len(fixture.tunnels) == 1
--- a/test/test_paths.py
+++ b/test/test_paths.py
@@ -250,18 +250,33 @@
     frozen = NEAR[0]
     relays.record(frozen, A, Verdict.REACHED, 1, 100.0)
     relays.suspect(frozen, 100.0)
-    assert not relays.accepts(frozen, 100.5)
+    assert not relays.accepts(frozen, A, 100.5)
     assert relays.candidates(PEERS, A, 100.5)[-1] == frozen
-    assert relays.accepts(frozen, 101.5)
+    assert relays.accepts(frozen, A, 101.5)
     assert relays.candidates(PEERS, A, 101.5)[0] == frozen
 
 
+def test_a_peer_that_backs_off_from_an_upstream_relays_to_others():
+    relays = relay_peers()
+    peer = PEERS[0][0]
+    relays.record(peer, A, Verdict.REACHED, 1, 100.0)
+    relays.record_backoff(peer, A, 103.0, 100.0)
+    # An answer that was under way does not end it.
+    relays.record(peer, A, Verdict.REACHED, 1, 100.1)
+    assert not relays.accepts(peer, A, 102.9)
+    assert relays.accepts(peer, B, 100.2)
+    assert peer not in relays.candidates(PEERS, A, 102.9)
+    assert peer in relays.candidates(PEERS, B, 100.2)
+    assert relays.accepts(peer, A, 103.0)
+    assert peer in relays.candidates(PEERS, A, 103.0)
+
+
 def test_a_peer_that_does_not_know_tunnels_is_left_alone_for_longer():
     relays = relay_peers()
     old, silent = PEERS[0][0], PEERS[1][0]
     relays.record_unanswered(old, False, 100.0)
     relays.record_unanswered(silent, True, 100.0)
-    assert not relays.accepts(silent, 100.5)
+    assert not relays.accepts(silent, A, 100.5)
     after = relays.candidates(PEERS, A, 102.0)
     assert silent in after and old not in after
 
--- a/test/test_withdrawn_upstreams.py
+++ b/test/test_withdrawn_upstreams.py
@@ -147,3 +147,40 @@
     await world.ask_mixed(2.0)
     for gateway in world.gateways.values():
         assert not len(gateway.metrics.crashes.values)
+
+
+@crash_test(NoticeWorld)
+async def test_tunnels_through_a_router_that_backs_off_are_left(world):
+    # The relay was refused a request of its own.  A peer that was cut off
+    # from the upstreams went on to use the tunnels that it kept open: the
+    # upstream had told the relay, and nobody told the peer.
+    host = world.hosts[0]
+    for address in world.upstreams:
+        world.net.sever(host, address, "reset")
+    await asyncio.sleep(2.0)
+    asking = [
+        world.spawn(world.ask(f"first{n}", b"x", "/safe/", host=host))
+        for n in range(60)
+    ]
+    await asyncio.gather(*asking)
+    refusing = world.some(3)
+    for upstream in refusing:
+        upstream.backoff_text = "3"
+        upstream.refusing = True
+    asking = [
+        world.spawn(world.ask(f"own{n}", b"x", "/safe/", host=peer))
+        for peer in world.hosts[1:]
+        for n in range(40)
+    ]
+    await asyncio.gather(*asking)
+    for upstream in refusing:
+        upstream.refusing = False
+    asking = []
+    for number in range(250):
+        relayed = world.ask(f"relayed{number}", b"x", "/safe/", host=host)
+        asking.append(world.spawn(relayed))
+        await asyncio.sleep(0.01)
+    await asyncio.gather(*asking)
+    broken, count = world.broken_backoffs()
+    assert count
+    assert (len(broken), count) == (0, count)
