Own interface: refusals of engines and services are read

Symptom: an engine that answered 503 with `Retry-After` was asked again by each request; one that said `x-leaving` in a refusal counted as open until the next load report.

Change: the clients raise UpstreamRefused with what the head says; the pool leaves an upstream alone for that time, by the Backoff that gateways use, and load reports are not asked for meanwhile. If all back off, a request is refused at once, with the time of the first to return. A refusal that names a time neither ejects its upstream nor counts as a run time.

Ruled out: telling the other routers, as the time is meant for the one that was refused.

--- a/rowanport/errors.py
+++ b/rowanport/errors.py
@@ -232,6 +232,21 @@
         self.recorded = False
 
 
+class UpstreamRefused(UpstreamError):
+    """An upstream turned a request away, and started nothing.
+
+    :param detail: who refused it
+    :param leaving: whether the upstream said that it leaves
+    :param seconds: for how long it wants no requests of this router, 0 if it
+        did not say
+    """
+
+    def __init__(self, detail, leaving, seconds):
+        super().__init__(detail, started=False)
+        self.leaving = leaving
+        self.seconds = seconds
+
+
 class StreamTruncated(UpstreamError):
     """A stream without a length ended within an event."""
 
--- a/rowanport/router/answers.py
+++ b/rowanport/router/answers.py
@@ -26,26 +26,30 @@
     return headers
 
 
-def retry_after_seconds(least):
+def retry_after_seconds(least, wait=0.0):
     """Return whole seconds for Retry-After, with jitter.
 
     The jitter keeps refused callers from all retrying at once.
 
     :param least: minimum in seconds; the result is up to three times as long
+    :param wait: seconds before which a retry is known to be in vain; the
+        result is longer by at most twice the minimum
     """
-    return max(1, math.ceil(least * (1 + 2 * _RANDOM.random())))
+    jitter = 2 * least * _RANDOM.random()
+    return max(1, math.ceil(max(least, wait) + jitter))
 
 
-async def send_error(responder, call, error, least):
+async def send_error(responder, call, error, least, wait=0.0):
     """Answer a request with a RequestError.
 
     :param call: the Call, or None if the request could not be read
     :param least: minimum time until a retry in seconds
+    :param wait: seconds before which a retry is known to be in vain
     """
     answer = ANSWERS[error.kind]
     headers = answer_headers(call, error.outcome)
     if answer.retry:
-        headers.append(("Retry-After", str(retry_after_seconds(least))))
+        headers.append(("Retry-After", str(retry_after_seconds(least, wait))))
     else:
         headers.append(("x-should-retry", "false"))
     if error.kind in (ErrorKind.TOO_LARGE, ErrorKind.TOO_SLOW):
--- a/rowanport/router/callers.py
+++ b/rowanport/router/callers.py
@@ -125,7 +125,12 @@
             # Part of the answer was sent.  It is left unterminated, so that
             # the caller does not take it for complete.
             return
-        await answers.send_error(responder, call, error, self._retry_after)
+        wait = 0.0
+        if error.come_back_at is not None:
+            wait = error.come_back_at - self._router.clock.steady()
+        await answers.send_error(
+            responder, call, error, self._retry_after, wait
+        )
 
     def _count(self, kind, outcome):
         labels = {"kind": kind, "outcome": outcome.value}
--- a/rowanport/router/daemon.py
+++ b/rowanport/router/daemon.py
@@ -279,6 +279,24 @@
         for peer in self.members.sample_peers(LEAVING_FANOUT):
             self._tasks.spawn(self._notify(address_of(peer), note))
 
+    def record_refusal(self, address, error):
+        """Record what an upstream said as it turned a request away.
+
+        :param error: the UpstreamRefused
+        """
+        if error.leaving:
+            self.announce_leaving(address)
+        if not error.seconds:
+            return
+        prolonged = [
+            group.pool.note_backoff(address, error.seconds)
+            for group in self._groups.values()
+        ]
+        if any(prolonged):
+            LOG.info(
+                "upstream_backoff", upstream=address, seconds=error.seconds
+            )
+
     async def _notify(self, address, message):
         try:
             await self.peers.call(address, message, NOTIFY_TIMEOUT)
@@ -368,6 +386,8 @@
         ]
 
     async def _poll_load(self, group, address):
+        if group.pool.backs_off(address):
+            return
         try:
             waiting, leaving = await self._engines.load(address)
         except UpstreamError:
--- a/rowanport/router/runner.py
+++ b/rowanport/router/runner.py
@@ -14,6 +14,7 @@
 from ..errors import Outcome
 from ..errors import RequestError
 from ..errors import UpstreamError
+from ..errors import UpstreamRefused
 from ..hashing import new_id
 from ..tasks import TaskSet
 from ..web.patience import NO_PATIENCE
@@ -198,7 +199,7 @@
 
     async def _attempt(self, job, group, upstream, responder):
         started_at = self._router.clock.steady()
-        failed = True
+        failed, size = True, job.size
         try:
             self._check_not_paused(job)
             tokens = await self.attempt(job, upstream, responder)
@@ -213,6 +214,10 @@
             # claim to the next attempt.
             if error.started:
                 self._end_in_background(job, upstream.address)
+            if isinstance(error, UpstreamRefused):
+                self._router.record_refusal(upstream.address, error)
+                # One that says when it has room again has not failed.
+                failed, size = not error.seconds, 0
             raise
         except RequestError:
             failed = False
@@ -225,7 +230,7 @@
             raise
         finally:
             seconds = self._router.clock.steady() - started_at
-            group.release(upstream, job.size, seconds, failed)
+            group.release(upstream, size, seconds, failed)
 
     def _check_not_paused(self, job):
         """Refuse a job if the process was paused since its arrival.
--- a/rowanport/scheduling/group.py
+++ b/rowanport/scheduling/group.py
@@ -50,7 +50,7 @@
             deadline cannot be met, else while it is queued
         """
         if not self.pool.any_usable():
-            raise RequestError(ErrorKind.NO_UPSTREAM, "no upstream available")
+            raise self._nobody()
         pending = _PendingRequest(key, avoid)
         ticket = Ticket(
             decision.priority,
@@ -77,6 +77,17 @@
             )
         return pending.future.result()
 
+    def _nobody(self):
+        """Return the RequestError of a request that no upstream may get."""
+        available_at = self.pool.available_at()
+        if available_at is None:
+            return RequestError(ErrorKind.NO_UPSTREAM, "no upstream available")
+        return RequestError(
+            ErrorKind.OVERLOADED,
+            "all upstreams asked to back off",
+            come_back_at=available_at,
+        )
+
     def _withdraw(self, ticket, pending):
         """Dequeue a cancelled request, or release the slot it was given."""
         self.lane.leave(ticket)
@@ -98,10 +109,7 @@
             if pending.future.done():
                 continue
             if upstream is None:
-                error = RequestError(
-                    ErrorKind.NO_UPSTREAM, "no upstream available"
-                )
-                _fail(pending, error)
+                _fail(pending, self._nobody())
                 continue
             self.pool.started(upstream)
             pending.future.set_result(upstream)
--- a/rowanport/standins/engine.py
+++ b/rowanport/standins/engine.py
@@ -109,6 +109,7 @@
         self._served = collections.Counter()
         self._starts = collections.Counter()
         self._hits = 0
+        self._refused = 0
         self._boot = new_id()
         self._leaving = False
         self._server = None
@@ -176,6 +177,7 @@
             "served": self._served,
             "starts": self._starts,
             "prefix_hits": self._hits,
+            "refused": self._refused,
         }
 
     async def _complete(self, request, responder):
@@ -183,6 +185,8 @@
         name = request.header(REQUEST_HEADER)
         run = self._runs.get(name)
         if run is None or run.finish == "cancelled":
+            if self._faults.backoff:
+                return await self._refuse(responder)
             if len(self._waiting) >= self._queue_limit:
                 return await responder.reply_json(
                     503, {"error": {"message": "queue full"}}
@@ -190,6 +194,13 @@
             run = self._admit(name, body, request.header("x-budget"))
         await self._stream(run, responder)
 
+    async def _refuse(self, responder):
+        self._refused += 1
+        head = [("retry-after", self._faults.backoff)]
+        if self._leaving:
+            head.append(("x-leaving", "1"))
+        await responder.reply_json(503, {"error": {}}, head)
+
     def _admit(self, name, body, budget):
         chat = body["messages"]
         text = json.dumps(chat).encode()
--- a/rowanport/standins/faults.py
+++ b/rowanport/standins/faults.py
@@ -3,6 +3,8 @@
 import asyncio
 import random
 
+NAMES = ("down", "slow", "lose", "cut", "lethal", "limit", "backoff")
+
 
 class Faults:
     """The faults in force, read before and after each call.
@@ -14,9 +16,11 @@
     :ivar lethal: text that a request holds which crashes what runs it, "" for
         none
     :ivar limit: text of the rate limit that answers name, "" for none
+    :ivar backoff: text of the time to back off with which requests are
+        refused, "" to refuse none
     """
 
-    __slots__ = ("down", "slow", "lose", "cut", "lethal", "limit", "_random")
+    __slots__ = (*NAMES, "_random")
 
     def __init__(self, seed=1):
         self.down = False
@@ -25,11 +29,12 @@
         self.cut = ()
         self.lethal = ""
         self.limit = ""
+        self.backoff = ""
         self._random = random.Random(seed)
 
     def set(self, values):
         """Take over the named faults from parsed JSON."""
-        for name in ("down", "slow", "lose", "cut", "lethal", "limit"):
+        for name in NAMES:
             if name in values:
                 setattr(self, name, values[name])
 
--- a/rowanport/standins/service.py
+++ b/rowanport/standins/service.py
@@ -37,6 +37,9 @@
         if request.path == "/counts":
             return await responder.reply_json(200, self._calls)
         await self._faults.before()
+        if self._faults.backoff:
+            head = [("retry-after", self._faults.backoff)]
+            return await responder.reply_json(503, {}, head)
         key = request.header(KEY_HEADER)
         self._calls[key] += 1
         await asyncio.sleep(self._delay)
--- a/rowanport/upstreams/engine.py
+++ b/rowanport/upstreams/engine.py
@@ -4,10 +4,12 @@
 
 from ..errors import UpstreamError
 from ..web.patience import NO_PATIENCE
+from .refusal import LEAVING_HEADER
+from .refusal import read_refusal
+from .refusal import REFUSAL_STATUSES
 
 REQUEST_HEADER = "x-request-id"
 BUDGET_HEADER = "x-budget"
-LEAVING_HEADER = "x-leaving"
 STATUS_TIMEOUT = 2.0
 DONE = b"[DONE]"
 
@@ -145,6 +147,7 @@
         :param body: the request body as a JSON object
         :param stall_policy: the Patience that decides whether to abandon a
             stalled answer
+        :raises UpstreamRefused: the engine has no room for it
         :raises UpstreamError: the call failed; ``started`` says whether it may
             have run
         """
@@ -183,8 +186,10 @@
     async def _open(self, answer, address, request):
         if answer.status != 200:
             await answer.read()
-            # By the protocol, a 4xx or 503 means that no run was started.
-            started = answer.status not in (400, 404, 422, 429, 503)
+            if answer.status in REFUSAL_STATUSES:
+                raise read_refusal(address, answer)
+            # By the protocol, a 4xx means that no run was started.
+            started = answer.status not in (400, 404, 422)
             raise UpstreamError(f"{address} answered {answer.status}", started)
         if answer.headers.get(REQUEST_HEADER) != request:
             answer.close()
--- a/rowanport/upstreams/pool.py
+++ b/rowanport/upstreams/pool.py
@@ -8,8 +8,10 @@
 """
 
 import math
+import random
 
 from ..hashing import rendezvous
+from ..notices import Backoff
 
 # Load bound of an upstream, as a multiple of the mean load.
 LOAD_FACTOR = 1.25
@@ -34,6 +36,7 @@
     :ivar ejected_until: time up to which it is ejected after failures
     :ivar failures: number of consecutive failures
     :ivar full_share_at: time at which its slow start ends
+    :ivar backoff: the Backoff that it asked for, or None
     """
 
     __slots__ = (
@@ -46,6 +49,7 @@
         "ejected_until",
         "failures",
         "full_share_at",
+        "backoff",
     )
 
     def __init__(self, record, full_share_at):
@@ -58,11 +62,16 @@
         self.ejected_until = 0.0
         self.failures = 0
         self.full_share_at = full_share_at
+        self.backoff = None
 
     @property
     def address(self):
         return self.record.address
 
+    def available_at(self, now):
+        """Return the monotonic time from which it may get a request."""
+        return now if self.backoff is None else self.backoff.available_at(now)
+
 
 class Pool:
     """The upstreams of a group.
@@ -120,6 +129,19 @@
         upstream.leaving_until = until
         return is_new
 
+    def note_backoff(self, address, seconds):
+        """Record a refusal by which an upstream asks for a time without work.
+
+        :returns: whether it prolongs such a time
+        """
+        upstream = self._upstreams.get(address)
+        if upstream is None:
+            return False
+        if upstream.backoff is None:
+            upstream.backoff = Backoff()
+        now = self._clock.steady()
+        return upstream.backoff.record(seconds, now, random.random())
+
     def note_load(self, address, waiting):
         """Record the queue length that an engine reported."""
         upstream = self._upstreams.get(address)
@@ -141,15 +163,39 @@
             or upstream.leaving_until > self._clock.wall()
         )
 
+    def backs_off(self, address):
+        """Return whether an upstream is to get nothing for now."""
+        upstream = self._upstreams.get(address)
+        now = self._clock.steady()
+        return upstream is not None and upstream.available_at(now) > now
+
+    def available_at(self):
+        """Return when the first upstream takes requests again.
+
+        :returns: monotonic time, None unless this router backs off from all
+            that are open
+        """
+        now = self._clock.steady()
+        times = [
+            upstream.available_at(now)
+            for upstream in self._upstreams.values()
+            if self.is_open(upstream)
+        ]
+        first = min(times, default=now)
+        return first if first > now else None
+
     def _usable(self):
         """Return the open upstreams without the ejected ones.
 
-        If more than half of the open ones are ejected, none is left out: the
-        cause is then probably not the upstreams themselves.
+        Those from which this router backs off never are.  If more than half of
+        the others are ejected, none of these is left out: the cause is then
+        probably not the upstreams themselves.
         """
         now = self._clock.steady()
         open_upstreams = [
-            u for u in self._upstreams.values() if self.is_open(u)
+            u
+            for u in self._upstreams.values()
+            if self.is_open(u) and u.available_at(now) <= now
         ]
         healthy = [u for u in open_upstreams if u.ejected_until <= now]
         if 2 * len(healthy) < len(open_upstreams):
@@ -213,6 +259,8 @@
     def started(self, upstream):
         """Record the start of a request."""
         upstream.outstanding += 1
+        if upstream.backoff is not None:
+            upstream.backoff.acquire(self._clock.steady())
 
     def ended(self, upstream, failed):
         """Record the end of a request; eject an upstream that keeps failing.
--- a/rowanport/upstreams/service.py
+++ b/rowanport/upstreams/service.py
@@ -1,6 +1,8 @@
 """Client of plain services, whose answers are not streamed."""
 
 from ..errors import UpstreamError
+from .refusal import read_refusal
+from .refusal import REFUSAL_STATUSES
 
 REQUEST_HEADER = "x-request-id"
 KEY_HEADER = "idempotency-key"
@@ -43,6 +45,7 @@
         :param kind: content type of the body
         :param stall_policy: the Patience that decides whether to abandon a
             stalled answer
+        :raises UpstreamRefused: the service has no room for it
         :raises UpstreamError: the call failed; ``started`` says whether it may
             have run
         """
@@ -63,7 +66,7 @@
         data = await answer.read()
         if answer.headers.get(REQUEST_HEADER, request) != request:
             raise UpstreamError(f"answer from {address} to another request")
-        if answer.status in (429, 503):
-            raise UpstreamError(f"{address} is overloaded", started=False)
+        if answer.status in REFUSAL_STATUSES:
+            raise read_refusal(address, answer)
         kind = answer.headers.get("content-type", "application/octet-stream")
         return ServiceReply(answer.status, kind, data)
--- a/test/test_router.py
+++ b/test/test_router.py
@@ -299,6 +299,31 @@
     assert versions == [version] * len(fleet.routers)
 
 
+def test_an_engine_that_asks_to_back_off_gets_no_requests(site):
+    # The time that a refusal named was read by nobody: each request went on
+    # to ask the engine again, and got its refusal.
+    engines = site.fleet.engines
+    for engine in engines:
+        site.run(site.fleet.faults(engine, backoff="4"))
+    try:
+        before = sum(c["refused"] for c in site.counts(engines))
+        status, headers, _body = site.chat()
+        for _number in range(5):
+            status, headers, body = site.chat()
+            assert status == 503
+            assert b"asked to back off" in body
+            assert headers["rowanport-outcome"] == "not-run"
+            # The least time, and what is left of the engines'.
+            assert 3 <= int(headers["retry-after"]) <= 9
+        after = sum(c["refused"] for c in site.counts(engines))
+        assert after - before == len(engines)
+    finally:
+        for engine in engines:
+            site.run(site.fleet.faults(engine, backoff=""))
+        site.run(asyncio.sleep(4.5))
+    assert site.chat()[0] == 200
+
+
 @keeps_logs
 def test_a_leaving_engine_gets_no_new_requests(site):
     engine, other = site.fleet.engines
--- a/test/test_scheduling.py
+++ b/test/test_scheduling.py
@@ -1,5 +1,6 @@
 """Queueing, fairness, limits and the selection of upstreams."""
 
+import asyncio
 import collections
 
 from hypothesis import given
@@ -15,8 +16,11 @@
 from rowanport.scheduling import OrganisationLimits
 from rowanport.scheduling import RetryBudget
 from rowanport.scheduling import Ticket
+from rowanport.scheduling.group import GroupScheduler
 from rowanport.schema.messages import OrganisationRecord
 from rowanport.schema.messages import UpstreamRecord
+from rowanport.schema.settings import SchedulingSettings
+from rowanport.schema.settings import SECTIONS
 from rowanport.upstreams import Pool
 
 
@@ -235,6 +239,43 @@
     assert pool.choose("key") is None
 
 
+def test_an_upstream_that_asks_to_back_off_gets_nothing_for_that_time(clock):
+    pool = make_pool(clock, count=2)
+    one, other = pool.upstreams()
+    assert pool.note_backoff(one.address, 3.0)
+    assert not pool.note_backoff(one.address, 2.0)
+    assert pool.backs_off(one.address) and not pool.backs_off(other.address)
+    assert pool.available_at() is None
+    assert {pool.choose(str(key)) for key in range(20)} == {other}
+    # Neither is it used as more than half have failed.
+    for _number in range(3):
+        pool.started(other)
+        pool.ended(other, failed=True)
+    assert {pool.choose(str(key)) for key in range(20)} == {other}
+    assert pool.note_backoff(other.address, 5.0)
+    assert not pool.any_usable()
+    assert 3.0 <= pool.available_at() <= 3.3
+    clock.advance(3.3)
+    assert pool.choose("key") is one
+    pool.started(one)
+    # Few are sent at first, as it may have no room yet.
+    assert pool.choose("key") is None
+    clock.advance(1.5)
+    assert pool.choose("key") is one
+
+
+def test_a_request_is_refused_at_once_if_all_upstreams_ask_to_back_off(clock):
+    values = {one.name: one.default for one in SECTIONS["scheduling"]}
+    group = GroupScheduler(SchedulingSettings(values), clock)
+    group.pool = make_pool(clock, count=2)
+    for upstream in group.pool.upstreams():
+        group.pool.note_backoff(upstream.address, 4.0)
+    with pytest.raises(RequestError) as caught:
+        asyncio.run(group.acquire(None, None, "key", 10, 10))
+    assert caught.value.kind is ErrorKind.OVERLOADED
+    assert 4.0 <= caught.value.come_back_at <= 4.3
+
+
 def test_a_failing_upstream_is_ejected_unless_more_than_half_fail(clock):
     pool = make_pool(clock, count=2)
     one, other = pool.upstreams()
--- a/test/test_upstreams.py
+++ b/test/test_upstreams.py
@@ -13,10 +13,13 @@
 from hypothesis import settings
 from hypothesis import strategies
 import pytest
+from structlog.testing import capture_logs
 
 from rowanport.errors import UpstreamError
+from rowanport.errors import UpstreamRefused
 from rowanport.upstreams import engine
 from rowanport.upstreams.engine import EngineStream
+from rowanport.upstreams.service import ServiceClient
 
 REQUEST = "a" * 32
 words_of_answers = strategies.lists(
@@ -81,6 +84,58 @@
 )
 
 
+class RefusingClient:
+    """An HttpClient whose requests are all refused.
+
+    :param headers: headers of the refusals
+    """
+
+    def __init__(self, status, headers):
+        self._status = status
+        self._headers = headers
+
+    async def request(self, *_args, **_options):
+        answer = mock.AsyncMock(status=self._status, headers=self._headers)
+        answer.read.return_value = b""
+        return answer
+
+
+def refusals(status, headers):
+    """Return the UpstreamRefused of an engine and of a plain service."""
+    client = RefusingClient(status, headers)
+    calls = [
+        engine.EngineClient(client, 1.0).complete("e", REQUEST, "b", {}),
+        engine.EngineClient(client, 1.0).resume("e", REQUEST),
+        ServiceClient(client, 1.0).call(
+            "s", REQUEST, "GET", "/", b"", "", None
+        ),
+    ]
+    found = []
+    for call in calls:
+        with pytest.raises(UpstreamRefused) as caught:
+            asyncio.run(call)
+        assert not caught.value.started
+        found.append(caught.value)
+    return found
+
+
+@pytest.mark.parametrize("status", (429, 503))
+def test_what_a_refusal_says_of_its_upstream_is_read(status):
+    for refusal in refusals(status, {"retry-after": "2.5", "x-leaving": "1"}):
+        assert refusal.leaving
+        assert refusal.seconds == 2.5
+    for refusal in refusals(status, {}):
+        assert not refusal.leaving
+        assert refusal.seconds == 0.0
+
+
+def test_a_refusal_with_a_malformed_time_names_none():
+    with capture_logs() as rows:
+        for refusal in refusals(503, {"retry-after": "soon"}):
+            assert refusal.seconds == 0.0
+    assert {row["event"] for row in rows} == {"upstream_notice_unreadable"}
+
+
 @fuzz
 @given(words_of_answers, strategies.lists(strategies.integers(0, 90)))
 def test_any_pieces_make_the_same_answer(words, sizes):
