A relay that backs off from one upstream still relays to others

Symptom: callers of a router that had just lost its links got 503 for seconds (199 of 200), though half of the upstreams were well, if its peers backed off from the other half.

Change: a verdict of its own, BACKED_OFF, which counts for that upstream. Routers of earlier builds, which do not know it, are told BUSY as before. Whether somebody listens at the upstream is found out all the same for peers that ask about a crash: a connection without a request is no request.

Ruled out: UNREACHABLE, as two such answers end a search, and all of them count as a crash.

--- a/rowanport/gateway/daemon.py
+++ b/rowanport/gateway/daemon.py
@@ -204,7 +204,7 @@
             keepalive=keepalive, connector=self._connector
         )
         self._own_link.client = self._connector.client = self.client
-        self.tunnels = TunnelServer(self._own_link, keepalive)
+        self.tunnels = TunnelServer(self._own_link, keepalive, self.members)
         self._link_monitor = LinkMonitor(
             self._own_link,
             self.links,
--- a/rowanport/gateway/own_link.py
+++ b/rowanport/gateway/own_link.py
@@ -127,9 +127,9 @@
                 return Verdict.CUT_OFF, None
             return Verdict.REFUSED if refused else Verdict.UNREACHABLE, None
         if self._backs_off_from(address):
-            # The upstream refused another request meanwhile.
+            # Before the question, if a fresh connection was wanted, or since.
             path.writer.close()
-            return Verdict.BUSY, None
+            return Verdict.BACKED_OFF, None
         return Verdict.REACHED, path
 
     def _backs_off_from(self, address):
@@ -145,8 +145,8 @@
             return Verdict.UNLISTED
         if self._links.cut_off:
             return Verdict.CUT_OFF
-        if self._backs_off_from(address):
-            return Verdict.BUSY
+        if not fresh and self._backs_off_from(address):
+            return Verdict.BACKED_OFF
         if self._gateway.congestion.congested or not self.may_probe(address):
             return Verdict.BUSY
         outage = self._links.outage(address)
--- a/rowanport/gateway/path_connector.py
+++ b/rowanport/gateway/path_connector.py
@@ -24,6 +24,8 @@
 # Peers that reach others, but not the upstream, after which no more are asked.
 MOST_DENIALS = 2
 DENIALS = (Verdict.REFUSED, Verdict.UNREACHABLE)
+# Verdicts of peers that got a connection to the upstream.
+REACHING = {Verdict.REACHED, Verdict.BACKED_OFF}
 # Seconds for which a connection that was just found impossible over the own
 # link waits for peers; they are asked on, but another upstream may be quicker.
 FIRST_WAIT = 0.1
@@ -320,6 +322,6 @@
             },
         )
         given = {verdict for verdict in verdicts.values() if verdict}
-        if Verdict.REACHED in given or not given:
+        if given & REACHING or not given:
             return False
         return Verdict.REFUSED in given or len(chosen) == len(peers)
--- a/rowanport/paths/verdict.py
+++ b/rowanport/paths/verdict.py
@@ -13,6 +13,7 @@
     reaches other upstreams.  CUT_OFF: it reaches no upstream.  UNLISTED: no
     upstream in its list that takes requests has this address.  LEAVING: it is
     shutting down.  BUSY: it relays enough, or its own link is congested.
+    BACKED_OFF: the upstream, which it reaches, asked it for no requests.
     """
 
     REACHED = "reached"
@@ -22,6 +23,7 @@
     UNLISTED = "unlisted"
     LEAVING = "leaving"
     BUSY = "busy"
+    BACKED_OFF = "backed_off"
 
     @classmethod
     def parse(cls, text):
--- a/rowanport/tunnels/server.py
+++ b/rowanport/tunnels/server.py
@@ -5,6 +5,7 @@
 
 import structlog
 
+from ..incarnation import NOTICES_PROTOCOL
 from ..paths import Verdict
 from ..schema import messages
 from ..wire import pack_frame
@@ -96,10 +97,12 @@
 
     :param upstreams: the UpstreamReach
     :param keepalive: the Keepalive of tunnels
+    :param members: the Membership, None if all routers are of this build
     :ivar closing: whether no more tunnels are opened
     """
 
-    def __init__(self, upstreams, keepalive):
+    def __init__(self, upstreams, keepalive, members=None):
+        self._members = members
         self._upstreams = upstreams
         self._keepalive = keepalive
         self._tunnels = set()
@@ -139,6 +142,7 @@
         :param writer: StreamWriter of the connection to it
         """
         verdict, path = await self._reach(message)
+        verdict = self._known_to(caller, verdict)
         answer = messages.TunnelReady(verdict.value, self.count)
         writer.write(pack_frame(0, answer))
         if path is None:
@@ -154,6 +158,15 @@
         self._keepalive.apply(writer.get_extra_info("socket"))
         await self._run(_Tunnel(message.id, caller, reader, writer, path))
 
+    def _known_to(self, caller, verdict):
+        """Return the Verdict that a router of an earlier build knows."""
+        earlier = self._members is not None and self._members.predates(
+            caller, NOTICES_PROTOCOL
+        )
+        if verdict is Verdict.BACKED_OFF and earlier:
+            return Verdict.BUSY
+        return verdict
+
     async def _reach(self, message):
         if self.closing:
             return Verdict.LEAVING, None
--- a/test/test_paths.py
+++ b/test/test_paths.py
@@ -231,6 +231,7 @@
         (Verdict.CUT_OFF, False),
         (Verdict.LEAVING, False),
         (Verdict.BUSY, False),
+        (Verdict.BACKED_OFF, True),
         (Verdict.REFUSED, True),
         (Verdict.UNREACHABLE, True),
         (Verdict.UNLISTED, True),
--- a/test/test_withdrawn_upstreams.py
+++ b/test/test_withdrawn_upstreams.py
@@ -1,14 +1,18 @@
 """Each way to an upstream goes by what the upstream said of itself."""
 
 import asyncio
+import collections
 from test.crash_world import crash_test
 from test.notice_world import NoticeWorld
 from test.platform_world import Platform
 from test.test_last_check import names_at
 from test.test_last_check import then
+from test.virtual_net import HOST
+from unittest import mock
 
 import pytest
 
+from rowanport.paths import Verdict
 from rowanport.schema.messages import BackoffNews
 from rowanport.schema.messages import LeaveRow
 
@@ -180,7 +184,76 @@
         relayed = world.ask(f"relayed{number}", b"x", "/safe/", host=host)
         asking.append(world.spawn(relayed))
         await asyncio.sleep(0.01)
-    await asyncio.gather(*asking)
+    statuses = collections.Counter(await asyncio.gather(*asking))
     broken, count = world.broken_backoffs()
     assert count
     assert (len(broken), count) == (0, count)
+    assert statuses[200] >= 245, statuses
+
+
+@crash_test(NoticeWorld)
+async def test_relays_that_back_off_from_some_upstreams_relay_to_others(world):
+    # A relay that backs off said that it was busy, and was asked for no
+    # upstream for a while: 199 of 200 requests got 503.
+    host = world.hosts[0]
+    refusing = world.some(3)
+    for upstream in refusing:
+        upstream.backoff_text = "3"
+        upstream.refusing = True
+    asking = [
+        world.spawn(world.ask(f"own{n}", b"x", "/safe/", host=peer))
+        for peer in world.hosts[1:]
+        for n in range(40)
+    ]
+    await asyncio.gather(*asking)
+    for upstream in refusing:
+        upstream.refusing = False
+    for address in world.upstreams:
+        world.net.sever(host, address, "reset")
+    asking = []
+    for number in range(200):
+        relayed = world.ask(f"relayed{number}", b"x", "/safe/", host=host)
+        asking.append(world.spawn(relayed))
+        await asyncio.sleep(0.01)
+    statuses = collections.Counter(await asyncio.gather(*asking))
+    assert statuses == {200: 200}
+    broken, count = world.broken_backoffs()
+    assert (len(broken), count) == (0, count)
+
+
+@crash_test(NoticeWorld, upstreams=2)
+async def test_a_relay_that_backs_off_still_tells_who_has_crashed(world):
+    sound, crashed = world.upstreams.values()
+    for gateway in world.gateways.values():
+        back_off(gateway, sound.name)
+        back_off(gateway, crashed.name)
+    crashed.on_crash = None
+    crashed.crash()
+    connector = world.gateways[world.hosts[0]]._connector
+    HOST.set(world.hosts[0])
+    assert await connector.confirms_crash(crashed.address)
+    assert not await connector.confirms_crash(sound.address)
+    assert all(not u.arrivals for u in world.upstreams.values())
+
+
+@crash_test(NoticeWorld)
+async def test_a_router_of_an_earlier_build_is_told_that_the_relay_is_busy(
+    world,
+):
+    upstream = world.busiest()
+    relay = world.gateways[world.hosts[1]]
+    back_off(relay, upstream.name)
+    asking = world.gateways[world.hosts[0]]._connector._tunnels
+    HOST.set(world.hosts[0])
+    for earlier, expected in (
+        (False, Verdict.BACKED_OFF),
+        (True, Verdict.BUSY),
+    ):
+        with mock.patch.object(
+            relay.members, "predates", return_value=earlier
+        ):
+            verdict, _tunnels, path = await asking.open(
+                relay.incarnation, upstream.address
+            )
+        assert verdict is expected
+        assert path is None
