Newcomer's read: one list of refusal statuses, a reason at the relay

Cause: gateway and own interface each had their list of the statuses that refuse a request; a comment at the relay was a riddle.

Change: the list is in notices/parse; the comment says what the asker learns.

--- a/rowanport/gateway/notices.py
+++ b/rowanport/gateway/notices.py
@@ -15,6 +15,7 @@
 from ..notices import MAX_BACKOFF_SECONDS
 from ..notices import parse_backoff
 from ..notices import parse_leaving
+from ..notices import REFUSAL_STATUSES
 from ..schema.messages import BackoffNews
 from ..schema.messages import LeaveNews
 from ..supervision import beat
@@ -23,8 +24,6 @@
 
 LOG = structlog.get_logger(__name__)
 
-# Statuses of refusals, which may name a time to back off.
-REFUSAL_STATUSES = (429, 503)
 # Seconds between two looks at what has no effect any more, and at which
 # upstreams are to be asked whether they still leave.
 CHECK_INTERVAL = 0.5
--- a/rowanport/gateway/own_link.py
+++ b/rowanport/gateway/own_link.py
@@ -127,7 +127,8 @@
                 return Verdict.CUT_OFF, None
             return Verdict.REFUSED if refused else Verdict.UNREACHABLE, None
         if self._backs_off_from(address):
-            # Before the question, if a fresh connection was wanted, or since.
+            # It refused a request before, or while the connection opened.  The
+            # asker learns that somebody listens there, and gets no tunnel.
             path.writer.close()
             return Verdict.BACKED_OFF, None
         return Verdict.REACHED, path
--- a/rowanport/notices/__init__.py
+++ b/rowanport/notices/__init__.py
@@ -12,12 +12,14 @@
 from .parse import MAX_BACKOFF_SECONDS
 from .parse import parse_backoff
 from .parse import parse_leaving
+from .parse import REFUSAL_STATUSES
 
 __all__ = [
     "Absences",
     "LeaveBook",
     "LONGEST_LIMIT_SECONDS",
     "MAX_BACKOFF_SECONDS",
+    "REFUSAL_STATUSES",
     "parse_leaving",
     "parse_backoff",
     "Backoff",
--- a/rowanport/notices/parse.py
+++ b/rowanport/notices/parse.py
@@ -4,6 +4,8 @@
 
 from ..errors import MessageError
 
+# Statuses of refusals, which may name a time to back off.
+REFUSAL_STATUSES = (429, 503)
 # Longest part of a malformed value that an error names.
 NAMED_LENGTH = 40
 # Longest back-off in seconds: an upstream that names hours by mistake is found
--- a/rowanport/standins/faults.py
+++ b/rowanport/standins/faults.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 
-NAMES = ("down", "slow", "lose", "cut", "lethal", "limit", "backoff")
+FAULTS = ("down", "slow", "lose", "cut", "lethal", "limit", "backoff")
 
 
 class Faults:
@@ -20,7 +20,7 @@
         refused, "" to refuse none
     """
 
-    __slots__ = (*NAMES, "_random")
+    __slots__ = (*FAULTS, "_random")
 
     def __init__(self, seed=1):
         self.down = False
@@ -34,7 +34,7 @@
 
     def set(self, values):
         """Take over the named faults from parsed JSON."""
-        for name in NAMES:
+        for name in FAULTS:
             if name in values:
                 setattr(self, name, values[name])
 
--- a/rowanport/upstreams/engine.py
+++ b/rowanport/upstreams/engine.py
@@ -3,10 +3,10 @@
 import json
 
 from ..errors import UpstreamError
+from ..notices import REFUSAL_STATUSES
 from ..web.patience import NO_PATIENCE
 from .refusal import LEAVING_HEADER
 from .refusal import read_refusal
-from .refusal import REFUSAL_STATUSES
 
 REQUEST_HEADER = "x-request-id"
 BUDGET_HEADER = "x-budget"
--- a/rowanport/upstreams/refusal.py
+++ b/rowanport/upstreams/refusal.py
@@ -8,8 +8,6 @@
 
 LOG = structlog.get_logger(__name__)
 
-# Statuses of refusals, by which nothing was started.
-REFUSAL_STATUSES = (429, 503)
 LEAVING_HEADER = "x-leaving"
 BACKOFF_HEADER = "retry-after"
 
--- a/rowanport/upstreams/service.py
+++ b/rowanport/upstreams/service.py
@@ -1,8 +1,8 @@
 """Client of plain services, whose answers are not streamed."""
 
 from ..errors import UpstreamError
+from ..notices import REFUSAL_STATUSES
 from .refusal import read_refusal
-from .refusal import REFUSAL_STATUSES
 
 REQUEST_HEADER = "x-request-id"
 KEY_HEADER = "idempotency-key"
