--- a/review/1/case.py
+++ b/review/1/case.py
@@ -18,6 +18,7 @@
 STREAM = "/digest/today?events=40&gap=100&plain=1"
 EVENTS = 40
 USUAL = "/index/{}?ms=60"
+SHORT = "/digest/short?events=2&gap=10"
 TOKENS = {
     "X_Rowanport_Model": "m",
     "X_Rowanport_Token_Count": "100,40",
@@ -88,6 +89,7 @@
         # The router finds out by its usual requests.
         for number in range(10):
             await caller.send(cut, "GET", USUAL.format(f"after-{number}"))
+            await caller.send(cut, "POST", SHORT, **TOKENS)
             await asyncio.sleep(0.1)
     asks = [
         asyncio.ensure_future(caller.send(cut, "GET", PLAIN))
--- a/review/fleet.py
+++ b/review/fleet.py
@@ -480,7 +480,7 @@
 
     async def main():
         try:
-            async with asyncio.timeout(110):
+            async with asyncio.timeout(float(os.environ.get("LIMIT","110"))):
                 return await play(fleet)
         finally:
             await fleet.close()
