--- a/review/fleet.py
+++ b/review/fleet.py
@@ -502,9 +502,11 @@
         finally:
             await fleet.close()
 
+    # A case that is stopped ends its processes, too.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         code = asyncio.run(main())
-    except Exception as error:
+    except (Exception, KeyboardInterrupt) as error:
         print(f"could not run: {error!r}")
         code = UNABLE
     sys.exit(code)
