--- a/review/fleet.py
+++ b/review/fleet.py
@@ -169,6 +169,8 @@
         self.id = None
         # Address in the entry; a proxy's, where one stands before it.
         self.listed = self.address
+        # Which of its streams it spoils: each Nth, 0 for none.
+        self.spoil = 0
         self._fleet = fleet
         self._starts = 0
         self._ip = ip
@@ -185,6 +187,7 @@
                 self._ip,
                 str(self._fleet.runner_port),
                 str(self._fleet.directory / "runs.txt"),
+                str(self.spoil),
             ],
             self._fleet.environment,
             self._fleet.directory / "runners.log",
@@ -404,7 +407,10 @@
 
 
 async def ask(address, method, target, fields, body=b"", timeout=20.0):
-    """Send one request on a channel of its own; return the Answer."""
+    """Send one request on a channel of its own; return the Answer.
+
+    :param timeout: seconds after which it is given up
+    """
     answer = Answer()
     try:
         async with asyncio.timeout(timeout):
@@ -456,8 +462,13 @@
         self.count = 0
         self.answers = []
 
-    async def send(self, router, method, target, body=b"", **more):
-        """Send a request; return the Answer."""
+    async def send(
+        self, router, method, target, body=b"", patience=20.0, **more
+    ):
+        """Send a request; return the Answer.
+
+        :param patience: seconds after which the caller leaves
+        """
         self.count += 1
         name = f"{self.count:08x}"
         fields = {
@@ -469,7 +480,9 @@
         write = self._fleet.write
         write("sent", id=name, router=router.name, request=f"{method} {target}")
         sent_at = time.time()
-        answer = await ask(router.callers, method, target, fields, body)
+        answer = await ask(
+            router.callers, method, target, fields, body, patience
+        )
         write(
             "answered",
             id=name,
@@ -482,6 +495,7 @@
             else "",
         )
         answer.sent_at = sent_at
+        answer.seconds = time.time() - sent_at
         answer.target = target
         answer.id = name
         self.answers.append(answer)
--- a/review/runner.py
+++ b/review/runner.py
@@ -1,6 +1,8 @@
 """Stand-in of a runner: one process, told what to do by each request's path.
 
-Arguments: its id, IP, port, and the file to which it writes what it runs.
+Arguments: its id, IP, port, the file to which it writes what it runs, and
+which of its streams are no streams but line ends without an end: each Nth, 0
+for none.
 
 A path's query may hold ``ms`` (milliseconds of work), ``body`` (bytes of the
 answer), ``halves`` (milliseconds between the two halves of an answer) and
@@ -21,9 +23,11 @@
 class Runner:
     """Serves requests until its process ends."""
 
-    def __init__(self, name, record):
+    def __init__(self, name, record, spoil):
         self.name = name
         self._record = record
+        self._spoil = spoil
+        self._streams = 0
 
     def _write(self, what, **fields):
         row = {"at": time.time(), "what": what, "runner": self.name, **fields}
@@ -89,27 +93,36 @@
         writer.write(body[size // 2 :])
         await writer.drain()
 
+    @staticmethod
+    def _bytes(data, plain):
+        """Return a piece of a body as it is sent."""
+        return data if plain else b"%x\r\n%s\r\n" % (len(data), data)
+
     async def _stream(self, writer, own, fields, wish):
         plain = "plain" in wish
         length = "Connection: close" if plain else "Transfer-Encoding: chunked"
         kind = "Content-Type: text/event-stream"
         lines = ["HTTP/1.1 200 OK", *own, kind, length, "", ""]
         writer.write("\r\n".join(lines).encode())
+        self._streams += 1
+        if self._spoil and self._streams % self._spoil == 0:
+            self._write("spoils", id=fields.get(ID))
+            while True:
+                writer.write(self._bytes(b"\n" * 65536, plain))
+                await writer.drain()
         first = int(fields.get("last-event-id") or 0) + 1
         for number in range(first, int(wish.get("events", 10)) + 1):
             await asyncio.sleep(int(wish.get("gap", 50)) / 1000)
             event = f"id: {number}\ndata: {fields.get(ID)}\n\n".encode()
-            if not plain:
-                event = b"%x\r\n%s\r\n" % (len(event), event)
-            writer.write(event)
+            writer.write(self._bytes(event, plain))
             await writer.drain()
         if not plain:
             writer.write(b"0\r\n\r\n")
 
 
-async def main(name, ip, port, path):
+async def main(name, ip, port, path, spoil="0"):
     with open(path, "a", encoding="utf-8") as record:
-        runner = Runner(name, record)
+        runner = Runner(name, record, int(spoil))
         server = await asyncio.start_server(
             runner.serve, ip, int(port), backlog=512
         )
