Tunnels end in order only as the upstream's connection did

Callers of a router that is cut off got half of an answer without a length as a whole one: 200, the upstream's signature, 30,000 of 60,000 bytes with a length that fits them, or 14 of 40 events with the last chunk.

Cause: such an answer ends with its connection, and the kernel of a relay that is killed ends the tunnel in order, as the upstream does. A relay that stops closed its tunnels in order, too, and transport.abort(), which was meant as a reset, is none: the kernel resets only if something is unread.

Change: the connection to the asking router is reset however it is closed (SO_LINGER of 0 s), until the upstream's connection has ended in order and the kernel holds all that came of it. The asking router needs to know nothing. A relay of an earlier build is told by the protocol in its incarnation; an answer without a length that ends with its tunnel counts as broken off. tunnel_closed logs whether the tunnel ended in order.

The network in memory learns the option, so that closing resets there, too.

Ruled out: a second copy of the answer (races, kept answers): all wrong answers passed the killed relay, none without a kill.

--- a/rowanport/tunnels/client.py
+++ b/rowanport/tunnels/client.py
@@ -6,6 +6,8 @@
 from ..errors import PeerError
 from ..hashing import new_id
 from ..incarnation import address_of
+from ..incarnation import protocol_of
+from ..incarnation import TUNNEL_ENDS_PROTOCOL
 from ..paths import Verdict
 from ..schema import messages
 from ..web import stream
@@ -79,7 +81,8 @@
         if not opened:
             return verdict, ready.tunnels, None
         self._keepalive.apply(writer.get_extra_info("socket"))
-        path = Path(address, reader, writer, peer, tunnel)
+        tells_end = protocol_of(peer) >= TUNNEL_ENDS_PROTOCOL
+        path = Path(address, reader, writer, peer, tunnel, tells_end)
         return verdict, ready.tunnels, path
 
     async def _read_ready(self, peer, reader):
--- a/rowanport/tunnels/server.py
+++ b/rowanport/tunnels/server.py
@@ -8,6 +8,7 @@
 from ..incarnation import NOTICES_PROTOCOL
 from ..paths import Verdict
 from ..schema import messages
+from ..web import stream
 from ..wire import pack_frame
 
 LOG = structlog.get_logger(__name__)
@@ -34,11 +35,16 @@
 class _Tunnel:
     """One tunnel: copies bytes both ways until one end closes.
 
+    An answer without a length is whole if its connection ends in order.  So
+    the connection to the asking router ends in order only as the upstream's
+    did; it is reset if this router stops, is killed or gives up.
+
     :ivar id: its id, for the logs
     :ivar caller: peer address of the router that uses it
     :ivar address: IP and port of the upstream
     :ivar sent: bytes copied to the upstream
     :ivar received: bytes copied from the upstream
+    :ivar orderly: whether it ended as the upstream's connection did, in order
     """
 
     def __init__(self, id_, caller, reader, writer, path):
@@ -47,6 +53,7 @@
         self.address = path.address
         self.sent = 0
         self.received = 0
+        self.orderly = False
         self._reader = reader
         self._writer = writer
         self._path = path
@@ -58,6 +65,7 @@
     async def run(self):
         """Copy until an end closes, and close the other one."""
         path = self._path
+        stream.reset_at_close(self._writer)
         upward = asyncio.ensure_future(self._copy_up(path.writer))
         downward = asyncio.ensure_future(self._copy_down(path.reader))
         try:
@@ -69,7 +77,6 @@
             downward.cancel()
             # The upstream learns at once that nobody reads its answer.
             path.writer.transport.abort()
-            # What has arrived from the upstream is still sent.
             self._writer.close()
 
     async def _copy_up(self, writer):
@@ -87,6 +94,9 @@
                 self.received += len(data)
                 self._writer.write(data)
                 await self._writer.drain()
+            await stream.flush(self._writer)
+            stream.end_at_close(self._writer)
+            self.orderly = True
         except OSError:
             # The asking router must not take it for the end of an answer.
             self._writer.transport.abort()
@@ -192,4 +202,5 @@
                 peer=tunnel.caller,
                 sent=tunnel.sent,
                 received=tunnel.received,
+                orderly=tunnel.orderly,
             )
--- a/rowanport/web/client.py
+++ b/rowanport/web/client.py
@@ -34,6 +34,8 @@
 BODY_LIMIT = 16 * 1024 * 1024
 # Status that h11 proposes for a head, chunk header or trailer over its limit.
 HEAD_TOO_LARGE = 431
+# Statuses of answers that have no body, whatever was asked.
+BODILESS_STATUSES = (204, 304)
 # Answers to other requests that are read past before one is given up.
 STRAY_LIMIT = 3
 # Share of the time for which a server keeps an idle connection after which
@@ -152,6 +154,8 @@
         self._patience = patience
         self.path = connection.path
         self.status = response.status_code
+        method = connection.request.method
+        self._bodiless = method == b"HEAD" or self.status in BODILESS_STATUSES
         self.fields = response.headers.raw_items()
         self.headers = {
             name.decode("latin-1"): value.decode("latin-1")
@@ -161,6 +165,8 @@
     @property
     def framed(self):
         """Return whether the answer itself tells where its body ends."""
+        if self._bodiless:
+            return True
         names = self.headers
         return "content-length" in names or "transfer-encoding" in names
 
@@ -180,11 +186,20 @@
             raise broken from None
         self._client.record_heard(self.path)
         if isinstance(event, h11.EndOfMessage):
+            self._check_end()
             return None
         if not isinstance(event, h11.Data):
             raise _broken(self._connection, "the answer was cut short")
         return bytes(event.data)
 
+    def _check_end(self):
+        """Raise UpstreamError if the end may not be the answer's own."""
+        if not (self.framed or self.path.tells_end):
+            raise UpstreamError(
+                "the answer has no length, and the earlier build of "
+                f"{self.path.relay} does not tell its end from the relay's"
+            )
+
     async def pieces(self):
         """Yield the pieces of the body as they arrive.
 
--- a/rowanport/web/connector.py
+++ b/rowanport/web/connector.py
@@ -52,6 +52,8 @@
     :ivar writer: its StreamWriter
     :ivar relay: incarnation of the router that relays it, None if direct
     :ivar tunnel: id of the tunnel through that router, for the logs, or None
+    :ivar tells_end: whether an orderly end of the connection is the
+        upstream's; the kernel of a router that relays may be its source, too
     :ivar opened_at: the event loop's time at which it was opened
     :ivar answered: whether the head of an answer has arrived on it
     """
@@ -62,16 +64,26 @@
         "writer",
         "relay",
         "tunnel",
+        "tells_end",
         "opened_at",
         "answered",
     )
 
-    def __init__(self, address, reader, writer, relay=None, tunnel=None):
+    def __init__(
+        self,
+        address,
+        reader,
+        writer,
+        relay=None,
+        tunnel=None,
+        tells_end=True,
+    ):
         self.address = address
         self.reader = reader
         self.writer = writer
         self.relay = relay
         self.tunnel = tunnel
+        self.tells_end = tells_end
         self.opened_at = asyncio.get_running_loop().time()
         self.answered = False
 
--- a/rowanport/web/stream.py
+++ b/rowanport/web/stream.py
@@ -13,6 +13,7 @@
 COUNT_SIZE = 4
 # The option's fields: whether it is on, and its seconds.
 NO_LINGER = struct.pack("ii", 1, 0)
+DEFAULT_LINGER = struct.pack("ii", 0, 0)
 
 
 class WatchedReader(asyncio.StreamReader):
@@ -84,10 +85,37 @@
 
     What the kernel still holds for the peer is dropped.
     """
+    reset_at_close(writer)
+    writer.transport.abort()
+
+
+def reset_at_close(writer):
+    """Let each way to close a connection reset it.
+
+    The kernel closes the connections of a process that is killed, too, and
+    without this option in order, as if all had been sent.
+    """
+    _set_linger(writer, NO_LINGER)
+
+
+def end_at_close(writer):
+    """Undo :func:`reset_at_close`, as all has been handed to the kernel."""
+    _set_linger(writer, DEFAULT_LINGER)
+
+
+def _set_linger(writer, value):
     sock = writer.get_extra_info("socket")
     if sock.fileno() >= 0:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
-    writer.transport.abort()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
+
+
+async def flush(writer):
+    """Wait until the kernel holds all that was written.
+
+    :raises OSError: the connection was lost
+    """
+    writer.transport.set_write_buffer_limits(high=0)
+    await writer.drain()
 
 
 def unacknowledged(writer):
--- a/test/virtual_net.py
+++ b/test/virtual_net.py
@@ -35,18 +35,21 @@
 
     def __init__(self):
         self.probing = False
+        self.resets = False
         self.options = dict(PROBES)
 
     def setsockopt(self, level, option, value):
         """Set an option, as a real socket does."""
         if level == socket.SOL_SOCKET and option == socket.SO_KEEPALIVE:
             self.probing = bool(value)
+        if level == socket.SOL_SOCKET and option == socket.SO_LINGER:
+            self.resets = value == stream.NO_LINGER
         if level == socket.IPPROTO_TCP and option in self.options:
             self.options[option] = value
 
     def fileno(self):
-        """Return no descriptor: nothing is left to the kernel."""
-        return -1
+        """Return a number, as a socket that is open does."""
+        return 0
 
     @property
     def patience(self):
@@ -91,9 +94,15 @@
             self._later(self.other.hear_eof)
 
     def close(self):
-        """Close both directions."""
+        """Close both directions, by a reset if the socket says so."""
+        if self.socket.resets:
+            self.abort()
+            return
         self._end(self._later, lambda: self.other.hear_end(None))
 
+    def set_write_buffer_limits(self, high):
+        """Hold nothing back, whatever the limits."""
+
     def abort(self):
         """Reset the connection."""
         reset = ConnectionResetError(errno.ECONNRESET, "reset by peer")
