Answers to callers of HTTP/1.0 do not end in order with a killed router

Callers of HTTP/1.0 get no chunks, so that only the end of the connection tells them that an answer without a length is complete. When their router is killed in the middle of one, its kernel ends the connection in order, and what has arrived looks whole.

A request that fails was reset before (since the answer shows no end), the end of the process was not.

Change: the connection is reset however it is closed, from before the head of such an answer until the kernel holds all of it.

Ruled out: callers of HTTP/1.1, whose answers have a length or chunks (the same test).

--- a/rowanport/web/closing.py
+++ b/rowanport/web/closing.py
@@ -70,6 +70,7 @@
         self._writer.write_eof()
         until = loop.time() + SEND_SECONDS
         stalled_at = loop.time() + STALL_SECONDS
+        self._end_once_sent()
         before = left = self._undelivered
         while left and loop.time() < until:
             if transport.is_closing():
@@ -81,11 +82,17 @@
                 return
             before = left
             await self._discard(POLL)
+            self._end_once_sent()
             left = self._undelivered
         until = loop.time() + LINGER_SECONDS
         while not self._reader.ended and loop.time() < until:
             await self._discard(until - loop.time())
 
+    def _end_once_sent(self):
+        """Let the connection end in order once the kernel holds all."""
+        if not self.unsent:
+            stream.end_at_close(self._writer)
+
     async def _discard(self, seconds):
         """Read on for some seconds at most."""
         if self._reader.at_eof():
--- a/rowanport/web/server.py
+++ b/rowanport/web/server.py
@@ -120,7 +120,11 @@
         if self.closing or self._server.draining:
             headers.append(("connection", "close"))
         event = h11.Response(status_code=status, headers=headers)
-        await self._send(event)
+        data = self._connection.send(event)
+        if _shows_no_end(self._connection):
+            # Also the end of this process must not look like the answer's.
+            stream.reset_at_close(self._writer)
+        await self._write(data)
 
     async def write(self, data):
         """Send a piece of the body."""
@@ -149,7 +153,9 @@
         await self.reply(status, body, headers, "application/json")
 
     async def _send(self, event):
-        data = self._connection.send(event)
+        await self._write(self._connection.send(event))
+
+    async def _write(self, data):
         if data:
             self.sent += len(data)
             self._writer.write(data)
--- a/test/test_answer_ends.py
+++ b/test/test_answer_ends.py
@@ -24,6 +24,7 @@
 from rowanport.incarnation import TUNNEL_ENDS_PROTOCOL
 from rowanport.tunnels import TunnelClient
 from rowanport.web import HttpClient
+from rowanport.web import HttpServer
 from rowanport.web import stream
 from rowanport.web.connector import Connector
 from rowanport.web.connector import Keepalive
@@ -35,6 +36,29 @@
 ROUTER = new_incarnation("cell", f"{HOST}:1")
 
 
+# Serves one half of an answer, and waits.
+HALF_SERVER = """
+import asyncio
+import sys
+
+from rowanport.web import HttpServer
+
+
+async def handle(_request, responder):
+    await responder.start(200, [])
+    await responder.write(b"id: 1\\ndata: a\\n\\n")
+    await asyncio.Event().wait()
+
+
+async def main():
+    await HttpServer(handle).start(sys.argv[1], int(sys.argv[2]))
+    await asyncio.Event().wait()
+
+
+asyncio.run(main())
+"""
+
+
 class HalfUpstream:
     """Answers without a length, and ends each answer as it is told to.
 
@@ -61,9 +85,13 @@
         writer.write(b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n")
         writer.write(BODY[: len(BODY) // 2])
         self.half_sent.set()
-        with contextlib.suppress(OSError):
+        try:
             await self.end(writer)
-        writer.close()
+        except OSError:
+            # Tests may leave before the end.
+            pass
+        finally:
+            writer.close()
 
 
 class TunnelConnector(Connector):
@@ -88,20 +116,11 @@
     async def __aenter__(self):
         port, self._stop_port = free_ports(2)
         self.incarnation = new_incarnation("cell", f"{HOST}:{port}")
-        self.process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "test.relay_process",
-            str(port),
-            str(self._stop_port),
-            cwd=ROOT,
+        arguments = ["-m", "test.relay_process"]
+        self.process = await start_process(
+            port, *arguments, str(port), str(self._stop_port)
         )
-        while True:
-            with contextlib.suppress(OSError):
-                _reader, writer = await asyncio.open_connection(HOST, port)
-                writer.close()
-                return self
-            await asyncio.sleep(0.02)
+        return self
 
     async def __aexit__(self, *_exc):
         if self.process.returncode is None:
@@ -110,9 +129,22 @@
 
     async def stop(self):
         """End it as a planned stop does that waits no longer."""
-        with contextlib.suppress(OSError):
-            await asyncio.open_connection(HOST, self._stop_port)
+        _reader, writer = await asyncio.open_connection(HOST, self._stop_port)
         await self.process.wait()
+        writer.close()
+
+
+async def start_process(port, *arguments):
+    """Start an interpreter, and return its process once a port is open."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, *arguments, cwd=ROOT
+    )
+    while True:
+        with contextlib.suppress(OSError):
+            _reader, writer = await asyncio.open_connection(HOST, port)
+            writer.close()
+            return process
+        await asyncio.sleep(0.02)
 
 
 async def ask(relay, upstream, incarnation=None):
@@ -213,3 +245,48 @@
             await answer.read()
 
     run(send_rest, body)
+
+
+@pytest.mark.parametrize("version", (b"1.0", b"1.1"))
+def test_an_answer_whose_router_is_killed_is_not_whole(version):
+    # Guards against half an answer that looks whole to a caller of HTTP/1.0,
+    # whom only the end of the connection tells that it is complete.
+    async def main():
+        (port,) = free_ports(1)
+        process = await start_process(port, "-c", HALF_SERVER, HOST, str(port))
+        reader, writer = await asyncio.open_connection(HOST, port)
+        writer.write(b"GET / HTTP/%b\r\nhost: a\r\n\r\n" % version)
+        await reader.readuntil(b"data: a\n\n")
+        process.kill()
+        await process.wait()
+        try:
+            rest = await reader.read()
+            assert version == b"1.1" and b"0\r\n\r\n" not in rest
+        except ConnectionResetError:
+            assert version == b"1.0"
+        writer.close()
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("pause", (0.0, 0.5))
+def test_a_whole_answer_to_a_caller_of_http_1_0_ends_in_order(pause):
+    # Guards against a reset that drops the end of an answer without chunks.
+    async def handle(_request, responder):
+        await responder.start(200, [])
+        await responder.write(BODY)
+        await responder.finish()
+
+    async def main():
+        (port,) = free_ports(1)
+        server = HttpServer(handle)
+        await server.start(HOST, port)
+        reader, writer = await asyncio.open_connection(HOST, port)
+        writer.write(b"GET / HTTP/1.0\r\nhost: a\r\n\r\n")
+        await asyncio.sleep(pause)
+        got = await reader.read()
+        assert got.partition(b"\r\n\r\n")[2] == BODY
+        writer.close()
+        await server.close()
+
+    asyncio.run(main())
