Upstreams that are long gone do not excuse a lethal request

Own fault of the change before: routers that saw a crash under a suspected request looked for upstreams that crashed together with it. They found some that had been gone for seconds, unknown to them, at each crash anew, so that no crash counted and the request went on crashing upstreams.

Change: for requests no others are looked for.

--- a/rowanport/gateway/crash_guard.py
+++ b/rowanport/gateway/crash_guard.py
@@ -349,13 +349,15 @@
     async def _find_together(self, run):
         """Return the names of upstream runs that crashed together with one.
 
-        They are looked for only if a suspect may be blamed: it runs one at a
-        time, so that a fault of many upstreams would look like a crash of the
-        only one that runs it.
+        They are looked for only if a part may be blamed: one that is suspected
+        runs one at a time, so that a fault of many upstreams would look like a
+        crash of the only one that runs it.
         """
+        now = self._clock.steady()
         sends = self._sends.all_at(run.name)
-        suspects = self._find_blamable(sends)
-        if not suspects:
+        parts = {part for send in sends for part in send.job.parts}
+        parts = [p for p in parts if not self.table.is_sound(p, now)]
+        if not parts:
             return []
         known = {run.name, *self._crashed}
         together = await self._probe.find_gone(sends[0].job.service, known)
@@ -364,25 +366,10 @@
                 "upstreams_crashed_together",
                 upstream=run.name,
                 others=together,
-                fingerprints=format_fingerprints(suspects),
+                fingerprints=format_fingerprints(parts),
             )
         return together
 
-    def _find_blamable(self, sends):
-        """Return the fingerprints that may be blamed for one more crash.
-
-        Those are parts, unless they are sound, and requests under which an
-        upstream has crashed before.
-
-        :param sends: InFlightSends at an upstream that crashed
-        """
-        now = self._clock.steady()
-        parts = {part for send in sends for part in send.job.parts}
-        requests = {send.job.fingerprint for send in sends}
-        return [p for p in parts if not self.table.is_sound(p, now)] + [
-            one for one in requests if self.table.crash_count(one)
-        ]
-
     def _count_running(self, name):
         """Return on how many upstreams suspects run, by fingerprint.
 
--- a/rowanport/suspects/table.py
+++ b/rowanport/suspects/table.py
@@ -231,7 +231,7 @@
         runs = [run, *together[:MOST_TOGETHER]]
         running = collections.Counter(running)
         suspects = [p for p in parts if not self.is_sound(p, now)]
-        counts = not together and running[fingerprint] < MOST_RUNNING
+        counts = running[fingerprint] < MOST_RUNNING
         changed = [self._record_crashes(fingerprint, [run], now, at, counts)]
         for part in suspects:
             counts = running[part] < MOST_RUNNING
--- a/test/blame_model.py
+++ b/test/blame_model.py
@@ -58,7 +58,6 @@
         self._alive = {f"u{n}" for n in range(upstreams)}
         self._starts = itertools.count(upstreams)
         self._runs = []
-        self._gone_at = {}
         self._events = []
         self._order = itertools.count()
         self.now = 100.0
@@ -144,7 +143,6 @@
         if upstream not in self._alive:
             return
         self._alive.discard(upstream)
-        self._gone_at[upstream] = self.now
         here = [run for run in self._runs if run.upstream == upstream]
         if here:
             self.crashed.append(self.now)
@@ -157,12 +155,6 @@
     def _see(self, table, upstream, at):
         """Let a router record a crash that ended runs of its own."""
         known = table.crash_count(REQUEST)
-        others = self._gone_at.items() if known else ()
-        together = [
-            name
-            for name, gone_at in others
-            if name != upstream and abs(gone_at - at) <= VERIFY_SECONDS
-        ]
         # Others tell where the request runs once they know that it is suspect.
         running = {
             run.upstream for run in self._runs if known or run.table is table
@@ -173,7 +165,7 @@
             upstream,
             self.now,
             at,
-            together,
+            (),
             {REQUEST: len(running)},
         )
         self._tell(table, changed)
