Streams are not joined from two versions after all routers were killed

Cause: a stream that nobody knows goes on if its service had one version for as long as the route lets an answer last, by what routers had seen themselves. Routers that had all just started knew the new version only, and callers that went on trying for longer than that met them.

Change: the store keeps which versions each service had, and when each was last listed. Routers read it before they vouch for anything; a version counts for an hour, and one that was listed when the last router died counts as gone when the record is read. Earlier builds tell the versions that they listed, but do not vouch that these are all.

Ruled out: reused ids (reason "known" never showed), old lists (the check before the send goes by the list in force).

Failed before: test_streams_are_not_joined_by_callers_that_go_on_trying (12 joined) and test_streams_of_the_only_version_outlive_all_routers (12 refused, now 12 go on). The test that a fleet without knowledge vouches for nothing removes the record first, as with it the fleet does know.

--- a/rowanport/gateway/daemon.py
+++ b/rowanport/gateway/daemon.py
@@ -72,6 +72,7 @@
 from .store_watchers import FULL_MESH_LIMIT
 from .store_watchers import update_recipients
 from .stream_sync import StreamSync
+from .version_record import StoredVersions
 from .views import Views
 
 LOG = structlog.get_logger(__name__)
@@ -239,6 +240,14 @@
             self.clock,
             self.metrics,
         )
+        self._stored_versions = StoredVersions(
+            self._store,
+            self.streams.history,
+            self.members,
+            settings.peers,
+            self.clock,
+        )
+        self.streams.on_versions = self._stored_versions.schedule
         self.retries = RetryAllowances(
             settings,
             self.incarnation,
@@ -546,6 +555,7 @@
         self._loops.start("suspects", self.crashes.run, LOOP_TIMEOUT)
         self._loops.start("retries", self.retries.run, STORE_LOOP_TIMEOUT)
         self._loops.start("blocklist", self._blocklist.run, LOOP_TIMEOUT)
+        self._loops.start("versions", self._stored_versions.run, LOOP_TIMEOUT)
         self._loops.start("links", self._link_monitor.run, LOOP_TIMEOUT)
         self._loops.start("notices", self.notices.run, LOOP_TIMEOUT)
         self._loops.start("state", self.state.run, LOOP_TIMEOUT)
--- a/rowanport/gateway/stream_sync.py
+++ b/rowanport/gateway/stream_sync.py
@@ -14,12 +14,14 @@
 from ..errors import RequestError
 from ..hashing import rendezvous
 from ..incarnation import address_of
+from ..incarnation import HISTORY_PROTOCOL
 from ..schema.messages import Ack
 from ..schema.messages import StreamAnswer
 from ..schema.messages import StreamAsk
 from ..schema.messages import StreamNews
 from ..schema.messages import StreamRow
 from ..tasks import TaskSet
+from ..versions import HISTORY_SECONDS
 from ..versions import Knowledge
 from ..versions import resolve
 from ..versions import stream_key
@@ -40,8 +42,9 @@
 ASK_TIMEOUT = 0.15
 # Time-out in seconds of an announcement that needs a new connection.
 ANNOUNCE_TIMEOUT = 1.0
-# Seconds beyond the time-out of its route within which a stream has begun that
-# a caller takes up: its first try may have waited for a connection.
+# Seconds beyond the time-out of a route for which the versions have to be
+# known where no router has left a record of them: a first try may have waited
+# for a connection.
 SPAN_MARGIN = 2.0
 # Protocol of routers that keep versions of streams.
 STREAM_PROTOCOL = 2
@@ -57,6 +60,9 @@
     :param address: this router's peer address
     :param clock: a Clock
     :param metrics: the GatewayMetrics
+    :ivar history: the VersionHistory
+    :ivar on_versions: function that is called when a service has a new
+        version or lost one
     """
 
     def __init__(self, peers, members, address, clock, metrics):
@@ -66,12 +72,14 @@
         self._clock = clock
         self._metrics = metrics
         self._streams = StreamVersions()
-        self._history = VersionHistory()
         self._tasks = TaskSet()
+        self.history = VersionHistory()
+        self.on_versions = None
 
     def update(self, upstreams):
         """Apply a list of Upstreams."""
-        self._history.update(upstreams, self._clock.steady())
+        if self.history.update(upstreams, self._clock.steady()):
+            self.on_versions()
 
     # Announcing
 
@@ -133,10 +141,11 @@
         :raises RequestError: the version is not known for sure
         """
         span = job.route.timeout + SPAN_MARGIN
-        ask = StreamAsk(_key(job), job.service, span)
+        ask = StreamAsk(_key(job), job.service, HISTORY_SECONDS)
         resolution = resolve([self._knowledge(ask)], False, span)
         if resolution.reason == "unanswered":
-            resolution = await self._resolve(ask, job.resumes is not None)
+            named = job.resumes is not None
+            resolution = await self._resolve(ask, named, span)
         self._metrics.resumptions.inc({"outcome": resolution.reason})
         LOG.info(
             "stream_taken_up",
@@ -152,11 +161,12 @@
             )
         job.version = resolution.version
 
-    async def _resolve(self, ask, named):
+    async def _resolve(self, ask, named, span):
         """Return the Resolution by what the peers know.
 
         :param named: whether the caller names the stream, so that its keepers
             may know it
+        :param span: seconds for which some router has to know all versions
         """
         peers = self._peers_to_ask(ask.key)
         answers = await asyncio.gather(*(self._ask(p, ask) for p in peers))
@@ -166,7 +176,7 @@
         known = [answer for answer in answers if answer is not None]
         known.append(self._knowledge(ask))
         keepers = self._keepers(ask.key)[:KEEPERS] if named else ()
-        return resolve(known, answered.issuperset(keepers), ask.span)
+        return resolve(known, answered.issuperset(keepers), span)
 
     def _peers_to_ask(self, key):
         keepers = self._keepers(key)[:MAX_ASKED]
@@ -187,15 +197,19 @@
             LOG.info("stream_unanswered", peer=address, error=str(error))
             return None
         version = answer.version or None
-        return Knowledge(version, set(answer.versions), answer.watched)
+        watched = answer.watched
+        if not self._members.speaks(address, HISTORY_PROTOCOL):
+            # It knows what it listed itself, not what others did before it.
+            watched = 0.0
+        return Knowledge(version, set(answer.versions), watched)
 
     def _knowledge(self, ask):
         """Return what this router knows of the stream of a StreamAsk."""
         now = self._clock.steady()
         return Knowledge(
             self._streams.find(ask.key, now),
-            self._history.versions(ask.service, ask.span, now),
-            self._history.watched(now),
+            self.history.versions(ask.service, now),
+            self.history.watched(now),
         )
 
     def answer(self, ask):
--- a/rowanport/schema/messages.py
+++ b/rowanport/schema/messages.py
@@ -2469,7 +2469,7 @@
 
     :ivar key: key of the stream
     :ivar service: the service of its upstreams
-    :ivar span: seconds within which the stream began
+    :ivar span: seconds for which versions that are gone count
     """
 
     __slots__ = (
@@ -2507,8 +2507,8 @@
     """What a router knows of a stream.
 
     :ivar version: version at which it began, empty if not known
-    :ivar versions: versions that the service had in that span
-    :ivar watched: seconds for which the sender has seen lists
+    :ivar versions: versions that the service had in that time, or longer
+    :ivar watched: seconds for which the sender knows all versions
     """
 
     __slots__ = (
--- a/rowanport/versions/resumption.py
+++ b/rowanport/versions/resumption.py
@@ -7,9 +7,8 @@
     """What one router knows of a stream.
 
     :ivar version: the version at which it began, AMBIGUOUS, or None
-    :ivar versions: set of the versions that its service had in the span
-        within which the stream began
-    :ivar watched: seconds for which that router has seen lists of upstreams
+    :ivar versions: set of the versions that its service had in the last hour
+    :ivar watched: seconds for which that router knows all of them
     """
 
     __slots__ = ("version", "versions", "watched")
@@ -40,7 +39,8 @@
     :param known: their Knowledge
     :param keepers_answered: whether all routers to which a stream with that
         id is announced are among them
-    :param span: seconds within which the stream began
+    :param span: seconds for which some router has to know all versions; what
+        it does not know of is older than each answer under way
     """
     versions = {item.version for item in known} - {None}
     if len(versions) > 1 or AMBIGUOUS in versions:
--- a/test/test_loop_heartbeats.py
+++ b/test/test_loop_heartbeats.py
@@ -153,6 +153,7 @@
         "router_list": (gateway._membership, "_read_list"),
         "budgets": (gateway.budgets._refill, "sync"),
         "blocklist": (gateway._blocklist, "_load_and_save"),
+        "versions": (gateway._stored_versions, "_load_and_save"),
         "state": (gateway.state, "exchange"),
     }[name]
     return mock.patch.object(owner, method, hang)
@@ -177,6 +178,7 @@
     "budgets",
     "suspects",
     "blocklist",
+    "versions",
     "links",
     "retries",
     "notices",
--- a/test/test_stream_versions.py
+++ b/test/test_stream_versions.py
@@ -12,10 +12,14 @@
 
 from rowanport.gateway.pool import UpstreamPool
 from rowanport.gateway.upstream import Upstream
+from rowanport.gateway.version_record import StoredVersions
 from rowanport.versions import RECORD_SECONDS
 from rowanport.versions import StreamVersions
 
 STREAMS = 12
+# Seconds after which routers without a record know all versions of streams
+# under way: the time-out of the route, and a margin.
+SPAN_SECONDS = 24.0
 
 
 version_test = functools.partial(crash_test, VersionWorld)
@@ -129,10 +133,89 @@
 
 @version_test(versions=(OLD, OLD))
 async def test_a_fleet_that_just_started_vouches_for_no_version(world):
+    # Without the record of the routers before.
+    streams = await begin(world)
+    for host in world.hosts:
+        await world.kill_router(host)
+    await world.store.remove(StoredVersions.key)
+    for host in world.hosts:
+        await world.start_router(host)
+    await asyncio.sleep(5.0)
+    await resume_all(world, streams, world.hosts[0])
+    assert {stream.status for stream in streams} == {503}
+
+
+@version_test(versions=(OLD, OLD))
+async def test_streams_of_the_only_version_outlive_all_routers(world):
+    # Guards against streams that are lost though one version served all along.
+    await asyncio.sleep(SPAN_SECONDS)
     streams = await begin(world)
     await world.restart_routers(0.0)
     await asyncio.sleep(5.0)
     await resume_all(world, streams, world.hosts[0])
+    assert all(s.events == [*range(1, EVENTS + 1)] for s in streams)
+
+
+async def release_without_routers(world):
+    """Replace all upstreams by new ones while no router runs.
+
+    :returns: the Streams that were under way
+    """
+    await asyncio.sleep(SPAN_SECONDS)
+    streams = await begin(world)
+    for host in world.hosts:
+        await world.kill_router(host)
+    world.release(NEW)
+    await asyncio.sleep(5.0)
+    for host in world.hosts:
+        await world.start_router(host)
+    return streams
+
+
+@version_test(versions=(OLD, OLD))
+async def test_streams_are_not_joined_by_callers_that_go_on_trying(world):
+    # Guards against routers that take the one version that they know for the
+    # only one, once they run for longer than their route lets an answer last.
+    streams = await release_without_routers(world)
+    await asyncio.sleep(SPAN_SECONDS)
+    await resume_all(world, streams, world.hosts[0])
+    assert not count(streams, "joined")
+    assert {stream.status for stream in streams} == {503}
+
+
+@version_test(versions=(OLD, OLD))
+async def test_a_release_is_remembered_over_two_losses_of_all_routers(world):
+    # Guards against a record that the first routers to start overwrite.
+    streams = await release_without_routers(world)
+    await asyncio.sleep(SPAN_SECONDS)
+    await world.restart_routers(0.0)
+    await asyncio.sleep(5.0)
+    await resume_all(world, streams, world.hosts[1])
+    assert not count(streams, "joined")
+
+
+@version_test(versions=(OLD, OLD))
+async def test_a_record_that_is_unreadable_is_no_record(world):
+    # Guards against streams that are joined after the record was damaged.
+    streams = await begin(world)
+    for host in world.hosts:
+        await world.kill_router(host)
+    await world.store.put(StoredVersions.key, "text")
+    for host in world.hosts:
+        await world.start_router(host)
+    await asyncio.sleep(5.0)
+    await resume_all(world, streams, world.hosts[0])
+    assert {stream.status for stream in streams} == {503}
+
+
+@version_test(versions=(OLD, OLD))
+async def test_streams_are_not_joined_while_the_store_is_away(world):
+    # Guards against routers that vouch without the record of those before.
+    streams = await begin(world)
+    world.store.fault = "silent"
+    await world.restart_routers(0.0)
+    await asyncio.sleep(SPAN_SECONDS)
+    await resume_all(world, streams, world.hosts[0])
     assert {stream.status for stream in streams} == {503}
 
 
--- a/test/test_version_machine.py
+++ b/test/test_version_machine.py
@@ -19,16 +19,20 @@
 from rowanport.versions import streams
 from rowanport.versions import StreamVersions
 from rowanport.versions import VersionHistory
+from rowanport.versions import VersionRecord
 
 from .machines import run_machine
 
 NAMES = ["a", "b", "c"]
 VERSIONS = ["v1", "v2", "v3"]
 SERVICE = "llm"
-# Seconds within which a stream ends, and after which a list is known to all
-# routers that are not cut off.
+# Seconds for which some router has to know all versions, and after which a
+# list is known to all routers that are not cut off.
 SPAN = 17.0
 LIST_SECONDS = 1.0
+# Seconds for which a caller goes on trying: longer than its route's time-out,
+# which no router can tell.
+CALLER_SECONDS = 300.0
 EXAMPLES = 200
 MOST_EXAMPLES = 2000
 STEPS = 30
@@ -53,7 +57,7 @@
         """Return its Knowledge of a stream."""
         return Knowledge(
             self.streams.find(key, now),
-            self.history.versions(SERVICE, SPAN, now),
+            self.history.versions(SERVICE, now),
             self.history.watched(now),
         )
 
@@ -77,24 +81,55 @@
         self.cut = set()
         self.streams = {}
         self.count = 0
+        self.stored = b""
         for name in NAMES:
             self.start(name)
 
     @rule(name=st.sampled_from(NAMES))
     def start(self, name):
         self.cut.discard(name)
+        history = self.start_history()
         self.routers[name] = Router()
+        self.routers[name].history = history
         self.see(name)
 
+    def start_history(self):
+        """Return the VersionHistory of a router that has read the store."""
+        history = VersionHistory()
+        if self.stored:
+            self.merge_stored(history)
+        else:
+            history.begin(self.now)
+        return history
+
+    def merge_stored(self, history):
+        record = VersionRecord.unpack(self.stored)
+        history.merge(record, self.now, self.now)
+
     def see(self, name):
         upstreams = [Listed(version) for version in sorted(self.listed)]
-        self.routers[name].history.update(upstreams, self.now)
+        history = self.routers[name].history
+        history.update(upstreams, self.now)
+        stored = self.stored and VersionRecord.unpack(self.stored).listed
+        if history.record(self.now, self.now).listed != stored:
+            if self.stored:
+                self.merge_stored(history)
+            self.stored = history.record(self.now, self.now).pack()
 
     @precondition(lambda self: self.routers)
     @rule(data=st.data())
     def kill(self, data):
         del self.routers[data.draw(st.sampled_from(sorted(self.routers)))]
 
+    @precondition(lambda self: self.routers)
+    @rule(listed=st.sampled_from([{"v1"}, {"v2"}, {"v1", "v3"}]))
+    def kill_all(self, listed):
+        """Kill all routers, and start them after a release."""
+        self.routers.clear()
+        self.listed = set(listed)
+        for name in NAMES:
+            self.start(name)
+
     @rule(names=st.sampled_from([(), ("a",), ("b",), ("b", "c")]))
     def cut_off(self, names):
         self.cut = set(names)
@@ -127,11 +162,29 @@
     def begin(self, data):
         name = data.draw(st.sampled_from(sorted(self.routers)))
         version = data.draw(st.sampled_from(sorted(self.listed)))
+        self.begin_at(name, version)
+
+    @rule(
+        version=st.sampled_from(VERSIONS),
+        name=st.sampled_from(NAMES),
+        alone=st.booleans(),
+    )
+    def begin_at_new_version(self, version, name, alone):
+        """Begin a stream at a version that no other router has listed yet."""
+        if name in self.routers:
+            self.listed.add(version)
+            if alone:
+                self.cut = {name}
+            self.begin_at(name, version)
+
+    def begin_at(self, name, version):
+        # A router sends nothing to what it has not listed.
+        self.see(name)
         # Each try of a caller has an id of its own.
         self.count += 1
         key = f"s{self.count}"
         self.announce(name, key, version)
-        self.streams[key] = Stream(version, self.now + SPAN)
+        self.streams[key] = Stream(version, self.now + CALLER_SECONDS)
 
     def announce(self, name, key, version):
         self.routers[name].streams.record(key, version, self.now)
@@ -226,11 +279,16 @@
     return resumption.Resolution(max(versions, default=None), "known")
 
 
-def without_history(self, service, span, now):
+def without_history(self, service, now):
     """Forget versions that are not listed any more."""
     return self._listed.get(service, set())
 
 
+def without_record(self, history):
+    """Begin as if no router had been there before."""
+    history.begin(self.now)
+
+
 def without_keepers(known, keepers_answered, span):
     """Go by what is listed though keepers of the stream did not answer."""
     return resumption.resolve(known, True, span)
@@ -246,6 +304,10 @@
         "rowanport.versions.VersionHistory.watched",
         lambda self, now: 1000.0,
     ),
+    "forgets_at_its_start": (
+        f"{__name__}.VersionMachine.merge_stored",
+        without_record,
+    ),
     "asks_no_keeper": (f"{__name__}.resolve", without_keepers),
 }
 
--- a/test/version_world.py
+++ b/test/version_world.py
@@ -57,11 +57,18 @@
         version = self._versions[(self._starts - 1) % len(self._versions)]
         HOST.set(address)
         upstream = VersionedUpstream(f"u{self._starts}", version)
+        upstream.on_crash = lambda one: self._on_crash(address, one)
         await upstream.start_at(address, 80)
         self.upstreams[address] = upstream
         await self.put_entry(upstream)
         HOST.set("caller")
 
+    def release(self, version):
+        """Replace all upstreams by ones of another version."""
+        self._versions = (version,)
+        for upstream in list(self.upstreams.values()):
+            upstream.crash()
+
     async def put_entry(self, upstream, **fields):
         """Write the entry of an upstream to the store."""
         entry = {**upstream.entry(), **fields}
