A run that brings events is evidence for what it runs

Cause: only a whole answer counted as evidence. A part that crashes upstreams does so as they begin to write on it.

Change: a part is sound once a stream with it has brought events for a second. A request may crash its upstream late, so that events do not clear it; but a verdict on it no longer ends its runs that bring events, since a whole answer of theirs disproves it.

In the other direction test_crashing_parts, test_part_trials, test_crashing_requests and the state machine of suspects pass as they are.

Failed before: test_a_new_part_is_served_while_its_streams_bring_events (77 of 120 served), test_a_stream_that_brings_events_is_not_cut_by_a_verdict.

--- a/rowanport/gateway/attempt.py
+++ b/rowanport/gateway/attempt.py
@@ -90,6 +90,11 @@
         """Return whether its answer is being forwarded."""
         return self._relay is not None
 
+    @property
+    def has_events(self):
+        """Return whether events of its answer have been forwarded."""
+        return self._relay is not None and self._relay.has_events
+
     @property
     def usable(self):
         """Return whether enough has arrived to forward the answer.
--- a/rowanport/gateway/crash_guard.py
+++ b/rowanport/gateway/crash_guard.py
@@ -36,6 +36,9 @@
 ADMIT_TIMEOUT = 0.3
 # Interval in seconds of the periodic expiry and clearing of suspects.
 SETTLE_INTERVAL = 0.5
+# Seconds of events after which the parts of a prompt are sound.  Upstreams
+# that a part crashes end within some tenths of a second after they began.
+PROVEN_SECONDS = 1.0
 # Most crashed upstream runs that are remembered.
 MAX_CRASHED = 256
 
@@ -229,6 +232,25 @@
             probe = self._tasks.spawn(self._check_crashed(run, address))
             self._probes[run.name] = probe
 
+    def record_events(self, send):
+        """Record that events of an InFlightSend were forwarded just now.
+
+        Once it has brought events for a while, its parts are sound: a part
+        that crashes upstreams does so as they begin to write.  The request
+        itself may crash its upstream late.
+        """
+        if send.proven:
+            return
+        now = self._clock.steady()
+        if send.first_event_at is None:
+            send.first_event_at = now
+        if now < send.first_event_at + PROVEN_SECONDS:
+            return
+        send.proven = True
+        changed = self.table.record_sound(send.job.parts, now)
+        self._on_cleared(changed, "events", send.job.id)
+        self.sync.announce(changed)
+
     def record_success(self, job, run, status):
         """Record a complete answer, which clears a request and its parts.
 
@@ -486,8 +508,14 @@
         )
 
     def _abort_blocked(self, fingerprint):
-        """End the blocked requests in progress of one suspect."""
+        """End the blocked requests in progress of one suspect.
+
+        Those that bring events go on: an answer that becomes whole disproves
+        the verdict.
+        """
         for send in self._sends.sends_of(fingerprint):
+            if send.first_event_at is not None:
+                continue
             if self._blocking(send.job) is not None:
                 self.on_blocked(send.job)
 
--- a/rowanport/gateway/relay.py
+++ b/rowanport/gateway/relay.py
@@ -33,6 +33,11 @@
         """Return whether the bytes so far end within an event."""
         return False
 
+    @property
+    def has_events(self):
+        """Return whether events of this answer have been forwarded."""
+        return False
+
     @abc.abstractmethod
     async def forward(self, chunk):
         """Process a chunk of the answer, and forward what can be."""
@@ -96,11 +101,16 @@
         super().__init__(job, fields, answer, responder, clock)
         self._begin = begin
         self._splitter = EventSplitter()
+        self._has_events = False
 
     @property
     def within_event(self):
         return self._splitter.has_partial_event
 
+    @property
+    def has_events(self):
+        return self._has_events
+
     async def forward(self, chunk):
         """Forward the events that a chunk completes."""
         await self._start()
@@ -111,6 +121,7 @@
             if _is_new(job, event)
         ]
         if events:
+            self._has_events = True
             if job.first_event_at is None:
                 self._begin()
             job.record_events(events, self._clock.steady())
--- a/rowanport/gateway/sender.py
+++ b/rowanport/gateway/sender.py
@@ -88,6 +88,8 @@
                 return await self._hedge(attempt)
             self._check(attempt)
             await attempt.forward()
+            if attempt.has_events:
+                self._crashes.record_events(attempt.in_flight_send)
             self._restart_stall_timeout(attempt)
             return attempt
         except UpstreamError as error:
--- a/rowanport/suspects/in_flight.py
+++ b/rowanport/suspects/in_flight.py
@@ -15,15 +15,28 @@
     :ivar sent_at: monotonic time at which it was sent
     :ivar ended_at: monotonic time at which the upstream closed the connection,
         or None
+    :ivar first_event_at: monotonic time at which its first event was
+        forwarded, or None
+    :ivar proven: whether it has brought events for long enough to show that
+        its parts are sound
     """
 
-    __slots__ = ("job", "run", "sent_at", "ended_at")
+    __slots__ = (
+        "job",
+        "run",
+        "sent_at",
+        "ended_at",
+        "first_event_at",
+        "proven",
+    )
 
     def __init__(self, job, run, sent_at):
         self.job = job
         self.run = run
         self.sent_at = sent_at
         self.ended_at = None
+        self.first_event_at = None
+        self.proven = False
 
 
 class InFlightSends:
--- a/rowanport/suspects/sound_parts.py
+++ b/rowanport/suspects/sound_parts.py
@@ -1,12 +1,13 @@
 """Remembers which parts of prompts are sound.
 
-A part on which some upstream wrote a whole answer does not crash whatever
-begins to write one, so it is not blamed for crashes while others may be.
+A part on which some upstream wrote a whole answer, or events for a while, does
+not crash whatever begins to write one, so it is not blamed for crashes while
+others may be.
 """
 
 import collections
 
-# Seconds for which a part counts as sound after a whole answer.  A part may
+# Seconds for which a part counts as sound after such an answer.  A part may
 # start to crash upstreams with a new version of their software.
 SOUND_SECONDS = 300.0
 # Most parts that are remembered; those answered last are kept.
@@ -14,7 +15,7 @@
 
 
 class SoundParts:
-    """The parts for which this router got whole answers."""
+    """The parts for which this router got whole answers, or events."""
 
     __slots__ = ("_until",)
 
@@ -25,7 +26,7 @@
         return len(self._until)
 
     def add(self, part, now):
-        """Record a whole answer to a request with a part.
+        """Record an answer to a request with a part.
 
         :param part: fingerprint of the part
         :param now: monotonic time in seconds
--- a/rowanport/suspects/table.py
+++ b/rowanport/suspects/table.py
@@ -271,11 +271,21 @@
 
         :param parts: fingerprints of the parts that the answer shows to be
             sound
+        :returns: the Suspects that change
+        """
+        return [
+            *self.clear([fingerprint], now),
+            *self.record_sound(parts, now),
+        ]
+
+    def record_sound(self, parts, now):
+        """Clear parts on which an upstream has written, as they are sound.
+
         :returns: the Suspects that change
         """
         for part in parts:
             self._sound.add(part, now)
-        return self.clear([fingerprint, *parts], now)
+        return self.clear(parts, now)
 
     def clear_sound(self, suspects, now):
         """Clear the parts among some Suspects that are known to be sound.
--- a/test/test_crashing_parts.py
+++ b/test/test_crashing_parts.py
@@ -260,6 +260,24 @@
     assert world.served_share(served_from, world.now) >= 0.9, world.outcomes
 
 
+@crash_test(PartWorld, upstreams=8)
+async def test_a_new_part_is_served_while_its_streams_bring_events(world):
+    # Guards against a part that waits for its first whole answer, as single
+    # upstreams crash under long streams with it.
+    for upstream in world.upstreams.values():
+        upstream.pause = 0.4
+    asking = world.spawn(
+        world.ask_steadily("sound", SOUND_RATE, 6.0, lambda: (SHARED_PART,))
+    )
+    await asyncio.sleep(1.6)
+    for _crash in range(3):
+        world.crash_busiest()
+        await asyncio.sleep(0.5)
+    await asyncio.gather(*await asking)
+    assert not world.outcomes["sound", 400], world.outcomes
+    assert world.outcomes["sound", 200] >= 0.95 * 120, world.outcomes
+
+
 @crash_test(PartWorld, upstreams=8)
 async def test_a_shared_part_is_not_blamed_before_its_first_answer(world):
     # The first requests of all are bad ones, and only crashes are known.
--- a/test/test_crashing_requests.py
+++ b/test/test_crashing_requests.py
@@ -167,6 +167,34 @@
     await ask_beside_racks(world, 0.15)
 
 
+@crash_test()
+async def test_a_stream_that_brings_events_is_not_cut_by_a_verdict(world):
+    # Guards against streams at sound upstreams that are cut for a verdict
+    # which their whole answers disprove.
+    for upstream in world.upstreams.values():
+        upstream.pause = 0.4
+    host, *others = world.hosts
+    stream = world.spawn(world.ask("first", b"digest", host=host))
+    await asyncio.sleep(1.5)
+    crashes = world.gateways[host].crashes
+    (sends,) = crashes._sends._open.values()
+    (send,) = sends
+    now = crashes._clock.steady()
+    for number in range(3):
+        crashes.table.record_crash(
+            send.job.fingerprint, f"gone{number}", now, now - number
+        )
+    suspect = crashes.table.get(send.job.fingerprint)
+    crashes._apply_changes([suspect])
+    crashes.sync.announce([suspect])
+    await asyncio.sleep(0.1)
+    for other in others:
+        assert await world.ask("next", b"digest", host=other) == 400
+    assert await stream == 200
+    await asyncio.sleep(0.1)
+    assert await world.ask("last", b"digest", host=others[0]) == 200
+
+
 @crash_test()
 async def test_broken_answers_without_crashes_block_nothing(world):
     for number in range(6):
