Line ends without end are no events

Cause: each empty line became an event of its own, 32,768 in one read, and a reader that always finds bytes never lets other connections have a turn.

Change: line ends between events are dropped, and end the stream as a bound exceeded after 64 KiB without an event; they win no race either. A client that finds bytes unread gives way to others before it reads on.

Failed before: test_line_ends_without_end_are_no_events (both), test_line_ends_between_events_are_no_fault, test_line_ends_win_no_race.

--- a/rowanport/gateway/attempt.py
+++ b/rowanport/gateway/attempt.py
@@ -7,6 +7,7 @@
 from ..errors import UpstreamError
 from .events import END
 from .events import EVENT_LIMIT
+from .events import LINE_END
 from .relay import BUFFER_LIMIT
 from .relay import is_stream
 
@@ -62,7 +63,8 @@
         self._make_relay = make_relay
         self._relay = None
         self._chunks = []
-        # Of the chunks: bytes, last bytes and whether an event is complete.
+        # Of the chunks: bytes, last bytes of the event that is not complete,
+        # and whether one is.
         self._size = 0
         self._tail = b""
         self._has_event = False
@@ -157,6 +159,9 @@
         self._size += len(chunk)
         if self._has_event or not is_stream(self.answer):
             return
+        if not self._tail:
+            # Line ends before an event are none.
+            chunk = chunk.lstrip(LINE_END)
         # The end of an event may be split between two chunks.
         seen = self._tail + chunk
         self._has_event = END in seen
--- a/rowanport/gateway/events.py
+++ b/rowanport/gateway/events.py
@@ -2,12 +2,18 @@
 
 from ..errors import BoundExceeded
 
+LINE_END = b"\n"
 END = b"\n\n"
 # Bytes of one event, a thousand times those of a usual one.  It is held in
 # memory until it is complete.
 EVENT_LIMIT = 256 * 1024
 
 
+# Bytes of line ends that may come without an event between them.  They hold
+# nothing; streams have one or two.
+BLANK_LIMIT = 64 * 1024
+
+
 class Event:
     """A complete event.
 
@@ -23,10 +29,15 @@
 
 
 class EventSplitter:
-    """Collects chunks and returns the events that are complete."""
+    """Collects chunks and returns the events that are complete.
+
+    Line ends between two events are dropped.
+    """
 
     def __init__(self):
         self._rest = bytearray()
+        # Bytes of line ends since the last event.
+        self._blank = 0
 
     @property
     def has_partial_event(self):
@@ -36,7 +47,7 @@
     def feed(self, chunk):
         """Add a chunk; return the list of events that it completes.
 
-        :raises BoundExceeded: an event goes on without end
+        :raises BoundExceeded: an event, or line ends, go on without end
         """
         rest = self._rest
         if rest:
@@ -47,12 +58,30 @@
                 _check_size(rest)
                 return []
             chunk = bytes(rest)
-        events = chunk.split(END)
-        last = events.pop()
+        else:
+            size = len(chunk)
+            chunk = chunk.lstrip(LINE_END)
+            self._count_blank(size - len(chunk))
+        *parts, last = chunk.split(END)
+        events = [Event(part + END) for part in parts if part.strip()]
+        if events:
+            self._blank = 0
+        else:
+            self._count_blank(len(chunk) - len(last))
+        last = last.lstrip(LINE_END)
         if last or rest:
             _check_size(last)
             self._rest = bytearray(last)
-        return [Event(event + END) for event in events]
+        return events
+
+    def _count_blank(self, size):
+        """Count bytes that hold no event.
+
+        :raises BoundExceeded: there are too many since the last event
+        """
+        self._blank += size
+        if self._blank > BLANK_LIMIT:
+            raise BoundExceeded("line ends between events", BLANK_LIMIT)
 
 
 def _check_size(partial):
--- a/rowanport/web/client.py
+++ b/rowanport/web/client.py
@@ -657,5 +657,9 @@
         event = connection.state.next_event()
         if event is not h11.NEED_DATA:
             return event
+        if connection.reader.unread:
+            # Reading would not wait: an upstream that sends faster than this
+            # router reads must not hold all others up.
+            await asyncio.sleep(0)
         data = await connection.reader.read(READ_SIZE)
         connection.state.receive_data(data)
--- a/test/test_answer_bounds.py
+++ b/test/test_answer_bounds.py
@@ -22,6 +22,7 @@
 from rowanport.errors import UpstreamError
 from rowanport.gateway.attempt import Attempt
 from rowanport.gateway.bounds import BoundLog
+from rowanport.gateway.events import BLANK_LIMIT
 from rowanport.gateway.events import EVENT_LIMIT
 from rowanport.gateway.events import EventSplitter
 from rowanport.gateway.metrics import GatewayMetrics
@@ -247,6 +248,32 @@
     assert splitter.has_partial_event
 
 
+@pytest.mark.parametrize("blank", [b"\n", b"\n" * 3])
+def test_line_ends_without_end_are_no_events(blank):
+    # Guards against a router that is busy with 32,768 events of each read.
+    splitter = EventSplitter()
+    assert splitter.feed(b"\n\nid: 1\ndata: a\n\n\n\n")[0].id == 1
+    with pytest.raises(BoundExceeded):
+        for _piece in range(2 * BLANK_LIMIT):
+            assert splitter.feed(blank) == []
+
+
+def test_line_ends_between_events_are_no_fault():
+    splitter = EventSplitter()
+    for number in range(3 * BLANK_LIMIT // 1000):
+        assert splitter.feed(b"\n" * 1000) == []
+        (event,) = splitter.feed(b"id: %d\n\n" % number)
+        assert event.id == number
+        assert event.data.strip() == b"id: %d" % number
+
+
+def test_line_ends_win_no_race():
+    # Guards against a hedge that is ended by an upstream that sends nothing.
+    answer = Pieces([b"\n\n", b"\n", b"id: 1", b"\n\n", b"id: 2\n\n"], STREAM)
+    wait_until_usable(answer)
+    assert answer.taken == 4
+
+
 class Pieces:
     """An HttpAnswer whose body arrives in given pieces."""
 
