The record of versions is written by routers that access the store, once

Found by reading: the order of writers held all live routers, of which most of a large fleet do not access the store, so that nobody might have written a change for minutes; and each of the others wrote it again after a conflict.

Change: the writers are those that follow the store, and a router that learns by a conflict that its change is stored writes nothing.

test_versions_are_stored_once_for_each_change (ten routers, eight of which follow the store) guards it; it was not run on the code before.

--- a/rowanport/gateway/blocklist.py
+++ b/rowanport/gateway/blocklist.py
@@ -2,6 +2,8 @@
 
 import structlog
 
+from ..hashing import rendezvous
+from ..incarnation import address_of
 from ..schema.messages import SuspectNews
 from ..suspects import pack_blocked
 from ..suspects import unpack_blocked
@@ -63,7 +65,10 @@
 
     def _delay(self, suspect):
         """Return the seconds that this router waits for others to write."""
-        return RANK_DELAY * self._rank(format_fingerprint(suspect.fingerprint))
+        routers = [address_of(other) for other in self._members.live_peers()]
+        routers.append(self._address)
+        order = rendezvous(format_fingerprint(suspect.fingerprint), routers)
+        return RANK_DELAY * order.index(self._address)
 
     def _merge(self, data):
         """Return the record to write.
--- a/rowanport/gateway/shared_record.py
+++ b/rowanport/gateway/shared_record.py
@@ -8,8 +8,6 @@
 from ..errors import MessageError
 from ..errors import StoreConflict
 from ..errors import StoreError
-from ..hashing import rendezvous
-from ..incarnation import address_of
 from ..store import Value
 from ..store import Write
 from ..supervision import beat
@@ -73,7 +71,13 @@
 
     @abc.abstractmethod
     def _on_saved(self, data):
-        """Take note of the bytes that were written."""
+        """Record that some bytes were written."""
+
+    def _on_conflict(self, data):
+        """Record that another router has written some bytes meanwhile.
+
+        :raises MessageError: the bytes are malformed
+        """
 
     def schedule(self):
         """Check at once whether to write, as something changed."""
@@ -108,28 +112,20 @@
             LOG.info(f"{self.name}_store_failed", error=str(error))
 
     @property
-    def _watches(self):
-        """Return whether this router is one of those that access the store."""
+    def _must_load(self):
+        """Return whether this router is to read the record now."""
+        if self._loaded or self._clock.steady() < self._load_at:
+            return False
         return self._address in store_watchers(self._members)
 
     async def _load_and_save(self):
-        due = self._clock.steady() >= self._load_at
-        if not self._loaded and due and self._watches:
+        if self._must_load:
             self._value = await self._store.get_value(self.key)
             self._loaded = True
             self._receive(self._value.data)
         if self._must_save():
             await self._save()
 
-    def _rank(self, name):
-        """Return the position of this router in the order of the writers.
-
-        :param name: what is to be written, which decides the order
-        """
-        routers = [address_of(other) for other in self._members.live_peers()]
-        routers.append(self._address)
-        return rendezvous(name, routers).index(self._address)
-
     async def _save(self):
         for _attempt in range(MAX_CONFLICTS):
             data = self._merge(self._value.data)
@@ -139,6 +135,9 @@
             except StoreConflict as conflict:
                 empty = Value(b"", 0)
                 self._value = conflict.values.get(self.key, empty)
+                self._on_conflict(self._value.data)
+                if not self._must_save():
+                    return
                 continue
             self._value = Value(data, version)
             self._on_saved(data)
--- a/rowanport/gateway/version_record.py
+++ b/rowanport/gateway/version_record.py
@@ -7,8 +7,10 @@
 import structlog
 
 from ..errors import MessageError
+from ..hashing import rendezvous
 from ..versions import VersionRecord
 from .shared_record import SharedRecord
+from .store_watchers import store_watchers
 
 LOG = structlog.get_logger(__name__)
 
@@ -63,7 +65,11 @@
             self._wanted_since = now
         if not wanted or wanted == self._stored:
             return False
-        return now >= self._wanted_since + RANK_DELAY * self._rank(self.key)
+        writers = rendezvous(self.key, store_watchers(self._members))
+        if self._address not in writers:
+            return False
+        delay = RANK_DELAY * writers.index(self._address)
+        return now >= self._wanted_since + delay
 
     def _merge(self, data):
         now, wall = self._clock.steady(), self._clock.wall()
@@ -71,6 +77,14 @@
             self._history.merge(VersionRecord.unpack(data), now, wall)
         return self._history.record(now, wall).pack()
 
+    def _on_conflict(self, data):
+        if data:
+            record = VersionRecord.unpack(data)
+            self._history.merge(
+                record, self._clock.steady(), self._clock.wall()
+            )
+            self._stored = record.listed
+
     def _on_saved(self, data):
         record = VersionRecord.unpack(data)
         self._stored = record.listed
--- a/test/test_stream_versions.py
+++ b/test/test_stream_versions.py
@@ -15,6 +15,7 @@
 from rowanport.gateway.version_record import StoredVersions
 from rowanport.versions import RECORD_SECONDS
 from rowanport.versions import StreamVersions
+from rowanport.versions import VersionRecord
 
 STREAMS = 12
 # Seconds after which routers without a record know all versions of streams
@@ -194,6 +195,29 @@
     assert not count(streams, "joined")
 
 
+@version_test(routers=10)
+async def test_versions_are_stored_once_for_each_change(world):
+    # Guards against routers that write the record again and again, and
+    # against a fleet in which the first writer does not access the store.
+    assert await stored_versions(world) == {OLD: None, NEW: None}
+    for upstream in world.of(OLD):
+        await world.store.remove(f"servers/{upstream.name}")
+    await asyncio.sleep(1.0)
+    versions = await stored_versions(world)
+    assert versions[NEW] is None and versions[OLD] > 0.0
+    record = world.store.items[StoredVersions.key]
+    await asyncio.sleep(40.0)
+    assert world.store.items[StoredVersions.key] == record
+
+
+async def stored_versions(world):
+    """Return when the versions were last listed, as the store has it."""
+    data = world.store.items[StoredVersions.key][0]
+    record = VersionRecord.unpack(data)
+    (versions,) = record.gone_at.values()
+    return versions
+
+
 @version_test(versions=(OLD, OLD))
 async def test_a_record_that_is_unreadable_is_no_record(world):
     # Guards against streams that are joined after the record was damaged.
