The soak's variants that forget crashes and blame all are as broken as before

ForgetsCrashes replaces SuspectTable.record_crash, which record_crash_of no longer called for the request, so that the variant did not forget anything; it is called again, with the same result. BlamesAll sets the threshold of crashes to one; the one of isolated crashes holds for requests now, so the variant sets it, too.

--- a/rowanport/suspects/table.py
+++ b/rowanport/suspects/table.py
@@ -232,23 +232,24 @@
         running = collections.Counter(running)
         suspects = [p for p in parts if not self.is_sound(p, now)]
         counts = running[fingerprint] < MOST_RUNNING
-        changed = [self._record_crashes(fingerprint, [run], now, at, counts)]
+        changed = [self.record_crash(fingerprint, run, now, at, counts)]
         for part in suspects:
             counts = running[part] < MOST_RUNNING
             changed.append(self._record_crashes(part, runs, now, at, counts))
         return [one for one in changed if one is not None]
 
-    def record_crash(self, fingerprint, run, now, at=None):
+    def record_crash(self, fingerprint, run, now, at=None, counts=True):
         """Record that an upstream crashed during a request.
 
         :param fingerprint: that of the request, or of a part of its prompt
         :param run: name of the UpstreamRun
         :param now: monotonic time in seconds
         :param at: monotonic time of the crash, by default now
+        :param counts: whether it counts though others do
         :returns: the Suspect if it changes, else None
         """
         at = now if at is None else at
-        return self._record_crashes(fingerprint, [run], now, at)
+        return self._record_crashes(fingerprint, [run], now, at, counts)
 
     def _record_crashes(self, fingerprint, runs, now, at, counts=True):
         """Record crashes under one suspect; return it if it changes.
--- a/soak/broken.py
+++ b/soak/broken.py
@@ -363,6 +363,7 @@
         CrashProbe.is_gone = is_gone
         PathConnector.confirms_crash = confirm
         table.BLOCK_THRESHOLD = blame.BLOCK_THRESHOLD = 1
+        blame.ISOLATED_THRESHOLD = 1
         table.LIKELY_CRASHES = 1
         blame.STORM_SUSPECTS = 1000
 
