--- a/rowanport/gateway/version_record.py
+++ b/rowanport/gateway/version_record.py
@@ -35,8 +35,8 @@
     def __init__(self, store, history, members, address, clock):
         super().__init__(store, members, address, clock)
         self._history = history
-        # Whether each known version is listed, as stored or as waits to be
-        # stored, and the monotonic time since which it waits.
+        # Whether each known version is listed: by the record in the store,
+        # and by this router, with the monotonic time of its last change.
         self._stored = {}
         self._wanted = {}
         self._wanted_since = 0.0
