Each request's log line tells what framed the upstream's answer

The router frames what it forwards anew, so neither a caller nor a log line tells whether the upstream gave a length, chunks, or nothing but the end of the connection.

The line 'request' has the field 'framing' now; HttpAnswer.framing is the one place that decides it. Behaviour is unchanged: an answer with both headers, or with neither, counts as before. test_answer_bounds, test_answer_ends and test_platform pass.

--- a/rowanport/gateway/decisions.py
+++ b/rowanport/gateway/decisions.py
@@ -93,6 +93,7 @@
             resumes=job.resumes,
             relay=_relay_address(job.path),
             tunnel=job.path and job.path.tunnel,
+            framing=job.framing and job.framing.value,
             left_out=job.left_out,
             backlog=job.backlog,
             events=job.events,
--- a/rowanport/gateway/job.py
+++ b/rowanport/gateway/job.py
@@ -66,6 +66,7 @@
     :ivar reserved: tokens of its budget that are reserved for it
     :ivar upstream: id of the upstream that it was last sent to, or None
     :ivar path: Path of the answer that was forwarded, or None
+    :ivar framing: Framing of the upstream's answer that was forwarded, or None
     :ivar backlog: prompt tokens queued at that upstream when it was chosen,
         None before the first choice
     :ivar last_event: id of the last forwarded event, or None
@@ -118,6 +119,7 @@
         "reserved",
         "upstream",
         "path",
+        "framing",
         "backlog",
         "last_event",
         "events",
@@ -164,6 +166,7 @@
         self.reserved = 0
         self.upstream = None
         self.path = None
+        self.framing = None
         self.backlog = None
         self.last_event = None
         self.events = 0
--- a/rowanport/gateway/sender.py
+++ b/rowanport/gateway/sender.py
@@ -68,6 +68,7 @@
                 attempt = await self._advance(attempt)
             attempt.state.record_success()
             self._job.path = attempt.path
+            self._job.framing = attempt.answer.framing
             run = attempt.state.record.run
             self._crashes.record_success(self._job, run, attempt.answer.status)
             self._log.count_answered()
--- a/rowanport/web/client.py
+++ b/rowanport/web/client.py
@@ -61,6 +61,17 @@
     UNKNOWN = "unknown"
 
 
+class Framing(enum.Enum):
+    """What tells a reader where the body of an answer ends."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    # The answer has no body, whatever was asked.
+    BODILESS = "bodiless"
+    # Nothing but the end of the connection.
+    CONNECTION = "connection"
+
+
 class _Connection:
     """One open connection and its protocol state.
 
@@ -142,6 +153,7 @@
     :ivar headers: values by lower-case name
     :ivar fields: (name, value) pairs of bytes in their order
     :ivar path: the Path on which it arrives
+    :ivar framing: the Framing of its body
     """
 
     def __init__(
@@ -154,21 +166,26 @@
         self._patience = patience
         self.path = connection.path
         self.status = response.status_code
-        method = connection.request.method
-        self._bodiless = method == b"HEAD" or self.status in BODILESS_STATUSES
         self.fields = response.headers.raw_items()
         self.headers = {
             name.decode("latin-1"): value.decode("latin-1")
             for name, value in response.headers
         }
+        self.framing = self._find_framing(connection.request.method)
+
+    def _find_framing(self, method):
+        if method == b"HEAD" or self.status in BODILESS_STATUSES:
+            return Framing.BODILESS
+        if "transfer-encoding" in self.headers:
+            return Framing.CHUNKS
+        if "content-length" in self.headers:
+            return Framing.LENGTH
+        return Framing.CONNECTION
 
     @property
     def framed(self):
         """Return whether the answer itself tells where its body ends."""
-        if self._bodiless:
-            return True
-        names = self.headers
-        return "content-length" in names or "transfer-encoding" in names
+        return self.framing is not Framing.CONNECTION
 
     async def next_piece(self):
         """Return the next piece of the body, None at its end.
