The end of an answer without a length needs proof that its upstream lives

What callers saw: 200 with a length or a last chunk that fits half of the answer, after the process of the upstream was killed.

Cause: an answer without a length ends with its connection, and the kernel of a killed process closes its connections in order. Whoever closes was taken for the upstream.

Change: before such an end is passed on, the router looks whether the process that answered is still there (rowanport/ends/: the verdict is pure, check.py gathers the evidence). A connection that was open before the end and is open 50 ms later is proof, as the kernel of a killed process closes all within some 23 ms; so is a new one that was opened at once and stays open, which serves the next request, as the answer has used one up. Where a new connection is accepted and closed, or came late, the upstream has to name itself in a health check. Without proof the answer is broken off, and the usual ways follow: another run, a resumed stream, 502, a reset. An upstream that leaves ends its process behind its last answer: that is whole unless others were cut with it, or another run can prove it.

Events go out as before; only the end waits. Ruled out: health checks for each end (a slot and a price each), time alone (says nothing).

--- /dev/null
+++ b/rowanport/ends/__init__.py
@@ -0,0 +1,26 @@
+"""Decides whether an answer without a length ended where its upstream meant.
+
+Such an answer ends with its connection.  A kernel closes the connections of a
+killed process in order, too, so the end alone does not tell whether the answer
+is whole; what else is known of the upstream at that moment does.
+"""
+
+from .check import AnswerSource
+from .check import EndCheck
+from .verdict import Evidence
+from .verdict import Instance
+from .verdict import judge
+from .verdict import Opened
+from .verdict import Reason
+from .verdict import Step
+
+__all__ = [
+    "AnswerSource",
+    "EndCheck",
+    "Evidence",
+    "Instance",
+    "judge",
+    "Opened",
+    "Reason",
+    "Step",
+]
--- a/rowanport/errors.py
+++ b/rowanport/errors.py
@@ -258,6 +258,10 @@
     """The upstream closed or reset a connection with an answer due on it."""
 
 
+class EndUnconfirmed(ConnectionEnded):
+    """An answer without a length ended, and nothing shows that it is whole."""
+
+
 class ConnectionRefused(UpstreamError):
     """Nobody listens at the upstream's address."""
 
--- /dev/null
+++ b/rowanport/gateway/answer_ends.py
@@ -0,0 +1,126 @@
+"""Checks the ends of answers without a length that the gateway forwards."""
+
+import collections
+
+from ..clock import loop_time
+from ..ends import AnswerSource
+from ..ends import EndCheck
+from ..ends import Instance
+from ..errors import EndUnconfirmed
+from ..errors import UpstreamError
+
+# Seconds for which it is remembered that an upstream ended an answer early.
+CUT_SECONDS = 5.0
+
+
+class AnswerEnds:
+    """Knows which answers ended early, and checks those that may have.
+
+    :param gateway: the Gateway, for its parts
+    """
+
+    def __init__(self, gateway):
+        self._gateway = gateway
+        self._check = EndCheck(gateway.client)
+        # Event loop's times at which connections with an answer due ended, by
+        # UpstreamRun.
+        self._ends = collections.defaultdict(list)
+
+    def record_end(self, run):
+        """Record that an UpstreamRun ended a connection with an answer due.
+
+        :returns: the event loop's time
+        """
+        now = loop_time()
+        self._forget(now)
+        self._ends[run].append(now)
+        return now
+
+    def count_ends(self, run, since):
+        """Return how many such ends of an UpstreamRun came since a time."""
+        return sum(at >= since for at in self._ends.get(run, ()))
+
+    def _forget(self, now):
+        self._ends = collections.defaultdict(
+            list,
+            {
+                run: times
+                for run, times in self._ends.items()
+                if times and times[-1] > now - CUT_SECONDS
+            },
+        )
+
+    async def confirm(self, job, state, answer, may_run_again):
+        """Confirm that an answer without a length is whole.
+
+        :param job: the Job
+        :param state: the UpstreamState of the upstream that answered
+        :param answer: the HttpAnswer, whose connection has just ended in order
+        :param may_run_again: function that returns whether the job can be sent
+            to another upstream now
+        :raises EndUnconfirmed: nothing shows that it is
+        """
+        gateway = self._gateway
+        source = UpstreamSource(gateway, self, state, may_run_again)
+        run = state.record.run
+        ended_at = self.record_end(run)
+        ends = gateway.metrics.connection_ends
+        try:
+            reason = await self._check.confirm(answer, source)
+        except EndUnconfirmed:
+            ends.inc({"verdict": "broken"})
+            raise
+        ends.inc({"verdict": "whole"})
+        if ended_at in self._ends[run]:
+            self._ends[run].remove(ended_at)
+        job.end_reason = reason
+
+
+class UpstreamSource(AnswerSource):
+    """What the gateway knows of an upstream that sent an answer.
+
+    :param gateway: the Gateway
+    :param ends: the AnswerEnds
+    :param state: the UpstreamState
+    :param may_run_again: function that returns whether the job can be sent to
+        another upstream now
+    """
+
+    def __init__(self, gateway, ends, state, may_run_again):
+        self._gateway = gateway
+        self._ends = ends
+        self._state = state
+        self._may_run_again = may_run_again
+
+    @property
+    def leaving(self):
+        state = self._state
+        listed = self._gateway.pool.get(state.record.id) is state
+        return state.leaving or not listed
+
+    @property
+    def may_run_again(self):
+        return self._may_run_again()
+
+    def cut_together(self, since):
+        # One of them is the end of the answer itself.
+        return self._ends.count_ends(self._state.record.run, since) > 1
+
+    async def ask_instance(self):
+        gateway, record = self._gateway, self._state.record
+        service = gateway.table and gateway.table.services.get(record.service)
+        now = gateway.clock.steady()
+        limited = not gateway.limits.unlimited([self._state])
+        if service is None or limited or self._state.is_backed_off(now):
+            return Instance.SILENT
+        try:
+            answer = await gateway.client.request(
+                record.address, "GET", service.health_path, fresh=True
+            )
+        except UpstreamError:
+            return Instance.SILENT
+        name = answer.headers.get(gateway.dialect.instance)
+        answer.close()
+        if name is None:
+            return Instance.SILENT
+        return Instance.SAME if name == record.id else Instance.ANOTHER
--- a/rowanport/gateway/attempt.py
+++ b/rowanport/gateway/attempt.py
@@ -25,6 +25,8 @@
     :param opening: task that sends the request and returns the HttpAnswer
     :param make_relay: function from the HttpAnswer to its Relay
     :param in_flight_send: the InFlightSend of this send
+    :param confirm_end: coroutine function that raises UpstreamError unless an
+        HttpAnswer without a length, which has ended, is whole
     :ivar in_flight_send: the InFlightSend of this send
     :ivar tokens: extra tokens reserved for it if it is a hedge
     :ivar answer: the HttpAnswer, None until its head has arrived
@@ -43,6 +45,8 @@
         "stall_note",
         "_opening",
         "_make_relay",
+        "_confirm_end",
+        "_confirming",
         "_relay",
         "_chunks",
         "_size",
@@ -52,7 +56,9 @@
         "_closed",
     )
 
-    def __init__(self, state, opening, make_relay, in_flight_send):
+    def __init__(
+        self, state, opening, make_relay, in_flight_send, confirm_end
+    ):
         self.state = state
         self.in_flight_send = in_flight_send
         self.tokens = 0
@@ -61,6 +67,9 @@
         self.stall_note = None
         self._opening = opening
         self._make_relay = make_relay
+        self._confirm_end = confirm_end
+        # Task that confirms the end of the answer.
+        self._confirming = None
         self._relay = None
         self._chunks = []
         # Of the chunks: bytes, last bytes of the event that is not complete,
@@ -143,12 +152,18 @@
         self.answer = await asyncio.shield(self._opening)
 
     async def _read_chunk(self):
-        chunk = await self.answer.next_piece()
-        if chunk is None:
+        if self._confirming is None:
+            chunk = await self.answer.next_piece()
+            if chunk is not None:
+                self._add(chunk)
+                return
             self._check_end()
-            self._ended = True
-        else:
-            self._add(chunk)
+            if not self.answer.framed:
+                confirming = self._confirm_end(self.answer)
+                self._confirming = asyncio.ensure_future(confirming)
+        if self._confirming is not None:
+            await asyncio.shield(self._confirming)
+        self._ended = True
 
     def _add(self, chunk):
         """Keep a chunk until it is forwarded.
@@ -216,6 +231,8 @@
             return
         self._closed = True
         self.state.outstanding -= 1
+        if self._confirming is not None:
+            self._confirming.cancel()
         if self.answer is not None:
             self.answer.close()
         elif not self._opening.cancel():
--- a/rowanport/gateway/daemon.py
+++ b/rowanport/gateway/daemon.py
@@ -34,6 +34,7 @@
 from ..web.server import HttpLimits
 from ..wire import PeerServer
 from .admission_control import AdmissionControl
+from .answer_ends import AnswerEnds
 from .blocklist import Blocklist
 from .bounds import BoundLog
 from .caller_diversion import CallerDiversion
@@ -315,6 +316,7 @@
         self.admission_control = AdmissionControl(self)
         self.state.add(self.admission_control.sync)
         self.stopping = GracefulStop(self.members, self.clock)
+        self.ends = AnswerEnds(self)
         self.migrations = Migrations(self, settings)
         self.notices.on_leaving = self.migrations.move_leaving
         self.forwarder = Forwarder(self)
--- a/rowanport/gateway/decisions.py
+++ b/rowanport/gateway/decisions.py
@@ -94,6 +94,7 @@
             relay=_relay_address(job.path),
             tunnel=job.path and job.path.tunnel,
             framing=job.framing and job.framing.value,
+            end_reason=job.end_reason and job.end_reason.value,
             left_out=job.left_out,
             backlog=job.backlog,
             events=job.events,
--- a/rowanport/gateway/job.py
+++ b/rowanport/gateway/job.py
@@ -67,6 +67,8 @@
     :ivar upstream: id of the upstream that it was last sent to, or None
     :ivar path: Path of the answer that was forwarded, or None
     :ivar framing: Framing of the upstream's answer that was forwarded, or None
+    :ivar end_reason: Reason for which that answer counts as whole, None if it
+        told its own end
     :ivar backlog: prompt tokens queued at that upstream when it was chosen,
         None before the first choice
     :ivar last_event: id of the last forwarded event, or None
@@ -120,6 +122,7 @@
         "upstream",
         "path",
         "framing",
+        "end_reason",
         "backlog",
         "last_event",
         "events",
@@ -167,6 +170,7 @@
         self.upstream = None
         self.path = None
         self.framing = None
+        self.end_reason = None
         self.backlog = None
         self.last_event = None
         self.events = 0
--- a/rowanport/gateway/metrics.py
+++ b/rowanport/gateway/metrics.py
@@ -14,6 +14,10 @@
             "exceeded_bounds",
             "Connections closed as an answer or a caller went beyond a bound",
         )
+        self.connection_ends = self._counter(
+            "connection_ends",
+            "Answers without a length that ended in order, by verdict",
+        )
         self.crashes = self._counter(
             "upstream_crashes", "Crashes of upstreams under own requests"
         )
--- a/rowanport/gateway/retry_policy.py
+++ b/rowanport/gateway/retry_policy.py
@@ -51,6 +51,20 @@
             return False
         return route.resumable or not responder.started
 
+    def may_run_again(self, job, responder, state):
+        """Return whether a job can be sent to another upstream now.
+
+        :param job: the Job
+        :param responder: the Responder of its caller
+        :param state: the UpstreamState that the job does not go to again
+        """
+        job.tried.add(state.record.run)
+        try:
+            self._check_hedge(job, responder)
+        except HedgeDenied:
+            return False
+        return True
+
     def reserve_hedge(self, job, responder):
         """Reserve the tokens for a hedge and acquire a retry.
 
--- a/rowanport/gateway/sender.py
+++ b/rowanport/gateway/sender.py
@@ -4,6 +4,8 @@
 import functools
 
 from ..errors import BoundExceeded
+from ..errors import ConnectionEnded
+from ..errors import EndUnconfirmed
 from ..errors import ErrorKind
 from ..errors import RequestError
 from ..errors import StreamTruncated
@@ -198,7 +200,8 @@
         opening = asyncio.ensure_future(self._open(state, ahead, version))
         in_flight_send = self._crashes.start_run(job, state)
         relay = functools.partial(self._relay, version)
-        attempt = Attempt(state, opening, relay, in_flight_send)
+        confirm_end = functools.partial(self._confirm_end, state)
+        attempt = Attempt(state, opening, relay, in_flight_send, confirm_end)
         self._attempts.append(attempt)
         if job.tokens is None:
             self._gateway.replicas.record_send(state.record)
@@ -373,6 +376,22 @@
         )
         return EventRelay(*parts, begin)
 
+    async def _confirm_end(self, state, answer):
+        """Confirm that an answer without a length that has ended is whole.
+
+        :param state: the UpstreamState of the upstream that answered
+        :param answer: the HttpAnswer
+        :raises ConnectionEnded: nothing shows that it is
+        """
+        gateway, job = self._gateway, self._job
+        may_run_again = functools.partial(
+            self._retry_policy.may_run_again, job, self._responder, state
+        )
+        await gateway.ends.confirm(job, state, answer, may_run_again)
+        await gateway.migrations.wait_for_move(job)
+        if job.resuming:
+            raise ConnectionEnded("the run was stopped to move elsewhere")
+
     def _drop(self, attempt, error):
         """Record the failure of an Attempt, and close it."""
         job, state = self._job, attempt.state
@@ -416,6 +435,10 @@
 
     def _record_failure(self, state, error, path):
         self._record_bound(state, error)
+        if isinstance(error, ConnectionEnded) and (
+            not isinstance(error, EndUnconfirmed)
+        ):
+            self._gateway.ends.record_end(state.record.run)
         weight = 1
         if not error.started:
             self._job.failed_connections += 1
--- a/rowanport/web/client.py
+++ b/rowanport/web/client.py
@@ -6,6 +6,7 @@
 import json
 import math
 import re
+import weakref
 
 import h11
 
@@ -285,6 +286,8 @@
         )
         self._keepalive = keepalive
         self._idle = {}
+        # All Paths that are in use or kept.
+        self._paths = weakref.WeakSet()
         # Connections with a request whose answer has not begun.
         self._waiting = set()
         self.opened = 0
@@ -488,8 +491,31 @@
         for idle in self._idle.values():
             _drop(idle, [one for one in idle if choose(one.path)])
 
+    def open_paths(self, address):
+        """Return the set of open Paths to an address, idle or in use."""
+        return {
+            path
+            for path in self._paths
+            if path.address == address and path.open
+        }
+
+    def may_open(self, address):
+        """Return whether a connection is left besides those of requests."""
+        return self._connector.may_probe(address)
+
+    async def open_path(self, address):
+        """Open a connection without a request; return its Path.
+
+        :raises UpstreamError: as Connector.open()
+        """
+        path = await self._connector.open(address)
+        self.opened += 1
+        self._paths.add(path)
+        return path
+
     def keep(self, path):
         """Keep a Path that was opened without a request."""
+        self._paths.add(path)
         self._keep(path.address, _Connection(path))
 
     async def probe(self, address):
@@ -540,14 +566,13 @@
                 if connection is not None:
                     return connection
                 try:
-                    path = await self._connector.open(address)
+                    path = await self.open_path(address)
                 except NoConnectionFree:
                     if fresh:
                         raise
                     turn = turn or self._turns.enter(address)
                     await turn.wait(FREE_CHECK)
                     continue
-                self.opened += 1
                 return _Connection(path)
         finally:
             if turn is not None:
--- a/rowanport/web/connector.py
+++ b/rowanport/web/connector.py
@@ -67,6 +67,7 @@
         "tells_end",
         "opened_at",
         "answered",
+        "__weakref__",
     )
 
     def __init__(
@@ -87,6 +88,16 @@
         self.opened_at = asyncio.get_running_loop().time()
         self.answered = False
 
+    @property
+    def open(self):
+        """Return whether neither end has closed it, as far as is known.
+
+        The end of one that is not read, as its reader is slow, is not known.
+        """
+        reader = self.reader
+        closing = self.writer.is_closing()
+        return not (closing or reader.ended or reader.paused)
+
 
 class Connector(abc.ABC):
     """Opens connections to addresses, and learns what became of them."""
--- a/rowanport/web/stream.py
+++ b/rowanport/web/stream.py
@@ -34,6 +34,11 @@
         """Return whether bytes have arrived that nobody has read."""
         return bool(self._buffer)
 
+    @property
+    def paused(self):
+        """Return whether nothing is read, as too much is unread."""
+        return self._paused
+
     def feed_data(self, data):
         """Take in bytes, and say so."""
         super().feed_data(data)
--- a/test/test_answer_bounds.py
+++ b/test/test_answer_bounds.py
@@ -335,7 +335,11 @@
 
     opening = asyncio.get_running_loop().create_future()
     opening.set_result(answer)
-    return Attempt(mock.Mock(outstanding=0), opening, make_relay, None), job
+    state = mock.Mock(outstanding=0)
+    # The upstreams of these tests end their answers themselves.
+    confirm_end = mock.AsyncMock()
+    attempt = Attempt(state, opening, make_relay, None, confirm_end)
+    return attempt, job
 
 
 def wait_until_usable(answer):
--- /dev/null
+++ b/test/test_end_verdicts.py
@@ -0,0 +1,112 @@
+"""Verdicts on the ends of answers without a length, from evidence alone."""
+
+import itertools
+
+import pytest
+
+from rowanport.ends import Evidence
+from rowanport.ends import Instance
+from rowanport.ends import judge
+from rowanport.ends import Opened
+from rowanport.ends import Reason
+from rowanport.ends import Step
+
+FINAL = (Step.WHOLE, Step.BROKEN)
+# New connections that show nothing of the process that answered.
+NO_WORD = (Opened.REFUSED, Opened.UNREACHABLE, Opened.NOT_ALLOWED)
+
+
+def evidence_of(earlier_open=False, opened=Opened.REFUSED, **more):
+    """Return Evidence with some values set."""
+    evidence = Evidence(earlier_open, opened)
+    for name, value in more.items():
+        setattr(evidence, name, value)
+    return evidence
+
+
+def all_evidence(earlier_open=(False, True)):
+    """Yield all Evidence there can be."""
+    flags = (False, True)
+    for values in itertools.product(
+        earlier_open, Opened, flags, (None, *Instance), flags, flags, flags
+    ):
+        earlier, opened, waited, instance, leaving, cut, again = values
+        yield evidence_of(
+            earlier,
+            opened,
+            waited=waited,
+            instance=instance,
+            leaving=leaving,
+            cut_together=cut,
+            may_run_again=again,
+        )
+
+
+def test_each_verdict_is_final_once_all_is_known():
+    # Guards against an answer whose end is held back for ever.
+    for evidence in all_evidence():
+        step, reason = judge(evidence)
+        assert (step in FINAL) == (reason is not None)
+        if evidence.waited and evidence.instance is not None:
+            assert step in FINAL
+
+
+def test_no_answer_is_whole_without_proof_unless_its_upstream_leaves():
+    # Guards against half an answer of a killed upstream that looks whole.
+    for evidence in all_evidence(earlier_open=(False,)):
+        if evidence.leaving or evidence.instance is Instance.SAME:
+            continue
+        if evidence.opened is not Opened.STANDING:
+            assert judge(evidence)[0] is not Step.WHOLE
+
+
+@pytest.mark.parametrize("opened", NO_WORD)
+def test_an_answer_cut_with_others_is_broken_though_its_upstream_leaves(
+    opened,
+):
+    # Guards against a killed upstream whose leave explains all that ends.
+    evidence = evidence_of(opened=opened, leaving=True, cut_together=True)
+    assert judge(evidence) == (Step.BROKEN, Reason.CUT_TOGETHER)
+
+
+@pytest.mark.parametrize("opened", NO_WORD)
+def test_the_last_answer_of_a_leaving_upstream_is_whole(opened):
+    # Guards against a whole answer that its caller gets as broken.
+    evidence = evidence_of(opened=opened, leaving=True)
+    assert judge(evidence) == (Step.WHOLE, Reason.LEAVING)
+
+
+def test_another_run_proves_the_last_answer_of_a_leaving_upstream():
+    # Guards against a guess where another run can tell.
+    evidence = evidence_of(leaving=True, may_run_again=True)
+    assert judge(evidence) == (Step.BROKEN, Reason.SENT_AGAIN)
+
+
+def test_an_open_connection_of_the_process_is_proof_enough():
+    # Guards against whole answers of busy upstreams that count as broken.
+    for opened in (Opened.STANDING, Opened.CLOSED, Opened.NOT_ALLOWED):
+        evidence = evidence_of(True, opened)
+        assert judge(evidence) == (Step.WHOLE, Reason.EARLIER_CONNECTION)
+
+
+@pytest.mark.parametrize("opened", (Opened.REFUSED, Opened.UNREACHABLE))
+def test_open_connections_are_looked_at_again_if_nobody_listens(opened):
+    # Guards against ends of killed processes that got lost on the way.
+    evidence = evidence_of(True, opened)
+    assert judge(evidence) == (Step.WAIT, None)
+    evidence.waited = True
+    assert judge(evidence)[0] is Step.WHOLE
+    evidence.earlier_open = False
+    assert judge(evidence)[0] is Step.BROKEN
+
+
+@pytest.mark.parametrize("opened", (Opened.LATE, Opened.CLOSED))
+def test_a_process_that_may_have_started_since_has_to_name_itself(opened):
+    # Guards against the word of another process at the same address.
+    evidence = evidence_of(opened=opened)
+    assert judge(evidence) == (Step.ASK, None)
+    evidence.instance = Instance.SAME
+    assert judge(evidence) == (Step.WHOLE, Reason.SAME_INSTANCE)
+    for instance in (Instance.ANOTHER, Instance.SILENT):
+        evidence.instance = instance
+        assert judge(evidence) == (Step.BROKEN, Reason.NOT_SAME_INSTANCE)
