A new connection to the upstream is no proof before its instance answers

Behind a proxy that is slow to find that nobody listens, a new connection stayed open for the 50 ms, and half an answer looked whole.

Change: without an earlier connection that is still open the upstream has to name itself in a health check over the new one, which is sent at once and so takes a round trip instead of 50 ms.

--- a/rowanport/ends/check.py
+++ b/rowanport/ends/check.py
@@ -16,9 +16,6 @@
 # Seconds within which a kernel closes all connections of a killed process:
 # 360 of them took 23 ms beside 16 busy processes.
 SPREAD_SECONDS = 0.05
-# Seconds that a new connection has to stay open: a proxy accepts connections
-# before it finds that nobody listens behind it.
-SETTLE_SECONDS = 0.02
 # Seconds after the end until which a new connection cannot have reached a
 # process that was started since.
 RESTART_SECONDS = 0.03
@@ -27,8 +24,9 @@
 # Seconds after which a lost end of another connection has come again: the
 # kernel sends it anew after 0.2 s.
 RESEND_SECONDS = 0.3
-# Longest wait in seconds for the answer to a health check.
-ASK_SECONDS = 0.3
+# Longest wait in seconds for the answer to a health check.  A proxy that finds
+# nobody behind it has closed the connection by then.
+ASK_SECONDS = 0.5
 
 
 class AnswerSource(abc.ABC):
@@ -53,7 +51,10 @@
 
     @abc.abstractmethod
     async def ask_instance(self):
-        """Return the Instance that answers a health check at its address."""
+        """Return the Instance that answers a health check at its address.
+
+        It may take any time: it is given up as SILENT after ASK_SECONDS.
+        """
 
 
 class EndCheck:
@@ -78,7 +79,8 @@
         earlier.discard(answer.path)
         opening = asyncio.ensure_future(self._open(address, ended_at))
         try:
-            await asyncio.sleep(SPREAD_SECONDS)
+            if earlier:
+                await asyncio.sleep(SPREAD_SECONDS)
             opened = await asyncio.shield(opening)
         finally:
             if not opening.done():
@@ -117,22 +119,9 @@
             return Opened.REFUSED
         except (UpstreamError, asyncio.TimeoutError):
             return Opened.UNREACHABLE
-        opened_at = loop_time()
-        standing_at = max(
-            opened_at + SETTLE_SECONDS, ended_at + SPREAD_SECONDS
-        )
-        stands = False
-        try:
-            await asyncio.sleep(standing_at - opened_at)
-        finally:
-            # Also if the caller of the request leaves meanwhile.
-            stands = path.open
-            self._client.keep(path)
-        if not stands:
-            return Opened.CLOSED
-        if opened_at > ended_at + RESTART_SECONDS:
-            return Opened.LATE
-        return Opened.STANDING
+        self._client.keep(path)
+        prompt = loop_time() <= ended_at + RESTART_SECONDS
+        return Opened.PROMPT if prompt else Opened.LATE
 
 
 def _any_open(paths):
--- a/rowanport/ends/verdict.py
+++ b/rowanport/ends/verdict.py
@@ -9,26 +9,30 @@
 class Opened(enum.Enum):
     """What became of a connection to the upstream opened after the end.
 
-    STANDING: it was opened at once and stayed open.  LATE: it stayed open, but
-    was opened so late that a restarted process may have accepted it.  CLOSED:
-    it was accepted and then closed.  REFUSED: nobody listens.  UNREACHABLE:
+    PROMPT: it was opened at once.  LATE: it was opened so late that a process
+    started since may have accepted it.  REFUSED: nobody listens.  UNREACHABLE:
     there was no answer.  NOT_ALLOWED: no connection is left for it.
     """
 
-    STANDING = "standing"
+    PROMPT = "prompt"
     LATE = "late"
-    CLOSED = "closed"
     REFUSED = "refused"
     UNREACHABLE = "unreachable"
     NOT_ALLOWED = "not_allowed"
 
 
 class Instance(enum.Enum):
-    """Who answers a health check at the upstream's address."""
+    """Who answers a health check at the upstream's address.
+
+    UNNAMED: somebody who does not say.  SILENT: nobody in time, over a
+    connection that stays open.  GONE: the connection ended.
+    """
 
     SAME = "same"
     ANOTHER = "another"
+    UNNAMED = "unnamed"
     SILENT = "silent"
+    GONE = "gone"
 
 
 class Step(enum.Enum):
@@ -58,6 +62,11 @@
     NOT_SAME_INSTANCE = "not_same_instance"
 
 
+# These are no proof by themselves: a proxy accepts connections before it finds
+# that nobody listens behind it.
+ACCEPTED = (Opened.PROMPT, Opened.LATE)
+
+
 class Evidence:
     """What is known of an upstream some time after an answer of it ended.
 
@@ -106,13 +115,15 @@
             # The ends of the earlier connections may have been lost.
             return Step.WAIT, None
         return Step.WHOLE, Reason.EARLIER_CONNECTION
-    if evidence.opened is Opened.STANDING:
-        return Step.WHOLE, Reason.NEW_CONNECTION
-    if evidence.opened in (Opened.LATE, Opened.CLOSED):
+    if evidence.opened in ACCEPTED:
         if evidence.instance is None:
             return Step.ASK, None
         if evidence.instance is Instance.SAME:
             return Step.WHOLE, Reason.SAME_INSTANCE
+    if evidence.opened is Opened.PROMPT:
+        # A busy upstream lets health checks wait, or turns them away.
+        if evidence.instance in (Instance.UNNAMED, Instance.SILENT):
+            return Step.WHOLE, Reason.NEW_CONNECTION
     if evidence.leaving:
         return _judge_leaving(evidence)
     if evidence.opened is Opened.REFUSED:
--- a/rowanport/gateway/answer_ends.py
+++ b/rowanport/gateway/answer_ends.py
@@ -11,6 +11,8 @@
 
 # Seconds for which it is remembered that an upstream ended an answer early.
 CUT_SECONDS = 5.0
+# Statuses by which a proxy says that it reaches nobody.
+PROXY_FAILURES = (502, 504)
 
 
 class AnswerEnds:
@@ -109,18 +111,25 @@
     async def ask_instance(self):
         gateway, record = self._gateway, self._state.record
         service = gateway.table and gateway.table.services.get(record.service)
-        now = gateway.clock.steady()
-        limited = not gateway.limits.unlimited([self._state])
-        if service is None or limited or self._state.is_backed_off(now):
+        if service is None or not self._may_ask():
+            # What it wants spared are requests, and health checks count.
             return Instance.SILENT
         try:
             answer = await gateway.client.request(
-                record.address, "GET", service.health_path, fresh=True
+                record.address, "GET", service.health_path
             )
         except UpstreamError:
-            return Instance.SILENT
+            return Instance.GONE
         name = answer.headers.get(gateway.dialect.instance)
         answer.close()
+        if answer.status in PROXY_FAILURES:
+            return Instance.GONE
         if name is None:
-            return Instance.SILENT
+            return Instance.UNNAMED
         return Instance.SAME if name == record.id else Instance.ANOTHER
+
+    def _may_ask(self):
+        """Return whether the upstream takes health checks."""
+        limited = not self._gateway.limits.unlimited([self._state])
+        now = self._gateway.clock.steady()
+        return not limited and not self._state.is_backed_off(now)
