An end that is refuted after its request was given up logs no lost error

The task that confirms the end of an answer may fail when its attempt is closed already, as its caller left or another upstream answered first. asyncio logs such an error as one that nobody retrieved, which operators (and the soak) take for a fault. Found by reading; no run showed it.

--- a/rowanport/gateway/attempt.py
+++ b/rowanport/gateway/attempt.py
@@ -161,6 +161,7 @@
             if not self.answer.framed:
                 confirming = self._confirm_end(self.answer)
                 self._confirming = asyncio.ensure_future(confirming)
+                self._confirming.add_done_callback(_retrieve_error)
         if self._confirming is not None:
             await asyncio.shield(self._confirming)
         self._ended = True
@@ -242,3 +243,9 @@
         """Close an answer whose head arrived but was not read."""
         if not self._opening.cancelled() and not self._opening.exception():
             self._opening.result().close()
+
+
+def _retrieve_error(task):
+    """Retrieve the error of a task for which nobody may wait any more."""
+    if not task.cancelled():
+        task.exception()
