Peers tell what they saw as a leaving upstream's answer ended

What callers saw: an upstream that leaves and is killed as its drain ends, with answers without a length under way: half of them looked whole, as a process that leaves ends on its own behind its last answer.

Change: routers ask up to 16 peers (EndAsk, EndNews; protocol 7, earlier builds are not asked) where nothing of their own is proof. An open earlier connection of a peer shows that the process lives; connections that ended with this one, within 40 ms, show a kill. The same helps a router without another connection to an upstream at its limit.

--- a/rowanport/ends/__init__.py
+++ b/rowanport/ends/__init__.py
@@ -11,6 +11,7 @@
 from .verdict import Instance
 from .verdict import judge
 from .verdict import Opened
+from .verdict import Peers
 from .verdict import Reason
 from .verdict import Step
 
@@ -21,6 +22,7 @@
     "Instance",
     "judge",
     "Opened",
+    "Peers",
     "Reason",
     "Step",
 ]
--- a/rowanport/ends/check.py
+++ b/rowanport/ends/check.py
@@ -11,6 +11,7 @@
 from .verdict import Instance
 from .verdict import judge
 from .verdict import Opened
+from .verdict import Peers
 from .verdict import Step
 
 # Seconds within which a kernel closes all connections of a killed process:
@@ -43,10 +44,10 @@
         """Return whether the request can be sent to another upstream now."""
 
     @abc.abstractmethod
-    def cut_together(self, since):
-        """Return whether other answers of the upstream ended early.
+    def cut_together(self, ended_at):
+        """Return whether other answers of the upstream ended early, too.
 
-        :param since: event loop's time from which on their ends count
+        :param ended_at: event loop's time at about which their ends count
         """
 
     @abc.abstractmethod
@@ -56,6 +57,13 @@
         It may take any time: it is given up as SILENT after ASK_SECONDS.
         """
 
+    async def ask_peers(self, ended_at):
+        """Return what peers saw of the upstream, a Peers.
+
+        :param ended_at: event loop's time at which the answer ended
+        """
+        return Peers.NOTHING
+
 
 class EndCheck:
     """Checks that an answer without a length ended as its upstream meant.
@@ -87,7 +95,7 @@
                 opening.cancel()
         evidence = Evidence(_any_open(earlier), opened)
         evidence.leaving = source.leaving
-        evidence.cut_together = source.cut_together(ended_at - SPREAD_SECONDS)
+        evidence.cut_together = source.cut_together(ended_at)
         evidence.may_run_again = source.may_run_again
         step, reason = judge(evidence)
         while step not in (Step.WHOLE, Step.BROKEN):
@@ -95,8 +103,12 @@
                 await asyncio.sleep(ended_at + RESEND_SECONDS - loop_time())
                 evidence.waited = True
                 evidence.earlier_open = _any_open(earlier)
-            else:
+            elif step is Step.ASK:
                 evidence.instance = await _ask(source)
+            else:
+                # By then they have seen all that ended together.
+                await asyncio.sleep(ended_at + SPREAD_SECONDS - loop_time())
+                evidence.peers = await source.ask_peers(ended_at)
             step, reason = judge(evidence)
         if step is Step.BROKEN:
             raise EndUnconfirmed(
--- a/rowanport/ends/verdict.py
+++ b/rowanport/ends/verdict.py
@@ -35,6 +35,18 @@
     GONE = "gone"
 
 
+class Peers(enum.Enum):
+    """What peers saw of the upstream as the answer ended.
+
+    OPEN: an earlier connection of theirs is open.  CUT: their connections with
+    answers due ended then, too.  NOTHING: neither, or nobody answered.
+    """
+
+    OPEN = "open"
+    CUT = "cut"
+    NOTHING = "nothing"
+
+
 class Step(enum.Enum):
     """What to do about the end of an answer.
 
@@ -46,6 +58,7 @@
     BROKEN = "broken"
     WAIT = "wait"
     ASK = "ask"
+    ASK_PEERS = "ask_peers"
 
 
 class Reason(enum.Enum):
@@ -53,6 +66,7 @@
 
     EARLIER_CONNECTION = "earlier_connection"
     NEW_CONNECTION = "new_connection"
+    PEER_CONNECTION = "peer_connection"
     SAME_INSTANCE = "same_instance"
     LEAVING = "leaving"
     CUT_TOGETHER = "cut_together"
@@ -75,6 +89,7 @@
     :ivar waited: whether these had the time to show a lost end
     :ivar opened: what became of a new connection, an Opened
     :ivar instance: who answered a health check, None if none was sent
+    :ivar peers: what peers saw, a Peers, None if none was asked
     :ivar leaving: whether it is to end its process on its own soon
     :ivar cut_together: whether other answers of it ended early with this one
     :ivar may_run_again: whether the request can be sent to another upstream
@@ -85,6 +100,7 @@
         "waited",
         "opened",
         "instance",
+        "peers",
         "leaving",
         "cut_together",
         "may_run_again",
@@ -95,6 +111,7 @@
         self.opened = opened
         self.waited = False
         self.instance = None
+        self.peers = None
         self.leaving = False
         self.cut_together = False
         self.may_run_again = False
@@ -124,10 +141,14 @@
         # A busy upstream lets health checks wait, or turns them away.
         if evidence.instance in (Instance.UNNAMED, Instance.SILENT):
             return Step.WHOLE, Reason.NEW_CONNECTION
+    if evidence.opened is Opened.REFUSED and not evidence.leaving:
+        return Step.BROKEN, Reason.REFUSED
+    if evidence.peers is None:
+        return Step.ASK_PEERS, None
+    if evidence.peers is Peers.OPEN:
+        return Step.WHOLE, Reason.PEER_CONNECTION
     if evidence.leaving:
         return _judge_leaving(evidence)
-    if evidence.opened is Opened.REFUSED:
-        return Step.BROKEN, Reason.REFUSED
     if evidence.instance is not None:
         return Step.BROKEN, Reason.NOT_SAME_INSTANCE
     return Step.BROKEN, Reason.NO_PROOF
@@ -135,7 +156,7 @@
 
 def _judge_leaving(evidence):
     """Return the verdict on an answer of an upstream that left behind it."""
-    if evidence.cut_together:
+    if evidence.cut_together or evidence.peers is Peers.CUT:
         # A planned end waits for the answers under way.
         return Step.BROKEN, Reason.CUT_TOGETHER
     if evidence.may_run_again:
--- a/rowanport/gateway/answer_ends.py
+++ b/rowanport/gateway/answer_ends.py
@@ -1,36 +1,58 @@
 """Checks the ends of answers without a length that the gateway forwards."""
 
+import asyncio
 import collections
+import random
+
+import structlog
 
 from ..clock import loop_time
 from ..ends import AnswerSource
 from ..ends import EndCheck
 from ..ends import Instance
+from ..ends import Peers
 from ..errors import EndUnconfirmed
+from ..errors import PeerError
 from ..errors import UpstreamError
+from ..incarnation import address_of
+from ..incarnation import ANSWER_ENDS_PROTOCOL
+from ..incarnation import protocol_of
+from ..schema.messages import EndAsk
+from ..schema.messages import EndNews
+
+LOG = structlog.get_logger(__name__)
 
 # Seconds for which it is remembered that an upstream ended an answer early.
 CUT_SECONDS = 5.0
 # Statuses by which a proxy says that it reaches nobody.
 PROXY_FAILURES = (502, 504)
+# Seconds by which the connections of a killed process end apart: up to 23 ms
+# beside load, and the way of a question between routers.
+APART_SECONDS = 0.04
+# Most peers that are asked, and longest wait in seconds for their answers.
+MOST_ASKED = 16
+ASK_TIMEOUT = 0.2
 
 
 class AnswerEnds:
     """Knows which answers ended early, and checks those that may have.
 
     :param gateway: the Gateway, for its parts
+    :param peers: the PeerClient
     """
 
-    def __init__(self, gateway):
+    def __init__(self, gateway, peers):
         self._gateway = gateway
+        self._peers = peers
         self._check = EndCheck(gateway.client)
         # Event loop's times at which connections with an answer due ended, by
-        # UpstreamRun.
+        # name of the UpstreamRun.
         self._ends = collections.defaultdict(list)
 
     def record_end(self, run):
-        """Record that an UpstreamRun ended a connection with an answer due.
+        """Record that an upstream ended a connection with an answer due.
 
+        :param run: name of the UpstreamRun
         :returns: the event loop's time
         """
         now = loop_time()
@@ -38,9 +60,60 @@
         self._ends[run].append(now)
         return now
 
-    def count_ends(self, run, since):
-        """Return how many such ends of an UpstreamRun came since a time."""
-        return sum(at >= since for at in self._ends.get(run, ()))
+    def count_ends(self, run, ended_at):
+        """Return how many such ends of an upstream came at about a time.
+
+        :param run: name of the UpstreamRun
+        :param ended_at: event loop's time
+        """
+        times = self._ends.get(run, ())
+        return sum(abs(at - ended_at) <= APART_SECONDS for at in times)
+
+    # Peers
+
+    def answer(self, message):
+        """Return the EndNews on an EndAsk of a peer."""
+        ended_at = loop_time() - message.age_ms / 1000
+        before = ended_at - APART_SECONDS
+        paths = self._gateway.client.open_paths(message.address)
+        return EndNews(
+            any(path.opened_at < before for path in paths),
+            self.count_ends(message.upstream, ended_at) > 0,
+        )
+
+    async def ask_peers(self, record, ended_at):
+        """Return what peers saw of an upstream as an answer ended, a Peers.
+
+        :param record: the Upstream
+        :param ended_at: event loop's time
+        """
+        age_ms = round(1000 * (loop_time() - ended_at))
+        ask = EndAsk(record.run.name, record.address, age_ms)
+        entries = [
+            entry.incarnation
+            for entry in self._gateway.members.ready_entries()
+            if protocol_of(entry.incarnation) >= ANSWER_ENDS_PROTOCOL
+        ]
+        chosen = random.sample(entries, min(MOST_ASKED, len(entries)))
+        news = await asyncio.gather(
+            *(self._ask(address_of(peer), ask) for peer in chosen)
+        )
+        if any(one is not None and one.open for one in news):
+            return Peers.OPEN
+        if any(one is not None and one.cut for one in news):
+            return Peers.CUT
+        return Peers.NOTHING
+
+    async def _ask(self, peer, ask):
+        """Return the EndNews of a peer, None if it does not answer."""
+        try:
+            news = await self._peers.call(peer, ask, ASK_TIMEOUT)
+        except PeerError as error:
+            LOG.info("end_unanswered", peer=peer, error=str(error))
+            return None
+        return news if isinstance(news, EndNews) else None
+
+    # Own answers
 
     def _forget(self, now):
         self._ends = collections.defaultdict(
@@ -64,7 +137,7 @@
         """
         gateway = self._gateway
         source = UpstreamSource(gateway, self, state, may_run_again)
-        run = state.record.run
+        run = state.record.run.name
         ended_at = self.record_end(run)
         ends = gateway.metrics.connection_ends
         try:
@@ -104,9 +177,10 @@
     def may_run_again(self):
         return self._may_run_again()
 
-    def cut_together(self, since):
+    def cut_together(self, ended_at):
         # One of them is the end of the answer itself.
-        return self._ends.count_ends(self._state.record.run, since) > 1
+        run = self._state.record.run.name
+        return self._ends.count_ends(run, ended_at) > 1
 
     async def ask_instance(self):
         gateway, record = self._gateway, self._state.record
@@ -128,6 +202,9 @@
             return Instance.UNNAMED
         return Instance.SAME if name == record.id else Instance.ANOTHER
 
+    async def ask_peers(self, ended_at):
+        return await self._ends.ask_peers(self._state.record, ended_at)
+
     def _may_ask(self):
         """Return whether the upstream takes health checks."""
         limited = not self._gateway.limits.unlimited([self._state])
--- a/rowanport/gateway/daemon.py
+++ b/rowanport/gateway/daemon.py
@@ -316,7 +316,7 @@
         self.admission_control = AdmissionControl(self)
         self.state.add(self.admission_control.sync)
         self.stopping = GracefulStop(self.members, self.clock)
-        self.ends = AnswerEnds(self)
+        self.ends = AnswerEnds(self, self._peers)
         self.migrations = Migrations(self, settings)
         self.notices.on_leaving = self.migrations.move_leaving
         self.forwarder = Forwarder(self)
@@ -490,6 +490,7 @@
             messages.StreamNews: self.streams.receive,
             messages.StreamAsk: self.streams.answer,
             messages.StateReport: self.state.answer,
+            messages.EndAsk: self.ends.answer,
             messages.RelayLeaving: self._handle_relay_leaving,
             messages.RelayBackoff: self._handle_relay_backoff,
         }
--- a/rowanport/gateway/retry_policy.py
+++ b/rowanport/gateway/retry_policy.py
@@ -54,10 +54,16 @@
     def may_run_again(self, job, responder, state):
         """Return whether a job can be sent to another upstream now.
 
+        Another run of a plain request takes as long as the first one, and has
+        to end before the deadline.
+
         :param job: the Job
         :param responder: the Responder of its caller
         :param state: the UpstreamState that the job does not go to again
         """
+        now = self._gateway.clock.steady()
+        if job.tokens is None and now - job.arrived > job.deadline - now:
+            return False
         job.tried.add(state.record.run)
         try:
             self._check_hedge(job, responder)
--- a/rowanport/gateway/sender.py
+++ b/rowanport/gateway/sender.py
@@ -438,7 +438,7 @@
         if isinstance(error, ConnectionEnded) and (
             not isinstance(error, EndUnconfirmed)
         ):
-            self._gateway.ends.record_end(state.record.run)
+            self._gateway.ends.record_end(state.record.run.name)
         weight = 1
         if not error.started:
             self._job.failed_connections += 1
--- a/rowanport/incarnation.py
+++ b/rowanport/incarnation.py
@@ -17,12 +17,14 @@
 # 5: upstreams that said that they leave, or refused a relay.
 # 6: no new message; a tunnel ends in order only as the upstream's connection
 # did, and routers know which versions services had before they started.
-PROTOCOL = 6
+# 7: what upstreams did as answers without a length ended.
+PROTOCOL = 7
 EVACUATIONS_PROTOCOL = 3
 STATE_PROTOCOL = 4
 NOTICES_PROTOCOL = 5
 TUNNEL_ENDS_PROTOCOL = 6
 HISTORY_PROTOCOL = 6
+ANSWER_ENDS_PROTOCOL = 7
 # The protocol of runs that name none.
 FIRST_PROTOCOL = 1
 
--- a/rowanport/schema/messages.py
+++ b/rowanport/schema/messages.py
@@ -2057,6 +2057,79 @@
         )
 
 
+class EndAsk(Message):
+    """A router asks what an upstream did as an answer ended; answered with EndNews.
+
+    :ivar upstream: name of the upstream's run
+    :ivar address: IP and port of the upstream
+    :ivar age_ms: milliseconds since the answer ended
+    """
+
+    __slots__ = (
+        "upstream",
+        "address",
+        "age_ms",
+    )
+    KIND = 92
+
+    def __init__(self, upstream, address, age_ms):
+        self.upstream = upstream
+        self.address = address
+        self.age_ms = age_ms
+
+    def to_wire(self):
+        """Return the fields as plain values, in the schema's order."""
+        return [
+            self.upstream,
+            self.address,
+            self.age_ms,
+        ]
+
+    @classmethod
+    def from_wire(cls, values):
+        """Build one from plain values; raise MessageError if unfit."""
+        check_length(cls, values, 3)
+        return cls(
+            as_str(values[0]),
+            as_str(values[1]),
+            as_int(values[2]),
+        )
+
+
+class EndNews(Message):
+    """What a router saw of an upstream as an answer at another router ended.
+
+    :ivar open: whether a connection opened before that is open
+    :ivar cut: whether it ended connections with an answer due then
+    """
+
+    __slots__ = (
+        "open",
+        "cut",
+    )
+    KIND = 93
+
+    def __init__(self, open, cut):
+        self.open = open
+        self.cut = cut
+
+    def to_wire(self):
+        """Return the fields as plain values, in the schema's order."""
+        return [
+            self.open,
+            self.cut,
+        ]
+
+    @classmethod
+    def from_wire(cls, values):
+        """Build one from plain values; raise MessageError if unfit."""
+        check_length(cls, values, 2)
+        return cls(
+            as_bool(values[0]),
+            as_bool(values[1]),
+        )
+
+
 class SuspectRun(Message):
     """A suspect begins or ends to run; sent to peers, not answered.
 
@@ -3251,6 +3324,8 @@
     63: LoadNote,
     66: SuspectNews,
     79: BlockedAsk,
+    92: EndAsk,
+    93: EndNews,
     67: SuspectRun,
     68: LimitNews,
     82: LeaveNews,
--- a/test/platform_world.py
+++ b/test/platform_world.py
@@ -23,6 +23,7 @@
     "LARGE",
     "Platform",
     "route",
+    "SECRET",
     "STAMP_HEADER",
     "StoreStandin",
 ]
@@ -30,6 +31,7 @@
 HOST = "feed.example"
 KEY = "key-of-org"
 ORGANISATION = "org"
+SECRET = "a secret of the tests"
 
 
 def route(prefix, kind, **more):
@@ -127,7 +129,7 @@
             health=self.health,
             peers=self.peers,
             seeds=[],
-            secret="a secret of the tests",
+            secret=SECRET,
             stop_grace=4.0,
             retry_ratio=0.2,
             retry_slack=50,
--- a/test/test_end_verdicts.py
+++ b/test/test_end_verdicts.py
@@ -8,6 +8,7 @@
 from rowanport.ends import Instance
 from rowanport.ends import judge
 from rowanport.ends import Opened
+from rowanport.ends import Peers
 from rowanport.ends import Reason
 from rowanport.ends import Step
 
@@ -30,14 +31,22 @@
     """Yield all Evidence there can be."""
     flags = (False, True)
     for values in itertools.product(
-        earlier_open, Opened, flags, (None, *Instance), flags, flags, flags
+        earlier_open,
+        Opened,
+        flags,
+        (None, *Instance),
+        (None, *Peers),
+        flags,
+        flags,
+        flags,
     ):
-        earlier, opened, waited, instance, leaving, cut, again = values
+        earlier, opened, waited, instance, peers, leaving, cut, again = values
         yield evidence_of(
             earlier,
             opened,
             waited=waited,
             instance=instance,
+            peers=peers,
             leaving=leaving,
             cut_together=cut,
             may_run_again=again,
@@ -49,14 +58,16 @@
     for evidence in all_evidence():
         step, reason = judge(evidence)
         assert (step in FINAL) == (reason is not None)
-        if evidence.waited and evidence.instance is not None:
+        asked = evidence.instance is not None and evidence.peers is not None
+        if evidence.waited and asked:
             assert step in FINAL
 
 
 def test_no_answer_is_whole_without_proof_unless_its_upstream_leaves():
     # Guards against half an answer of a killed upstream that looks whole.
     for evidence in all_evidence(earlier_open=(False,)):
-        if evidence.leaving or evidence.instance is Instance.SAME:
+        named = evidence.instance is Instance.SAME
+        if evidence.leaving or named or evidence.peers is Peers.OPEN:
             continue
         prompt = evidence.opened is Opened.PROMPT
         if not prompt or evidence.instance not in HELD:
@@ -69,19 +80,33 @@
 ):
     # Guards against a killed upstream whose leave explains all that ends.
     evidence = evidence_of(opened=opened, leaving=True, cut_together=True)
+    evidence.peers = Peers.NOTHING
     assert judge(evidence) == (Step.BROKEN, Reason.CUT_TOGETHER)
+    evidence.cut_together = False
+    evidence.peers = Peers.CUT
+    assert judge(evidence) == (Step.BROKEN, Reason.CUT_TOGETHER)
+
+
+@pytest.mark.parametrize("opened", NO_WORD)
+def test_a_leave_is_no_proof_before_peers_were_asked(opened):
+    # Guards against a guess where connections of peers can tell.
+    evidence = evidence_of(opened=opened, leaving=True)
+    assert judge(evidence) == (Step.ASK_PEERS, None)
+    evidence.peers = Peers.OPEN
+    assert judge(evidence) == (Step.WHOLE, Reason.PEER_CONNECTION)
 
 
 @pytest.mark.parametrize("opened", NO_WORD)
 def test_the_last_answer_of_a_leaving_upstream_is_whole(opened):
     # Guards against a whole answer that its caller gets as broken.
-    evidence = evidence_of(opened=opened, leaving=True)
+    evidence = evidence_of(opened=opened, leaving=True, peers=Peers.NOTHING)
     assert judge(evidence) == (Step.WHOLE, Reason.LEAVING)
 
 
 def test_another_run_proves_the_last_answer_of_a_leaving_upstream():
     # Guards against a guess where another run can tell.
     evidence = evidence_of(leaving=True, may_run_again=True)
+    evidence.peers = Peers.NOTHING
     assert judge(evidence) == (Step.BROKEN, Reason.SENT_AGAIN)
 
 
@@ -100,6 +125,7 @@
     evidence.waited = True
     assert judge(evidence)[0] is Step.WHOLE
     evidence.earlier_open = False
+    evidence.peers = Peers.NOTHING
     assert judge(evidence)[0] is Step.BROKEN
 
 
@@ -111,6 +137,7 @@
     assert judge(evidence) == (Step.WHOLE, Reason.SAME_INSTANCE)
     for instance in set(Instance) - {Instance.SAME}:
         evidence.instance = instance
+        evidence.peers = Peers.NOTHING
         assert judge(evidence) == (Step.BROKEN, Reason.NOT_SAME_INSTANCE)
 
 
@@ -121,6 +148,7 @@
     assert judge(evidence) == (Step.ASK, None)
     for instance in (Instance.ANOTHER, Instance.GONE):
         evidence.instance = instance
+        evidence.peers = Peers.NOTHING
         assert judge(evidence) == (Step.BROKEN, Reason.NOT_SAME_INSTANCE)
 
 
--- a/test/test_killed_upstreams.py
+++ b/test/test_killed_upstreams.py
@@ -8,6 +8,7 @@
 import contextlib
 import sys
 from test.platform_world import Platform
+from test.platform_world import SECRET
 from test.process_world import ROOT
 from test.upstream_process import BODY
 from test.upstream_process import event
@@ -18,6 +19,9 @@
 
 from bench.ports import free_ports
 from rowanport.errors import UpstreamError
+from rowanport.incarnation import new_incarnation
+from rowanport.peers import PeerClient
+from rowanport.schema.messages import EndAsk
 
 # Seconds that anything may take before a test gives up.
 PATIENCE = 30.0
@@ -270,6 +274,28 @@
     run(body)
 
 
+def test_peers_learn_what_a_router_saw_of_a_killed_upstream():
+    # Guards against a leave that explains answers which end at one moment at
+    # several routers.
+    async def body(platform):
+        peers = PeerClient(new_incarnation("cell", f"{HOST}:1"), SECRET)
+        record = platform.gateway.pool.get("killed").record
+        reading = platform.start("/once/half")
+        await platform.killed.wait_for_run()
+        await asyncio.sleep(0.2)
+        ask = EndAsk(record.run.name, record.address, 0)
+        news = await peers.call(platform.peers, ask, 2.0)
+        assert (news.open, news.cut) == (True, False)
+        await platform.killed.kill()
+        await asyncio.sleep(0.02)
+        news = await peers.call(platform.peers, ask, 2.0)
+        assert (news.open, news.cut) == (False, True)
+        await outcome(reading)
+        peers.close()
+
+    run(body)
+
+
 @pytest.mark.parametrize("path", ("/once/", "/plainstream/"))
 def test_the_last_answer_of_a_leaving_upstream_stays_whole(path):
     # Guards against calling it broken as its process ends right behind it.
