A connection that ended takes no place of the one that proves its end

In a large fleet with a share of one or two connections an upstream, whole answers without a length were called broken: the connection that had ended was counted until the answer was closed, which is after the check, so that no new connection was allowed and nothing could prove the answer.

Failing before: test_an_answer_on_the_last_connection_of_a_share_is_confirmed with shares of 1 and 2 (no_proof, new connection not_allowed). With 3 it passed before.

Change: the check closes that connection before it opens another.

--- a/rowanport/ends/check.py
+++ b/rowanport/ends/check.py
@@ -75,6 +75,9 @@
         """
         ended_at = loop_time()
         address = answer.path.address
+        # Until it is closed, it counts against this router's share, and the
+        # new connection may be one too many.
+        answer.path.writer.close()
         earlier = self._client.open_paths(address)
         earlier.discard(answer.path)
         opening = asyncio.ensure_future(self._open(address, ended_at))
