A share that is used up is no sign that nobody reaches an upstream

The end of a whole answer was held back for .3 s instead of .05 s if the last free connection was used while the check began, as NoConnectionFree counted as a connection that was tried in vain. The verdict itself was right.

Failing before: test_no_connection_free_is_no_sign_of_an_end (.3 s).

Change: it counts as a connection that is not allowed.

--- a/rowanport/ends/check.py
+++ b/rowanport/ends/check.py
@@ -6,6 +6,7 @@
 from ..clock import loop_time
 from ..errors import ConnectionRefused
 from ..errors import EndUnconfirmed
+from ..errors import NoConnectionFree
 from ..errors import UpstreamError
 from .verdict import Evidence
 from .verdict import Instance
@@ -120,6 +121,8 @@
                 path = await self._client.open_path(address)
         except ConnectionRefused:
             return Opened.REFUSED
+        except NoConnectionFree:
+            return Opened.NOT_ALLOWED
         except (UpstreamError, asyncio.TimeoutError):
             return Opened.UNREACHABLE
         self._client.keep(path)
--- a/test/test_end_checks.py
+++ b/test/test_end_checks.py
@@ -13,6 +13,7 @@
 from rowanport.ends import EndCheck
 from rowanport.ends import Instance
 from rowanport.ends import Reason
+from rowanport.errors import NoConnectionFree
 from rowanport.gateway.upstream import Upstream
 
 LOCAL = "127.0.0.1"
@@ -199,3 +200,27 @@
         assert router.client.idle_count(ADDRESS) == 1
 
     play(scenario)
+
+
+def test_no_connection_free_is_no_sign_of_an_end():
+    # Guards against a share that is used up meanwhile and looks like an
+    # upstream that nobody reaches, for which the end is held back longer.
+    async def scenario(server, router, _net):
+        first = await begin(router)
+        server.end.set()
+        server.end = asyncio.Event()
+        second = await begin(router)
+        await read_end(first)
+
+        async def open_none(address):
+            raise NoConnectionFree("all are in use")
+
+        router.connector.open = open_none
+        begun = asyncio.get_running_loop().time()
+        check = EndCheck(router.client)
+        reason = await check.confirm(first, Source(router))
+        assert reason is Reason.EARLIER_CONNECTION
+        assert asyncio.get_running_loop().time() - begun < 0.1
+        second.close()
+
+    play(scenario)
