An upstream that takes no health check proves by a connection that stays open

A rate-limited upstream, and one that asked for rest, get no health check, which counted at once as one that a busy upstream leaves unanswered. Behind a proxy that accepts before it finds that nobody listens, half an answer of such an upstream looked whole.

Failing before: test_a_proxy_before_a_dead_upstream_that_is_not_asked_is_no_proof.

Costs this time at the end of each answer without a length of such an upstream to which no other connection is open.

--- a/rowanport/ends/check.py
+++ b/rowanport/ends/check.py
@@ -43,6 +43,11 @@
     def may_run_again(self):
         """Return whether the request can be sent to another upstream now."""
 
+    @property
+    @abc.abstractmethod
+    def may_be_asked(self):
+        """Return whether the upstream takes a health check now."""
+
     @abc.abstractmethod
     def cut_together(self, since):
         """Return whether other answers of the upstream ended early.
@@ -81,27 +86,28 @@
         answer.path.writer.close()
         earlier = self._client.open_paths(address)
         earlier.discard(answer.path)
-        opening = asyncio.ensure_future(self._open(address, ended_at))
+        new = _NewConnection(self._client, address, source.may_be_asked)
         try:
             if earlier:
                 await asyncio.sleep(SPREAD_SECONDS)
-            opened = await asyncio.shield(opening)
-        finally:
-            if not opening.done():
-                opening.cancel()
-        evidence = Evidence(_any_open(earlier), opened)
-        evidence.leaving = source.leaving
-        evidence.cut_together = source.cut_together(ended_at - SPREAD_SECONDS)
-        evidence.may_run_again = source.may_run_again
-        step, reason = judge(evidence)
-        while step not in (Step.WHOLE, Step.BROKEN):
-            if step is Step.WAIT:
-                await asyncio.sleep(ended_at + RESEND_SECONDS - loop_time())
-                evidence.waited = True
-                evidence.earlier_open = _any_open(earlier)
-            else:
-                evidence.instance = await _ask(source)
+            opened = await new.opened()
+            evidence = Evidence(_any_open(earlier), opened)
+            evidence.leaving = source.leaving
+            since = ended_at - SPREAD_SECONDS
+            evidence.cut_together = source.cut_together(since)
+            evidence.may_run_again = source.may_run_again
             step, reason = judge(evidence)
+            while step not in (Step.WHOLE, Step.BROKEN):
+                if step is Step.WAIT:
+                    again_at = ended_at + RESEND_SECONDS
+                    await asyncio.sleep(again_at - loop_time())
+                    evidence.waited = True
+                    evidence.earlier_open = _any_open(earlier)
+                else:
+                    evidence.instance = await new.ask(source)
+                step, reason = judge(evidence)
+        finally:
+            new.release()
         if step is Step.BROKEN:
             raise EndUnconfirmed(
                 "the answer has no length, and nothing shows that it is whole:"
@@ -109,26 +115,84 @@
             )
         return reason
 
-    async def _open(self, address, ended_at):
-        """Open a connection, and return what became of it, an Opened.
 
-        It is kept for the next request: the answer has used one up.
+class _NewConnection:
+    """A connection that is opened to find out who accepts it.
+
+    It is kept for the next request, as the answer has used one up.
+
+    :param client: the HttpClient
+    :param address: address of the upstream
+    :param may_be_asked: whether a health check may be sent on it
+    """
+
+    def __init__(self, client, address, may_be_asked):
+        self._client = client
+        self._address = address
+        self._may_be_asked = may_be_asked
+        self._begun_at = loop_time()
+        # The open Path that no request may use yet.
+        self._held = None
+        self._opening = asyncio.ensure_future(self._open())
+
+    async def opened(self):
+        """Return what became of it, an Opened."""
+        return await asyncio.shield(self._opening)
+
+    async def ask(self, source):
+        """Return the Instance that answers on it.
+
+        Without a health check it is watched for as long, as a proxy that finds
+        nobody behind it closes it.
         """
-        if not self._client.may_open(address):
+        if self._may_be_asked:
+            return await _ask(source)
+        await self._wait_for_end()
+        return Instance.SILENT if self._held.open else Instance.GONE
+
+    def release(self):
+        """Give it up while it is being opened, otherwise keep it."""
+        if not self._opening.done():
+            self._opening.cancel()
+        path, self._held = self._held, None
+        if path is not None and path.open:
+            self._client.keep(path)
+        elif path is not None:
+            path.writer.close()
+
+    async def _open(self):
+        if not self._client.may_open(self._address):
             return Opened.NOT_ALLOWED
         try:
             async with asyncio.timeout(OPEN_SECONDS):
-                path = await self._client.open_path(address)
+                path = await self._client.open_path(self._address)
         except ConnectionRefused:
             return Opened.REFUSED
         except NoConnectionFree:
             return Opened.NOT_ALLOWED
         except (UpstreamError, asyncio.TimeoutError):
             return Opened.UNREACHABLE
-        self._client.keep(path)
-        prompt = loop_time() <= ended_at + RESTART_SECONDS
+        if self._may_be_asked:
+            self._client.keep(path)
+        else:
+            self._held = path
+        prompt = loop_time() <= self._begun_at + RESTART_SECONDS
         return Opened.PROMPT if prompt else Opened.LATE
 
+    async def _wait_for_end(self):
+        """Wait until it ends, at most as long as for a health check."""
+        ended = asyncio.Event()
+        reader = self._held.reader
+        reader.on_end = ended.set
+        try:
+            async with asyncio.timeout(ASK_SECONDS):
+                if not reader.ended:
+                    await ended.wait()
+        except asyncio.TimeoutError:
+            pass
+        finally:
+            reader.on_end = None
+
 
 def _any_open(paths):
     return any(path.open for path in paths)
--- a/rowanport/gateway/answer_ends.py
+++ b/rowanport/gateway/answer_ends.py
@@ -104,15 +104,32 @@
     def may_run_again(self):
         return self._may_run_again()
 
+    @property
+    def may_be_asked(self):
+        """Return whether the upstream takes health checks.
+
+        What it wants spared are requests, and health checks count.
+        """
+        limited = not self._gateway.limits.unlimited([self._state])
+        now = self._gateway.clock.steady()
+        backed_off = self._state.is_backed_off(now)
+        return not (limited or backed_off) and self._service is not None
+
+    @property
+    def _service(self):
+        """Return the Service of the upstream, None if it is unknown."""
+        table = self._gateway.table
+        return table and table.services.get(self._state.record.service)
+
     def cut_together(self, since):
         # One of them is the end of the answer itself.
         return self._ends.count_ends(self._state.record.run, since) > 1
 
     async def ask_instance(self):
         gateway, record = self._gateway, self._state.record
-        service = gateway.table and gateway.table.services.get(record.service)
-        if service is None or not self._may_ask():
-            # What it wants spared are requests, and health checks count.
+        service = self._service
+        if service is None:
+            # A new configuration has come meanwhile.
             return Instance.SILENT
         try:
             answer = await gateway.client.request(
@@ -127,9 +144,3 @@
         if name is None:
             return Instance.UNNAMED
         return Instance.SAME if name == record.id else Instance.ANOTHER
-
-    def _may_ask(self):
-        """Return whether the upstream takes health checks."""
-        limited = not self._gateway.limits.unlimited([self._state])
-        now = self._gateway.clock.steady()
-        return not limited and not self._state.is_backed_off(now)
--- a/test/test_end_checks.py
+++ b/test/test_end_checks.py
@@ -13,6 +13,7 @@
 from rowanport.ends import EndCheck
 from rowanport.ends import Instance
 from rowanport.ends import Reason
+from rowanport.errors import EndUnconfirmed
 from rowanport.errors import NoConnectionFree
 from rowanport.gateway.upstream import Upstream
 
@@ -224,3 +225,19 @@
         second.close()
 
     play(scenario)
+
+
+def test_a_proxy_before_a_dead_upstream_that_is_not_asked_is_no_proof():
+    # Guards against half an answer of a rate-limited upstream, which gets no
+    # health check, behind a proxy that accepts before it finds nobody.
+    async def scenario(server, router, net):
+        answer = await begin(router)
+        net.sever("router", ADDRESS.split(":")[0], "accept")
+        server.kill()
+        with pytest.raises(EndUnconfirmed):
+            await read_end(answer)
+            check = EndCheck(router.client)
+            await check.confirm(answer, Source(router, may_be_asked=False))
+        assert server.checks == 0
+
+    play(scenario)
