A resumed run without a length ends as complete at the engine of its copy

A stream without a length whose engine was killed went on where its copy was up to its last event, and was then broken off: the end of the run that was resumed was taken for a stop by a move, as its job goes on from a copy.

Failing before: test_a_run_at_a_killed_engine_goes_on_where_its_copy_is (all events, and no end).

Change: the end at the engine that resumed a run is no stop.

--- a/rowanport/gateway/sender.py
+++ b/rowanport/gateway/sender.py
@@ -388,9 +388,6 @@
             self._retry_policy.may_run_again, job, self._responder, state
         )
         await gateway.ends.confirm(job, state, answer, may_run_again)
-        await gateway.migrations.wait_for_move(job)
-        if job.resuming:
-            raise ConnectionEnded("the run was stopped to move elsewhere")
 
     def _drop(self, attempt, error):
         """Record the failure of an Attempt, and close it."""
