A stream without a length that a move stops is not whole at its source

An engine that is told to stop a run closes its stream without its end. It lives on, so that the end was confirmed, and callers got 2 of 8 events as a complete stream. The check for this looked whether the run was to go on elsewhere, which is known only after the failure of the send was recorded.

--- a/rowanport/gateway/migrations.py
+++ b/rowanport/gateway/migrations.py
@@ -200,6 +200,8 @@
         status, answer = await self._call_move(job, migration, last=True)
         if status in (200, 503) and _handle(answer) is not None:
             migration.record_stop(_handle(answer), status == 200)
+        elif status:
+            migration.record_no_stop()
 
     async def _ask_leaves_at(self, state):
         """Return when an engine leaves by its report, None if unknown."""
@@ -283,6 +285,17 @@
 
     # The end of a send
 
+    async def check_end(self, job):
+        """Check that the orderly end of a stream is not that of a stopped run.
+
+        For a stream without a length both look the same.
+
+        :raises ConnectionEnded: its engine may have stopped the run
+        """
+        await self.wait_for_move(job)
+        if job.migration is not None and job.migration.may_have_stopped:
+            raise ConnectionEnded("the run was stopped to move elsewhere")
+
     def record_failure(self, job, error):
         """Record that a send of a job failed.
 
--- a/rowanport/gateway/sender.py
+++ b/rowanport/gateway/sender.py
@@ -388,6 +388,7 @@
             self._retry_policy.may_run_again, job, self._responder, state
         )
         await gateway.ends.confirm(job, state, answer, may_run_again)
+        await gateway.migrations.check_end(job)
 
     def _drop(self, attempt, error):
         """Record the failure of an Attempt, and close it."""
--- a/rowanport/migration/migration.py
+++ b/rowanport/migration/migration.py
@@ -59,6 +59,7 @@
         "_handle",
         "_is_backup",
         "_stopped",
+        "_not_stopped",
         "_target_failed",
     )
 
@@ -70,6 +71,7 @@
         self._handle = handle
         self._is_backup = handle is not None
         self._stopped = False
+        self._not_stopped = False
         self._target_failed = False
 
     @property
@@ -111,6 +113,14 @@
         """
         return (self.target if self._is_backup else self.source).address
 
+    @property
+    def may_have_stopped(self):
+        """Return whether the source may have stopped the run.
+
+        It then closes its stream without its end.
+        """
+        return self.phase is Phase.STOPPING and not self._not_stopped
+
     def fits(self, run, version):
         """Return whether a listed upstream may resume the run.
 
@@ -150,6 +160,10 @@
             self._stopped = True
             self._target_failed = not copied
 
+    def record_no_stop(self):
+        """Record that the source answered that it did not stop the run."""
+        self._not_stopped = True
+
     # The end of the source's stream
 
     def record_end(self, closed):
--- a/test/test_unframed_moves.py
+++ b/test/test_unframed_moves.py
@@ -4,6 +4,7 @@
 for a stream without a length looks like its end, at an engine that lives.
 """
 
+import asyncio
 import functools
 from test.crash_world import crash_test
 from test.migration_world import EVENTS
@@ -12,6 +13,7 @@
 from test.migration_world import PAUSE
 from test.test_migrations import ALL
 from test.test_migrations import begin
+from test.test_migrations import leave
 
 from rowanport.platform.words import DIALECT
 from rowanport.standins.copying_engine import CopyingEngine
@@ -69,6 +71,7 @@
 
 
 unframed_test = functools.partial(crash_test, UnframedWorld)
+move_test = functools.partial(unframed_test, feature="moves")
 
 
 def record_settlements(world):
@@ -85,6 +88,62 @@
     return settled
 
 
+@move_test()
+async def test_a_stream_that_a_move_stops_is_not_whole_at_its_source(world):
+    # Guards against half a stream that ends as complete, as its engine lives
+    # behind the end.
+    settled = record_settlements(world)
+    task = await begin(world, events=2)
+    source = world.engine_of("r1")
+    await leave(world, source, 0.5)
+    stream = await task
+    assert (stream.whole, stream.events) == (True, ALL)
+    assert [value["last"] for value in source.moves] == [False, True]
+    assert world.engine_of("r1") is not source
+    assert world.overlaps() == set()
+    # Guards against a run that is paid for at both engines.
+    assert settled == [("org", 124, 124)]
+
+
+@move_test()
+async def test_a_stream_that_a_move_stops_without_an_answer_is_not_whole(
+    world,
+):
+    # Guards against half a stream that ends as complete, as the answer of its
+    # engine to the stop got lost.
+    task = await begin(world, events=2)
+    source = world.engine_of("r1")
+    source.lose_answers = True
+    await leave(world, source, 1.0)
+    stream = await task
+    assert not stream.whole or stream.events == ALL
+    assert world.overlaps() == set()
+
+
+@move_test()
+async def test_a_stream_that_ends_before_its_stop_is_whole(world):
+    # Guards against a whole stream that counts as stopped, as its move was
+    # under way when it ended.
+    task = await begin(world, events=2)
+    source = world.engine_of("r1")
+    # The run ends by itself while its engine has not read the stop.
+    delays = iter((0.0, 0.8))
+
+    async def answer_late(connection, writer, request, body):
+        if request.target.decode() == DIALECT.move_path:
+            await asyncio.sleep(next(delays))
+        await UnframedEngine._answer(source, connection, writer, request, body)
+
+    source._answer = answer_late
+    source.leaves_at = world.now + 0.5
+    entry = source.entry(state="draining")
+    await world.store.put(f"servers/{source.name}", entry)
+    stream = await task
+    assert (stream.whole, stream.events) == (True, ALL)
+    assert [one["last"] for one in source.moves] == [False, True]
+    assert len([span for span in world.spans if span.id == "r1"]) == 1
+
+
 @unframed_test()
 async def test_a_run_at_a_killed_engine_goes_on_where_its_copy_is(world):
     # Guards against a stream that ends as complete after half of its events,
