A confirmation that is given up counts as no early end

An answer whose caller left, whose deadline passed, or whose race was lost while its end was confirmed was counted for 5 s as one that its upstream ended early. Within 50 ms, the last whole answer of an upstream that leaves counted as cut together with it.

Change: the record of the end goes with the confirmation.

--- a/rowanport/gateway/answer_ends.py
+++ b/rowanport/gateway/answer_ends.py
@@ -1,5 +1,6 @@
 """Checks the ends of answers without a length that the gateway forwards."""
 
+import asyncio
 import collections
 
 from ..clock import loop_time
@@ -72,11 +73,18 @@
         except EndUnconfirmed:
             ends.inc({"verdict": "broken"})
             raise
+        except asyncio.CancelledError:
+            # Nobody waits for the answer any more: nothing is known of it.
+            self._remove_end(run, ended_at)
+            raise
         ends.inc({"verdict": "whole"})
-        if ended_at in self._ends[run]:
-            self._ends[run].remove(ended_at)
+        self._remove_end(run, ended_at)
         job.end_reason = reason
 
+    def _remove_end(self, run, ended_at):
+        if ended_at in self._ends.get(run, ()):
+            self._ends[run].remove(ended_at)
+
 
 class UpstreamSource(AnswerSource):
     """What the gateway knows of an upstream that sent an answer.
--- a/test/test_silent_upstreams.py
+++ b/test/test_silent_upstreams.py
@@ -36,6 +36,7 @@
 # Seconds in which a run has to end once another one has begun.
 OVERLAP = 0.4
 FOREVER = 100.0
+STREAMS = ("/stream/", "/plainstream/")
 
 
 class Run:
@@ -184,7 +185,7 @@
             ("api-key", KEY),
             ("x-rowanport-deadline-ms", "15000"),
         ]
-        if path == "/stream/":
+        if path in STREAMS:
             fields += [
                 ("x-rowanport-token-count", tokens),
                 ("x-rowanport-prompt-prefix", "aa:60,bb:40"),
@@ -205,7 +206,7 @@
 
     def _check(self, name, path, data):
         expected = b"body of " + name.encode()
-        if path == "/stream/":
+        if path in STREAMS:
             events = [
                 f"id: {number}\ndata: {name}\n\n".encode()
                 for number in range(1, self.upstreams[0].events + 1)
