A race's other run proves the last answer of an upstream that leaves

Half an answer of an upstream that was to leave, and was killed, won a race of two runs: no further run was allowed, so the guess was that the upstream had left behind its last answer.

Failing before: test_half_an_answer_of_a_leaving_upstream_wins_no_race (4 of 9 bytes as a whole answer).

Change: a run that is under way at another upstream counts as one that can prove the answer.

--- a/rowanport/gateway/sender.py
+++ b/rowanport/gateway/sender.py
@@ -384,12 +384,23 @@
         :raises ConnectionEnded: nothing shows that it is
         """
         gateway, job = self._gateway, self._job
-        may_run_again = functools.partial(
-            self._retry_policy.may_run_again, job, self._responder, state
-        )
+        may_run_again = functools.partial(self._may_run_elsewhere, state)
         await gateway.ends.confirm(job, state, answer, may_run_again)
         await gateway.migrations.check_end(job)
 
+    def _may_run_elsewhere(self, state):
+        """Return whether the job runs, or can run, at another upstream.
+
+        :param state: the UpstreamState of the upstream that does not count
+        """
+        if any(
+            not one.closed and one.state is not state for one in self._attempts
+        ):
+            return True
+        return self._retry_policy.may_run_again(
+            self._job, self._responder, state
+        )
+
     def _drop(self, attempt, error):
         """Record the failure of an Attempt, and close it."""
         job, state = self._job, attempt.state
--- a/test/test_unframed_races.py
+++ b/test/test_unframed_races.py
@@ -74,6 +74,22 @@
     await check_nothing_left(scene, cut=1)
 
 
+@unframed_test()
+async def test_half_an_answer_of_a_leaving_upstream_wins_no_race(scene):
+    # Guards against a guess that the upstream left behind its last answer,
+    # where the other run of the race can prove it.
+    for upstream in scene.upstreams:
+        upstream.late, upstream.middle = STALL + 0.1, 0.5
+    asking, first = await begin(scene, path="/safe/")
+    (second,) = [one for one in scene.upstreams if one is not first]
+    second.late, second.middle = 0.0, 1.0
+    await scene.draw_up(first)
+    await asyncio.sleep(STALL + 0.25)
+    assert second.runs
+    first.kill()
+    assert await asking == "whole"
+
+
 @unframed_test()
 async def test_a_confirmation_goes_on_while_its_request_is_hedged(scene):
     # Guards against a whole answer that is lost as the wait for its
