A crash counts though its caller left before the end was confirmed

A lethal request whose answers have no length crashed 9 upstreams in a row when its callers left 10 ms behind each crash: the confirmation was given up, and the run counted as one that its upstream outlived. With a length the same callers came too late, as the crash is seen at once there.

Failing before: test_a_lethal_request_whose_callers_leave_early_is_blocked (9 crashes; at most 5 are allowed). The other tests of the file passed at once: a lethal request without lengths is blocked after three to five crashes on three kinds of routes, which a variant without the check fails, and sound requests beside crashes are not blocked.

Change: a run whose end is not confirmed yet as its answer is given up is probed like one whose connection ended early.

--- a/rowanport/gateway/attempt.py
+++ b/rowanport/gateway/attempt.py
@@ -86,6 +86,11 @@
         """Return whether it was closed."""
         return self._closed
 
+    @property
+    def confirming(self):
+        """Return whether it is not known yet if its end is the answer's."""
+        return self._confirming is not None and not self._confirming.done()
+
     @property
     def head_received(self):
         """Return whether the head of its answer has arrived."""
--- a/rowanport/gateway/sender.py
+++ b/rowanport/gateway/sender.py
@@ -425,6 +425,9 @@
         :param error: the UpstreamError that ended it, or None
         """
         if not attempt.closed:
+            if error is None and attempt.confirming:
+                # The upstream may have crashed, though nobody waits to see.
+                error = ConnectionEnded("its end was not confirmed")
             self._crashes.finish_run(attempt.in_flight_send, error)
             attempt.close()
             if self._job.tokens is None:
