--- a/rowanport/gateway/answer_ends.py
+++ b/rowanport/gateway/answer_ends.py
@@ -76,8 +76,10 @@
         ended_at = loop_time() - message.age_ms / 1000
         before = ended_at - APART_SECONDS
         paths = self._gateway.client.open_paths(message.address)
+        # The end of a connection does not arrive over a link that is lost.
+        reaches = self._gateway.links.usable(message.address)
         return EndNews(
-            any(path.opened_at < before for path in paths),
+            reaches and any(path.opened_at < before for path in paths),
             self.count_ends(message.upstream, ended_at) > 0,
         )
 
@@ -145,11 +147,18 @@
         except EndUnconfirmed:
             ends.inc({"verdict": "broken"})
             raise
+        except asyncio.CancelledError:
+            # Nobody waits for the answer any more: nothing is known of it.
+            self._remove_end(run, ended_at)
+            raise
         ends.inc({"verdict": "whole"})
-        if ended_at in self._ends[run]:
-            self._ends[run].remove(ended_at)
+        self._remove_end(run, ended_at)
         job.end_reason = reason
 
+    def _remove_end(self, run, ended_at):
+        if ended_at in self._ends.get(run, ()):
+            self._ends[run].remove(ended_at)
+
 
 class UpstreamSource(AnswerSource):
     """What the gateway knows of an upstream that sent an answer.
@@ -177,6 +186,23 @@
     def may_run_again(self):
         return self._may_run_again()
 
+    @property
+    def may_be_asked(self):
+        """Return whether the upstream takes health checks.
+
+        What it wants spared are requests, and health checks count.
+        """
+        limited = not self._gateway.limits.unlimited([self._state])
+        now = self._gateway.clock.steady()
+        backed_off = self._state.is_backed_off(now)
+        return not (limited or backed_off) and self._service is not None
+
+    @property
+    def _service(self):
+        """Return the Service of the upstream, None if it is unknown."""
+        table = self._gateway.table
+        return table and table.services.get(self._state.record.service)
+
     def cut_together(self, ended_at):
         # One of them is the end of the answer itself.
         run = self._state.record.run.name
@@ -184,9 +210,9 @@
 
     async def ask_instance(self):
         gateway, record = self._gateway, self._state.record
-        service = gateway.table and gateway.table.services.get(record.service)
-        if service is None or not self._may_ask():
-            # What it wants spared are requests, and health checks count.
+        service = self._service
+        if service is None:
+            # A new configuration has come meanwhile.
             return Instance.SILENT
         try:
             answer = await gateway.client.request(
@@ -204,9 +230,3 @@
 
     async def ask_peers(self, ended_at):
         return await self._ends.ask_peers(self._state.record, ended_at)
-
-    def _may_ask(self):
-        """Return whether the upstream takes health checks."""
-        limited = not self._gateway.limits.unlimited([self._state])
-        now = self._gateway.clock.steady()
-        return not limited and not self._state.is_backed_off(now)
