The soak answers without a length, and checks their ends both ways

Change: 3 of 10 answers, by the request's id, have neither and end with the connection, in every theme. An upstream that crashes or ends closes them in order: transport.abort() drops what the process holds and lets the kernel close, and the relays pass that end on as one (a test reads it through a relay). whole_answer excuses a short answer only if its last run was broken off by the upstream itself, the caller has all that run handed out, and the upstream lived on. broken_end is new: an answer that the upstream sent whole and outlived by 0.3 s must not reach the caller of a router in touch as 502 or cut. A torn event behind the last whole one of a stream that looks whole is now reported as such, and never excused unless it is the beginning of the next event.

--- a/soak/broken.py
+++ b/soak/broken.py
@@ -55,6 +55,38 @@
         Forwarder._send_error = end
 
 
+class TrustsEnds(Variant):
+    """Trusts each orderly end of an answer without a length."""
+
+    promise = "whole_answer"
+    theme = "crashes"
+
+    def apply(self):
+        from rowanport.ends import EndCheck
+        from rowanport.ends import Reason
+
+        async def confirm(self, answer, source):
+            return Reason.NEW_CONNECTION
+
+        EndCheck.confirm = confirm
+
+
+class DoubtsEnds(Variant):
+    """Calls each answer without a length broken."""
+
+    promise = "broken_end"
+    theme = "changes"
+
+    def apply(self):
+        from rowanport.ends import EndCheck
+        from rowanport.errors import EndUnconfirmed
+
+        async def confirm(self, answer, source):
+            raise EndUnconfirmed("no end is trusted")
+
+        EndCheck.confirm = confirm
+
+
 class SaysNotRun(Variant):
     """Says 503 of requests that may have run."""
 
@@ -502,6 +534,8 @@
     for kind in (
         Overspend,
         LooksWhole,
+        TrustsEnds,
+        DoubtsEnds,
         SaysNotRun,
         RunsAgain,
         ForgetsKey,
--- a/soak/caller.py
+++ b/soak/caller.py
@@ -263,6 +263,7 @@
             self._compare(ask, request, headers, answer, body)
             if channel.state.trailing_data[0] and not channel.ahead:
                 request.wrong = "more bytes behind the answer"
+                request.short = False
             self._keep(channel, headers)
         elif ask.streamed and request.status == 200:
             self._compare_events(request, answer, None)
@@ -343,6 +344,9 @@
             last = last_event(request.stream, request.most)
             self._compare_events(request, answer, last)
         elif answer != body_of(request.id, body):
+            request.short = not request.wrong and (
+                body_of(request.id, body).startswith(answer)
+            )
             request.wrong = f"another body: {answer[:60]!r}"
 
     def _compare_events(self, request, answer, last):
@@ -350,10 +354,7 @@
 
         :param last: number of the last event if the answer is whole
         """
-        events = [e for e in answer.split(b"\n\n") if e]
-        if last is None:
-            # A broken answer may end within an event.
-            events = answer.split(b"\n\n")[:-1]
+        *events, rest = answer.split(b"\n\n")
         versions = set()
         for number, event in enumerate(events, request.after + 1):
             data, _, version = event.decode("latin-1").partition(" v")
@@ -366,8 +367,15 @@
             versions.add(version)
             request.events = number
         request.versions = frozenset(versions)
-        if last is not None and request.events != last:
-            request.wrong = f"{request.events} events of {last} look whole"
+        # A broken answer may end within an event.
+        if last is None or (request.events == last and not rest):
+            return
+        begun = f"id: {request.events + 1}\ndata: {request.id}".encode()
+        begins = request.events < last and begun.startswith(rest)
+        request.short = begins and not request.wrong
+        request.wrong = f"{request.events} events of {last} look whole"
+        if rest:
+            request.wrong += f", with {rest[:60]!r} behind them"
 
 
 def _draw_manner(manners, name):
--- a/soak/history.py
+++ b/soak/history.py
@@ -55,6 +55,8 @@
         caller closed it
     :ivar signed: whether an upstream's signature came with it
     :ivar wrong: how the answer is not the request's own, "" if it is
+    :ivar short: whether nothing else is wrong than that the answer looks whole
+        and lacks its end
     :ivar first: whether it is its caller's first try
     :ivar resumes: id of the request that began the stream which it takes up,
         "" if it takes up none
@@ -79,6 +81,7 @@
         "outcome",
         "signed",
         "wrong",
+        "short",
         "first",
         "resumes",
         "after",
@@ -100,6 +103,7 @@
         "outcome": "",
         "signed": False,
         "wrong": "",
+        "short": False,
         "first": True,
         "resumes": "",
         "after": 0,
@@ -127,6 +131,9 @@
     :ivar crashed: whether it crashed the upstream
     :ivar sender: name of the router from whose link it came, "" if unknown
     :ivar says_leaving: whether its answer says that the upstream leaves
+    :ivar unframed: whether its answer has no length and no chunks
+    :ivar sent_whole: whether all of its answer was written to a connection
+        that the router had not closed
     """
 
     __slots__ = (
@@ -141,6 +148,8 @@
         "crashed",
         "sender",
         "says_leaving",
+        "unframed",
+        "sent_whole",
     )
 
     def __init__(self, request, upstream, arrived_at, path, organisation=""):
@@ -151,6 +160,8 @@
         self.crashed = False
         self.sender = ""
         self.says_leaving = False
+        self.unframed = False
+        self.sent_whole = False
 
 
 class Version(Record):
@@ -286,6 +297,8 @@
     :ivar repeat_window: length of that window
     :ivar evacuate: until an evacuated data centre gets no new work
     :ivar cold_requests: most requests that reach a cold upstream in a second
+    :ivar outlive: for which an upstream lives on after an answer without a
+        length, at the least, for its end to count as its own
     """
 
     __slots__ = (
@@ -299,6 +312,7 @@
         "repeat_window",
         "evacuate",
         "cold_requests",
+        "outlive",
     )
 
     defaults = {
@@ -312,6 +326,7 @@
         "repeat_window": 10.0,
         "evacuate": 5.0,
         "cold_requests": 4.5,
+        "outlive": 0.3,
     }
 
 
@@ -320,6 +335,7 @@
 
     :ivar questions: Arrivals of health checks, with empty request ids
     :ivar data_centres: data centre by upstream
+    :ivar upstream_ends: when the processes of upstreams ended, by name
     :ivar calm_at: from when on nothing is disturbed any more
     """
 
@@ -339,6 +355,7 @@
         self.evacuations = []
         self.colds = []
         self.data_centres = {}
+        self.upstream_ends = {}
         self.readiness = []
         self.own_ends = []
         self.failed_tasks = []
@@ -358,6 +375,11 @@
             for name in (router, STORE)
         )
 
+    def lived_on(self, run):
+        """Return whether the upstream of a run lived on for some time."""
+        ended_at = self.upstream_ends.get(run.upstream, NEVER)
+        return ended_at >= run.ended_at + self.bounds.outlive
+
     def runs_of(self):
         """Return lists of Run by id, of the requests that were sent."""
         runs = {}
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -21,6 +21,8 @@
 from .upstream import LETHAL
 
 NOT_RUN = (408, 421, 429, 503)
+# The status of a request that ran and whose answer broke.
+BROKEN = 502
 # A kept connection that closes without an answer may cross the request.
 MOST_CUT_IN_TOUCH = 3
 # Seconds after the signal to stop by which a router is out of use: the
@@ -93,12 +95,64 @@
 
 def check_answers(history):
     """Each caller gets the whole of its own answer, or sees that it broke."""
+    runs = history.runs_of()
     for request in history.requests.values():
-        if request.wrong:
-            evidence = f"{request.id} {request.path}: {request.wrong}"
+        own = runs.get(request.id, [])
+        if request.wrong and not _ended_early(history, request, own):
+            evidence = (
+                f"{request.id} {request.path} at {request.router}: "
+                f"{request.wrong}"
+            )
             yield Finding("whole_answer", request.ended_at, evidence)
 
 
+def _ended_early(history, request, runs):
+    """Return whether a short answer is all that its upstream sent.
+
+    Nobody can tell that an answer without a length ended early if the upstream
+    itself closed the connection in order, and lives on.
+    """
+    if not request.short or not runs:
+        return False
+    last = runs[-1]
+    return (
+        last.unframed
+        and last.broke_off
+        and request.events >= max(last.tokens, default=0)
+        and history.lived_on(last)
+    )
+
+
+def check_broken_ends(history):
+    """A whole answer without a length doesn't reach its caller as broken.
+
+    It binds routers in touch, if the upstream lived on after the answer.
+    """
+    for id_, runs in history.runs_of().items():
+        request = history.requests[id_]
+        if not _broke(request) or request.ended_at >= request.until:
+            continue
+        sent = [
+            run
+            for run in runs
+            if run.unframed and run.sent_whole and history.lived_on(run)
+        ]
+        if sent and history.in_touch(
+            request.router, request.sent_at, request.ended_at
+        ):
+            evidence = (
+                f"{id_} {request.path} at {request.router}: {request.outcome} "
+                f"with status {request.status}, though {sent[-1].upstream} "
+                "had sent all of its answer without a length"
+            )
+            yield Finding("broken_end", request.ended_at, evidence)
+
+
+def _broke(request):
+    """Return whether a request's caller saw its answer break."""
+    return request.outcome == "cut" or request.status == BROKEN
+
+
 def check_not_run(history):
     """A request answered 429, 503, 408 or 421 never runs."""
     for id_, runs in history.runs_of().items():
@@ -770,6 +824,7 @@
 PROMISES = (
     check_budgets,
     check_answers,
+    check_broken_ends,
     check_not_run,
     check_at_most_once,
     check_asked,
--- a/soak/upstream.py
+++ b/soak/upstream.py
@@ -4,6 +4,8 @@
 import random
 import time
 
+import h11
+
 from rowanport.standins.upstream import ID_HEADER
 from rowanport.standins.upstream import is_health_check
 from rowanport.standins.upstream import UpstreamStandin
@@ -34,6 +36,10 @@
 BREAKING = ("reset", "short", "unsigned", "stray")
 # The same, after some events of a stream.
 STREAM_ONLY = ("break", "tear")
+# Share of requests whose answers come without a length and in no chunks, and
+# behaviours that give such answers.
+UNFRAMED_SHARE = 0.3
+UNFRAMED = ("ok", *STREAM_ONLY)
 # Share of requests that an upstream turns away while it is told to refuse.
 REFUSED_SHARE = 0.85
 # Part of the paths of requests that crash what runs them.
@@ -73,6 +79,11 @@
     return b"body of " + request_id.encode() + b" " + body
 
 
+def is_unframed(request_id):
+    """Return whether a request's answer has no length and no chunks."""
+    return random.Random(f"end {request_id}").random() < UNFRAMED_SHARE
+
+
 class RecordingUpstream(UpstreamStandin):
     """Runs requests within its slots, with random faults of its own.
 
@@ -115,6 +126,14 @@
             "cold_left_ms": max(0, int(1000 * left)),
         }
 
+    def crash(self):
+        """Close all connections in order, as a killed process's kernel does.
+
+        Half an answer without a length ends like a whole one.
+        """
+        self._history.upstream_ends.setdefault(self.name, time.monotonic())
+        super().crash()
+
     def turn_cold(self):
         """Be cold from now on, for some seconds."""
         now = time.monotonic()
@@ -212,10 +231,15 @@
             await asyncio.sleep(self._random.uniform(0, 0.02))
             behaviour = self._next_behaviour(names)
             names["behaviour"] = behaviour
+            if behaviour in UNFRAMED and is_unframed(request_id):
+                # h11 leaves out both a length and chunks only for HTTP/1.0.
+                connection.their_http_version = b"1.0"
+                names["unframed"] = True
             method = getattr(self, f"_do_{behaviour}")
             await method(connection, writer, names, body)
             self._note_broken(connection, behaviour)
             await writer.drain()
+            self._note_whole(connection, writer, behaviour)
         finally:
             self.active -= 1
             self._end(self._runs.pop(connection))
@@ -240,6 +264,12 @@
         if behaviour in STREAM_ONLY and isinstance(run, Run):
             run.broke_off = True
 
+    def _note_whole(self, connection, writer, behaviour):
+        run = self._runs[connection]
+        closed = writer.is_closing() or self._readers[writer].at_eof()
+        if behaviour == "ok" and isinstance(run, Run) and not closed:
+            run.sent_whole = True
+
     def _end(self, run):
         if isinstance(run, Run):
             run.ended_at = time.monotonic()
@@ -293,6 +323,7 @@
         )
         run.broke_off = names["behaviour"] in BREAKING
         run.crashed = names["behaviour"] == "crash"
+        run.unframed = "unframed" in names
         run.sender = names["sender"]
         run.says_leaving = self.leaving_text is not None
         self._runs[connection] = run
@@ -306,6 +337,22 @@
         left = tokens_out(stream, most) - STRIDE * (number - 1)
         run.tokens[number] = max(0, min(STRIDE, left))
 
+    async def _do_ok(self, connection, writer, names, body):
+        if _streamed(names) or "unframed" not in names:
+            await super()._do_ok(connection, writer, names, body)
+            return
+        self._note_run(connection, names)
+        head = self._head(names)
+        data = body_of(names[ID_HEADER], body)
+        half = len(data) // 2
+        response = h11.Response(status_code=200, headers=head)
+        writer.write(connection.send(response))
+        writer.write(connection.send(h11.Data(data=data[:half])))
+        await writer.drain()
+        await self._rest(connection, writer)
+        writer.write(connection.send(h11.Data(data=data[half:])))
+        writer.write(connection.send(h11.EndOfMessage()))
+
     def _last_event(self, names):
         _prompt, _, most = names["x-rowanport-token-count"].partition(",")
         stream = names.get(RESUMES_HEADER, names[ID_HEADER])
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -42,6 +42,7 @@
 from soak.shapes import Ask
 from soak.shapes import Shape
 from soak.upstream import body_of
+from soak.upstream import is_unframed
 from soak.upstream import RecordingUpstream
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -75,14 +76,16 @@
     ),
 }
 BROKEN = ("--calm", "15.5")
-# Seeds whose requests with bad parts come while upstreams are up, and in
-# which routers are in touch for a whole evacuation.
+# Seeds whose requests with bad parts come while upstreams are up, in which
+# routers are in touch for a whole evacuation, and with six upstreams that
+# crash.
 BROKEN_SEEDS = collections.defaultdict(
-    lambda: 1, NeverBlocks=3, IgnoresEvacuations=2
+    lambda: 1, NeverBlocks=3, IgnoresEvacuations=2, TrustsEnds=19
 )
 # Seconds of faults that a variant is given to be found in.
 BROKEN_SECONDS = collections.defaultdict(
     lambda: 14,
+    TrustsEnds=30,
     ForgetsCrashes=30,
     ForgetsParts=30,
     NeverBlocks=30,
@@ -184,6 +187,80 @@
     assert found(history) == ["whole_answer"]
 
 
+def end_early(**values):
+    """Return a history of a short answer that its upstream broke off."""
+    history = History()
+    wrong = "3 events of 9 look whole"
+    add_request(history, wrong=wrong, short=True, events=3)
+    fields = {"unframed": True, "broke_off": True, "ended_at": 100.05}
+    add_run(history, **{"tokens": {3: 1}, **fields, **values})
+    return history
+
+
+@pytest.mark.parametrize(
+    "values, ended_at, expected",
+    [
+        ({}, 100.4, []),
+        # The kernel of a killed upstream ended it.
+        ({"broke_off": False}, 100.05, ["whole_answer"]),
+        ({}, 100.1, ["whole_answer"]),
+        ({"unframed": False}, 100.4, ["whole_answer"]),
+        # The router lost events that it had got.
+        ({"tokens": {4: 1}}, 100.4, ["whole_answer"]),
+    ],
+)
+def test_only_an_upstream_that_lives_on_excuses_a_short_answer(
+    values, ended_at, expected
+):
+    history = end_early(**values)
+    history.upstream_ends["u0"] = ended_at
+    assert found(history) == expected
+
+
+def test_an_upstream_that_broke_off_excuses_no_other_answer():
+    history = end_early()
+    history.requests["c1"].short = False
+    assert found(history) == ["whole_answer"]
+
+
+def test_a_run_before_the_last_one_excuses_no_short_answer():
+    history = end_early()
+    add_run(history, upstream="u1", at=100.06, tokens={3: 1}, unframed=True)
+    assert found(history) == ["whole_answer"]
+
+
+@pytest.mark.parametrize(
+    "values, upstream_ends, expected",
+    [
+        ({"status": 502}, {}, ["broken_end"]),
+        ({"outcome": "cut"}, {}, ["broken_end"]),
+        ({"outcome": "cut"}, {"u0": 100.36}, ["broken_end"]),
+        # The upstream was killed soon after its answer.
+        ({"outcome": "cut"}, {"u0": 100.34}, []),
+        ({"outcome": "cut", "until": 100.1}, {}, []),
+        ({"outcome": "left"}, {}, []),
+        ({}, {}, []),
+    ],
+)
+def test_a_whole_answer_without_a_length_that_breaks_is_found(
+    values, upstream_ends, expected
+):
+    history = History()
+    history.upstream_ends = upstream_ends
+    add_request(history, **values)
+    add_run(history, unframed=True, sent_whole=True, ended_at=100.05)
+    assert found(history) == expected
+
+
+@pytest.mark.parametrize("kind", ["cut", "kill", SEVER])
+def test_a_router_that_was_disturbed_may_break_a_whole_answer(kind):
+    history = History()
+    add_request(history, outcome="cut")
+    add_run(history, unframed=True, sent_whole=True, ended_at=100.05)
+    history.faults.append(Fault(kind, frozenset(["r0"]), 98.0, 99.0))
+    assert found(history) == []
+
+
 @pytest.mark.parametrize("status", [408, 421, 429, 503])
 def test_not_run_is_a_promise_before_and_after(status):
     for at in (99.0, 200.0):
@@ -586,6 +663,64 @@
     loop.run_until_complete(check_stall(what, silent, served))
 
 
+# Ids of requests whose answers have no length.
+UNFRAMED_IDS = [id_ for id_ in map(str, range(99)) if is_unframed(id_)]
+
+
+def test_a_share_of_the_requests_gets_answers_without_a_length():
+    assert 20 <= len(UNFRAMED_IDS) <= 40
+
+
+async def read_unframed(history, header, crashes):
+    """Return the bytes of an answer without a length, behind a relay.
+
+    :param header: more of the request's head
+    :param crashes: whether the upstream crashes in the middle
+    """
+    upstream = RecordingUpstream("u0", history, 1, faulty=False)
+    upstream.pause = 0.2
+    front, behind = free_ports(2)
+    await upstream.start(behind)
+    relays = Relays({LOCAL: "one"})
+    await relays.add("two", (LOCAL, front), (LOCAL, behind))
+    add_request(history, UNFRAMED_IDS[0], most=9)
+    reader, writer = await asyncio.open_connection(LOCAL, front)
+    head = (
+        f"POST /x/ HTTP/1.1\r\nhost: x\r\n{header}"
+        f"content-length: 0\r\n{ID_HEADER}: {UNFRAMED_IDS[0]}\r\n\r\n"
+    )
+    writer.write(head.encode())
+    data = await reader.read(1)
+    if crashes:
+        upstream.crash()
+    else:
+        await upstream.close()
+    # It would raise if the connection were reset.
+    data += await reader.read()
+    writer.close()
+    relays.close()
+    await asyncio.sleep(0.3)
+    return data
+
+
+@pytest.mark.parametrize("header", ["", "x-rowanport-token-count: 1,9\r\n"])
+def test_a_crashed_upstream_ends_answers_without_a_length_in_order(
+    loop, header
+):
+    whole, half = History(), History()
+    data = loop.run_until_complete(read_unframed(whole, header, False))
+    head, _, body = data.partition(b"\r\n\r\n")
+    assert b"content-length" not in head.lower()
+    assert b"transfer-encoding" not in head.lower()
+    broken = loop.run_until_complete(read_unframed(half, header, True))
+    assert broken.startswith(head) and data.startswith(broken)
+    assert len(head) < len(broken) < len(data)
+    assert [run.sent_whole for run in whole.runs] == [True]
+    assert [run.sent_whole for run in half.runs] == [False]
+    assert whole.lived_on(whole.runs[0])
+    assert not half.lived_on(half.runs[0])
+
+
 # Callers
 
 
