--- a/test/upstream_process.py
+++ b/test/upstream_process.py
@@ -5,6 +5,8 @@
 
 - ``whole``: at once, and the process lives on;
 - ``half``: one half, and then nothing until the process is killed;
+- ``early``: one half, and then its connection is closed in order, while the
+  process lives on;
 - ``last``: one half, the other one a second later, and then the process ends
   by itself;
 - ``length``, ``chunks``: one half of an answer that tells where it ends.
@@ -85,6 +87,8 @@
             parts[0] = b"%x\r\n%s\r\n" % (len(parts[0]), parts[0])
         writer.write(parts[0])
         await writer.drain()
+        if manner == "early":
+            return
         if manner == "last":
             await asyncio.sleep(LAST_SECONDS)
         elif manner != "whole":
