--- a/test/test_unbilled_runs.py
+++ b/test/test_unbilled_runs.py
@@ -4,6 +4,8 @@
 from test.test_ledger import BUDGET
 from test.world import World
 
+import pytest
+
 
 def check_billed(world, seconds=60.0):
     """Check that what was served is on bills once all is settled."""
@@ -92,3 +94,29 @@
         check_billed(world)
     finally:
         world.close()
+
+
+@pytest.mark.parametrize("offset", (-700.0, -100.0, 100.0))
+def test_a_run_at_a_router_with_a_wrong_clock_is_billed(offset):
+    # Guards against a run on no bill, as its home takes the deadline that its
+    # router reckons for one that has passed.
+    world = World(seed=1)
+    try:
+        home, entry, _other = add_cell(world, "north", 3)
+        world.add_budget(BUDGET, 1000)
+        for part in (entry.client, entry.keeper):
+            part._clock.offset = offset
+        world.advance(3.0)
+        deadline = world.loop.now + offset + 30.0
+        asked = entry.client.reserve("request", BUDGET, 50, deadline)
+        asked = world.spawn(entry.address, asked)
+        world.advance(0.5)
+        running = world.run_reserved(entry, asked.result(), None, 4.0)
+        world.spawn(entry.address, running)
+        world.advance(60.0)
+        assert world.served[BUDGET] > 0
+        assert world.record.budgets[BUDGET].settled == world.served[BUDGET]
+        assert list(world.record.bills) == ["request"]
+        world.check()
+    finally:
+        world.close()
