A connection that took another way is no proof of the end of an answer

A connection to a killed upstream that was open over a link gone silent, or through a frozen relay, does not end at this router. The end of half an answer that came another way was held back for .3 s, and was then whole.

Failing before: test_a_connection_that_took_another_way_is_no_proof.

Change: an earlier connection counts only if it takes the way of the answer (the own link, or the same relay), as their ends come together there.

--- a/rowanport/ends/check.py
+++ b/rowanport/ends/check.py
@@ -84,8 +84,13 @@
         # Until it is closed, it counts against this router's share, and the
         # new connection may be one too many.
         answer.path.writer.close()
-        earlier = self._client.open_paths(address)
-        earlier.discard(answer.path)
+        # The ends of others would have come the way that this one came; those
+        # over a link that went silent, or through another relay, may not.
+        earlier = {
+            path
+            for path in self._client.open_paths(address)
+            if path.relay == answer.path.relay and path is not answer.path
+        }
         new = _NewConnection(self._client, address, source.may_be_asked)
         try:
             if earlier:
--- a/test/test_end_checks.py
+++ b/test/test_end_checks.py
@@ -241,3 +241,44 @@
         assert server.checks == 0
 
     play(scenario)
+
+
+def test_a_connection_that_took_another_way_is_no_proof():
+    # Guards against half an answer that looks whole as a connection through a
+    # frozen relay, or over a link that went silent, has not ended.
+    async def scenario(server, router, net):
+        HOST.set("relay")
+        kept = await router.client.open_path(ADDRESS)
+        kept.relay = "relay"
+        HOST.set("router")
+        answer = await begin(router)
+        router.client.keep(kept)
+        server.end.set()
+        net.silence(lambda own, _other: own == "relay")
+        await read_end(answer)
+        server.listener.close()
+        assert kept.open
+        check = EndCheck(router.client)
+        with pytest.raises(EndUnconfirmed):
+            await check.confirm(answer, Source(router))
+
+    play(scenario)
+
+
+def test_a_connection_that_took_the_same_way_is_proof():
+    # Guards against whole answers through relays that count as broken, where
+    # no new connection is left.
+    async def scenario(server, router, net):
+        answers = [await begin(router), await begin(router)]
+        server.end.set()
+        server.end = asyncio.Event()
+        answers.append(await begin(router))
+        for answer in answers:
+            answer.path.relay = "relay"
+        await read_end(answers[0])
+        server.listener.close()
+        check = EndCheck(router.client)
+        reason = await check.confirm(answers[0], Source(router))
+        assert reason is Reason.EARLIER_CONNECTION
+
+    play(scenario)
