--- a/test/upstream_process.py
+++ b/test/upstream_process.py
@@ -7,6 +7,7 @@
 - ``half``: one half, and then nothing until the process is killed;
 - ``last``: one half, the other one a second later, and then the process ends
   by itself;
+- ``frozen``: at once, and the process is paused right behind it;
 - ``length``, ``chunks``: one half of an answer that tells where it ends.
 
 It writes a line for each request that it runs.
@@ -14,6 +15,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 
 HOST = "127.0.0.1"
@@ -87,14 +89,17 @@
         await writer.drain()
         if manner == "last":
             await asyncio.sleep(LAST_SECONDS)
-        elif manner != "whole":
+        elif manner not in ("whole", "frozen"):
             await asyncio.Event().wait()
         writer.write(parts[1])
         await writer.drain()
-        if manner == "last":
+        if manner in ("last", "frozen"):
             writer.close()
             await writer.wait_closed()
+        if manner == "last":
             os._exit(0)
+        if manner == "frozen":
+            os.kill(os.getpid(), signal.SIGSTOP)
 
 
 async def main(name, port):
