--- a/test/test_killed_upstreams.py
+++ b/test/test_killed_upstreams.py
@@ -29,12 +29,14 @@
 
     :param name: its id
     :param port: its port
+    :param manner: how all its answers come, empty if their paths say it
     :ivar process: the process
     """
 
-    def __init__(self, name, port):
+    def __init__(self, name, port, manner=""):
         self.name = name
         self._port = port
+        self._manner = manner
         self.process = None
 
     async def start(self):
@@ -45,6 +47,7 @@
             "test.upstream_process",
             self.name,
             str(self._port),
+            self._manner,
             stdout=asyncio.subprocess.PIPE,
             cwd=ROOT,
         )
@@ -57,6 +60,11 @@
                 return
             await asyncio.sleep(0.02)
 
+    @property
+    def address(self):
+        """Return its address."""
+        return f"{HOST}:{self._port}"
+
     async def wait_for_run(self):
         """Wait until it runs one more request."""
         assert (await self.process.stdout.readline()).startswith(b"runs")
@@ -71,7 +79,7 @@
         """Return its entry in the directory."""
         return {
             "service": "feed",
-            "address": f"{HOST}:{self._port}",
+            "address": self.address,
             "zone": "hall-a",
             "version": "v1",
             "slots": 8,
--- a/test/upstream_process.py
+++ b/test/upstream_process.py
@@ -1,10 +1,11 @@
 """An upstream whose answers have no length, as a process of its own.
 
-Arguments: its id and its port.  Each answer ends with its connection; the last
-part of a path says how it comes:
+Arguments: its id, its port, and how each answer comes; without the last one
+the last part of a path says it.  Each answer ends with its connection:
 
 - ``whole``: at once, and the process lives on;
 - ``half``: one half, and then nothing until the process is killed;
+- ``head``: the head, and then nothing until the process is killed;
 - ``last``: one half, the other one a second later, and then the process ends
   by itself;
 - ``length``, ``chunks``: one half of an answer that tells where it ends.
@@ -20,6 +21,8 @@
 ID_HEADER = "x-rowanport-request-id"
 BODY = bytes(range(256)) * 200
 EVENTS = 6
+# Version that its answers name, as those of a store do.
+VERSION = 7
 # Seconds between the halves of a last answer.
 LAST_SECONDS = 1.0
 TYPE = "content-type: text/event-stream"
@@ -35,10 +38,11 @@
 
 
 class Upstream:
-    """Answers requests as their paths say."""
+    """Answers requests as their paths say, or all in one manner."""
 
-    def __init__(self, name):
+    def __init__(self, name, manner=""):
         self._name = name
+        self._manner = manner
 
     async def serve(self, reader, writer):
         """Serve the one request of a connection."""
@@ -64,14 +68,15 @@
             )
             await writer.drain()
             return
-        manner = path.rpartition("/")[2]
+        manner = self._manner or path.rpartition("/")[2]
         print("runs", path, flush=True)
-        request = fields[ID_HEADER]
+        request = fields.get(ID_HEADER, "")
         streamed = "x-rowanport-token-count" in fields
         rows = [
             "HTTP/1.1 200 OK",
             f"{ID_HEADER}: {request}",
             f"x-rowanport-server-stamp: stamp-{self._name}",
+            f"x-version: {VERSION}",
             FRAMES.get(manner, "connection: close"),
             *([TYPE] if streamed else []),
         ]
@@ -83,6 +88,8 @@
             parts = [b"".join(events[:3]), b"".join(events[3:])]
         if manner == "chunks":
             parts[0] = b"%x\r\n%s\r\n" % (len(parts[0]), parts[0])
+        if manner == "head":
+            parts[0] = b""
         writer.write(parts[0])
         await writer.drain()
         if manner == "last":
@@ -97,10 +104,10 @@
             os._exit(0)
 
 
-async def main(name, port):
+async def main(name, port, manner=""):
     """Serve until the process is killed."""
     server = await asyncio.start_server(
-        Upstream(name).serve, HOST, int(port), backlog=512
+        Upstream(name, manner).serve, HOST, int(port), backlog=512
     )
     await server.serve_forever()
 
