A value without a length needs proof that its store lives

What callers saw: with a store killed behind the head of a root, an operator's change replaced the whole configuration by its one part. Half of a record raised MessageError where only a StoreError is expected: it ends the task that writes claims, and a command with a traceback.

Cause: KeyValueStore returns the bytes of a value as they came. An answer without a length ends with its connection, which the kernel of a killed process closes in order; so part of the bytes, or none, were the value, in the version that the head names. A compare-and-swap with that version succeeds.

Change: the end of a value without a length is checked by rowanport/ends/, as the gateway does. Without proof the read ends with StoreUnavailable, which all readers try again. Of a write, and of any other status, the head alone counts: those are not checked, as a write whose answer is doubted would have to be looked for. PROXY_FAILURES is shared with the gateway, and the key of probes with the platform's store.

--- a/rowanport/ends/__init__.py
+++ b/rowanport/ends/__init__.py
@@ -7,6 +7,7 @@
 
 from .check import AnswerSource
 from .check import EndCheck
+from .check import PROXY_FAILURES
 from .verdict import Evidence
 from .verdict import Instance
 from .verdict import judge
@@ -21,6 +22,7 @@
     "Instance",
     "judge",
     "Opened",
+    "PROXY_FAILURES",
     "Reason",
     "Step",
 ]
--- a/rowanport/ends/check.py
+++ b/rowanport/ends/check.py
@@ -27,6 +27,8 @@
 # Longest wait in seconds for the answer to a health check.  A proxy that finds
 # nobody behind it has closed the connection by then.
 ASK_SECONDS = 0.5
+# Statuses by which a proxy says that it reaches nobody.
+PROXY_FAILURES = (502, 504)
 
 
 class AnswerSource(abc.ABC):
--- a/rowanport/gateway/answer_ends.py
+++ b/rowanport/gateway/answer_ends.py
@@ -6,13 +6,12 @@
 from ..ends import AnswerSource
 from ..ends import EndCheck
 from ..ends import Instance
+from ..ends import PROXY_FAILURES
 from ..errors import EndUnconfirmed
 from ..errors import UpstreamError
 
 # Seconds for which it is remembered that an upstream ended an answer early.
 CUT_SECONDS = 5.0
-# Statuses by which a proxy says that it reaches nobody.
-PROXY_FAILURES = (502, 504)
 
 
 class AnswerEnds:
--- a/rowanport/platform/store.py
+++ b/rowanport/platform/store.py
@@ -18,6 +18,7 @@
 from ..store import TransactionStore
 from ..store import Value
 from ..store import Write
+from ..store.store import PROBE_KEY
 
 # Longest wait for one call in seconds: the store answers in 4 ms, and in
 # some hundred when it is slow.
@@ -33,8 +34,6 @@
 # upstream of a fleet of a thousand.
 LISTING_LIMIT = 100000
 BUSY = (429, 503)
-# The key that probes read; it need not exist.
-PROBE_KEY = "rowanport/probe"
 
 
 class HistoryLost(StoreError):
--- a/rowanport/store/store.py
+++ b/rowanport/store/store.py
@@ -3,6 +3,10 @@
 import abc
 import urllib.parse
 
+from ..ends import AnswerSource
+from ..ends import EndCheck
+from ..ends import Instance
+from ..ends import PROXY_FAILURES
 from ..errors import StoreBusy
 from ..errors import StoreConflict
 from ..errors import StoreUnavailable
@@ -11,6 +15,9 @@
 VERSION_HEADER = "x-version"
 INSTANCE_HEADER = "x-instance"
 VALUE_LIMIT = 1024 * 1024
+# The key that is read to find out whether the store answers; it need not
+# exist.
+PROBE_KEY = "rowanport/probe"
 
 
 class Value:
@@ -117,6 +124,33 @@
         """
 
 
+class ValueSource(AnswerSource):
+    """What a reader of a value knows of the store that sent it.
+
+    :param ask: coroutine function that reads a key and returns the HttpAnswer
+    """
+
+    # A store that leaves is not announced, and serves its last calls whole.
+    leaving = False
+    may_run_again = True
+
+    def __init__(self, ask):
+        self._ask = ask
+
+    def cut_together(self, since):
+        return False
+
+    async def ask_instance(self):
+        try:
+            answer = await self._ask()
+        except UpstreamError:
+            return Instance.GONE
+        answer.close()
+        if answer.status in PROXY_FAILURES:
+            return Instance.GONE
+        return Instance.UNNAMED
+
+
 class KeyValueStore(Store):
     """Client of a key-value store over HTTP, as the stand-in serves it.
 
@@ -131,6 +165,8 @@
         self._address = address
         self._headers = [(INSTANCE_HEADER, instance)]
         self._timeout = timeout
+        self._ends = EndCheck(client)
+        self._source = ValueSource(self._probe)
         self.reads = 0
         self.writes = 0
 
@@ -153,15 +189,11 @@
 
     async def _call(self, method, path, body, timeout):
         try:
-            answer = await self._client.request(
-                self._address,
-                method,
-                path,
-                body,
-                headers=self._headers,
-                timeout=timeout,
-            )
+            answer = await self._request(method, path, body, timeout)
             data = await answer.read()
+            if method == "GET" and answer.status == 200 and not answer.framed:
+                # Of a write and of a refusal the head alone counts.
+                await self._ends.confirm(answer, self._source)
         except UpstreamError as error:
             raise StoreUnavailable(str(error)) from None
         if answer.status == 409:
@@ -172,6 +204,20 @@
             raise StoreUnavailable(f"status {answer.status}")
         return Value(data, int(answer.headers.get(VERSION_HEADER, 0)))
 
+    async def _request(self, method, path, body, timeout):
+        return await self._client.request(
+            self._address,
+            method,
+            path,
+            body,
+            headers=self._headers,
+            timeout=timeout,
+        )
+
+    async def _probe(self):
+        self.reads += 1
+        return await self._request("GET", _path(PROBE_KEY), b"", self._timeout)
+
 
 def _path(key, **query):
     path = "/kv/" + urllib.parse.quote(key)
