A store's empty answer without a length is none

What callers saw: a commit whose store was killed behind the head of its answer ended with KeyError; so did a lease. The keepers of budgets expect a StoreError, which says that the outcome is not known. A refused commit (412) named no values, and a key that is refused so counts as gone until the next conflict.

Cause: PlatformStore takes no body for an empty object, and no body is what is left of an answer without a length that ends behind its head.

Change: such an answer ends with StoreUnavailable, the outcome is unknown. No check of the end is needed, as the store's protocol gives each answer a body; one that says by a length or by chunks that it is empty is read as before, and so are the statuses that refuse a call for its rate. JSON that is cut anywhere else does not parse.

--- a/rowanport/platform/store.py
+++ b/rowanport/platform/store.py
@@ -266,6 +266,9 @@
             raise StoreBusy(f"status {answer.status}")
         if answer.status not in (200, 404, 410, 412):
             raise StoreUnavailable(f"status {answer.status}")
+        if not (text or answer.framed):
+            # Each answer of the store has a body; this one may have been cut.
+            raise StoreUnavailable("an empty answer without a length")
         try:
             return answer.status, json.loads(text or b"{}")
         except ValueError:
