--- a/test/upstream_process.py
+++ b/test/upstream_process.py
@@ -6,8 +6,8 @@
 - ``whole``: at once, and the process lives on;
 - ``half``: one half, and then nothing until the process is killed;
 - ``head``: the head, and then nothing until the process is killed;
-- ``last``: one half, the other one a second later, and then the process ends
-  by itself;
+- ``last``: one half, the other one two seconds later, and then the process
+  ends by itself;
 - ``length``, ``chunks``: one half of an answer that tells where it ends.
 
 It writes a line for each request that it runs.
@@ -24,7 +24,7 @@
 # Version that its answers name, as those of a store do.
 VERSION = 7
 # Seconds between the halves of a last answer.
-LAST_SECONDS = 1.0
+LAST_SECONDS = 2.0
 TYPE = "content-type: text/event-stream"
 FRAMES = {
     "length": f"content-length: {len(BODY)}",
