The end of a service's answer needs proof that its process lives

What callers of the own interface saw: 200, done and half of the answer of a plain service that was killed.

Change: ServiceClient checks the end of an answer without a length by rowanport/ends/, before anything is sent to the caller. Without proof the call ends with EndUnconfirmed and goes the way of any broken answer: a repeatable request runs again, another one does not and gets 502, may-have-run; one call is billed, and a second run is absorbed.

The source is what the router knows of the service: it leaves if the configuration, the platform's list or a report says so or it is not listed any more; other answers of its address that ended early count as cut together; it may run again if a stalled run might be replaced, without a look at the tokens. Plain services have no health check, and any request may cost, so nothing is asked: a new connection counts if it stays open for .5 s or an answer arrives on it (watch()). Refusals (429, 503) are not checked: their status is all that counts.

EndRecord was part of the gateway's AnswerEnds, and RunStallPolicy.may_replace of give_up(); both work as before.

One test's call of ServiceClient has the new argument; its checks are unchanged.

--- a/rowanport/ends/__init__.py
+++ b/rowanport/ends/__init__.py
@@ -8,6 +8,8 @@
 from .check import AnswerSource
 from .check import EndCheck
 from .check import PROXY_FAILURES
+from .check import watch
+from .record import EndRecord
 from .verdict import Evidence
 from .verdict import Instance
 from .verdict import judge
@@ -18,6 +20,7 @@
 __all__ = [
     "AnswerSource",
     "EndCheck",
+    "EndRecord",
     "Evidence",
     "Instance",
     "judge",
@@ -25,4 +28,5 @@
     "PROXY_FAILURES",
     "Reason",
     "Step",
+    "watch",
 ]
--- a/rowanport/ends/check.py
+++ b/rowanport/ends/check.py
@@ -29,6 +29,8 @@
 ASK_SECONDS = 0.5
 # Statuses by which a proxy says that it reaches nobody.
 PROXY_FAILURES = (502, 504)
+# Seconds between two looks at connections that are watched.
+WATCH_PAUSE = 0.02
 
 
 class AnswerSource(abc.ABC):
@@ -126,6 +128,21 @@
         return Opened.PROMPT if prompt else Opened.LATE
 
 
+async def watch(paths):
+    """Return the Instance that new connections show without a question.
+
+    For upstreams that cannot be asked: it waits until an answer arrives on one
+    of the connections, whoever sent the request, or none is open.
+
+    :param paths: Paths opened after the end
+    """
+    while not any(path.answered for path in paths):
+        if not _any_open(paths):
+            return Instance.GONE
+        await asyncio.sleep(WATCH_PAUSE)
+    return Instance.UNNAMED
+
+
 def _any_open(paths):
     return any(path.open for path in paths)
 
--- /dev/null
+++ b/rowanport/ends/record.py
@@ -0,0 +1,47 @@
+"""Remembers when upstreams ended connections with an answer due on them."""
+
+import collections
+
+from ..clock import loop_time
+
+# Seconds for which it is remembered that an upstream ended an answer early.
+CUT_SECONDS = 5.0
+
+
+class EndRecord:
+    """The times at which connections with an answer due ended, by upstream.
+
+    Times are the event loop's, and an upstream is any value that can be a key.
+    """
+
+    def __init__(self):
+        self._ends = collections.defaultdict(list)
+
+    def add(self, upstream):
+        """Record that an upstream ended such a connection; return the time."""
+        now = loop_time()
+        self._expire(now)
+        self._ends[upstream].append(now)
+        return now
+
+    def remove(self, upstream, ended_at):
+        """Forget an end whose answer was found to be whole.
+
+        :param ended_at: time that :meth:`add` returned
+        """
+        if ended_at in self._ends.get(upstream, ()):
+            self._ends[upstream].remove(ended_at)
+
+    def count(self, upstream, since):
+        """Return how many such ends of an upstream came since a time."""
+        return sum(at >= since for at in self._ends.get(upstream, ()))
+
+    def _expire(self, now):
+        self._ends = collections.defaultdict(
+            list,
+            {
+                upstream: times
+                for upstream, times in self._ends.items()
+                if times and times[-1] > now - CUT_SECONDS
+            },
+        )
--- a/rowanport/gateway/answer_ends.py
+++ b/rowanport/gateway/answer_ends.py
@@ -1,18 +1,13 @@
 """Checks the ends of answers without a length that the gateway forwards."""
 
-import collections
-
-from ..clock import loop_time
 from ..ends import AnswerSource
 from ..ends import EndCheck
+from ..ends import EndRecord
 from ..ends import Instance
 from ..ends import PROXY_FAILURES
 from ..errors import EndUnconfirmed
 from ..errors import UpstreamError
 
-# Seconds for which it is remembered that an upstream ended an answer early.
-CUT_SECONDS = 5.0
-
 
 class AnswerEnds:
     """Knows which answers ended early, and checks those that may have.
@@ -23,33 +18,12 @@
     def __init__(self, gateway):
         self._gateway = gateway
         self._check = EndCheck(gateway.client)
-        # Event loop's times at which connections with an answer due ended, by
-        # UpstreamRun.
-        self._ends = collections.defaultdict(list)
+        # By UpstreamRun.
+        self._ends = EndRecord()
 
     def record_end(self, run):
-        """Record that an UpstreamRun ended a connection with an answer due.
-
-        :returns: the event loop's time
-        """
-        now = loop_time()
-        self._forget(now)
-        self._ends[run].append(now)
-        return now
-
-    def count_ends(self, run, since):
-        """Return how many such ends of an UpstreamRun came since a time."""
-        return sum(at >= since for at in self._ends.get(run, ()))
-
-    def _forget(self, now):
-        self._ends = collections.defaultdict(
-            list,
-            {
-                run: times
-                for run, times in self._ends.items()
-                if times and times[-1] > now - CUT_SECONDS
-            },
-        )
+        """Record that an UpstreamRun ended a connection with an answer due."""
+        self._ends.add(run)
 
     async def confirm(self, job, state, answer, may_run_again):
         """Confirm that an answer without a length is whole.
@@ -62,9 +36,9 @@
         :raises EndUnconfirmed: nothing shows that it is
         """
         gateway = self._gateway
-        source = UpstreamSource(gateway, self, state, may_run_again)
+        source = UpstreamSource(gateway, self._ends, state, may_run_again)
         run = state.record.run
-        ended_at = self.record_end(run)
+        ended_at = self._ends.add(run)
         ends = gateway.metrics.connection_ends
         try:
             reason = await self._check.confirm(answer, source)
@@ -72,8 +46,7 @@
             ends.inc({"verdict": "broken"})
             raise
         ends.inc({"verdict": "whole"})
-        if ended_at in self._ends[run]:
-            self._ends[run].remove(ended_at)
+        self._ends.remove(run, ended_at)
         job.end_reason = reason
 
 
@@ -81,7 +54,7 @@
     """What the gateway knows of an upstream that sent an answer.
 
     :param gateway: the Gateway
-    :param ends: the AnswerEnds
+    :param ends: the EndRecord
     :param state: the UpstreamState
     :param may_run_again: function that returns whether the job can be sent to
         another upstream now
@@ -105,7 +78,7 @@
 
     def cut_together(self, since):
         # One of them is the end of the answer itself.
-        return self._ends.count_ends(self._state.record.run, since) > 1
+        return self._ends.count(self._state.record.run, since) > 1
 
     async def ask_instance(self):
         gateway, record = self._gateway, self._state.record
--- a/rowanport/router/service.py
+++ b/rowanport/router/service.py
@@ -1,5 +1,6 @@
 """Plain services: ``/services/GROUP/PATH`` is forwarded to ``/PATH``."""
 
+from ..ends import AnswerSource
 from ..errors import ErrorKind
 from ..errors import Outcome
 from ..errors import RequestError
@@ -30,6 +31,39 @@
         self.kind = kind
 
 
+class ServiceSource(AnswerSource):
+    """What the router knows of a service that answered a job.
+
+    :param services: the ServiceClient
+    :param pool: the Pool of the group
+    :param upstream: the Upstream
+    :param stall_policy: the RunStallPolicy of the job
+    """
+
+    def __init__(self, services, pool, upstream, stall_policy):
+        self._services = services
+        self._pool = pool
+        self._upstream = upstream
+        self._stall_policy = stall_policy
+
+    @property
+    def leaving(self):
+        listed = self._upstream in self._pool.upstreams()
+        return not (listed and self._pool.is_open(self._upstream))
+
+    @property
+    def may_run_again(self):
+        return self._stall_policy.may_replace
+
+    def cut_together(self, since):
+        # One of them is the end of the answer itself.
+        return self._services.count_ends(self._upstream.address, since) > 1
+
+    async def ask_instance(self):
+        # Plain services have no health checks, and any request may cost.
+        return await self._services.watch(self._upstream.address)
+
+
 class ServiceRunner(Runner):
     """Runs requests to plain services.
 
@@ -66,6 +100,10 @@
 
     async def attempt(self, job, upstream, responder):
         target = job.body
+        pool = self._router.group(job.decision.group).pool
+        source = ServiceSource(
+            self._services, pool, upstream, job.stall_policy
+        )
         reply = await self._services.call(
             upstream.address,
             job.call.request,
@@ -74,6 +112,7 @@
             target.body,
             target.kind,
             job.stall_policy,
+            source,
         )
         headers = answer_headers(job.call, Outcome.DONE)
         job.sent = True
--- a/rowanport/router/stall_policy.py
+++ b/rowanport/router/stall_policy.py
@@ -26,6 +26,16 @@
     def _deadline_passed(self):
         return self._router.clock.wall() >= self._job.call.deadline
 
+    @property
+    def may_replace(self):
+        """Return whether a run can be replaced, if the tokens suffice."""
+        job = self._job
+        if job.sent or not job.call.repeatable or self._deadline_passed:
+            return False
+        if self._group.pool.choose(job.key, self._tried) is None:
+            return False
+        return job.retry_acquired or self._group.retries.allows_retry
+
     async def give_up(self):
         """Return whether to abandon the run; acquire what a retry needs.
 
@@ -34,14 +44,9 @@
         """
         if self._deadline_passed:
             return True
-        job = self._job
-        if job.sent or not job.call.repeatable:
-            return False
-        if self._group.pool.choose(job.key, self._tried) is None:
-            return False
         # The retry budget is checked before tokens are reserved: without a
         # retry they would stay reserved unused until the stalled run ends.
-        if not job.retry_acquired and not self._group.retries.allows_retry:
+        if not self.may_replace:
             return False
         return await self._reserve_tokens() and self._acquire_retry()
 
--- a/rowanport/upstreams/service.py
+++ b/rowanport/upstreams/service.py
@@ -1,5 +1,9 @@
 """Client of plain services, whose answers are not streamed."""
 
+from ..ends import EndCheck
+from ..ends import EndRecord
+from ..ends import watch
+from ..errors import ConnectionEnded
 from ..errors import UpstreamError
 from ..notices import REFUSAL_STATUSES
 from .refusal import read_refusal
@@ -34,9 +38,12 @@
     def __init__(self, client, timeout):
         self._client = client
         self._timeout = timeout
+        self._check = EndCheck(client)
+        # By address.
+        self._ends = EndRecord()
 
     async def call(
-        self, address, request, method, path, body, kind, stall_policy
+        self, address, request, method, path, body, kind, stall_policy, source
     ):
         """Send a request and return the ServiceReply.
 
@@ -45,7 +52,9 @@
         :param kind: content type of the body
         :param stall_policy: the Patience that decides whether to abandon a
             stalled answer
+        :param source: the AnswerSource of the answer
         :raises UpstreamRefused: the service has no room for it
+        :raises EndUnconfirmed: nothing shows that the answer is whole
         :raises UpstreamError: the call failed; ``started`` says whether it may
             have run
         """
@@ -54,19 +63,42 @@
             (REQUEST_HEADER, request),
             (KEY_HEADER, request),
         ]
-        answer = await self._client.request(
-            address,
-            method,
-            path,
-            body,
-            headers,
-            self._timeout,
-            patience=stall_policy,
-        )
-        data = await answer.read()
+        try:
+            answer = await self._client.request(
+                address,
+                method,
+                path,
+                body,
+                headers,
+                self._timeout,
+                patience=stall_policy,
+            )
+            data = await answer.read()
+        except ConnectionEnded:
+            self._ends.add(address)
+            raise
         if answer.headers.get(REQUEST_HEADER, request) != request:
             raise UpstreamError(f"answer from {address} to another request")
         if answer.status in REFUSAL_STATUSES:
             raise read_refusal(address, answer)
+        if not answer.framed:
+            await self._confirm(address, answer, source)
         kind = answer.headers.get("content-type", "application/octet-stream")
         return ServiceReply(answer.status, kind, data)
+
+    async def _confirm(self, address, answer, source):
+        """Confirm that an answer without a length is whole."""
+        ended_at = self._ends.add(address)
+        await self._check.confirm(answer, source)
+        self._ends.remove(address, ended_at)
+
+    def count_ends(self, address, since):
+        """Return how many answers of a service may have ended early.
+
+        :param since: event loop's time from which on their ends count
+        """
+        return self._ends.count(address, since)
+
+    async def watch(self, address):
+        """Return the Instance that the open connections to a service show."""
+        return await watch(self._client.open_paths(address))
--- a/test/test_upstreams.py
+++ b/test/test_upstreams.py
@@ -107,7 +107,7 @@
         engine.EngineClient(client, 1.0).complete("e", REQUEST, "b", {}),
         engine.EngineClient(client, 1.0).resume("e", REQUEST),
         ServiceClient(client, 1.0).call(
-            "s", REQUEST, "GET", "/", b"", "", None
+            "s", REQUEST, "GET", "/", b"", "", None, None
         ),
     ]
     found = []
