Failing tests: whole answers of services count as broken on a busy router

Callers of a service that gives no length would get 502 for whole answers: a new connection that is opened later than 30 ms after the end counts only if the same instance names itself, and plain services have no name. A router that is held up for 30 ms, or whose service is farther than that, sees each new connection late.

Two tests with a connector that tells of its connections .1 s late fail; the two with half an answer pass.

--- a/test/test_killed_services.py
+++ b/test/test_killed_services.py
@@ -9,6 +9,7 @@
 from test.test_killed_upstreams import PATIENCE
 from test.test_killed_upstreams import UpstreamProcess
 from test.upstream_process import BODY
+import time
 
 import pytest
 
@@ -17,8 +18,14 @@
 from bench.ports import free_ports
 from rowanport.config.editor import put_group
 from rowanport.config.editor import put_upstream
+from rowanport.ends import AnswerSource
+from rowanport.errors import EndUnconfirmed
 from rowanport.schema.messages import GroupRecord
 from rowanport.schema.messages import UpstreamRecord
+from rowanport.upstreams import ServiceClient
+from rowanport.web import HttpClient
+from rowanport.web.connector import DirectConnector
+from rowanport.web.patience import NO_PATIENCE
 
 ORGANISATION = "house"
 BUDGET = f"{ORGANISATION}/main"
@@ -29,6 +36,8 @@
 CAPACITY = 64
 # Seconds for which nothing more may arrive at a service.
 QUIET_SECONDS = 1.0
+# Seconds after which a connection that was accepted at once is noticed.
+LATE_SECONDS = 0.1
 
 
 class Site:
@@ -312,3 +321,95 @@
         await sound.wait_for_run()
 
     run(site, body)
+
+
+# Connections that are noticed late, though they were accepted at once
+
+
+class HeldUpConnector(DirectConnector):
+    """Connects at once, and holds the whole router up before it says so."""
+
+    async def open(self, address):
+        path = await super().open(address)
+        time.sleep(LATE_SECONDS)
+        return path
+
+
+class FarConnector(DirectConnector):
+    """Connects to services from which nothing comes for a while."""
+
+    async def open(self, address):
+        path = await super().open(address)
+        await asyncio.sleep(LATE_SECONDS)
+        return path
+
+
+class UnknownSource(AnswerSource):
+    """A service that does not leave and cannot be asked."""
+
+    leaving = False
+    may_run_again = False
+
+    def __init__(self, services, address):
+        self._services = services
+        self._address = address
+
+    def cut_together(self, since):
+        return False
+
+    async def ask_instance(self):
+        return await self._services.watch(self._address)
+
+
+async def call(connector, manner, meanwhile=None):
+    """Return the body of a service's answer.
+
+    :param meanwhile: coroutine function of the service's UpstreamProcess that
+        runs once it has the request, or None
+    """
+    service = UpstreamProcess("service", free_ports(1)[0], manner)
+    await service.start()
+    client = HttpClient(connector=connector)
+    services = ServiceClient(client, PATIENCE)
+    address = service.address
+    source = UnknownSource(services, address)
+    try:
+        calling = asyncio.ensure_future(
+            services.call(
+                address, "r1", "GET", "/", b"", "", NO_PATIENCE, source
+            )
+        )
+        if meanwhile is not None:
+            await service.wait_for_run()
+            await meanwhile(service)
+        return (await calling).body
+    finally:
+        client.close()
+        await service.kill()
+
+
+CONNECTORS = (HeldUpConnector, FarConnector)
+
+
+@pytest.mark.parametrize("connector", CONNECTORS)
+def test_whole_answers_stay_whole_if_a_connection_is_noticed_late(connector):
+    # Guards against whole answers that a busy router, or one that is far from
+    # the service, calls broken.
+    async def main():
+        async with asyncio.timeout(PATIENCE):
+            return await call(connector(1.0), "whole")
+
+    assert asyncio.run(main()) == BODY
+
+
+@pytest.mark.parametrize("connector", CONNECTORS)
+def test_half_an_answer_is_not_whole_if_a_connection_is_noticed_late(
+    connector,
+):
+    # Guards against the word of a killed process there.
+    async def main():
+        async with asyncio.timeout(PATIENCE):
+            return await call(connector(1.0), "half", UpstreamProcess.kill)
+
+    with pytest.raises(EndUnconfirmed):
+        asyncio.run(main())
