Merge the ends of services and of the store's values

The record of early ends is one class (ends/record.py) for the gateway and for services; it counts ends at about one time.

--- a/rowanport/ends/__init__.py
+++ b/rowanport/ends/__init__.py
@@ -7,6 +7,10 @@
 
 from .check import AnswerSource
 from .check import EndCheck
+from .check import PROXY_FAILURES
+from .check import watch
+from .record import APART_SECONDS
+from .record import EndRecord
 from .verdict import Evidence
 from .verdict import Instance
 from .verdict import judge
@@ -16,13 +20,17 @@
 from .verdict import Step
 
 __all__ = [
+    "APART_SECONDS",
     "AnswerSource",
     "EndCheck",
+    "EndRecord",
     "Evidence",
     "Instance",
     "judge",
     "Opened",
     "Peers",
+    "PROXY_FAILURES",
     "Reason",
     "Step",
+    "watch",
 ]
--- a/rowanport/ends/check.py
+++ b/rowanport/ends/check.py
@@ -29,6 +29,10 @@
 # Longest wait in seconds for the answer to a health check.  A proxy that finds
 # nobody behind it has closed the connection by then.
 ASK_SECONDS = 0.5
+# Statuses by which a proxy says that it reaches nobody.
+PROXY_FAILURES = (502, 504)
+# Seconds between two looks at connections that are watched.
+WATCH_PAUSE = 0.02
 
 
 class AnswerSource(abc.ABC):
@@ -211,6 +215,21 @@
             reader.on_end = None
 
 
+async def watch(paths):
+    """Return the Instance that new connections show without a question.
+
+    For upstreams that cannot be asked: it waits until an answer arrives on one
+    of the connections, whoever sent the request, or none is open.
+
+    :param paths: Paths opened after the end
+    """
+    while not any(path.answered for path in paths):
+        if not _any_open(paths):
+            return Instance.GONE
+        await asyncio.sleep(WATCH_PAUSE)
+    return Instance.UNNAMED
+
+
 def _any_open(paths):
     return any(path.open for path in paths)
 
--- a/rowanport/gateway/answer_ends.py
+++ b/rowanport/gateway/answer_ends.py
@@ -1,16 +1,18 @@
 """Checks the ends of answers without a length that the gateway forwards."""
 
 import asyncio
-import collections
 import random
 
 import structlog
 
 from ..clock import loop_time
 from ..ends import AnswerSource
+from ..ends import APART_SECONDS
 from ..ends import EndCheck
+from ..ends import EndRecord
 from ..ends import Instance
 from ..ends import Peers
+from ..ends import PROXY_FAILURES
 from ..errors import EndUnconfirmed
 from ..errors import PeerError
 from ..errors import UpstreamError
@@ -22,13 +24,6 @@
 
 LOG = structlog.get_logger(__name__)
 
-# Seconds for which it is remembered that an upstream ended an answer early.
-CUT_SECONDS = 5.0
-# Statuses by which a proxy says that it reaches nobody.
-PROXY_FAILURES = (502, 504)
-# Seconds by which the connections of a killed process end apart: up to 23 ms
-# beside load, and the way of a question between routers.
-APART_SECONDS = 0.04
 # Most peers that are asked, and longest wait in seconds for their answers.
 MOST_ASKED = 16
 ASK_TIMEOUT = 0.2
@@ -45,9 +40,8 @@
         self._gateway = gateway
         self._peers = peers
         self._check = EndCheck(gateway.client)
-        # Event loop's times at which connections with an answer due ended, by
-        # name of the UpstreamRun.
-        self._ends = collections.defaultdict(list)
+        # By name of the UpstreamRun.
+        self._ends = EndRecord()
 
     def record_end(self, run):
         """Record that an upstream ended a connection with an answer due.
@@ -55,19 +49,15 @@
         :param run: name of the UpstreamRun
         :returns: the event loop's time
         """
-        now = loop_time()
-        self._forget(now)
-        self._ends[run].append(now)
-        return now
+        return self._ends.add(run)
 
-    def count_ends(self, run, ended_at):
-        """Return how many such ends of an upstream came at about a time.
+    def cut_together(self, run, ended_at):
+        """Return whether others of these ends came at about the same time.
 
         :param run: name of the UpstreamRun
-        :param ended_at: event loop's time
+        :param ended_at: event loop's time of one of them
         """
-        times = self._ends.get(run, ())
-        return sum(abs(at - ended_at) <= APART_SECONDS for at in times)
+        return self._ends.count(run, ended_at) > 1
 
     # Peers
 
@@ -80,7 +70,7 @@
         reaches = self._gateway.links.usable(message.address)
         return EndNews(
             reaches and any(path.opened_at < before for path in paths),
-            self.count_ends(message.upstream, ended_at) > 0,
+            self._ends.count(message.upstream, ended_at) > 0,
         )
 
     async def ask_peers(self, record, ended_at):
@@ -117,16 +107,6 @@
 
     # Own answers
 
-    def _forget(self, now):
-        self._ends = collections.defaultdict(
-            list,
-            {
-                run: times
-                for run, times in self._ends.items()
-                if times and times[-1] > now - CUT_SECONDS
-            },
-        )
-
     async def confirm(self, job, state, answer, may_run_again):
         """Confirm that an answer without a length is whole.
 
@@ -149,16 +129,12 @@
             raise
         except asyncio.CancelledError:
             # Nobody waits for the answer any more: nothing is known of it.
-            self._remove_end(run, ended_at)
+            self._ends.remove(run, ended_at)
             raise
         ends.inc({"verdict": "whole"})
-        self._remove_end(run, ended_at)
+        self._ends.remove(run, ended_at)
         job.end_reason = reason
 
-    def _remove_end(self, run, ended_at):
-        if ended_at in self._ends.get(run, ()):
-            self._ends[run].remove(ended_at)
-
 
 class UpstreamSource(AnswerSource):
     """What the gateway knows of an upstream that sent an answer.
@@ -204,9 +180,7 @@
         return table and table.services.get(self._state.record.service)
 
     def cut_together(self, ended_at):
-        # One of them is the end of the answer itself.
-        run = self._state.record.run.name
-        return self._ends.count_ends(run, ended_at) > 1
+        return self._ends.cut_together(self._state.record.run.name, ended_at)
 
     async def ask_instance(self):
         gateway, record = self._gateway, self._state.record
--- a/rowanport/platform/store.py
+++ b/rowanport/platform/store.py
@@ -18,6 +18,7 @@
 from ..store import TransactionStore
 from ..store import Value
 from ..store import Write
+from ..store.store import PROBE_KEY
 
 # Longest wait for one call in seconds: the store answers in 4 ms, and in
 # some hundred when it is slow.
@@ -33,8 +34,6 @@
 # upstream of a fleet of a thousand.
 LISTING_LIMIT = 100000
 BUSY = (429, 503)
-# The key that probes read; it need not exist.
-PROBE_KEY = "rowanport/probe"
 
 
 class HistoryLost(StoreError):
@@ -267,6 +266,9 @@
             raise StoreBusy(f"status {answer.status}")
         if answer.status not in (200, 404, 410, 412):
             raise StoreUnavailable(f"status {answer.status}")
+        if not (text or answer.framed):
+            # Each answer of the store has a body; this one may have been cut.
+            raise StoreUnavailable("an empty answer without a length")
         try:
             return answer.status, json.loads(text or b"{}")
         except ValueError:
--- a/test/test_unframed_races.py
+++ b/test/test_unframed_races.py
@@ -49,7 +49,7 @@
         idle = gateway.client.idle_count(upstream.address)
         assert scene.open_to(upstream) == idle
         assert gateway.connections.counts.count(upstream.address) == idle
-    assert sum(map(len, gateway.ends._ends.values())) == cut
+    assert sum(map(len, gateway.ends._ends._ends.values())) == cut
     names = {task.get_coro().__qualname__ for task in asyncio.all_tasks()}
     assert not names & TASKS
     assert scene.reports == []
