--- a/test/test_untold_ends.py
+++ b/test/test_ambiguous_ends.py
@@ -1,4 +1,4 @@
-"""Ends of answers without a length that nothing tells from whole answers.
+"""Ends of answers without a length that look like those of whole answers.
 
 Both cases are named in docs/design/ends.md, "Not told": the caller gets 200
 and half an answer that looks complete.
--- a/test/test_clocks_set_back.py
+++ b/test/test_clocks_set_back.py
@@ -15,7 +15,7 @@
 JUMP = -8.0
 
 
-def test_clocks_that_are_all_set_back_while_the_store_is_down_cost_nobody():
+def test_no_token_exists_twice_after_all_clocks_are_set_back():
     # Guards against tokens that are used twice: leases wait while the store
     # is down, and the clocks call the last records younger than they are.
     world = make_busy_world(0)
--- a/test/test_untold_versions.py
+++ b/test/test_unlisted_versions.py
@@ -1,4 +1,4 @@
-"""Streams across changes of versions that no list tells in time.
+"""Streams across changes of versions that lists name late or never.
 
 The cases are named in docs/design/versions.md and docs/incidents/030.
 """
--- a/test/test_wrong_blame.py
+++ b/test/test_wrong_blame.py
@@ -26,9 +26,9 @@
 SEEDS = 40
 # Histories of test_popular_requests in which crashes by chance meet a request
 # that runs apart: 4 of 4,000.
-UNLUCKY_SEEDS = (731, 1171, 2021, 3869)
+REFUSED_SEEDS = (731, 1171, 2021, 3869)
 # Upstreams of many that crash together.
-FEW = 4
+CRASHING_TOGETHER = 4
 # Seconds that a run takes: a popular stream is under way nearly always.
 RUN_SECONDS = 8.0
 # Seconds after which routers that were cut off have forgotten what an
@@ -66,7 +66,7 @@
 def test_crashes_that_meet_a_request_apart_do_not_block_it():
     # Guards against 400 for a sound request that runs apart as upstreams
     # crash by chance, three times before any answer.
-    refused = [seed for seed in UNLUCKY_SEEDS if count_popular_refused(seed)]
+    refused = [seed for seed in REFUSED_SEEDS if count_popular_refused(seed)]
     assert not refused
 
 
@@ -135,7 +135,7 @@
     )
     for _wave in range(8):
         await asyncio.sleep(3.6)
-        world.crash_newest(FEW)
+        world.crash_newest(CRASHING_TOGETHER)
     await asyncio.gather(*await tasks)
     assert not world.outcomes["sound", 400], world.outcomes
 
