The time that a relay waits is none in which another process may start

A new connection through a relay came 20 ms late, as the relay looks so long whether it stays open. With a round trip of 4 ms or more to the relay it counted as one that a process started since may have accepted, and whole answers of busy upstreams, which name themselves in no health check then, were called broken at a router that is cut off.

Failing before: test_whole_answers_of_busy_upstreams_through_peers_stay_whole with 1 and 2 ms more each way. The other tests of test/test_unframed_cuts.py passed at once: whole and half answers at a router that is cut off in three ways, with upstreams that are killed and relays that stop.

Change: the relay's wait is taken off. Its constant moves to the tunnels, which both sides know; the relay of the tests keeps to it.

--- a/rowanport/ends/check.py
+++ b/rowanport/ends/check.py
@@ -8,6 +8,7 @@
 from ..errors import EndUnconfirmed
 from ..errors import NoConnectionFree
 from ..errors import UpstreamError
+from ..tunnels import SETTLE_SECONDS
 from .verdict import Evidence
 from .verdict import Instance
 from .verdict import judge
@@ -181,7 +182,11 @@
             self._client.keep(path)
         else:
             self._held = path
-        prompt = loop_time() <= self._begun_at + RESTART_SECONDS
+        opened_at = loop_time()
+        if path.relay is not None:
+            # A relay tells of a connection only once it stayed open.
+            opened_at -= SETTLE_SECONDS
+        prompt = opened_at <= self._begun_at + RESTART_SECONDS
         return Opened.PROMPT if prompt else Opened.LATE
 
     async def _wait_for_end(self):
--- a/rowanport/gateway/own_link.py
+++ b/rowanport/gateway/own_link.py
@@ -14,14 +14,12 @@
 from ..paths import NO_CONNECTION
 from ..paths import REFUSED
 from ..paths import Verdict
+from ..tunnels import SETTLE_SECONDS
 from ..tunnels import UpstreamReach
 from ..web import HttpClient
 
 LOG = structlog.get_logger(__name__)
 
-# Seconds for which a new connection has to stay open to count as one: a
-# network that refuses connections may close them only once they are accepted.
-SETTLE_SECONDS = 0.02
 # Time-out in seconds of a health check that shows whether an upstream answers.
 CHECK_TIMEOUT = 0.5
 # Other upstreams that are tried to tell a lost link from an upstream that is
--- a/rowanport/tunnels/__init__.py
+++ b/rowanport/tunnels/__init__.py
@@ -8,10 +8,12 @@
 
 from .client import TunnelClient
 from .client import TunnelUnsupported
+from .server import SETTLE_SECONDS
 from .server import TunnelServer
 from .server import UpstreamReach
 
 __all__ = [
+    "SETTLE_SECONDS",
     "TunnelClient",
     "TunnelServer",
     "TunnelUnsupported",
--- a/rowanport/tunnels/server.py
+++ b/rowanport/tunnels/server.py
@@ -17,6 +17,9 @@
 # Most tunnels at once: each takes two of the descriptors that callers need,
 # too.
 MAX_TUNNELS = 500
+# Seconds for which a new connection has to stay open to count as one: a
+# network that refuses connections may close them only once they are accepted.
+SETTLE_SECONDS = 0.02
 
 
 class UpstreamReach(abc.ABC):
@@ -28,7 +31,8 @@
 
         :param address: IP and port
         :param fresh: whether to open one whatever is known
-        :returns: the Verdict, and a Path if it is REACHED, otherwise None
+        :returns: the Verdict, and a Path if it is REACHED, otherwise None; it
+            has been open for SETTLE_SECONDS
         """
 
 
--- a/test/relay_process.py
+++ b/test/relay_process.py
@@ -8,6 +8,7 @@
 import sys
 
 from rowanport.paths import Verdict
+from rowanport.tunnels import SETTLE_SECONDS
 from rowanport.tunnels import TunnelServer
 from rowanport.tunnels import UpstreamReach
 from rowanport.web.connector import DirectConnector
@@ -25,7 +26,9 @@
         self._connector = DirectConnector(timeout=1.0)
 
     async def reach(self, address, fresh):
-        return Verdict.REACHED, await self._connector.open(address)
+        path = await self._connector.open(address)
+        await asyncio.sleep(SETTLE_SECONDS)
+        return Verdict.REACHED, path
 
 
 async def main(port, stop_port):
