A health check goes over the connection that was opened for it

Change: the new connection is held for the check, which is sent on it (HttpClient.request has over=); it is kept for requests afterwards.

Also merged: a new connection counts by when the kernel was asked for it, and the duplicate test of a plain service names its source.

--- a/rowanport/ends/check.py
+++ b/rowanport/ends/check.py
@@ -20,7 +20,8 @@
 # 360 of them took 23 ms beside 16 busy processes.
 SPREAD_SECONDS = 0.05
 # Seconds after the end until which a new connection cannot have reached a
-# process that was started since.
+# process that was started since.  A kernel asks once within OPEN_SECONDS, so
+# the time at which it is told to counts, not that of the answer.
 RESTART_SECONDS = 0.03
 # Longest wait in seconds for a new connection, peers that relay included.
 OPEN_SECONDS = 0.5
@@ -62,10 +63,13 @@
         """
 
     @abc.abstractmethod
-    async def ask_instance(self):
-        """Return the Instance that answers a health check at its address.
+    async def ask_instance(self, path):
+        """Return the Instance that answers a health check.
 
         It may take any time: it is given up as SILENT after ASK_SECONDS.
+
+        :param path: an open Path that was opened for it, and is the source's
+            to use and to close from now on
         """
 
     async def ask_peers(self, ended_at):
@@ -106,9 +110,10 @@
         }
         new = _NewConnection(self._client, address, source.may_be_asked)
         try:
-            if earlier:
-                await asyncio.sleep(SPREAD_SECONDS)
             opened = await new.opened()
+            if earlier:
+                known_at = ended_at + SPREAD_SECONDS
+                await asyncio.sleep(known_at - loop_time())
             evidence = Evidence(_any_open(earlier), opened)
             evidence.leaving = source.leaving
             evidence.cut_together = source.cut_together(ended_at)
@@ -168,7 +173,8 @@
         nobody behind it closes it.
         """
         if self._may_be_asked:
-            return await _ask(source)
+            path, self._held = self._held, None
+            return await _ask(source, path)
         await self._wait_for_end()
         return Instance.SILENT if self._held.open else Instance.GONE
 
@@ -194,15 +200,12 @@
             return Opened.NOT_ALLOWED
         except (UpstreamError, asyncio.TimeoutError):
             return Opened.UNREACHABLE
-        if self._may_be_asked:
-            self._client.keep(path)
-        else:
-            self._held = path
-        opened_at = loop_time()
+        self._held = path
+        asked_at = path.asked_at
         if path.relay is not None:
             # A relay tells of a connection only once it stayed open.
-            opened_at -= SETTLE_SECONDS
-        prompt = opened_at <= self._begun_at + RESTART_SECONDS
+            asked_at -= SETTLE_SECONDS
+        prompt = asked_at <= self._begun_at + RESTART_SECONDS
         return Opened.PROMPT if prompt else Opened.LATE
 
     async def _wait_for_end(self):
@@ -239,9 +242,9 @@
     return any(path.open for path in paths)
 
 
-async def _ask(source):
+async def _ask(source, path):
     try:
         async with asyncio.timeout(ASK_SECONDS):
-            return await source.ask_instance()
+            return await source.ask_instance(path)
     except asyncio.TimeoutError:
         return Instance.SILENT
--- a/rowanport/gateway/answer_ends.py
+++ b/rowanport/gateway/answer_ends.py
@@ -182,15 +182,16 @@
     def cut_together(self, ended_at):
         return self._ends.cut_together(self._state.record.run.name, ended_at)
 
-    async def ask_instance(self):
+    async def ask_instance(self, path):
         gateway, record = self._gateway, self._state.record
         service = self._service
         if service is None:
             # A new configuration has come meanwhile.
+            gateway.client.keep(path)
             return Instance.SILENT
         try:
             answer = await gateway.client.request(
-                record.address, "GET", service.health_path
+                record.address, "GET", service.health_path, over=path
             )
         except UpstreamError:
             return Instance.GONE
--- a/rowanport/router/service.py
+++ b/rowanport/router/service.py
@@ -63,9 +63,9 @@
         # One of them is the end of the answer itself.
         return self._services.count_ends(self._upstream.address, ended_at) > 1
 
-    async def ask_instance(self):
+    async def ask_instance(self, path):
         # Plain services have no health checks, and any request may cost.
-        return await self._services.watch(self._upstream.address)
+        return await self._services.watch(path)
 
 
 class ServiceRunner(Runner):
--- a/rowanport/store/store.py
+++ b/rowanport/store/store.py
@@ -127,7 +127,8 @@
 class ValueSource(AnswerSource):
     """What a reader of a value knows of the store that sent it.
 
-    :param ask: coroutine function that reads a key and returns the HttpAnswer
+    :param ask: coroutine function that reads a key over a Path and returns the
+        HttpAnswer
     """
 
     # A store that leaves is not announced, and serves its last calls whole.
@@ -141,9 +142,9 @@
     def cut_together(self, ended_at):
         return False
 
-    async def ask_instance(self):
+    async def ask_instance(self, path):
         try:
-            answer = await self._ask()
+            answer = await self._ask(path)
         except UpstreamError:
             return Instance.GONE
         answer.close()
@@ -205,7 +206,7 @@
             raise StoreUnavailable(f"status {answer.status}")
         return Value(data, int(answer.headers.get(VERSION_HEADER, 0)))
 
-    async def _request(self, method, path, body, timeout):
+    async def _request(self, method, path, body, timeout, over=None):
         return await self._client.request(
             self._address,
             method,
@@ -213,11 +214,13 @@
             body,
             headers=self._headers,
             timeout=timeout,
+            over=over,
         )
 
-    async def _probe(self):
+    async def _probe(self, over):
         self.reads += 1
-        return await self._request("GET", _path(PROBE_KEY), b"", self._timeout)
+        path = _path(PROBE_KEY)
+        return await self._request("GET", path, b"", self._timeout, over)
 
 
 def _path(key, **query):
--- a/rowanport/upstreams/service.py
+++ b/rowanport/upstreams/service.py
@@ -99,6 +99,10 @@
         """
         return self._ends.count(address, ended_at)
 
-    async def watch(self, address):
-        """Return the Instance that the open connections to a service show."""
-        return await watch(self._client.open_paths(address))
+    async def watch(self, path):
+        """Return the Instance that the open connections to a service show.
+
+        :param path: a Path to it that requests may use from now on
+        """
+        self._client.keep(path)
+        return await watch(self._client.open_paths(path.address))
--- a/rowanport/web/client.py
+++ b/rowanport/web/client.py
@@ -309,6 +309,7 @@
         fresh=False,
         patience=NO_PATIENCE,
         check=None,
+        over=None,
     ):
         """Send a request and return its HttpAnswer once the head is here.
 
@@ -321,10 +322,15 @@
         :param patience: the Patience asked after each such silence
         :param check: function that is called before the first byte is sent;
             the UpstreamError that it may raise is passed on
+        :param over: the open Path on which it is sent, which is no kept one;
+            None for any connection
         :raises ConnectionSilent: the kernel gave the connection up
         :raises UpstreamError: ``started`` says whether work may have begun
         """
-        connection = await self._connect(address, fresh)
+        if over is None:
+            connection = await self._connect(address, fresh)
+        else:
+            connection = _Connection(over)
         if check is not None:
             self._check(check, address, connection)
         self._waiting.add(connection)
--- a/rowanport/web/connector.py
+++ b/rowanport/web/connector.py
@@ -5,6 +5,7 @@
 import socket
 
 from . import stream
+from ..clock import loop_time
 from ..errors import ConnectionRefused
 from ..errors import UpstreamError
 
@@ -55,6 +56,8 @@
     :ivar tells_end: whether an orderly end of the connection is the
         upstream's; the kernel of a router that relays may be its source, too
     :ivar opened_at: the event loop's time at which it was opened
+    :ivar asked_at: the event loop's time at which the kernel was asked for it;
+        that at which it was opened if a peer did so
     :ivar answered: whether the head of an answer has arrived on it
     """
 
@@ -66,6 +69,7 @@
         "tunnel",
         "tells_end",
         "opened_at",
+        "asked_at",
         "answered",
         "__weakref__",
     )
@@ -78,6 +82,7 @@
         relay=None,
         tunnel=None,
         tells_end=True,
+        asked_at=None,
     ):
         self.address = address
         self.reader = reader
@@ -85,7 +90,8 @@
         self.relay = relay
         self.tunnel = tunnel
         self.tells_end = tells_end
-        self.opened_at = asyncio.get_running_loop().time()
+        self.opened_at = loop_time()
+        self.asked_at = self.opened_at if asked_at is None else asked_at
         self.answered = False
 
     @property
@@ -144,6 +150,7 @@
 
     async def open(self, address):
         host, _, port = address.rpartition(":")
+        asked_at = loop_time()
         try:
             async with asyncio.timeout(self._timeout):
                 reader, writer = await stream.connect(host, int(port))
@@ -161,4 +168,4 @@
             raise UpstreamError(message, started=False) from None
         if self._keepalive is not None:
             self._keepalive.apply(writer.get_extra_info("socket"))
-        return Path(address, reader, writer)
+        return Path(address, reader, writer, asked_at=asked_at)
--- a/test/test_end_checks.py
+++ b/test/test_end_checks.py
@@ -85,11 +85,11 @@
     def cut_together(self, since):
         return False
 
-    async def ask_instance(self):
+    async def ask_instance(self, path):
         if not self._may_be_asked:
             return Instance.SILENT
         answer = await self._router.client.request(
-            self._address, "GET", "/healthz"
+            self._address, "GET", "/healthz", over=path
         )
         await answer.read()
         return Instance.SAME
--- a/test/test_killed_services.py
+++ b/test/test_killed_services.py
@@ -300,7 +300,7 @@
     # Guards against calling it broken as its process ends right behind it.
     async def body():
         service = await site.add()
-        reading = site.start("last")
+        reading = site.start("late")
         await service.wait_for_run()
         await site.list(service, leaving=True)
         assert await reading == (200, "done", BODY)
@@ -313,7 +313,7 @@
     async def body():
         service = await site.add()
         sound = await site.add("whole", leaving=True)
-        reading = site.start("last", "yes")
+        reading = site.start("late", "yes")
         await service.wait_for_run()
         await site.list(sound)
         await site.list(service, leaving=True)
@@ -351,15 +351,14 @@
     may_run_again = False
     may_be_asked = True
 
-    def __init__(self, services, address):
+    def __init__(self, services):
         self._services = services
-        self._address = address
 
     def cut_together(self, ended_at):
         return False
 
-    async def ask_instance(self):
-        return await self._services.watch(self._address)
+    async def ask_instance(self, path):
+        return await self._services.watch(path)
 
 
 async def call(connector, manner, meanwhile=None):
@@ -373,7 +372,7 @@
     client = HttpClient(connector=connector)
     services = ServiceClient(client, PATIENCE)
     address = service.address
-    source = UnknownSource(services, address)
+    source = UnknownSource(services)
     try:
         calling = asyncio.ensure_future(
             services.call(
--- a/test/test_plain_service_ends.py
+++ b/test/test_plain_service_ends.py
@@ -1,9 +1,10 @@
 """Ends of answers without a length at the own interface's plain services.
 
-docs/design/ends.md holds for the platform's gateway only.
+On given time, with a service that is gone as its connection ends.
 """
 
 import asyncio
+from test.test_killed_services import UnknownSource
 from test.test_silence import run_on_net
 from test.virtual_net import HOST
 
@@ -37,9 +38,9 @@
         servers.append(await stream.listen(serve, SERVICE, 80, 65536, 100))
         HOST.set("10.0.0.1")
         client = ServiceClient(HttpClient(), 5.0)
+        source = UnknownSource(client)
+        call = (f"{SERVICE}:80", "r1", "GET", "/", b"", "", NO_PATIENCE)
         with pytest.raises(UpstreamError):
-            await client.call(
-                f"{SERVICE}:80", "r1", "GET", "/", b"", "", NO_PATIENCE
-            )
+            await client.call(*call, source)
 
     run_on_net(run)
--- a/test/test_unframed_relays.py
+++ b/test/test_unframed_relays.py
@@ -67,10 +67,10 @@
     def cut_together(self, since):
         return False
 
-    async def ask_instance(self):
+    async def ask_instance(self, path):
         try:
             answer = await self._client.request(
-                self._address, "GET", "/healthz"
+                self._address, "GET", "/healthz", over=path
             )
         except UpstreamError:
             return Instance.GONE
--- a/test/upstream_process.py
+++ b/test/upstream_process.py
@@ -8,8 +8,9 @@
 - ``head``: the head, and then nothing until the process is killed;
 - ``early``: one half, and then its connection is closed in order, while the
   process lives on;
-- ``last``: one half, the other one two seconds later, and then the process
-  ends by itself;
+- ``last``: one half, the other one a second later, and then the process ends
+  by itself;
+- ``late``: the same after two seconds;
 - ``frozen``: at once, and the process is paused right behind it;
 - ``length``, ``chunks``: one half of an answer that tells where it ends.
 
@@ -27,8 +28,8 @@
 EVENTS = 6
 # Version that its answers name, as those of a store do.
 VERSION = 7
-# Seconds between the halves of a last answer.
-LAST_SECONDS = 2.0
+# Seconds between the halves of a last answer, by its manner.
+LAST_SECONDS = {"last": 1.0, "late": 2.0}
 TYPE = "content-type: text/event-stream"
 FRAMES = {
     "length": f"content-length: {len(BODY)}",
@@ -67,7 +68,7 @@
         if path == "/healthz":
             named = f"x-rowanport-instance-id: {self._name}"
             writer.write(
-                f"HTTP/1.1 200 OK\r\n{named}\r\n"
+                f"HTTP/1.1 200 OK\r\n{named}\r\nconnection: close\r\n"
                 "content-length: 0\r\n\r\n".encode()
             )
             await writer.drain()
@@ -98,16 +99,16 @@
         await writer.drain()
         if manner == "early":
             return
-        if manner == "last":
-            await asyncio.sleep(LAST_SECONDS)
+        if manner in LAST_SECONDS:
+            await asyncio.sleep(LAST_SECONDS[manner])
         elif manner not in ("whole", "frozen"):
             await asyncio.Event().wait()
         writer.write(parts[1])
         await writer.drain()
-        if manner in ("last", "frozen"):
+        if manner in LAST_SECONDS or manner == "frozen":
             writer.close()
             await writer.wait_closed()
-        if manner == "last":
+        if manner in LAST_SECONDS:
             os._exit(0)
         if manner == "frozen":
             os.kill(os.getpid(), signal.SIGSTOP)
