Tests: an upstream that closes behind a health check says so

test_a_whole_answer_through_a_relay_stays_whole[6] failed once of one run beside load and once of six alone: the upstream of the tests closed the connection of a health check without `connection: close`, so that the next request or check was sent on it and lost.

--- a/test/upstream_process.py
+++ b/test/upstream_process.py
@@ -62,7 +62,7 @@
             named = f"x-rowanport-instance-id: {self._name}"
             writer.write(
                 f"HTTP/1.1 200 OK\r\n{named}\r\n"
-                "content-length: 0\r\n\r\n".encode()
+                "connection: close\r\ncontent-length: 0\r\n\r\n".encode()
             )
             await writer.drain()
             return
