--- a/test/test_unframed_races.py
+++ b/test/test_unframed_races.py
@@ -83,7 +83,7 @@
     asking, first = await begin(scene, path="/safe/")
     (second,) = [one for one in scene.upstreams if one is not first]
     second.late, second.middle = 0.0, 1.0
-    await scene.draw_up(first)
+    await scene.drain(first)
     await asyncio.sleep(STALL + 0.25)
     assert second.runs
     first.kill()
--- a/test/unframed_world.py
+++ b/test/unframed_world.py
@@ -5,8 +5,6 @@
 from test.platform_world import route
 from test.test_silence import run_on_net
 from test.test_silence_races import RaceScene
-from test.test_silent_upstreams import ROUTER
-from test.virtual_net import HOST
 
 from rowanport.standins.upstream import is_health_check
 from rowanport.standins.upstream import UpstreamStandin
@@ -119,36 +117,16 @@
 
         budgets.settle = record
 
-    @property
-    def running(self):
-        """Return the upstream that runs the only request."""
-        (found,) = [one for one in self.upstreams if one.runs]
-        return found
-
     def state(self, upstream):
         """Return the UpstreamState of an upstream."""
         return self.gateway.pool.get(upstream.name)
 
-    async def draw_up(self, upstream, state="draining"):
-        """Change the state in an upstream's entry."""
-        entry = upstream.entry(state=state)
+    async def drain(self, upstream):
+        """Let the entry of an upstream say that it leaves."""
+        entry = upstream.entry(state="draining")
         await self.store.put(f"servers/{upstream.name}", entry)
         await asyncio.sleep(0.05)
 
-    async def restart(self, upstream, name):
-        """Let a successor listen at the address of an upstream at once."""
-        host = upstream.address.partition(":")[0]
-        token = HOST.set(host)
-        successor = UnframedUpstream(name)
-        await successor.start_at(host, 80)
-        HOST.reset(token)
-        return successor
-
-    def hide_listener(self, upstream):
-        """Put a proxy before an upstream that has not noticed its end."""
-        host = upstream.address.partition(":")[0]
-        self.net.sever(ROUTER, host, "accept")
-
     def open_to(self, upstream):
         """Return the number of open connections to an upstream."""
         return len(self.gateway.client.open_paths(upstream.address))
