Ends that are noticed late, torn streams, deadlines and hedges

- An end behind bytes that nobody had read counted from when it was noticed: an entry that was removed as its upstream died looked like a planned leave.
It counts from when the connection ended; a missing entry is a sign of a leave only right behind the end.
- A refused connection beside an open earlier one counts as gone, unless the upstream leaves: the end of the earlier one may wait on a slow link.
- A stream that ends within an event counts as cut together with others.
- The wait for a health check is at most half of the time to the deadline: 504 came for whole answers of busy upstreams on a route of 300 ms.
- A request whose whole answer is here is not hedged while its end is confirmed.
- Remembered ends are forgotten one by one; the list grew as long as ends came within 5 s of each other.

--- a/rowanport/ends/check.py
+++ b/rowanport/ends/check.py
@@ -2,6 +2,7 @@
 
 import abc
 import asyncio
+import math
 
 from ..clock import loop_time
 from ..errors import ConnectionRefused
@@ -40,10 +41,17 @@
 class AnswerSource(abc.ABC):
     """What the receiver of an answer knows of the upstream that sent it."""
 
-    @property
     @abc.abstractmethod
-    def leaving(self):
-        """Return whether the upstream is to end its process soon."""
+    def leaves_at(self, ended_at):
+        """Return whether the upstream was to end its process soon.
+
+        :param ended_at: event loop's time at which the answer ended
+        """
+
+    @property
+    def deadline(self):
+        """Return the event loop's time until which the caller waits."""
+        return math.inf
 
     @property
     @abc.abstractmethod
@@ -96,7 +104,9 @@
         :param source: the AnswerSource
         :raises EndUnconfirmed: nothing shows that it is whole
         """
-        ended_at = loop_time()
+        # A caller that reads slowly lets the end be noticed late.
+        ended_at = answer.path.reader.ended_at or loop_time()
+        leaving = source.leaves_at(ended_at)
         address = answer.path.address
         # Until it is closed, it counts against this router's share, and the
         # new connection may be one too many.
@@ -106,16 +116,18 @@
         earlier = {
             path
             for path in self._client.open_paths(address)
-            if path.relay == answer.path.relay and path is not answer.path
+            if path.relay == answer.path.relay
+            and path is not answer.path
+            and path.opened_at <= ended_at
         }
-        new = _NewConnection(self._client, address, source.may_be_asked)
+        new = _NewConnection(self._client, address, source, ended_at)
         try:
             opened = await new.opened()
             if earlier:
                 known_at = ended_at + SPREAD_SECONDS
                 await asyncio.sleep(known_at - loop_time())
             evidence = Evidence(_any_open(earlier), opened)
-            evidence.leaving = source.leaving
+            evidence.leaving = leaving
             evidence.cut_together = source.cut_together(ended_at)
             evidence.may_run_again = source.may_run_again
             step, reason = judge(evidence)
@@ -150,14 +162,15 @@
 
     :param client: the HttpClient
     :param address: address of the upstream
-    :param may_be_asked: whether a health check may be sent on it
+    :param source: the AnswerSource
+    :param ended_at: event loop's time at which the answer ended
     """
 
-    def __init__(self, client, address, may_be_asked):
+    def __init__(self, client, address, source, ended_at):
         self._client = client
         self._address = address
-        self._may_be_asked = may_be_asked
-        self._begun_at = loop_time()
+        self._may_be_asked = source.may_be_asked
+        self._ended_at = ended_at
         # The open Path that no request may use yet.
         self._held = None
         self._opening = asyncio.ensure_future(self._open())
@@ -175,7 +188,7 @@
         if self._may_be_asked:
             path, self._held = self._held, None
             return await _ask(source, path)
-        await self._wait_for_end()
+        await self._wait_for_end(_ask_seconds(source))
         return Instance.SILENT if self._held.open else Instance.GONE
 
     def release(self):
@@ -205,16 +218,16 @@
         if path.relay is not None:
             # A relay tells of a connection only once it stayed open.
             asked_at -= SETTLE_SECONDS
-        prompt = asked_at <= self._begun_at + RESTART_SECONDS
+        prompt = asked_at <= self._ended_at + RESTART_SECONDS
         return Opened.PROMPT if prompt else Opened.LATE
 
-    async def _wait_for_end(self):
-        """Wait until it ends, at most as long as for a health check."""
+    async def _wait_for_end(self, seconds):
+        """Wait until it ends, at most for some seconds."""
         ended = asyncio.Event()
         reader = self._held.reader
         reader.on_end = ended.set
         try:
-            async with asyncio.timeout(ASK_SECONDS):
+            async with asyncio.timeout(seconds):
                 if not reader.ended:
                     await ended.wait()
         except asyncio.TimeoutError:
@@ -242,9 +255,18 @@
     return any(path.open for path in paths)
 
 
+def _ask_seconds(source):
+    """Return for how long a health check may take.
+
+    A caller that soon gives up has nothing of proof that comes later.
+    """
+    left = (source.deadline - loop_time()) / 2
+    return min(ASK_SECONDS, max(SPREAD_SECONDS, left))
+
+
 async def _ask(source, path):
     try:
-        async with asyncio.timeout(ASK_SECONDS):
+        async with asyncio.timeout(_ask_seconds(source)):
             return await source.ask_instance(path)
     except asyncio.TimeoutError:
         return Instance.SILENT
--- a/rowanport/ends/record.py
+++ b/rowanport/ends/record.py
@@ -20,12 +20,16 @@
     def __init__(self):
         self._ends = collections.defaultdict(list)
 
-    def add(self, upstream):
-        """Record that an upstream ended such a connection; return the time."""
+    def add(self, upstream, ended_at=None):
+        """Record that an upstream ended such a connection; return the time.
+
+        :param ended_at: the time, None for now
+        """
         now = loop_time()
+        ended_at = now if ended_at is None else ended_at
         self._expire(now)
-        self._ends[upstream].append(now)
-        return now
+        self._ends[upstream].append(ended_at)
+        return ended_at
 
     def remove(self, upstream, ended_at):
         """Forget an end whose answer was found to be whole.
@@ -41,11 +45,9 @@
         return sum(abs(at - ended_at) <= APART_SECONDS for at in times)
 
     def _expire(self, now):
-        self._ends = collections.defaultdict(
-            list,
-            {
-                upstream: times
-                for upstream, times in self._ends.items()
-                if times and times[-1] > now - CUT_SECONDS
-            },
-        )
+        recent = collections.defaultdict(list)
+        for upstream, times in self._ends.items():
+            kept = [at for at in times if at > now - CUT_SECONDS]
+            if kept:
+                recent[upstream] = kept
+        self._ends = recent
--- a/rowanport/ends/verdict.py
+++ b/rowanport/ends/verdict.py
@@ -127,6 +127,9 @@
     :param evidence: the Evidence
     """
     if evidence.earlier_open:
+        if evidence.opened is Opened.REFUSED and not evidence.leaving:
+            # Their ends may wait behind bytes on a slow link.
+            return Step.BROKEN, Reason.REFUSED
         silent = (Opened.REFUSED, Opened.UNREACHABLE)
         if evidence.opened in silent and not evidence.waited:
             # The ends of the earlier connections may have been lost.
--- a/rowanport/gateway/answer_ends.py
+++ b/rowanport/gateway/answer_ends.py
@@ -24,6 +24,8 @@
 
 LOG = structlog.get_logger(__name__)
 
+# Seconds after an end from which on a missing entry is no sign of a leave.
+LATE_SECONDS = 0.05
 # Most peers that are asked, and longest wait in seconds for their answers.
 MOST_ASKED = 16
 ASK_TIMEOUT = 0.2
@@ -118,9 +120,9 @@
         :raises EndUnconfirmed: nothing shows that it is
         """
         gateway = self._gateway
-        source = UpstreamSource(gateway, self, state, may_run_again)
+        source = UpstreamSource(gateway, self, job, state, may_run_again)
         run = state.record.run.name
-        ended_at = self.record_end(run)
+        ended_at = self._ends.add(run, answer.path.reader.ended_at)
         ends = gateway.metrics.connection_ends
         try:
             reason = await self._check.confirm(answer, source)
@@ -141,22 +143,31 @@
 
     :param gateway: the Gateway
     :param ends: the AnswerEnds
+    :param job: the Job
     :param state: the UpstreamState
     :param may_run_again: function that returns whether the job can be sent to
         another upstream now
     """
 
-    def __init__(self, gateway, ends, state, may_run_again):
+    def __init__(self, gateway, ends, job, state, may_run_again):
         self._gateway = gateway
         self._ends = ends
+        self._job = job
         self._state = state
         self._may_run_again = may_run_again
 
-    @property
-    def leaving(self):
+    def leaves_at(self, ended_at):
         state = self._state
-        listed = self._gateway.pool.get(state.record.id) is state
-        return state.leaving or not listed
+        if state.leaving:
+            return True
+        # The entry of an upstream that died is removed as well, seconds later.
+        late = loop_time() > ended_at + LATE_SECONDS
+        return not late and self._gateway.pool.get(state.record.id) is not state
+
+    @property
+    def deadline(self):
+        left = self._job.deadline - self._gateway.clock.steady()
+        return loop_time() + left
 
     @property
     def may_run_again(self):
--- a/rowanport/gateway/attempt.py
+++ b/rowanport/gateway/attempt.py
@@ -101,6 +101,11 @@
         """Return the Path of its answer, None until its head has arrived."""
         return self.answer and self.answer.path
 
+    @property
+    def confirming(self):
+        """Return whether its answer has ended and the end is confirmed now."""
+        return self._confirming is not None and not self._ended
+
     @property
     def forwarding(self):
         """Return whether its answer is being forwarded."""
@@ -191,10 +196,10 @@
             raise BoundExceeded("event", EVENT_LIMIT)
 
     def _check_end(self):
-        """Raise UpstreamError if a stream ends within its next event.
+        """Raise UpstreamError if a stream ends within an event.
 
-        It must not win a race.  Where a whole event has come before, that is
-        forwarded first, and the relay checks the end.
+        It must not win a race.  Where a whole event has come that was not
+        forwarded yet, that goes out first, and the relay checks the end.
         """
         if self._has_event or not is_stream(self.answer):
             return
--- a/rowanport/gateway/sender.py
+++ b/rowanport/gateway/sender.py
@@ -128,7 +128,10 @@
             async with asyncio.timeout(left):
                 await attempt.advance()
         except asyncio.TimeoutError:
-            return False
+            if not attempt.confirming:
+                return False
+            # All of the answer is here: another run would be one too many.
+            await attempt.advance()
         return True
 
     def _check(self, attempt):
@@ -447,9 +450,8 @@
 
     def _record_failure(self, state, error, path):
         self._record_bound(state, error)
-        if isinstance(error, ConnectionEnded) and (
-            not isinstance(error, EndUnconfirmed)
-        ):
+        early = isinstance(error, (ConnectionEnded, StreamTruncated))
+        if early and not isinstance(error, EndUnconfirmed):
             self._gateway.ends.record_end(state.record.run.name)
         weight = 1
         if not error.started:
--- a/rowanport/router/service.py
+++ b/rowanport/router/service.py
@@ -46,8 +46,7 @@
         self._upstream = upstream
         self._stall_policy = stall_policy
 
-    @property
-    def leaving(self):
+    def leaves_at(self, ended_at):
         listed = self._upstream in self._pool.upstreams()
         return not (listed and self._pool.is_open(self._upstream))
 
--- a/rowanport/store/store.py
+++ b/rowanport/store/store.py
@@ -131,14 +131,16 @@
         HttpAnswer
     """
 
-    # A store that leaves is not announced, and serves its last calls whole.
-    leaving = False
     may_run_again = True
     may_be_asked = True
 
     def __init__(self, ask):
         self._ask = ask
 
+    def leaves_at(self, ended_at):
+        # A store that leaves is not announced, and serves its last calls.
+        return False
+
     def cut_together(self, ended_at):
         return False
 
--- a/rowanport/web/stream.py
+++ b/rowanport/web/stream.py
@@ -21,6 +21,8 @@
 
     :ivar on_end: called once when the peer closed or reset the connection
     :ivar on_data: called whenever bytes arrive
+    :ivar ended: whether the connection has ended
+    :ivar ended_at: the event loop's time at which it ended, or None
     """
 
     def __init__(self, **options):
@@ -28,6 +30,7 @@
         self.on_end = None
         self.on_data = None
         self.ended = False
+        self.ended_at = None
 
     @property
     def unread(self):
@@ -59,6 +62,7 @@
         if self.ended:
             return
         self.ended = True
+        self.ended_at = self._loop.time()
         if self.on_end is not None:
             self.on_end()
 
--- a/test/test_end_checks.py
+++ b/test/test_end_checks.py
@@ -70,7 +70,6 @@
     :param address: its address
     """
 
-    leaving = False
     may_run_again = False
 
     def __init__(self, router, may_be_asked=True, address=ADDRESS):
@@ -82,6 +81,9 @@
     def may_be_asked(self):
         return self._may_be_asked
 
+    def leaves_at(self, ended_at):
+        return False
+
     def cut_together(self, since):
         return False
 
--- a/test/test_killed_services.py
+++ b/test/test_killed_services.py
@@ -347,13 +347,15 @@
 class UnknownSource(AnswerSource):
     """A service that does not leave and cannot be asked."""
 
-    leaving = False
     may_run_again = False
     may_be_asked = True
 
     def __init__(self, services):
         self._services = services
 
+    def leaves_at(self, ended_at):
+        return False
+
     def cut_together(self, ended_at):
         return False
 
--- a/test/test_killed_upstreams.py
+++ b/test/test_killed_upstreams.py
@@ -14,6 +14,7 @@
 from test.upstream_process import event
 from test.upstream_process import EVENTS
 from test.upstream_process import HOST
+from unittest import mock
 
 import pytest
 
@@ -25,6 +26,8 @@
 
 # Seconds that anything may take before a test gives up.
 PATIENCE = 30.0
+# Seconds after which a proxy finds that nobody listens behind it.
+FINDING_SECONDS = 0.2
 STREAMS = ("/stream/", "/plainstream/")
 
 
@@ -93,6 +96,44 @@
         }
 
 
+class SlowProxy:
+    """A proxy that takes a while to find that nobody listens behind it.
+
+    :param target: port of the upstream
+    """
+
+    def __init__(self, target):
+        self._target = target
+        self._server = None
+        self.port = free_ports(1)[0]
+
+    async def __aenter__(self):
+        self._server = await asyncio.start_server(self._serve, HOST, self.port)
+        return self
+
+    async def __aexit__(self, *_exc):
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        try:
+            behind = await asyncio.open_connection(HOST, self._target)
+        except OSError:
+            await asyncio.sleep(FINDING_SECONDS)
+        else:
+            copying = asyncio.ensure_future(_copy(reader, behind[1]))
+            await _copy(behind[0], writer)
+            copying.cancel()
+            behind[1].close()
+        writer.close()
+
+
+async def _copy(reader, writer):
+    with contextlib.suppress(OSError):
+        while data := await reader.read(65536):
+            writer.write(data)
+            await writer.drain()
+
+
 class KilledPlatform(Platform):
     """A Platform that sends all to an upstream in a process of its own.
 
@@ -314,3 +355,39 @@
         assert await outcome(reading) == (200, whole_body(path))
 
     run(body)
+
+
+def test_a_proxy_does_not_vouch_for_an_upstream_that_is_not_asked():
+    # Guards against a new connection that counts before the proxy has found
+    # that nobody is left: an upstream with a rate limit gets no health checks.
+    async def body(platform):
+        async with SlowProxy(platform.killed._port) as proxy:
+            address = f"{HOST}:{proxy.port}"
+            entry = {**platform.killed.entry(), "address": address}
+            await platform.list({**entry, "seq_num": 2})
+            pool, limits = platform.gateway.pool, platform.gateway.limits
+            await platform.wait(
+                lambda: pool.get(platform.killed.name).record.address
+                == address
+            )
+            reading = platform.start("/once/half")
+            await platform.killed.wait_for_run()
+            await asyncio.sleep(0.1)
+            with mock.patch.object(limits, "unlimited", lambda states: []):
+                await platform.killed.kill()
+                result = await outcome(reading)
+            assert result is None or result[0] == 502
+
+    run(body)
+
+
+def test_whole_answers_of_an_upstream_that_is_not_asked_stay_whole():
+    # Guards against whole answers that count as broken without a question.
+    async def body(platform):
+        limits = platform.gateway.limits
+        reading = platform.start("/once/slow")
+        await platform.killed.wait_for_run()
+        with mock.patch.object(limits, "unlimited", lambda states: []):
+            assert await outcome(reading) == (200, BODY)
+
+    run(body)
--- a/test/test_unframed_relays.py
+++ b/test/test_unframed_relays.py
@@ -55,7 +55,6 @@
     :param address: its address
     """
 
-    leaving = False
     may_run_again = False
     may_be_asked = True
 
@@ -64,6 +63,9 @@
         self._upstream = upstream
         self._address = address
 
+    def leaves_at(self, ended_at):
+        return False
+
     def cut_together(self, since):
         return False
 
--- a/test/upstream_process.py
+++ b/test/upstream_process.py
@@ -4,6 +4,7 @@
 the last part of a path says it.  Each answer ends with its connection:
 
 - ``whole``: at once, and the process lives on;
+- ``slow``: one half, and the other one half a second later;
 - ``half``: one half, and then nothing until the process is killed;
 - ``head``: the head, and then nothing until the process is killed;
 - ``early``: one half, and then its connection is closed in order, while the
@@ -28,8 +29,10 @@
 EVENTS = 6
 # Version that its answers name, as those of a store do.
 VERSION = 7
-# Seconds between the halves of a last answer, by its manner.
+# Seconds between the halves of an answer, by its manner; behind a last one the
+# process ends.
 LAST_SECONDS = {"last": 1.0, "late": 2.0}
+SLOW_SECONDS = 0.5
 TYPE = "content-type: text/event-stream"
 FRAMES = {
     "length": f"content-length: {len(BODY)}",
@@ -101,6 +104,8 @@
             return
         if manner in LAST_SECONDS:
             await asyncio.sleep(LAST_SECONDS[manner])
+        elif manner == "slow":
+            await asyncio.sleep(SLOW_SECONDS)
         elif manner not in ("whole", "frozen"):
             await asyncio.Event().wait()
         writer.write(parts[1])
