--- a/test/test_end_faults.py
+++ b/test/test_end_faults.py
@@ -331,6 +331,28 @@
     run(body)
 
 
+@pytest.mark.parametrize("health", ("named", "silent"))
+def test_a_whole_answer_is_not_hedged_as_its_end_is_checked(health):
+    # Guards against a second run of a request whose whole answer is here, as
+    # the check of its end outlasts the stall time-out (two fifths of 800 ms).
+    async def body(platform):
+        configured = config(version=2)
+        configured["routes"][0]["timeout_ms"] = 800
+        await platform.store.put("op/config", configured)
+        await platform.killed.kill()
+        port = platform.killed._port
+        platform.killed = FaultUpstream("killed", port, health)
+        await platform.killed.start()
+        await asyncio.sleep(1.5)
+        reading = platform.start("/safe/whole", "r2")
+        await platform.killed.wait_until_sent()
+        await platform.add_sound()
+        assert (await outcome(reading))[0] == 200
+        assert not platform.runs
+
+    run(body)
+
+
 @pytest.mark.parametrize("most", (2, 3, 5))
 def test_whole_answers_stay_whole_where_each_router_has_few_connections(most):
     # Guards against whole answers that are called broken in a large fleet: the
