An end counts from when bytes first waited to be read

A caller that reads slowly pauses the reading of its answer, so that the end of the connection is noticed seconds late and connections to a process that was started since seemed earlier ones. The time at which reading first paused is the earliest at which the connection can have ended.

--- a/rowanport/ends/check.py
+++ b/rowanport/ends/check.py
@@ -118,7 +118,7 @@
             for path in self._client.open_paths(address)
             if path.relay == answer.path.relay
             and path is not answer.path
-            and path.opened_at <= ended_at
+            and path.opened_at <= ended_at + RESTART_SECONDS
         }
         new = _NewConnection(self._client, address, source, ended_at)
         try:
--- a/rowanport/gateway/answer_ends.py
+++ b/rowanport/gateway/answer_ends.py
@@ -162,7 +162,9 @@
             return True
         # The entry of an upstream that died is removed as well, seconds later.
         late = loop_time() > ended_at + LATE_SECONDS
-        return not late and self._gateway.pool.get(state.record.id) is not state
+        return (
+            not late and self._gateway.pool.get(state.record.id) is not state
+        )
 
     @property
     def deadline(self):
--- a/rowanport/gateway/attempt.py
+++ b/rowanport/gateway/attempt.py
@@ -101,11 +101,6 @@
         """Return the Path of its answer, None until its head has arrived."""
         return self.answer and self.answer.path
 
-    @property
-    def confirming(self):
-        """Return whether its answer has ended and the end is confirmed now."""
-        return self._confirming is not None and not self._ended
-
     @property
     def forwarding(self):
         """Return whether its answer is being forwarded."""
--- a/rowanport/web/stream.py
+++ b/rowanport/web/stream.py
@@ -22,7 +22,8 @@
     :ivar on_end: called once when the peer closed or reset the connection
     :ivar on_data: called whenever bytes arrive
     :ivar ended: whether the connection has ended
-    :ivar ended_at: the event loop's time at which it ended, or None
+    :ivar ended_at: the event loop's time at which it ended at the earliest, or
+        None: an end behind bytes that nobody has read is noticed late
     """
 
     def __init__(self, **options):
@@ -31,6 +32,7 @@
         self.on_data = None
         self.ended = False
         self.ended_at = None
+        self._paused_at = None
 
     @property
     def unread(self):
@@ -45,6 +47,8 @@
     def feed_data(self, data):
         """Take in bytes, and say so."""
         super().feed_data(data)
+        if self.paused and self._paused_at is None:
+            self._paused_at = self._loop.time()
         if self.on_data is not None:
             self.on_data()
 
@@ -62,7 +66,7 @@
         if self.ended:
             return
         self.ended = True
-        self.ended_at = self._loop.time()
+        self.ended_at = self._paused_at or self._loop.time()
         if self.on_end is not None:
             self.on_end()
 
