--- a/test/test_killed_services.py
+++ b/test/test_killed_services.py
@@ -36,6 +36,8 @@
 CAPACITY = 64
 # Seconds for which nothing more may arrive at a service.
 QUIET_SECONDS = 1.0
+# Seconds in which connections that are dropped are closed.
+SETTLE_SECONDS = 0.1
 # Seconds after which a connection that was accepted at once is noticed.
 LATE_SECONDS = 0.1
 
@@ -135,6 +137,9 @@
         loop.run_until_complete(site.set_up())
         yield site
     finally:
+        # Connections that outlive their loop fail in a later test.
+        fleet.http.close()
+        loop.run_until_complete(asyncio.sleep(SETTLE_SECONDS))
         fleet.close()
         loop.close()
 
--- a/test/test_killed_upstreams.py
+++ b/test/test_killed_upstreams.py
@@ -291,8 +291,12 @@
         await platform.killed.wait_for_run()
         await asyncio.sleep(0.1)
         platform.killed.process.kill()
-        await UpstreamProcess("next", platform.killed._port).start()
-        result = await outcome(reading)
+        other = UpstreamProcess("next", platform.killed._port)
+        await other.start()
+        try:
+            result = await outcome(reading)
+        finally:
+            await other.kill()
         assert result is None or result[0] == 502
 
     run(body)
