Connections that checks have just opened do not vouch for other answers

Several halves of a killed upstream behind a proxy that is slow to find nobody looked whole: the new connection of the first check was open for the 50 ms of the next one, which took it for one that was open before the end.

Failing before: test_a_connection_that_was_just_opened_is_no_proof (no EndUnconfirmed).

Change: a connection counts as earlier if an answer has come on it, or if it stood for as long as a health check may take. Peers go by the same.

--- a/rowanport/ends/__init__.py
+++ b/rowanport/ends/__init__.py
@@ -7,6 +7,7 @@
 
 from .check import AnswerSource
 from .check import EndCheck
+from .check import is_earlier
 from .check import PROXY_FAILURES
 from .check import watch
 from .record import APART_SECONDS
@@ -26,6 +27,7 @@
     "EndRecord",
     "Evidence",
     "Instance",
+    "is_earlier",
     "judge",
     "Opened",
     "Peers",
--- a/rowanport/ends/check.py
+++ b/rowanport/ends/check.py
@@ -118,7 +118,7 @@
             for path in self._client.open_paths(address)
             if path.relay == answer.path.relay
             and path is not answer.path
-            and path.opened_at <= ended_at + RESTART_SECONDS
+            and is_earlier(path, ended_at)
         }
         new = _NewConnection(self._client, address, source, ended_at)
         try:
@@ -251,6 +251,20 @@
     return Instance.UNNAMED
 
 
+def is_earlier(path, ended_at):
+    """Return whether a connection leads to the process of before an end.
+
+    One that was opened just now and brought nothing, such as that of another
+    check, may end at a proxy that has not found out yet that nobody listens.
+
+    :param path: an open Path
+    :param ended_at: event loop's time
+    """
+    if path.answered:
+        return path.opened_at <= ended_at + RESTART_SECONDS
+    return path.opened_at <= ended_at - ASK_SECONDS
+
+
 def _any_open(paths):
     return any(path.open for path in paths)
 
--- a/rowanport/gateway/answer_ends.py
+++ b/rowanport/gateway/answer_ends.py
@@ -7,10 +7,10 @@
 
 from ..clock import loop_time
 from ..ends import AnswerSource
-from ..ends import APART_SECONDS
 from ..ends import EndCheck
 from ..ends import EndRecord
 from ..ends import Instance
+from ..ends import is_earlier
 from ..ends import Peers
 from ..ends import PROXY_FAILURES
 from ..errors import EndUnconfirmed
@@ -66,12 +66,11 @@
     def answer(self, message):
         """Return the EndNews on an EndAsk of a peer."""
         ended_at = loop_time() - message.age_ms / 1000
-        before = ended_at - APART_SECONDS
         paths = self._gateway.client.open_paths(message.address)
         # The end of a connection does not arrive over a link that is lost.
         reaches = self._gateway.links.usable(message.address)
         return EndNews(
-            reaches and any(path.opened_at < before for path in paths),
+            reaches and any(is_earlier(path, ended_at) for path in paths),
             self._ends.count(message.upstream, ended_at) > 0,
         )
 
--- a/test/test_end_checks.py
+++ b/test/test_end_checks.py
@@ -245,6 +245,23 @@
     play(scenario)
 
 
+def test_a_connection_that_was_just_opened_is_no_proof():
+    # Guards against halves of several answers that look whole behind a proxy
+    # that is slow to find nobody, as their checks vouch for each other.
+    async def scenario(server, router, net):
+        answers = [await begin(router), await begin(router)]
+        net.sever("router", ADDRESS.split(":")[0], "accept")
+        other = await router.client.open_path(ADDRESS)
+        server.kill()
+        await read_end(answers[0])
+        check = EndCheck(router.client)
+        with pytest.raises(EndUnconfirmed):
+            await check.confirm(answers[0], Source(router, False))
+        other.writer.close()
+
+    play(scenario)
+
+
 def test_a_connection_that_took_another_way_is_no_proof():
     # Guards against half an answer that looks whole as a connection through a
     # frozen relay, or over a link that went silent, has not ended.
