The suite describes failures while no garbage is collected

A listed test failed, and as its source was parsed for the report, a connection of an earlier test was collected whose event loop is closed; the traceback of its error is parsed, too, within the first parse.

Garbage is collected before a failure is described and behind each file, and not in between. No test or check changes.

--- a/test/conftest.py
+++ b/test/conftest.py
@@ -4,6 +4,7 @@
 is the same every run.
 """
 
+import gc
 import pathlib
 
 import pytest
@@ -52,6 +53,32 @@
             item.add_marker(pytest.mark.xfail(reason=cause, strict=False))
 
 
+@pytest.hookimpl(wrapper=True)
+def pytest_runtest_makereport(call):
+    """Let no garbage be collected while a failure is described.
+
+    A connection that is collected behind its event loop raises an error, whose
+    traceback is parsed.  That happens within the parse of the failing test's
+    source, which the interpreter answers with a SystemError.
+    """
+    if call.excinfo is None:
+        return (yield)
+    gc.collect()
+    gc.disable()
+    try:
+        return (yield)
+    finally:
+        gc.enable()
+
+
+@pytest.hookimpl(wrapper=True)
+def pytest_runtest_teardown(item, nextitem):
+    """Collect the garbage of a file's tests before those of the next one."""
+    yield
+    if nextitem is None or nextitem.path != item.path:
+        gc.collect()
+
+
 def pytest_terminal_summary(terminalreporter):
     """Print the list, whatever its tests did this time."""
     for test, cause in read_list().items():
