--- a/review/runner2.py
+++ b/review/runner2.py
@@ -6,7 +6,8 @@
 Options: ``work`` (seconds of a plain request), ``events`` and ``pause`` (of a
 stream), ``endless`` (of each 20 requests that it runs while it is in trouble,
 so many get bytes that are no answer and do not end until the caller closes).
-SIGUSR1 begins its trouble, SIGUSR2 ends it.
+SIGUSR1 begins its trouble, SIGUSR2 ends it.  ``unframed=1``: its streams have
+no length and no chunks, and end with their channel.
 """
 
 import asyncio
@@ -26,6 +27,7 @@
         self.events = int(options.get("events", 10))
         self.pause = float(options.get("pause", 0.05))
         self.endless = int(options.get("endless", 0))
+        self.unframed = bool(int(options.get("unframed", 0)))
         self.in_trouble = False
         self.count = 0
 
@@ -95,16 +97,24 @@
     async def stream(self, head, name, headers, writer):
         """Answer with events, from the last one that the caller has."""
         head += "Content-Type: text/event-stream\r\n"
-        head += "Transfer-Encoding: chunked\r\n\r\n"
+        if self.unframed:
+            head += "Connection: close\r\n\r\n"
+        else:
+            head += "Transfer-Encoding: chunked\r\n\r\n"
         writer.write(head.encode())
         first = int(headers.get("last-event-id") or 0) + 1
         for number in range(first, self.events + 1):
             await asyncio.sleep(self.pause)
             event = f"id: {number}\ndata: {number} of a run\n\n".encode()
-            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            if not self.unframed:
+                event = b"%x\r\n%s\r\n" % (len(event), event)
+            writer.write(event)
             await writer.drain()
             self.tell(made=name, event=number)
-        writer.write(b"0\r\n\r\n")
+        if self.unframed:
+            writer.close()
+        else:
+            writer.write(b"0\r\n\r\n")
 
     async def never_end(self, head, name, writer):
         """Send bytes that are no answer until the caller closes.
