--- a/review/world2.py
+++ b/review/world2.py
@@ -64,11 +64,6 @@
     """The case could not run."""
 
 
-def trouble():
-    """Return whether the case is to play its disruption."""
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 def free_ports(count):
     """Return ports that nobody listens on now."""
     sockets = [socket.socket() for _ in range(count)]
